--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# Modules of the workspace, in dependency order.
+MODULES := $(shell go list -m -f '{{.Dir}}' | sed 's|$(CURDIR)/||')
+PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
+# Packages whose tests explore many states run without the race detector.
+GO := go
+
+.PHONY: build test race lint fmt tidy demo bench slopes scenarios explore loc clean
+
+build:
+	$(GO) build -o bin/ ./cmd/sardinefront ./cmd/sardinectl
+
+test: build
+	$(GO) test $(PACKAGES)
+
+race:
+	$(GO) test -race $(PACKAGES)
+
+fmt:
+	gofmt -l -w $(MODULES)
+
+lint: bin/staticcheck
+	@test -z "$$(gofmt -l $(MODULES))" || { echo "not formatted:"; gofmt -l $(MODULES); exit 1; }
+	$(GO) vet $(PACKAGES)
+	bin/staticcheck $(PACKAGES)
+
+bin/staticcheck: tools/go.mod
+	GOWORK=off $(GO) build -C tools -o ../bin/staticcheck honnef.co/go/tools/cmd/staticcheck
+
+# Rewrites the requirements of every module from its imports.
+tidy:
+	@for m in $(MODULES); do (cd $$m && GOWORK=off $(GO) mod tidy) || exit 1; done
+
+demo: build
+	bin/sardinectl demo
+
+# Prints the share of test code. Fails above one third.
+loc:
+	@code=$$(git ls-files '*.go' | grep -v _test.go | xargs cat | wc -l); \
+	tests=$$(git ls-files '*_test.go' | xargs -r cat | wc -l); \
+	echo "code $$code lines, tests $$tests lines, share $$((100*tests/(code+tests)))%"; \
+	test $$((3*tests)) -le $$((code+tests))
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/cmd/sardinectl/main.go
@@ -0,0 +1,4 @@
+// Command sardinectl is the operator command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/sardinefront/main.go
@@ -0,0 +1,4 @@
+// Command sardinefront is the process on an entry host.
+package main
+
+func main() {}
--- /dev/null
+++ b/core/event/event.go
@@ -0,0 +1,24 @@
+// Package event declares every numbered log event once. docs/events.md is its
+// catalogue.
+package event
+
+import (
+	"context"
+	"log/slog"
+)
+
+// Event is one kind of log record. Number never changes meaning once released.
+type Event struct {
+	Number  int
+	Name    string
+	Level   slog.Level
+	Meaning string
+}
+
+// Log writes the event with its number and the given attributes.
+func (e Event) Log(l *slog.Logger, attrs ...slog.Attr) {
+	all := make([]slog.Attr, 0, len(attrs)+1)
+	all = append(all, slog.Int("event", e.Number))
+	all = append(all, attrs...)
+	l.LogAttrs(context.Background(), e.Level, e.Name, all...)
+}
--- /dev/null
+++ b/core/refusal/retry.go
@@ -0,0 +1,35 @@
+package refusal
+
+import "fmt"
+
+// Retry identifies why a request was tried at another target. Every retry is
+// one where it is proven that no byte of the request went out.
+type Retry uint8
+
+// The retry reasons. They label the retry counter.
+const (
+	RetryDialFailed Retry = iota
+	RetryConnectionStale
+	RetryTargetLeft
+	RetryLimitRaced
+	retryCount
+)
+
+var retryNames = [retryCount]string{"dial-failed", "connection-stale", "target-left", "limit-raced"}
+
+// String returns the counter label.
+func (r Retry) String() string {
+	if r >= retryCount {
+		return fmt.Sprintf("retry(%d)", uint8(r))
+	}
+	return retryNames[r]
+}
+
+// Retries returns all retry reasons in table order.
+func Retries() []Retry {
+	all := make([]Retry, retryCount)
+	for i := range all {
+		all[i] = Retry(i)
+	}
+	return all
+}
--- /dev/null
+++ b/core/telemetry/telemetry.go
@@ -0,0 +1,175 @@
+// Package telemetry declares every metric once and exposes them in the
+// Prometheus text format. docs/metrics.md is the catalogue.
+package telemetry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+
+	"sardinefront.dev/core/refusal"
+	"sardinefront.dev/core/request"
+)
+
+// Spec describes one metric for the catalogue.
+type Spec struct {
+	Name    string
+	Kind    string
+	Unit    string
+	Labels  []string
+	Meaning string
+}
+
+// Specs lists every metric of the process.
+var Specs = []Spec{
+	{"sardinefront_requests", "counter", "{request}", []string{"tier", "pool"}, "Requests taken in."},
+	{"sardinefront_answers", "counter", "{request}", []string{"tier", "pool"}, "Requests answered whole and in time."},
+	{"sardinefront_refusals", "counter", "{request}", []string{"tier", "reason"}, "Requests refused, by reason."},
+	{"sardinefront_retries", "counter", "{request}", []string{"reason"}, "Requests tried at another target, by reason."},
+	{"sardinefront_first_token", "histogram", "s", []string{"tier"}, "Time from arrival to the first byte of the answer."},
+	{"sardinefront_wasted_prefill", "counter", "{token}", []string{"cause"}, "Prompt tokens whose prefill was not used, by cause."},
+	{"sardinefront_moves", "counter", "{move}", []string{"outcome"}, "Version moves ended, by outcome."},
+	{"sardinefront_outcomes_unknown", "counter", "{request}", nil, "Claimed requests that cannot be proven to have run or not."},
+	{"sardinefront_store_calls", "counter", "{call}", []string{"kind"}, "Calls to the platform's store."},
+	{"sardinefront_peer_bytes", "counter", "By", []string{"direction"}, "Bytes of control traffic with peers."},
+}
+
+// WasteCause says why prefill work was wasted.
+type WasteCause string
+
+// The causes of wasted prefill.
+const (
+	WasteCachedElsewhere WasteCause = "cached-elsewhere"
+	WasteCancelled       WasteCause = "cancelled"
+	WasteRefused         WasteCause = "refused-after-run"
+	WasteTargetLost      WasteCause = "target-lost"
+)
+
+var wasteCauses = []WasteCause{WasteCachedElsewhere, WasteCancelled, WasteRefused, WasteTargetLost}
+
+// MoveOutcomes are the labels of the moves counter.
+var MoveOutcomes = []string{"done", "taken-back", "late"}
+
+// Metrics records the process's metrics. All methods are safe for concurrent
+// use.
+type Metrics struct {
+	registry *prometheus.Registry
+	counters map[string]metric.Int64Counter
+	first    metric.Float64Histogram
+}
+
+// firstTokenBuckets are in seconds. 0.59 is the first-token target.
+var firstTokenBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.59, 1, 2, 5, 10, 30, 60}
+
+// New declares all metrics and sets each refusal, retry, waste and move series
+// to zero, so that an absent series always means an absent process.
+func New() (*Metrics, error) {
+	reg := prometheus.NewRegistry()
+	exp, err := otelprom.New(otelprom.WithRegisterer(reg), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo())
+	if err != nil {
+		return nil, fmt.Errorf("telemetry: prometheus exporter: %w", err)
+	}
+	meter := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exp)).Meter("sardinefront")
+	m := &Metrics{registry: reg, counters: make(map[string]metric.Int64Counter)}
+	for _, s := range Specs {
+		if err := m.declare(meter, s); err != nil {
+			return nil, fmt.Errorf("telemetry: metric %s: %w", s.Name, err)
+		}
+	}
+	m.zero()
+	return m, nil
+}
+
+func (m *Metrics) declare(meter metric.Meter, s Spec) error {
+	if s.Kind == "histogram" {
+		h, err := meter.Float64Histogram(s.Name, metric.WithUnit(s.Unit), metric.WithDescription(s.Meaning),
+			metric.WithExplicitBucketBoundaries(firstTokenBuckets...))
+		m.first = h
+		return err
+	}
+	c, err := meter.Int64Counter(s.Name, metric.WithUnit(s.Unit), metric.WithDescription(s.Meaning))
+	m.counters[s.Name] = c
+	return err
+}
+
+func (m *Metrics) zero() {
+	for t := request.Tier(0); t < request.TierCount; t++ {
+		for _, r := range refusal.Reasons() {
+			m.add("sardinefront_refusals", 0, attribute.String("tier", t.String()), attribute.String("reason", r.String()))
+		}
+	}
+	for _, r := range refusal.Retries() {
+		m.add("sardinefront_retries", 0, attribute.String("reason", r.String()))
+	}
+	for _, c := range wasteCauses {
+		m.WastedPrefill(c, 0)
+	}
+	for _, o := range MoveOutcomes {
+		m.add("sardinefront_moves", 0, attribute.String("outcome", o))
+	}
+	m.add("sardinefront_outcomes_unknown", 0)
+}
+
+func (m *Metrics) add(name string, n int64, attrs ...attribute.KeyValue) {
+	m.counters[name].Add(context.Background(), n, metric.WithAttributes(attrs...))
+}
+
+// Request counts a request taken in.
+func (m *Metrics) Request(t request.Tier, pool string) {
+	m.add("sardinefront_requests", 1, attribute.String("tier", t.String()), attribute.String("pool", pool))
+}
+
+// Answer counts a whole answer given in time.
+func (m *Metrics) Answer(t request.Tier, pool string) {
+	m.add("sardinefront_answers", 1, attribute.String("tier", t.String()), attribute.String("pool", pool))
+}
+
+// Refusal counts a refused request.
+func (m *Metrics) Refusal(t request.Tier, r refusal.Reason) {
+	m.add("sardinefront_refusals", 1, attribute.String("tier", t.String()), attribute.String("reason", r.String()))
+}
+
+// Retry counts a further try at another target.
+func (m *Metrics) Retry(r refusal.Retry) {
+	m.add("sardinefront_retries", 1, attribute.String("reason", r.String()))
+}
+
+// FirstToken records the time to the first byte of an answer, in seconds.
+func (m *Metrics) FirstToken(t request.Tier, seconds float64) {
+	m.first.Record(context.Background(), seconds, metric.WithAttributes(attribute.String("tier", t.String())))
+}
+
+// WastedPrefill counts prompt tokens whose prefill was not used.
+func (m *Metrics) WastedPrefill(c WasteCause, tokens int) {
+	m.add("sardinefront_wasted_prefill", int64(tokens), attribute.String("cause", string(c)))
+}
+
+// Move counts a move that ended with one of MoveOutcomes.
+func (m *Metrics) Move(outcome string) {
+	m.add("sardinefront_moves", 1, attribute.String("outcome", outcome))
+}
+
+// OutcomeUnknown counts a claimed request whose run cannot be proven.
+func (m *Metrics) OutcomeUnknown() { m.add("sardinefront_outcomes_unknown", 1) }
+
+// StoreCall counts a call to the platform's store; kind is read, write or watch.
+func (m *Metrics) StoreCall(kind string) {
+	m.add("sardinefront_store_calls", 1, attribute.String("kind", kind))
+}
+
+// PeerBytes counts control traffic; direction is in or out.
+func (m *Metrics) PeerBytes(direction string, n int) {
+	m.add("sardinefront_peer_bytes", int64(n), attribute.String("direction", direction))
+}
+
+// Handler serves the metrics page.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/core/telemetry/telemetry_test.go
@@ -0,0 +1,31 @@
+package telemetry
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"sardinefront.dev/core/refusal"
+)
+
+// Guards against a refusal or retry reason that has no series before its first
+// occurrence, which would make an alert on it silently inactive.
+func TestEveryReasonHasASeriesAtZero(t *testing.T) {
+	m, err := New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	rec := httptest.NewRecorder()
+	m.Handler().ServeHTTP(rec, httptest.NewRequest("GET", "/metrics", nil))
+	page := rec.Body.String()
+	for _, r := range refusal.Reasons() {
+		if !strings.Contains(page, `reason="`+r.String()+`",tier="urgent"`) {
+			t.Errorf("no series for refusal reason %s", r)
+		}
+	}
+	for _, r := range refusal.Retries() {
+		if !strings.Contains(page, `sardinefront_retries_total{reason="`+r.String()+`"} 0`) {
+			t.Errorf("no series for retry reason %s", r)
+		}
+	}
+}
--- /dev/null
+++ b/fleet/member/member.go
@@ -0,0 +1,2 @@
+// Package member is the membership state machine.
+package member
--- /dev/null
+++ b/host/settings/settings.go
@@ -0,0 +1,2 @@
+// Package settings reads the settings file.
+package settings
--- /dev/null
+++ b/moves/judge/judge.go
@@ -0,0 +1,2 @@
+// Package judge compares two versions.
+package judge
--- /dev/null
+++ b/proof/invariant/invariant.go
@@ -0,0 +1,2 @@
+// Package invariant holds the checkers of the invariants.
+package invariant
--- /dev/null
+++ b/rules/rules.go
@@ -0,0 +1,2 @@
+// Package rules parses and checks the rules file.
+package rules
--- /dev/null
+++ b/sched/flow/flow.go
@@ -0,0 +1,2 @@
+// Package flow queues requests in front of a pool of targets.
+package flow
--- /dev/null
+++ b/standin/engine/engine.go
@@ -0,0 +1,2 @@
+// Package engine simulates a model engine.
+package engine
--- /dev/null
+++ b/target/target.go
@@ -0,0 +1,2 @@
+// Package target sends requests to engines and plain services.
+package target
