--- /dev/null
+++ b/rules/format.go
@@ -0,0 +1,105 @@
+package rules
+
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// canonical writes a rule in its canonical wording, without the comment.
+func canonical(r *rule) string {
+	switch r.verb {
+	case verbPool:
+		return "pool " + r.name + " is " + strings.Join(poolClauses(r), ", ")
+	case verbSend:
+		return "send " + r.pattern.route() + " to " + r.pool
+	case verbCall:
+		return "call " + r.pattern.route() + fromText(r) + " is " + callClauses(r)
+	case verbOrganisation:
+		return "organisation " + r.name + " has " + strings.Join(organisationClauses(r), ", ")
+	case verbEvery:
+		return "every other organisation has " + strings.Join(organisationClauses(r), ", ")
+	case verbServe:
+		return "serve " + r.name + " version " + strconv.Itoa(r.version)
+	}
+	return moveText(r)
+}
+
+func poolClauses(r *rule) []string {
+	kind := "service"
+	if r.engine {
+		kind = "engine"
+	}
+	parts := []string{kind}
+	if r.has(clauseFenced) {
+		parts = append(parts, "orders "+either(r.fenced, "fenced"))
+	}
+	if r.has(clauseChecked) {
+		parts = append(parts, "orders "+either(r.checked, "checked"))
+	}
+	return append(parts, promptText(r)...)
+}
+
+func either(yes bool, word string) string {
+	if yes {
+		return word
+	}
+	return "un" + word
+}
+
+func promptText(r *rule) []string {
+	if !r.has(clausePrompt) {
+		return nil
+	}
+	return []string{"prompts up to " + strconv.Itoa(r.prompt) + " tokens"}
+}
+
+func fromText(r *rule) string {
+	if r.from == "" {
+		return ""
+	}
+	return " from " + r.from
+}
+
+func callClauses(r *rule) string {
+	var kind, parts []string
+	if r.has(clauseTier) {
+		kind = append(kind, r.tier.String())
+	}
+	if r.has(clauseEffect) {
+		kind = append(kind, r.effect.String())
+	}
+	if len(kind) > 0 {
+		parts = append(parts, strings.Join(kind, " and "))
+	}
+	if r.has(clauseAnswer) {
+		parts = append(parts, "answer within "+span(r.answer))
+	}
+	if r.has(clauseFirstToken) {
+		parts = append(parts, "first token within "+span(r.first))
+	}
+	return strings.Join(append(parts, promptText(r)...), ", ")
+}
+
+func organisationClauses(r *rule) []string {
+	var parts []string
+	if r.has(clauseWeight) {
+		parts = append(parts, "weight "+strconv.Itoa(r.weight))
+	}
+	if r.has(clauseTier) {
+		parts = append(parts, "default tier "+r.tier.String())
+	}
+	return parts
+}
+
+func moveText(r *rule) string {
+	text := "move " + r.name + " from version " + strconv.Itoa(r.version) +
+		" to version " + strconv.Itoa(r.to) + " by " + r.by.Format(time.RFC3339Nano)
+	if r.has(clauseAtMost) {
+		text += ", at most " + strconv.FormatFloat(r.atMost, 'f', -1, 64) + "%"
+	}
+	if r.has(clauseEnded) {
+		text += ", ended"
+	}
+	return text
+}
--- /dev/null
+++ b/rules/reader.go
@@ -0,0 +1,170 @@
+package rules
+
+import (
+	"slices"
+	"strings"
+	"time"
+	"unicode"
+)
+
+// reader consumes the tokens of one line. After a failure the remaining reads
+// return zero values, and only the first failure of the line is reported.
+type reader struct {
+	f      *findings
+	line   int
+	tokens []token
+	end    int // column after the last token
+	failed bool
+}
+
+func (r *reader) peek() (token, bool) {
+	if r.failed || len(r.tokens) == 0 {
+		return token{column: r.end}, false
+	}
+	return r.tokens[0], true
+}
+
+func (r *reader) done() bool { return r.failed || len(r.tokens) == 0 }
+
+func (r *reader) skip() { r.tokens = r.tokens[1:] }
+
+func (r *reader) fail(at int, format string, args ...any) {
+	if !r.failed {
+		r.f.add(r.line, at, format, args...)
+	}
+	r.failed = true
+}
+
+// found names the next token for a message.
+func (r *reader) found() string {
+	t, ok := r.peek()
+	if !ok {
+		return "the end of the line"
+	}
+	return "`" + t.text + "`"
+}
+
+// accept consumes the next token if it is word.
+func (r *reader) accept(word string) bool {
+	t, ok := r.peek()
+	if !ok || t.text != word {
+		return false
+	}
+	r.skip()
+	return true
+}
+
+// keyword reads one of the given words. A misspelt word is reported and read as
+// the nearest one, so that the rest of the line is checked too.
+func (r *reader) keyword(words ...string) (string, int) {
+	t, ok := r.peek()
+	if r.failed {
+		return "", t.column
+	}
+	if ok && slices.Contains(words, t.text) {
+		r.skip()
+		return t.text, t.column
+	}
+	near, isNear := nearest(t.text, words)
+	if !ok || !isNear {
+		r.fail(t.column, "expected %s, found %s", oneOf(words), r.found())
+		return "", t.column
+	}
+	r.f.add(r.line, t.column, "expected %s, found `%s`; did you mean `%s`?", oneOf(words), t.text, near)
+	r.skip()
+	return near, t.column
+}
+
+// phrase reads fixed words in order.
+func (r *reader) phrase(words ...string) {
+	for _, w := range words {
+		r.keyword(w)
+	}
+}
+
+// word reads any token but a comma. what describes it for the message.
+func (r *reader) word(what string) token {
+	t, ok := r.peek()
+	if r.failed {
+		return t
+	}
+	if !ok || t.text == "," {
+		r.fail(t.column, "expected %s, found %s", what, r.found())
+		return t
+	}
+	r.skip()
+	return t
+}
+
+// separator reads what stands between two clauses: a comma, "and", or both.
+func (r *reader) separator() {
+	comma := r.accept(",")
+	and := r.accept("and")
+	if comma || and {
+		return
+	}
+	t, _ := r.peek()
+	r.fail(t.column, "expected `,`, `and` or the end of the line, found %s", r.found())
+}
+
+// name reads the name of a pool or organisation.
+func (r *reader) name(what string) token {
+	t := r.word(what)
+	if r.failed {
+		return t
+	}
+	for _, c := range t.text {
+		if !unicode.IsLetter(c) && !unicode.IsDigit(c) && !strings.ContainsRune("._-", c) {
+			r.fail(t.column, "%s has letters, digits, `.`, `_` and `-` only, found `%s`", what, t.text)
+			return t
+		}
+	}
+	return t
+}
+
+// number reads a whole number between low and high.
+func (r *reader) number(what string, low, high int) (int, int) {
+	t := r.word(what)
+	if r.failed {
+		return 0, t.column
+	}
+	n, ok := wholeNumber(t.text)
+	if !ok {
+		r.fail(t.column, "expected %s, found `%s`", what, t.text)
+		return 0, t.column
+	}
+	if n < low || n > high {
+		r.f.add(r.line, t.column, "%s is out of range: %s is not from %d to %d", what, t.text, low, high)
+	}
+	return n, t.column
+}
+
+// duration reads a positive time span in Go syntax.
+func (r *reader) duration() time.Duration {
+	t := r.word("a time span such as `590ms`, `20s` or `6h`")
+	if r.failed {
+		return 0
+	}
+	d, err := time.ParseDuration(t.text)
+	if err != nil {
+		r.fail(t.column, "expected a time span such as `590ms`, `20s` or `6h`, found `%s`", t.text)
+		return 0
+	}
+	if d <= 0 || d > maxSpan {
+		r.f.add(r.line, t.column, "the time span %s is out of range: it must be more than 0 and at most %s", t.text, span(maxSpan))
+	}
+	return d
+}
+
+// instant reads a time in RFC 3339.
+func (r *reader) instant() (time.Time, int) {
+	t := r.word("a time such as `2027-01-05T06:00:00Z`")
+	if r.failed {
+		return time.Time{}, t.column
+	}
+	at, err := time.Parse(time.RFC3339, t.text)
+	if err != nil {
+		r.fail(t.column, "expected a time such as `2027-01-05T06:00:00Z`, found `%s`", t.text)
+	}
+	return at, t.column
+}
--- /dev/null
+++ b/rules/rule.go
@@ -0,0 +1,98 @@
+package rules
+
+import (
+	"time"
+
+	"sardinefront.dev/core/request"
+)
+
+// verb is the first word of a rule.
+type verb string
+
+const (
+	verbPool         verb = "pool"
+	verbSend         verb = "send"
+	verbCall         verb = "call"
+	verbOrganisation verb = "organisation"
+	verbEvery        verb = "every"
+	verbServe        verb = "serve"
+	verbMove         verb = "move"
+)
+
+var verbs = []string{"pool", "send", "call", "organisation", "every", "serve", "move"}
+
+// methodAny in a rule matches every method.
+const methodAny = "any"
+
+var methods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", methodAny}
+
+// pattern selects calls by method and path.
+type pattern struct {
+	method string
+	path   string // as written: /a/*/**
+}
+
+// route is the name under which calls are reported and versions are compared.
+func (p pattern) route() string { return p.method + " " + p.path }
+
+// clause is an optional part of a line that was stated.
+type clause uint16
+
+const (
+	clauseTier clause = 1 << iota
+	clauseEffect
+	clauseAnswer
+	clauseFirstToken
+	clausePrompt
+	clauseFenced
+	clauseChecked
+	clauseWeight
+	clauseAtMost
+	clauseEnded
+)
+
+// rule is one parsed line. Which fields are set depends on the verb.
+type rule struct {
+	verb    verb
+	line    int
+	text    string
+	comment string
+	// broken is set if the line could not be read to its end. Such a line still
+	// defines its subject, so that one fault is not reported again elsewhere.
+	broken bool
+	stated clause
+	column map[clause]int // of each stated clause
+
+	subject int // column of the pool, organisation or path
+	name    string
+	pattern pattern
+	from    string
+	pool    string // of send
+	poolAt  int
+
+	engine          bool
+	fenced, checked bool
+	prompt          int // tokens
+	tier            request.Tier
+	effect          request.Effect
+	answer, first   time.Duration
+	weight          int
+	version, to     int
+	versionAt, toAt int
+	by              time.Time
+	byAt            int
+	atMost          float64 // percent
+}
+
+func (r *rule) has(c clause) bool { return r.stated&c != 0 }
+
+// poolName returns the pool that the line refers to or defines, with its column.
+func (r *rule) poolName() (string, int) {
+	switch r.verb {
+	case verbSend:
+		return r.pool, r.poolAt
+	case verbPool, verbServe, verbMove:
+		return r.name, r.subject
+	}
+	return "", 0
+}
--- /dev/null
+++ b/rules/values.go
@@ -0,0 +1,85 @@
+package rules
+
+import (
+	"strconv"
+	"strings"
+	"time"
+	"unicode"
+)
+
+// maxSpan bounds the times to answer. Thirty days is far beyond any retention
+// of the journal and keeps deadline arithmetic within range.
+const maxSpan = 30 * 24 * time.Hour
+
+// wholeNumber reads an unsigned decimal number without sign.
+func wholeNumber(s string) (int, bool) {
+	n, err := strconv.ParseUint(s, 10, 31)
+	return int(n), err == nil
+}
+
+// percent reads a number followed by a percent sign.
+func percent(s string) (float64, bool) {
+	digits, ok := strings.CutSuffix(s, "%")
+	if !ok || strings.Trim(digits, "0123456789.") != "" {
+		return 0, false
+	}
+	p, err := strconv.ParseFloat(digits, 64)
+	return p, err == nil
+}
+
+// span writes a duration without zero parts: 6h rather than 6h0m0s.
+func span(d time.Duration) string {
+	s := d.String()
+	if strings.HasSuffix(s, "m0s") {
+		s = strings.TrimSuffix(s, "0s")
+	}
+	if strings.HasSuffix(s, "h0m") {
+		s = strings.TrimSuffix(s, "0m")
+	}
+	return s
+}
+
+// maxSegments bounds the work of matching one path.
+const maxSegments = 32
+
+// pathFault says what is wrong with a path pattern, or "".
+func pathFault(path string) string {
+	if !strings.HasPrefix(path, "/") {
+		return "a path starts with `/`"
+	}
+	if strings.ContainsAny(path, "?;") {
+		return "a path has no query and no `;`"
+	}
+	if path == "/" {
+		return ""
+	}
+	segments := strings.Split(path[1:], "/")
+	if len(segments) > maxSegments {
+		return "a path has at most " + strconv.Itoa(maxSegments) + " segments"
+	}
+	for i, s := range segments {
+		if fault := segmentFault(s, i == len(segments)-1); fault != "" {
+			return fault
+		}
+	}
+	return ""
+}
+
+func segmentFault(s string, last bool) string {
+	switch {
+	case s == "":
+		return "a path has no empty segment and does not end in `/`"
+	case s == "." || s == "..":
+		return "a path has no `.` or `..` segment"
+	case s == "**" && !last:
+		return "`**` stands at the end of a path only"
+	case s != "*" && s != "**" && strings.Contains(s, "*"):
+		return "`*` stands for a whole segment"
+	}
+	return ""
+}
+
+// hasLetter reports whether a comment can be the name of somebody.
+func hasLetter(s string) bool {
+	return strings.ContainsFunc(s, unicode.IsLetter)
+}
--- /dev/null
+++ b/rules/words.go
@@ -0,0 +1,61 @@
+package rules
+
+import (
+	"strings"
+)
+
+// maxDistance is the largest edit distance at which a word is taken for a
+// misspelt keyword. Two edits cover a transposition and a doubled letter.
+const maxDistance = 2
+
+// nearest returns the candidate closest to word, if one is close enough to be a
+// misspelling of it.
+func nearest(word string, candidates []string) (string, bool) {
+	best, bestDistance := "", maxDistance+1
+	for _, c := range candidates {
+		d := distance(strings.ToLower(word), strings.ToLower(c))
+		if d < bestDistance && d*2 <= len(c) {
+			best, bestDistance = c, d
+		}
+	}
+	return best, best != ""
+}
+
+// distance is the Levenshtein distance in bytes. Words longer than any keyword
+// count as infinitely far, which bounds the work on hostile input.
+func distance(a, b string) int {
+	const longest = 24
+	if len(a) > longest || len(b) > longest {
+		return longest
+	}
+	var rows [2][longest + 1]int
+	prev, cur := &rows[0], &rows[1]
+	for j := range len(b) + 1 {
+		prev[j] = j
+	}
+	for i := range len(a) {
+		cur[0] = i + 1
+		for j := range len(b) {
+			substitute := prev[j]
+			if a[i] != b[j] {
+				substitute++
+			}
+			cur[j+1] = min(substitute, prev[j+1]+1, cur[j]+1)
+		}
+		prev, cur = cur, prev
+	}
+	return prev[len(b)]
+}
+
+// oneOf joins words for a message: `a`, `b` or `c`.
+func oneOf(words []string) string {
+	quoted := make([]string, len(words))
+	for i, w := range words {
+		quoted[i] = "`" + w + "`"
+	}
+	if len(quoted) == 1 {
+		return quoted[0]
+	}
+	last := len(quoted) - 1
+	return strings.Join(quoted[:last], ", ") + " or " + quoted[last]
+}
