--- /dev/null
+++ b/cmd/internal/ctl/operator.go
@@ -0,0 +1,152 @@
+package ctl
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"sort"
+	"text/tabwriter"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"sardinefront.dev/core/request"
+	"sardinefront.dev/host"
+	"sardinefront.dev/sched/pool"
+)
+
+// operatorTimeout bounds one call to a host's operator interface.
+const operatorTimeout = 10 * time.Second
+
+// client returns an HTTP client for the operator interface and its base URL.
+func (e *env) client() (*http.Client, string, error) {
+	if e.keys.authority == "" {
+		return &http.Client{Timeout: operatorTimeout}, "http://" + e.host, nil
+	}
+	pem, err := os.ReadFile(e.keys.authority)
+	if err != nil {
+		return nil, "", fmt.Errorf("--authority: %w", err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return nil, "", fmt.Errorf("--authority: %s holds no certificate", e.keys.authority)
+	}
+	pair, err := tls.LoadX509KeyPair(e.keys.certificate, e.keys.key)
+	if err != nil {
+		return nil, "", fmt.Errorf("--certificate, --key: %w", err)
+	}
+	c := &tls.Config{RootCAs: roots, Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS13}
+	return &http.Client{Timeout: operatorTimeout, Transport: &http.Transport{TLSClientConfig: c}}, "https://" + e.host, nil
+}
+
+// call performs one request to the operator interface and decodes its JSON
+// answer into v.
+func (e *env) call(method, path string, v any) error {
+	client, base, err := e.client()
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequest(method, base+path, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return fmt.Errorf("host %s: %w", e.host, err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return fmt.Errorf("host %s: %w", e.host, err)
+	}
+	if resp.StatusCode >= 300 {
+		return fmt.Errorf("host %s: status %d: %s", e.host, resp.StatusCode, body)
+	}
+	return json.Unmarshal(body, v)
+}
+
+func (e *env) json(v any) error {
+	enc := json.NewEncoder(e.out)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+// table writes aligned columns.
+func (e *env) table(rows func(w io.Writer)) error {
+	w := tabwriter.NewWriter(e.out, 0, 4, 2, ' ', 0)
+	rows(w)
+	return w.Flush()
+}
+
+func statusCommand() command {
+	sub := flaggy.NewSubcommand("status")
+	sub.Description = "Shows pools, queues and configuration as seen by one host."
+	return command{sub: sub, run: func(e *env) error {
+		var s host.Status
+		if err := e.call(http.MethodGet, "/v1/status", &s); err != nil {
+			return err
+		}
+		if e.output == "json" {
+			return e.json(s)
+		}
+		return e.table(func(w io.Writer) { writeStatus(w, s) })
+	}}
+}
+
+func writeStatus(w io.Writer, s host.Status) {
+	fmt.Fprintf(w, "host\tzone\tready\tin progress\trules\tauthor\tsince\n")
+	fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%d\t%s\t%s\n\n", s.Host, s.Zone, s.Ready, s.Active, s.Revision, s.Author, s.Since.Format(time.RFC3339))
+	fmt.Fprintf(w, "pool\ttargets\tejected\tfloor\ttier\twaiting\trunning\n")
+	sort.Slice(s.Pools, func(i, j int) bool { return s.Pools[i].Name < s.Pools[j].Name })
+	for _, p := range s.Pools {
+		for t := request.Tier(0); t < request.TierCount; t++ {
+			fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%s\t%d\t%d\n", p.Name, p.Targets, p.Ejected, p.Floor, t, p.Waiting[t], p.Running[t])
+		}
+	}
+}
+
+func explainCommand() command {
+	organisation, id := "", ""
+	sub := flaggy.NewSubcommand("explain")
+	sub.Description = "Shows each recent decision about a request with the alternatives and their costs."
+	sub.AddPositionalValue(&organisation, "organisation", 1, true, "the organisation of the request")
+	sub.AddPositionalValue(&id, "request-id", 2, true, "the id that the caller used")
+	return command{sub: sub, run: func(e *env) error {
+		var found []pool.Decision
+		if err := e.call(http.MethodGet, "/v1/explain/"+organisation+"/"+id, &found); err != nil {
+			return err
+		}
+		if e.output == "json" {
+			return e.json(found)
+		}
+		return e.table(func(w io.Writer) { writeDecisions(w, found) })
+	}}
+}
+
+func writeDecisions(w io.Writer, found []pool.Decision) {
+	fmt.Fprintf(w, "at\taction\ttarget\twhy\tconsidered (cost in ms)\n")
+	for _, d := range found {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t", d.At.Format(time.RFC3339Nano), d.Kind, d.Target, d.Why)
+		for _, a := range d.Considered {
+			fmt.Fprintf(w, "%s=%.1f ", a.Target, a.Cost)
+		}
+		fmt.Fprintln(w)
+	}
+}
+
+func drainCommand() command {
+	sub := flaggy.NewSubcommand("drain")
+	sub.Description = "Asks a host to stop gracefully: readiness drops, requests in progress finish."
+	return command{sub: sub, run: func(e *env) error {
+		var answer map[string]int64
+		if err := e.call(http.MethodPost, "/v1/drain", &answer); err != nil {
+			return err
+		}
+		fmt.Fprintf(e.out, "draining %s: %d requests in progress\n", e.host, answer["in_progress"])
+		return nil
+	}}
+}
--- a/cmd/sardinectl/main.go
+++ b/cmd/sardinectl/main.go
@@ -1,4 +1,12 @@
 // Command sardinectl is the operator command line.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"sardinefront.dev/cmd/internal/ctl"
+)
+
+func main() {
+	os.Exit(ctl.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/cmd/sardinefront/main.go
+++ b/cmd/sardinefront/main.go
@@ -1,4 +1,94 @@
 // Command sardinefront is the process on an entry host.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+
+	"sardinefront.dev/core/event"
+	"sardinefront.dev/core/telemetry"
+	"sardinefront.dev/host"
+	"sardinefront.dev/host/settings"
+)
+
+// Exit codes of the process.
+const (
+	exitOK       = 0
+	exitSettings = 2
+	exitStart    = 3
+	exitCut      = 4
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	file := ""
+	flaggy.SetName("sardinefront")
+	flaggy.SetDescription("Schedules callers' requests onto targets. One process per entry host.")
+	flaggy.String(&file, "s", "settings", "YAML settings file; without one the host runs alone on loopback with an embedded store")
+	flaggy.Parse()
+
+	log := slog.New(slog.NewJSONHandler(os.Stderr, nil))
+	s, err := load(file)
+	if err != nil {
+		event.SettingsRejected.Log(log, slog.String("file", file))
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	// Signals are taken before the start, so that a stop during it is graceful.
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	h, err := start(s, log)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "sardinefront:", err)
+		return exitStart
+	}
+	return wait(h, s, signals)
+}
+
+func load(file string) (settings.Settings, error) {
+	if file == "" {
+		return settings.Defaults(), nil
+	}
+	return settings.Load(file)
+}
+
+func start(s settings.Settings, log *slog.Logger) (*host.Host, error) {
+	metrics, err := telemetry.New()
+	if err != nil {
+		return nil, err
+	}
+	h, err := host.Build(s, log, metrics)
+	if err != nil {
+		return nil, err
+	}
+	return h, h.Start()
+}
+
+// wait blocks until a signal or a drain order and then stops gracefully. A
+// second signal ends the wait for requests in progress.
+func wait(h *host.Host, s settings.Settings, signals <-chan os.Signal) int {
+	select {
+	case <-signals:
+	case <-h.DrainRequested():
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), s.Limits.DrainTimeout)
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	if left := h.Stop(ctx); left > 0 {
+		fmt.Fprintf(os.Stderr, "sardinefront: stopped with %d requests in progress\n", left)
+		return exitCut
+	}
+	return exitOK
+}
--- /dev/null
+++ b/host/build.go
@@ -0,0 +1,32 @@
+package host
+
+import (
+	"log/slog"
+	"time"
+
+	"sardinefront.dev/core/event"
+	"sardinefront.dev/core/telemetry"
+	"sardinefront.dev/host/settings"
+	"sardinefront.dev/platform/httpkv"
+	"sardinefront.dev/platform/memkv"
+)
+
+// Build provisions a host from settings: the client of the platform's service,
+// or the embedded store if no address is set.
+func Build(s settings.Settings, log *slog.Logger, metrics *telemetry.Metrics) (*Host, error) {
+	d := Dependencies{Log: log, Metrics: metrics}
+	if s.Platform.Address == "" {
+		event.EmbeddedStore.Log(log)
+		d.Store = memkv.New(time.Now)
+		return New(s, d), nil
+	}
+	client := httpkv.New(httpkv.Config{
+		Address:         s.Platform.Address,
+		Caller:          s.Host.Name,
+		ReadsPerSecond:  s.Platform.ReadsPerSecond,
+		WritesPerSecond: s.Platform.WritesPerSecond,
+		Counter:         metrics,
+	})
+	d.Store, d.Hosts = client, client
+	return New(s, d), nil
+}
--- /dev/null
+++ b/host/exchange.go
@@ -0,0 +1,310 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"sardinefront.dev/core/refusal"
+	"sardinefront.dev/core/telemetry"
+	"sardinefront.dev/sched/pool"
+	"sardinefront.dev/target"
+)
+
+// cancelTimeout bounds the wait for a target to confirm a cancel.
+const cancelTimeout = 2 * time.Second
+
+// errPaused ends a read because the scheduler paused the request.
+var errPaused = errors.New("paused by the scheduler")
+
+// exchange is the life of one request in a pool: waiting, one dispatch, and its
+// answer, which may be paused and resumed at the same target. Its methods are
+// called from one goroutine.
+type exchange struct {
+	h      *Host
+	pool   *poolRunner
+	ticket *ticket
+	call   target.Call
+
+	// beforeSend runs after the target is known and before the first byte. An
+	// error refuses the request as not run.
+	beforeSend func(ctx context.Context, target string) *refusal.Refusal
+
+	dispatched bool
+	backend    backend
+	target     string
+	answer     *target.Answer
+	// offset counts the received events of a stream.
+	offset int64
+	first  time.Time
+	paused atomic.Bool
+	stop   context.CancelCauseFunc
+}
+
+// open waits for a dispatch and returns the head of the answer. On a refusal
+// the exchange has ended.
+func (x *exchange) open(ctx context.Context) (*target.Answer, *refusal.Refusal) {
+	for {
+		a, ref := x.await(ctx)
+		if ref != nil {
+			return nil, ref
+		}
+		if a.Retry {
+			x.h.retried(x.ticket.req, refusal.RetryDialFailed, a.Target)
+		}
+		ref = x.attempt(ctx, a)
+		if ref != nil {
+			return nil, x.finish(ref)
+		}
+		if x.answer != nil {
+			return x.answer, nil
+		}
+	}
+}
+
+// await returns the next dispatch of the request.
+func (x *exchange) await(ctx context.Context) (pool.Action, *refusal.Refusal) {
+	select {
+	case a := <-x.ticket.actions:
+		if a.Kind == pool.Refuse {
+			ref := a.Refusal
+			if x.dispatched {
+				ref = ref.WithRan(refusal.Unknown)
+			}
+			return a, x.finish(ref)
+		}
+		return a, nil
+	case <-ctx.Done():
+		x.pool.cancel(x.ticket)
+		return pool.Action{}, x.finish(x.gone(ctx))
+	}
+}
+
+// gone returns the refusal for a context that ended, which is certain to be
+// not run before the dispatch only.
+func (x *exchange) gone(ctx context.Context) *refusal.Refusal {
+	reason := refusal.CallerGone
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		reason = refusal.DeadlinePassed
+	}
+	ref := refusal.New(reason, "the wait for an answer ended")
+	if x.dispatched {
+		return ref.WithRan(refusal.Unknown)
+	}
+	return ref.WithRan(refusal.NotRun)
+}
+
+// attempt performs a dispatch. It returns neither refusal nor answer if no byte
+// went out, in which case the pool decides on a retry.
+func (x *exchange) attempt(ctx context.Context, a pool.Action) *refusal.Refusal {
+	b, ok := x.pool.backend(a.Target)
+	if !ok {
+		x.pool.done(x.ticket, pool.NotSent)
+		return nil
+	}
+	x.backend, x.target = b, a.Target
+	if a.Resume {
+		return x.reopen(ctx, int64(a.Offset))
+	}
+	if x.beforeSend != nil {
+		if ref := x.beforeSend(ctx, a.Target); ref != nil {
+			x.pool.done(x.ticket, pool.Cancelled)
+			return ref
+		}
+	}
+	// The pool was told of the dispatch before this point, so a second one
+	// would be a fault of the scheduler. It must never reach a target.
+	if x.dispatched {
+		x.pool.done(x.ticket, pool.Cancelled)
+		return refusal.New(refusal.OutcomeUnknown, "second dispatch prevented")
+	}
+	x.dispatched = true
+	ans, err := b.Do(x.attemptContext(ctx), x.call)
+	if err == nil {
+		x.answer = ans
+		return nil
+	}
+	var send *target.SendError
+	if errors.As(err, &send) && !send.Sent {
+		x.dispatched = false
+		if ctx.Err() != nil {
+			x.pool.done(x.ticket, pool.Cancelled)
+			return x.gone(ctx)
+		}
+		x.pool.done(x.ticket, pool.NotSent)
+		return nil
+	}
+	return x.failed(ctx, err)
+}
+
+// attemptContext returns a context that a pause ends without ending ctx.
+func (x *exchange) attemptContext(ctx context.Context) context.Context {
+	actx, stop := context.WithCancelCause(ctx)
+	x.stop = stop
+	x.paused.Store(false)
+	pause := func() {
+		x.paused.Store(true)
+		stop(errPaused)
+	}
+	x.ticket.onPause.Store(&pause)
+	return actx
+}
+
+// reopen continues the stream from the offset at its engine.
+func (x *exchange) reopen(ctx context.Context, offset int64) *refusal.Refusal {
+	e, ok := x.backend.(engineBackend)
+	if !ok {
+		x.pool.done(x.ticket, pool.Cut)
+		return refusal.New(refusal.AnswerCut, "target %s cannot resume", x.target)
+	}
+	x.dispatched = true
+	x.offset = offset
+	ans, err := e.Resume(x.attemptContext(ctx), x.call.ID, offset)
+	if err != nil {
+		return x.failed(ctx, err)
+	}
+	x.answer = ans
+	return nil
+}
+
+// failed ends the exchange after the first byte went out.
+func (x *exchange) failed(ctx context.Context, err error) *refusal.Refusal {
+	if ctx.Err() != nil {
+		x.cancelAtTarget()
+		x.pool.cancel(x.ticket)
+		return x.gone(ctx)
+	}
+	result, ref := classify(x.target, err)
+	x.pool.done(x.ticket, result)
+	x.h.metrics.WastedPrefill(telemetry.WasteTargetLost, x.ticket.req.PromptTokens)
+	return ref
+}
+
+// classify maps an adapter's error after the first byte to what the pool and
+// the caller are told.
+func classify(name string, err error) (pool.Result, *refusal.Refusal) {
+	var mismatch *target.MismatchError
+	var cut *target.CutError
+	switch {
+	case errors.As(err, &mismatch):
+		return pool.Failed, refusal.New(refusal.AnswerMismatched, "target %s: %v", name, err)
+	case errors.As(err, &cut):
+		return pool.Cut, refusal.New(refusal.AnswerCut, "target %s: %v", name, err)
+	case errors.Is(err, target.ErrTimeout):
+		return pool.Silent, refusal.New(refusal.TargetSilent, "target %s: %v", name, err)
+	default:
+		return pool.Failed, refusal.New(refusal.TargetFailed, "target %s: %v", name, err)
+	}
+}
+
+// next returns the next part of the answer, or io.EOF after a verified end.
+// Any other error is a *refusal.Refusal, and the exchange has ended.
+func (x *exchange) next(ctx context.Context) ([]byte, error) {
+	for {
+		part, err := x.answer.Body.Next()
+		if err == nil {
+			x.progress()
+			return part, nil
+		}
+		if errors.Is(err, io.EOF) {
+			x.complete()
+			return nil, io.EOF
+		}
+		if ref := x.recover(ctx, err); ref != nil {
+			return nil, x.finish(ref)
+		}
+	}
+}
+
+func (x *exchange) progress() {
+	now := time.Now()
+	if x.first.IsZero() {
+		x.first = now
+		x.pool.sched.FirstByte(x.ticket.req.ID, now)
+		x.h.metrics.FirstToken(x.ticket.req.Tier, now.Sub(x.ticket.req.Arrived).Seconds())
+	}
+	if x.pool.kind == pool.Engine {
+		x.offset++
+		x.pool.sched.Progress(x.ticket.req.ID, int(x.offset), now)
+	}
+}
+
+// recover continues an answer that was paused or cut, or returns why it can't.
+func (x *exchange) recover(ctx context.Context, err error) *refusal.Refusal {
+	_ = x.answer.Body.Close()
+	if ctx.Err() != nil {
+		return x.failed(ctx, err)
+	}
+	if x.paused.Load() {
+		x.cancelAtTarget()
+		a, ref := x.await(ctx)
+		if ref != nil {
+			return ref
+		}
+		return x.attempt(ctx, a)
+	}
+	var cut *target.CutError
+	if e, ok := x.backend.(engineBackend); ok && errors.As(err, &cut) {
+		if ans, again := e.Resume(x.attemptContext(ctx), x.call.ID, x.offset); again == nil {
+			x.answer = ans
+			return nil
+		}
+	}
+	return x.failed(ctx, err)
+}
+
+// cancelAtTarget stops the generation, so that nothing is computed for nobody.
+func (x *exchange) cancelAtTarget() {
+	e, ok := x.backend.(engineBackend)
+	if !ok {
+		return
+	}
+	id := x.call.ID
+	if !x.paused.Load() {
+		x.h.metrics.WastedPrefill(telemetry.WasteCancelled, x.ticket.req.PromptTokens)
+	}
+	x.h.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		_ = e.Cancel(ctx, id)
+	})
+}
+
+// complete records a whole answer.
+func (x *exchange) complete() {
+	result := pool.OK
+	if x.answer.Status >= http.StatusInternalServerError {
+		result = pool.Failed
+	}
+	x.pool.done(x.ticket, result)
+	x.end()
+	req := x.ticket.req
+	if req.Deadline.IsZero() || time.Now().Before(req.Deadline) {
+		x.h.metrics.Answer(req.Tier, req.Pool)
+	}
+}
+
+// abandon ends an exchange whose caller no longer reads the answer.
+func (x *exchange) abandon() {
+	if x.answer != nil {
+		_ = x.answer.Body.Close()
+	}
+	x.cancelAtTarget()
+	x.pool.cancel(x.ticket)
+	x.end()
+}
+
+func (x *exchange) finish(ref *refusal.Refusal) *refusal.Refusal {
+	x.end()
+	return ref
+}
+
+func (x *exchange) end() {
+	if x.stop != nil {
+		x.stop(nil)
+	}
+	x.pool.release(x.ticket)
+}
--- /dev/null
+++ b/host/host.go
@@ -0,0 +1,155 @@
+// Package host is the entry host process: it takes requests from callers,
+// lets the pools decide, sends each request to one target and tells operators
+// what happened.
+package host
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/sourcegraph/conc"
+
+	"sardinefront.dev/core/event"
+	"sardinefront.dev/core/refusal"
+	"sardinefront.dev/core/request"
+	"sardinefront.dev/core/telemetry"
+	"sardinefront.dev/host/settings"
+	"sardinefront.dev/platform"
+)
+
+// Host is one entry host. Use New, then Start, then Stop.
+type Host struct {
+	settings settings.Settings
+	log      *slog.Logger
+	metrics  *telemetry.Metrics
+	store    platform.KV
+	hosts    platform.Hosts
+
+	rules    atomic.Pointer[ruleSet]
+	pools    atomic.Pointer[map[string]*poolRunner]
+	ready    atomic.Bool
+	draining atomic.Bool
+
+	// rulesChanged wakes the loop that assigns targets to pools.
+	rulesChanged chan struct{}
+	drain        chan struct{}
+	drainOnce    sync.Once
+
+	callers   *fiber.App
+	operators *fiber.App
+	tasks     conc.WaitGroup
+	ctx       context.Context
+	cancel    context.CancelFunc
+	// active counts requests whose answer is not yet complete.
+	active atomic.Int64
+}
+
+// Dependencies are the outside systems of a host. Hosts may be nil if every
+// target is in the settings.
+type Dependencies struct {
+	Log     *slog.Logger
+	Metrics *telemetry.Metrics
+	Store   platform.KV
+	Hosts   platform.Hosts
+}
+
+// New returns a host that is not yet started.
+func New(s settings.Settings, d Dependencies) *Host {
+	h := &Host{
+		settings: s, log: d.Log, metrics: d.Metrics, store: d.Store, hosts: d.Hosts,
+		rulesChanged: make(chan struct{}, 1),
+		drain:        make(chan struct{}),
+	}
+	h.ctx, h.cancel = context.WithCancel(context.Background())
+	h.pools.Store(&map[string]*poolRunner{})
+	return h
+}
+
+// Start listens for callers and operators. It returns once both accept
+// connections.
+func (h *Host) Start() error {
+	if err := h.startConfig(); err != nil {
+		return err
+	}
+	h.tasks.Go(h.runTargets)
+	if err := h.startCallers(); err != nil {
+		return fmt.Errorf("listen.callers: %s: %w", h.settings.Listen.Callers, err)
+	}
+	if err := h.startOperators(); err != nil {
+		return fmt.Errorf("listen.operators: %s: %w", h.settings.Listen.Operators, err)
+	}
+	h.ready.Store(true)
+	event.Started.Log(h.log,
+		slog.String("host", h.settings.Host.Name),
+		slog.String("zone", h.settings.Host.Zone),
+		slog.String("callers", h.settings.Listen.Callers),
+		slog.String("operators", h.settings.Listen.Operators))
+	return nil
+}
+
+// Stop ends the host gracefully: readiness drops, requests in progress finish,
+// then listeners close. It returns the number of requests that were cut off
+// because ctx ended first.
+func (h *Host) Stop(ctx context.Context) int64 {
+	h.ready.Store(false)
+	h.draining.Store(true)
+	event.ShutdownBegun.Log(h.log, slog.Int64("in_progress", h.active.Load()))
+	left := h.awaitIdle(ctx)
+	if left > 0 {
+		event.ShutdownCut.Log(h.log, slog.Int64("cut_off", left))
+	} else {
+		event.ShutdownDone.Log(h.log)
+	}
+	h.cancel()
+	h.closeListeners()
+	return left
+}
+
+// DrainRequested is closed when an operator asks for a graceful shutdown.
+func (h *Host) DrainRequested() <-chan struct{} { return h.drain }
+
+func (h *Host) requestDrain() {
+	h.drainOnce.Do(func() { close(h.drain) })
+}
+
+// drainPoll is how often a draining host looks at its requests in progress.
+const drainPoll = 20 * time.Millisecond
+
+func (h *Host) awaitIdle(ctx context.Context) int64 {
+	tick := time.NewTicker(drainPoll)
+	defer tick.Stop()
+	for h.active.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return h.active.Load()
+		case <-tick.C:
+		}
+	}
+	return 0
+}
+
+// refused counts and logs a refusal.
+func (h *Host) refused(id, organisation string, tier request.Tier, ref *refusal.Refusal) {
+	h.metrics.Refusal(tier, ref.Reason)
+	event.RequestRefused.Log(h.log,
+		slog.String("request", id),
+		slog.String("organisation", organisation),
+		slog.String("tier", tier.String()),
+		slog.String("reason", ref.Reason.String()),
+		slog.String("ran", ref.Ran.String()),
+		slog.String("detail", ref.Detail))
+}
+
+// retried counts and logs a further try after one that sent no byte.
+func (h *Host) retried(req *request.Request, why refusal.Retry, target string) {
+	h.metrics.Retry(why)
+	event.RequestRetried.Log(h.log,
+		slog.String("request", req.ID),
+		slog.String("reason", why.String()),
+		slog.String("target", target))
+}
--- /dev/null
+++ b/host/operators.go
@@ -0,0 +1,134 @@
+package host
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/gofiber/fiber/v3/middleware/adaptor"
+
+	"sardinefront.dev/core/refusal"
+	"sardinefront.dev/core/request"
+	"sardinefront.dev/sched/pool"
+)
+
+// Status is what one host knows, as sardinectl status shows it.
+type Status struct {
+	Host     string       `json:"host"`
+	Zone     string       `json:"zone"`
+	Ready    bool         `json:"ready"`
+	Active   int64        `json:"active"`
+	Revision int64        `json:"revision"`
+	Author   string       `json:"author"`
+	Since    time.Time    `json:"since"`
+	Pools    []PoolStatus `json:"pools"`
+}
+
+// PoolStatus is the state of one pool on one host.
+type PoolStatus struct {
+	Name    string                 `json:"name"`
+	Waiting [request.TierCount]int `json:"waiting"`
+	Running [request.TierCount]int `json:"running"`
+	Paused  int                    `json:"paused"`
+	Targets int                    `json:"targets"`
+	Ejected int                    `json:"ejected"`
+	Floor   string                 `json:"floor,omitempty"`
+}
+
+func (h *Host) startOperators() error {
+	l, err := net.Listen("tcp", h.settings.Listen.Operators)
+	if err != nil {
+		return err
+	}
+	h.settings.Listen.Operators = l.Addr().String()
+	app := fiber.New()
+	app.Get("/health", func(c fiber.Ctx) error { return c.SendString("ok\n") })
+	app.Get("/ready", h.serveReady)
+	app.Get("/metrics", adaptor.HTTPHandler(h.metrics.Handler()))
+	v1 := app.Group("/v1", h.requireKey)
+	v1.Get("/status", func(c fiber.Ctx) error { return c.JSON(h.Status()) })
+	v1.Get("/explain/:organisation/:id", h.serveExplain)
+	v1.Post("/drain", h.serveDrain)
+	h.operators = app
+	h.tasks.Go(func() {
+		_ = app.Listener(l, fiber.ListenConfig{DisableStartupMessage: true})
+	})
+	return nil
+}
+
+// OperatorAddress returns the address of the operator interface, after Start.
+func (h *Host) OperatorAddress() string { return h.settings.Listen.Operators }
+
+// requireKey refuses an operator's request without a verified certificate
+// where the settings name an authority.
+func (h *Host) requireKey(c fiber.Ctx) error {
+	if h.settings.Keys.Authority == "" {
+		return c.Next()
+	}
+	state := c.RequestCtx().TLSConnectionState()
+	if state == nil || len(state.VerifiedChains) == 0 {
+		h.metrics.Refusal(request.Interactive, refusal.Unauthorized)
+		return c.Status(http.StatusUnauthorized).SendString("a client certificate of the operators' authority is required\n")
+	}
+	return c.Next()
+}
+
+func (h *Host) serveReady(c fiber.Ctx) error {
+	if !h.ready.Load() {
+		return c.Status(http.StatusServiceUnavailable).SendString("not ready\n")
+	}
+	return c.SendString("ready\n")
+}
+
+// Status returns what this host knows.
+func (h *Host) Status() Status {
+	s := Status{
+		Host: h.settings.Host.Name, Zone: h.settings.Host.Zone,
+		Ready: h.ready.Load(), Active: h.active.Load(),
+	}
+	if set := h.rules.Load(); set != nil {
+		s.Revision, s.Author, s.Since = set.number, set.author, set.since
+	}
+	now := time.Now()
+	for name, runner := range *h.pools.Load() {
+		s.Pools = append(s.Pools, poolStatus(name, runner.sched.Stats(now), now))
+	}
+	return s
+}
+
+func poolStatus(name string, st pool.Stats, now time.Time) PoolStatus {
+	p := PoolStatus{
+		Name: name, Waiting: st.Waiting, Running: st.Running, Paused: st.Paused,
+		Targets: st.Targets, Ejected: st.Ejected,
+	}
+	if st.FloorUntil.After(now) {
+		p.Floor = st.Floor.String()
+	}
+	return p
+}
+
+// serveExplain shows the recent decisions about one request.
+func (h *Host) serveExplain(c fiber.Ctx) error {
+	id := c.Params("organisation") + "." + c.Params("id")
+	var found []pool.Decision
+	for _, runner := range *h.pools.Load() {
+		found = append(found, runner.sched.Explain(id)...)
+	}
+	if len(found) == 0 {
+		return c.Status(http.StatusNotFound).JSON(fiber.Map{"error": "no recent decision about this request on this host"})
+	}
+	return c.JSON(found)
+}
+
+// serveDrain begins a graceful shutdown, as SIGTERM does.
+func (h *Host) serveDrain(c fiber.Ctx) error {
+	h.requestDrain()
+	return c.Status(http.StatusAccepted).JSON(fiber.Map{"in_progress": h.active.Load()})
+}
+
+// closeListeners stops taking connections after the last answer has ended.
+func (h *Host) closeListeners() {
+	_ = h.callers.ShutdownWithTimeout(time.Second)
+	_ = h.operators.ShutdownWithTimeout(time.Second)
+}
--- /dev/null
+++ b/host/poolset.go
@@ -0,0 +1,96 @@
+package host
+
+import (
+	"log/slog"
+	"time"
+
+	"sardinefront.dev/core/event"
+	"sardinefront.dev/host/settings"
+	"sardinefront.dev/platform"
+	"sardinefront.dev/rules"
+	"sardinefront.dev/sched/pool"
+	"sardinefront.dev/target"
+)
+
+// setTargets replaces the targets of the pool. Adapters of targets that stay
+// are kept with their connections.
+func (p *poolRunner) setTargets(infos []platform.HostInfo, s settings.Settings, now time.Time) {
+	old := *p.backends.Load()
+	next := make(map[string]backend, len(infos))
+	targets := make([]pool.Target, 0, len(infos))
+	for _, i := range infos {
+		b, ok := old[i.Name]
+		if !ok || p.addresses[i.Name] != i.Address {
+			b = newBackend(p.kind, i, s)
+			p.addresses[i.Name] = i.Address
+		}
+		next[i.Name] = b
+		targets = append(targets, pool.Target{
+			Name: i.Name, Zone: i.Zone, Version: i.Version,
+			Local: i.Zone == "" || i.Zone == s.Host.Zone, Leaving: i.Leaving,
+		})
+	}
+	p.backends.Store(&next)
+	p.apply(p.sched.SetTargets(targets, now))
+	for name, b := range old {
+		if next[name] != b {
+			b.Close()
+		}
+		if _, stays := next[name]; !stays {
+			delete(p.addresses, name)
+		}
+	}
+}
+
+func newBackend(kind pool.Kind, i platform.HostInfo, s settings.Settings) backend {
+	c := target.Config{
+		Name:      i.Name,
+		Address:   i.Address,
+		Dial:      s.Limits.DialTimeout,
+		FirstByte: s.Limits.FirstByte,
+	}
+	if kind == pool.Engine {
+		return target.NewEngine(c)
+	}
+	return target.NewService(c)
+}
+
+// updatePools starts a runner for each pool of the rules that has none. A pool
+// that the rules no longer name keeps running until its requests have ended.
+func (h *Host) updatePools(set *rules.Set) {
+	old := *h.pools.Load()
+	next := make(map[string]*poolRunner, len(old))
+	for name, runner := range old {
+		next[name] = runner
+	}
+	for _, p := range set.Pools() {
+		if _, ok := next[p.Name]; ok {
+			continue
+		}
+		next[p.Name] = h.startPool(p)
+	}
+	h.pools.Store(&next)
+}
+
+func (h *Host) startPool(p rules.Pool) *poolRunner {
+	kind := pool.Service
+	if p.Engine {
+		kind = pool.Engine
+	}
+	runner := newPoolRunner(pool.Config{
+		Pool: p.Name, Kind: kind, Hosts: 1,
+	}, h)
+	runner.onTarget = h.targetChanged
+	runner.onProbe = func(string, backend) {}
+	h.tasks.Go(func() { runner.run(h.ctx) })
+	return runner
+}
+
+// targetChanged logs an ejection or its end.
+func (h *Host) targetChanged(poolName string, a pool.Action) {
+	e := event.TargetEjected
+	if a.Kind == pool.Restore {
+		e = event.TargetRestored
+	}
+	e.Log(h.log, slog.String("pool", poolName), slog.String("target", a.Target), slog.String("why", a.Why))
+}
--- /dev/null
+++ b/host/stream.go
@@ -0,0 +1,38 @@
+package host
+
+import (
+	"context"
+
+	"sardinefront.dev/core/refusal"
+	"sardinefront.dev/core/request"
+	"sardinefront.dev/target"
+)
+
+// openAnswer returns the answer to a request whose caller waits. A
+// non-idempotent one goes through the journal first.
+func (h *Host) openAnswer(ctx context.Context, in *intake) (source, *refusal.Refusal) {
+	if in.req.Effect == request.NonIdempotent {
+		return h.openClaimed(ctx, in)
+	}
+	x, ref := h.newExchange(in)
+	if ref != nil {
+		return nil, ref
+	}
+	if _, ref := x.open(ctx); ref != nil {
+		return nil, ref
+	}
+	return x, nil
+}
+
+// newExchange queues the request.
+func (h *Host) newExchange(in *intake) (*exchange, *refusal.Refusal) {
+	runner := (*h.pools.Load())[in.req.Pool]
+	t, ref := runner.submit(in.req)
+	if ref != nil {
+		return nil, ref
+	}
+	return &exchange{h: h, pool: runner, ticket: t, call: in.call}, nil
+}
+
+// head implements source.
+func (x *exchange) head() *target.Answer { return x.answer }
--- /dev/null
+++ b/host/targets.go
@@ -0,0 +1,84 @@
+package host
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"sardinefront.dev/core/event"
+	"sardinefront.dev/platform"
+	"sardinefront.dev/rules"
+	"sardinefront.dev/sched/pool"
+	"sardinefront.dev/target"
+)
+
+// reportEvery is how often a host asks one engine of each pool for its load.
+// Reports of the other engines arrive with the peers' digests.
+const reportEvery = 250 * time.Millisecond
+
+// backend is a target as this host talks to it.
+type backend interface {
+	target.Target
+}
+
+// engineBackend is a backend that knows streams and control commands.
+type engineBackend interface {
+	backend
+	Resume(ctx context.Context, id string, offset int64) (*target.Answer, error)
+	Cancel(ctx context.Context, id string) error
+	Load(ctx context.Context, order target.Order) error
+	Report(ctx context.Context) (target.LoadReport, error)
+	CacheEvents(ctx context.Context, after int64) ([]target.CacheEvent, error)
+}
+
+// runTargets keeps the targets of each pool in step with the platform's list.
+func (h *Host) runTargets() {
+	tick := time.NewTicker(h.settings.Platform.HostListEvery)
+	defer tick.Stop()
+	for {
+		h.updateTargets()
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-tick.C:
+		case <-h.rulesChanged:
+		}
+	}
+}
+
+// updateTargets reads the list once and hands each pool its targets. If the
+// list cannot be read, the last one stays in use.
+func (h *Host) updateTargets() {
+	listed, err := h.listTargets()
+	if err != nil {
+		event.TargetListStale.Log(h.log, slog.String("error", err.Error()))
+		return
+	}
+	for name, runner := range *h.pools.Load() {
+		runner.setTargets(listed[name], h.settings, time.Now())
+	}
+}
+
+func (h *Host) listTargets() (map[string][]platform.HostInfo, error) {
+	byPool := make(map[string][]platform.HostInfo)
+	for _, t := range h.settings.Targets {
+		byPool[t.Pool] = append(byPool[t.Pool], platform.HostInfo{
+			Name: t.Name, Role: platform.RoleTarget, Address: t.Address, Zone: t.Zone, Pool: t.Pool, Version: t.Version,
+		})
+	}
+	if h.hosts == nil {
+		return byPool, nil
+	}
+	ctx, cancel := context.WithTimeout(h.ctx, h.settings.Platform.HostListEvery)
+	defer cancel()
+	infos, err := h.hosts.Hosts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for _, i := range infos {
+		if i.Role == platform.RoleTarget {
+			byPool[i.Pool] = append(byPool[i.Pool], i)
+		}
+	}
+	return byPool, nil
+}
