--- /dev/null
+++ b/cmd/internal/ctl/standin.go
@@ -0,0 +1,86 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+
+	"sardinefront.dev/platform"
+	"sardinefront.dev/standin/engine"
+	"sardinefront.dev/standin/platformd"
+	"sardinefront.dev/standin/service"
+)
+
+// standinServer is what every stand-in offers.
+type standinServer interface {
+	Start(addr string) error
+	Addr() string
+	Close()
+}
+
+func standinCommand() command {
+	kind, listen, name, version, list := "", "127.0.0.1:0", "standin", "1", ""
+	rate, slots := 50, 16
+	sub := flaggy.NewSubcommand("standin")
+	sub.Description = "Runs a simulated engine, service or platform until interrupted."
+	sub.AddPositionalValue(&kind, "kind", 1, true, "engine, service or platform")
+	sub.String(&listen, "l", "listen", "IP:port to listen on")
+	sub.String(&name, "n", "name", "name of the engine or service")
+	sub.String(&version, "", "version-served", "version of the engine or service")
+	sub.Int(&rate, "", "tokens-per-second", "output tokens per second and stream of an engine")
+	sub.Int(&slots, "", "slots", "requests that run at once")
+	sub.String(&list, "", "list", "JSON file with the platform's list of hosts and targets")
+	return command{sub: sub, run: func(e *env) error {
+		server, err := newStandin(kind, name, version, list, rate, slots)
+		if err != nil {
+			return err
+		}
+		return serveStandin(e, server, kind, listen)
+	}}
+}
+
+func newStandin(kind, name, version, list string, rate, slots int) (standinServer, error) {
+	switch kind {
+	case "engine":
+		return engine.New(engine.Config{Name: name, Version: version, TokenRate: float64(rate), Slots: slots}), nil
+	case "service":
+		return service.New(service.Config{Name: name, Version: version, Slots: slots}), nil
+	case "platform":
+		hosts, err := readList(list)
+		return platformd.New(platformd.Config{Hosts: hosts}), err
+	default:
+		return nil, failf(ExitUsage, "standin: %q is not engine, service or platform", kind)
+	}
+}
+
+func readList(file string) ([]platform.HostInfo, error) {
+	if file == "" {
+		return nil, nil
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("--list: %w", err)
+	}
+	var hosts []platform.HostInfo
+	if err := json.Unmarshal(text, &hosts); err != nil {
+		return nil, fmt.Errorf("--list: %s: %w", file, err)
+	}
+	return hosts, nil
+}
+
+func serveStandin(e *env, server standinServer, kind, listen string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := server.Start(listen); err != nil {
+		return err
+	}
+	defer server.Close()
+	fmt.Fprintf(e.out, "%s listening on %s\n", kind, server.Addr())
+	<-ctx.Done()
+	return nil
+}
--- a/host/exchange.go
+++ b/host/exchange.go
@@ -33,6 +33,10 @@
 	// error refuses the request as not run.
 	beforeSend func(ctx context.Context, target string) *refusal.Refusal
 
+	// run, if set, is the context of the attempt, so that the end of the
+	// caller's context ends only the wait for a dispatch.
+	run context.Context
+
 	dispatched bool
 	backend    backend
 	target     string
@@ -55,7 +59,7 @@
 		if a.Retry {
 			x.h.retried(x.ticket.req, refusal.RetryDialFailed, a.Target)
 		}
-		ref = x.attempt(ctx, a)
+		ref = x.attempt(x.runContext(ctx), a)
 		if ref != nil {
 			return nil, x.finish(ref)
 		}
@@ -65,6 +69,13 @@
 	}
 }
 
+func (x *exchange) runContext(ctx context.Context) context.Context {
+	if x.run != nil {
+		return x.run
+	}
+	return ctx
+}
+
 // await returns the next dispatch of the request.
 func (x *exchange) await(ctx context.Context) (pool.Action, *refusal.Refusal) {
 	select {
--- a/host/host.go
+++ b/host/host.go
@@ -19,6 +19,8 @@
 	"sardinefront.dev/core/request"
 	"sardinefront.dev/core/telemetry"
 	"sardinefront.dev/host/settings"
+	"sardinefront.dev/journal"
+	"sardinefront.dev/journal/claim"
 	"sardinefront.dev/platform"
 )
 
@@ -30,6 +32,9 @@
 	store    platform.KV
 	hosts    platform.Hosts
 
+	journal *journal.Node
+	owner   claim.Owner
+
 	rules    atomic.Pointer[ruleSet]
 	pools    atomic.Pointer[map[string]*poolRunner]
 	ready    atomic.Bool
@@ -66,6 +71,8 @@
 		drain:        make(chan struct{}),
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
+	h.drainCtx, h.drainStop = context.WithCancel(context.Background())
+	h.owner = newOwner(s.Host.Name, time.Now())
 	h.pools.Store(&map[string]*poolRunner{})
 	return h
 }
@@ -76,6 +83,9 @@
 	if err := h.startConfig(); err != nil {
 		return err
 	}
+	if err := h.startJournal(); err != nil {
+		return err
+	}
 	h.tasks.Go(h.runTargets)
 	if err := h.startCallers(); err != nil {
 		return fmt.Errorf("listen.callers: %s: %w", h.settings.Listen.Callers, err)
@@ -98,6 +108,7 @@
 func (h *Host) Stop(ctx context.Context) int64 {
 	h.ready.Store(false)
 	h.draining.Store(true)
+	h.drainStop()
 	event.ShutdownBegun.Log(h.log, slog.Int64("in_progress", h.active.Load()))
 	left := h.awaitIdle(ctx)
 	if left > 0 {
--- a/host/internal/prompt/prompt.go
+++ b/host/internal/prompt/prompt.go
@@ -6,30 +6,34 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 
-	"github.com/cespare/xxhash/v2"
+	"sardinefront.dev/target"
 )
 
 const (
 	// bytesPerToken is the usual estimate for text in Latin script.
 	bytesPerToken = 4
-	// blockBytes is the length of a hashed block: 64 tokens, the order of the
-	// block sizes in which engines cache prefixes.
-	blockBytes = 64 * bytesPerToken
 	// maxBlocks bounds the work and the state per request.
 	maxBlocks = 64
 	// defaultMaxTokens is assumed where a caller names no max_tokens.
 	defaultMaxTokens = 256
 )
 
+// The paths of the engine protocol.
+const (
+	pathCompletions = "/v1/completions"
+	pathChat        = "/v1/chat/completions"
+)
+
 // Estimate describes a completion request.
 type Estimate struct {
 	PromptTokens int
 	MaxTokens    int
-	Prefix       []uint64
+	// Prefix holds the hashes of the leading blocks as engines name them.
+	Prefix []uint64
 	// Stream is set if the caller asked for server-sent events.
 	Stream bool
-	Model  string
 	// Path is the engine's path for this kind of request.
 	Path string
 }
@@ -40,7 +44,6 @@
 }
 
 type completion struct {
-	Model     string          `json:"model"`
 	Prompt    json.RawMessage `json:"prompt"`
 	Messages  []message       `json:"messages"`
 	MaxTokens int             `json:"max_tokens"`
@@ -56,22 +59,13 @@
 	if c.MaxTokens < 0 {
 		return Estimate{}, fmt.Errorf("completion request: max_tokens: %d is negative", c.MaxTokens)
 	}
-	text := append([]byte(c.Model+"\x00"), c.Prompt...)
-	for _, m := range c.Messages {
-		text = append(text, m.Role...)
-		text = append(text, 0)
-		text = append(text, m.Content...)
-	}
+	prompt, path := c.text()
 	e := Estimate{
-		PromptTokens: max(1, len(text)/bytesPerToken),
+		PromptTokens: max(1, len(prompt)/bytesPerToken),
 		MaxTokens:    c.MaxTokens,
-		Prefix:       hashBlocks(text),
+		Prefix:       target.PrefixHashes([]byte(prompt[:min(len(prompt), maxBlocks*target.BlockBytes)])),
 		Stream:       c.Stream,
-		Model:        c.Model,
-		Path:         "/v1/completions",
-	}
-	if len(c.Messages) > 0 {
-		e.Path = "/v1/chat/completions"
+		Path:         path,
 	}
 	if e.MaxTokens == 0 {
 		e.MaxTokens = defaultMaxTokens
@@ -79,15 +73,24 @@
 	return e, nil
 }
 
-// hashBlocks returns one hash for each whole leading block; each hash covers
-// all text up to the end of its block.
-func hashBlocks(text []byte) []uint64 {
-	n := min(len(text)/blockBytes, maxBlocks)
-	hashes := make([]uint64, 0, n)
-	digest := xxhash.New()
-	for i := range n {
-		_, _ = digest.Write(text[i*blockBytes : (i+1)*blockBytes])
-		hashes = append(hashes, digest.Sum64())
+// text returns the prompt as the engine sees it, and the engine's path.
+func (c *completion) text() (prompt, path string) {
+	if len(c.Messages) == 0 {
+		return content(c.Prompt), pathCompletions
+	}
+	var b strings.Builder
+	for _, m := range c.Messages {
+		b.WriteString(m.Role + ": " + content(m.Content) + "\n")
+	}
+	return b.String(), pathChat
+}
+
+// content returns a JSON string's value, or the JSON itself for content that
+// has parts.
+func content(raw json.RawMessage) string {
+	var s string
+	if json.Unmarshal(raw, &s) == nil {
+		return s
 	}
-	return hashes
+	return string(raw)
 }
