Add target adapters, stand-ins and the HTTP store client

Cause: the host process needs to reach engines, plain services and the platform's store, and tests need something to reach.

Change: target sends each call once over a connection pool of its own, with fasthttp's request and header codecs, and verifies the id and the end of each answer. standin holds simulators of engines, plain services and the platform with faults on demand. platform/httpkv is the store's client with a call budget; all calls are POST requests, so that net/http repeats none of them.

--- /dev/null
+++ b/standin/engine/engine_test.go
@@ -0,0 +1,197 @@
+package engine_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"sardinefront.dev/standin/engine"
+	"sardinefront.dev/target"
+)
+
+func start(t *testing.T, cfg engine.Config) (*engine.Server, *target.Engine) {
+	t.Helper()
+	s := engine.New(cfg)
+	if err := s.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	e := target.NewEngine(target.Config{Name: "e", Address: s.Addr(), FirstByte: 3 * time.Second})
+	t.Cleanup(func() {
+		e.Close()
+		s.Close()
+	})
+	return s, e
+}
+
+func completion(id, prompt string, n int, stream bool) target.Call {
+	body := fmt.Sprintf(`{"prompt":%q,"max_tokens":%d,"stream":%t}`, prompt, n, stream)
+	return target.Call{ID: id, Method: http.MethodPost, Path: "/v1/completions", Body: []byte(body), Stream: stream}
+}
+
+// text collects the tokens of a stream until its end or max events.
+func text(b target.Body, max int) (string, error) {
+	var sb strings.Builder
+	for n := 0; n < max; n++ {
+		part, err := b.Next()
+		if err != nil {
+			return sb.String(), err
+		}
+		_, data, _ := strings.Cut(string(part), "data: ")
+		var ev struct {
+			Choices []struct{ Text string }
+		}
+		if json.Unmarshal([]byte(data), &ev) == nil {
+			sb.WriteString(ev.Choices[0].Text)
+		}
+	}
+	return sb.String(), nil
+}
+
+// Guards against answers that are not a function of the request, on which the
+// checks of whole answers are built, and against a lost or repeated token when
+// a stream is resumed on a new connection after a cut or a cancellation.
+func TestStreamResumeCancel(t *testing.T) {
+	s, e := start(t, engine.Config{TokenRate: 200})
+	ctx := context.Background()
+	want := engine.Expected("a", "hello", 40)
+
+	ans, err := e.Do(ctx, completion("a", "hello", 40, true))
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, err := text(ans.Body, 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ans.Body.Close()
+	if err := e.Cancel(ctx, "a"); err != nil {
+		t.Fatal(err)
+	}
+	ans, err = e.Resume(ctx, "a", 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rest, err := text(ans.Body, 1000)
+	if err != io.EOF || first+rest != want {
+		t.Fatalf("got %q + %q, %v, expected %q", first, rest, err, want)
+	}
+	if n := s.Runs()["a"]; n != 1 {
+		t.Fatalf("ran %d times", n)
+	}
+	if _, err := e.Resume(ctx, "b", 0); !errors.Is(err, target.ErrUnknownStream) {
+		t.Fatalf("unknown stream: %v", err)
+	}
+	if err := e.Cancel(ctx, "b"); !errors.Is(err, target.ErrUnknownStream) {
+		t.Fatalf("unknown stream: %v", err)
+	}
+}
+
+// Guards against a fault kind that the adapter takes for a whole answer.
+func TestFaults(t *testing.T) {
+	s, e := start(t, engine.Config{TokenRate: 2000})
+	for _, streamed := range []bool{true, false} {
+		for _, kind := range []engine.Fault{{Kind: engine.FaultCut}, {Kind: engine.FaultCrossed}, {Kind: engine.FaultEmpty}, {Kind: engine.FaultFail}} {
+			s.AddFault(engine.Fault{Kind: engine.FaultNone})
+			s.AddFault(kind)
+			id := fmt.Sprintf("%s-%t", kind.Kind, streamed)
+			ans, err := e.Do(context.Background(), completion(id, "p", 8, streamed))
+			var body []byte
+			if err == nil {
+				body, err = target.ReadAll(ans.Body, 1<<20)
+			}
+			var cut *target.CutError
+			var mismatch *target.MismatchError
+			switch kind.Kind {
+			case engine.FaultCut:
+				if !errors.As(err, &cut) || (streamed && cut.Offset != 4) {
+					t.Errorf("%s: %v", id, err)
+				}
+			case engine.FaultCrossed:
+				if !errors.As(err, &mismatch) {
+					t.Errorf("%s: %v", id, err)
+				}
+			case engine.FaultEmpty:
+				if err != nil || strings.Contains(string(body), "text\":\"f") {
+					t.Errorf("%s: %v %s", id, err, body)
+				}
+			case engine.FaultFail:
+				if err != nil || ans.Status != 500 {
+					t.Errorf("%s: %v", id, err)
+				}
+			}
+		}
+	}
+	for id, n := range s.Runs() {
+		if n != 1 {
+			t.Errorf("%s ran %d times", id, n)
+		}
+	}
+}
+
+// Guards against an order with an old number that takes effect, and against a
+// version that is reported before it is served.
+func TestLoadFencing(t *testing.T) {
+	s, e := start(t, engine.Config{Model: "m", LoadTime: 20 * time.Millisecond})
+	ctx := context.Background()
+	if err := e.Load(ctx, target.Order{Model: "m", Version: "2", Fence: 7}); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(5 * time.Second); ; {
+		r, err := e.Report(ctx)
+		if err != nil || time.Now().After(deadline) {
+			t.Fatalf("%+v, %v", r, err)
+		}
+		if r.Version == "2" && r.Loading == "" {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	var stale *target.StaleFenceError
+	err := e.Load(ctx, target.Order{Model: "m", Version: "1", Fence: 6})
+	if !errors.As(err, &stale) || stale.Fence != 6 || stale.Current != 7 {
+		t.Fatalf("old order: %v", err)
+	}
+	if s.Version() != "2" {
+		t.Fatalf("version %s", s.Version())
+	}
+}
+
+// Guards against prefix names that differ between cache events, KV transfers
+// and target.PrefixHashes.
+func TestCacheTransfer(t *testing.T) {
+	_, from := start(t, engine.Config{TokenRate: 2000})
+	_, to := start(t, engine.Config{})
+	ctx := context.Background()
+	prompt := strings.Repeat("x", 2*target.BlockBytes+10)
+	ans, err := from.Do(ctx, completion("a", prompt, 2, false))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := target.ReadAll(ans.Body, 1<<20); err != nil {
+		t.Fatal(err)
+	}
+	hashes := target.PrefixHashes([]byte(prompt))
+	events, err := from.CacheEvents(ctx, 0)
+	if err != nil || len(events) != 2 || events[1].Prefix != hashes[1] {
+		t.Fatalf("%v, %v, expected %v", events, err, hashes)
+	}
+	block, err := from.Export(ctx, hashes[1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := to.Import(ctx, hashes[1], block); err != nil {
+		t.Fatal(err)
+	}
+	if events, err = to.CacheEvents(ctx, 0); err != nil || len(events) != 1 {
+		t.Fatalf("%v, %v", events, err)
+	}
+	if _, err := to.Export(ctx, hashes[0]); !errors.Is(err, target.ErrNotCached) {
+		t.Fatalf("missing prefix: %v", err)
+	}
+}
--- /dev/null
+++ b/standin/engine/stream.go
@@ -0,0 +1,117 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"strings"
+)
+
+// errCut makes the server close the connection in the middle of an answer.
+var errCut = errors.New("answer cut on demand")
+
+// errStopped ends the stream of a run that was cancelled.
+var errStopped = errors.New("run stopped")
+
+const terminalEvent = "data: [DONE]\n\n"
+
+// stream reads the events of a run as they are produced.
+type stream struct {
+	ctx   context.Context
+	run   *run
+	next  int
+	cutAt int // token to end before, or -1
+	rest  string
+	done  bool
+}
+
+var _ io.Reader = (*stream)(nil)
+
+// Read implements io.Reader. Each event is returned by a read of its own unless
+// p is too short.
+func (s *stream) Read(p []byte) (int, error) {
+	if s.rest == "" {
+		if s.done {
+			return 0, io.EOF
+		}
+		if err := s.advance(); err != nil {
+			return 0, err
+		}
+	}
+	n := copy(p, s.rest)
+	s.rest = s.rest[n:]
+	return n, nil
+}
+
+func (s *stream) advance() error {
+	switch {
+	case s.next == s.cutAt:
+		return errCut
+	case s.next >= len(s.run.tokens):
+		s.rest, s.done = terminalEvent, true
+		return nil
+	case !s.run.await(s.ctx, s.next):
+		return errStopped
+	}
+	s.rest = s.run.event(s.next)
+	s.next++
+	return nil
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Text         *string  `json:"text,omitempty"`
+	Delta        *Message `json:"delta,omitempty"`
+	Message      *Message `json:"message,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+// event returns the event of one token.
+func (r *run) event(i int) string {
+	c := choice{}
+	if i == len(r.tokens)-1 {
+		reason := "length"
+		c.FinishReason = &reason
+	}
+	object := "text_completion"
+	if r.chat {
+		object = "chat.completion.chunk"
+		c.Delta = &Message{Role: "assistant", Content: r.tokens[i]}
+	} else {
+		c.Text = &r.tokens[i]
+	}
+	data, _ := json.Marshal(completion{ID: r.id, Object: object, Choices: []choice{c}})
+	return "id: " + r.id + "\ndata: " + string(data) + "\n\n"
+}
+
+// whole returns the answer without a stream.
+func (r *run) whole() []byte {
+	text := strings.Join(r.tokens, "")
+	reason := "length"
+	c := choice{FinishReason: &reason}
+	object := "text_completion"
+	if r.chat {
+		object = "chat.completion"
+		c.Message = &Message{Role: "assistant", Content: text}
+	} else {
+		c.Text = &text
+	}
+	data, _ := json.Marshal(completion{
+		ID: r.id, Object: object, Choices: []choice{c},
+		Usage: &usage{PromptTokens: PromptTokens(r.prompt), CompletionTokens: len(r.tokens)},
+	})
+	return data
+}
--- /dev/null
+++ b/standin/internal/fault/fault.go
@@ -0,0 +1,130 @@
+// Package fault selects the requests that a stand-in answers with a fault.
+package fault
+
+import (
+	"encoding/json"
+	"hash/fnv"
+	"math"
+	"strings"
+	"sync"
+
+	"github.com/gofiber/fiber/v3"
+)
+
+// Kind says what goes wrong.
+type Kind string
+
+// The kinds of faults.
+const (
+	None    Kind = "none"    // removes all faults
+	Slow    Kind = "slow"    // takes longer
+	Fail    Kind = "fail"    // status 500
+	Silent  Kind = "silent"  // never answers, connection stays open
+	Cut     Kind = "cut"     // ends in the middle of the answer
+	Crossed Kind = "crossed" // answers with another request's answer
+	Empty   Kind = "empty"   // a whole answer without content
+)
+
+var kinds = map[Kind]bool{None: true, Slow: true, Fail: true, Silent: true, Cut: true, Crossed: true, Empty: true}
+
+// Fault is one fault with the requests that it concerns.
+type Fault struct {
+	Kind Kind `json:"kind"`
+	// Share of the requests in (0, 1], selected by a hash of the request id.
+	// 0 means all.
+	Share float64 `json:"share,omitempty"`
+	// Route is a prefix of the path. Empty means the routes that do work, "*"
+	// means all.
+	Route string `json:"route,omitempty"`
+	// Version restricts the fault to the time that this version is served.
+	Version string `json:"version,omitempty"`
+	// MinRunning restricts the fault to the time that so many requests run.
+	MinRunning int `json:"min_running,omitempty"`
+	// Factor of a slow answer. Default 10.
+	Factor float64 `json:"factor,omitempty"`
+	// DelayMS is added before a slow answer, in milliseconds.
+	DelayMS int `json:"delay_ms,omitempty"`
+}
+
+// Request is what faults are selected by.
+type Request struct {
+	ID, Path, Version string
+	// Work is true for the routes that do work.
+	Work    bool
+	Running int
+}
+
+// Set holds the active faults. The zero value is empty.
+type Set struct {
+	// Salt makes the shares of different servers independent.
+	Salt string
+
+	mu     sync.Mutex
+	active []Fault
+}
+
+// Add adds a fault, or removes all of them if the kind is None.
+func (s *Set) Add(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f.Kind == None {
+		s.active = nil
+		return
+	}
+	if f.Factor <= 0 {
+		f.Factor = 10
+	}
+	s.active = append(s.active, f)
+}
+
+// Match returns the first active fault that concerns the request. Its Kind is
+// empty if there is none.
+func (s *Set) Match(r Request) Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, f := range s.active {
+		if f.concerns(r) && s.selected(r.ID, f.Share) {
+			return f
+		}
+	}
+	return Fault{}
+}
+
+func (f *Fault) concerns(r Request) bool {
+	if f.Version != "" && f.Version != r.Version {
+		return false
+	}
+	if r.Running < f.MinRunning {
+		return false
+	}
+	switch f.Route {
+	case "":
+		return r.Work
+	case "*":
+		return true
+	}
+	return strings.HasPrefix(r.Path, f.Route)
+}
+
+func (s *Set) selected(id string, share float64) bool {
+	if share <= 0 || share >= 1 {
+		return true
+	}
+	h := fnv.New64a()
+	h.Write([]byte(id + "\x00" + s.Salt))
+	// A multiplication spreads the low bits, in which similar ids differ.
+	return float64(h.Sum64()*0x9e3779b97f4a7c15>>11)/(math.MaxUint64>>11) < share
+}
+
+// Handle serves POST /standin/fault.
+func (s *Set) Handle(c fiber.Ctx) error {
+	var f Fault
+	if err := json.Unmarshal(c.Body(), &f); err != nil {
+		return c.Status(fiber.StatusBadRequest).SendString(err.Error())
+	}
+	if !kinds[f.Kind] {
+		return c.Status(fiber.StatusBadRequest).SendString("unknown kind")
+	}
+	s.Add(f)
+	return nil
+}
--- /dev/null
+++ b/standin/internal/web/runs.go
@@ -0,0 +1,42 @@
+package web
+
+import (
+	"maps"
+	"sync"
+
+	"github.com/gofiber/fiber/v3"
+)
+
+// Runs counts how often each request id was run, to prove that nothing ran
+// twice. It keeps every id, so a stand-in serves for hours, not for months.
+type Runs struct {
+	mu sync.Mutex
+	n  map[string]int
+}
+
+// Add counts a run and returns how often the id has run.
+func (r *Runs) Add(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.n == nil {
+		r.n = make(map[string]int)
+	}
+	r.n[id]++
+	return r.n[id]
+}
+
+// All returns the counts by request id.
+func (r *Runs) All() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.n)
+}
+
+// Handle serves GET /standin/runs.
+func (r *Runs) Handle(c fiber.Ctx) error {
+	all := r.All()
+	if all == nil {
+		all = map[string]int{}
+	}
+	return c.JSON(all)
+}
--- /dev/null
+++ b/standin/service/service.go
@@ -0,0 +1,113 @@
+// Package service simulates a plain HTTP service that accepts any method and
+// path, with latency and faults on demand.
+package service
+
+import (
+	"encoding/json"
+	"hash/fnv"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"sardinefront.dev/standin/internal/fault"
+	"sardinefront.dev/standin/internal/web"
+	"sardinefront.dev/target"
+)
+
+// Fault is a fault on demand, see POST /standin/fault.
+type Fault = fault.Fault
+
+// Config describes the simulated service. A zero value selects the default.
+type Config struct {
+	// Name separates the random choices of services.
+	Name    string
+	Version string // default "1"
+	// Latency of each answer.
+	Latency time.Duration
+	// Slots is how many requests run at once; others wait. 0 means no bound.
+	Slots int
+}
+
+// Server is a simulated service.
+type Server struct {
+	*web.Server
+	cfg     Config
+	faults  fault.Set
+	counts  web.Runs
+	slots   chan struct{}
+	running atomic.Int64
+}
+
+// New returns a service that Start starts.
+func New(cfg Config) *Server {
+	if cfg.Version == "" {
+		cfg.Version = "1"
+	}
+	s := &Server{Server: web.New(), cfg: cfg, faults: fault.Set{Salt: cfg.Name}}
+	if cfg.Slots > 0 {
+		s.slots = make(chan struct{}, cfg.Slots)
+	}
+	s.App.Post("/standin/fault", s.faults.Handle)
+	s.App.Get("/standin/runs", s.counts.Handle)
+	s.App.Use(s.serve)
+	return s
+}
+
+// AddFault adds a fault; the kind none removes all.
+func (s *Server) AddFault(f Fault) { s.faults.Add(f) }
+
+// Runs returns how often each request id was run.
+func (s *Server) Runs() map[string]int { return s.counts.All() }
+
+// Expected returns the body of the answer to a request. It depends on the
+// request only, so that a caller can verify that it received its own answer.
+func Expected(id, method, path string, body []byte) string {
+	h := fnv.New64a()
+	h.Write(body)
+	text, _ := json.Marshal(map[string]string{
+		"id": id, "method": method, "path": path, "body_hash": strconv.FormatUint(h.Sum64(), 16),
+	})
+	return string(text)
+}
+
+func (s *Server) serve(c fiber.Ctx) error {
+	id := web.Header(c, target.HeaderRequestID)
+	method, path := strings.Clone(c.Method()), web.Path(c)
+	s.counts.Add(id)
+	if s.slots != nil {
+		s.slots <- struct{}{}
+		defer func() { <-s.slots }()
+	}
+	running := s.running.Add(1)
+	defer s.running.Add(-1)
+	f := s.faults.Match(fault.Request{ID: id, Path: path, Version: s.cfg.Version, Work: true, Running: int(running)})
+	s.Sleep(s.latency(f))
+	c.Set(target.HeaderVersion, s.cfg.Version)
+	c.Set(target.HeaderRequestID, id)
+	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+	body := Expected(id, method, path, c.Body())
+	switch f.Kind {
+	case fault.Fail:
+		return c.Status(fiber.StatusInternalServerError).SendString("failure on demand")
+	case fault.Silent:
+		return web.Hang(c)
+	case fault.Cut:
+		return web.Cut(c, []byte(body))
+	case fault.Crossed:
+		c.Set(target.HeaderRequestID, "crossed-"+id)
+		return c.SendString(Expected("crossed-"+id, method, path, c.Body()))
+	case fault.Empty:
+		return nil
+	}
+	return c.SendString(body)
+}
+
+func (s *Server) latency(f Fault) time.Duration {
+	if f.Kind != fault.Slow {
+		return s.cfg.Latency
+	}
+	return time.Duration(f.Factor*float64(s.cfg.Latency)) + time.Duration(f.DelayMS)*time.Millisecond
+}
--- /dev/null
+++ b/target/eventbody.go
@@ -0,0 +1,100 @@
+package target
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+)
+
+// terminal is the data of the event that ends a stream.
+const terminal = "[DONE]"
+
+// eventBody passes on the events of an engine's stream after verification.
+type eventBody struct {
+	exchange *exchange
+	events   eventReader
+	id       string
+	offset   int64
+	err      error
+}
+
+func newEventBody(x *exchange, f *framing, id string, offset int64) *eventBody {
+	return &eventBody{exchange: x, events: eventReader{r: f}, id: id, offset: offset}
+}
+
+// Next implements Body. The terminal event is returned after the end of the
+// body has been verified.
+func (b *eventBody) Next() ([]byte, error) {
+	if b.err != nil {
+		return nil, b.err
+	}
+	ev, err := b.events.next()
+	if err != nil {
+		return nil, b.fail(err)
+	}
+	if !ev.HasData {
+		return ev.Raw, nil
+	}
+	if string(ev.Data) == terminal {
+		return b.finish(append([]byte(nil), ev.Raw...))
+	}
+	if err := b.verify(ev); err != nil {
+		b.exchange.finish(false)
+		b.err = err
+		return nil, err
+	}
+	b.offset++
+	return ev.Raw, nil
+}
+
+func (b *eventBody) fail(err error) error {
+	b.err = b.exchange.cut(b.offset, err)
+	return b.err
+}
+
+// finish reads to the end of the body, in which only comments may follow the
+// terminal event.
+func (b *eventBody) finish(last []byte) ([]byte, error) {
+	for {
+		ev, err := b.events.next()
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return nil, b.fail(err)
+		}
+		if ev.HasData {
+			return nil, b.fail(fmt.Errorf("%w: event after the terminal event", ErrMalformed))
+		}
+	}
+	b.exchange.finish(true)
+	b.err = io.EOF
+	return last, nil
+}
+
+// verify compares the id of an event, which is its id field, else the id of its
+// JSON data.
+func (b *eventBody) verify(ev *rawEvent) error {
+	if b.id == "" {
+		return nil
+	}
+	got := string(ev.ID)
+	if got == "" {
+		var data struct {
+			ID string `json:"id"`
+		}
+		if json.Unmarshal(ev.Data, &data) == nil {
+			got = data.ID
+		}
+	}
+	if got != b.id {
+		return &MismatchError{Want: b.id, Got: got}
+	}
+	return nil
+}
+
+// Close implements Body.
+func (b *eventBody) Close() error {
+	b.exchange.finish(false)
+	return nil
+}
--- /dev/null
+++ b/target/events.go
@@ -0,0 +1,127 @@
+package target
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+)
+
+// maxEventBytes bounds one event, which is held in memory as a whole.
+const maxEventBytes = 1 << 20
+
+// rawEvent is one event of a stream. Raw holds the bytes as they were sent, the
+// blank line included; comments before an event belong to it. All slices are
+// valid until the next call of next.
+type rawEvent struct {
+	Raw  []byte
+	ID   []byte
+	Data []byte
+	// HasData is false for a block of comments or of fields without data.
+	HasData bool
+}
+
+// eventReader splits a stream into events. Lines end in LF or CRLF; a CR
+// elsewhere is refused, because readers that take it for a line end would see
+// fields that were not verified.
+type eventReader struct {
+	r     io.Reader
+	buf   []byte
+	start int // first byte of the current event
+	scan  int // first byte of the current line
+	end   int
+	data  []byte
+	event rawEvent
+	err   error
+}
+
+// next returns the next event. At the end of the stream it returns the error of
+// the reader; an event without its blank line is io.ErrUnexpectedEOF.
+func (e *eventReader) next() (*rawEvent, error) {
+	e.start = e.scan
+	e.data = e.data[:0]
+	e.event = rawEvent{}
+	for {
+		line, ok, err := e.line()
+		if err != nil {
+			return nil, err
+		}
+		if !ok {
+			if err := e.fill(); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		if len(line) > 0 {
+			e.field(line)
+			continue
+		}
+		if e.scan-e.start <= 2 && !e.event.HasData && len(bytes.TrimRight(e.buf[e.start:e.scan], "\r\n")) == 0 {
+			e.start = e.scan // a blank line between events
+			continue
+		}
+		e.event.Raw = e.buf[e.start:e.scan]
+		e.event.Data = e.data
+		return &e.event, nil
+	}
+}
+
+// line returns the next whole line in the buffer without its end.
+func (e *eventReader) line() ([]byte, bool, error) {
+	i := bytes.IndexByte(e.buf[e.scan:e.end], '\n')
+	if i < 0 {
+		return nil, false, nil
+	}
+	line := e.buf[e.scan : e.scan+i]
+	e.scan += i + 1
+	line = bytes.TrimSuffix(line, []byte("\r"))
+	if bytes.IndexByte(line, '\r') >= 0 {
+		return nil, false, fmt.Errorf("%w: carriage return within a line", ErrMalformed)
+	}
+	return line, true, nil
+}
+
+func (e *eventReader) field(line []byte) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "data":
+		if e.event.HasData {
+			e.data = append(e.data, '\n')
+		}
+		e.event.HasData = true
+		e.data = append(e.data, value...)
+	case "id":
+		// The buffer may move before the event ends.
+		e.event.ID = append([]byte(nil), value...)
+	}
+}
+
+// fill reads more bytes behind the current event.
+func (e *eventReader) fill() error {
+	if e.err != nil {
+		return e.ended()
+	}
+	if e.start > 0 {
+		copy(e.buf, e.buf[e.start:e.end])
+		e.scan -= e.start
+		e.end -= e.start
+		e.start = 0
+	}
+	if e.end == len(e.buf) {
+		if e.end >= maxEventBytes {
+			return fmt.Errorf("%w: event above %d bytes", ErrMalformed, maxEventBytes)
+		}
+		e.buf = append(e.buf, make([]byte, max(4096, len(e.buf)))...)
+	}
+	n, err := e.r.Read(e.buf[e.end:])
+	e.end += n
+	e.err = err
+	return nil
+}
+
+func (e *eventReader) ended() error {
+	if e.err == io.EOF && e.end > e.start {
+		return io.ErrUnexpectedEOF
+	}
+	return e.err
+}
--- /dev/null
+++ b/target/pool.go
@@ -0,0 +1,164 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+const readBufferBytes = 16 << 10 // also bounds the size of an answer's header
+
+// conn is a connection that carries one request at a time.
+type conn struct {
+	net.Conn
+	br *bufio.Reader
+	bw *bufio.Writer
+	// sent counts the bytes of the current request that the kernel accepted.
+	sent      int64
+	created   time.Time
+	idleSince time.Time
+	epoch     uint64
+}
+
+// Write counts accepted bytes. With 0 accepted bytes, nothing of the request
+// can have left this machine.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent += int64(n)
+	return n, err
+}
+
+// pool keeps idle connections to one address. It never sends anything.
+type pool struct {
+	cfg  Config
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+	mu    sync.Mutex
+	idle  []*conn // oldest first
+	epoch uint64
+	sweep *time.Timer
+	done  bool
+}
+
+func newPool(cfg Config) *pool {
+	d := &net.Dialer{Timeout: cfg.Dial}
+	return &pool{cfg: cfg, dial: d.DialContext}
+}
+
+// get returns the most recently used connection that is still usable, or dials.
+func (p *pool) get(ctx context.Context) (*conn, error) {
+	for {
+		c := p.pop()
+		if c == nil {
+			return p.connect(ctx)
+		}
+		if p.usable(c, time.Now()) && quiet(c.Conn) {
+			return c, nil
+		}
+		c.Close()
+	}
+}
+
+func (p *pool) pop() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return nil
+	}
+	c := p.idle[len(p.idle)-1]
+	p.idle = p.idle[:len(p.idle)-1]
+	return c
+}
+
+func (p *pool) usable(c *conn, now time.Time) bool {
+	p.mu.Lock()
+	epoch := p.epoch
+	p.mu.Unlock()
+	return c.epoch == epoch && now.Sub(c.created) < p.cfg.MaxAge && now.Sub(c.idleSince) < p.cfg.MaxIdle
+}
+
+func (p *pool) connect(ctx context.Context) (*conn, error) {
+	p.mu.Lock()
+	epoch := p.epoch
+	p.mu.Unlock()
+	nc, err := p.dial(ctx, "tcp", p.cfg.Address)
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: nc, created: time.Now(), epoch: epoch}
+	c.br = bufio.NewReaderSize(nc, readBufferBytes)
+	c.bw = bufio.NewWriter(c)
+	return c, nil
+}
+
+// put takes back a connection whose last answer was read to its verified end.
+func (p *pool) put(c *conn) {
+	now := time.Now()
+	c.idleSince = now
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := c.epoch != p.epoch || now.Sub(c.created) >= p.cfg.MaxAge
+	if p.done || old || len(p.idle) >= p.cfg.MaxIdleConns {
+		c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+	if p.sweep == nil {
+		p.sweep = time.AfterFunc(p.cfg.MaxIdle, p.closeIdle)
+	}
+}
+
+// closeIdle closes connections that waited too long and runs again while any
+// wait.
+func (p *pool) closeIdle() {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if now.Sub(c.idleSince) >= p.cfg.MaxIdle || now.Sub(c.created) >= p.cfg.MaxAge {
+			c.Close()
+			continue
+		}
+		kept = append(kept, c)
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+	p.sweep = nil
+	if len(kept) > 0 && !p.done {
+		p.sweep = time.AfterFunc(p.cfg.MaxIdle, p.closeIdle)
+	}
+}
+
+// suspect closes all idle connections after one went silent, because open
+// connections to a target often go silent together. Connections in use finish
+// their answer and are not used again.
+func (p *pool) suspect(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.epoch != p.epoch {
+		return
+	}
+	p.epoch++
+	p.drain()
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.done = true
+	if p.sweep != nil {
+		p.sweep.Stop()
+	}
+	p.drain()
+}
+
+func (p *pool) drain() {
+	for _, c := range p.idle {
+		c.Close()
+	}
+	clear(p.idle)
+	p.idle = p.idle[:0]
+}
--- a/target/target.go
+++ b/target/target.go
@@ -1,2 +1,135 @@
-// Package target sends requests to engines and plain services.
+// Package target sends requests to engines and plain services and verifies
+// that each answer is complete and belongs to its request. It never sends a
+// request a second time by itself.
 package target
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+)
+
+// The headers of the protocol with targets.
+const (
+	HeaderRequestID = "X-Request-Id"
+	HeaderFence     = "X-Fencing-Number"
+	HeaderVersion   = "X-Version"
+)
+
+// Target is a back end. Methods are safe for concurrent use.
+type Target interface {
+	// Do sends the call once and returns when the header of the answer has
+	// arrived. Every error is a *SendError. The caller must read the answer's
+	// body to io.EOF or close it. When ctx ends, also after Do has returned,
+	// the connection is closed at once.
+	Do(ctx context.Context, call Call) (*Answer, error)
+	// Close closes idle connections. Calls in progress are not interrupted.
+	Close()
+}
+
+// Call is one request to a target.
+type Call struct {
+	// ID is sent as X-Request-Id. An answer that names another id is refused.
+	// Without an ID nothing is compared.
+	ID     string
+	Method string
+	// Path is the request target in origin form, with the query.
+	Path string
+	// Header is sent except for hop-by-hop headers, Host and Content-Length.
+	Header http.Header
+	Body   []byte
+	// Stream asks an engine for an event stream.
+	Stream bool
+	// FirstByte overrides the target's first-byte timeout if positive.
+	FirstByte time.Duration
+}
+
+// Answer is the answer to a call whose header has arrived.
+type Answer struct {
+	Status      int
+	Header      http.Header
+	ContentType string
+	// Version is the value of X-Version, empty if the target sent none.
+	Version string
+	Body    Body
+}
+
+// Body streams the body of an answer.
+type Body interface {
+	// Next returns the next part of the body, which is valid until the next
+	// call. For an event stream of an engine a part is one whole event, as it
+	// was sent, whose request id was verified. Next returns io.EOF only after
+	// the end was verified: by the content length or the last chunk, and for
+	// event streams also by the terminal event. Otherwise it returns a
+	// *CutError or a *MismatchError.
+	Next() ([]byte, error)
+	// Close closes the connection unless the body was read to its end. It may
+	// be called concurrently with Next and more than once.
+	Close() error
+}
+
+// Config describes a target and the bounds of its connections. A zero duration
+// or size selects the default.
+type Config struct {
+	// Name is used in errors only.
+	Name string
+	// Address is host:port.
+	Address string
+	// Dial bounds the time to connect. Default 2 s.
+	Dial time.Duration
+	// FirstByte bounds the wait from the request's last byte to the answer's
+	// first byte. Default 30 s; SetFirstByte changes it.
+	FirstByte time.Duration
+	// Stall bounds the wait for each further part of an answer. Default 30 s.
+	Stall time.Duration
+	// MaxAge bounds the age of a connection when a request is sent on it.
+	// Default 5 min.
+	MaxAge time.Duration
+	// MaxIdle bounds how long a connection waits for its next request. Default
+	// 30 s.
+	MaxIdle time.Duration
+	// MaxIdleConns bounds the number of connections that wait. Default 64.
+	MaxIdleConns int
+	// SenderToken is sent as a bearer token with an engine's control commands
+	// if it is not empty.
+	SenderToken string
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.Dial, 2*time.Second)
+	setDefault(&c.FirstByte, 30*time.Second)
+	setDefault(&c.Stall, 30*time.Second)
+	setDefault(&c.MaxAge, 5*time.Minute)
+	setDefault(&c.MaxIdle, 30*time.Second)
+	if c.MaxIdleConns <= 0 {
+		c.MaxIdleConns = 64
+	}
+	return c
+}
+
+func setDefault(d *time.Duration, v time.Duration) {
+	if *d <= 0 {
+		*d = v
+	}
+}
+
+// ReadAll reads a body to its verified end and closes it. A body above limit
+// bytes is an error.
+func ReadAll(b Body, limit int) ([]byte, error) {
+	defer b.Close()
+	var all []byte
+	for {
+		part, err := b.Next()
+		if err == io.EOF {
+			return all, nil
+		}
+		if err != nil {
+			return all, err
+		}
+		if len(all)+len(part) > limit {
+			return all, ErrBodyTooLarge
+		}
+		all = append(all, part...)
+	}
+}
