--- a/host/host.go
+++ b/host/host.go
@@ -50,6 +50,9 @@
 	tasks     conc.WaitGroup
 	ctx       context.Context
 	cancel    context.CancelFunc
+	// drainCtx ends when the host begins to drain.
+	drainCtx  context.Context
+	drainStop context.CancelFunc
 	// active counts requests whose answer is not yet complete.
 	active atomic.Int64
 }
@@ -118,9 +121,25 @@
 	}
 	h.cancel()
 	h.closeListeners()
+	h.awaitTasks()
 	return left
 }
 
+// stopTimeout bounds the wait for background work, which gives up leases.
+const stopTimeout = 3 * time.Second
+
+func (h *Host) awaitTasks() {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		h.tasks.Wait()
+	}()
+	select {
+	case <-done:
+	case <-time.After(stopTimeout):
+	}
+}
+
 // DrainRequested is closed when an operator asks for a graceful shutdown.
 func (h *Host) DrainRequested() <-chan struct{} { return h.drain }
 
--- a/host/pool.go
+++ b/host/pool.go
@@ -40,6 +40,7 @@
 
 	mu      sync.Mutex
 	tickets map[string]*ticket
+	probes  map[string]*probeState
 
 	onTarget func(pool string, a pool.Action)
 	onProbe  func(target string, b backend)
@@ -58,6 +59,7 @@
 		fleet:     fleet,
 		tickets:   make(map[string]*ticket),
 		addresses: make(map[string]string),
+		probes:    make(map[string]*probeState),
 	}
 	p.backends.Store(&map[string]backend{})
 	return p
@@ -169,11 +171,3 @@
 	}
 	t.actions <- a
 }
-
-// waiting returns the number of tickets, which is the number of requests that
-// this host has in the pool.
-func (p *poolRunner) waiting() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.tickets)
-}
--- a/host/poolset.go
+++ b/host/poolset.go
@@ -81,7 +81,7 @@
 		Pool: p.Name, Kind: kind, Hosts: 1,
 	}, h)
 	runner.onTarget = h.targetChanged
-	runner.onProbe = func(string, backend) {}
+	runner.onProbe = func(name string, b backend) { h.probe(runner, name, b) }
 	h.tasks.Go(func() { runner.run(h.ctx) })
 	return runner
 }
--- a/host/recorded.go
+++ b/host/recorded.go
@@ -25,6 +25,9 @@
 func (h *Host) openClaimed(ctx context.Context, in *intake) (source, *refusal.Refusal) {
 	attempt := h.journal.NextAttempt()
 	st, err := h.claim(ctx, in, attempt)
+	if errors.Is(err, claim.ErrHeld) {
+		st, err = h.awaitOutcome(ctx, in, st, err)
+	}
 	if err != nil {
 		return h.repeatOf(st, err)
 	}
@@ -60,6 +63,33 @@
 	})
 }
 
+const (
+	// repeatWait bounds how long a repeat waits for the outcome of the first
+	// request before it is told that that one is in progress.
+	repeatWait = 2 * time.Second
+	repeatPoll = 100 * time.Millisecond
+)
+
+// awaitOutcome waits for the outcome of a request that another attempt holds.
+// It returns claim.ErrFinished with the outcome, or held if there is none yet.
+func (h *Host) awaitOutcome(ctx context.Context, in *intake, st claim.State, held error) (claim.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, min(repeatWait, time.Until(in.req.Deadline)))
+	defer cancel()
+	tick := time.NewTicker(repeatPoll)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return st, held
+		case <-tick.C:
+		}
+		now, err := h.journal.Lookup(ctx, in.organisation, in.id)
+		if err == nil && now.Phase.Final() {
+			return now, claim.ErrFinished
+		}
+	}
+}
+
 // repeatOf answers a request that may not be dispatched because of what is, or
 // may be, on record.
 func (h *Host) repeatOf(st claim.State, err error) (source, *refusal.Refusal) {
--- a/host/targets.go
+++ b/host/targets.go
@@ -7,15 +7,9 @@
 
 	"sardinefront.dev/core/event"
 	"sardinefront.dev/platform"
-	"sardinefront.dev/rules"
-	"sardinefront.dev/sched/pool"
 	"sardinefront.dev/target"
 )
 
-// reportEvery is how often a host asks one engine of each pool for its load.
-// Reports of the other engines arrive with the peers' digests.
-const reportEvery = 250 * time.Millisecond
-
 // backend is a target as this host talks to it.
 type backend interface {
 	target.Target
