--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # Packages whose tests explore many states run without the race detector.
 GO := go
 
-.PHONY: build test race lint fmt tidy demo bench slopes scenarios explore loc clean
+.PHONY: docs build test race lint fmt tidy demo bench slopes scenarios explore loc clean
 
 build:
 	$(GO) build -o bin/ ./cmd/sardinefront ./cmd/sardinectl
@@ -30,6 +30,10 @@
 tidy:
 	@for m in $(MODULES); do (cd $$m && GOWORK=off $(GO) mod tidy) || exit 1; done
 
+# Rewrites the catalogue pages from the code.
+docs:
+	SARDINEFRONT_UPDATE_DOCS=1 $(GO) test -count=1 -run CatalogueMatchesPage ./core/...
+
 demo: build
 	bin/sardinectl demo
 
--- a/core/telemetry/telemetry_test.go
+++ b/core/telemetry/telemetry_test.go
@@ -5,9 +5,15 @@
 	"strings"
 	"testing"
 
+	"sardinefront.dev/core/internal/golden"
 	"sardinefront.dev/core/refusal"
 )
 
+// Guards against a catalogue page that no longer matches the code.
+func TestCatalogueMatchesPage(t *testing.T) {
+	golden.Compare(t, "../..", "metrics.md", WriteCatalogue)
+}
+
 // Guards against a refusal or retry reason that has no series before its first
 // occurrence, which would make an alert on it silently inactive.
 func TestEveryReasonHasASeriesAtZero(t *testing.T) {
