Add fleet: membership, configuration spread and peer transport

Cause: hosts need to know each other, hold the same rules file and exchange messages without a second coordination service.

Conclusion: six hosts in two zones on loopback join, adopt a pushed file, exchange digests, floors, halts and calls, and see a planned stop.

--- /dev/null
+++ b/fleet/config/spread.go
@@ -0,0 +1,298 @@
+package config
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// WatchersPerZone is how many hosts of an availability zone watch the store.
+const WatchersPerZone = 2
+
+// Watchers returns the members of a zone that watch the store: those with the
+// highest rendezvous weight, so that a member that comes or goes changes
+// little. names are the live members; fewer than WatchersPerZone all watch.
+func Watchers(zone string, names []string) []string {
+	var best [WatchersPerZone]string
+	var weight [WatchersPerZone]uint64
+	for _, n := range names {
+		w := xxhash.Sum64String(zone + "\x00" + n)
+		for i := range best {
+			if best[i] == "" || w > weight[i] || (w == weight[i] && n < best[i]) {
+				best[i], n = n, best[i]
+				weight[i], w = w, weight[i]
+			}
+			if n == "" {
+				break
+			}
+		}
+	}
+	return best[:min(len(names), WatchersPerZone)]
+}
+
+// Advert is what a host tells others on every probe: what it holds and how long
+// ago it knows the store to have answered anyone.
+type Advert struct {
+	_     struct{} `cbor:",toarray"`
+	Stamp Stamp
+	// StoreAge is in seconds; NoStore means never.
+	StoreAge uint32
+}
+
+// NoStore is the StoreAge of a host that knows of no answer from the store.
+const NoStore = 1<<32 - 1
+
+// Pull asks a peer for a newer rules file.
+type Pull struct {
+	To   string
+	Have Stamp
+}
+
+// SpreadConfig holds the settings of a Spread. Zero values select the defaults.
+type SpreadConfig struct {
+	PullTimeout time.Duration // until another peer is asked; 2 s
+	LateAfter   time.Duration // a newer file known for longer is reported; 5 s
+	CutOffAfter time.Duration // no news of the store for longer is reported; 60 s
+	PastBytes   int           // earlier texts kept to compute deltas; 2 MB
+}
+
+func (c SpreadConfig) withDefaults() SpreadConfig {
+	c.PullTimeout = cmp.Or(c.PullTimeout, 2*time.Second)
+	c.LateAfter = cmp.Or(c.LateAfter, 5*time.Second)
+	c.CutOffAfter = cmp.Or(c.CutOffAfter, 60*time.Second)
+	c.PastBytes = cmp.Or(c.PastBytes, 2<<20)
+	return c
+}
+
+// maxOffers bounds the peers remembered as holders of a newer file.
+const maxOffers = 4
+
+// retryAfter is the wait after a failed pull. Without it, a peer that refuses
+// at once would be asked in a tight loop.
+const retryAfter = 300 * time.Millisecond
+
+type pastValue struct {
+	stamp Stamp
+	text  []byte
+}
+
+type offer struct {
+	from  string
+	stamp Stamp
+}
+
+// Spread is the configuration state of one host as a pure state machine. It is
+// not safe for concurrent use. Use NewSpread.
+type Spread struct {
+	cfg   SpreadConfig
+	start time.Time
+
+	held    Value
+	stamp   Stamp
+	since   time.Time   // adoption of held
+	past    []pastValue // oldest first
+	pastLen int
+
+	offers    []offer // holders of a newer file, the latest last
+	offeredAt time.Time
+	asked     string // peer of the pull in progress
+	askedAt   time.Time
+	retryAt   time.Time
+	whole     bool // the last delta did not fit: ask for the whole file
+
+	store       time.Time // the latest known answer of the store to anyone
+	storeNumber int64     // an older number that the store holds; 0: none
+	refused     uint64
+}
+
+// NewSpread returns the state of a host that holds nothing.
+func NewSpread(c SpreadConfig, now time.Time) *Spread {
+	return &Spread{cfg: c.withDefaults(), start: now}
+}
+
+// Held returns the rules file this host holds; its Number is 0 if it has none.
+func (s *Spread) Held() Value { return s.held }
+
+// Stamp returns the stamp of Held.
+func (s *Spread) Stamp() Stamp { return s.stamp }
+
+// Advert returns what to tell peers.
+func (s *Spread) Advert(now time.Time) Advert {
+	a := Advert{Stamp: s.stamp, StoreAge: NoStore}
+	if !s.store.IsZero() {
+		a.StoreAge = uint32(min(max(0, now.Sub(s.store)/time.Second), NoStore-1))
+	}
+	return a
+}
+
+// OnStore takes in what the store holds. It reports whether the value was
+// adopted; the caller then puts Held into force. A value with a lower number is
+// refused and reported by Status.
+func (s *Spread) OnStore(v Value, now time.Time) bool {
+	s.store = now
+	st := v.Stamp()
+	if s.stamp.Newer(st) {
+		if s.storeNumber != v.Number {
+			s.refused++
+		}
+		s.storeNumber = v.Number
+		return false
+	}
+	s.storeNumber = 0
+	return s.adopt(v, st, now)
+}
+
+// OnStoreEmpty takes in that the store holds no rules file.
+func (s *Spread) OnStoreEmpty(now time.Time) {
+	s.store = now
+	if s.stamp.Number > 0 && s.storeNumber != -1 {
+		s.storeNumber = -1
+		s.refused++
+	}
+}
+
+// adopt is the only place that changes what is held, and only ever to a newer
+// value.
+func (s *Spread) adopt(v Value, st Stamp, now time.Time) bool {
+	if !st.Newer(s.stamp) {
+		return false
+	}
+	if s.held.Number > 0 {
+		s.past = append(s.past, pastValue{s.stamp, s.held.Text})
+		s.pastLen += len(s.held.Text)
+	}
+	for len(s.past) > 0 && s.pastLen > s.cfg.PastBytes {
+		s.pastLen -= len(s.past[0].text)
+		s.past[0] = pastValue{}
+		s.past = s.past[1:]
+	}
+	s.held, s.stamp, s.since = v, st, now
+	s.whole = false
+	s.dropOffers(now)
+	return true
+}
+
+// dropOffers forgets the peers that hold nothing newer.
+func (s *Spread) dropOffers(now time.Time) {
+	s.offers = slices.DeleteFunc(s.offers, func(o offer) bool { return !o.stamp.Newer(s.stamp) })
+	s.offeredAt = now
+}
+
+// OnAdvert takes in what a peer holds and returns the pull to make, if any.
+func (s *Spread) OnAdvert(from string, a Advert, now time.Time) (Pull, bool) {
+	if a.StoreAge != NoStore {
+		if at := now.Add(-time.Duration(a.StoreAge) * time.Second); at.After(s.store) {
+			s.store = at
+		}
+	}
+	if !a.Stamp.Newer(s.stamp) {
+		s.forgetOffer(from)
+		return Pull{}, false
+	}
+	if len(s.offers) == 0 {
+		s.offeredAt = now
+	}
+	s.remember(offer{from, a.Stamp})
+	return s.next(now)
+}
+
+func (s *Spread) remember(o offer) {
+	s.forgetOffer(o.from)
+	s.offers = append(s.offers, o)
+	if len(s.offers) > maxOffers {
+		s.offers = append(s.offers[:0], s.offers[1:]...)
+	}
+}
+
+func (s *Spread) forgetOffer(from string) {
+	s.offers = slices.DeleteFunc(s.offers, func(o offer) bool { return o.from == from })
+}
+
+// next starts a pull from the latest holder of the newest file, unless one is
+// in progress.
+func (s *Spread) next(now time.Time) (Pull, bool) {
+	if s.asked != "" || len(s.offers) == 0 || now.Before(s.retryAt) {
+		return Pull{}, false
+	}
+	best := s.offers[0]
+	for _, o := range s.offers[1:] {
+		if !best.stamp.Newer(o.stamp) {
+			best = o
+		}
+	}
+	s.asked, s.askedAt = best.from, now
+	p := Pull{To: best.from, Have: s.stamp}
+	if s.whole {
+		p.Have = Stamp{}
+	}
+	return p, true
+}
+
+// Tick gives up a pull without an answer and returns the next one, if any.
+func (s *Spread) Tick(now time.Time) (Pull, bool) {
+	if s.asked != "" && now.Sub(s.askedAt) >= s.cfg.PullTimeout {
+		s.OnPullFailed(s.asked, now)
+	}
+	return s.next(now)
+}
+
+// OnPullFailed takes in that a pull got no usable answer. The next Tick asks
+// another holder, or the same one if it is the only one known.
+func (s *Spread) OnPullFailed(from string, now time.Time) {
+	if s.asked != from {
+		return
+	}
+	s.asked = ""
+	s.retryAt = now.Add(retryAfter)
+	if len(s.offers) > 1 {
+		s.forgetOffer(from)
+	}
+}
+
+// Status is the state of the configuration on one host.
+type Status struct {
+	Number  int64
+	Author  string
+	Comment string
+	Pushed  time.Time // by the operator's clock
+	Hash    uint64
+	// Adopted is when this host took the file over; zero if it holds none.
+	Adopted time.Time
+	// Newest is the greatest number known to exist, at least Number.
+	Newest int64
+	// Late means that a newer file has been known for longer than LateAfter
+	// and could not be fetched.
+	Late bool
+	// CutOff means that no news of the store, direct or from peers, has come
+	// for longer than CutOffAfter. StoreSeen is the latest news, or zero.
+	CutOff    bool
+	StoreSeen time.Time
+	// StoreNumber is the older number that the store holds, -1 if it holds no
+	// file; 0 means that the store is not known to be behind.
+	StoreNumber int64
+	// Refused counts older values refused.
+	Refused uint64
+}
+
+// Status returns the state at now.
+func (s *Spread) Status(now time.Time) Status {
+	seen := s.store
+	if seen.IsZero() {
+		seen = s.start
+	}
+	st := Status{
+		Number: s.held.Number, Author: s.held.Author, Comment: s.held.Comment, Hash: s.stamp.Hash,
+		Adopted: s.since, Newest: s.held.Number, StoreSeen: s.store, StoreNumber: s.storeNumber, Refused: s.refused,
+		CutOff: now.Sub(seen) > s.cfg.CutOffAfter,
+	}
+	if s.held.Number > 0 {
+		st.Pushed = s.held.Time()
+	}
+	for _, o := range s.offers {
+		st.Newest = max(st.Newest, o.stamp.Number)
+		st.Late = st.Late || now.Sub(s.offeredAt) > s.cfg.LateAfter
+	}
+	return st
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,237 @@
+// Package fleet joins membership, the spread of the configuration and the peer
+// transport into the Node of a running host.
+package fleet
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"sardinefront.dev/fleet/config"
+	"sardinefront.dev/fleet/member"
+	"sardinefront.dev/fleet/peer"
+	"sardinefront.dev/platform"
+)
+
+// Config holds the settings and callbacks of a Node. Callbacks may be nil.
+// OnConfig, OnMember, OnDigest, OnFloor and OnHalt are called one at a time and
+// in order from one goroutine; they may call the Node but not Stop. Digest is
+// called with the Node locked and must return at once.
+type Config struct {
+	// Name is the host's name, as in its certificate.
+	Name string
+	// Zone is the availability zone.
+	Zone string
+	// Address is host:port at which peers reach this host.
+	Address string
+	// Listen is the local socket, Address if empty.
+	Listen string
+	// Incarnation must exceed that of the previous process of this name; the
+	// start time in milliseconds will do.
+	Incarnation uint64
+	KV          platform.KV
+	Hosts       platform.Hosts
+	TLS         peer.KeyFiles
+	Logger      *slog.Logger
+
+	// OnConfig puts a newer rules file into force. After an error the earlier
+	// file stays in force on this host, which still passes the newer one on.
+	OnConfig func(v config.Value) error
+	OnMember func(e member.Event)
+	// Digest returns the host's current digest of at most MaxDigest bytes; a
+	// longer one is not sent.
+	Digest   func() []byte
+	OnDigest func(from string, b []byte)
+	OnFloor  func(from string, b []byte)
+	OnHalt   func(from string, b []byte)
+	// Handle answers calls of peers. It runs concurrently and may block.
+	Handle func(kind string, body []byte) []byte
+
+	HostsEvery time.Duration // reading of the platform's list; 10 s
+	// WatchFor is the longest a watch waits; 4 s. The read after it notices a
+	// store that is down, a silent connection and a store set back.
+	WatchFor time.Duration
+	// ReadEvery is how often hosts that do not watch read the store as well;
+	// 5 min. It bounds the harm of a fault in membership.
+	ReadEvery   time.Duration
+	CallTimeout time.Duration // of pulls; 2 s
+	Member      member.Config // tuning; Name, Zone, Address and Incarnation are set by the Node
+	Spread      config.SpreadConfig
+	Peer        peer.Config // tuning; Listen, Keys and Logger are set by the Node
+}
+
+func (c Config) withDefaults() Config {
+	c.HostsEvery = cmp.Or(c.HostsEvery, 10*time.Second)
+	c.WatchFor = cmp.Or(c.WatchFor, 4*time.Second)
+	c.ReadEvery = cmp.Or(c.ReadEvery, 5*time.Minute)
+	c.CallTimeout = cmp.Or(c.CallTimeout, 2*time.Second)
+	c.Listen = cmp.Or(c.Listen, c.Address)
+	if c.Logger == nil {
+		c.Logger = slog.New(slog.DiscardHandler)
+	}
+	c.Member.Name, c.Member.Zone, c.Member.Address = c.Name, c.Zone, c.Address
+	c.Member.Incarnation = c.Incarnation
+	c.Peer.Listen, c.Peer.Keys, c.Peer.Logger = c.Listen, c.TLS, c.Logger
+	return c
+}
+
+func (c Config) validate() error {
+	var errs []error
+	for _, s := range []struct{ name, value string }{{"name", c.Name}, {"zone", c.Zone}, {"address", c.Address}} {
+		if s.value == "" {
+			errs = append(errs, fmt.Errorf("fleet: setting %s is empty", s.name))
+		}
+	}
+	if c.Incarnation == 0 {
+		errs = append(errs, errors.New("fleet: the incarnation is 0"))
+	}
+	if c.KV == nil || c.Hosts == nil {
+		errs = append(errs, errors.New("fleet: the store or the host list is missing"))
+	}
+	return errors.Join(errs...)
+}
+
+// tickEvery is the step of the state machines.
+const tickEvery = 100 * time.Millisecond
+
+// Node is the fleet side of one host. Use New; all methods are safe for
+// concurrent use.
+type Node struct {
+	cfg    Config
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     conc.WaitGroup
+	peers  *peer.Transport
+
+	mu       sync.Mutex
+	core     *core
+	halts    seen
+	inForce  int64
+	rejected error
+
+	deliveries deliveries
+	store      storeState
+}
+
+// New validates the settings. It opens nothing.
+func New(c Config) (*Node, error) {
+	if err := c.validate(); err != nil {
+		return nil, err
+	}
+	c = c.withDefaults()
+	n := &Node{cfg: c}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.deliveries.init()
+	return n, nil
+}
+
+// Start opens the transport and joins the fleet. Configuration and members
+// arrive through the callbacks.
+func (n *Node) Start() error {
+	n.core = newCore(n.cfg.Member, n.cfg.Spread, n.cfg.Digest, time.Now())
+	// Handlers may run before New returns; they wait for the lock.
+	n.mu.Lock()
+	peers, err := peer.New(n.cfg.Peer, peer.Handlers{Message: n.message, Call: n.call})
+	n.peers = peers
+	n.mu.Unlock()
+	if err != nil {
+		return fmt.Errorf("fleet: %w", err)
+	}
+	n.wg.Go(n.deliver)
+	n.wg.Go(n.tick)
+	n.wg.Go(n.readHosts)
+	n.wg.Go(n.followStore)
+	return nil
+}
+
+// Stop announces the planned stop, ends all connections and waits for the
+// callbacks.
+func (n *Node) Stop() error {
+	n.do(func(c *core, now time.Time) actions { return c.leave(now) })
+	// The transport sends in the background; without this pause Close would
+	// discard the announcement.
+	time.Sleep(tickEvery)
+	n.mu.Lock()
+	n.cancel() // under mu: no pull is started after this
+	n.mu.Unlock()
+	n.deliveries.close()
+	err := n.peers.Close()
+	n.wg.Wait()
+	return err
+}
+
+// do runs an input of the core and carries out the actions. Callbacks are
+// queued under the lock, which keeps their order.
+func (n *Node) do(input func(c *core, now time.Time) actions) {
+	n.mu.Lock()
+	a := input(n.core, time.Now())
+	n.queue(a)
+	if a.pull != nil && n.ctx.Err() == nil {
+		n.wg.Go(func() { n.pull(*a.pull) })
+	}
+	n.mu.Unlock()
+	for _, p := range a.packets {
+		n.peers.Send(p.address, kindGossip, p.body)
+	}
+}
+
+func (n *Node) tick() {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-t.C:
+			n.do((*core).tick)
+		}
+	}
+}
+
+// pull asks a peer for a newer rules file.
+func (n *Node) pull(p config.Pull) {
+	ctx, cancel := context.WithTimeout(n.ctx, n.cfg.CallTimeout)
+	defer cancel()
+	body, err := config.EncodeRequest(config.PullRequest{Have: p.Have})
+	if err == nil {
+		body, err = n.Call(ctx, p.To, kindPull, body)
+	}
+	n.do(func(c *core, now time.Time) actions { return c.pulled(p.To, body, err, now) })
+}
+
+// readHosts keeps the platform's list current. A list that cannot be read
+// changes nothing.
+func (n *Node) readHosts() {
+	t := time.NewTicker(n.cfg.HostsEvery)
+	defer t.Stop()
+	for {
+		n.readHostsOnce()
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (n *Node) readHostsOnce() {
+	ctx, cancel := context.WithTimeout(n.ctx, n.cfg.HostsEvery)
+	defer cancel()
+	rows, err := n.cfg.Hosts.Hosts(ctx)
+	if err != nil {
+		return
+	}
+	var list []member.Listed
+	for _, r := range rows {
+		if r.Role == platform.RoleHost {
+			list = append(list, member.Listed{Name: r.Name, Zone: r.Zone, Address: r.Address, Leaving: r.Leaving})
+		}
+	}
+	n.do(func(c *core, now time.Time) actions { return c.hosts(list, now) })
+}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,169 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"sardinefront.dev/fleet/config"
+	"sardinefront.dev/fleet/member"
+	"sardinefront.dev/fleet/peer"
+	"sardinefront.dev/platform"
+	"sardinefront.dev/platform/memkv"
+)
+
+// hostList is a platform list that tests change.
+type hostList struct {
+	mu   sync.Mutex
+	rows []platform.HostInfo
+}
+
+func (l *hostList) Hosts(context.Context) ([]platform.HostInfo, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]platform.HostInfo(nil), l.rows...), nil
+}
+
+// freeAddress reserves a loopback port for a moment.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	return c.LocalAddr().String()
+}
+
+// observed collects the callbacks of one node.
+type observed struct {
+	mu      sync.Mutex
+	number  int64
+	digests map[string]string
+	floors  []string
+	halts   []string
+	dead    []string
+}
+
+func (o *observed) get(f func() bool) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return f()
+}
+
+type cluster struct {
+	nodes []*Node
+	seen  []*observed
+	kv    *memkv.Store
+}
+
+// newCluster starts hosts in two zones on loopback.
+func newCluster(t *testing.T, size int) *cluster {
+	t.Helper()
+	c := &cluster{kv: memkv.New(time.Now)}
+	list := &hostList{}
+	dir := t.TempDir()
+	for i := range size {
+		list.rows = append(list.rows, platform.HostInfo{
+			Name: fmt.Sprintf("h%d", i), Role: platform.RoleHost, Address: freeAddress(t), Zone: fmt.Sprintf("z%d", i%2)})
+	}
+	for i, r := range list.rows {
+		files, err := peer.WriteDevKeys(dir, time.Hour, r.Name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		o := &observed{digests: make(map[string]string)}
+		n, err := New(Config{
+			Name: r.Name, Zone: r.Zone, Address: r.Address, Incarnation: uint64(time.Now().UnixMilli()),
+			KV: c.kv, Hosts: list, TLS: files[r.Name],
+			OnConfig: func(v config.Value) error { o.mu.Lock(); defer o.mu.Unlock(); o.number = v.Number; return nil },
+			OnMember: func(e member.Event) {
+				if e.Kind == member.BecameLeft || e.Kind == member.BecameDead {
+					o.mu.Lock()
+					defer o.mu.Unlock()
+					o.dead = append(o.dead, e.Member.Name)
+				}
+			},
+			Digest:   func() []byte { return []byte("digest of " + r.Name) },
+			OnDigest: func(from string, b []byte) { o.mu.Lock(); defer o.mu.Unlock(); o.digests[from] = string(b) },
+			OnFloor: func(from string, b []byte) {
+				o.mu.Lock()
+				defer o.mu.Unlock()
+				o.floors = append(o.floors, from+string(b))
+			},
+			OnHalt: func(from string, b []byte) {
+				o.mu.Lock()
+				defer o.mu.Unlock()
+				o.halts = append(o.halts, from+string(b))
+			},
+			Handle: func(kind string, body []byte) []byte { return []byte(r.Name + kind + string(body)) },
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := n.Start(); err != nil {
+			t.Fatal(err)
+		}
+		c.nodes, c.seen = append(c.nodes, n), append(c.seen, o)
+		if i > 0 {
+			t.Cleanup(func() { _ = n.Stop() })
+		}
+	}
+	return c
+}
+
+func (c *cluster) eventually(t *testing.T, what string, each func(i int) bool) {
+	t.Helper()
+	end := time.Now().Add(15 * time.Second)
+	for i := 0; i < len(c.nodes); {
+		if each(i) {
+			i++
+			continue
+		}
+		if time.Now().After(end) {
+			t.Fatalf("host %d: %s: not within 15 s", i, what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// Guards the whole path over real sockets: joining from the host list, spread
+// of a pushed file, digests, floors to the zone, halts to everyone, calls, and
+// a planned stop.
+func TestNodesOverLoopback(t *testing.T) {
+	c := newCluster(t, 6)
+	v, err := config.Push(t.Context(), c.kv, []byte("serve lyn-llm version 7 # Kari\n"), "Kari", "first", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.eventually(t, "configuration in force", func(i int) bool {
+		return c.nodes[i].ConfigStatus().InForce == v.Number && c.seen[i].get(func() bool { return c.seen[i].number == v.Number })
+	})
+	c.eventually(t, "digests of the zone", func(i int) bool {
+		return c.seen[i].get(func() bool { return len(c.seen[i].digests) >= 2 })
+	})
+	c.nodes[0].BroadcastFloor([]byte("/urgent"))
+	c.nodes[0].BroadcastHalt([]byte("/move-1"))
+	c.eventually(t, "floor in the own zone, halt everywhere, each once", func(i int) bool {
+		o := c.seen[i]
+		floors, halts := (i+1)%2, 1
+		if i == 0 {
+			floors, halts = 0, 0
+		}
+		return o.get(func() bool { return len(o.floors) == floors && len(o.halts) == halts })
+	})
+	b, err := c.nodes[0].Call(t.Context(), "h3", "journal", []byte("!"))
+	if err != nil || string(b) != "h3journal!" {
+		t.Errorf("call: %q, %v", b, err)
+	}
+	if err := c.nodes[0].Stop(); err != nil {
+		t.Error(err)
+	}
+	c.nodes, c.seen = c.nodes[1:], c.seen[1:]
+	c.eventually(t, "h0 left", func(i int) bool {
+		return c.seen[i].get(func() bool { return len(c.seen[i].dead) == 1 && c.seen[i].dead[0] == "h0" })
+	})
+}
--- /dev/null
+++ b/fleet/member/merge.go
@@ -0,0 +1,283 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Receive handles a message from a peer whose identity the transport has
+// verified.
+func (m *Machine) Receive(msg Message, now time.Time) Output {
+	var out Output
+	if msg.From.Name == "" || msg.From.Name == m.self.Name {
+		return out
+	}
+	denials := m.self.Refutation
+	known := m.merge(msg.From, now, &out)
+	for _, u := range msg.Updates {
+		m.merge(u, now, &out)
+	}
+	if m.self.Refutation != denials && (msg.Kind == Ack || msg.Kind == Notice) {
+		// No answer would carry the refutation before the next probe.
+		m.send(msg.From.Name, msg.From.Address, Message{Kind: Notice}, &out)
+	}
+	switch msg.Kind {
+	case Probe:
+		m.ack(known, msg, &out)
+	case Ack:
+		m.acked(msg, now, &out)
+	case ProbeRequest:
+		m.probeFor(msg, now, &out)
+	}
+	return out
+}
+
+func (m *Machine) ack(from *record, msg Message, out *Output) {
+	address := msg.From.Address
+	if from != nil {
+		address = from.Address
+	}
+	m.send(msg.From.Name, address, Message{Kind: Ack, Seq: msg.Seq}, out)
+}
+
+// acked settles the own probe or passes the answer on to whom it was made for.
+func (m *Machine) acked(msg Message, now time.Time, out *Output) {
+	if msg.Target.Name != "" {
+		m.merge(msg.Target, now, out)
+	}
+	if r, ok := m.relayed[msg.Seq]; ok {
+		delete(m.relayed, msg.Seq)
+		m.send(r.name, r.address, Message{Kind: Ack, Seq: r.seq, Target: msg.From}, out)
+		return
+	}
+	p, ok := m.pending[msg.Seq]
+	if !ok || (p.name != msg.From.Name && p.name != msg.Target.Name) {
+		return
+	}
+	delete(m.pending, msg.Seq)
+	m.doubt = max(m.doubt-1, 0)
+}
+
+// probeFor probes a member for another one.
+func (m *Machine) probeFor(msg Message, now time.Time, out *Output) {
+	target := msg.Target
+	if r, ok := m.records[target.Name]; ok {
+		target = r.Update
+	}
+	if target.Address == "" || len(m.relayed) >= maxRelayed {
+		return
+	}
+	m.seq++
+	m.relayed[m.seq] = relayed{
+		name: msg.From.Name, address: msg.From.Address, seq: msg.Seq, end: now.Add(m.cfg.FarTimeout),
+	}
+	m.send(target.Name, target.Address, Message{Kind: Probe, Seq: m.seq}, out)
+}
+
+// merge takes over an update if it is newer than what is known. It returns the
+// record of the member, or nil for this host and for members not kept.
+func (m *Machine) merge(u Update, now time.Time, out *Output) *record {
+	if u.Name == m.self.Name {
+		m.refute(u, out)
+		return nil
+	}
+	r, ok := m.records[u.Name]
+	if !ok {
+		return m.add(u, now, out)
+	}
+	if u.Supersedes(r.Update) {
+		m.apply(r, u, now, out)
+	}
+	return r
+}
+
+// add records a new member. Statements that an unknown member is gone, and
+// members above the limit, are ignored.
+func (m *Machine) add(u Update, now time.Time, out *Output) *record {
+	if u.State != Alive || u.Address == "" || u.Name == "" || len(m.records) >= m.cfg.MaxMembers {
+		return nil
+	}
+	r := &record{Update: u, since: now}
+	m.records[u.Name] = r
+	m.dirty = true
+	out.Events = append(out.Events, Event{Kind: BecameAlive, Member: r.member()})
+	return r
+}
+
+// refute denies a statement about this host that is at least as new as its own
+// record and wrong.
+func (m *Machine) refute(u Update, out *Output) {
+	if u.Incarnation > m.self.Incarnation {
+		// The predecessor's clock was ahead of this process's start time.
+		m.self.Incarnation = u.Incarnation + 1
+		m.self.Refutation = 0
+		return
+	}
+	if u.Incarnation < m.self.Incarnation || u.State == Alive || m.self.State == Left {
+		return
+	}
+	if u.Refutation >= m.self.Refutation {
+		m.self.Refutation = u.Refutation + 1
+	}
+}
+
+func (m *Machine) suspect(name string, now time.Time, out *Output) {
+	r, ok := m.records[name]
+	if !ok || r.State != Alive {
+		return
+	}
+	u := r.Update
+	u.State = Suspect
+	m.apply(r, u, now, out)
+	// The suspect is told directly, so that it can refute at once.
+	m.send(r.Name, r.Address, Message{Kind: Notice}, out)
+}
+
+// apply replaces the record's statement and emits the event.
+func (m *Machine) apply(r *record, u Update, now time.Time, out *Output) {
+	old := r.Update
+	u.Zone = cmp.Or(u.Zone, r.Zone)
+	u.Address = cmp.Or(u.Address, r.Address)
+	r.Update = u
+	r.sent = 0
+	if u.Zone != old.Zone || u.State != old.State {
+		m.dirty = true
+	}
+	restarted := u.Incarnation != old.Incarnation && old.Incarnation != 0
+	if u.State == old.State && !restarted {
+		return
+	}
+	r.since = now
+	if u.State == Suspect {
+		r.until = now.Add(m.cfg.SuspectFor * time.Duration(2+m.doubtful()) / 2)
+	}
+	out.Events = append(out.Events, Event{Kind: EventKind(u.State), Member: r.member()})
+}
+
+// doubtful is the number of recent failures above the one that a single dead
+// member explains.
+func (m *Machine) doubtful() int { return max(0, m.doubt-1) }
+
+// piggyback selects updates for a message to the named member: first what that
+// member has to refute, then the least transmitted, then two records in turn,
+// which repairs differences that the epidemic spread left behind.
+func (m *Machine) piggyback(to string) []Update {
+	budget := m.cfg.PiggybackBytes
+	var chosen []Update
+	take := func(r *record) bool {
+		u := r.trimmed()
+		if u.size() > budget {
+			return false
+		}
+		budget -= u.size()
+		chosen = append(chosen, u)
+		return true
+	}
+	if r, ok := m.records[to]; ok && r.State != Alive {
+		take(r)
+	}
+	limit := m.transmissions()
+	for _, r := range m.fresh(limit) {
+		if r.Name == to {
+			continue
+		}
+		if !take(r) {
+			return chosen
+		}
+		r.sent++
+	}
+	m.rebuild()
+	for i := 0; i < 2 && i < len(m.all); i++ {
+		m.syncTurn++
+		r := m.records[m.all[m.syncTurn%len(m.all)]]
+		if r.Name != to && r.sent >= limit && !take(r) {
+			break
+		}
+	}
+	return chosen
+}
+
+// fresh returns the records with transmissions left, the least sent first.
+func (m *Machine) fresh(limit int) []*record {
+	m.rebuild()
+	var found []*record
+	for _, name := range m.all {
+		if r := m.records[name]; r.sent < limit && r.Incarnation != 0 {
+			found = append(found, r)
+		}
+	}
+	slices.SortStableFunc(found, func(a, b *record) int { return cmp.Compare(a.sent, b.sent) })
+	return found
+}
+
+// Listed is one host in the platform's list.
+type Listed struct {
+	Name, Zone, Address string
+	Leaving             bool
+}
+
+// Hosts takes in the platform's list, which lags behind. Hosts not known yet
+// are taken as alive until probes say otherwise; nothing dies because of the
+// list.
+func (m *Machine) Hosts(list []Listed, now time.Time) Output {
+	var out Output
+	for _, r := range m.records {
+		r.listed = false
+	}
+	for _, l := range list {
+		if l.Name == m.self.Name {
+			continue
+		}
+		r := m.records[l.Name]
+		if r == nil {
+			r = m.add(Update{Name: l.Name, Zone: l.Zone, Address: l.Address}, now, &out)
+		}
+		if r == nil {
+			continue
+		}
+		r.listed = true
+		if l.Leaving && !r.leaving {
+			out.Events = append(out.Events, Event{Kind: BecameLeaving, Member: r.member()})
+		}
+		r.leaving = l.Leaving
+	}
+	return out
+}
+
+// Leave announces a planned stop to some members.
+func (m *Machine) Leave(now time.Time) Output {
+	m.self.State = Left
+	return m.Notify(m.cfg.Relays+1, now)
+}
+
+// Notify returns notices to n random live members of the own zone and to the
+// partner in one other zone. The caller uses them to spread what it attaches to
+// messages without waiting for the next probe.
+func (m *Machine) Notify(n int, now time.Time) Output {
+	var out Output
+	told := m.sample(n)
+	if len(m.zones) > 0 {
+		told = append(told, m.partner(m.zones[m.rnd.IntN(len(m.zones))], now))
+	}
+	for _, name := range told {
+		m.send(name, m.records[name].Address, Message{Kind: Notice}, &out)
+	}
+	return out
+}
+
+// sample returns up to n random live members of the own zone, without this
+// host.
+func (m *Machine) sample(n int) []string {
+	m.rebuild()
+	var found []string
+	for _, i := range m.rnd.Perm(len(m.near)) {
+		if len(found) == n {
+			break
+		}
+		if name := m.near[i]; name != m.self.Name {
+			found = append(found, name)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/fleet/peer/link.go
@@ -0,0 +1,185 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/quic-go/quic-go"
+)
+
+// The application error codes that end a connection.
+const (
+	codeClosed   quic.ApplicationErrorCode = 0
+	codeSilent   quic.ApplicationErrorCode = 1
+	codeRejected quic.ApplicationErrorCode = 2
+	codeTooMany  quic.ApplicationErrorCode = 3
+)
+
+// maxQueue bounds the one-way messages that wait for a connection to a peer.
+const maxQueue = 64
+
+// link is the state towards one address. Transport.mu guards it.
+type link struct {
+	address string
+	conn    *quic.Conn
+	dialing chan struct{} // closed when the dial in progress has ended
+	dialErr error
+	redial  time.Time // no dial before this time
+
+	// received is the connection's packet count at the last use, and since the
+	// first use after that count was reached. A connection that is used and
+	// never receives is silent.
+	received uint64
+	since    time.Time
+
+	queue   []outgoing
+	sending bool
+}
+
+type outgoing struct {
+	data     []byte
+	reliable bool
+}
+
+// errRedial means that a dial failed a moment ago.
+var errRedial = errors.New("the peer could not be reached a moment ago")
+
+func (t *Transport) link(address string) *link {
+	l, ok := t.links[address]
+	if !ok {
+		l = &link{address: address}
+		t.links[address] = l
+	}
+	return l
+}
+
+// connection returns a live connection to the address and dials if there is
+// none. It returns after the handshake or when ctx ends.
+func (t *Transport) connection(ctx context.Context, address string) (*quic.Conn, error) {
+	for {
+		t.mu.Lock()
+		if t.ctx.Err() != nil {
+			t.mu.Unlock()
+			return nil, net.ErrClosed
+		}
+		l := t.link(address)
+		if c := t.usable(l); c != nil {
+			t.mu.Unlock()
+			return c, nil
+		}
+		if l.dialing == nil {
+			if time.Now().Before(l.redial) {
+				err := l.dialErr
+				t.mu.Unlock()
+				return nil, fmt.Errorf("%w: %w", errRedial, err)
+			}
+			l.dialing = make(chan struct{})
+			t.wg.Go(func() { t.dial(l) })
+		}
+		wait := l.dialing
+		t.mu.Unlock()
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-t.ctx.Done():
+			return nil, net.ErrClosed
+		}
+	}
+}
+
+// usable returns the link's connection unless it is closed or silent. Each call
+// counts as a use.
+func (t *Transport) usable(l *link) *quic.Conn {
+	if l.conn == nil {
+		return nil
+	}
+	if l.conn.Context().Err() != nil {
+		l.conn = nil
+		return nil
+	}
+	now := time.Now()
+	n := l.conn.ConnectionStats().PacketsReceived
+	if n != l.received {
+		l.received, l.since = n, now
+	}
+	if now.Sub(l.since) <= t.cfg.SilentAfter {
+		return l.conn
+	}
+	t.replaced.Add(1)
+	c := l.conn
+	l.conn = nil
+	t.wg.Go(func() { _ = c.CloseWithError(codeSilent, "silent") })
+	return nil
+}
+
+func (t *Transport) dial(l *link) {
+	ctx, cancel := context.WithTimeout(t.ctx, t.cfg.HandshakeTimeout)
+	defer cancel()
+	t.dials.Add(1)
+	c, err := t.handshake(ctx, l.address)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	close(l.dialing)
+	l.dialing = nil
+	if err != nil {
+		l.dialErr = err
+		l.redial = time.Now().Add(t.cfg.RedialAfter)
+		return
+	}
+	t.register(l, c)
+}
+
+func (t *Transport) handshake(ctx context.Context, address string) (*quic.Conn, error) {
+	addr, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, err
+	}
+	return t.quic.Dial(ctx, addr, t.keys.client(t.reject), t.quicConfig())
+}
+
+// register makes c the link's connection and serves it. The caller holds mu.
+func (t *Transport) register(l *link, c *quic.Conn) {
+	l.conn = c
+	l.received, l.since = 0, time.Now()
+	t.conns[c] = struct{}{}
+	t.wg.Go(func() { t.serve(c) })
+}
+
+func (t *Transport) accept() {
+	for {
+		c, err := t.listener.Accept(t.ctx)
+		if err != nil {
+			return
+		}
+		t.mu.Lock()
+		if len(t.conns) >= t.cfg.MaxConns {
+			t.mu.Unlock()
+			_ = c.CloseWithError(codeTooMany, "too many connections")
+			continue
+		}
+		// The newest connection is preferred: the peer may have restarted or
+		// have found the earlier one silent.
+		t.register(t.link(c.RemoteAddr().String()), c)
+		t.mu.Unlock()
+	}
+}
+
+// closed accounts for an ended connection and drops its link if unused.
+func (t *Transport) closed(c *quic.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.conns, c)
+	t.ended.addConn(c)
+	for a, l := range t.links {
+		if l.conn == c {
+			l.conn = nil
+		}
+		if l.conn == nil && l.dialing == nil && !l.sending && time.Now().After(l.redial) {
+			delete(t.links, a)
+		}
+	}
+}
--- /dev/null
+++ b/fleet/peer/serve.go
@@ -0,0 +1,98 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/quic-go/quic-go"
+	"github.com/sourcegraph/conc"
+)
+
+// readTimeout bounds the time a peer takes to send one message.
+const readTimeout = 30 * time.Second
+
+// serve handles what arrives on a connection until it ends.
+func (t *Transport) serve(c *quic.Conn) {
+	from := Peer{
+		Name:    nameOf(c.ConnectionState().TLS.PeerCertificates),
+		Address: c.RemoteAddr().String(),
+	}
+	var wg conc.WaitGroup
+	wg.Go(func() { t.serveDatagrams(c, from) })
+	wg.Go(func() { t.serveMessages(c, from, &wg) })
+	wg.Go(func() { t.serveCalls(c, from, &wg) })
+	<-c.Context().Done()
+	wg.Wait()
+	t.closed(c)
+}
+
+func (t *Transport) serveDatagrams(c *quic.Conn, from Peer) {
+	for {
+		b, err := c.ReceiveDatagram(c.Context())
+		if err != nil {
+			return
+		}
+		var f frame
+		if cbor.Unmarshal(b, &f) == nil {
+			t.handlers.Message(from, f.Kind, f.Body)
+		}
+	}
+}
+
+func (t *Transport) serveMessages(c *quic.Conn, from Peer, wg *conc.WaitGroup) {
+	for {
+		s, err := c.AcceptUniStream(c.Context())
+		if err != nil {
+			return
+		}
+		wg.Go(func() {
+			_ = s.SetReadDeadline(time.Now().Add(readTimeout))
+			f, err := readFrame(s, t.cfg.MaxBody)
+			if err != nil {
+				s.CancelRead(0)
+				return
+			}
+			t.handlers.Message(from, f.Kind, f.Body)
+		})
+	}
+}
+
+func (t *Transport) serveCalls(c *quic.Conn, from Peer, wg *conc.WaitGroup) {
+	for {
+		s, err := c.AcceptStream(c.Context())
+		if err != nil {
+			return
+		}
+		wg.Go(func() { t.serveCall(s, from) })
+	}
+}
+
+func (t *Transport) serveCall(s *quic.Stream, from Peer) {
+	_ = s.SetReadDeadline(time.Now().Add(readTimeout))
+	f, err := readFrame(s, t.cfg.MaxBody)
+	if err != nil {
+		cancelStream(s)
+		return
+	}
+	body, err := t.answer(s.Context(), from, f)
+	r := reply{Body: body}
+	if err != nil {
+		r = reply{Failed: true, Body: []byte(err.Error())}
+	}
+	b, err := cbor.Marshal(r)
+	if err != nil || len(b) > t.cfg.MaxBody {
+		b, _ = cbor.Marshal(reply{Failed: true, Body: []byte("the answer is too long")})
+	}
+	_ = s.SetWriteDeadline(time.Now().Add(readTimeout))
+	_, _ = s.Write(b)
+	_ = s.Close()
+}
+
+func (t *Transport) answer(ctx context.Context, from Peer, f frame) ([]byte, error) {
+	if t.handlers.Call == nil {
+		return nil, errors.New("no calls are handled here")
+	}
+	return t.handlers.Call(ctx, from, f.Kind, f.Body)
+}
