--- a/host/callers.go
+++ b/host/callers.go
@@ -69,7 +69,7 @@
 	})
 	h.callers.Get(outcomePath+":id", h.fetchOutcome)
 	h.callers.All("/*", h.serveCaller)
-	h.settings.Listen.Callers = l.Addr().String()
+	h.callerAddress = l.Addr().String()
 	h.tasks.Go(func() {
 		_ = h.callers.Listener(l, fiber.ListenConfig{DisableStartupMessage: true})
 	})
@@ -77,7 +77,7 @@
 }
 
 // CallerAddress returns the address that callers use, after Start.
-func (h *Host) CallerAddress() string { return h.settings.Listen.Callers }
+func (h *Host) CallerAddress() string { return h.callerAddress }
 
 // serverError maps errors of the HTTP server, before a handler ran, to typed
 // refusals.
--- a/host/host.go
+++ b/host/host.go
@@ -18,6 +18,7 @@
 	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/core/request"
 	"sardinefront.dev/core/telemetry"
+	"sardinefront.dev/fleet"
 	"sardinefront.dev/host/settings"
 	"sardinefront.dev/journal"
 	"sardinefront.dev/journal/claim"
@@ -33,7 +34,10 @@
 	hosts    platform.Hosts
 
 	journal *journal.Node
-	owner   claim.Owner
+	// fleet is nil on a host without peers.
+	fleet      *fleet.Node
+	digestTurn atomic.Uint64
+	owner      claim.Owner
 
 	rules    atomic.Pointer[ruleSet]
 	pools    atomic.Pointer[map[string]*poolRunner]
@@ -47,9 +51,11 @@
 
 	callers   *fiber.App
 	operators *fiber.App
-	tasks     conc.WaitGroup
-	ctx       context.Context
-	cancel    context.CancelFunc
+	// The addresses that the listeners are bound to.
+	callerAddress, operatorAddress string
+	tasks                          conc.WaitGroup
+	ctx                            context.Context
+	cancel                         context.CancelFunc
 	// drainCtx ends when the host begins to drain.
 	drainCtx  context.Context
 	drainStop context.CancelFunc
@@ -86,6 +92,12 @@
 	if err := h.startConfig(); err != nil {
 		return err
 	}
+	if err := h.startFleet(); err != nil {
+		return fmt.Errorf("listen.peers: %w", err)
+	}
+	if h.fleet == nil {
+		h.tasks.Go(h.followStore)
+	}
 	if err := h.startJournal(); err != nil {
 		return err
 	}
@@ -100,8 +112,8 @@
 	event.Started.Log(h.log,
 		slog.String("host", h.settings.Host.Name),
 		slog.String("zone", h.settings.Host.Zone),
-		slog.String("callers", h.settings.Listen.Callers),
-		slog.String("operators", h.settings.Listen.Operators))
+		slog.String("callers", h.callerAddress),
+		slog.String("operators", h.operatorAddress))
 	return nil
 }
 
@@ -121,6 +133,9 @@
 	}
 	h.cancel()
 	h.closeListeners()
+	if h.fleet != nil {
+		_ = h.fleet.Stop()
+	}
 	h.awaitTasks()
 	return left
 }
--- a/host/journal.go
+++ b/host/journal.go
@@ -1,22 +1,39 @@
 package host
 
 import (
+	"cmp"
+	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"sardinefront.dev/fleet/member"
 	"sardinefront.dev/journal"
 	"sardinefront.dev/journal/claim"
 )
 
+// candidates is how many hosts try to write a partition. The second one takes
+// over as soon as the first one's lease has lapsed.
+const candidates = 2
+
 // startJournal joins the journal's partitions.
 func (h *Host) startJournal() error {
-	node, err := journal.New(journal.Config{
+	c := journal.Config{
 		Self:       h.owner,
 		KV:         h.store,
 		Partitions: h.settings.Journal.Partitions,
 		Retention:  h.settings.Journal.Retention,
 		LeaseTTL:   h.settings.Journal.Lease,
 		Logger:     h.log,
-	})
+	}
+	if h.fleet != nil {
+		c.Caller = journalCaller{h}
+		c.Candidate = func(partition int) bool {
+			return isCandidate(h.settings.Host.Name, h.fleet.Members(), partition)
+		}
+	}
+	node, err := journal.New(c)
 	if err != nil {
 		return err
 	}
@@ -32,5 +49,54 @@
 	return claim.Owner{Host: host, Incarnation: uint64(now.UnixMilli())}
 }
 
-// deadMembers is empty on a host without peers.
-func (h *Host) deadMembers() []claim.Owner { return nil }
+// isCandidate reports whether a host is among the first in the order for a
+// partition: live hosts of the partition's availability zone come first, each
+// group by rendezvous hash. The writers are thereby spread over the zones and
+// move little when hosts come and go.
+func isCandidate(self string, members []member.Member, partition int) bool {
+	zone := zoneOf(members, partition)
+	var live []member.Member
+	for _, m := range members {
+		if m.Name == self || (m.State == member.Alive && !m.Leaving) {
+			live = append(live, m)
+		}
+	}
+	slices.SortFunc(live, func(a, b member.Member) int {
+		return cmp.Or(
+			-compareBool(a.Zone == zone, b.Zone == zone),
+			cmp.Compare(rendezvous(a.Name, partition), rendezvous(b.Name, partition)),
+		)
+	})
+	at := slices.IndexFunc(live, func(m member.Member) bool { return m.Name == self })
+	return at < candidates
+}
+
+// zoneOf assigns partitions to the known availability zones in turn.
+func zoneOf(members []member.Member, partition int) string {
+	var zones []string
+	for _, m := range members {
+		if !slices.Contains(zones, m.Zone) {
+			zones = append(zones, m.Zone)
+		}
+	}
+	if len(zones) == 0 {
+		return ""
+	}
+	slices.Sort(zones)
+	return zones[partition%len(zones)]
+}
+
+func rendezvous(host string, partition int) uint64 {
+	return xxhash.Sum64String(strconv.Itoa(partition) + "/" + host)
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
--- a/host/operators.go
+++ b/host/operators.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return err
 	}
-	h.settings.Listen.Operators = l.Addr().String()
+	h.operatorAddress = l.Addr().String()
 	app := fiber.New()
 	app.Get("/health", func(c fiber.Ctx) error { return c.SendString("ok\n") })
 	app.Get("/ready", h.serveReady)
@@ -58,7 +58,7 @@
 }
 
 // OperatorAddress returns the address of the operator interface, after Start.
-func (h *Host) OperatorAddress() string { return h.settings.Listen.Operators }
+func (h *Host) OperatorAddress() string { return h.operatorAddress }
 
 // requireKey refuses an operator's request without a verified certificate
 // where the settings name an authority.
--- a/host/poolset.go
+++ b/host/poolset.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sardinefront.dev/core/event"
+	"sardinefront.dev/fleet"
 	"sardinefront.dev/host/settings"
 	"sardinefront.dev/platform"
 	"sardinefront.dev/rules"
@@ -72,6 +73,9 @@
 	h.pools.Store(&next)
 }
 
+// poolDigestBytes leaves room for the envelope of a digest that holds one pool.
+const poolDigestBytes = fleet.MaxDigest - 64
+
 func (h *Host) startPool(p rules.Pool) *poolRunner {
 	kind := pool.Service
 	if p.Engine {
@@ -79,6 +83,7 @@
 	}
 	runner := newPoolRunner(pool.Config{
 		Pool: p.Name, Kind: kind, Hosts: 1,
+		Limits: pool.Limits{DigestBytes: poolDigestBytes},
 	}, h)
 	runner.onTarget = h.targetChanged
 	runner.onProbe = func(name string, b backend) { h.probe(runner, name, b) }
