Add diff, delta, conflict view and formatter of rules texts

Operators review a push as a line diff and repair a lost race from a conflict view; hosts send each other line deltas instead of whole files.

One patience line matcher serves all three. A delta carries the hashes of both texts, so it is refused for another base and its result is verified. Format writes the canonical wording and leaves lines that it cannot read unchanged.

--- a/rules/format.go
+++ b/rules/format.go
@@ -103,3 +103,45 @@
 	}
 	return text
 }
+
+// Format writes every rule in its canonical wording, with one space between
+// words and two before the comment, and drops repeated blank lines. Comments
+// stay. A line that cannot be read is left as it is, so Format never changes
+// the meaning of a file.
+func Format(text []byte) []byte {
+	var out []string
+	for _, line := range splitLines(text) {
+		line = formatLine(line)
+		blank := line == ""
+		if blank && (len(out) == 0 || out[len(out)-1] == "") {
+			continue
+		}
+		out = append(out, line)
+	}
+	joined := strings.TrimRight(strings.Join(out, "\n"), "\n")
+	if joined == "" {
+		return nil
+	}
+	return []byte(joined + "\n")
+}
+
+func formatLine(line string) string {
+	l := lexLine(line)
+	if l.bad > 0 {
+		return line // trimming could remove the character that is reported
+	}
+	line = strings.TrimSpace(line)
+	f := &findings{}
+	r := parseLine(f, 1, line)
+	faults := len(f.list)
+	if !hasLetter(l.comment) {
+		faults-- // a missing comment does not hinder the wording
+	}
+	if r == nil || r.broken || faults > 0 {
+		return line
+	}
+	if !l.hash {
+		return canonical(r)
+	}
+	return strings.TrimRight(canonical(r)+"  # "+l.comment, " ")
+}
--- /dev/null
+++ b/rules/fuzz_test.go
@@ -0,0 +1,60 @@
+package rules
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+)
+
+// FuzzParse guards against crashes, against a set that comes with findings, and
+// against a formatter that changes meaning or does not settle.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(base))
+	f.Add([]byte("move p from version 1 to version 2 by 2027-01-05T06:00:00+23:59, at most 0.001% and ended # x\n"))
+	f.Add([]byte("every other organisation has default tier patient # x\r\n\r\n\r\n#\n"))
+	f.Add([]byte("call any /** from ø is patient and, first token within 1h,\x00"))
+	f.Add([]byte("pool , is # # \xff\nsend POST /a/*b/** to"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		set, found := Parse("f", text, testNow)
+		if (set == nil) != (len(found) > 0) {
+			t.Fatalf("set %v with findings %v", set, found)
+		}
+		formatted := Format(text)
+		if again := Format(formatted); !bytes.Equal(formatted, again) {
+			t.Fatalf("format does not settle: %q, then %q", formatted, again)
+		}
+		formattedSet, found := Parse("f", formatted, testNow)
+		if (set == nil) != (formattedSet == nil) {
+			t.Fatalf("formatting changed the findings: %v", found)
+		}
+		if set == nil {
+			return
+		}
+		for i, l := range set.Lines() {
+			if g := formattedSet.Lines()[i]; g.Verb != l.Verb || g.Comment != l.Comment {
+				t.Fatalf("formatting changed %+v to %+v", l, g)
+			}
+		}
+	})
+}
+
+// FuzzApplyDelta guards against deltas from peers that crash the host or that
+// give a text other than the one the sender named.
+func FuzzApplyDelta(f *testing.F) {
+	f.Add([]byte("a\nb\n"), Delta([]byte("a\nb\n"), []byte("a\nc\nb\n")))
+	f.Add([]byte(""), Delta(nil, []byte(base)))
+	f.Add([]byte(base), Delta([]byte(base), nil))
+	f.Add([]byte("a"), append(Delta([]byte("a"), []byte("a")), 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 1))
+	f.Fuzz(func(t *testing.T, old, delta []byte) {
+		text, err := ApplyDelta(old, delta)
+		if err == nil {
+			if want := delta[1+hashSize : deltaHeader]; !bytes.Equal(Delta(nil, text)[1+hashSize:deltaHeader], want) {
+				t.Fatalf("%q does not have the hash %x", text, want)
+			}
+			return
+		}
+		if !errors.Is(err, ErrBadDelta) && !errors.Is(err, ErrOtherBase) {
+			t.Fatalf("untyped error %v", err)
+		}
+	})
+}
--- a/rules/lex.go
+++ b/rules/lex.go
@@ -82,7 +82,7 @@
 	}
 	lines := strings.Split(s, "\n")
 	for i, l := range lines {
-		lines[i] = strings.TrimSuffix(l, "\r")
+		lines[i] = strings.TrimRight(l, "\r")
 	}
 	return lines
 }
--- /dev/null
+++ b/rules/lines.go
@@ -0,0 +1,187 @@
+package rules
+
+// Line matching shared by Diff, Delta and Conflict. It is a patience diff:
+// lines that occur once on both sides anchor the match, because most lines of a
+// rules file are unique and such a match keeps changed rules next to each
+// other.
+
+// maxTable bounds the table of the fall-back for ranges without unique lines,
+// in cells.
+const maxTable = 250_000
+
+// maxDepth bounds the recursion on hostile texts. Below it, lines count as
+// replaced.
+const maxDepth = 64
+
+// matcher finds equal lines of a and b. Lines are numbered so that equal lines
+// have equal numbers.
+type matcher struct {
+	a, b []int
+	pair []int // for each line of a, the position of its partner in b, or -1
+}
+
+// matchLines returns for each line of a the position of its partner in b, or
+// -1. Partners are equal and in ascending order.
+func matchLines(a, b []string) []int {
+	numbers := make(map[string]int, len(a))
+	m := &matcher{a: number(a, numbers), b: number(b, numbers), pair: make([]int, len(a))}
+	for i := range m.pair {
+		m.pair[i] = -1
+	}
+	m.match(0, len(a), 0, len(b), 0)
+	return m.pair
+}
+
+func number(lines []string, numbers map[string]int) []int {
+	out := make([]int, len(lines))
+	for i, l := range lines {
+		n, ok := numbers[l]
+		if !ok {
+			n = len(numbers)
+			numbers[l] = n
+		}
+		out[i] = n
+	}
+	return out
+}
+
+// match pairs a[a0:a1] with b[b0:b1].
+func (m *matcher) match(a0, a1, b0, b1, depth int) {
+	for a0 < a1 && b0 < b1 && m.a[a0] == m.b[b0] {
+		m.pair[a0] = b0
+		a0, b0 = a0+1, b0+1
+	}
+	for a0 < a1 && b0 < b1 && m.a[a1-1] == m.b[b1-1] {
+		a1, b1 = a1-1, b1-1
+		m.pair[a1] = b1
+	}
+	if a0 == a1 || b0 == b1 || depth > maxDepth {
+		return
+	}
+	anchors := m.anchors(a0, a1, b0, b1)
+	if len(anchors) == 0 {
+		m.longest(a0, a1, b0, b1)
+		return
+	}
+	for _, p := range anchors {
+		m.match(a0, p[0], b0, p[1], depth+1)
+		m.pair[p[0]] = p[1]
+		a0, b0 = p[0]+1, p[1]+1
+	}
+	m.match(a0, a1, b0, b1, depth+1)
+}
+
+// anchors returns the longest ascending sequence of lines that occur exactly
+// once in each range.
+func (m *matcher) anchors(a0, a1, b0, b1 int) [][2]int {
+	type count struct{ inA, inB, at int }
+	counts := make(map[int]*count, a1-a0)
+	for _, n := range m.a[a0:a1] {
+		if counts[n] == nil {
+			counts[n] = &count{}
+		}
+		counts[n].inA++
+	}
+	for i, n := range m.b[b0:b1] {
+		if c := counts[n]; c != nil {
+			c.inB, c.at = c.inB+1, b0+i
+		}
+	}
+	var unique [][2]int
+	for i, n := range m.a[a0:a1] {
+		if c := counts[n]; c.inA == 1 && c.inB == 1 {
+			unique = append(unique, [2]int{a0 + i, c.at})
+		}
+	}
+	return ascending(unique)
+}
+
+// ascending returns the longest subsequence whose second members ascend, by
+// patience sorting.
+func ascending(pairs [][2]int) [][2]int {
+	var tops []int // position in pairs of the top of each pile
+	previous := make([]int, len(pairs))
+	for i, p := range pairs {
+		low, high := 0, len(tops)
+		for low < high {
+			mid := (low + high) / 2
+			if pairs[tops[mid]][1] < p[1] {
+				low = mid + 1
+			} else {
+				high = mid
+			}
+		}
+		previous[i] = -1
+		if low > 0 {
+			previous[i] = tops[low-1]
+		}
+		if low == len(tops) {
+			tops = append(tops, i)
+		} else {
+			tops[low] = i
+		}
+	}
+	out := make([][2]int, len(tops))
+	if len(tops) == 0 {
+		return nil
+	}
+	for k, i := len(tops)-1, tops[len(tops)-1]; k >= 0; k, i = k-1, previous[i] {
+		out[k] = pairs[i]
+	}
+	return out
+}
+
+// longest pairs a longest common subsequence of two small ranges.
+func (m *matcher) longest(a0, a1, b0, b1 int) {
+	rows, columns := a1-a0, b1-b0
+	if rows*columns > maxTable {
+		return
+	}
+	length := make([][]int32, rows+1)
+	for i := range length {
+		length[i] = make([]int32, columns+1)
+	}
+	for i := rows - 1; i >= 0; i-- {
+		for j := columns - 1; j >= 0; j-- {
+			if m.a[a0+i] == m.b[b0+j] {
+				length[i][j] = length[i+1][j+1] + 1
+			} else {
+				length[i][j] = max(length[i+1][j], length[i][j+1])
+			}
+		}
+	}
+	for i, j := 0, 0; i < rows && j < columns; {
+		switch {
+		case m.a[a0+i] == m.b[b0+j]:
+			m.pair[a0+i] = b0 + j
+			i, j = i+1, j+1
+		case length[i+1][j] >= length[i][j+1]:
+			i++
+		default:
+			j++
+		}
+	}
+}
+
+// gap is a pair of ranges without partners between two matched lines.
+type gap struct{ a0, a1, b0, b1 int }
+
+// gaps returns the unmatched ranges in order. n is the number of lines of b.
+func gaps(pair []int, n int) []gap {
+	var out []gap
+	a0, b0 := 0, 0
+	for i := 0; i <= len(pair); i++ {
+		at := n
+		if i < len(pair) {
+			at = pair[i]
+		}
+		if at < 0 {
+			continue
+		}
+		if a0 < i || b0 < at {
+			out = append(out, gap{a0, i, b0, at})
+		}
+		a0, b0 = i+1, at+1
+	}
+	return out
+}
