Classify by the decoded path and refuse ambiguous spellings

The request path reaches Classify as it stood on the request line, while targets decode it. A caller could spell /desk/orders as /desk/%6frders or /desk/x/../orders, miss the line that makes it non-idempotent and fall to a wider one.

Classify decodes escapes and matches nothing for dot segments, escaped slashes or percent signs and damaged escapes. Paths without escapes still need no heap allocation. Patterns with escapes are a finding, because they could never match. Clause columns are kept in an array instead of a map per line, and tokens and compiled lines are allocated at their size.

--- a/rules/check.go
+++ b/rules/check.go
@@ -90,7 +90,7 @@
 	}
 	for _, option := range []clause{clauseFenced, clauseChecked, clausePrompt} {
 		if r.has(option) {
-			c.f.add(r.line, r.column[option], "%s is a service; orders and prompts are options of an engine", r.name)
+			c.f.add(r.line, r.column(option), "%s is a service; orders and prompts are options of an engine", r.name)
 		}
 	}
 }
@@ -282,7 +282,7 @@
 		other = request.NonIdempotent
 	}
 	if line := c.byEffect[other].covering(r.pattern, ""); line != none {
-		c.f.add(r.line, r.column[clauseEffect], "contradiction: line %d says that these calls are %s", line, other)
+		c.f.add(r.line, r.column(clauseEffect), "contradiction: line %d says that these calls are %s", line, other)
 	}
 	c.byEffect[r.effect].insert(r.pattern, "", int32(r.line))
 }
@@ -296,7 +296,7 @@
 		answer = DefaultAnswer[r.tier]
 	}
 	if answer > 0 && r.first > answer {
-		c.f.add(r.line, r.column[clauseFirstToken], "the first token (within %s) comes later than the answer (within %s)", span(r.first), span(answer))
+		c.f.add(r.line, r.column(clauseFirstToken), "the first token (within %s) comes later than the answer (within %s)", span(r.first), span(answer))
 	}
 }
 
@@ -331,7 +331,7 @@
 	}
 	for _, option := range []clause{clauseFirstToken, clausePrompt} {
 		if r.has(option) {
-			c.f.add(r.line, r.column[option], "these calls go to a service; first token and prompts are options of an engine")
+			c.f.add(r.line, r.column(option), "these calls go to a service; first token and prompts are options of an engine")
 		}
 	}
 }
--- a/rules/grammar.go
+++ b/rules/grammar.go
@@ -1,6 +1,8 @@
 package rules
 
 import (
+	"math/bits"
+
 	"sardinefront.dev/core/request"
 )
 
@@ -41,7 +43,7 @@
 	if in.failed {
 		return nil
 	}
-	r := &rule{verb: verb(word), line: number, text: line, comment: l.comment, column: map[clause]int{}}
+	r := &rule{verb: verb(word), line: number, text: line, comment: l.comment}
 	readers[r.verb](in, r)
 	if t, more := in.peek(); more {
 		in.fail(t.column, "expected the end of the line, found %s", in.found())
@@ -267,5 +269,5 @@
 		in.f.add(in.line, at, "this line states the same thing twice")
 	}
 	r.stated |= c
-	r.column[c] = at
+	r.columns[bits.TrailingZeros16(uint16(c))] = at
 }
--- a/rules/lex.go
+++ b/rules/lex.go
@@ -24,7 +24,7 @@
 // lexLine splits a line at spaces and commas. A # starts the comment wherever
 // it stands.
 func lexLine(line string) lexed {
-	var l lexed
+	l := lexed{tokens: make([]token, 0, 16)} // most lines have fewer words
 	code, comment, hash := strings.Cut(line, "#")
 	l.comment, l.hash = strings.TrimSpace(comment), hash
 	l.bad = firstInvalid(line)
--- a/rules/parse_test.go
+++ b/rules/parse_test.go
@@ -123,6 +123,14 @@
 		{"PUT", "/desk/orders", "road", 8, "desk", request.Interactive, request.NonIdempotent},
 		{"GET", "/desk/orders", "road", 8, "desk", request.Interactive, request.Idempotent},
 		{"GET", "/lyn/v1/chat", "rail", 0, "", 0, 0},
+		// A caller must not reach a call under another call's rule by its spelling.
+		{"POST", "/desk/%6frders", "road", 7, "desk", request.Interactive, request.NonIdempotent},
+		{"POST", "/desk/x/../orders", "road", 0, "", 0, 0},
+		{"POST", "/desk/%2e/orders", "road", 0, "", 0, 0},
+		{"POST", "/desk%2Forders", "road", 0, "", 0, 0},
+		{"POST", "/desk/%256frders", "road", 0, "", 0, 0},
+		{"POST", "/desk/%zz", "road", 0, "", 0, 0},
+		{"POST", "/desk/.hidden", "road", 8, "desk", request.Interactive, request.NonIdempotent},
 		{"GET", "/other", "rail", 0, "", 0, 0},
 	} {
 		got, ok := s.Classify(c.method, c.path, c.org)
--- a/rules/rule.go
+++ b/rules/rule.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"math/bits"
 	"time"
 
 	"sardinefront.dev/core/request"
@@ -49,6 +50,8 @@
 	clauseWeight
 	clauseAtMost
 	clauseEnded
+
+	clauseCount = iota
 )
 
 // rule is one parsed line. Which fields are set depends on the verb.
@@ -59,9 +62,9 @@
 	comment string
 	// broken is set if the line could not be read to its end. Such a line still
 	// defines its subject, so that one fault is not reported again elsewhere.
-	broken bool
-	stated clause
-	column map[clause]int // of each stated clause
+	broken  bool
+	stated  clause
+	columns [clauseCount]int // of the stated clauses, by bit
 
 	subject int // column of the pool, organisation or path
 	name    string
@@ -86,6 +89,9 @@
 
 func (r *rule) has(c clause) bool { return r.stated&c != 0 }
 
+// column returns where a stated clause starts.
+func (r *rule) column(c clause) int { return r.columns[bits.TrailingZeros16(uint16(c))] }
+
 // poolName returns the pool that the line refers to or defines, with its column.
 func (r *rule) poolName() (string, int) {
 	switch r.verb {
--- a/rules/set.go
+++ b/rules/set.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"sardinefront.dev/core/request"
@@ -100,10 +99,14 @@
 }
 
 // Classify returns the class of a call, and false if no call or no send line
-// matches it. path is decoded; a query is ignored. It does not allocate.
+// matches it. path is the path of the request line: escapes are decoded and a
+// query is ignored. A path that targets could read in different ways (a dot
+// segment, an escaped slash or percent sign, a damaged escape) matches nothing.
+// It does not allocate unless the path has escapes.
 func (s *Set) Classify(method, path, organisation string) (Class, bool) {
-	if i := strings.IndexByte(path, '?'); i >= 0 {
-		path = path[:i]
+	path, ok := plainPath(path)
+	if !ok {
+		return Class{}, false
 	}
 	call := s.calls.find(method, path, organisation)
 	send := s.sends.find(method, path, "")
@@ -192,6 +195,8 @@
 	s := &Set{
 		calls: c.calls, sends: c.sends, effects: newIndex(),
 		organisations: make(map[string]organisation, len(c.organisations)),
+		callClasses:   make([]callClass, 0, len(c.callRules)),
+		lines:         make([]Line, 0, len(lines)),
 	}
 	s.other = compileOrganisation(c.every, organisation{DefaultWeight, request.Interactive})
 	for name, r := range c.organisations {
--- a/rules/values.go
+++ b/rules/values.go
@@ -47,8 +47,8 @@
 	if !strings.HasPrefix(path, "/") {
 		return "a path starts with `/`"
 	}
-	if strings.ContainsAny(path, "?;") {
-		return "a path has no query and no `;`"
+	if strings.ContainsAny(path, "?;%") {
+		return "a path has no query, no `;` and no escapes"
 	}
 	if path == "/" {
 		return ""
