Add rules page and example settings of both deployments

Newcomers need the whole language on one page and files to start from.

docs/rules.md lists grammar, defaults, matching and findings; a test reads each of its rules. The example rules are tested to be free of findings and in canonical wording.

--- a/rules/parse_test.go
+++ b/rules/parse_test.go
@@ -46,6 +46,34 @@
 				t.Errorf("%s at %s: %v", name, now, found)
 			}
 		}
+		if changes := Diff(text, Format(text)); len(changes) > 0 {
+			t.Errorf("%s is not in canonical wording: %v", name, changes)
+		}
+	}
+}
+
+// Operators copy lines from the page, so each of its rules must be readable.
+func TestDocumentedRulesAreReadable(t *testing.T) {
+	text, err := os.ReadFile("../docs/rules.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	rules, fenced := 0, false
+	for i, line := range splitLines(text) {
+		if strings.HasPrefix(line, "```") {
+			fenced = !fenced
+		}
+		if !fenced || !strings.Contains(line, "  # ") {
+			continue
+		}
+		rules++
+		f := &findings{file: "rules.md"}
+		if parseLine(f, i+1, line); len(f.list) > 0 {
+			t.Error(f.list)
+		}
+	}
+	if rules < 12 {
+		t.Errorf("only %d rules found on the page", rules)
 	}
 }
 
