--- a/rules/lex.go
+++ b/rules/lex.go
@@ -24,7 +24,7 @@
 // lexLine splits a line at spaces and commas. A # starts the comment wherever
 // it stands.
 func lexLine(line string) lexed {
-	var l lexed
+	l := lexed{tokens: make([]token, 0, 16)} // most lines have fewer words
 	code, comment, hash := strings.Cut(line, "#")
 	l.comment, l.hash = strings.TrimSpace(comment), hash
 	l.bad = firstInvalid(line)
@@ -82,7 +82,7 @@
 	}
 	lines := strings.Split(s, "\n")
 	for i, l := range lines {
-		lines[i] = strings.TrimSuffix(l, "\r")
+		lines[i] = strings.TrimRight(l, "\r")
 	}
 	return lines
 }
--- a/rules/parse_test.go
+++ b/rules/parse_test.go
@@ -46,6 +46,34 @@
 				t.Errorf("%s at %s: %v", name, now, found)
 			}
 		}
+		if changes := Diff(text, Format(text)); len(changes) > 0 {
+			t.Errorf("%s is not in canonical wording: %v", name, changes)
+		}
+	}
+}
+
+// Operators copy lines from the page, so each of its rules must be readable.
+func TestDocumentedRulesAreReadable(t *testing.T) {
+	text, err := os.ReadFile("../docs/rules.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	rules, fenced := 0, false
+	for i, line := range splitLines(text) {
+		if strings.HasPrefix(line, "```") {
+			fenced = !fenced
+		}
+		if !fenced || !strings.Contains(line, "  # ") {
+			continue
+		}
+		rules++
+		f := &findings{file: "rules.md"}
+		if parseLine(f, i+1, line); len(f.list) > 0 {
+			t.Error(f.list)
+		}
+	}
+	if rules < 12 {
+		t.Errorf("only %d rules found on the page", rules)
 	}
 }
 
@@ -123,6 +151,14 @@
 		{"PUT", "/desk/orders", "road", 8, "desk", request.Interactive, request.NonIdempotent},
 		{"GET", "/desk/orders", "road", 8, "desk", request.Interactive, request.Idempotent},
 		{"GET", "/lyn/v1/chat", "rail", 0, "", 0, 0},
+		// A caller must not reach a call under another call's rule by its spelling.
+		{"POST", "/desk/%6frders", "road", 7, "desk", request.Interactive, request.NonIdempotent},
+		{"POST", "/desk/x/../orders", "road", 0, "", 0, 0},
+		{"POST", "/desk/%2e/orders", "road", 0, "", 0, 0},
+		{"POST", "/desk%2Forders", "road", 0, "", 0, 0},
+		{"POST", "/desk/%256frders", "road", 0, "", 0, 0},
+		{"POST", "/desk/%zz", "road", 0, "", 0, 0},
+		{"POST", "/desk/.hidden", "road", 8, "desk", request.Interactive, request.NonIdempotent},
 		{"GET", "/other", "rail", 0, "", 0, 0},
 	} {
 		got, ok := s.Classify(c.method, c.path, c.org)
