Check the conflict view by property and simplify the call reader

An operator who sees an edit blamed on the wrong side would undo it. The call reader accepted "from" in two places; one keyword read covers both the exact and the misspelt word.

--- a/rules/grammar.go
+++ b/rules/grammar.go
@@ -110,18 +110,9 @@
 
 func readCall(in *reader, r *rule) {
 	readPattern(in, r)
-	if in.accept("from") {
-		t := in.name("the name of an organisation")
-		if !in.failed {
-			r.from = t.text
-		}
+	if word, _ := in.keyword("is", "from"); word == "from" {
+		r.from = in.name("the name of an organisation").text
 		in.phrase("is")
-	} else {
-		// A misspelt "from" would otherwise be reported as a missing "is" only.
-		if word, _ := in.keyword("is", "from"); word == "from" {
-			r.from = in.name("the name of an organisation").text
-			in.phrase("is")
-		}
 	}
 	readCallClause(in, r)
 	for !in.done() {
--- a/rules/property_test.go
+++ b/rules/property_test.go
@@ -176,6 +176,20 @@
 				return ""
 			}, genLines, genLines,
 		))
+		// A view that blames the wrong side makes an operator undo the other's edit.
+		p.Property("a conflict view without a race is the diff", prop.ForAll(
+			func(old, new []string) string {
+				a, b := []byte(strings.Join(old, "")), []byte(strings.Join(new, ""))
+				changes := len(Diff(a, b))
+				for side, view := range map[Side][]ConflictLine{Theirs: Conflict(a, a, b), Mine: Conflict(a, b, a), Agreed: Conflict(a, b, b)} {
+					other := slices.ContainsFunc(view, func(l ConflictLine) bool { return l.Side != side })
+					if other || len(view) != changes {
+						return fmt.Sprintf("%s: %v for %d changes", side, view, changes)
+					}
+				}
+				return ""
+			}, genLines, genLines,
+		))
 	})
 }
 
