--- a/sched/flow/flow.go
+++ b/sched/flow/flow.go
@@ -1,2 +1,229 @@
-// Package flow queues requests in front of a pool of targets.
+// Package flow queues requests in front of a pool of targets: three tiers in
+// strict order, and start-time fair queueing across organisations within a
+// tier. It decides which request is served next, not where.
 package flow
+
+import (
+	"container/heap"
+	"time"
+
+	"sardinefront.dev/core/refusal"
+	"sardinefront.dev/core/request"
+)
+
+// Config bounds a queue.
+type Config struct {
+	// Waiting is the maximum number of waiting items per tier.
+	Waiting [request.TierCount]int
+	// Weights holds the weights of organisations; an absent or non-positive
+	// weight counts as 1.
+	Weights map[string]float64
+}
+
+// Item is one waiting request. It belongs to the queue from Push until it is
+// taken, removed or expired.
+type Item struct {
+	Request *request.Request
+	// Cost is what the organisation is charged, in estimated tokens.
+	Cost float64
+	// LatestStart is when the item expires. Zero means never.
+	LatestStart time.Time
+
+	org      *organisation
+	place    int // index in org.items while waiting
+	deadline int // index in the deadline heap, -1 if it never expires
+}
+
+// Expired is an item whose deadline can no longer be met.
+type Expired struct {
+	Item    *Item
+	Refusal *refusal.Refusal
+}
+
+// Queue holds the waiting requests of one pool on one host. It is not safe for
+// concurrent use.
+type Queue struct {
+	cfg       Config
+	tiers     [request.TierCount]fair
+	items     map[string]*Item
+	deadlines deadlineHeap
+	floors    [request.TierCount]time.Time // end of the floor of each tier
+}
+
+// New returns an empty queue.
+func New(c Config) *Queue {
+	q := &Queue{cfg: c, items: map[string]*Item{}}
+	for t := range q.tiers {
+		q.tiers[t].organisations = map[string]*organisation{}
+	}
+	return q
+}
+
+// Push adds an item. It refuses an item of a full tier as not run.
+func (q *Queue) Push(it *Item, now time.Time) *refusal.Refusal {
+	tier := it.Request.Tier
+	if q.tiers[tier].count >= q.cfg.Waiting[tier] {
+		return refusal.New(refusal.QueueFull, "%d %s requests are waiting", q.tiers[tier].count, tier)
+	}
+	q.add(it, false)
+	return nil
+}
+
+// PushFront puts an item back that was taken but not started. Its organisation
+// gets the charge back, and the item precedes the organisation's other items.
+func (q *Queue) PushFront(it *Item) {
+	q.add(it, true)
+}
+
+func (q *Queue) add(it *Item, front bool) {
+	q.items[it.Request.ID] = it
+	it.deadline = -1
+	if !it.LatestStart.IsZero() {
+		heap.Push(&q.deadlines, it)
+	}
+	q.tiers[it.Request.Tier].add(it, front, q.weight(it.Request.Organisation))
+}
+
+func (q *Queue) weight(organisation string) float64 {
+	if w := q.cfg.Weights[organisation]; w > 0 {
+		return w
+	}
+	return 1
+}
+
+// Next returns the item to start next without removing it, or nil, and the
+// items that expired, which it removes. Items below an active floor are not
+// returned.
+func (q *Queue) Next(now time.Time) (*Item, []Expired) {
+	expired := q.expire(now)
+	floor, _ := q.Floor(now)
+	for t := range q.tiers {
+		if request.Tier(t) > floor {
+			break
+		}
+		if it := q.tiers[t].head(); it != nil {
+			return it, expired
+		}
+	}
+	return nil, expired
+}
+
+func (q *Queue) expire(now time.Time) []Expired {
+	var out []Expired
+	for len(q.deadlines) > 0 && !q.deadlines[0].LatestStart.After(now) {
+		it := q.deadlines[0]
+		q.drop(it)
+		wait := now.Sub(it.Request.Arrived).Round(time.Millisecond)
+		out = append(out, Expired{it, refusal.New(refusal.DeadlinePassed, "the deadline cannot be met after %s in the queue", wait)})
+	}
+	return out
+}
+
+// Take removes an item that Next returned and charges its organisation.
+func (q *Queue) Take(it *Item) {
+	q.forget(it)
+	q.tiers[it.Request.Tier].take(it)
+}
+
+// Remove removes a waiting item without a charge. It returns nil if no item
+// with this id waits.
+func (q *Queue) Remove(id string) *Item {
+	it := q.items[id]
+	if it != nil {
+		q.drop(it)
+	}
+	return it
+}
+
+func (q *Queue) drop(it *Item) {
+	q.forget(it)
+	q.tiers[it.Request.Tier].remove(it)
+}
+
+func (q *Queue) forget(it *Item) {
+	delete(q.items, it.Request.ID)
+	if it.deadline >= 0 {
+		heap.Remove(&q.deadlines, it.deadline)
+	}
+}
+
+// SetFloor stops work of the tiers below t until the given time, or longer if
+// it is stopped longer already. Floors of different tiers are kept apart: one
+// that a higher floor covers is still in force when that one ends.
+func (q *Queue) SetFloor(t request.Tier, until time.Time) {
+	if until.After(q.floors[t]) {
+		q.floors[t] = until
+	}
+}
+
+// Floor returns the lowest tier that may start, and whether a floor is active.
+func (q *Queue) Floor(now time.Time) (request.Tier, bool) {
+	for t, until := range q.floors {
+		if now.Before(until) {
+			return request.Tier(t), true
+		}
+	}
+	return request.Patient, false
+}
+
+// FloorUntil returns when the floor of a tier ends or ended.
+func (q *Queue) FloorUntil(t request.Tier) time.Time { return q.floors[t] }
+
+// Len returns the number of waiting items of a tier.
+func (q *Queue) Len(t request.Tier) int { return q.tiers[t].count }
+
+// Waits reports whether an item with this id waits.
+func (q *Queue) Waits(id string) bool { return q.items[id] != nil }
+
+// Organisations returns how many organisations the queue holds state for.
+func (q *Queue) Organisations() int {
+	n := 0
+	for t := range q.tiers {
+		n += len(q.tiers[t].organisations)
+	}
+	return n
+}
+
+// NextExpiry returns when the next item expires, zero if none does.
+func (q *Queue) NextExpiry() time.Time {
+	if len(q.deadlines) == 0 {
+		return time.Time{}
+	}
+	return q.deadlines[0].LatestStart
+}
+
+// deadlineHeap orders items by LatestStart.
+type deadlineHeap []*Item
+
+func (h deadlineHeap) Len() int { return len(h) }
+
+// Less prefers the earlier deadline, and the lower tier where they are equal,
+// so that a simultaneous refusal keeps the shedding order.
+func (h deadlineHeap) Less(i, j int) bool {
+	if h[i].LatestStart.Equal(h[j].LatestStart) {
+		return h[i].Request.Tier > h[j].Request.Tier
+	}
+	return h[i].LatestStart.Before(h[j].LatestStart)
+}
+
+func (h deadlineHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].deadline, h[j].deadline = i, j
+}
+
+// Push implements heap.Interface.
+func (h *deadlineHeap) Push(x any) {
+	it := x.(*Item)
+	it.deadline = len(*h)
+	*h = append(*h, it)
+}
+
+// Pop implements heap.Interface.
+func (h *deadlineHeap) Pop() any {
+	old := *h
+	it := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	it.deadline = -1
+	return it
+}
--- /dev/null
+++ b/sched/limit/limit.go
@@ -0,0 +1,293 @@
+// Package limit learns how many requests and tokens a target can have in
+// progress before its time to first token or between tokens leaves the goal.
+package limit
+
+import (
+	"math"
+	"time"
+)
+
+// Config sets the goals of a limiter.
+type Config struct {
+	// Initial, Min and Max bound the limit in requests.
+	Initial, Min, Max float64
+	// Tokens is the initial limit in tokens; 0 is unlimited until learned.
+	Tokens float64
+	// FirstToken and BetweenTokens are the goals. A target whose unloaded times
+	// are longer is held to a multiple of those instead.
+	FirstToken, BetweenTokens time.Duration
+	// Service says that answers have no tokens: only the first byte counts,
+	// against the target's own unloaded time.
+	Service bool
+}
+
+const (
+	// window is how often the limit is adapted. Five windows a second let a
+	// target that slows down threefold lose its share within a second.
+	window = 200 * time.Millisecond
+	// goalPart keeps the mean below the goal, because the goal holds for the
+	// 95th percentile.
+	goalPart = 0.9
+	// betweenSlack and firstSlack are the multiples of the unloaded times that
+	// are tolerated where the goal itself is shorter.
+	betweenSlack = 1.3
+	firstSlack   = 2.0
+	serviceSlack = 2.0
+	serviceFloor = 50 * time.Millisecond
+	// growth per window while the limit is in use and the goals are met.
+	growth  = 0.05
+	minGrow = 0.25
+	// used is the part of the limit that must be in use for it to grow.
+	used = 0.75
+	// maxCut bounds the cut of one window, so that one outlier cannot close a
+	// target.
+	maxCut = 0.3
+	// drift lets an unloaded value that was learned in a good hour, or from one
+	// lucky sample, rise by 0.1% per second.
+	drift = 0.001
+	// minPrefill keeps the fixed part of the first-token time out of the
+	// prefill time per token.
+	minPrefill = 64
+	// fast is the time constant of the current values.
+	fast = 300 * time.Millisecond
+	// queuePause stops growth after the target reported requests in its queue.
+	queuePause = time.Second
+)
+
+// Limiter holds what was learned about one target. It is not safe for
+// concurrent use.
+type Limiter struct {
+	cfg     Config
+	limit   float64
+	tokens  float64
+	between signal
+	// first is relative to its goal, which depends on the prompt.
+	first signal
+	// prefill is the time per prompt token, and unloaded the time of a plain
+	// service; both keep only their least values, in seconds.
+	prefill   signal
+	unloaded  signal
+	windowEnd time.Time
+	windows   int
+	lastOwn   time.Time
+	noGrowth  time.Time
+	load      float64
+	loadTok   float64
+}
+
+// New returns a limiter at its initial limit.
+func New(c Config) *Limiter {
+	c.Min = max(c.Min, 1)
+	c.Max = max(c.Max, c.Min)
+	return &Limiter{cfg: c, limit: min(max(c.Initial, c.Min), c.Max), tokens: c.Tokens}
+}
+
+// Requests returns the limit of requests in progress over all hosts.
+func (l *Limiter) Requests() float64 { return l.limit }
+
+// Tokens returns the limit of tokens in progress over all hosts; 0 is none.
+func (l *Limiter) Tokens() float64 { return l.tokens }
+
+// Windows returns how many windows of own samples shaped the limit.
+func (l *Limiter) Windows() int { return l.windows }
+
+// LastSample returns when the host last saw the target itself.
+func (l *Limiter) LastSample() time.Time { return l.lastOwn }
+
+// Between records that a stream's last n tokens took d, while the target had
+// the given work in progress over all hosts.
+func (l *Limiter) Between(d time.Duration, n int, requests, tokens float64, now time.Time) {
+	if n <= 0 || d < 0 {
+		return
+	}
+	l.between.add(d.Seconds()/float64(n), now)
+	l.adapt(requests, tokens, now)
+}
+
+// First records the time to the first byte of a request with the given number
+// of prompt tokens that were not in the prefix cache.
+func (l *Limiter) First(d time.Duration, uncached int, requests, tokens float64, now time.Time) {
+	s := d.Seconds()
+	if l.cfg.Service {
+		l.unloaded.learnBase(s, now)
+	}
+	if uncached >= minPrefill {
+		l.prefill.learnBase(s/float64(uncached), now)
+	}
+	l.first.add(s/l.firstGoal(uncached), now)
+	l.adapt(requests, tokens, now)
+}
+
+// Stalled records that a request has waited d for its first byte so far, or
+// that a stream has waited d for its next token where n is 1. It only ever
+// lowers the limit.
+func (l *Limiter) Stalled(d time.Duration, n, uncached int, requests, tokens float64, now time.Time) {
+	if n == 0 {
+		ratio := d.Seconds() / l.firstGoal(uncached)
+		if ratio > 1 {
+			l.first.raise(ratio, now)
+			l.adapt(requests, tokens, now)
+		}
+		return
+	}
+	if d.Seconds() > l.between.now {
+		l.between.raise(d.Seconds(), now)
+		l.adapt(requests, tokens, now)
+	}
+}
+
+// firstGoal returns the goal for the first byte in seconds.
+func (l *Limiter) firstGoal(uncached int) float64 {
+	if l.cfg.Service {
+		if l.unloaded.base == 0 {
+			return l.cfg.FirstToken.Seconds()
+		}
+		return l.unloaded.base*serviceSlack + serviceFloor.Seconds()
+	}
+	own := firstSlack * l.prefill.base * float64(uncached)
+	return max(l.cfg.FirstToken.Seconds()*goalPart, own)
+}
+
+// betweenGoal returns the goal between tokens in seconds.
+func (l *Limiter) betweenGoal() float64 {
+	return max(l.cfg.BetweenTokens.Seconds()*goalPart, l.between.base*betweenSlack)
+}
+
+// Pressure returns the current times relative to their goals; above 1 the
+// target is too slow.
+func (l *Limiter) Pressure() float64 {
+	p := l.first.now
+	if !l.cfg.Service && l.between.now > 0 {
+		p = max(p, l.between.now/l.betweenGoal())
+	}
+	return p
+}
+
+// adapt moves the limit once per window. A cut is relative to the work in
+// progress rather than to the limit, so repeated cuts while the same work
+// drains do not add up.
+func (l *Limiter) adapt(requests, tokens float64, now time.Time) {
+	l.lastOwn = now
+	l.load = max(l.load, requests)
+	l.loadTok = max(l.loadTok, tokens)
+	if now.Before(l.windowEnd) {
+		return
+	}
+	load, loadTok := max(l.load, 1), l.loadTok
+	l.load, l.loadTok = 0, 0
+	l.windowEnd = now.Add(window)
+	l.windows++
+	p := l.Pressure()
+	switch {
+	case p > 1:
+		cut := max(maxCut, 1/p)
+		l.limit = min(l.limit, load*cut)
+		if loadTok > 0 && !l.cfg.Service {
+			l.tokens = smaller(l.tokens, loadTok*cut)
+		}
+	case p < 0.9 && now.After(l.noGrowth):
+		l.grow(load, loadTok)
+	}
+	l.clamp()
+}
+
+func (l *Limiter) grow(load, loadTok float64) {
+	if load >= used*l.limit {
+		l.limit += max(minGrow, growth*l.limit)
+	}
+	if l.tokens > 0 && loadTok >= used*l.tokens {
+		l.tokens *= 1 + growth
+	}
+}
+
+func (l *Limiter) clamp() {
+	l.limit = min(max(l.limit, l.cfg.Min), l.cfg.Max)
+}
+
+// smaller returns the smaller of two limits of which the first may be 0 for
+// unlimited.
+func smaller(limit, v float64) float64 {
+	if limit == 0 {
+		return v
+	}
+	return min(limit, v)
+}
+
+// Queued records that the target reported requests in its queue: more in
+// progress than running has no use, because engines admit in arrival order and
+// a queued urgent request cannot overtake there.
+func (l *Limiter) Queued(running, queued int, now time.Time) {
+	if queued < 2 || running < 1 {
+		return
+	}
+	l.limit = min(l.limit, max(float64(running), l.cfg.Min))
+	l.noGrowth = now.Add(queuePause)
+	l.clamp()
+}
+
+// Adopt moves the limit to that of peers or of targets of the same class, with
+// the given weight in 0..1. It is meant for targets without own samples.
+func (l *Limiter) Adopt(limit, weight float64) {
+	l.limit += (limit - l.limit) * weight
+	l.clamp()
+}
+
+// Slowdown returns how many times slower than unloaded the target is, at
+// least 1.
+func (l *Limiter) Slowdown() float64 {
+	if l.cfg.Service {
+		return max(1, l.first.now)
+	}
+	if l.between.base == 0 {
+		return 1
+	}
+	return max(1, l.between.now/l.between.base)
+}
+
+// Speeds returns the current time between tokens and the unloaded prefill time
+// per prompt token, in seconds, or the given defaults where nothing is known.
+func (l *Limiter) Speeds(between, prefill float64) (float64, float64) {
+	if l.between.now > 0 {
+		between = l.between.now
+	}
+	if l.prefill.base > 0 {
+		prefill = l.prefill.base
+	}
+	return between, prefill
+}
+
+// signal is one measured quantity: its current value and its unloaded value.
+type signal struct {
+	now, base  float64
+	at, baseAt time.Time
+}
+
+func (s *signal) add(v float64, now time.Time) {
+	s.learnBase(v, now)
+	if s.now == 0 {
+		s.now, s.at = v, now
+		return
+	}
+	dt := max(now.Sub(s.at).Seconds(), 0.01)
+	s.now += (v - s.now) * (1 - math.Exp(-dt/fast.Seconds()))
+	s.at = now
+}
+
+// raise moves the current value up to a lower bound that an unfinished wait
+// proves.
+func (s *signal) raise(v float64, now time.Time) {
+	if v > s.now {
+		s.now, s.at = v, now
+	}
+}
+
+// learnBase keeps the least value, which is that of an unloaded target, and
+// lets it rise slowly.
+func (s *signal) learnBase(v float64, now time.Time) {
+	if s.base == 0 || v < s.base {
+		s.base, s.baseAt = v, now
+		return
+	}
+	s.base = min(v, s.base*(1+drift*max(0, now.Sub(s.baseAt).Seconds())))
+	s.baseAt = now
+}
--- /dev/null
+++ b/sched/pick/load.go
@@ -0,0 +1,118 @@
+package pick
+
+import (
+	"math"
+	"sync/atomic"
+
+	"sardinefront.dev/core/request"
+)
+
+// number is a float64 that one goroutine writes and others read.
+type number struct{ bits atomic.Uint64 }
+
+// Set stores v.
+func (n *number) Set(v float64) { n.bits.Store(math.Float64bits(v)) }
+
+// Get returns the stored value.
+func (n *number) Get() float64 { return math.Float64frombits(n.bits.Load()) }
+
+// Load holds the changing numbers of one target. Snapshots share it, so that a
+// dispatch does not need a new snapshot. It is safe for concurrent use.
+type Load struct {
+	// Own and OwnTokens count this host's work in progress.
+	Own, OwnTokens atomic.Int64
+	// Others and OthersTokens estimate the work of other hosts.
+	Others, OthersTokens number
+	// Limit and TokenLimit bound the work of all hosts; TokenLimit 0 is none.
+	Limit, TokenLimit number
+	// Weight is the part of the limit that may be used, 0..1.
+	Weight number
+	// Slowdown is how many times slower than unloaded the target is.
+	Slowdown number
+	// Prefill is the time per uncached prompt token in milliseconds.
+	Prefill number
+	// Fresh is the weight of the newest load report, 0..1.
+	Fresh number
+	// Allowance bounds Own where hosts divide the limits; negative is none.
+	Allowance atomic.Int64
+	// Trial admits one request at a time.
+	Trial atomic.Bool
+
+	dither float64
+}
+
+// NewLoad returns the load of an idle target. dither in [0, 1) differs between
+// targets; it decides where fractions of a request are left free.
+func NewLoad(limit, tokenLimit, dither float64) *Load {
+	l := &Load{dither: dither}
+	l.Limit.Set(limit)
+	l.TokenLimit.Set(tokenLimit)
+	l.Weight.Set(1)
+	l.Slowdown.Set(1)
+	l.Prefill.Set(defaultPrefill)
+	l.Allowance.Store(-1)
+	return l
+}
+
+// defaultPrefill is the time per prompt token in milliseconds until a target's
+// own is known.
+const defaultPrefill = 0.1
+
+// Total returns the estimated requests in progress over all hosts.
+func (l *Load) Total() float64 { return float64(l.Own.Load()) + l.Others.Get() }
+
+// Tokens returns the estimated tokens in progress over all hosts.
+func (l *Load) Tokens() float64 { return float64(l.OwnTokens.Load()) + l.OthersTokens.Get() }
+
+// idle is the estimate below which a target always has room for one request,
+// however large: otherwise a request above the token limit would never start.
+const idle = 0.5
+
+// room reports whether the target can start a request of the tier, and the
+// part of its limit in use with it. Estimates are fractions, so half a request
+// too many is accepted.
+func (l *Load) room(tier request.Tier, tokens int, c *Config) (float64, bool) {
+	own := l.Own.Load()
+	if l.Trial.Load() {
+		return 0, own == 0
+	}
+	limit := l.Limit.Get() * l.Weight.Get()
+	if c.OwnCountsOnly {
+		return l.ownRoom(own, limit, c)
+	}
+	if a := l.Allowance.Load(); a >= 0 {
+		return float64(own+1) / max(1, float64(a)), own < a
+	}
+	total := float64(own) + l.Others.Get()
+	used := (total + 1) / max(limit, 1)
+	if total < idle {
+		return used, true
+	}
+	if total+1 > c.capacity(limit, tier, l.dither)+idle {
+		return used, false
+	}
+	if t := l.TokenLimit.Get(); t > 0 {
+		want := l.Tokens() + float64(tokens)
+		used = max(used, want/t)
+		if want > c.capacity(t, tier, 0) {
+			return used, false
+		}
+	}
+	return used, true
+}
+
+// ownRoom judges by own counts: the host may use twice its equal part.
+func (l *Load) ownRoom(own int64, limit float64, c *Config) (float64, bool) {
+	part := math.Ceil(2 * limit / float64(max(1, c.Hosts)))
+	if c.Hosts <= 1 {
+		part = limit
+	}
+	return float64(own+1) / max(part, 1), float64(own) < max(part, 1)
+}
+
+// capacity returns the part of a limit that a tier may fill. The rest is left
+// for higher tiers. dither in [0, 1) spreads the rounding over the targets, so
+// that 3% of limits of 8 reserve a whole request at every fourth target.
+func (c *Config) capacity(limit float64, tier request.Tier, dither float64) float64 {
+	return limit - math.Floor(limit*c.Headroom[tier]+dither)
+}
--- /dev/null
+++ b/sched/pick/snapshot.go
@@ -0,0 +1,152 @@
+// Package pick selects a target for a request: it filters, scores and picks
+// over one immutable snapshot of a pool. Only a bounded sample of the targets
+// and the homes of the request's prefix are scored, and nothing is allocated.
+package pick
+
+import (
+	"math/bits"
+	"math/rand/v2"
+	"time"
+
+	"sardinefront.dev/core/request"
+	"sardinefront.dev/sched/prefix"
+)
+
+// Config holds what does not change between snapshots of a pool.
+type Config struct {
+	// Headroom is the part of each limit that a tier leaves free.
+	Headroom [request.TierCount]float64
+	// Hosts is the number of hosts that feed the targets.
+	Hosts int
+	// OwnCountsOnly compares two random targets by the host's own counts.
+	OwnCountsOnly bool
+	// FreshOnly prefers targets with a recent load report.
+	FreshOnly bool
+}
+
+// Target is one target of a snapshot. Its index is stable between snapshots.
+type Target struct {
+	Name    string
+	Version string
+	Local   bool
+	// Open targets may be given new work; ejected and leaving ones may not.
+	Open bool
+	Load *Load
+}
+
+// Snapshot is an immutable view of a pool's targets. Their Load is shared and
+// changes.
+type Snapshot struct {
+	cfg     Config
+	targets []Target
+	local   []int32 // open targets in this host's zone
+	remote  []int32 // open targets elsewhere
+	homes   *prefix.Homes
+	history *prefix.History
+}
+
+// NewSnapshot returns a snapshot. A target with a nil Load is an unused index.
+// homes and history may be nil for pools without prefix caches.
+func NewSnapshot(c Config, ts []Target, homes *prefix.Homes, history *prefix.History) *Snapshot {
+	s := &Snapshot{cfg: c, targets: ts, homes: homes, history: history}
+	for i, t := range ts {
+		if t.Load == nil || !t.Open {
+			continue
+		}
+		if t.Local {
+			s.local = append(s.local, int32(i))
+		} else {
+			s.remote = append(s.remote, int32(i))
+		}
+	}
+	return s
+}
+
+// Targets returns the targets by index. The caller does not change them.
+func (s *Snapshot) Targets() []Target { return s.targets }
+
+// Open returns how many local and other targets may be given new work.
+func (s *Snapshot) Open() (local, remote int) { return len(s.local), len(s.remote) }
+
+// Kept is the number of alternatives that a choice names.
+const Kept = 4
+
+// Scored is a target with its cost in milliseconds.
+type Scored struct {
+	Index int32
+	Cost  float32
+}
+
+// Choice is the picked target.
+type Choice struct {
+	Index int
+	// Reuse is the expected number of prompt tokens found in the cache.
+	Reuse float64
+	// Best holds the cheapest targets, the picked one first; Kept of them at
+	// most, N in use.
+	Best [Kept]Scored
+	N    int
+	// Scored counts the targets that were looked at.
+	Scored int
+}
+
+const (
+	// sampleMin and the bit length of the number of targets make up the random
+	// sample: 13 of 30 targets, 20 of 3,000.
+	sampleMin = 8
+	// scanEnough ends the scan that follows when the sample has no room.
+	scanEnough = 4
+	// loadCost is the cost in milliseconds of a fully used target; it weighs
+	// load against the prefill time that a cached prefix saves.
+	loadCost = 120
+	// slowCost is the cost in milliseconds of each multiple of slowdown.
+	slowCost = 60
+	// freshEnough is the report weight from which FreshOnly accepts a target;
+	// it corresponds to about 1.4 s.
+	freshEnough = 0.5
+	// spillCost keeps work in the zone unless the zone has no room.
+	spillUse = 0.8
+)
+
+// Pick returns the target for the request, or false if no target has room.
+// Targets for which skip returns true are left out; skip may be nil. rnd is
+// the only source of randomness. It is safe for concurrent use with different
+// rnd.
+func (s *Snapshot) Pick(r *request.Request, now time.Time, rnd *rand.Rand, skip func(int) bool) (Choice, bool) {
+	var p picker
+	p.init(s, r, skip)
+	if s.homes != nil && len(r.Prefix) > 0 {
+		s.history.RLock()
+		p.addHolders(now)
+		p.addHomes(now)
+		s.history.RUnlock()
+	}
+	p.addSample(rnd)
+	p.score()
+	if p.choice.N == 0 {
+		p.scan(s.local, rnd, 1)
+	}
+	if p.choice.N == 0 {
+		p.scan(s.remote, rnd, spillUse)
+	}
+	if p.choice.N == 0 {
+		return p.choice, false
+	}
+	p.choice.Index = int(p.choice.Best[0].Index)
+	return p.choice, true
+}
+
+// Admits reports whether target i has room for the request, whatever its
+// version and state.
+func (s *Snapshot) Admits(i int, r *request.Request) bool {
+	_, ok := s.targets[i].Load.room(r.Tier, r.Tokens(), &s.cfg)
+	return ok
+}
+
+// sampleSize returns how many random targets are scored.
+func (s *Snapshot) sampleSize() int {
+	if s.cfg.OwnCountsOnly {
+		return 2
+	}
+	return sampleMin + bits.Len(uint(len(s.local)))
+}
--- /dev/null
+++ b/sched/pool/entry.go
@@ -0,0 +1,170 @@
+package pool
+
+import (
+	"time"
+
+	"sardinefront.dev/core/request"
+	"sardinefront.dev/sched/flow"
+	"sardinefront.dev/sched/health"
+)
+
+// phase is where a request is in its life.
+type phase uint8
+
+const (
+	waiting phase = iota // in the queue, never dispatched
+	running              // at its target
+	stopped              // dispatched before; waits for its target to resume
+)
+
+// entry is one request that the pool knows.
+type entry struct {
+	req   *request.Request
+	item  flow.Item
+	phase phase
+	// target is where the request runs or must resume; nil while waiting.
+	target *target
+	// run is the index in target.runs while running.
+	run int
+	// offset counts the tokens received over all runs.
+	offset   int
+	uncached int
+	retries  int
+	// failed is the target that the last attempt did not reach.
+	failed *target
+
+	started time.Time // of this run
+	// tied says that the request was dispatched before and must not be sent to
+	// any other target.
+	tied       bool
+	first      bool // a byte has arrived in this run
+	progressAt time.Time
+	steps      int           // calls of Progress in this run
+	gap        time.Duration // longest usual time between calls of Progress
+}
+
+const (
+	// stallSteps is how many progress reports of a stream must have come before
+	// their absence says something.
+	stallSteps = 3
+	// stallGaps is the multiple of the longest gap so far that counts as a
+	// stall.
+	stallGaps = 3
+	// stallLeast keeps scheduling jitter from counting as a stall.
+	stallLeast = 100 * time.Millisecond
+)
+
+// begin records the start of a run at t.
+func (p *Pool) begin(e *entry, t *target, now time.Time) {
+	e.phase, e.target = running, t
+	e.started, e.progressAt = now, now
+	e.first, e.steps, e.gap = false, 0, 0
+	e.run = len(t.runs)
+	t.runs = append(t.runs, e)
+	t.load.Own.Add(1)
+	t.load.OwnTokens.Add(int64(e.req.Tokens()))
+	t.work.Started(now)
+	p.running[e.req.Tier]++
+	p.tokensMean += (float64(e.req.Tokens()) - p.tokensMean) / 32
+	if e.req.Tier == request.Patient && p.cfg.Kind == Engine {
+		p.patient = append(p.patient, e)
+	}
+}
+
+// end records the end of a run.
+func (p *Pool) end(e *entry) {
+	t := e.target
+	last := len(t.runs) - 1
+	t.runs[e.run] = t.runs[last]
+	t.runs[e.run].run = e.run
+	t.runs[last] = nil
+	t.runs = t.runs[:last]
+	t.load.Own.Add(-1)
+	t.load.OwnTokens.Add(-int64(e.req.Tokens()))
+	p.running[e.req.Tier]--
+	if e.req.Tier != request.Patient {
+		return
+	}
+	for i, other := range p.patient {
+		if other == e {
+			p.patient = append(p.patient[:i], p.patient[i+1:]...)
+			return
+		}
+	}
+}
+
+// stall lowers the limit of the target if one of its requests waits longer for
+// a byte than it should, before the byte arrives.
+func (t *target) stall(now time.Time) {
+	for _, e := range t.runs {
+		wait := now.Sub(e.progressAt)
+		switch {
+		case !e.first:
+			t.limiter.Stalled(wait, 0, e.uncached, t.load.Total(), t.load.Tokens(), now)
+		case e.steps >= stallSteps && wait > stallLeast && wait > stallGaps*e.gap:
+			t.limiter.Stalled(wait, 1, 0, t.load.Total(), t.load.Tokens(), now)
+		}
+	}
+}
+
+// FirstByte records the first byte of the answer.
+func (p *Pool) FirstByte(id string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.entries[id]; e != nil && e.phase == running {
+		p.firstByte(e, now)
+	}
+}
+
+func (p *Pool) firstByte(e *entry, now time.Time) {
+	if e.first {
+		return
+	}
+	e.first = true
+	e.progressAt = now
+	t := e.target
+	d := now.Sub(e.started)
+	t.limiter.First(d, e.uncached, t.load.Total(), t.load.Tokens(), now)
+	if e.offset == 0 {
+		p.service.first(d)
+	}
+}
+
+// Progress records that tokens tokens of the answer have been received in
+// total, including those before a pause.
+func (p *Pool) Progress(id string, tokens int, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.entries[id]
+	if e == nil || e.phase != running || tokens <= e.offset {
+		return
+	}
+	n := tokens - e.offset
+	e.offset = tokens
+	if !e.first {
+		p.firstByte(e, now)
+		return
+	}
+	d := now.Sub(e.progressAt)
+	t := e.target
+	t.limiter.Between(d, n, t.load.Total(), t.load.Tokens(), now)
+	p.service.between(d, n)
+	e.progressAt = now
+	e.steps++
+	e.gap = max(e.gap, d)
+}
+
+// evidence translates a result; ok is false where it says nothing about the
+// target.
+func (r Result) evidence() (e health.Evidence, ok bool) {
+	switch r {
+	case OK:
+		return health.Success, true
+	case Failed, Cut, NotSent:
+		return health.Failure, true
+	case Silent:
+		return health.Silence, true
+	default:
+		return 0, false
+	}
+}
--- /dev/null
+++ b/sched/pool/place.go
@@ -0,0 +1,184 @@
+package pool
+
+import (
+	"time"
+
+	"sardinefront.dev/core/request"
+	"sardinefront.dev/sched/flow"
+	"sardinefront.dev/sched/pick"
+)
+
+// maxPausesPerStart bounds the patient requests that are paused to start one
+// request of a higher tier; beyond that, the target's limit has shrunk and the
+// floor does the rest.
+const maxPausesPerStart = 4
+
+// place starts what can start now: by tier, then by fairness. It stops at the
+// first request that no target can take, so that no lower tier passes it.
+func (p *Pool) place(out []Action, now time.Time) []Action {
+	resumed := false
+	for {
+		it, expired := p.queue.Next(now)
+		out = p.expire(out, expired, now)
+		if !resumed && (it == nil || it.Request.Tier == request.Patient) {
+			out = p.resumeBound(out, now)
+			resumed = true
+		}
+		if it == nil {
+			return out
+		}
+		e := p.entries[it.Request.ID]
+		choice, ok := p.choose(e, now)
+		if !ok && e.req.Tier != request.Patient {
+			out, choice, ok = p.preempt(out, e, now)
+		}
+		if !ok {
+			return p.block(out, e.req.Tier, now)
+		}
+		p.blocked[e.req.Tier] = time.Time{}
+		out = p.start(out, e, choice, now)
+	}
+}
+
+// expire refuses requests that can no longer meet their deadline. By then the
+// floor is up, so lower tiers have stopped first.
+func (p *Pool) expire(out []Action, expired []flow.Expired, now time.Time) []Action {
+	for _, x := range expired {
+		tier := x.Item.Request.Tier
+		if tier != request.Patient {
+			out = p.raiseFloor(out, tier, now)
+		}
+		out = p.refuse(out, p.entries[x.Item.Request.ID], x.Refusal, now)
+	}
+	return out
+}
+
+// choose picks a target among the versions that the request may use. A version
+// with an unused share is served first, except for urgent requests, which use
+// it only when nothing else has room.
+func (p *Pool) choose(e *entry, now time.Time) (pick.Choice, bool) {
+	due := p.versions.due(e.req.Tier)
+	if due >= 0 && e.req.Tier != request.Urgent {
+		if c, ok := p.pickFrom(e, p.versions.onlySet(due), now); ok {
+			return c, true
+		}
+	}
+	c, ok := p.pickFrom(e, p.versions.proven, now)
+	if !ok && due >= 0 && e.req.Tier == request.Urgent {
+		c, ok = p.pickFrom(e, p.versions.onlySet(due), now)
+	}
+	if !ok && e.failed != nil {
+		e.failed = nil
+		return p.choose(e, now)
+	}
+	return c, ok
+}
+
+func (p *Pool) pickFrom(e *entry, versions []bool, now time.Time) (pick.Choice, bool) {
+	p.wanted.versions, p.wanted.excluded = versions, e.failed
+	return p.snapshot.Load().Pick(e.req, now, p.rnd, p.skip)
+}
+
+// skipSlot reports whether the current choice leaves out a target.
+func (p *Pool) skipSlot(i int) bool {
+	t := p.slots[i]
+	return !p.wanted.versions[t.version] || t == p.wanted.excluded
+}
+
+// start dispatches a waiting request.
+func (p *Pool) start(out []Action, e *entry, c pick.Choice, now time.Time) []Action {
+	t := p.slots[c.Index]
+	p.queue.Take(&e.item)
+	e.uncached = max(0, e.req.PromptTokens-int(c.Reuse))
+	p.begin(e, t, now)
+	p.versions.dispatched(t.version)
+	p.retries.earn(p.cfg.Limits.RetryBudget)
+	p.remember(e, t, now)
+	p.ring.addChoice(e.req.ID, t.Name, c, p.slots, now)
+	out = append(out, Action{Kind: Dispatch, Request: e.req, Target: t.Name, Retry: e.retries > 0})
+	return p.probeRandom(out)
+}
+
+// remember records the request's prefixes at its target: the whole prompt and
+// the lengths that homes are computed for.
+func (p *Pool) remember(e *entry, t *target, now time.Time) {
+	n := len(e.req.Prefix)
+	if p.history == nil || n == 0 {
+		return
+	}
+	for d := 1; d < n; d *= 2 {
+		p.history.Dispatched(e.req.Prefix[d-1], t.slot, now)
+	}
+	p.history.Dispatched(e.req.Prefix[n-1], t.slot, now)
+}
+
+// preempt pauses patient work of this host, newest first, until a target can
+// take the request.
+func (p *Pool) preempt(out []Action, e *entry, now time.Time) ([]Action, pick.Choice, bool) {
+	for range maxPausesPerStart {
+		victim := p.victim(e)
+		if victim == nil {
+			break
+		}
+		out = p.pause(out, victim, "room for "+e.req.Tier.String(), now)
+		if c, ok := p.choose(e, now); ok {
+			return out, c, true
+		}
+	}
+	return out, pick.Choice{}, false
+}
+
+// victim returns the newest patient request that runs where e may run.
+func (p *Pool) victim(e *entry) *entry {
+	snap := p.snapshot.Load()
+	for i := len(p.patient) - 1; i >= 0; i-- {
+		t := p.patient[i].target
+		if !t.gone && snap.Targets()[t.slot].Open && p.versions.proven[t.version] && t != e.failed {
+			return p.patient[i]
+		}
+	}
+	return nil
+}
+
+// pause stops running patient work; it waits for its target from then on.
+func (p *Pool) pause(out []Action, e *entry, why string, now time.Time) []Action {
+	t := e.target
+	p.end(e)
+	p.bind(e, t)
+	p.ring.add(e.req.ID, Decision{At: now, Kind: Pause, Target: t.Name, Why: why})
+	return append(out, Action{Kind: Pause, Request: e.req, Target: t.Name, Offset: e.offset, Why: why})
+}
+
+// resumeBound resumes paused and taken-over work where its target has room,
+// before new patient work: it already holds cached prompt and answer.
+func (p *Pool) resumeBound(out []Action, now time.Time) []Action {
+	if p.bound == 0 || !p.patientMayRun(now) {
+		return out
+	}
+	snap := p.snapshot.Load()
+	for _, t := range p.slots {
+		if t == nil || len(t.bound) == 0 || (t.ejected() && !p.inPanic) {
+			continue
+		}
+		for len(t.bound) > 0 && snap.Admits(t.slot, t.bound[0].req) {
+			out = p.resume(out, t.bound[0], now)
+		}
+	}
+	return out
+}
+
+// patientMayRun reports whether no floor and no waiting request of a higher
+// tier stops patient work.
+func (p *Pool) patientMayRun(now time.Time) bool {
+	floor, _ := p.queue.Floor(now)
+	return floor == request.Patient && p.queue.Len(request.Urgent) == 0 && p.queue.Len(request.Interactive) == 0
+}
+
+func (p *Pool) resume(out []Action, e *entry, now time.Time) []Action {
+	t := e.target
+	p.unbind(e)
+	e.uncached = e.req.PromptTokens + e.offset
+	p.begin(e, t, now)
+	p.ring.add(e.req.ID, Decision{At: now, Kind: Dispatch, Target: t.Name, Why: "resumed"})
+	return append(out, Action{Kind: Dispatch, Request: e.req, Target: t.Name, Offset: e.offset, Resume: true})
+}
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -1,231 +1,179 @@
 package pool
 
 import (
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/core/request"
+	"sardinefront.dev/sched/flow"
+	"sardinefront.dev/sched/pick"
+	"sardinefront.dev/sched/prefix"
 )
 
-// tickInterval is how often the pool wants Tick while it has work.
-const tickInterval = 50 * time.Millisecond
+const (
+	// tickInterval is how often the pool wants Tick while it has work.
+	tickInterval = 50 * time.Millisecond
+	// idleInterval is how often it wants Tick otherwise.
+	idleInterval = time.Second
+	// historySize is the number of prefixes remembered per pool, 3 MB at 190
+	// bytes each.
+	historySize = 1 << 14
+)
 
 // Pool schedules the requests of one pool on one host. All methods are safe
-// for concurrent use.
+// for concurrent use. Every request ID that is submitted is in use until a
+// Refuse, a Done or a Cancel ends it.
 type Pool struct {
+	snapshot atomic.Pointer[pick.Snapshot]
+
 	mu      sync.Mutex
 	cfg     Config
-	targets []*targetState
-	waiting [request.TierCount][]*entry
+	rnd     *rand.Rand
+	queue   *flow.Queue
 	entries map[string]*entry
-	floor   request.Tier
-	until   time.Time
-}
 
-type targetState struct {
-	Target
-	running int
-}
-
-type entry struct {
-	req     *request.Request
-	target  *targetState
-	offset  int
-	resume  bool
-	retried bool
+	slots   []*target // by index of the snapshot; nil is free
+	byName  map[string]*target
+	byHash  map[uint32]*target // by the digest's hash; nil where two collide
+	homes   *prefix.Homes
+	history *prefix.History
+	inPanic bool
+
+	versions versions
+	peers    peers
+	floors   floors
+	retries  budget
+	probes   budget
+	probeAt  int
+	service  serviceTime
+	ring     ring
+
+	running     [request.TierCount]int
+	patient     []*entry // running patient work that can be paused, oldest first
+	bound       int      // entries that wait for their target
+	blocked     [request.TierCount]time.Time
+	ownMean     float64 // smoothed requests in progress of this host
+	tokensMean  float64 // smoothed tokens per request
+	refreshedAt time.Time
+	digestAt    int
+
+	// wanted holds the state of skip during one choice.
+	wanted struct {
+		versions []bool
+		excluded *target
+	}
+	skip func(int) bool
 }
 
 // New returns a pool without targets.
 func New(c Config) *Pool {
-	if c.Limits.Requests == 0 {
-		c.Limits.Requests = 8
+	c.setDefaults()
+	p := &Pool{
+		cfg:     c,
+		rnd:     rand.New(rand.NewPCG(c.Seed, uint64(c.Host)+1)),
+		queue:   flow.New(flow.Config{Waiting: c.Limits.Waiting, Weights: c.Weights}),
+		entries: map[string]*entry{},
+		byName:  map[string]*target{},
+		retries: budget{credit: 1, most: 10},
+		probes:  budget{most: 10},
+	}
+	p.skip = p.skipSlot
+	if c.Kind == Engine {
+		p.history = prefix.NewHistory(historySize)
 	}
-	return &Pool{cfg: c, entries: map[string]*entry{}, floor: request.Patient}
+	p.rebuild()
+	return p
 }
 
-// SetTargets replaces the list of targets. What was learned about a target
-// that stays in the list is kept.
-func (p *Pool) SetTargets(ts []Target, now time.Time) []Action {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	old := map[string]*targetState{}
-	for _, t := range p.targets {
-		old[t.Name] = t
+func (c *Config) setDefaults() {
+	c.Hosts = max(1, c.Hosts)
+	l := &c.Limits
+	for t, n := range [request.TierCount]int{4096, 4096, 16384} {
+		setDefault(&l.Waiting[t], n)
 	}
-	p.targets = nil
-	for _, t := range ts {
-		s := old[t.Name]
-		if s == nil {
-			s = &targetState{}
-		}
-		s.Target = t
-		p.targets = append(p.targets, s)
+	if l.Headroom == [request.TierCount]float64{} {
+		l.Headroom = [request.TierCount]float64{0, 0.03, 0.1}
 	}
-	return p.place(now)
+	setDefault(&l.Requests, 8)
+	setDefault(&l.MaxRequests, 512)
+	setDefault(&l.FirstToken, 590*time.Millisecond)
+	setDefault(&l.BetweenTokens, 30*time.Millisecond)
+	setDefault(&l.Floor, 2*time.Second)
+	setDefault(&l.DigestBytes, 2000)
+	setDefault(&l.ProbesPerSecond, 5)
+	setDefault(&l.RetryBudget, 0.1)
 }
 
-// SetShares sets the part of the traffic, 0..1, that each version may receive.
-// A version that is not listed receives nothing; an empty map lifts all
-// restrictions.
-func (p *Pool) SetShares(shares map[string]float64, now time.Time) []Action {
-	return nil
-}
-
-// Submit queues a request and returns what can be done at once. A request that
-// cannot be queued is refused as not run.
-func (p *Pool) Submit(r *request.Request, now time.Time) []Action {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	e := &entry{req: r}
-	p.entries[r.ID] = e
-	p.waiting[r.Tier] = append(p.waiting[r.Tier], e)
-	return p.place(now)
-}
-
-// Resume continues patient work that another host had dispatched to target and
-// of which offset tokens were received. It is placed at that target only and
-// counts as the same dispatch.
-func (p *Pool) Resume(r *request.Request, offset int, target string, now time.Time) []Action {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, t := range p.targets {
-		if t.Name == target {
-			t.running++
-			p.entries[r.ID] = &entry{req: r, target: t, offset: offset, resume: true}
-			return []Action{{Kind: Dispatch, Request: r, Target: target, Offset: offset, Resume: true}}
-		}
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
 	}
-	return []Action{{Kind: Refuse, Request: r, Refusal: refusal.New(refusal.TargetFailed, "target %s has gone", target)}}
 }
 
-// Cancel removes a request whose caller has gone.
-func (p *Pool) Cancel(id string, now time.Time) []Action {
+// Tick expires requests, renews floors, updates estimates and starts what fits
+// now. Call it every 50 ms or at NextWake.
+func (p *Pool) Tick(now time.Time) []Action {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	e := p.entries[id]
-	if e == nil {
-		return nil
-	}
-	delete(p.entries, id)
-	if e.target == nil {
-		q := p.waiting[e.req.Tier]
-		for i := range q {
-			if q[i] == e {
-				p.waiting[e.req.Tier] = append(q[:i:i], q[i+1:]...)
-				break
-			}
-		}
-		return nil
+	var out []Action
+	if now.Sub(p.refreshedAt) >= tickInterval {
+		out = p.refresh(out, now)
+		out = p.probe(out, now)
 	}
-	e.target.running--
-	return append([]Action{{Kind: Cancel, Request: e.req, Target: e.target.Name}}, p.place(now)...)
+	out = p.pauseStep(out, now)
+	return p.place(out, now)
 }
 
-// FirstByte records the first byte of the answer.
-func (p *Pool) FirstByte(id string, now time.Time) {}
-
-// Progress records that tokens tokens of the answer have been received in
-// total, including those before a pause.
-func (p *Pool) Progress(id string, tokens int, now time.Time) {
+// NextWake returns when Tick has something to do, at the latest one second
+// after now.
+func (p *Pool) NextWake(now time.Time) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if e := p.entries[id]; e != nil {
-		e.offset = tokens
+	if len(p.entries) > 0 {
+		return now.Add(tickInterval)
 	}
+	return now.Add(idleInterval)
 }
 
-// Done records how a dispatched request ended and starts what fits now.
-func (p *Pool) Done(id string, res Result, now time.Time) []Action {
+// Stats returns a consistent view of the pool.
+func (p *Pool) Stats(now time.Time) Stats {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	e := p.entries[id]
-	if e == nil || e.target == nil {
-		return nil
+	s := Stats{Running: p.running, Paused: p.bound, Panic: p.inPanic}
+	for t := range s.Waiting {
+		s.Waiting[t] = p.queue.Len(request.Tier(t))
 	}
-	e.target.running--
-	delete(p.entries, id)
-	if res == NotSent && !e.retried {
-		e.target, e.retried = nil, true
-		p.entries[id] = e
-		p.waiting[e.req.Tier] = append([]*entry{e}, p.waiting[e.req.Tier]...)
+	for _, t := range p.slots {
+		if t != nil {
+			s.Targets++
+			if t.ejected() {
+				s.Ejected++
+			}
+		}
 	}
-	return p.place(now)
+	s.Floor, _ = p.queue.Floor(now)
+	s.FloorUntil = p.queue.FloorUntil(s.Floor)
+	return s
 }
 
-// Report records a target's load report. Reports may arrive late and in any
-// order.
-func (p *Pool) Report(target string, r LoadReport, now time.Time) {}
-
-// CacheEvents records a target's cache events in their order. gap says that
-// events before these were lost.
-func (p *Pool) CacheEvents(target string, events []CacheEvent, gap bool, now time.Time) {}
-
-// PeerDigest records the digest of the host with the given name. A digest that
-// cannot be decoded is an error and changes nothing.
-func (p *Pool) PeerDigest(from string, d Digest, now time.Time) error { return nil }
-
-// Digest returns this host's digest for one peer.
-func (p *Pool) Digest(now time.Time) Digest { return nil }
+// Snapshot returns the current view of the targets for reading. It is
+// replaced, never changed, when the list or the health of targets changes.
+func (p *Pool) Snapshot() *pick.Snapshot { return p.snapshot.Load() }
 
-// Floor records a tier floor that a peer has raised: until then no work of a
-// tier below t is started, and running patient work is paused.
-func (p *Pool) Floor(t request.Tier, until time.Time, from string, now time.Time) []Action {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.until.After(now) || t < p.floor {
-		p.floor, p.until = t, until
-	}
-	return nil
+// budget is a bucket of credit that each use draws 1 from.
+type budget struct {
+	credit, most float64
 }
 
-// Tick expires requests, renews floors and starts what fits now. Call it every
-// 50 ms or at NextWake.
-func (p *Pool) Tick(now time.Time) []Action {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.place(now)
-}
+func (b *budget) earn(v float64) { b.credit = min(b.most, b.credit+v) }
 
-// NextWake returns when Tick has something to do, at the latest one second
-// after now.
-func (p *Pool) NextWake(now time.Time) time.Time {
-	return now.Add(tickInterval)
-}
-
-// Explain returns the recent decisions about a request, oldest first. Only the
-// last few thousand decisions of the pool are kept.
-func (p *Pool) Explain(id string) []Decision { return nil }
-
-// Stats returns a consistent view of the pool.
-func (p *Pool) Stats(now time.Time) Stats { return Stats{} }
-
-// place starts waiting requests in tier order at the least-loaded target.
-func (p *Pool) place(now time.Time) []Action {
-	var out []Action
-	for tier := range p.waiting {
-		for len(p.waiting[tier]) > 0 {
-			e := p.waiting[tier][0]
-			if !e.req.Deadline.IsZero() && now.After(e.req.Deadline) {
-				p.waiting[tier] = p.waiting[tier][1:]
-				delete(p.entries, e.req.ID)
-				out = append(out, Action{Kind: Refuse, Request: e.req, Refusal: refusal.New(refusal.DeadlinePassed, "deadline passed in queue")})
-				continue
-			}
-			var best *targetState
-			for _, t := range p.targets {
-				if !t.Leaving && t.running < p.cfg.Limits.Requests && (best == nil || t.running < best.running) {
-					best = t
-				}
-			}
-			if best == nil {
-				return out
-			}
-			p.waiting[tier] = p.waiting[tier][1:]
-			best.running++
-			e.target = best
-			out = append(out, Action{Kind: Dispatch, Request: e.req, Target: best.Name, Retry: e.retried})
-		}
+func (b *budget) spend() bool {
+	if b.credit < 1 {
+		return false
 	}
-	return out
+	b.credit--
+	return true
 }
--- /dev/null
+++ b/sched/pool/requests.go
@@ -0,0 +1,166 @@
+package pool
+
+import (
+	"time"
+
+	"sardinefront.dev/core/refusal"
+	"sardinefront.dev/core/request"
+	"sardinefront.dev/sched/flow"
+)
+
+// Submit queues a request and returns what can be done at once. A request that
+// cannot be queued is refused as not run; patient requests are never refused
+// for capacity later.
+func (p *Pool) Submit(r *request.Request, now time.Time) []Action {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.entries[r.ID] != nil {
+		f := refusal.New(refusal.InProgress, "request %s is in progress", r.ID)
+		return []Action{{Kind: Refuse, Request: r, Refusal: f}}
+	}
+	e := &entry{req: r}
+	e.item = flow.Item{Request: r, Cost: float64(r.Tokens()), LatestStart: p.latestStart(r)}
+	if !e.item.LatestStart.IsZero() && e.item.LatestStart.Before(now) {
+		f := refusal.New(refusal.DeadlinePassed, "the deadline is too short for the estimated run time")
+		return p.refuse(nil, e, f, now)
+	}
+	if f := p.queue.Push(&e.item, now); f != nil {
+		var out []Action
+		if r.Tier != request.Patient {
+			out = p.raiseFloor(out, r.Tier, now)
+		}
+		return p.refuse(out, e, f, now)
+	}
+	p.entries[r.ID] = e
+	return p.place(nil, now)
+}
+
+// latestStart returns when the request must start to meet its deadline, zero
+// if it has none. A patient request is never given up on an estimate.
+func (p *Pool) latestStart(r *request.Request) time.Time {
+	if r.Deadline.IsZero() || r.Tier == request.Patient {
+		return r.Deadline
+	}
+	return r.Deadline.Add(-p.service.estimate(r))
+}
+
+// refuse ends a request with a refusal.
+func (p *Pool) refuse(out []Action, e *entry, f *refusal.Refusal, now time.Time) []Action {
+	delete(p.entries, e.req.ID)
+	p.ring.add(e.req.ID, Decision{At: now, Kind: Refuse, Why: f.Error()})
+	return append(out, Action{Kind: Refuse, Request: e.req, Refusal: f})
+}
+
+// Resume continues patient work that another host had dispatched to target and
+// of which offset tokens were received. It is placed at that target only, under
+// the same rules as paused work, and counts as the same dispatch.
+func (p *Pool) Resume(r *request.Request, offset int, name string, now time.Time) []Action {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.entries[r.ID] != nil {
+		f := refusal.New(refusal.InProgress, "request %s is in progress", r.ID)
+		return []Action{{Kind: Refuse, Request: r, Refusal: f}}
+	}
+	e := &entry{req: r, offset: offset}
+	t := p.byName[name]
+	if t == nil {
+		return p.refuse(nil, e, refusal.New(refusal.OutcomeUnknown, "target %s is not listed", name), now)
+	}
+	p.entries[r.ID] = e
+	p.bind(e, t)
+	return p.place(nil, now)
+}
+
+// bind makes a request wait for its target.
+func (p *Pool) bind(e *entry, t *target) {
+	e.phase, e.target, e.tied = stopped, t, true
+	t.bound = append(t.bound, e)
+	p.bound++
+}
+
+func (p *Pool) unbind(e *entry) {
+	t := e.target
+	for i, other := range t.bound {
+		if other == e {
+			t.bound = append(t.bound[:i], t.bound[i+1:]...)
+			p.bound--
+			return
+		}
+	}
+}
+
+// Cancel removes a request whose caller has gone.
+func (p *Pool) Cancel(id string, now time.Time) []Action {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.entries[id]
+	if e == nil {
+		return nil
+	}
+	delete(p.entries, id)
+	switch e.phase {
+	case waiting:
+		p.queue.Remove(id)
+		return nil
+	case stopped:
+		p.unbind(e)
+	case running:
+		p.end(e)
+	}
+	p.ring.add(id, Decision{At: now, Kind: Cancel, Target: e.target.Name, Why: "caller gone"})
+	return p.place([]Action{{Kind: Cancel, Request: e.req, Target: e.target.Name}}, now)
+}
+
+// Done records how a dispatched request ended and starts what fits now. For
+// paused work only OK has an effect: the answer was complete before the pause
+// reached the target.
+func (p *Pool) Done(id string, res Result, now time.Time) []Action {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.entries[id]
+	if e == nil || e.phase == waiting {
+		return nil
+	}
+	if e.phase == stopped {
+		if res == OK {
+			p.unbind(e)
+			delete(p.entries, id)
+		}
+		return nil
+	}
+	t := e.target
+	p.end(e)
+	var out []Action
+	if ev, ok := res.evidence(); ok {
+		out = p.observe(out, t, ev, now)
+	}
+	if res == NotSent {
+		return p.place(p.retry(out, e, now), now)
+	}
+	if res == OK {
+		p.service.done(e, now)
+	}
+	delete(p.entries, id)
+	return p.place(out, now)
+}
+
+// retry puts a request back that did not reach its target, within the budget.
+// Work that was dispatched before waits for its own target again.
+func (p *Pool) retry(out []Action, e *entry, now time.Time) []Action {
+	t := e.target
+	if e.tied {
+		if t.gone {
+			return p.refuse(out, e, refusal.New(refusal.OutcomeUnknown, "target %s is no longer listed", t.Name), now)
+		}
+		p.bind(e, t)
+		return out
+	}
+	// Patient work waits in any case, so its retry needs no budget.
+	if e.req.Tier != request.Patient && !p.retries.spend() {
+		return p.refuse(out, e, refusal.New(refusal.TargetUnreachable, "target %s is unreachable and the retry budget is spent", t.Name), now)
+	}
+	e.phase, e.target, e.failed = waiting, nil, t
+	e.retries++
+	p.queue.PushFront(&e.item)
+	return out
+}
--- /dev/null
+++ b/sched/prefix/history.go
@@ -0,0 +1,196 @@
+package prefix
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// ways is the associativity of the history; the least recently used entry
+	// of a set is replaced.
+	ways = 4
+	// MaxHolders bounds the targets that are remembered for a prefix.
+	MaxHolders = 6
+	// The chances that a target still holds a prefix. An event is the target's
+	// own word; a dispatch only implies that the prefix was computed there. An
+	// old sign decays with holdTime because caches are small.
+	eventChance    = 0.97
+	dispatchChance = 0.9
+	holdTime       = 10 * time.Minute
+	// gapChance discounts signs from before a gap in the target's events: an
+	// eviction may have been lost.
+	gapChance = 0.5
+	// rateTime is the time constant of a prefix's request rate.
+	rateTime = 10 * time.Second
+)
+
+// Holder is a target that may hold a prefix.
+type Holder struct {
+	// Target is the target's index.
+	Target int32
+	// Chance is the estimated probability, 0..1.
+	Chance float64
+}
+
+// History remembers which targets computed which prefixes. Its size is fixed.
+// It is safe for concurrent use.
+type History struct {
+	mu   sync.RWMutex
+	sets [][ways]record
+	gaps []time.Time // by target: start of the time since the last gap
+}
+
+// record is what is known about one prefix.
+type record struct {
+	key     uint64
+	used    time.Time
+	rate    float64 // requests per second of this host
+	holders [MaxHolders]sign
+}
+
+// sign is the last sign that a target holds a prefix.
+type sign struct {
+	target int32 // index+1; 0 is unused
+	event  bool
+	at     time.Time
+}
+
+// NewHistory returns a history of about the given number of prefixes.
+func NewHistory(prefixes int) *History {
+	n := 1
+	for n*ways < prefixes {
+		n *= 2
+	}
+	return &History{sets: make([][ways]record, n)}
+}
+
+func (h *History) find(key uint64) *record {
+	set := &h.sets[mix(key)&uint64(len(h.sets)-1)]
+	for i := range set {
+		if set[i].key == key && !set[i].used.IsZero() {
+			return &set[i]
+		}
+	}
+	return nil
+}
+
+func (h *History) obtain(key uint64, now time.Time) *record {
+	if r := h.find(key); r != nil {
+		return r
+	}
+	set := &h.sets[mix(key)&uint64(len(h.sets)-1)]
+	oldest := &set[0]
+	for i := range set {
+		if set[i].used.Before(oldest.used) {
+			oldest = &set[i]
+		}
+	}
+	*oldest = record{key: key, used: now}
+	return oldest
+}
+
+// Dispatched records that a prompt with this prefix was sent to the target.
+func (h *History) Dispatched(key uint64, target int, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r := h.obtain(key, now)
+	dt := now.Sub(r.used).Seconds()
+	r.rate = r.rate*math.Exp(-dt/rateTime.Seconds()) + 1/rateTime.Seconds()
+	r.used = now
+	r.mark(int32(target), false, now)
+}
+
+// Event records that the target stored or evicted a prefix.
+func (h *History) Event(key uint64, target int, stored bool, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if stored {
+		h.obtain(key, now).mark(int32(target), true, now)
+		return
+	}
+	if r := h.find(key); r != nil {
+		r.unmark(int32(target))
+	}
+}
+
+// Gap records that events of the target before now were lost.
+func (h *History) Gap(target int, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for len(h.gaps) <= target {
+		h.gaps = append(h.gaps, time.Time{})
+	}
+	h.gaps[target] = now
+}
+
+// Forget drops all signs of a target whose index is given to another one.
+func (h *History) Forget(target int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for s := range h.sets {
+		for w := range h.sets[s] {
+			h.sets[s][w].unmark(int32(target))
+		}
+	}
+}
+
+// RLock keeps the history from changing until RUnlock, so that the prefixes of
+// one request are looked up under a single lock.
+func (h *History) RLock() { h.mu.RLock() }
+
+// RUnlock ends RLock.
+func (h *History) RUnlock() { h.mu.RUnlock() }
+
+// Holders writes the targets that may hold the prefix to out and returns their
+// number and the rate at which this host sees the prefix, per second. The
+// caller holds RLock.
+func (h *History) Holders(key uint64, now time.Time, out *[MaxHolders]Holder) (int, float64) {
+	r := h.find(key)
+	if r == nil {
+		return 0, 0
+	}
+	n := 0
+	for _, s := range r.holders {
+		if s.target != 0 {
+			out[n] = Holder{s.target - 1, h.chance(s, now)}
+			n++
+		}
+	}
+	return n, r.rate / (1 + max(0, now.Sub(r.used).Seconds())/rateTime.Seconds())
+}
+
+func (h *History) chance(s sign, now time.Time) float64 {
+	c := dispatchChance
+	if s.event {
+		c = eventChance
+	}
+	c /= 1 + max(0, now.Sub(s.at).Seconds())/holdTime.Seconds()
+	if i := int(s.target - 1); i < len(h.gaps) && s.at.Before(h.gaps[i]) {
+		c *= gapChance
+	}
+	return c
+}
+
+func (r *record) mark(target int32, event bool, now time.Time) {
+	oldest := &r.holders[0]
+	for i := range r.holders {
+		s := &r.holders[i]
+		if s.target == target+1 {
+			s.at, s.event = now, s.event || event
+			return
+		}
+		if s.target == 0 || (oldest.target != 0 && s.at.Before(oldest.at)) {
+			oldest = s
+		}
+	}
+	*oldest = sign{target + 1, event, now}
+}
+
+func (r *record) unmark(target int32) {
+	for i := range r.holders {
+		if r.holders[i].target == target+1 {
+			r.holders[i] = sign{}
+		}
+	}
+}
