--- a/cmd/internal/ctl/check.go
+++ b/cmd/internal/ctl/check.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"time"
@@ -10,17 +11,37 @@
 	"sardinefront.dev/rules"
 )
 
+// accepted returns the rules in the store, so that a move that has ended may
+// stay in a file, or nothing if no platform is named.
+func (e *env) accepted() ([]byte, error) {
+	if e.platform == "" {
+		return nil, nil
+	}
+	kv, err := e.store()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), pushTimeout)
+	defer cancel()
+	v, err := current(ctx, kv)
+	return v.Text, err
+}
+
 func checkCommand() command {
 	file := ""
 	sub := flaggy.NewSubcommand("check")
-	sub.Description = "Checks a rules file and prints every finding with its line and column."
+	sub.Description = "Checks a rules file, with --platform as an edit of the rules in force, and prints every finding with its line and column."
 	sub.AddPositionalValue(&file, "file", 1, true, "the rules file")
 	return command{sub: sub, run: func(e *env) error {
 		text, err := os.ReadFile(file)
 		if err != nil {
 			return err
 		}
-		set, findings := rules.Parse(file, text, time.Now())
+		accepted, err := e.accepted()
+		if err != nil {
+			return err
+		}
+		set, findings := rules.ParseEdit(file, accepted, text, time.Now())
 		if e.output == "json" {
 			if err := e.json(findings); err != nil {
 				return err
--- a/host/callers.go
+++ b/host/callers.go
@@ -35,12 +35,16 @@
 	headerTarget       = "Sardinefront-Target"
 )
 
+// idSeparator stands between organisation and id in the id that targets see.
+// Neither part may contain it.
+const idSeparator = "~"
+
 // outcomePath is where callers ask for the outcome of a recorded request.
 const outcomePath = "/sardinefront/requests/"
 
 var (
-	organisationForm = regexp.MustCompile(`^[A-Za-z0-9_-]{1,64}$`)
-	idForm           = regexp.MustCompile(`^[A-Za-z0-9._~:-]{1,128}$`)
+	organisationForm = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
+	idForm           = regexp.MustCompile(`^[A-Za-z0-9._:-]{1,128}$`)
 )
 
 // intake is a caller's request, copied out of the server's buffers.
@@ -59,6 +63,7 @@
 	if err != nil {
 		return err
 	}
+	h.callerListener = callerconn.Track(l)
 	h.callers = fiber.New(fiber.Config{
 		BodyLimit:    h.settings.Limits.BodyBytes,
 		ReadTimeout:  h.settings.Limits.ReadTimeout,
@@ -71,7 +76,7 @@
 	h.callers.All("/*", h.serveCaller)
 	h.callerAddress = l.Addr().String()
 	h.tasks.Go(func() {
-		_ = h.callers.Listener(l, fiber.ListenConfig{DisableStartupMessage: true})
+		_ = h.callers.Listener(h.callerListener, fiber.ListenConfig{DisableStartupMessage: true})
 	})
 	return nil
 }
@@ -170,7 +175,7 @@
 func (h *Host) describe(c fiber.Ctx, in *intake) *refusal.Refusal {
 	now := time.Now()
 	in.req = &request.Request{
-		ID:           in.organisation + "." + in.id,
+		ID:           in.organisation + idSeparator + in.id,
 		Organisation: in.organisation,
 		Tier:         in.class.Tier,
 		Effect:       in.class.Effect,
@@ -202,6 +207,9 @@
 	if err != nil {
 		return refusal.New(refusal.BadRequest, "%v", err)
 	}
+	if limit := in.class.PromptLimit; limit > 0 && est.PromptTokens > limit {
+		return refusal.New(refusal.BodyTooLarge, "the prompt has about %d tokens, the rules allow %d", est.PromptTokens, limit)
+	}
 	in.req.PromptTokens, in.req.MaxTokens, in.req.Prefix = est.PromptTokens, est.MaxTokens, est.Prefix
 	in.call.Method = http.MethodPost
 	in.call.Path = est.Path
--- a/host/host.go
+++ b/host/host.go
@@ -19,6 +19,7 @@
 	"sardinefront.dev/core/request"
 	"sardinefront.dev/core/telemetry"
 	"sardinefront.dev/fleet"
+	"sardinefront.dev/host/internal/callerconn"
 	"sardinefront.dev/host/settings"
 	"sardinefront.dev/journal"
 	"sardinefront.dev/journal/claim"
@@ -30,8 +31,10 @@
 	settings settings.Settings
 	log      *slog.Logger
 	metrics  *telemetry.Metrics
-	store    platform.KV
-	hosts    platform.Hosts
+	// store is gate, kept apart for its narrow type.
+	store platform.KV
+	gate  *gate
+	hosts platform.Hosts
 
 	journal *journal.Node
 	// fleet is nil on a host without peers.
@@ -49,8 +52,9 @@
 	drain        chan struct{}
 	drainOnce    sync.Once
 
-	callers   *fiber.App
-	operators *fiber.App
+	callers        *fiber.App
+	callerListener *callerconn.Tracker
+	operators      *fiber.App
 	// The addresses that the listeners are bound to.
 	callerAddress, operatorAddress string
 	tasks                          conc.WaitGroup
@@ -75,10 +79,12 @@
 // New returns a host that is not yet started.
 func New(s settings.Settings, d Dependencies) *Host {
 	h := &Host{
-		settings: s, log: d.Log, metrics: d.Metrics, store: d.Store, hosts: d.Hosts,
+		settings: s, log: d.Log, metrics: d.Metrics, hosts: d.Hosts,
+		gate:         &gate{kv: d.Store},
 		rulesChanged: make(chan struct{}, 1),
 		drain:        make(chan struct{}),
 	}
+	h.store = h.gate
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.drainCtx, h.drainStop = context.WithCancel(context.Background())
 	h.owner = newOwner(s.Host.Name, time.Now())
--- a/host/operators.go
+++ b/host/operators.go
@@ -161,7 +161,7 @@
 
 // serveExplain shows the recent decisions about one request.
 func (h *Host) serveExplain(c fiber.Ctx) error {
-	id := c.Params("organisation") + "." + c.Params("id")
+	id := c.Params("organisation") + idSeparator + c.Params("id")
 	var found []pool.Decision
 	for _, runner := range *h.pools.Load() {
 		found = append(found, runner.sched.Explain(id)...)
--- a/rules/set.go
+++ b/rules/set.go
@@ -165,6 +165,15 @@
 // 1000.
 func (s *Set) Weight(organisation string) int { return s.organisation(organisation).weight }
 
+// Weights returns the weights of all organisations that a line names.
+func (s *Set) Weights() map[string]float64 {
+	weights := make(map[string]float64, len(s.organisations))
+	for name, o := range s.organisations {
+		weights[name] = float64(o.weight)
+	}
+	return weights
+}
+
 // DefaultTier returns the tier of an organisation's calls whose line states
 // none.
 func (s *Set) DefaultTier(organisation string) request.Tier {
