Add demo with both deployments, faults and a round-robin baseline

Cause: a paused request whose answer had not begun was reported as failed, and a GET with a body was retried at every target. Change: a pause before the head of the answer resumes later, a call that cannot be expressed is refused at once, and patient completions are streamed so that they can be paused.

--- a/cmd/internal/ctl/ctl.go
+++ b/cmd/internal/ctl/ctl.go
@@ -111,6 +111,7 @@
 		explainCommand(),
 		drainCommand(),
 		keysCommand(),
+		demoCommand(),
 		standinCommand(),
 	}
 }
--- /dev/null
+++ b/cmd/internal/demo/baseline.go
@@ -0,0 +1,49 @@
+package demo
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+)
+
+// baselineTries is how often a caller of the baseline repeats a call whose
+// connection broke. Nothing recognises the repeat.
+const baselineTries = 2
+
+// roundRobin sends each job to the next target of its pool.
+type roundRobin struct {
+	targets *targetSet
+	client  *http.Client
+	next    atomic.Uint64
+}
+
+func (b *roundRobin) name() string { return "round-robin" }
+
+func (b *roundRobin) seenAs(j *job) string { return j.id }
+
+func (b *roundRobin) run(ctx context.Context, _ int, j *job) result {
+	header := http.Header{"X-Request-Id": {j.id}}
+	r := result{}
+	for range baselineTries {
+		r = perform(ctx, b.client, j, "http://"+b.target(j)+b.path(j), header, j.id)
+		if r.outcome != broken || ctx.Err() != nil {
+			break
+		}
+	}
+	return r
+}
+
+func (b *roundRobin) target(j *job) string {
+	n := b.next.Add(1)
+	if j.kind.engine {
+		return b.targets.engines[n%uint64(len(b.targets.engines))].Addr()
+	}
+	return b.targets.services[n%uint64(len(b.targets.services))].Addr()
+}
+
+func (b *roundRobin) path(j *job) string {
+	if j.kind.engine {
+		return "/v1/completions"
+	}
+	return j.kind.path
+}
--- /dev/null
+++ b/cmd/internal/demo/fleet.go
@@ -0,0 +1,88 @@
+package demo
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"sardinefront.dev/core/request"
+)
+
+const (
+	// orderRepeats is how often a caller repeats an order whose fate it does
+	// not know, under the same id and on whichever host the balancer picks.
+	orderRepeats = 8
+	repeatAfter  = 300 * time.Millisecond
+	outcomePoll  = 200 * time.Millisecond
+	outcomePath  = "/sardinefront/requests/"
+)
+
+func (j *job) patient() bool { return j.kind.tier == request.Patient }
+
+// fleetCaller sends jobs to the entry hosts, as callers behind the platform's
+// balancer do.
+type fleetCaller struct {
+	hosts  *hostSet
+	client *http.Client
+}
+
+func (c *fleetCaller) name() string { return "sardinefront" }
+
+// seenAs returns the id under which targets see a job.
+func (c *fleetCaller) seenAs(j *job) string { return j.organisation + "~" + j.id }
+
+func (c *fleetCaller) run(ctx context.Context, n int, j *job) result {
+	start := time.Now()
+	r := c.once(ctx, n, j)
+	for i := 1; j.kind.nonIdempotent && unsettled(r) && i <= orderRepeats && ctx.Err() == nil; i++ {
+		wait(ctx, repeatAfter)
+		r = c.once(ctx, n+i, j)
+	}
+	if j.patient() && (r.outcome == accepted || r.outcome == broken) {
+		r = c.fetch(ctx, n, j)
+	}
+	r.took = time.Since(start)
+	return r
+}
+
+// unsettled reports whether a caller does not know yet what became of its
+// order.
+func unsettled(r result) bool {
+	return r.outcome == broken || r.reason == "in-progress"
+}
+
+func (c *fleetCaller) once(ctx context.Context, n int, j *job) result {
+	return perform(ctx, c.client, j, "http://"+c.hosts.address(n)+j.kind.path, c.header(j), c.seenAs(j))
+}
+
+func (c *fleetCaller) header(j *job) http.Header {
+	return http.Header{"X-Organisation": {j.organisation}, "Idempotency-Key": {j.id}}
+}
+
+// fetch asks any host for the outcome of a patient request until it has one.
+func (c *fleetCaller) fetch(ctx context.Context, n int, j *job) result {
+	get := *j
+	kind := *j.kind
+	kind.method, kind.path = http.MethodGet, outcomePath+j.id
+	get.kind = &kind
+	for i := n + 1; ; i++ {
+		r := c.once(ctx, i, &get)
+		if r.outcome == answered || r.outcome == wrong || (r.outcome == refused && r.reason != "store-unavailable") {
+			return r
+		}
+		if !wait(ctx, outcomePoll) {
+			return result{outcome: accepted}
+		}
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/cmd/internal/demo/phase.go
@@ -0,0 +1,125 @@
+package demo
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// settleFor is how long requests may go on after the last arrival.
+const settleFor = 8 * time.Second
+
+// scheduler is what the load is sent through.
+type scheduler interface {
+	name() string
+	seenAs(j *job) string
+	run(ctx context.Context, n int, j *job) result
+}
+
+func sortJobs(jobs []job) {
+	slices.SortStableFunc(jobs, func(a, b job) int { return cmp.Compare(a.at, b.at) })
+}
+
+// fault is something that happens during a phase.
+type fault struct {
+	at   time.Duration
+	what string
+	act  func()
+}
+
+// replay sends the jobs at their times and returns one result for each.
+// Requests that are open settleFor after the last arrival are ended.
+func replay(ctx context.Context, s scheduler, jobs []job, faults []fault, progress io.Writer) []result {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	results := make([]result, len(jobs))
+	start := time.Now()
+	var wg sync.WaitGroup
+	for _, f := range faults {
+		wg.Go(func() {
+			if wait(ctx, f.at) {
+				fmt.Fprintf(progress, "%5.1fs  %s\n", time.Since(start).Seconds(), f.what)
+				f.act()
+			}
+		})
+	}
+	for i := range jobs {
+		if !wait(ctx, time.Until(start.Add(jobs[i].at))) {
+			break
+		}
+		wg.Go(func() { results[i] = s.run(ctx, i, &jobs[i]) })
+	}
+	end := time.AfterFunc(time.Until(start.Add(loadFor+settleFor)), func() { cancel(errEnded) })
+	defer end.Stop()
+	wg.Wait()
+	return results
+}
+
+// violations checks the invariants that the callers and the targets can see.
+func violations(s scheduler, jobs []job, results []result, runs map[string]int) []string {
+	var found []string
+	for i := range jobs {
+		j, r := &jobs[i], results[i]
+		n := runs[s.seenAs(j)]
+		if n > 1 {
+			found = append(found, fmt.Sprintf("I1: %s %s ran %d times", j.kind.name, j.id, n))
+		}
+		if r.outcome == wrong {
+			found = append(found, fmt.Sprintf("I4: %s %s got an answer that is not its own", j.kind.name, j.id))
+		}
+		if r.outcome == refused && r.ran == "not-run" && n > 0 {
+			found = append(found, fmt.Sprintf("I5: %s %s was refused as not run (%s) and ran", j.kind.name, j.id, r.reason))
+		}
+		if j.patient() && r.outcome == accepted {
+			found = append(found, fmt.Sprintf("I10: %s %s has no outcome %s after the load", j.kind.name, j.id, settleFor))
+		}
+	}
+	return found
+}
+
+// duplicates counts the jobs that ran more than once.
+func duplicates(s scheduler, jobs []job, runs map[string]int) int {
+	n := 0
+	for i := range jobs {
+		if runs[s.seenAs(&jobs[i])] > 1 {
+			n++
+		}
+	}
+	return n
+}
+
+// refusalsOf lists the reasons of a tier's refusals and broken answers.
+func refusalsOf(jobs []job, results []result, in func(*job) bool) string {
+	counts := make(map[string]int)
+	for i := range jobs {
+		if !in(&jobs[i]) {
+			continue
+		}
+		switch r := results[i]; r.outcome {
+		case refused:
+			counts[r.reason]++
+		case broken:
+			counts["broken:"+cmp.Or(r.reason, "connection")]++
+		case accepted, pending:
+			counts["open"]++
+		case answered:
+			if !r.good(jobs[i].kind) {
+				counts["late"]++
+			}
+		}
+	}
+	names := make([]string, 0, len(counts))
+	for name := range counts {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for i, name := range names {
+		names[i] = fmt.Sprintf("%s %d", name, counts[name])
+	}
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/cmd/internal/demo/targets.go
@@ -0,0 +1,96 @@
+package demo
+
+import (
+	"fmt"
+	"time"
+
+	"sardinefront.dev/platform"
+	"sardinefront.dev/standin/engine"
+	"sardinefront.dev/standin/service"
+)
+
+// reportLag and cacheLag make the engines' reports stale, as real ones are.
+const (
+	reportLag = 500 * time.Millisecond
+	cacheLag  = 300 * time.Millisecond
+	cacheGap  = 0.05
+	// serviceLatency is the time of one call to a plain service.
+	serviceLatency = 20 * time.Millisecond
+)
+
+// targetSet is the simulated targets of one deployment.
+type targetSet struct {
+	engines  []*engine.Server
+	services []*service.Server
+	list     []platform.HostInfo
+}
+
+func startTargets(d *deployment) (*targetSet, error) {
+	s := &targetSet{}
+	for i := range d.engines {
+		speed := generations[i%len(generations)]
+		e := engine.New(engine.Config{
+			Name: fmt.Sprintf("%s-%d", d.enginePool, i), Model: d.enginePool, Version: d.version,
+			TokenRate: tokenRate * speed, PrefillRate: prefillRate * speed, Slots: slots,
+			ReportLag: reportLag, CacheLag: cacheLag, CacheGap: cacheGap,
+			IgnoreFencing: i%2 == 1,
+		})
+		if err := e.Start("127.0.0.1:0"); err != nil {
+			return s, err
+		}
+		s.engines = append(s.engines, e)
+		s.add(d, fmt.Sprintf("%s-%d", d.enginePool, i), e.Addr(), d.enginePool, i)
+	}
+	for i := range d.services {
+		v := service.New(service.Config{Name: fmt.Sprintf("%s-%d", d.servicePool, i), Latency: serviceLatency})
+		if err := v.Start("127.0.0.1:0"); err != nil {
+			return s, err
+		}
+		s.services = append(s.services, v)
+		s.add(d, fmt.Sprintf("%s-%d", d.servicePool, i), v.Addr(), d.servicePool, i)
+	}
+	return s, nil
+}
+
+func (s *targetSet) add(d *deployment, name, address, pool string, i int) {
+	version := ""
+	if pool == d.enginePool {
+		version = d.version
+	}
+	s.list = append(s.list, platform.HostInfo{
+		Name: name, Role: platform.RoleTarget, Address: address, Zone: d.zones[i%len(d.zones)], Pool: pool, Version: version,
+	})
+}
+
+func (s *targetSet) close() {
+	for _, e := range s.engines {
+		e.Close()
+	}
+	for _, v := range s.services {
+		v.Close()
+	}
+}
+
+// runs returns how often each request id ran, over all targets.
+func (s *targetSet) runs() map[string]int {
+	all := make(map[string]int)
+	for _, e := range s.engines {
+		for id, n := range e.Runs() {
+			all[id] += n
+		}
+	}
+	for _, v := range s.services {
+		for id, n := range v.Runs() {
+			all[id] += n
+		}
+	}
+	return all
+}
+
+func (s *targetSet) prefilled() int64 {
+	var sum int64
+	for _, e := range s.engines {
+		sum += e.Prefilled()
+	}
+	return sum
+}
--- a/core/refusal/retry.go
+++ b/core/refusal/retry.go
@@ -9,13 +9,11 @@
 // The retry reasons. They label the retry counter.
 const (
 	RetryDialFailed Retry = iota
-	RetryConnectionStale
 	RetryTargetLeft
-	RetryLimitRaced
 	retryCount
 )
 
-var retryNames = [retryCount]string{"dial-failed", "connection-stale", "target-left", "limit-raced"}
+var retryNames = [retryCount]string{"dial-failed", "target-left"}
 
 // String returns the counter label.
 func (r Retry) String() string {
--- a/host/callers.go
+++ b/host/callers.go
@@ -191,6 +191,9 @@
 		Header: copyHeader(c),
 		Body:   append([]byte(nil), c.Body()...),
 	}
+	if len(in.call.Body) > 0 && (in.call.Method == http.MethodGet || in.call.Method == http.MethodHead) {
+		return refusal.New(refusal.BadRequest, "a %s request has no body", in.call.Method)
+	}
 	runner, ok := (*h.pools.Load())[in.class.Pool]
 	if !ok {
 		return refusal.New(refusal.UnknownPool, "pool %s is not running on this host", in.class.Pool)
--- a/host/exchange.go
+++ b/host/exchange.go
@@ -38,9 +38,11 @@
 	run context.Context
 
 	dispatched bool
-	backend    backend
-	target     string
-	answer     *target.Answer
+	// unsent is why the last attempt sent no byte.
+	unsent  refusal.Retry
+	backend backend
+	target  string
+	answer  *target.Answer
 	// offset counts the received events of a stream.
 	offset int64
 	first  time.Time
@@ -57,7 +59,7 @@
 			return nil, ref
 		}
 		if a.Retry {
-			x.h.retried(x.ticket.req, refusal.RetryDialFailed, a.Target)
+			x.h.retried(x.ticket.req, x.unsent, a.Target)
 		}
 		ref = x.attempt(x.runContext(ctx), a)
 		if ref != nil {
@@ -77,7 +79,7 @@
 }
 
 // await returns the next dispatch of the request.
-func (x *exchange) await(ctx context.Context) (pool.Action, *refusal.Refusal) {
+func (x *exchange) await(ctx context.Context) (ticketAction, *refusal.Refusal) {
 	select {
 	case a := <-x.ticket.actions:
 		if a.Kind == pool.Refuse {
@@ -90,7 +92,7 @@
 		return a, nil
 	case <-ctx.Done():
 		x.pool.cancel(x.ticket)
-		return pool.Action{}, x.finish(x.gone(ctx))
+		return ticketAction{}, x.finish(x.gone(ctx))
 	}
 }
 
@@ -110,15 +112,20 @@
 
 // attempt performs a dispatch. It returns neither refusal nor answer if no byte
 // went out, in which case the pool decides on a retry.
-func (x *exchange) attempt(ctx context.Context, a pool.Action) *refusal.Refusal {
+func (x *exchange) attempt(ctx context.Context, a ticketAction) *refusal.Refusal {
+	attempt := x.attemptContext(ctx)
+	if x.ticket.pauses.Load() > a.pauses {
+		// Paused before it began; the next dispatch goes on.
+		return nil
+	}
 	b, ok := x.pool.backend(a.Target)
 	if !ok {
-		x.pool.done(x.ticket, pool.NotSent)
+		x.notSent(refusal.RetryTargetLeft)
 		return nil
 	}
 	x.backend, x.target = b, a.Target
-	if a.Resume {
-		return x.reopen(ctx, int64(a.Offset))
+	if a.Resume && x.dispatched {
+		return x.reopen(ctx, attempt)
 	}
 	if x.beforeSend != nil {
 		if ref := x.beforeSend(ctx, a.Target); ref != nil {
@@ -133,7 +140,7 @@
 		return refusal.New(refusal.OutcomeUnknown, "second dispatch prevented")
 	}
 	x.dispatched = true
-	ans, err := b.Do(x.attemptContext(ctx), x.call)
+	ans, err := b.Do(attempt, x.call)
 	if err == nil {
 		x.answer = ans
 		return nil
@@ -141,11 +148,39 @@
 	var send *target.SendError
 	if errors.As(err, &send) && !send.Sent {
 		x.dispatched = false
-		if ctx.Err() != nil {
-			x.pool.done(x.ticket, pool.Cancelled)
-			return x.gone(ctx)
-		}
-		x.pool.done(x.ticket, pool.NotSent)
+		return x.unsentCall(ctx, send)
+	}
+	return x.interrupted(ctx, err)
+}
+
+// unsentCall handles a call of which no byte went out. The pool decides on a
+// retry, unless another target would make no difference.
+func (x *exchange) unsentCall(ctx context.Context, send *target.SendError) *refusal.Refusal {
+	switch {
+	case ctx.Err() != nil:
+		x.pool.done(x.ticket, pool.Cancelled)
+		return x.gone(ctx)
+	case send.Reason == target.ReasonInvalid:
+		x.pool.done(x.ticket, pool.Cancelled)
+		return refusal.New(refusal.BadRequest, "%v", send.Err)
+	case x.paused.Load():
+		// The pool's next dispatch sends the request for the first time.
+		return nil
+	}
+	x.notSent(refusal.RetryDialFailed)
+	return nil
+}
+
+func (x *exchange) notSent(why refusal.Retry) {
+	x.unsent = why
+	x.pool.done(x.ticket, pool.NotSent)
+}
+
+// interrupted handles an attempt that ended before the head of the answer. It
+// returns nil if the scheduler paused it, after which it is resumed later.
+func (x *exchange) interrupted(ctx context.Context, err error) *refusal.Refusal {
+	if ctx.Err() == nil && x.paused.Load() {
+		x.cancelAtTarget()
 		return nil
 	}
 	return x.failed(ctx, err)
@@ -164,18 +199,16 @@
 	return actx
 }
 
-// reopen continues the stream from the offset at its engine.
-func (x *exchange) reopen(ctx context.Context, offset int64) *refusal.Refusal {
+// reopen continues the stream at its engine from what has been received.
+func (x *exchange) reopen(ctx, attempt context.Context) *refusal.Refusal {
 	e, ok := x.backend.(engineBackend)
 	if !ok {
 		x.pool.done(x.ticket, pool.Cut)
 		return refusal.New(refusal.AnswerCut, "target %s cannot resume", x.target)
 	}
-	x.dispatched = true
-	x.offset = offset
-	ans, err := e.Resume(x.attemptContext(ctx), x.call.ID, offset)
+	ans, err := e.Resume(attempt, x.call.ID, x.offset)
 	if err != nil {
-		return x.failed(ctx, err)
+		return x.interrupted(ctx, err)
 	}
 	x.answer = ans
 	return nil
@@ -251,11 +284,9 @@
 	}
 	if x.paused.Load() {
 		x.cancelAtTarget()
-		a, ref := x.await(ctx)
-		if ref != nil {
-			return ref
-		}
-		return x.attempt(ctx, a)
+		x.answer = nil
+		_, ref := x.open(ctx)
+		return ref
 	}
 	var cut *target.CutError
 	if e, ok := x.backend.(engineBackend); ok && errors.As(err, &cut) {
--- a/host/fleet.go
+++ b/host/fleet.go
@@ -14,6 +14,7 @@
 	"sardinefront.dev/fleet/member"
 	"sardinefront.dev/fleet/peer"
 	"sardinefront.dev/journal/claim"
+	"sardinefront.dev/sched/pool"
 )
 
 // The kinds of calls between hosts that this package answers.
@@ -170,11 +171,11 @@
 }
 
 // SendFloor implements floorSender.
-func (h *Host) SendFloor(pool string, tier request.Tier, until time.Time) {
+func (h *Host) SendFloor(poolName string, tier request.Tier, until time.Time) {
 	if h.fleet == nil {
 		return
 	}
-	body, err := cbor.Marshal(floorNotice{Pool: pool, Tier: tier, Millis: time.Until(until).Milliseconds()})
+	body, err := cbor.Marshal(floorNotice{Pool: poolName, Tier: tier, Millis: time.Until(until).Milliseconds()})
 	if err == nil {
 		h.fleet.BroadcastFloor(body)
 	}
@@ -193,7 +194,6 @@
 	if !ok {
 		return
 	}
-	now := time.Now()
-	until := now.Add(min(time.Duration(f.Millis)*time.Millisecond, maxFloor))
-	runner.apply(runner.sched.Floor(f.Tier, until, from, now))
+	left := min(time.Duration(f.Millis)*time.Millisecond, maxFloor)
+	runner.do(func(now time.Time) []pool.Action { return runner.sched.Floor(f.Tier, now.Add(left), from, now) })
 }
--- /dev/null
+++ b/host/internal/prompt/assemble.go
@@ -0,0 +1,96 @@
+package prompt
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// AsStream returns the body with streaming asked for. Only a stream can be
+// paused and resumed.
+func AsStream(body []byte) ([]byte, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, fmt.Errorf("completion request: %w", err)
+	}
+	fields["stream"] = json.RawMessage("true")
+	return json.Marshal(fields)
+}
+
+// ErrNoEnd means that an event stream lacks its terminal event.
+var ErrNoEnd = errors.New("event stream without its terminal event")
+
+type chunk struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model,omitempty"`
+	Choices []choice `json:"choices"`
+}
+
+type choice struct {
+	Index        int    `json:"index"`
+	Text         string `json:"text,omitempty"`
+	Delta        *turn  `json:"delta,omitempty"`
+	Message      *turn  `json:"message,omitempty"`
+	FinishReason string `json:"finish_reason,omitempty"`
+}
+
+type turn struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+// Assemble turns the events of a streamed completion into the one JSON object
+// that the engine would have sent without streaming.
+func Assemble(events []byte) ([]byte, error) {
+	var whole chunk
+	var text strings.Builder
+	for line := range bytes.Lines(events) {
+		data, ok := bytes.CutPrefix(bytes.TrimSpace(line), []byte("data: "))
+		if !ok {
+			continue
+		}
+		if string(data) == "[DONE]" {
+			return whole.finish(text.String())
+		}
+		var c chunk
+		if err := json.Unmarshal(data, &c); err != nil {
+			return nil, fmt.Errorf("event of a completion: %w", err)
+		}
+		whole.add(c, &text)
+	}
+	return nil, ErrNoEnd
+}
+
+func (w *chunk) add(c chunk, text *strings.Builder) {
+	if w.ID == "" {
+		w.ID, w.Object, w.Model = c.ID, c.Object, c.Model
+	}
+	if len(c.Choices) == 0 {
+		return
+	}
+	ch := c.Choices[0]
+	text.WriteString(ch.Text)
+	if ch.Delta != nil {
+		text.WriteString(ch.Delta.Content)
+	}
+	if len(w.Choices) == 0 {
+		w.Choices = c.Choices[:1]
+	}
+	w.Choices[0].FinishReason = ch.FinishReason
+}
+
+func (w *chunk) finish(text string) ([]byte, error) {
+	w.Object = strings.TrimSuffix(w.Object, ".chunk")
+	for i := range w.Choices {
+		c := &w.Choices[i]
+		if c.Delta != nil {
+			c.Delta, c.Message = nil, &turn{Role: "assistant", Content: text}
+			continue
+		}
+		c.Text = text
+	}
+	return json.Marshal(w)
+}
--- a/host/internal/prompt/prompt_test.go
+++ b/host/internal/prompt/prompt_test.go
@@ -33,3 +33,24 @@
 		t.Errorf("max tokens %d", a.MaxTokens)
 	}
 }
+
+// Guards against a recorded answer that lost a part of its stream, and against
+// one that was put together from a stream that was cut.
+func TestAssembleNeedsWholeStream(t *testing.T) {
+	stream := `data: {"id":"a","object":"chat.completion.chunk","choices":[{"index":0,"delta":{"role":"assistant","content":"one "}}]}
+
+data: {"id":"a","object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":"two"},"finish_reason":"length"}]}
+
+`
+	if _, err := Assemble([]byte(stream)); err == nil {
+		t.Error("a cut stream was put together")
+	}
+	got, err := Assemble([]byte(stream + "data: [DONE]\n\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := `{"id":"a","object":"chat.completion","choices":[{"index":0,"message":{"role":"assistant","content":"one two"},"finish_reason":"length"}]}`
+	if string(got) != want {
+		t.Errorf("got %s", got)
+	}
+}
--- a/host/patient.go
+++ b/host/patient.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -12,8 +13,10 @@
 
 	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/core/request"
+	"sardinefront.dev/host/internal/prompt"
 	"sardinefront.dev/journal"
 	"sardinefront.dev/journal/claim"
+	"sardinefront.dev/sched/pool"
 	"sardinefront.dev/target"
 )
 
@@ -33,6 +36,33 @@
 type storedRequest struct {
 	Request request.Request `cbor:"1,keyasint"`
 	Call    target.Call     `cbor:"2,keyasint"`
+	// Whole means that the caller asked for one JSON object, while the call asks
+	// the engine for a stream.
+	Whole bool `cbor:"3,keyasint,omitempty"`
+}
+
+// newStoredRequest makes a completion a stream, because only a stream can be
+// paused and resumed.
+func newStoredRequest(in *intake, engine bool) (storedRequest, error) {
+	s := storedRequest{Request: *in.req, Call: in.call}
+	if !engine || in.call.Stream {
+		return s, nil
+	}
+	body, err := prompt.AsStream(in.call.Body)
+	s.Call.Body, s.Call.Stream, s.Whole = body, true, true
+	return s, err
+}
+
+// finish returns the answer in the form that the caller asked for.
+func (s *storedRequest) finish(a claim.Answer) claim.Answer {
+	if !s.Whole || !strings.HasPrefix(a.ContentType, "text/event-stream") {
+		return a
+	}
+	whole, err := prompt.Assemble(a.Response)
+	if err != nil {
+		return a
+	}
+	return claim.Answer{Status: a.Status, ContentType: "application/json", Response: whole, Size: len(whole)}
 }
 
 // accepted is what the caller of a patient request receives.
@@ -44,9 +74,9 @@
 
 // submitPatient accepts a patient request once it is on record.
 func (h *Host) submitPatient(c fiber.Ctx, in *intake) error {
-	body, err := cbor.Marshal(storedRequest{Request: *in.req, Call: in.call})
+	body, err := h.encodePatient(in)
 	if err != nil {
-		return fmt.Errorf("encode patient request: %w", err)
+		return h.refuse(c, in.id, in.organisation, request.Patient, refusal.New(refusal.BadRequest, "%v", err))
 	}
 	if len(body) > journal.MaxBody {
 		return h.refuse(c, in.id, in.organisation, request.Patient,
@@ -73,6 +103,15 @@
 	}
 }
 
+func (h *Host) encodePatient(in *intake) ([]byte, error) {
+	runner, ok := (*h.pools.Load())[in.req.Pool]
+	stored, err := newStoredRequest(in, ok && runner.kind == pool.Engine)
+	if err != nil {
+		return nil, err
+	}
+	return cbor.Marshal(stored)
+}
+
 func (h *Host) replyAccepted(c fiber.Ctx, id string, phase claim.Phase) error {
 	c.Set(headerOwnID, id)
 	return c.Status(http.StatusAccepted).JSON(accepted{ID: id, State: phase.String(), Outcome: outcomePath + id})
@@ -133,7 +172,7 @@
 			h.handOver(st)
 			return
 		}
-		if h.tryPatient(st, in) {
+		if h.tryPatient(st, in, &stored) {
 			return
 		}
 		h.sleep(patientRetry)
@@ -159,7 +198,7 @@
 
 // tryPatient queues the request once. It reports whether this host is done
 // with it.
-func (h *Host) tryPatient(st claim.State, in *intake) bool {
+func (h *Host) tryPatient(st claim.State, in *intake, stored *storedRequest) bool {
 	runner, ok := (*h.pools.Load())[in.req.Pool]
 	if !ok {
 		return false
@@ -177,7 +216,7 @@
 	answer, ref := x.collect(ctx)
 	switch {
 	case ref == nil:
-		h.record(c.state, claim.Record{Phase: claim.Answered, Answer: answer})
+		h.record(c.state, claim.Record{Phase: claim.Answered, Answer: stored.finish(answer)})
 		return true
 	case c.lost:
 		return true
--- a/host/pool.go
+++ b/host/pool.go
@@ -22,11 +22,20 @@
 // ticket links a request in a pool to the goroutine that handles it.
 type ticket struct {
 	req     *request.Request
-	actions chan pool.Action
+	actions chan ticketAction
+	// pauses counts the pauses of the request.
+	pauses atomic.Uint64
 	// onPause stops the current attempt. It is called from any goroutine.
 	onPause atomic.Pointer[func()]
 }
 
+// ticketAction is an action with the number of pauses before it, which tells
+// whether the request was paused again after it.
+type ticketAction struct {
+	pool.Action
+	pauses uint64
+}
+
 // poolRunner performs the decisions of one pool on this host.
 type poolRunner struct {
 	name  string
@@ -38,6 +47,9 @@
 	// addresses is owned by the goroutine that updates the targets.
 	addresses map[string]string
 
+	// order keeps the actions of successive decisions in order.
+	order sync.Mutex
+
 	mu      sync.Mutex
 	tickets map[string]*ticket
 	probes  map[string]*probeState
@@ -74,7 +86,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
-			p.apply(p.sched.Tick(now))
+			p.do(func(time.Time) []pool.Action { return p.sched.Tick(now) })
 		}
 	}
 }
@@ -92,7 +104,7 @@
 	if ref != nil {
 		return nil, ref
 	}
-	p.apply(p.sched.Submit(req, time.Now()))
+	p.do(func(now time.Time) []pool.Action { return p.sched.Submit(req, now) })
 	return t, nil
 }
 
@@ -102,7 +114,7 @@
 	if ref != nil {
 		return nil, ref
 	}
-	p.apply(p.sched.Resume(req, offset, target, time.Now()))
+	p.do(func(now time.Time) []pool.Action { return p.sched.Resume(req, offset, target, now) })
 	return t, nil
 }
 
@@ -112,7 +124,7 @@
 	if _, ok := p.tickets[req.ID]; ok {
 		return nil, refusal.New(refusal.InProgress, "a request with this id is in progress on this host")
 	}
-	t := &ticket{req: req, actions: make(chan pool.Action, ticketActions)}
+	t := &ticket{req: req, actions: make(chan ticketAction, ticketActions)}
 	p.tickets[req.ID] = t
 	return t, nil
 }
@@ -128,12 +140,19 @@
 
 // cancel removes a request whose caller has gone.
 func (p *poolRunner) cancel(t *ticket) {
-	p.apply(p.sched.Cancel(t.req.ID, time.Now()))
+	p.do(func(now time.Time) []pool.Action { return p.sched.Cancel(t.req.ID, now) })
 }
 
 // done reports how a dispatch ended.
 func (p *poolRunner) done(t *ticket, r pool.Result) {
-	p.apply(p.sched.Done(t.req.ID, r, time.Now()))
+	p.do(func(now time.Time) []pool.Action { return p.sched.Done(t.req.ID, r, now) })
+}
+
+// do makes a decision and performs its actions.
+func (p *poolRunner) do(decide func(now time.Time) []pool.Action) {
+	p.order.Lock()
+	defer p.order.Unlock()
+	p.apply(decide(time.Now()))
 }
 
 // apply hands each action to whoever performs it. It never blocks.
@@ -164,10 +183,11 @@
 		return
 	}
 	if a.Kind == pool.Pause {
+		t.pauses.Add(1)
 		if stop := t.onPause.Load(); stop != nil {
 			(*stop)()
 		}
 		return
 	}
-	t.actions <- a
+	t.actions <- ticketAction{Action: a, pauses: t.pauses.Load()}
 }
--- a/host/poolset.go
+++ b/host/poolset.go
@@ -15,7 +15,7 @@
 
 // setTargets replaces the targets of the pool. Adapters of targets that stay
 // are kept with their connections.
-func (p *poolRunner) setTargets(infos []platform.HostInfo, s settings.Settings, now time.Time) {
+func (p *poolRunner) setTargets(infos []platform.HostInfo, s settings.Settings) {
 	old := *p.backends.Load()
 	next := make(map[string]backend, len(infos))
 	targets := make([]pool.Target, 0, len(infos))
@@ -32,7 +32,7 @@
 		})
 	}
 	p.backends.Store(&next)
-	p.apply(p.sched.SetTargets(targets, now))
+	p.do(func(now time.Time) []pool.Action { return p.sched.SetTargets(targets, now) })
 	for name, b := range old {
 		if next[name] != b {
 			b.Close()
--- a/host/takeover.go
+++ b/host/takeover.go
@@ -81,10 +81,10 @@
 	if ref != nil {
 		return
 	}
-	x := &exchange{h: h, pool: runner, ticket: t, call: stored.Call, run: h.ctx}
+	x := &exchange{h: h, pool: runner, ticket: t, call: stored.Call, run: h.ctx, dispatched: true}
 	answer, ref := x.collect(h.ctx)
 	if ref == nil {
-		h.record(st, claim.Record{Phase: claim.Answered, Answer: answer})
+		h.record(st, claim.Record{Phase: claim.Answered, Answer: stored.finish(answer)})
 		return
 	}
 	if ref.Reason == refusal.CallerGone || h.ctx.Err() != nil {
--- a/host/targets.go
+++ b/host/targets.go
@@ -49,7 +49,7 @@
 		return
 	}
 	for name, runner := range *h.pools.Load() {
-		runner.setTargets(listed[name], h.settings, time.Now())
+		runner.setTargets(listed[name], h.settings)
 	}
 }
 
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -5,6 +5,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sardinefront.dev/standin/internal/fault"
@@ -107,6 +108,9 @@
 	batch  *batch
 	model  model
 
+	// prefilled counts the prompt tokens that were not cached.
+	prefilled atomic.Int64
+
 	mu   sync.Mutex
 	runs map[string]*run
 
@@ -174,6 +178,10 @@
 func (s *Server) Runs() map[string]int { return s.counts.All() }
 
 // load returns the current truth, which callers see late.
+// Prefilled returns the number of prompt tokens that were computed because they
+// were not cached.
+func (s *Server) Prefilled() int64 { return s.prefilled.Load() }
+
 func (s *Server) load() target.LoadReport {
 	r := s.model.report()
 	r.Running, r.Waiting, r.Tokens = s.batch.load()
--- a/standin/engine/run.go
+++ b/standin/engine/run.go
@@ -109,6 +109,7 @@
 	defer func() { <-s.batch.prefill }()
 	cached := s.cache.use(r.prefixes) * target.BlockBytes / 4
 	missing := max(0, r.promptTokens-cached)
+	s.prefilled.Add(int64(missing))
 	return pause(ctx, seconds(r.slow*float64(missing)/s.cfg.PrefillRate))
 }
 
