Keep the age of the store's last answer from getting younger

Cause: a status test found that hosts which pass the age of the store's last answer back and forth, rounded down, make it younger for ever, so that a fleet without its store was never reported as cut off. A test with a host that receives nothing found five hosts declared dead on its word.

Change: the age passed on is rounded up and includes the time on the way. A host without any answer keeps its accusations to itself; refutations are sent to every zone at once and passed on by those that held the suspicion. Tests of membership, configuration and traffic bounds in virtual time.

--- a/fleet/config/spread.go
+++ b/fleet/config/spread.go
@@ -44,6 +44,11 @@
 // NoStore is the StoreAge of a host that knows of no answer from the store.
 const NoStore = 1<<32 - 1
 
+// storeAgeMargin, in seconds, makes the age passed on exceed the true one: one
+// for rounding up, one for the time on the way. Otherwise hosts that pass the
+// age back and forth would make it younger than it is, for ever.
+const storeAgeMargin = 2
+
 // Pull asks a peer for a newer rules file.
 type Pull struct {
 	To   string
@@ -122,7 +127,7 @@
 func (s *Spread) Advert(now time.Time) Advert {
 	a := Advert{Stamp: s.stamp, StoreAge: NoStore}
 	if !s.store.IsZero() {
-		a.StoreAge = uint32(min(max(0, now.Sub(s.store)/time.Second), NoStore-1))
+		a.StoreAge = uint32(min(max(0, now.Sub(s.store)/time.Second)+storeAgeMargin, NoStore-1))
 	}
 	return a
 }
--- /dev/null
+++ b/fleet/config/spread_test.go
@@ -0,0 +1,91 @@
+package config
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+// text makes a file of few different lines, so that lines repeat and move.
+func text(lines []int8) []byte {
+	var b bytes.Buffer
+	for i, l := range lines {
+		b.WriteString([]string{"a", "b", "", "longer line c", "d"}[int(uint8(l))%5])
+		if i < len(lines)-1 || l%2 == 0 {
+			b.WriteByte('\n')
+		}
+	}
+	return b.Bytes()
+}
+
+// Guards the deltas: any text turns into any other.
+func TestDiffThenPatchRestoresTheText(t *testing.T) {
+	p := gopter.DefaultTestParametersWithSeed(5)
+	p.MinSuccessfulTests = 2000
+	props := gopter.NewProperties(p)
+	props.Property("patch(old, diff(old, next)) == next", prop.ForAll(func(a, b []int8) bool {
+		old, next := text(a), text(b)
+		got, err := patch(old, diff(old, next), 1<<20)
+		return err == nil && bytes.Equal(got, next)
+	}, gen.SliceOf(gen.Int8()), gen.SliceOf(gen.Int8())))
+	props.TestingRun(t)
+}
+
+// Guards against deltas as long as the file for a change of one line, and
+// against a delta that is applied to another text than it was made for.
+func TestPullSendsDelta(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	long := bytes.Repeat([]byte("serve lyn-llm version 7 # Kari\n"), 1000)
+	v1 := Value{Number: 1, Text: long}
+	v2 := Value{Number: 2, Text: append([]byte("# new first line\n"), long...)}
+	server, client := NewSpread(SpreadConfig{}, now), NewSpread(SpreadConfig{}, now)
+	server.OnStore(v1, now)
+	client.OnStore(v1, now)
+	server.OnStore(v2, now)
+	p, ok := client.OnAdvert("server", server.Advert(now), now)
+	if !ok || p.Have != v1.Stamp() {
+		t.Fatalf("pull %+v, %v", p, ok)
+	}
+	r := server.Serve(PullRequest{Have: p.Have})
+	b, err := EncodeResponse(r)
+	if err != nil || len(b) > 200 {
+		t.Errorf("delta of %d bytes, %v", len(b), err)
+	}
+	other := NewSpread(SpreadConfig{}, now)
+	other.OnStore(Value{Number: 1, Text: []byte("other")}, now)
+	if other.OnPulled("server", r, now) || other.Held().Number != 1 {
+		t.Error("a delta for another text was applied")
+	}
+	if !client.OnPulled("server", r, now) || client.Stamp() != v2.Stamp() {
+		t.Error("the delta was not applied")
+	}
+}
+
+// Guards the status: a newer file that cannot be fetched is reported as late,
+// and a peer that refuses is not asked in a tight loop.
+func TestLateWhenPeerDoesNotAnswer(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	s := NewSpread(SpreadConfig{}, now)
+	pulls := 0
+	if _, ok := s.OnAdvert("peer", Advert{Stamp: Stamp{Number: 9}, StoreAge: 3}, now); ok {
+		pulls++
+	}
+	for range 100 {
+		s.OnPullFailed("peer", now)
+		now = now.Add(100 * time.Millisecond)
+		if _, ok := s.Tick(now); ok {
+			pulls++
+		}
+	}
+	st := s.Status(now)
+	if !st.Late || st.Newest != 9 || st.CutOff {
+		t.Errorf("status %+v", st)
+	}
+	if pulls < 10 || pulls > 40 {
+		t.Errorf("%d pulls in 10 s", pulls)
+	}
+}
--- a/fleet/member/merge.go
+++ b/fleet/member/merge.go
@@ -18,9 +18,8 @@
 	for _, u := range msg.Updates {
 		m.merge(u, now, &out)
 	}
-	if m.self.Refutation != denials && (msg.Kind == Ack || msg.Kind == Notice) {
-		// No answer would carry the refutation before the next probe.
-		m.send(msg.From.Name, msg.From.Address, Message{Kind: Notice}, &out)
+	if m.self.Refutation != denials {
+		m.spreadRefutation(msg, now, &out)
 	}
 	switch msg.Kind {
 	case Probe:
@@ -33,6 +32,29 @@
 	return out
 }
 
+// spreadRefutation answers the accuser, unless an Ack does, and tells some
+// members in every zone at once. The suspicion has a head start and the
+// refutation has to reach everyone before it ends.
+func (m *Machine) spreadRefutation(msg Message, now time.Time, out *Output) {
+	told := m.sample(refutationFanout)
+	for _, z := range m.zones {
+		told = append(told, m.partner(z, now))
+	}
+	if msg.Kind != Probe {
+		told = append(told, msg.From.Name)
+	}
+	m.notify(told, out)
+}
+
+// notify sends a notice to each of the members named.
+func (m *Machine) notify(names []string, out *Output) {
+	for _, name := range names {
+		if r, ok := m.records[name]; ok {
+			m.send(r.Name, r.Address, Message{Kind: Notice}, out)
+		}
+	}
+}
+
 func (m *Machine) ack(from *record, msg Message, out *Output) {
 	address := msg.From.Address
 	if from != nil {
@@ -86,12 +108,22 @@
 	if !ok {
 		return m.add(u, now, out)
 	}
-	if u.Supersedes(r.Update) {
-		m.apply(r, u, now, out)
+	if !u.Supersedes(r.Update) {
+		return r
+	}
+	refuted := r.State == Suspect && u.State == Alive && u.Incarnation == r.Incarnation
+	m.apply(r, u, now, out)
+	if refuted {
+		m.notify(m.sample(refutationFanout), out)
 	}
 	return r
 }
 
+// refutationFanout is how many members a host tells of a refutation that it
+// learns while it suspects the member. Refuted suspicions are rare, and a
+// suspicion of 3 s leaves no time for the probes to carry them to 360 hosts.
+const refutationFanout = 2
+
 // add records a new member. Statements that an unknown member is gone, and
 // members above the limit, are ignored.
 func (m *Machine) add(u Update, now time.Time, out *Output) *record {
@@ -130,11 +162,22 @@
 	}
 	u := r.Update
 	u.State = Suspect
-	m.apply(r, u, now, out)
+	m.accuse(r, u, now, out)
 	// The suspect is told directly, so that it can refute at once.
 	m.send(r.Name, r.Address, Message{Kind: Notice}, out)
 }
 
+// accuse applies a statement of this host itself. A host that has no answer
+// from anyone keeps it to itself: it is more likely cut off than right.
+func (m *Machine) accuse(r *record, u Update, now time.Time, out *Output) {
+	m.apply(r, u, now, out)
+	if m.doubt < maxDoubt || !r.hot {
+		return
+	}
+	r.hot = false
+	m.hot = slices.DeleteFunc(m.hot, func(h *record) bool { return h == r })
+}
+
 // apply replaces the record's statement and emits the event.
 func (m *Machine) apply(r *record, u Update, now time.Time, out *Output) {
 	old := r.Update
@@ -312,9 +355,7 @@
 	if len(m.zones) > 0 {
 		told = append(told, m.partner(m.zones[m.rnd.IntN(len(m.zones))], now))
 	}
-	for _, name := range told {
-		m.send(name, m.records[name].Address, Message{Kind: Notice}, &out)
-	}
+	m.notify(told, &out)
 	return out
 }
 
--- a/fleet/member/probe.go
+++ b/fleet/member/probe.go
@@ -227,7 +227,7 @@
 		if r.State == Suspect && !now.Before(r.until) {
 			u := r.Update
 			u.State = Dead
-			m.apply(r, u, now, out)
+			m.accuse(r, u, now, out)
 		}
 	}
 }
--- a/fleet/simulate/explore.go
+++ b/fleet/simulate/explore.go
@@ -108,6 +108,9 @@
 	if old := h.last[o]; !st.Newer(old) || st.Number < old.Number {
 		h.fail("%s went back from %v to %v", o.Name, old, st)
 	}
+	if o.Held().Stamp() != st {
+		h.fail("%s holds another text than number %d has", o.Name, st.Number)
+	}
 	h.last[o] = st
 	if !h.healed.IsZero() {
 		h.Settled = h.w.Now.Sub(h.healed)
@@ -192,7 +195,11 @@
 				return
 			}
 			o.Wait(ctx, think)
-			_, err = o.Push(ctx, text, "operator", comment, base.Number)
+			var v config.Value
+			v, err = o.Push(ctx, text, "operator", comment, base.Number)
+			if err == nil && v.Parent != base.Hash() && !h.SetBack {
+				h.fail("%s replaced a file that its operator had not seen", comment)
+			}
 		}
 		h.told(comment, err)
 	})
--- a/fleet/simulate/explore_test.go
+++ b/fleet/simulate/explore_test.go
@@ -5,6 +5,7 @@
 // Guards I9: no host goes back, only accepted files get into force, operators
 // are told the truth, and all hosts end with the newest file.
 func TestRandomHistories(t *testing.T) {
+	t.Parallel()
 	const first, count = 1, 200
 	r := Explore(first, count)
 	for _, f := range r.Failures {
--- a/fleet/simulate/measure_test.go
+++ b/fleet/simulate/measure_test.go
@@ -3,14 +3,38 @@
 import (
 	"testing"
 	"time"
+
+	"sardinefront.dev/fleet/internal/core"
 )
 
-func TestTraffic(t *testing.T) {
+// Guards the bounds of section 6 on peer traffic at 40 hosts per zone and 360
+// in all, with the rates of the target scale and digests of the greatest
+// length. Sent and received bytes together stay under the 5 KB/s that each
+// direction may use.
+func TestTrafficBounds(t *testing.T) {
 	const seed = 7
 	for _, l := range Layouts() {
-		start := time.Now()
-		r := Measure(seed, l, time.Minute, 2*time.Minute)
+		// The span grows as the fleet shrinks, or a single restart decides.
+		span := time.Duration(targetHosts/(l.Zones*l.PerZone)) * 50 * time.Second
+		r := Measure(seed, l, 50*time.Second, span)
 		t.Logf("seed %d, %v", seed, r)
-		t.Log(time.Since(start))
+		if both := r.OutPerSecond + r.InPerSecond; both > 5000 {
+			t.Errorf("%d hosts: %.0f B/s sent and received by a host", r.Hosts, both)
+		}
+		if r.LongestMessage > 1200 {
+			t.Errorf("%d hosts: a message of %d bytes does not fit a datagram", r.Hosts, r.LongestMessage)
+		}
+		if r.MemoryPerHost > 1<<20 {
+			t.Errorf("%d hosts: %d bytes of heap for each host", r.Hosts, r.MemoryPerHost)
+		}
+		if r.Allocations > 400 {
+			t.Errorf("%d hosts: %.0f allocations per second and host", r.Hosts, r.Allocations)
+		}
+		if r.FalseDeaths > 0 || r.SlowestChange > 19*time.Second {
+			t.Errorf("%d hosts: %d false deaths, slowest change %v", r.Hosts, r.FalseDeaths, r.SlowestChange)
+		}
+	}
+	if l := Layouts()[3]; l.DigestBytes != core.MaxDigest || l.Zones*l.PerZone != targetHosts {
+		t.Errorf("the last layout is not the target: %+v", l)
 	}
 }
--- /dev/null
+++ b/fleet/simulate/member_test.go
@@ -0,0 +1,259 @@
+package simulate
+
+import (
+	"testing"
+	"time"
+
+	"sardinefront.dev/fleet/member"
+)
+
+const memberSeed = 11
+
+// fleetOf starts a settled fleet and runs it for a moment.
+func fleetOf(t *testing.T, zones, perZone int, loss float64) *World {
+	t.Helper()
+	t.Logf("seed %d", memberSeed)
+	w := New(memberSeed, Layout{Zones: zones, PerZone: perZone, Loss: loss})
+	w.StartSettled()
+	w.Run(5 * time.Second)
+	return w
+}
+
+// deaths counts death events from now on, by the host that died.
+func deaths(w *World) map[string]int {
+	count := make(map[string]int)
+	w.OnEvent = func(_ *Host, e Event) {
+		if e.Kind == member.BecameDead {
+			count[e.Member.Name]++
+		}
+	}
+	return count
+}
+
+// allSee reports whether every running host but o sees o in the state.
+func allSee(w *World, o *Host, s member.State) func() bool {
+	return func() bool {
+		for _, h := range w.Hosts {
+			if h == o || !h.Up() {
+				continue
+			}
+			if m, ok := h.StateOf(o); !ok || m.State != s {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func within(t *testing.T, w *World, limit time.Duration, what string, done func() bool) {
+	t.Helper()
+	took, ok := w.RunUntil(limit, done)
+	if !ok {
+		t.Errorf("%s: not within %v", what, limit)
+		return
+	}
+	t.Logf("%s: after %v", what, took)
+}
+
+// Guards against deaths caused by lost messages alone.
+func TestCalmFleetHasNoDeaths(t *testing.T) {
+	t.Parallel()
+	w := fleetOf(t, 3, 12, 0.02)
+	dead := deaths(w)
+	w.Run(5 * time.Minute)
+	if len(dead) != 0 {
+		t.Errorf("declared dead: %v", dead)
+	}
+}
+
+// Guards the detection of a crash: the zone needs it to take over requests
+// within 10 s.
+func TestCrashIsDetected(t *testing.T) {
+	t.Parallel()
+	for _, shape := range [][2]int{{3, 3}, {3, 40}, {9, 40}} {
+		w := fleetOf(t, shape[0], shape[1], 0.001)
+		dead := deaths(w)
+		h := w.Hosts[1]
+		h.Crash()
+		within(t, w, 8*time.Second, "first declared dead", func() bool { return dead[h.Name] > 0 })
+		within(t, w, 8*time.Second, "declared dead everywhere", allSee(w, h, member.Dead))
+		h.Start()
+		within(t, w, 10*time.Second, "alive again everywhere", allSee(w, h, member.Alive))
+		if len(dead) != 1 {
+			t.Errorf("declared dead: %v", dead)
+		}
+	}
+}
+
+// Guards against deaths of hosts that some peers cannot reach but others can.
+func TestPartialCutsKillNobody(t *testing.T) {
+	t.Parallel()
+	cases := map[string]func(w *World){
+		"one way inside a zone":   func(w *World) { w.Cut(w.Hosts[0], w.Hosts[1], false) },
+		"both ways in a zone":     func(w *World) { w.Cut(w.Hosts[0], w.Hosts[1], true) },
+		"one way between zones":   func(w *World) { cutZones(w, 0, 1, false) },
+		"both ways, third relays": func(w *World) { cutZones(w, 0, 1, true) },
+	}
+	for name, cut := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := fleetOf(t, 3, 8, 0)
+			dead := deaths(w)
+			cut(w)
+			w.Run(3 * time.Minute)
+			if len(dead) != 0 {
+				t.Errorf("declared dead: %v", dead)
+			}
+		})
+	}
+}
+
+func cutZones(w *World, a, b int, both bool) {
+	for _, x := range w.Hosts {
+		for _, y := range w.Hosts {
+			if x.zone == a && y.zone == b {
+				w.Cut(x, y, both)
+			}
+		}
+	}
+}
+
+// Guards against a host that receives nothing and takes everyone else for dead:
+// the others must survive its accusations.
+func TestDeafHostKillsNobodyElse(t *testing.T) {
+	t.Parallel()
+	w := fleetOf(t, 3, 8, 0)
+	deaf := w.Hosts[0]
+	for _, h := range w.Hosts[1:] {
+		w.Cut(h, deaf, false)
+	}
+	dead := make(map[string]int)
+	w.OnEvent = func(at *Host, e Event) {
+		if e.Kind == member.BecameDead && at != deaf {
+			dead[e.Member.Name]++
+		}
+	}
+	within(t, w, 15*time.Second, "the deaf host is dead", allSee(w, deaf, member.Dead))
+	w.Run(2 * time.Minute)
+	delete(dead, deaf.Name)
+	if len(dead) != 0 {
+		t.Errorf("others declared dead: %v", dead)
+	}
+	w.Heal()
+	within(t, w, 20*time.Second, "alive after the cut", allSee(w, deaf, member.Alive))
+}
+
+// Guards the return of a paused process: it refutes, and it takes nobody else
+// for dead on the ground of its own absence.
+func TestPausedHostRefutes(t *testing.T) {
+	t.Parallel()
+	for _, pause := range []time.Duration{2 * time.Second, 20 * time.Second, 5 * time.Minute} {
+		w := fleetOf(t, 3, 8, 0)
+		dead := deaths(w)
+		h := w.Hosts[3]
+		h.Pause()
+		w.Run(pause)
+		h.Resume()
+		within(t, w, 15*time.Second, "alive again everywhere", allSee(w, h, member.Alive))
+		w.Run(time.Minute)
+		delete(dead, h.Name)
+		if len(dead) != 0 {
+			t.Errorf("after %v others were declared dead: %v", pause, dead)
+		}
+	}
+}
+
+// Guards the order of a restart after its predecessor, when nobody noticed that
+// the host was down.
+func TestQuickRestartIsNoticed(t *testing.T) {
+	t.Parallel()
+	w := fleetOf(t, 3, 8, 0)
+	h := w.Hosts[5]
+	h.Crash()
+	w.Run(300 * time.Millisecond)
+	h.Start()
+	within(t, w, 10*time.Second, "new incarnation everywhere", func() bool {
+		for _, o := range w.Hosts {
+			if m, _ := o.StateOf(h); m.Incarnation != h.Incarnation() || m.State != member.Alive {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against a switch that takes several hosts at once: they are found dead,
+// and nobody else is.
+func TestRackAtOnce(t *testing.T) {
+	t.Parallel()
+	w := fleetOf(t, 3, 20, 0.001)
+	dead := deaths(w)
+	for _, h := range w.Hosts[4:12] {
+		h.Crash()
+	}
+	within(t, w, 20*time.Second, "the rack is dead everywhere", func() bool {
+		for _, h := range w.Hosts[4:12] {
+			if !allSee(w, h, member.Dead)() {
+				return false
+			}
+		}
+		return true
+	})
+	w.Run(time.Minute)
+	if len(dead) != 8 {
+		t.Errorf("declared dead: %v", dead)
+	}
+}
+
+// Guards the way back after a zone was cut off for longer than records of dead
+// members are kept.
+func TestZoneCutHeals(t *testing.T) {
+	t.Parallel()
+	w := fleetOf(t, 3, 6, 0)
+	w.CutZone(1)
+	w.Run(12 * time.Minute)
+	inside, outside := w.Hosts[6], w.Hosts[0]
+	if m, _ := outside.StateOf(inside); m.State != member.Dead {
+		t.Errorf("the zone cut off is seen as %v", m.State)
+	}
+	if m, _ := inside.StateOf(w.Hosts[7]); m.State != member.Alive {
+		t.Errorf("inside the zone its own hosts are seen as %v", m.State)
+	}
+	w.Heal()
+	within(t, w, 30*time.Second, "all alive everywhere", func() bool {
+		for _, h := range w.Hosts {
+			if !allSee(w, h, member.Alive)() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards planned stops and the platform's word on leaving hosts.
+func TestLeaving(t *testing.T) {
+	t.Parallel()
+	w := fleetOf(t, 3, 6, 0)
+	leaving := 0
+	w.OnEvent = func(_ *Host, e Event) {
+		if e.Kind == member.BecameLeaving {
+			leaving++
+		}
+	}
+	h := w.Hosts[2]
+	h.Leaving = true
+	w.Run(11 * time.Second)
+	if leaving != len(w.Hosts)-1 {
+		t.Errorf("%d hosts noticed the leaving host", leaving)
+	}
+	h.Stop()
+	within(t, w, 6*time.Second, "left everywhere", allSee(w, h, member.Left))
+	h.Unlisted = true
+	within(t, w, 12*time.Minute, "forgotten", func() bool {
+		for _, o := range w.Hosts {
+			if _, known := o.StateOf(h); known && o != h {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/fleet/simulate/world.go
+++ b/fleet/simulate/world.go
@@ -9,7 +9,7 @@
 	"math/rand/v2"
 	"time"
 
-	"sardinefront.dev/fleet/internal/core"
+	"sardinefront.dev/fleet/member"
 )
 
 // epoch is the start of virtual time.
@@ -148,12 +148,12 @@
 	for _, h := range w.Hosts {
 		h.Start()
 	}
+	var all []member.Update
 	for _, h := range w.Hosts {
-		for _, o := range w.Hosts {
-			if o != h {
-				h.act(core.Actions{Events: h.core.Members.Load(o.core.Members.Snapshot()[:1], w.Now).Events})
-			}
-		}
+		all = append(all, h.core.Members.Snapshot()[0])
+	}
+	for _, h := range w.Hosts {
+		h.core.Members.Load(all, w.Now)
 	}
 }
 
