--- /dev/null
+++ b/moves/digest.go
@@ -0,0 +1,72 @@
+package moves
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"sardinefront.dev/moves/judge"
+	"sardinefront.dev/moves/steer"
+)
+
+// Digest returns this host's own evidence on the pool's running move, newest
+// windows first, in at most limit bytes; nil if there is none. A peer that
+// receives any digest within a minute misses nothing, because each window is
+// repeated while it is open to merging.
+func (t *Tracker) Digest(pool string, now time.Time, limit int) ([]byte, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tr := t.pools[pool]
+	if tr == nil || tr.state.Phase != steer.Running {
+		return nil, nil
+	}
+	d := digest{Move: tr.state.ID, Origin: t.host}
+	var out []byte
+	for _, n := range tr.evidence.Own(t.host, now) {
+		d.Windows = append(d.Windows, windowDigest{Number: n, Routes: judge.Pack(tr.evidence.At(t.host, n))})
+		b, err := encoder.Marshal(d)
+		if err != nil {
+			return nil, fmt.Errorf("evidence digest: %w", err)
+		}
+		if len(b) > limit {
+			break
+		}
+		out = b
+	}
+	return out, nil
+}
+
+// Merge adds a peer's digest. Repeated, reordered and lost digests do no harm.
+func (t *Tracker) Merge(b []byte, now time.Time) error {
+	var d digest
+	if err := decoder.Unmarshal(b, &d); err != nil {
+		return fmt.Errorf("evidence digest: %w", err)
+	}
+	windows := make([]judge.Window, len(d.Windows))
+	for i, w := range d.Windows {
+		u, err := judge.Unpack(w.Routes)
+		if err != nil {
+			return fmt.Errorf("evidence digest of %s: %w", d.Origin, err)
+		}
+		windows[i] = u
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tr := t.byMove(d.Move)
+	if tr == nil || d.Origin == t.host {
+		return nil
+	}
+	for i, w := range d.Windows {
+		tr.evidence.Adopt(d.Origin, w.Number, windows[i], now)
+	}
+	return nil
+}
+
+func (t *Tracker) byMove(id string) *track {
+	for _, tr := range t.pools {
+		if tr.state.ID == id || slices.Contains(tr.state.Aliases, id) {
+			return tr
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/moves/steer/next.go
@@ -0,0 +1,337 @@
+package steer
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"sardinefront.dev/core/request"
+)
+
+// loadPatience is the number of load times after which an unconfirmed load is
+// given up and the next target is tried.
+const loadPatience = 3
+
+// suspectPause is the time between two additional loads for a suspect version.
+const suspectPause = 2 * time.Minute
+
+// Next returns the state that follows. It never changes s. Reports are to be
+// emitted only after the new state has been written.
+func Next(s State, in Input) (State, []Report) {
+	n := s.clone()
+	r := &run{State: &n, in: in}
+	r.count()
+	switch {
+	case n.Phase == Running:
+		r.running()
+	case n.Phase == Idle || n.Phase == Done || n.Restored:
+		r.begin()
+	default:
+		r.restore()
+	}
+	return n, r.reports
+}
+
+func (s State) clone() State {
+	s.Aliases = slices.Clone(s.Aliases)
+	s.Roster = slices.Clone(s.Roster)
+	s.Ended = maps.Clone(s.Ended)
+	return s
+}
+
+// run is one evaluation of Next.
+type run struct {
+	*State
+	in      Input
+	reports []Report
+	live    int // targets that are not leaving
+	loaded  int // of these, the ones on the new version
+	onNew   map[string]bool
+}
+
+func (r *run) count() {
+	r.onNew = map[string]bool{}
+	for _, t := range r.in.Targets {
+		if t.Leaving {
+			continue
+		}
+		r.live++
+		if r.Phase != Idle && t.Version == r.Move.To {
+			r.loaded++
+			r.onNew[t.Name] = true
+		}
+	}
+}
+
+func (r *run) report(k ReportKind, format string, args ...any) {
+	r.reports = append(r.reports, Report{Kind: k, Move: r.Move, ID: r.ID, Detail: fmt.Sprintf(format, args...)})
+}
+
+// begin starts the first move that has not ended. A further move of the pool
+// waits until the one before it has ended.
+func (r *run) begin() {
+	for _, m := range r.in.Moves {
+		if _, ended := r.Ended[m.ID()]; ended {
+			continue
+		}
+		if why := r.unfit(m); why != "" {
+			if r.Refused != m.ID() {
+				r.Refused = m.ID()
+				r.reports = append(r.reports, Report{Kind: Refused, Move: m, ID: m.ID(), Detail: why})
+			}
+			continue
+		}
+		r.start(m)
+		return
+	}
+}
+
+// unfit says why a move cannot start; empty if it can.
+func (r *run) unfit(m Move) string {
+	if len(r.in.Targets) == 0 {
+		return "the pool has no targets"
+	}
+	if m.From == m.To {
+		return "both versions are the same"
+	}
+	for _, t := range r.in.Targets {
+		if !t.Leaving && (t.Version == m.From || t.Version == m.To) {
+			return ""
+		}
+	}
+	return fmt.Sprintf("no target serves version %s", m.From)
+}
+
+func (r *run) start(m Move) {
+	ended, refused, fence, seq := r.Ended, r.Refused, r.Fence, r.Seq
+	*r.State = State{Phase: Running, Move: m, ID: m.ID(), Ended: ended, Refused: refused, Fence: fence, Seq: seq}
+	r.Started, r.Since = r.in.Now, r.in.Now
+	for _, t := range r.in.Targets {
+		r.Roster = append(r.Roster, t.Name)
+	}
+	slices.Sort(r.Roster)
+	r.count()
+	p := r.plan()
+	r.Stretch = p.Stretch
+	r.report(Started, "%d loads, at least %s", p.Loads, p.Shortest.Round(time.Second))
+	r.lateness()
+}
+
+func (r *run) plan() Plan {
+	return MakePlan(r.in.Now, r.Move.By, r.Since, r.Step, r.loaded, r.live, r.in.LoadTime)
+}
+
+// lateness reports once that the deadline cannot be met.
+func (r *run) lateness() {
+	if r.Late {
+		return
+	}
+	p := r.plan()
+	end := r.in.Now.Add(p.Shortest)
+	if end.After(r.Move.By) {
+		r.Late = true
+		r.report(IsLate, "%d loads and the remaining steps need %s, until %s at the earliest",
+			p.Loads, p.Shortest.Round(time.Second), end.UTC().Format(time.RFC3339))
+	}
+}
+
+func (r *run) running() {
+	if r.in.Halt != "" || r.in.Verdict.Bad {
+		why := r.in.Halt
+		if why == "" {
+			why = r.in.Verdict.Reason()
+		}
+		r.end(TakenBack, why)
+		r.report(TookBack, "%s", why)
+		return
+	}
+	if !r.amend() {
+		r.end(Withdrawn, "the rule was removed")
+		r.report(Removed, "the rule was removed")
+		return
+	}
+	r.lateness()
+	r.confirm()
+	r.advance()
+	r.share()
+}
+
+// amend follows changes of the rule. It reports whether the rule still exists.
+func (r *run) amend() bool {
+	for _, m := range r.in.Moves {
+		if m.From != r.Move.From || m.To != r.Move.To {
+			continue
+		}
+		if id := m.ID(); id != r.ID {
+			if _, ended := r.Ended[id]; ended {
+				continue
+			}
+			r.Aliases = append(r.Aliases, r.ID)
+			r.Move, r.ID, r.Late = m, id, false
+			r.Stretch = r.plan().Stretch
+			r.report(Amended, "deadline is now %s", m.By.UTC().Format(time.RFC3339))
+		}
+		r.Move.AtMost = m.AtMost
+		return true
+	}
+	return false
+}
+
+// end gives the move up. The new version receives nothing from here on.
+func (r *run) end(p Phase, why string) {
+	r.Phase, r.Reason = p, why
+	r.Shares = [request.TierCount]float64{}
+	r.Loading, r.Restored = Load{}, false
+	if p != Withdrawn {
+		r.finish(p)
+	}
+}
+
+// finish records the ids of the move as ended for good.
+func (r *run) finish(p Phase) {
+	if r.Ended == nil {
+		r.Ended = map[string]Phase{}
+	}
+	for _, id := range append(r.Aliases, r.ID) {
+		r.Ended[id] = p
+	}
+}
+
+// confirm clears the outstanding load when the target serves the version, left,
+// or did not answer for too long.
+func (r *run) confirm() {
+	if r.Loading.Target == "" {
+		return
+	}
+	for _, t := range r.in.Targets {
+		if t.Name != r.Loading.Target || t.Leaving {
+			continue
+		}
+		patience := loadPatience*r.in.LoadTime + time.Minute
+		if t.Version != r.Loading.Version && r.in.Now.Sub(r.Loading.Since) < patience {
+			return
+		}
+	}
+	r.Loading = Load{}
+}
+
+// loadNext orders a load of the version at the next old target.
+func (r *run) loadNext() {
+	if r.Loading.Target != "" {
+		return
+	}
+	for _, t := range order(r.in.Targets, r.onNew, r.Group) {
+		r.Loading = Load{Target: t.Name, Version: r.Move.To, Since: r.in.Now}
+		return
+	}
+}
+
+// advance loads what the step needs, and goes to the next step when the stay is
+// over and the evidence allows it.
+func (r *run) advance() {
+	if r.loaded < min(r.live/2, Wanted(r.Step, r.live)+r.Extra) || (r.Step == lastStep && r.loaded < r.live) {
+		r.loadNext()
+	}
+	if r.in.Verdict.Suspect {
+		r.widenSample()
+		return
+	}
+	if r.in.Now.Sub(r.Since) < r.dwell() || !r.allowed() {
+		return
+	}
+	if r.Step == lastStep {
+		r.complete()
+		return
+	}
+	next := r.Step + 1
+	if next < lastStep && r.loaded < Wanted(next, r.live) {
+		r.loadNext()
+		return
+	}
+	r.Step, r.Since, r.Extra = next, r.in.Now, 0
+	r.Stretch = r.plan().Stretch
+	r.report(Stepped, "%.0f%%", 100*Steps[next].Share)
+}
+
+// widenSample loads one more target while the version is suspect, as long as
+// the share is small: more targets tell whether the targets or the version are
+// slow.
+func (r *run) widenSample() {
+	small := r.Step > 0 && r.Step < firstProven
+	if !small || r.Loading.Target != "" || r.in.Now.Sub(r.Since) < suspectPause {
+		return
+	}
+	if want := Wanted(r.Step, r.live) + r.Extra; want < r.live/2 && r.loaded >= want {
+		r.Extra++
+		r.loadNext()
+	}
+}
+
+func (r *run) dwell() time.Duration {
+	return time.Duration(float64(Steps[r.Step].Dwell) * max(1, r.Stretch))
+}
+
+// allowed reports whether the evidence permits leaving the step.
+func (r *run) allowed() bool {
+	if r.Step == lastStep {
+		return r.loaded == r.live
+	}
+	return r.Step+1 < firstProven || r.in.Verdict.Enough
+}
+
+func (r *run) complete() {
+	r.Phase = Done
+	for i := range r.Shares {
+		r.Shares[i] = 1
+	}
+	r.finish(Done)
+	r.report(Finished, "all %d targets serve version %s", r.live, r.Move.To)
+}
+
+// share sets the shares of the step. Without a loaded target there is none.
+func (r *run) share() {
+	if r.Phase != Running {
+		return
+	}
+	s := Steps[r.Step]
+	share, urgent := s.Share, s.Urgent
+	if r.Step < firstProven {
+		share = min(share, r.Move.atMost())
+	}
+	if r.Step == lastStep && r.live > 0 {
+		share = max(Steps[lastStep-1].Share, float64(r.loaded)/float64(r.live))
+		urgent = share
+	}
+	if r.in.OnlyUrgent {
+		urgent = share
+	}
+	if r.loaded == 0 {
+		share, urgent = 0, 0
+	}
+	for t := range r.Shares {
+		r.Shares[t] = share
+	}
+	r.Shares[request.Urgent] = urgent
+}
+
+// restore loads the old version again where the new one is, one target at a
+// time.
+func (r *run) restore() {
+	r.confirm()
+	if r.Loading.Target != "" {
+		return
+	}
+	for _, t := range r.in.Targets {
+		if !t.Leaving && t.Version == r.Move.To {
+			r.Loading = Load{Target: t.Name, Version: r.Move.From, Since: r.in.Now}
+			return
+		}
+	}
+	for _, t := range r.in.Targets {
+		if !t.Leaving && t.Version == "" {
+			return // a load of the new version may still be under way
+		}
+	}
+	r.Restored = true
+}
--- /dev/null
+++ b/moves/tracker.go
@@ -0,0 +1,284 @@
+// Package moves rolls out versions. A Controller per pool takes the steps, and
+// a Tracker on every host collects evidence, stops a bad version on its own and
+// holds the shares in force.
+package moves
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sardinefront.dev/core/request"
+	"sardinefront.dev/moves/judge"
+	"sardinefront.dev/moves/steer"
+)
+
+// Observation is the end of one request that was sent to a target of a pool
+// with a running move. Failed dials, refusals and callers that left are not
+// observed, because they say nothing about the version.
+type Observation struct {
+	Move    string // id, from Shares
+	Version string
+	Target  string // name in the platform's list
+	Route   string
+	Tier    request.Tier
+	Result  judge.Result
+	// FirstToken is the time from dispatch to the first byte, BetweenTokens the
+	// mean time between tokens; 0 where not measured.
+	FirstToken, BetweenTokens time.Duration
+}
+
+// Shares is the share map of one pool. It is immutable.
+type Shares struct {
+	Move, From, To string
+	// ByTier is the share of requests for version To, 0 to 1.
+	ByTier [request.TierCount]float64
+	// Halted means that nothing may be sent to version To.
+	Halted bool
+	Step   int
+	Seq    uint64
+}
+
+// Version returns the version for a request of the tier; u is uniform in
+// [0, 1). If no target of that version can serve, the host may use the old
+// version instead of the new one, never the reverse.
+func (s *Shares) Version(t request.Tier, u float64) string {
+	if !s.Halted && int(t) < len(s.ByTier) && u < s.ByTier[t] {
+		return s.To
+	}
+	return s.From
+}
+
+// track is the evidence of one running move.
+type track struct {
+	state    steer.State
+	evidence *judge.Evidence
+	verdict  judge.Verdict
+	urgent   uint64 // requests seen, by kind, halved now and then
+	other    uint64
+}
+
+// Tracker is the host's part in all moves. Its methods are safe for concurrent
+// use.
+type Tracker struct {
+	host   string
+	pooled bool
+
+	mu     sync.Mutex
+	pools  map[string]*track
+	halts  map[string]Halt
+	shares atomic.Pointer[map[string]*Shares]
+}
+
+// NewTracker returns a tracker for the host with the given name and
+// incarnation.
+func NewTracker(host string) *Tracker {
+	t := &Tracker{host: host, pools: map[string]*track{}, halts: map[string]Halt{}}
+	t.shares.Store(&map[string]*Shares{})
+	return t
+}
+
+// Adopt takes a state that was read from the store or received from a peer.
+// Only a state with a greater sequence number has an effect. It reports whether
+// the state was taken.
+func (t *Tracker) Adopt(pool string, s steer.State, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tr := t.pools[pool]
+	if tr != nil && tr.state.Seq >= s.Seq {
+		return false
+	}
+	if tr == nil || !s.Has(tr.state.ID) {
+		tr = &track{evidence: judge.NewEvidence()}
+		t.pools[pool] = tr
+	}
+	tr.state = s
+	for id, p := range s.Ended {
+		if p == steer.TakenBack {
+			t.halt(Halt{Move: id, Pool: pool, To: s.Move.To, Reason: s.Reason, By: "state", At: now})
+		}
+	}
+	t.publish()
+	return true
+}
+
+// State returns the state in force, to be given to a peer.
+func (t *Tracker) State(pool string) (steer.State, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tr := t.pools[pool]
+	if tr == nil {
+		return steer.State{}, false
+	}
+	return tr.state, true
+}
+
+// Shares returns the pool's share map, or nil if it has no move. It does not
+// lock.
+func (t *Tracker) Shares(pool string) *Shares { return (*t.shares.Load())[pool] }
+
+// publish swaps the share maps. The caller holds the lock.
+func (t *Tracker) publish() {
+	next := make(map[string]*Shares, len(t.pools))
+	for pool, tr := range t.pools {
+		s := tr.state
+		if s.Phase == steer.Idle {
+			continue
+		}
+		next[pool] = &Shares{Move: s.ID, From: s.Move.From, To: s.Move.To, ByTier: s.Shares,
+			Halted: t.haltOf(s) != nil, Step: s.Step, Seq: s.Seq}
+	}
+	t.shares.Store(&next)
+}
+
+// haltOf returns the halt that concerns the state's move, nil if none. A halt
+// that arrives after the move is done has no effect any more.
+func (t *Tracker) haltOf(s steer.State) *Halt {
+	if s.Phase == steer.Done {
+		return nil
+	}
+	for _, id := range append(slices.Clone(s.Aliases), s.ID) {
+		if h, ok := t.halts[id]; ok {
+			return &h
+		}
+	}
+	return nil
+}
+
+// Observe counts one request. Observations of other moves and versions are
+// ignored.
+func (t *Tracker) Observe(o Observation, pool string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tr := t.pools[pool]
+	if tr == nil || tr.state.Phase != steer.Running || !tr.state.Has(o.Move) {
+		return
+	}
+	s := &tr.state
+	if o.Version != s.Move.From && o.Version != s.Move.To {
+		return
+	}
+	tr.countTier(o.Tier)
+	k := judge.Key{Route: o.Route, Urgent: o.Tier == request.Urgent, New: o.Version == s.Move.To, Group: s.Group(o.Target)}
+	tr.evidence.Observe(t.host, now, k, o.Result, o.FirstToken, o.BetweenTokens)
+}
+
+// tierMemory bounds the counts from which OnlyUrgent is derived.
+const tierMemory = 10000
+
+func (tr *track) countTier(t request.Tier) {
+	if t == request.Urgent {
+		tr.urgent++
+	} else {
+		tr.other++
+	}
+	if tr.urgent+tr.other > tierMemory {
+		tr.urgent /= 2
+		tr.other /= 2
+	}
+}
+
+// onlyUrgent reports that fewer than 5% of at least 100 requests were not
+// urgent.
+func (tr *track) onlyUrgent() bool {
+	n := tr.urgent + tr.other
+	return n >= 100 && tr.other*20 < n
+}
+
+// Check weighs the evidence of all running moves. It returns new halts, which
+// the host must send to all reachable peers. Call it every second.
+func (t *Tracker) Check(now time.Time) []Halt {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var found []Halt
+	for _, pool := range slices.Sorted(maps.Keys(t.pools)) {
+		tr := t.pools[pool]
+		s := tr.state
+		if s.Phase != steer.Running || t.haltOf(s) != nil {
+			continue
+		}
+		tr.verdict = judge.Judge(tr.evidence, now, judge.Config{
+			Targets: len(s.Roster), Duration: s.Move.By.Sub(s.Started), Pooled: t.pooled})
+		if !tr.verdict.Bad {
+			continue
+		}
+		h := Halt{Move: s.ID, Pool: pool, To: s.Move.To, Reason: tr.verdict.Reason(), By: t.host, At: now}
+		t.halt(h)
+		found = append(found, h)
+	}
+	if len(found) > 0 {
+		t.publish()
+	}
+	return found
+}
+
+// halt records a halt; the first one stays.
+func (t *Tracker) halt(h Halt) bool {
+	if _, ok := t.halts[h.Move]; ok {
+		return false
+	}
+	t.halts[h.Move] = h
+	return true
+}
+
+// TakeHalt takes a peer's halt and reports whether it was new. A new halt must
+// be passed on.
+func (t *Tracker) TakeHalt(h Halt) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	fresh := t.halt(h)
+	if fresh {
+		t.publish()
+	}
+	return fresh
+}
+
+// Halts returns all halts in order of move id, for digests and new hosts.
+func (t *Tracker) Halts() []Halt {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := make([]Halt, 0, len(t.halts))
+	for _, id := range slices.Sorted(maps.Keys(t.halts)) {
+		all = append(all, t.halts[id])
+	}
+	return all
+}
+
+// Halted reports whether nothing may be sent to the version of the pool. Ask
+// right before each dispatch. It does not lock.
+func (t *Tracker) Halted(pool, version string) bool {
+	s := t.Shares(pool)
+	return s != nil && s.Halted && s.To == version
+}
+
+// View is what the controller needs from the evidence.
+type View struct {
+	Verdict    judge.Verdict
+	Halt       string
+	OnlyUrgent bool
+}
+
+// View returns the result of the last Check for the pool.
+func (t *Tracker) View(pool string) View {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tr := t.pools[pool]
+	if tr == nil {
+		return View{}
+	}
+	v := View{Verdict: tr.verdict, OnlyUrgent: tr.onlyUrgent()}
+	if h := t.haltOf(tr.state); h != nil {
+		v.Halt = h.Reason + ", established by " + h.By
+	}
+	return v
+}
+
+// NewPooledTracker returns a tracker that ignores which target answered. It
+// exists to measure what the comparison by target is worth; do not use it.
+func NewPooledTracker(host string) *Tracker {
+	t := NewTracker(host)
+	t.pooled = true
+	return t
+}
