Test connection bounds, sent bytes and closed idle connections

Cause: trial faults in a scratch copy (no idle check, no count of accepted bytes, no closing on cancellation, no look at an idle connection) passed the tests.

Change: a test for each. The cancellation test waits for less than the timeouts of the client, so that a timeout cannot stand in for the cancellation.

--- /dev/null
+++ b/target/pool_test.go
@@ -0,0 +1,118 @@
+package target
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// stuckConn accepts the first n bytes of a request and then fails.
+type stuckConn struct {
+	net.Conn
+	n int
+}
+
+func (c *stuckConn) Write(p []byte) (int, error) {
+	n := min(len(p), c.n)
+	c.n -= n
+	return n, io.ErrClosedPipe
+}
+
+// Guards against a count of sent bytes that ignores a partial write, or that
+// takes a failed write for a sent one.
+func TestSentCountsAcceptedBytes(t *testing.T) {
+	for n, sent := range map[int]bool{0: false, 1: true} {
+		c := NewService(Config{Name: "t", Address: "stuck:1"})
+		c.pool.dial = func(context.Context, string, string) (net.Conn, error) {
+			client, peer := net.Pipe()
+			t.Cleanup(func() { peer.Close() })
+			return &stuckConn{Conn: client, n: n}, nil
+		}
+		_, err := c.Do(context.Background(), get("1"))
+		sendError(t, err, sent, ReasonWrite)
+	}
+}
+
+// Guards against kept connections beyond their bounds, and against hop-by-hop
+// headers that are passed on.
+func TestConnectionBounds(t *testing.T) {
+	var mu sync.Mutex
+	used := map[string]int{}
+	s := serve(t, func(w net.Conn, c, n int, r *http.Request) bool {
+		mu.Lock()
+		used[r.Header.Get(HeaderRequestID)] = c
+		mu.Unlock()
+		if r.Header.Get("X-Named") != "" || r.Header.Get("Te") != "" || r.Header.Get("X-Kept") != "v" {
+			return false
+		}
+		return reply(w, r.Header.Get(HeaderRequestID), "ok")
+	})
+	cfg := s.config()
+	c := NewService(cfg)
+	defer c.Close()
+	kept := func(change func(*conn)) {
+		c.pool.mu.Lock()
+		defer c.pool.mu.Unlock()
+		change(c.pool.idle[0])
+	}
+	h := http.Header{"Connection": {"X-Named"}, "X-Named": {"v"}, "Te": {"v"}, "X-Kept": {"v"}}
+	send := func(id string) {
+		t.Helper()
+		if _, err := fetch(c, Call{ID: id, Method: "GET", Path: "/", Header: h}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	send("0")
+	send("1")
+	kept(func(cn *conn) { cn.idleSince = time.Now().Add(-30 * time.Second) })
+	send("2")
+	kept(func(cn *conn) { cn.created = time.Now().Add(-5 * time.Minute) })
+	send("3")
+	mu.Lock()
+	defer mu.Unlock()
+	if used["1"] != used["0"] || used["2"] == used["1"] || used["3"] == used["2"] {
+		t.Errorf("connections by request: %v", used)
+	}
+	kept(func(cn *conn) { cn.idleSince = time.Now().Add(-30 * time.Second) })
+	c.pool.closeIdle()
+	if n := len(c.pool.idle); n != 0 {
+		t.Errorf("%d connections kept beyond the idle time", n)
+	}
+}
+
+// Guards against a request that is lost on a connection which the target has
+// closed, or whose answer is mixed up with bytes that came before it.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	for _, unasked := range []string{"", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"} {
+		after := make(chan struct{})
+		s := serve(t, func(w net.Conn, c, n int, r *http.Request) bool {
+			if !reply(w, r.Header.Get(HeaderRequestID), "ok") || c > 0 {
+				return false
+			}
+			<-after
+			_, _ = io.WriteString(w, unasked)
+			return unasked != ""
+		})
+		c := NewService(s.config())
+		defer c.Close()
+		if _, err := fetch(c, get("1")); err != nil {
+			t.Fatal(err)
+		}
+		close(after)
+		c.pool.mu.Lock()
+		idle := c.pool.idle[0]
+		c.pool.mu.Unlock()
+		for deadline := time.Now().Add(5 * time.Second); quiet(idle.Conn); time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatal("the connection still looks usable")
+			}
+		}
+		if body, err := fetch(c, get("2")); err != nil || body != "ok" {
+			t.Errorf("%q, %v", body, err)
+		}
+	}
+}
--- a/target/target_test.go
+++ b/target/target_test.go
@@ -304,59 +304,28 @@
 		closed <- struct{}{}
 		return false
 	})
-	c := NewService(s.config())
+	cfg := s.config()
+	cfg.FirstByte, cfg.Stall = time.Minute, time.Minute // longer than the test waits
+	c := NewService(cfg)
 	defer c.Close()
 	for _, path := range []string{"/header", "/body"} {
 		ctx, cancel := context.WithCancel(context.Background())
-		stop := time.AfterFunc(20*time.Millisecond, cancel)
-		defer stop.Stop()
-		ans, err := c.Do(ctx, Call{ID: "1", Method: http.MethodPost, Path: path})
-		if err == nil {
-			_, err = ReadAll(ans.Body, 100)
-		}
-		if !errors.Is(err, context.Canceled) {
-			t.Errorf("%s: %v", path, err)
-		}
+		ended := make(chan error, 1)
+		go func() {
+			ans, err := c.Do(ctx, Call{ID: "1", Method: http.MethodPost, Path: path})
+			if err == nil {
+				_, err = ReadAll(ans.Body, 100)
+			}
+			ended <- err
+		}()
+		time.AfterFunc(20*time.Millisecond, cancel)
 		select {
 		case <-closed:
-		case <-time.After(4 * time.Second):
-			t.Errorf("%s: the target did not see the end", path)
+		case <-time.After(5 * time.Second):
+			t.Fatalf("%s: the target did not see the end", path)
 		}
-	}
-}
-
-// Guards against kept connections beyond their bounds, and against hop-by-hop
-// headers that are passed on.
-func TestConnectionBounds(t *testing.T) {
-	var mu sync.Mutex
-	used := map[string]int{}
-	s := serve(t, func(w net.Conn, c, n int, r *http.Request) bool {
-		mu.Lock()
-		used[r.Header.Get(HeaderRequestID)] = c
-		mu.Unlock()
-		if r.Header.Get("X-Named") != "" || r.Header.Get("Te") != "" || r.Header.Get("X-Kept") != "v" {
-			return false
-		}
-		return reply(w, r.Header.Get(HeaderRequestID), "ok")
-	})
-	cfg := s.config()
-	cfg.MaxIdle, cfg.MaxAge = 40*time.Millisecond, 400*time.Millisecond
-	c := NewService(cfg)
-	defer c.Close()
-	h := http.Header{"Connection": {"X-Named"}, "X-Named": {"v"}, "Te": {"v"}, "X-Kept": {"v"}}
-	for i, pause := range []time.Duration{0, 0, 100 * time.Millisecond} {
-		time.Sleep(pause)
-		if _, err := fetch(c, Call{ID: fmt.Sprint(i), Method: "GET", Path: "/", Header: h}); err != nil {
-			t.Fatal(err)
+		if err := <-ended; !errors.Is(err, context.Canceled) {
+			t.Errorf("%s: %v", path, err)
 		}
 	}
-	c.pool.mu.Lock()
-	c.pool.idle[0].created = time.Now().Add(-cfg.MaxAge)
-	c.pool.mu.Unlock()
-	if _, err := fetch(c, Call{ID: "3", Method: "GET", Path: "/", Header: h}); err != nil {
-		t.Fatal(err)
-	}
-	if used["2"] == used["1"] || used["3"] == used["2"] {
-		t.Errorf("connections by request: %v", used)
-	}
 }
