--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -106,6 +106,7 @@
 	cache  *cache
 	batch  *batch
 	model  model
+	stats  stats
 
 	mu   sync.Mutex
 	runs map[string]*run
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -43,16 +43,21 @@
 			return sb.String(), err
 		}
 		_, data, _ := strings.Cut(string(part), "data: ")
-		var ev struct {
-			Choices []struct{ Text string }
-		}
-		if json.Unmarshal([]byte(data), &ev) == nil {
-			sb.WriteString(ev.Choices[0].Text)
-		}
+		sb.WriteString(eventText([]byte(data)))
 	}
 	return sb.String(), nil
 }
 
+func eventText(data []byte) string {
+	var ev struct {
+		Choices []struct{ Text string }
+	}
+	if json.Unmarshal(data, &ev) != nil || len(ev.Choices) == 0 {
+		return ""
+	}
+	return ev.Choices[0].Text
+}
+
 // Guards against answers that are not a function of the request, on which the
 // checks of whole answers are built, and against a lost or repeated token when
 // a stream is resumed on a new connection after a cut or a cancellation.
--- a/standin/engine/routes.go
+++ b/standin/engine/routes.go
@@ -28,6 +28,7 @@
 	s.App.Get("/v1/cache/events", s.cacheEvents)
 	s.App.Post("/standin/fault", s.faults.Handle)
 	s.App.Get("/standin/runs", s.counts.Handle)
+	s.App.Get("/standin/stats", s.serveStats)
 }
 
 // common sets the headers of every answer and applies the faults that concern a
--- a/standin/engine/run.go
+++ b/standin/engine/run.go
@@ -109,6 +109,8 @@
 	defer func() { <-s.batch.prefill }()
 	cached := s.cache.use(r.prefixes) * target.BlockBytes / 4
 	missing := max(0, r.promptTokens-cached)
+	s.stats.Prefilled.Add(int64(missing))
+	s.stats.Cached.Add(int64(r.promptTokens - missing))
 	return pause(ctx, seconds(r.slow*float64(missing)/s.cfg.PrefillRate))
 }
 
@@ -123,6 +125,7 @@
 		if !pause(ctx, time.Until(due)) {
 			return
 		}
+		s.stats.Generated.Add(1)
 		r.advance()
 	}
 }
--- a/standin/internal/fault/fault.go
+++ b/standin/internal/fault/fault.go
@@ -83,7 +83,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, f := range s.active {
-		if f.concerns(r) && s.selected(r.ID, f.Share) {
+		if f.concerns(r) && s.selected(r.ID, &f) {
 			return f
 		}
 	}
@@ -106,14 +106,16 @@
 	return strings.HasPrefix(r.Path, f.Route)
 }
 
-func (s *Set) selected(id string, share float64) bool {
-	if share <= 0 || share >= 1 {
+// selected hashes the kind and the route too, so that the shares of different
+// faults are independent.
+func (s *Set) selected(id string, f *Fault) bool {
+	if f.Share <= 0 || f.Share >= 1 {
 		return true
 	}
 	h := fnv.New64a()
-	h.Write([]byte(id + "\x00" + s.Salt))
+	h.Write([]byte(strings.Join([]string{id, s.Salt, string(f.Kind), f.Route}, "\x00")))
 	// A multiplication spreads the low bits, in which similar ids differ.
-	return float64(h.Sum64()*0x9e3779b97f4a7c15>>11)/(math.MaxUint64>>11) < share
+	return float64(h.Sum64()*0x9e3779b97f4a7c15>>11)/(math.MaxUint64>>11) < f.Share
 }
 
 // Handle serves POST /standin/fault.
--- a/target/client.go
+++ b/target/client.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		x.finish(false)
 		if ctx.Err() != nil {
-			reason, err = ReasonCancelled, context.Cause(ctx)
+			reason, err = ReasonCancelled, x.ended()
 		}
 		return nil, c.fail(cn.sent > 0, reason, err)
 	}
@@ -188,6 +188,16 @@
 	x.client.pool.put(x.conn)
 }
 
+// ended returns the cause of the end of the context. A deadline that passes while
+// the target owes bytes is silence, too.
+func (x *exchange) ended() error {
+	cause := context.Cause(x.ctx)
+	if errors.Is(cause, context.DeadlineExceeded) {
+		x.client.pool.suspect(x.conn)
+	}
+	return cause
+}
+
 // silence marks the target's connections as suspect if err is a timeout, and
 // returns err with ErrTimeout.
 func (x *exchange) silence(err error) error {
@@ -240,7 +250,7 @@
 func (x *exchange) cut(offset int64, err error) error {
 	switch {
 	case x.ctx.Err() != nil:
-		err = context.Cause(x.ctx)
+		err = x.ended()
 	case err == io.EOF:
 		err = io.ErrUnexpectedEOF
 	default:
--- a/target/target_test.go
+++ b/target/target_test.go
@@ -174,8 +174,28 @@
 }
 
 // Guards against a pool that keeps handing out connections that went silent
-// together.
+// together, whether the first-byte timeout or the caller's deadline shows it.
 func TestSilentPoolIsReplaced(t *testing.T) {
+	testSilentPool(t, func(c *Service) error {
+		c.SetFirstByte(50 * time.Millisecond)
+		defer c.SetFirstByte(5 * time.Second)
+		_, err := fetch(c, get("silent"))
+		sendError(t, err, true, ReasonFirstByte)
+		if !errors.Is(err, ErrTimeout) {
+			t.Errorf("got %v, expected a timeout", err)
+		}
+		return err
+	})
+	testSilentPool(t, func(c *Service) error {
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		_, err := c.Do(ctx, get("silent"))
+		sendError(t, err, true, ReasonCancelled)
+		return err
+	})
+}
+
+func testSilentPool(t *testing.T, silent func(*Service) error) {
 	const open = 4
 	var together sync.WaitGroup
 	together.Add(open)
@@ -200,13 +220,9 @@
 		})
 	}
 	wg.Wait()
-	c.SetFirstByte(50 * time.Millisecond)
-	_, err := fetch(c, get("silent"))
-	sendError(t, err, true, ReasonFirstByte)
-	if !errors.Is(err, ErrTimeout) {
-		t.Errorf("got %v, expected a timeout", err)
+	if err := silent(c); err == nil {
+		t.Error("an answer on a silent connection")
 	}
-	c.SetFirstByte(5 * time.Second)
 	if body, err := fetch(c, get("next")); err != nil || body != "ok" {
 		t.Errorf("new connection: %q, %v", body, err)
 	}
