--- a/cmd/internal/ctl/operator.go
+++ b/cmd/internal/ctl/operator.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"cmp"
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
@@ -160,6 +161,27 @@
 	}
 }
 
+func movesCommand() command {
+	sub := flaggy.NewSubcommand("moves")
+	sub.Description = "Shows each pool's version move: step, shares, whether it is late or taken back, and why."
+	return command{sub: sub, run: func(e *env) error {
+		var found []host.MoveStatus
+		if err := e.call(http.MethodGet, "/v1/moves", &found); err != nil {
+			return err
+		}
+		if e.output == "json" {
+			return e.json(found)
+		}
+		return e.table(func(w io.Writer) {
+			fmt.Fprintln(w, "pool\tmove\tfrom\tto\tby\tphase\tstep\tshare\tlate\treason")
+			for _, m := range found {
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d/%d\t%.0f%%\t%t\t%s\n", m.Pool, m.ID, m.From, m.To, m.By.Format(time.RFC3339),
+					m.Phase, m.Step+1, m.Steps, 100*m.Shares[request.Patient], m.Late, cmp.Or(m.Halted, m.Reason))
+			}
+		})
+	}}
+}
+
 func drainCommand() command {
 	sub := flaggy.NewSubcommand("drain")
 	sub.Description = "Asks a host to stop gracefully: readiness drops, requests in progress finish."
--- a/core/refusal/retry.go
+++ b/core/refusal/retry.go
@@ -10,10 +10,11 @@
 const (
 	RetryDialFailed Retry = iota
 	RetryTargetLeft
+	RetryVersionHalted
 	retryCount
 )
 
-var retryNames = [retryCount]string{"dial-failed", "target-left"}
+var retryNames = [retryCount]string{"dial-failed", "target-left", "version-halted"}
 
 // String returns the counter label.
 func (r Retry) String() string {
--- a/host/config.go
+++ b/host/config.go
@@ -127,11 +127,16 @@
 	if h.fleet == nil {
 		event.ConfigAdopted.Log(h.log, slog.Int64("number", number), slog.String("author", author))
 	}
+	h.wakeTargets()
+	return nil
+}
+
+// wakeTargets makes the pools' targets be assigned again soon.
+func (h *Host) wakeTargets() {
 	select {
-	case h.rulesChanged <- struct{}{}:
+	case h.targetsChanged <- struct{}{}:
 	default:
 	}
-	return nil
 }
 
 func joinFindings(findings []rules.Finding) string {
--- a/host/digest.go
+++ b/host/digest.go
@@ -12,9 +12,18 @@
 // hostDigest is what a host tells its peers on probes.
 type hostDigest struct {
 	_     struct{} `cbor:",toarray"`
+	Moves []moveDigest
 	Pools []poolDigest
 }
 
+// moveDigest names the newest state of a pool's move and carries evidence.
+type moveDigest struct {
+	_        struct{} `cbor:",toarray"`
+	Pool     string
+	Seq      uint64
+	Evidence []byte
+}
+
 type poolDigest struct {
 	_    struct{} `cbor:",toarray"`
 	Pool string
@@ -35,8 +44,8 @@
 	sort.Strings(names)
 	turn := int(h.digestTurn.Add(1)) % len(names)
 	var body []byte
-	var d hostDigest
 	now := time.Now()
+	d := hostDigest{Moves: h.moveDigests(names, now)}
 	for i := range names {
 		name := names[(turn+i)%len(names)]
 		d.Pools = append(d.Pools, poolDigest{Pool: name, Body: pools[name].sched.Digest(now)})
@@ -49,12 +58,34 @@
 	return body
 }
 
+func (h *Host) moveDigests(names []string, now time.Time) []moveDigest {
+	var all []moveDigest
+	for _, name := range names {
+		s, ok := h.tracker.State(name)
+		if !ok {
+			continue
+		}
+		evidence, err := h.tracker.Digest(name, now, evidenceBytes)
+		if err != nil {
+			continue
+		}
+		all = append(all, moveDigest{Pool: name, Seq: s.Seq, Evidence: evidence})
+	}
+	return all
+}
+
 func (h *Host) receiveDigest(from string, body []byte) {
 	var d hostDigest
 	if err := cbor.Unmarshal(body, &d); err != nil {
 		return
 	}
 	now := time.Now()
+	for _, m := range d.Moves {
+		h.learnMoveState(from, m.Pool, m.Seq)
+		if len(m.Evidence) > 0 {
+			_ = h.tracker.Merge(m.Evidence, now)
+		}
+	}
 	for _, p := range d.Pools {
 		if runner, ok := (*h.pools.Load())[p.Pool]; ok {
 			_ = runner.sched.PeerDigest(from, p.Body, now)
--- a/host/exchange.go
+++ b/host/exchange.go
@@ -10,6 +10,7 @@
 
 	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/core/telemetry"
+	"sardinefront.dev/moves/judge"
 	"sardinefront.dev/sched/pool"
 	"sardinefront.dev/target"
 )
@@ -45,9 +46,12 @@
 	answer  *target.Answer
 	// offset counts the received events of a stream.
 	offset int64
-	first  time.Time
-	paused atomic.Bool
-	stop   context.CancelCauseFunc
+	// version is what the target serves, and sent when it was sent.
+	version string
+	sent    time.Time
+	first   time.Time
+	paused  atomic.Bool
+	stop    context.CancelCauseFunc
 }
 
 // open waits for a dispatch and returns the head of the answer. On a refusal
@@ -123,7 +127,11 @@
 		x.notSent(refusal.RetryTargetLeft)
 		return nil
 	}
-	x.backend, x.target = b, a.Target
+	x.backend, x.target, x.version = b, a.Target, x.pool.version(a.Target)
+	if !x.dispatched && x.h.tracker.Halted(x.pool.name, x.version) {
+		x.notSent(refusal.RetryVersionHalted)
+		return nil
+	}
 	if a.Resume && x.dispatched {
 		return x.reopen(ctx, attempt)
 	}
@@ -140,9 +148,10 @@
 		return refusal.New(refusal.OutcomeUnknown, "second dispatch prevented")
 	}
 	x.dispatched = true
+	x.sent = time.Now()
 	ans, err := b.Do(attempt, x.call)
 	if err == nil {
-		x.answer = ans
+		x.accept(ans)
 		return nil
 	}
 	var send *target.SendError
@@ -223,10 +232,32 @@
 	}
 	result, ref := classify(x.target, err)
 	x.pool.done(x.ticket, result)
+	x.observe(judged(result))
 	x.h.metrics.WastedPrefill(telemetry.WasteTargetLost, x.ticket.req.PromptTokens)
 	return ref
 }
 
+// accept takes the head of an answer.
+func (x *exchange) accept(ans *target.Answer) {
+	x.answer = ans
+	if ans.Version != "" {
+		x.version = ans.Version
+		x.h.noteVersion(x.pool, x.target, ans.Version)
+	}
+}
+
+// judged maps the end of a dispatch to evidence about its version.
+func judged(r pool.Result) judge.Result {
+	switch r {
+	case pool.OK:
+		return judge.Answered
+	case pool.Cut:
+		return judge.Cut
+	default:
+		return judge.Failed
+	}
+}
+
 // classify maps an adapter's error after the first byte to what the pool and
 // the caller are told.
 func classify(name string, err error) (pool.Result, *refusal.Refusal) {
@@ -333,6 +364,7 @@
 		result = pool.Failed
 	}
 	x.pool.done(x.ticket, result)
+	x.observe(judged(result))
 	x.end()
 	req := x.ticket.req
 	if req.Deadline.IsZero() || time.Now().Before(req.Deadline) {
--- a/host/fleet.go
+++ b/host/fleet.go
@@ -51,6 +51,7 @@
 		Digest:   h.digest,
 		OnDigest: h.receiveDigest,
 		OnFloor:  h.receiveFloor,
+		OnHalt:   h.receiveHalt,
 		Handle:   h.handlePeer,
 	})
 	if err != nil {
@@ -69,6 +70,8 @@
 		return h.journal.Handle(ctx, body)
 	case kindRelay:
 		return h.relay(ctx, body)
+	case kindMoveState:
+		return h.serveMoveState(string(body))
 	default:
 		return nil
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -23,6 +23,7 @@
 	"sardinefront.dev/host/settings"
 	"sardinefront.dev/journal"
 	"sardinefront.dev/journal/claim"
+	"sardinefront.dev/moves"
 	"sardinefront.dev/platform"
 )
 
@@ -35,6 +36,9 @@
 	store platform.KV
 	gate  *gate
 	hosts platform.Hosts
+	// weights is nil on a host without a platform, which steers no moves.
+	weights platform.Weights
+	tracker *moves.Tracker
 
 	journal *journal.Node
 	// fleet is nil on a host without peers.
@@ -50,10 +54,10 @@
 	ready    atomic.Bool
 	draining atomic.Bool
 
-	// rulesChanged wakes the loop that assigns targets to pools.
-	rulesChanged chan struct{}
-	drain        chan struct{}
-	drainOnce    sync.Once
+	// targetsChanged wakes the loop that assigns targets to pools.
+	targetsChanged chan struct{}
+	drain          chan struct{}
+	drainOnce      sync.Once
 
 	callers        *fiber.App
 	callerListener *callerconn.Tracker
@@ -77,15 +81,17 @@
 	Metrics *telemetry.Metrics
 	Store   platform.KV
 	Hosts   platform.Hosts
+	Weights platform.Weights
 }
 
 // New returns a host that is not yet started.
 func New(s settings.Settings, d Dependencies) *Host {
 	h := &Host{
-		settings: s, log: d.Log, metrics: d.Metrics, hosts: d.Hosts,
-		gate:         &gate{kv: d.Store},
-		rulesChanged: make(chan struct{}, 1),
-		drain:        make(chan struct{}),
+		settings: s, log: d.Log, metrics: d.Metrics, hosts: d.Hosts, weights: d.Weights,
+		tracker:        moves.NewTracker(s.Host.Name),
+		gate:           &gate{kv: d.Store},
+		targetsChanged: make(chan struct{}, 1),
+		drain:          make(chan struct{}),
 	}
 	h.store = h.gate
 	h.ctx, h.cancel = context.WithCancel(context.Background())
@@ -111,6 +117,7 @@
 		return err
 	}
 	h.tasks.Go(h.runTargets)
+	h.tasks.Go(h.runMoves)
 	if err := h.startCallers(); err != nil {
 		return fmt.Errorf("listen.callers: %s: %w", h.settings.Listen.Callers, err)
 	}
--- /dev/null
+++ b/host/observe.go
@@ -0,0 +1,79 @@
+package host
+
+import (
+	"sort"
+	"time"
+
+	"sardinefront.dev/moves"
+	"sardinefront.dev/moves/judge"
+	"sardinefront.dev/moves/steer"
+)
+
+// observe counts the end of a dispatched request as evidence in a running move.
+func (x *exchange) observe(result judge.Result) {
+	shares := x.h.tracker.Shares(x.pool.name)
+	if shares == nil || x.version == "" {
+		return
+	}
+	o := moves.Observation{
+		Move: shares.Move, Version: x.version, Target: x.target,
+		Route: x.ticket.req.Route, Tier: x.ticket.req.Tier, Result: result,
+	}
+	if !x.first.IsZero() {
+		o.FirstToken = x.first.Sub(x.sent)
+	}
+	if x.offset > 1 {
+		o.BetweenTokens = time.Since(x.first) / time.Duration(x.offset-1)
+	}
+	x.h.tracker.Observe(o, x.pool.name, time.Now())
+}
+
+// seenVersion records the version that a target names in its answers and load
+// reports, which is more recent than the platform's list. It reports whether it
+// is new.
+func (p *poolRunner) seenVersion(name, version string) bool {
+	if version == "" {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.versions[name] == version {
+		return false
+	}
+	p.versions[name] = version
+	return true
+}
+
+// versionOf returns the version that the target serves as far as this host
+// knows.
+func (p *poolRunner) versionOf(name, listed string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if v, ok := p.versions[name]; ok {
+		return v
+	}
+	return listed
+}
+
+// version returns the version that the target serves, or an empty string.
+func (p *poolRunner) version(name string) string {
+	for _, i := range *p.infos.Load() {
+		if i.Name == name {
+			return p.versionOf(name, i.Version)
+		}
+	}
+	return ""
+}
+
+// steerTargets returns the pool's targets in order of name.
+func (p *poolRunner) steerTargets() []steer.Target {
+	infos := *p.infos.Load()
+	targets := make([]steer.Target, 0, len(infos))
+	for _, i := range infos {
+		targets = append(targets, steer.Target{
+			Name: i.Name, Zone: i.Zone, Version: p.versionOf(i.Name, i.Version), Leaving: i.Leaving,
+		})
+	}
+	sort.Slice(targets, func(a, b int) bool { return targets[a].Name < targets[b].Name })
+	return targets
+}
--- a/host/operators.go
+++ b/host/operators.go
@@ -68,6 +68,7 @@
 	v1 := app.Group("/v1", h.requireKey)
 	v1.Get("/status", func(c fiber.Ctx) error { return c.JSON(h.Status()) })
 	v1.Get("/explain/:organisation/:id", h.serveExplain)
+	v1.Get("/moves", func(c fiber.Ctx) error { return c.JSON(h.Moves()) })
 	v1.Post("/drain", h.serveDrain)
 	h.operators = app
 	h.tasks.Go(func() {
--- a/host/pool.go
+++ b/host/pool.go
@@ -8,6 +8,8 @@
 
 	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/core/request"
+	"sardinefront.dev/moves"
+	"sardinefront.dev/platform"
 	"sardinefront.dev/sched/pool"
 )
 
@@ -44,6 +46,10 @@
 	fleet floorSender
 
 	backends atomic.Pointer[map[string]backend]
+	// infos is the platform's list of the pool.
+	infos atomic.Pointer[[]platform.HostInfo]
+	// shares is the share map that the scheduler has.
+	shares atomic.Pointer[moves.Shares]
 	// addresses is owned by the goroutine that updates the targets.
 	addresses map[string]string
 
@@ -53,6 +59,8 @@
 	mu      sync.Mutex
 	tickets map[string]*ticket
 	probes  map[string]*probeState
+	// versions holds what targets said they serve.
+	versions map[string]string
 
 	onTarget func(pool string, a pool.Action)
 	onProbe  func(target string, b backend)
@@ -71,9 +79,11 @@
 		fleet:     fleet,
 		tickets:   make(map[string]*ticket),
 		addresses: make(map[string]string),
+		versions:  make(map[string]string),
 		probes:    make(map[string]*probeState),
 	}
 	p.backends.Store(&map[string]backend{})
+	p.infos.Store(&[]platform.HostInfo{})
 	return p
 }
 
--- a/host/poolset.go
+++ b/host/poolset.go
@@ -27,11 +27,12 @@
 		}
 		next[i.Name] = b
 		targets = append(targets, pool.Target{
-			Name: i.Name, Zone: i.Zone, Version: i.Version,
+			Name: i.Name, Zone: i.Zone, Version: p.versionOf(i.Name, i.Version),
 			Local: i.Zone == "" || i.Zone == s.Host.Zone, Leaving: i.Leaving,
 		})
 	}
 	p.backends.Store(&next)
+	p.infos.Store(&infos)
 	p.do(func(now time.Time) []pool.Action { return p.sched.SetTargets(targets, now) })
 	for name, b := range old {
 		if next[name] != b {
@@ -45,10 +46,11 @@
 
 func newBackend(kind pool.Kind, i platform.HostInfo, s settings.Settings) backend {
 	c := target.Config{
-		Name:      i.Name,
-		Address:   i.Address,
-		Dial:      s.Limits.DialTimeout,
-		FirstByte: s.Limits.FirstByte,
+		Name:        i.Name,
+		Address:     i.Address,
+		Dial:        s.Limits.DialTimeout,
+		FirstByte:   s.Limits.FirstByte,
+		SenderToken: s.Orders.SenderToken,
 	}
 	if kind == pool.Engine {
 		return target.NewEngine(c)
@@ -88,6 +90,9 @@
 	runner.onTarget = h.targetChanged
 	runner.onProbe = func(name string, b backend) { h.probe(runner, name, b) }
 	h.tasks.Go(func() { runner.run(h.ctx) })
+	if kind == pool.Engine {
+		h.startRollout(p, runner)
+	}
 	return runner
 }
 
--- a/host/probe.go
+++ b/host/probe.go
@@ -33,9 +33,18 @@
 	if err != nil {
 		return
 	}
+	h.noteVersion(runner, name, r.Version)
 	runner.sched.Report(name, pool.LoadReport{Running: r.Running, Queued: r.Waiting, Tokens: r.Tokens, At: asked}, time.Now())
 }
 
+// noteVersion updates the pool's targets if a target serves another version
+// than before.
+func (h *Host) noteVersion(runner *poolRunner, name, version string) {
+	if runner.seenVersion(name, version) {
+		h.wakeTargets()
+	}
+}
+
 func (h *Host) readCacheEvents(ctx context.Context, runner *poolRunner, name string, e engineBackend) {
 	after := runner.cacheSequence(name)
 	events, err := e.CacheEvents(ctx, after)
--- a/host/settings/settings.go
+++ b/host/settings/settings.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -20,9 +21,23 @@
 	Keys     Keys     `yaml:"keys"`
 	Limits   Limits   `yaml:"limits"`
 	Journal  Journal  `yaml:"journal"`
+	Orders   Orders   `yaml:"orders"`
 	Targets  []Target `yaml:"targets"`
 }
 
+// Orders says to which engines this host may give control commands.
+type Orders struct {
+	// UncheckedPools names pools whose engines do not check who gives an order
+	// and to which this host may nevertheless give orders, because the network
+	// between them is trusted.
+	UncheckedPools []string `yaml:"unchecked_pools"`
+	// SenderToken authenticates this host to engines that check.
+	SenderToken string `yaml:"sender_token"`
+}
+
+// MayOrder reports whether orders may go to a pool that does not check them.
+func (o Orders) MayOrder(pool string) bool { return slices.Contains(o.UncheckedPools, pool) }
+
 // Host names the process.
 type Host struct {
 	// Name is unique in the fleet.
--- a/host/targets.go
+++ b/host/targets.go
@@ -35,7 +35,7 @@
 		case <-h.ctx.Done():
 			return
 		case <-tick.C:
-		case <-h.rulesChanged:
+		case <-h.targetsChanged:
 		}
 	}
 }
