Keep connections that answered while another one was silent

Cause: each timeout and passed deadline closed all idle connections and retired those in use, so that an overloaded target would have had to be dialled for most requests.

Change: only idle connections whose last whole answer is older than the silent request are closed. Connections in use prove themselves by ending their answer, so the epoch of the pool is gone.

--- a/target/body_test.go
+++ b/target/body_test.go
@@ -106,7 +106,7 @@
 		if err != io.EOF {
 			b.Fatal(err)
 		}
-		e.pool.suspect(&conn{epoch: e.pool.epoch}) // the next round needs a new connection
+		e.pool.retain(func(*conn) bool { return false }) // the next round needs a new connection
 	}
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*events), "ns/event")
 }
--- a/target/client.go
+++ b/target/client.go
@@ -118,9 +118,9 @@
 }
 
 func write(cn *conn, req *fasthttp.Request, wait time.Duration) error {
-	cn.sent = 0
+	cn.sent, cn.sentAt = 0, time.Now()
 	cn.bw.Reset(cn)
-	if err := cn.SetDeadline(time.Now().Add(wait)); err != nil {
+	if err := cn.SetDeadline(cn.sentAt.Add(wait)); err != nil {
 		return err
 	}
 	if err := req.Write(cn.bw); err != nil {
--- a/target/pool.go
+++ b/target/pool.go
@@ -18,8 +18,8 @@
 	// sent counts the bytes of the current request that the kernel accepted.
 	sent      int64
 	created   time.Time
-	idleSince time.Time
-	epoch     uint64
+	sentAt    time.Time // when the current request was begun
+	idleSince time.Time // when the last answer was complete
 }
 
 // Write counts accepted bytes. With 0 accepted bytes, nothing of the request
@@ -37,7 +37,6 @@
 
 	mu    sync.Mutex
 	idle  []*conn // oldest first
-	epoch uint64
 	sweep *time.Timer
 	done  bool
 }
@@ -73,21 +72,15 @@
 }
 
 func (p *pool) usable(c *conn, now time.Time) bool {
-	p.mu.Lock()
-	epoch := p.epoch
-	p.mu.Unlock()
-	return c.epoch == epoch && now.Sub(c.created) < p.cfg.MaxAge && now.Sub(c.idleSince) < p.cfg.MaxIdle
+	return now.Sub(c.created) < p.cfg.MaxAge && now.Sub(c.idleSince) < p.cfg.MaxIdle
 }
 
 func (p *pool) connect(ctx context.Context) (*conn, error) {
-	p.mu.Lock()
-	epoch := p.epoch
-	p.mu.Unlock()
 	nc, err := p.dial(ctx, "tcp", p.cfg.Address)
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc, created: time.Now(), epoch: epoch}
+	c := &conn{Conn: nc, created: time.Now()}
 	c.br = bufio.NewReaderSize(nc, readBufferBytes)
 	c.bw = bufio.NewWriter(c)
 	return c, nil
@@ -99,7 +92,7 @@
 	c.idleSince = now
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	old := c.epoch != p.epoch || now.Sub(c.created) >= p.cfg.MaxAge
+	old := now.Sub(c.created) >= p.cfg.MaxAge
 	if p.done || old || len(p.idle) >= p.cfg.MaxIdleConns {
 		c.Close()
 		return
@@ -116,33 +109,21 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	kept := p.idle[:0]
-	for _, c := range p.idle {
-		if now.Sub(c.idleSince) >= p.cfg.MaxIdle || now.Sub(c.created) >= p.cfg.MaxAge {
-			c.Close()
-			continue
-		}
-		kept = append(kept, c)
-	}
-	clear(p.idle[len(kept):])
-	p.idle = kept
+	p.retain(func(c *conn) bool { return p.usable(c, now) })
 	p.sweep = nil
-	if len(kept) > 0 && !p.done {
+	if len(p.idle) > 0 && !p.done {
 		p.sweep = time.AfterFunc(p.cfg.MaxIdle, p.closeIdle)
 	}
 }
 
-// suspect closes all idle connections after one went silent, because open
-// connections to a target often go silent together. Connections in use finish
-// their answer and are not used again.
+// suspect is called when c has stayed silent since its request. Open connections
+// to a target often go silent together, so the idle ones that have not carried a
+// whole answer since then are closed. Those in use prove themselves by ending
+// their answer.
 func (p *pool) suspect(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.epoch != p.epoch {
-		return
-	}
-	p.epoch++
-	p.drain()
+	p.retain(func(o *conn) bool { return o.idleSince.After(c.sentAt) })
 }
 
 func (p *pool) close() {
@@ -152,13 +133,19 @@
 	if p.sweep != nil {
 		p.sweep.Stop()
 	}
-	p.drain()
+	p.retain(func(*conn) bool { return false })
 }
 
-func (p *pool) drain() {
+// retain closes the idle connections that keep refuses.
+func (p *pool) retain(keep func(*conn) bool) {
+	kept := p.idle[:0]
 	for _, c := range p.idle {
+		if keep(c) {
+			kept = append(kept, c)
+			continue
+		}
 		c.Close()
 	}
-	clear(p.idle)
-	p.idle = p.idle[:0]
+	clear(p.idle[len(kept):])
+	p.idle = kept
 }
--- a/target/pool_test.go
+++ b/target/pool_test.go
@@ -116,3 +116,28 @@
 		}
 	}
 }
+
+// Guards against one slow answer that costs all connections, which would make
+// every request of an overloaded target dial.
+func TestSlowAnswerKeepsLiveConnections(t *testing.T) {
+	s := serve(t, func(w net.Conn, c, n int, r *http.Request) bool {
+		return r.URL.Path == "/silent" || reply(w, r.Header.Get(HeaderRequestID), "ok")
+	})
+	c := NewService(s.config())
+	defer c.Close()
+	silent := make(chan error, 1)
+	go func() {
+		_, err := c.Do(context.Background(), Call{Method: "GET", Path: "/silent", FirstByte: 200 * time.Millisecond})
+		silent <- err
+	}()
+	for s.count("") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if _, err := fetch(c, get("1")); err != nil {
+		t.Fatal(err)
+	}
+	sendError(t, <-silent, true, ReasonFirstByte)
+	if n := len(c.pool.idle); n != 1 {
+		t.Errorf("%d idle connections, expected the one that answered meanwhile", n)
+	}
+}
