Resume lost streams, validate calls at intake and take over exact incarnations

Cause: a host known from the platform's list only was held dead for all its incarnations, and a 404 to a resume counted as a failure of the engine and ejected it. Change: incarnation 0 stands for nothing while the host is alive, and an unknown stream says nothing against its engine. A resume goes on from the adapter's offset.

--- a/host/callers.go
+++ b/host/callers.go
@@ -191,8 +191,8 @@
 		Header: copyHeader(c),
 		Body:   append([]byte(nil), c.Body()...),
 	}
-	if len(in.call.Body) > 0 && (in.call.Method == http.MethodGet || in.call.Method == http.MethodHead) {
-		return refusal.New(refusal.BadRequest, "a %s request has no body", in.call.Method)
+	if err := in.call.Validate(); err != nil {
+		return refusal.New(refusal.BadRequest, "%v", err)
 	}
 	runner, ok := (*h.pools.Load())[in.class.Pool]
 	if !ok {
--- a/host/exchange.go
+++ b/host/exchange.go
@@ -10,7 +10,6 @@
 
 	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/core/telemetry"
-	"sardinefront.dev/moves/judge"
 	"sardinefront.dev/sched/pool"
 	"sardinefront.dev/target"
 )
@@ -49,9 +48,11 @@
 	// version is what the target serves, and sent when it was sent.
 	version string
 	sent    time.Time
-	first   time.Time
-	paused  atomic.Bool
-	stop    context.CancelCauseFunc
+	// reconnects counts lost connections whose stream was resumed.
+	reconnects int
+	first      time.Time
+	paused     atomic.Bool
+	stop       context.CancelCauseFunc
 }
 
 // open waits for a dispatch and returns the head of the answer. On a refusal
@@ -149,7 +150,7 @@
 	}
 	x.dispatched = true
 	x.sent = time.Now()
-	ans, err := b.Do(attempt, x.call)
+	ans, err := b.Do(attempt, x.callNow())
 	if err == nil {
 		x.accept(ans)
 		return nil
@@ -162,6 +163,19 @@
 	return x.interrupted(ctx, err)
 }
 
+// callNow returns the call with the wait for its first byte bounded by the
+// request's deadline, because an answer that is not streamed begins late.
+func (x *exchange) callNow() target.Call {
+	c := x.call
+	if !c.Stream {
+		c.FirstByte = max(minFirstByte, time.Until(x.ticket.req.Deadline))
+	}
+	return c
+}
+
+// minFirstByte is the least wait for an answer that is not streamed.
+const minFirstByte = time.Second
+
 // unsentCall handles a call of which no byte went out. The pool decides on a
 // retry, unless another target would make no difference.
 func (x *exchange) unsentCall(ctx context.Context, send *target.SendError) *refusal.Refusal {
@@ -192,9 +206,41 @@
 		x.pauseAtTarget(ctx)
 		return nil
 	}
+	if x.call.Stream && lostConnection(err) && x.reconnect(ctx, x.offset) {
+		return nil
+	}
 	return x.failed(ctx, err)
 }
 
+// maxReconnects bounds how often the stream of one request is resumed after
+// its connection was lost.
+const maxReconnects = 3
+
+// reconnect continues the stream over a new connection to the same engine. It
+// is not a second dispatch: the engine only goes on sending what it generates
+// for this request.
+func (x *exchange) reconnect(ctx context.Context, offset int64) bool {
+	e, ok := x.backend.(engineBackend)
+	if !ok || x.reconnects >= maxReconnects {
+		return false
+	}
+	x.reconnects++
+	ans, err := e.Resume(x.attemptContext(ctx), x.call.ID, offset)
+	if err != nil {
+		return false
+	}
+	x.offset = offset
+	x.accept(ans)
+	return true
+}
+
+// lostConnection reports whether the request was sent and its connection then
+// closed or stayed silent.
+func lostConnection(err error) bool {
+	var send *target.SendError
+	return errors.As(err, &send) && (send.Reason == target.ReasonFirstByte || send.Reason == target.ReasonClosed)
+}
+
 // attemptContext returns a context that a pause ends without ending ctx.
 func (x *exchange) attemptContext(ctx context.Context) context.Context {
 	actx, stop := context.WithCancelCause(ctx)
@@ -232,7 +278,7 @@
 	}
 	result, ref := classify(x.target, err)
 	x.pool.done(x.ticket, result)
-	x.observe(judged(result))
+	x.observe(result)
 	x.h.metrics.WastedPrefill(telemetry.WasteTargetLost, x.ticket.req.PromptTokens)
 	return ref
 }
@@ -246,24 +292,15 @@
 	}
 }
 
-// judged maps the end of a dispatch to evidence about its version.
-func judged(r pool.Result) judge.Result {
-	switch r {
-	case pool.OK:
-		return judge.Answered
-	case pool.Cut:
-		return judge.Cut
-	default:
-		return judge.Failed
-	}
-}
-
 // classify maps an adapter's error after the first byte to what the pool and
 // the caller are told.
 func classify(name string, err error) (pool.Result, *refusal.Refusal) {
 	var mismatch *target.MismatchError
 	var cut *target.CutError
 	switch {
+	case errors.Is(err, target.ErrUnknownStream):
+		// That a stream is gone says nothing against the engine.
+		return pool.Cancelled, refusal.New(refusal.AnswerCut, "target %s: %v", name, err)
 	case errors.As(err, &mismatch):
 		return pool.Failed, refusal.New(refusal.AnswerMismatched, "target %s: %v", name, err)
 	case errors.As(err, &cut):
@@ -320,11 +357,8 @@
 		return ref
 	}
 	var cut *target.CutError
-	if e, ok := x.backend.(engineBackend); ok && errors.As(err, &cut) {
-		if ans, again := e.Resume(x.attemptContext(ctx), x.call.ID, x.offset); again == nil {
-			x.answer = ans
-			return nil
-		}
+	if x.answer.Streamed && errors.As(err, &cut) && x.reconnect(ctx, cut.Offset) {
+		return nil
 	}
 	return x.failed(ctx, err)
 }
@@ -364,7 +398,7 @@
 		result = pool.Failed
 	}
 	x.pool.done(x.ticket, result)
-	x.observe(judged(result))
+	x.observe(result)
 	x.end()
 	req := x.ticket.req
 	if req.Deadline.IsZero() || time.Now().Before(req.Deadline) {
--- a/host/fleet.go
+++ b/host/fleet.go
@@ -155,15 +155,29 @@
 		if m.Name == h.settings.Host.Name {
 			continue
 		}
-		last := m.Incarnation
-		if m.State != member.Dead && m.State != member.Left {
-			last--
+		if last := lastEnded(m, time.Now()); last > 0 {
+			dead = append(dead, claim.Owner{Host: m.Name, Incarnation: last})
 		}
-		dead = append(dead, claim.Owner{Host: m.Name, Incarnation: last})
 	}
 	return dead
 }
 
+// lastEnded returns the last incarnation of a member that has ended, 0 if none
+// is known to have. A member that was never heard has incarnation 0; once it is
+// dead, every process of it that started before now has ended.
+func lastEnded(m member.Member, now time.Time) uint64 {
+	switch {
+	case m.State.Gone() && m.Incarnation == 0:
+		return uint64(now.UnixMilli())
+	case m.State.Gone():
+		return m.Incarnation
+	case m.Incarnation > 0:
+		return m.Incarnation - 1
+	default:
+		return 0
+	}
+}
+
 // floorNotice tells peers about a tier floor. The remaining time is sent, not a
 // point in time, because clocks of hosts differ.
 type floorNotice struct {
--- a/host/observe.go
+++ b/host/observe.go
@@ -7,12 +7,22 @@
 	"sardinefront.dev/moves"
 	"sardinefront.dev/moves/judge"
 	"sardinefront.dev/moves/steer"
+	"sardinefront.dev/sched/pool"
 )
 
+// judged maps the end of a dispatch to evidence about its version.
+var judged = map[pool.Result]judge.Result{
+	pool.OK:     judge.Answered,
+	pool.Cut:    judge.Cut,
+	pool.Failed: judge.Failed,
+	pool.Silent: judge.Failed,
+}
+
 // observe counts the end of a dispatched request as evidence in a running move.
-func (x *exchange) observe(result judge.Result) {
+func (x *exchange) observe(end pool.Result) {
 	shares := x.h.tracker.Shares(x.pool.name)
-	if shares == nil || x.version == "" {
+	result, counts := judged[end]
+	if shares == nil || x.version == "" || !counts {
 		return
 	}
 	o := moves.Observation{
