Add the virtual-time measurement of scheduling decisions

proof/bench feeds one seeded workload to sched/pool on every host, to round-robin and least-in-progress per host, and to an omniscient scheduler with the same tiers. Engines and plain services are small fakes: continuous batching with chunked prompts, a bounded prefix cache, late load reports, cache events with gaps. Run prints one table; bounds.yaml holds the bounds with their source.

--- /dev/null
+++ b/proof/bench/bounds.go
@@ -0,0 +1,148 @@
+package bench
+
+import (
+	_ "embed"
+	"fmt"
+	"math"
+
+	"github.com/goccy/go-yaml"
+	"sardinefront.dev/core/request"
+)
+
+//go:embed bounds.yaml
+var boundsFile []byte
+
+// Bound limits one figure of the scheduler under test. Exactly one of Min and
+// Max is set.
+type Bound struct {
+	Name   string   `yaml:"name"`
+	Source string   `yaml:"source"` // the requirement that it comes from
+	Figure string   `yaml:"figure"` // name in the figures table
+	Min    *float64 `yaml:"min"`
+	Max    *float64 `yaml:"max"`
+}
+
+// Bounds returns the bounds of bounds.yaml.
+func Bounds() ([]Bound, error) {
+	var bounds []Bound
+	if err := yaml.UnmarshalWithOptions(boundsFile, &bounds, yaml.Strict()); err != nil {
+		return nil, fmt.Errorf("bounds.yaml: %w", err)
+	}
+	for _, b := range bounds {
+		if (b.Min == nil) == (b.Max == nil) || b.Source == "" || figureNamed(b.Figure) == nil {
+			return nil, fmt.Errorf("bounds.yaml: %s needs a source, a known figure and either min or max", b.Name)
+		}
+	}
+	return bounds, nil
+}
+
+// met reports whether a figure meets the bound. A figure that does not exist
+// in a run (NaN) does.
+func (b *Bound) met(v float64) bool {
+	switch {
+	case math.IsNaN(v):
+		return true
+	case b.Min != nil:
+		return v >= *b.Min
+	default:
+		return v <= *b.Max
+	}
+}
+
+func (b *Bound) String() string {
+	if b.Min != nil {
+		return fmt.Sprintf("at least %g", *b.Min)
+	}
+	return fmt.Sprintf("at most %g", *b.Max)
+}
+
+// figure is one row of the table. value is NaN where a run has no such figure.
+type figure struct {
+	name  string
+	value func(r *result, c *comparison) float64
+}
+
+// comparison holds the results of all schedulers under the same conditions.
+type comparison struct {
+	s                              *scenario
+	pool, robin, least, omniscient *result
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		if a == 0 {
+			return 1
+		}
+		return math.Inf(1)
+	}
+	return a / b
+}
+
+var figures = []figure{
+	{"inversions", func(r *result, _ *comparison) float64 { return float64(r.Inversions) }},
+	{"overtaken", func(r *result, _ *comparison) float64 { return float64(r.Overtaken) }},
+	{"urgent goodput", func(r *result, c *comparison) float64 {
+		if !c.s.urgentFits() {
+			return math.NaN()
+		}
+		return r.Tier[request.Urgent].goodput()
+	}},
+	{"interactive goodput", func(r *result, _ *comparison) float64 { return r.Tier[request.Interactive].goodput() }},
+	{"patient goodput", func(r *result, _ *comparison) float64 { return r.Tier[request.Patient].goodput() }},
+	{"service goodput", func(r *result, c *comparison) float64 {
+		if c.s.d.services == 0 {
+			return math.NaN()
+		}
+		return r.Service.goodput()
+	}},
+	{"total goodput /s", func(r *result, _ *comparison) float64 { return r.GoodRate }},
+	{"good tokens /s", func(r *result, _ *comparison) float64 { return r.TokenRate }},
+	{"total goodput / omniscient", func(r *result, c *comparison) float64 { return ratio(r.GoodRate, c.omniscient.GoodRate) }},
+	{"unfairness", func(r *result, _ *comparison) float64 {
+		if r.Fairness.Intervals == 0 {
+			return math.NaN()
+		}
+		return r.Fairness.Worst
+	}},
+	{"wasted prefill / answer", func(r *result, _ *comparison) float64 { return r.wasted() }},
+	{"  held elsewhere", wastePer(wasteHeldElsewhere)},
+	{"  cancelled", wastePer(wasteCancelled)},
+	{"  refused after start", wastePer(wasteRefused)},
+	{"  lost with target", wastePer(wasteLost)},
+	{"wasted prefill / omniscient", func(r *result, c *comparison) float64 { return ratio(r.wasted(), c.omniscient.wasted()) }},
+	{"wasted prefill / least", func(r *result, c *comparison) float64 { return ratio(r.wasted(), c.least.wasted()) }},
+	{"peer bytes/s", func(r *result, _ *comparison) float64 { return r.PeerBytes }},
+	{"dispatches per request", func(r *result, _ *comparison) float64 { return float64(r.MaxDispatches) }},
+	{"first token p95 ms", func(r *result, _ *comparison) float64 { return float64(r.FirstToken.Microseconds()) / 1000 }},
+	{"token gap p95 ms", func(r *result, _ *comparison) float64 { return float64(r.Gap.Microseconds()) / 1000 }},
+}
+
+func wastePer(c wasteCause) func(*result, *comparison) float64 {
+	return func(r *result, _ *comparison) float64 {
+		return float64(r.Waste[c]) / float64(max(1, r.Answers))
+	}
+}
+
+func figureNamed(name string) *figure {
+	for i := range figures {
+		if figures[i].name == name {
+			return &figures[i]
+		}
+	}
+	return nil
+}
+
+// urgentFits reports whether the urgent load alone, bursts included, fits the
+// capacity of the targets that meet the objectives. Crashes lose requests that
+// no scheduler can save.
+func (s *scenario) urgentFits() bool {
+	if s.only >= 0 || s.crash {
+		return false
+	}
+	rate := s.load * s.d.capacity(enginePool, -1) * shapes[request.Urgent].share * burstFactor
+	capacity := s.d.capacity(enginePool, int(request.Urgent))
+	if s.slow {
+		capacity *= 2.0 / 3
+	}
+	return rate <= capacity
+}
--- /dev/null
+++ b/proof/bench/clock.go
@@ -0,0 +1,92 @@
+package bench
+
+import "time"
+
+// epoch is the wall time of virtual time 0. Its value has no influence.
+var epoch = time.Date(2027, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// clock runs events in the order of virtual time; events of the same instant
+// run in the order in which they were added.
+type clock struct {
+	now  time.Duration
+	seq  uint64
+	heap []event
+}
+
+type event struct {
+	at  time.Duration
+	seq uint64
+	run func()
+}
+
+func (e *event) before(o *event) bool {
+	return e.at < o.at || e.at == o.at && e.seq < o.seq
+}
+
+// wall returns the current virtual time as a time.Time.
+func (c *clock) wall() time.Time { return epoch.Add(c.now) }
+
+// after runs f once the virtual time d has passed.
+func (c *clock) after(d time.Duration, f func()) { c.at(c.now+d, f) }
+
+// at runs f at virtual time t, which must not be in the past.
+func (c *clock) at(t time.Duration, f func()) {
+	c.seq++
+	c.heap = append(c.heap, event{t, c.seq, f})
+	i := len(c.heap) - 1
+	for i > 0 {
+		parent := (i - 1) / 2
+		if !c.heap[i].before(&c.heap[parent]) {
+			return
+		}
+		c.heap[i], c.heap[parent] = c.heap[parent], c.heap[i]
+		i = parent
+	}
+}
+
+// every runs f at t and then once per period.
+func (c *clock) every(t, period time.Duration, f func()) {
+	var tick func()
+	tick = func() {
+		f()
+		c.after(period, tick)
+	}
+	c.at(t, tick)
+}
+
+// runUntil runs all events up to and including virtual time end.
+func (c *clock) runUntil(end time.Duration) {
+	for len(c.heap) > 0 && c.heap[0].at <= end {
+		e := c.pop()
+		c.now = e.at
+		e.run()
+	}
+	c.now = end
+}
+
+func (c *clock) pop() event {
+	top := c.heap[0]
+	last := len(c.heap) - 1
+	c.heap[0] = c.heap[last]
+	c.heap[last] = event{}
+	c.heap = c.heap[:last]
+	c.sink(0)
+	return top
+}
+
+func (c *clock) sink(i int) {
+	for {
+		child := 2*i + 1
+		if child >= len(c.heap) {
+			return
+		}
+		if child+1 < len(c.heap) && c.heap[child+1].before(&c.heap[child]) {
+			child++
+		}
+		if !c.heap[child].before(&c.heap[i]) {
+			return
+		}
+		c.heap[i], c.heap[child] = c.heap[child], c.heap[i]
+		i = child
+	}
+}
--- /dev/null
+++ b/proof/bench/job.go
@@ -0,0 +1,65 @@
+package bench
+
+import (
+	"time"
+
+	"sardinefront.dev/core/request"
+)
+
+// job is one request of the workload with what happened to it in one run.
+type job struct {
+	req  *request.Request
+	pool int // index in world.pools
+	host int
+	org  int
+
+	at           time.Duration // arrival
+	deadline     time.Duration
+	leave        time.Duration // the caller gives up at this time; 0 is never
+	promptTokens int
+	answerTokens int           // true length, unknown to schedulers
+	work         time.Duration // at a plain service
+
+	state      jobState
+	target     int // index in the pool; -1 before the first dispatch
+	run        int // number of starts and stops; tells a late event from a current one
+	dispatches int
+	resumed    bool
+	aside      bool // waits behind all others of its tier
+	epoch      int  // epoch of the engine at the dispatch
+	atService  bool
+	seq        *sequence
+	generated  int
+	computed   int // prompt tokens computed and not counted as wasted so far
+	firstAt    time.Duration
+	lastAt     time.Duration
+	longGaps   int
+}
+
+type jobState uint8
+
+const (
+	jobWaiting jobState = iota
+	jobRunning
+	jobPaused
+	jobAnswered
+	jobRefused
+	jobLost
+	jobLeft
+)
+
+// ended reports whether the caller has received an answer or a refusal, or has
+// given up.
+func (j *job) ended() bool { return j.state >= jobAnswered }
+
+// good reports whether an answer at time end meets the objectives of the tier.
+// Patient requests have a deadline only.
+func (j *job) good(end time.Duration) bool {
+	if end > j.deadline {
+		return false
+	}
+	if j.req.Tier == request.Patient || j.atService {
+		return true
+	}
+	return j.firstAt-j.at <= firstTokenLimit && j.longGaps*20 <= j.generated-1
+}
--- /dev/null
+++ b/proof/bench/service.go
@@ -0,0 +1,54 @@
+package bench
+
+import "time"
+
+// service is a fake of a plain service: a number of workers that serve
+// requests in arrival order.
+type service struct {
+	w       *world
+	zone    int
+	workers int
+	slow    float64
+	busy    int
+	queue   []*job
+}
+
+func (s *service) submit(j *job) {
+	j.atService = true
+	s.queue = append(s.queue, j)
+	s.next()
+}
+
+// cancel drops a waiting request. A running one keeps its worker until its
+// end, because a plain service does not notice that the caller has gone.
+func (s *service) cancel(j *job) {
+	for i, q := range s.queue {
+		if q == j {
+			s.queue = append(s.queue[:i:i], s.queue[i+1:]...)
+			return
+		}
+	}
+}
+
+func (s *service) next() {
+	for s.busy < s.workers && len(s.queue) > 0 {
+		j := s.queue[0]
+		s.queue = s.queue[1:]
+		s.busy++
+		run := j.run
+		s.w.clk.after(time.Duration(float64(j.work)*s.slow), func() {
+			s.busy--
+			if j.run == run {
+				s.w.token(j, false)
+				s.w.answered(j)
+			}
+			s.next()
+		})
+	}
+}
+
+func (s *service) load() load {
+	return load{at: s.w.clk.now, running: s.busy, waiting: len(s.queue)}
+}
+
+func (s *service) up() bool { return true }
--- /dev/null
+++ b/proof/bench/table.go
@@ -0,0 +1,84 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"text/tabwriter"
+)
+
+// writeTable prints the figures of all schedulers side by side, and below them
+// how often each bound was met.
+func writeTable(w io.Writer, seed uint64, all []*comparison, bounds []Bound) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "seed %d\nscenario\tfigure\tsardinefront\tround-robin\tleast\tomniscient\tbound\t\n", seed)
+	for _, c := range all {
+		for _, f := range figures {
+			fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t\n", c.s, f.name,
+				format(f.value(c.pool, c)), format(f.value(c.robin, c)),
+				format(f.value(c.least, c)), format(f.value(c.omniscient, c)), verdict(bounds, f, c))
+		}
+	}
+	fmt.Fprintf(t, "\nbound\tlimit\tmet\tmissed\tworst\tin\t\n")
+	for i := range bounds {
+		writeBound(t, &bounds[i], all)
+	}
+	for _, c := range all {
+		if trace := c.pool.InversionTrace; trace != "" {
+			fmt.Fprintf(t, "%s: first inversion: %s\n", c.s, trace)
+		}
+	}
+	return t.Flush()
+}
+
+// verdict returns the bound of a figure and whether it is met.
+func verdict(bounds []Bound, f figure, c *comparison) string {
+	for i := range bounds {
+		if b := &bounds[i]; b.Figure == f.name {
+			v := f.value(c.pool, c)
+			switch {
+			case math.IsNaN(v):
+				return b.String() + ": not judged"
+			case b.met(v):
+				return b.String() + ": met"
+			default:
+				return b.String() + ": MISSED"
+			}
+		}
+	}
+	return ""
+}
+
+// writeBound prints in how many scenarios a bound was met, and the worst.
+func writeBound(w io.Writer, b *Bound, all []*comparison) {
+	f := figureNamed(b.Figure)
+	met, missed, worst, where := 0, 0, math.NaN(), "-"
+	for _, c := range all {
+		v := f.value(c.pool, c)
+		if math.IsNaN(v) {
+			continue
+		}
+		if b.met(v) {
+			met++
+		} else {
+			missed++
+		}
+		if math.IsNaN(worst) || b.Min != nil && v < worst || b.Max != nil && v > worst {
+			worst, where = v, c.s.String()
+		}
+	}
+	fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\t%s\t\n", b.Name, b, met, missed, format(worst), where)
+}
+
+// format prints a figure with about four significant digits, - for none.
+func format(v float64) string {
+	switch {
+	case math.IsNaN(v):
+		return "-"
+	case v == math.Trunc(v) || math.Abs(v) >= 1000:
+		return strconv.FormatFloat(v, 'f', 0, 64)
+	default:
+		return strconv.FormatFloat(v, 'g', 4, 64)
+	}
+}
--- /dev/null
+++ b/proof/bench/world.go
@@ -0,0 +1,252 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"sardinefront.dev/core/refusal"
+)
+
+// scheduler decides where requests run. The world calls it when something
+// happens that an entry host would notice; it answers by calling dispatch,
+// stop and refuse of the world.
+type scheduler interface {
+	// submit takes in a request that has arrived at its host.
+	submit(j *job)
+	// firstToken and progress report tokens of a running request.
+	firstToken(j *job)
+	progress(j *job)
+	// finished reports a complete answer; the request has ended.
+	finished(j *job)
+	// lost reports that the target failed during the request, which has ended.
+	lost(j *job)
+	// notSent reports that the target accepted no connection. The request may
+	// be dispatched again.
+	notSent(j *job)
+	// leave removes a request whose caller has gone or whose deadline passed
+	// while it ran. The scheduler stops it if it runs.
+	leave(j *job)
+}
+
+// world holds the targets and the workload of one run.
+type world struct {
+	d       *deployment
+	seed    uint64
+	clk     clock
+	rnd     *rand.Rand // delays; independent of the workload
+	sched   scheduler
+	meter   *meter
+	engines []*engine
+	pools   [poolCount][]target
+}
+
+// scenario describes the conditions of a run.
+type scenario struct {
+	d     *deployment
+	seed  uint64
+	load  float64 // offered load as a factor on capacity
+	slow  bool    // a third of the targets at a third of their speed
+	crash bool    // one in a hundred engines, at least one, crashes
+	only  int     // draw requests of this tier alone; -1 draws all
+	span  time.Duration
+}
+
+// Requests that arrive in the first warmUp are not counted, because caches and
+// limits start empty. Arrivals continue for tail after the span, so that the
+// requests that are counted end under the same load; an interactive answer
+// takes at most 12 s at 30 ms per token.
+const (
+	warmUp = 4 * time.Second
+	tail   = 12 * time.Second
+)
+
+// run feeds the workload to the scheduler that build returns.
+func (s *scenario) run(build func(*world) scheduler) *result {
+	w := &world{d: s.d, seed: s.seed, rnd: rand.New(rand.NewPCG(s.seed, 99))}
+	w.meter = newMeter(w, s)
+	w.buildTargets(s.slow)
+	w.sched = build(w)
+	for pool := range poolCount {
+		w.feed(s, pool)
+	}
+	if s.crash {
+		w.crashes(s.span)
+	}
+	w.clk.runUntil(s.span + tail)
+	return w.meter.result()
+}
+
+// feed schedules the arrivals of one pool, each from its predecessor, so that
+// the event queue stays small.
+func (w *world) feed(s *scenario, pool int) {
+	if len(w.pools[pool]) == 0 {
+		return
+	}
+	g := newGenerator(s.d, pool, s.seed, s.only)
+	jobs := g.arrivals(s.load*s.d.capacity(pool, s.only), s.span+tail)
+	var next func()
+	i := 0
+	next = func() {
+		j := jobs[i]
+		if i++; i < len(jobs) {
+			w.clk.at(jobs[i].at, next)
+		}
+		w.arrive(j)
+	}
+	if len(jobs) > 0 {
+		w.clk.at(jobs[0].at, next)
+	}
+}
+
+// crashes stops one in a hundred engines in the middle of the span for 4 s.
+func (w *world) crashes(span time.Duration) {
+	for i := range max(1, len(w.engines)/100) {
+		e := w.engines[i]
+		w.clk.at(span/2, e.crash)
+		w.clk.at(span/2+4*time.Second, e.restore)
+	}
+}
+
+func (w *world) arrive(j *job) {
+	w.meter.arrived(j)
+	if j.leave > 0 {
+		w.clk.at(j.leave, func() { w.giveUp(j) })
+	}
+	w.clk.at(j.deadline, func() { w.expire(j) })
+	w.sched.submit(j)
+}
+
+// giveUp ends a request whose caller has closed its connection.
+func (w *world) giveUp(j *job) {
+	if j.ended() {
+		return
+	}
+	w.sched.leave(j)
+	w.meter.left(j)
+	j.state = jobLeft
+}
+
+// expire ends a request that has been started and did not end by its deadline.
+// The scheduler refuses those that still wait.
+func (w *world) expire(j *job) {
+	if j.state != jobRunning && j.state != jobPaused {
+		return
+	}
+	w.sched.leave(j)
+	w.refuse(j, refusal.DeadlinePassed)
+}
+
+// delay returns the network delay between the host of a request and a target.
+func (w *world) delay(j *job) time.Duration {
+	if w.hostZone(j.host) == w.zoneOf(j.target) {
+		return nearDelay
+	}
+	return farDelay
+}
+
+// dispatch sends a request to a target, or resumes it there.
+func (w *world) dispatch(j *job, target int, resume bool) {
+	w.meter.started(j)
+	j.resumed = resume && target == j.target
+	j.target = target
+	j.state = jobRunning
+	j.run++
+	run := j.run
+	w.clk.after(w.delay(j), func() {
+		if j.run != run {
+			return
+		}
+		t := w.pools[j.pool][j.target]
+		if !t.up() {
+			w.notSent(j)
+			return
+		}
+		if j.resumed {
+			w.meter.resumes++
+		} else {
+			j.dispatches++
+		}
+		t.submit(j)
+	})
+}
+
+// stop cancels a running request at its target and leaves it paused. It has no
+// effect on a request whose answer is complete and on its way.
+func (w *world) stop(j *job) {
+	if j.answerTokens > 0 && j.generated >= j.answerTokens {
+		return
+	}
+	j.run++
+	j.state = jobPaused
+	w.pools[j.pool][j.target].cancel(j)
+}
+
+// pause is stop for a request that continues later.
+func (w *world) pause(j *job) {
+	w.stop(j)
+	w.meter.stopped()
+}
+
+// refuse ends a request without an answer.
+func (w *world) refuse(j *job, why refusal.Reason) {
+	if j.ended() {
+		return
+	}
+	w.meter.refused(j, why)
+	j.state = jobRefused
+}
+
+// token records a token that the target sends now.
+func (w *world) token(j *job, decoding bool) {
+	j.generated++
+	if j.firstAt == 0 {
+		j.firstAt = w.clk.now + w.delay(j)
+		run := j.run
+		w.clk.after(w.delay(j), func() {
+			if j.run == run && !j.ended() {
+				w.sched.firstToken(j)
+			}
+		})
+	} else {
+		gap := w.clk.now - j.lastAt
+		if gap > gapLimit {
+			j.longGaps++
+		}
+		w.meter.gap(j, gap)
+		if j.generated%progressTokens == 0 {
+			w.sched.progress(j)
+		}
+	}
+	j.lastAt = w.clk.now
+}
+
+// answered ends a request whose last token the target sends now.
+func (w *world) answered(j *job) {
+	run := j.run
+	w.clk.after(w.delay(j), func() {
+		if j.run != run || j.ended() {
+			return
+		}
+		w.meter.answered(j)
+		j.state = jobAnswered
+		w.sched.finished(j)
+	})
+}
+
+// notSent reports a refused connection to the host.
+func (w *world) notSent(j *job) {
+	j.state = jobPaused
+	run := j.run
+	w.clk.after(w.delay(j), func() {
+		if j.run == run && !j.ended() {
+			w.sched.notSent(j)
+		}
+	})
+}
+
+// fail ends a request whose target crashed.
+func (w *world) fail(j *job) {
+	w.meter.lost(j)
+	j.state = jobLost
+	w.sched.lost(j)
+}
