Compare the ways of sharing targets and charge paused work

The design leaves open how hosts share targets, and patient work that was paused and not resumed by the end of a run did not count as wasted.

RunSharing runs each way of sched/pool under the same workload. Work that is still paused at the end is charged with what a resume would compute again.

--- a/proof/bench/engine.go
+++ b/proof/bench/engine.go
@@ -114,7 +114,7 @@
 	s.prompt = max(1, j.promptTokens-held*blockTokens) + j.generated
 	e.pending += s.prompt
 	if j.resumed {
-		again := min(s.prompt, j.computed+j.generated)
+		again := j.again(held)
 		e.w.meter.wasted(wasteCancelled, again)
 		j.computed -= again
 	} else {
--- a/proof/bench/job.go
+++ b/proof/bench/job.go
@@ -63,3 +63,12 @@
 	}
 	return j.firstAt-j.at <= firstTokenLimit && j.longGaps*20 <= j.generated-1
 }
+
+// complete reports whether an engine has sent the last token of the answer.
+func (j *job) complete() bool { return j.answerTokens > 0 && j.generated >= j.answerTokens }
+
+// again returns the tokens that an engine which holds the given number of the
+// prompt's blocks would compute again if it resumed the request now.
+func (j *job) again(held int) int {
+	return min(max(1, j.promptTokens-held*blockTokens), j.computed) + j.generated
+}
--- a/proof/bench/meter.go
+++ b/proof/bench/meter.go
@@ -14,8 +14,8 @@
 const (
 	// wasteHeldElsewhere are tokens that another engine's cache held.
 	wasteHeldElsewhere wasteCause = iota
-	// wasteCancelled are tokens computed again after a pause, or computed for a
-	// caller that left.
+	// wasteCancelled are tokens computed again after a pause, answer tokens
+	// included, or computed for a caller that left.
 	wasteCancelled
 	// wasteRefused are tokens of a request that was refused after it ran.
 	wasteRefused
@@ -92,6 +92,7 @@
 	floors    *starts
 	fair      *fairness
 	sent      []int // bytes sent by host after the warm-up
+	paused    []*job
 	resumes   int
 	maxSeen   int
 	promptSum int
@@ -146,12 +147,26 @@
 	j.aside = true
 }
 
-func (m *meter) stopped() {
+// stopped counts a pause.
+func (m *meter) stopped(j *job) {
+	m.paused = append(m.paused, j)
 	if m.w.clk.now >= m.from {
 		m.res.Pauses++
 	}
 }
 
+// chargePaused counts what the requests that are still paused at the end of
+// the run would compute again if they were resumed then.
+func (m *meter) chargePaused() {
+	seen := map[*job]bool{}
+	for _, j := range m.paused {
+		if j.state == jobPaused && !seen[j] {
+			seen[j] = true
+			m.wasted(wasteCancelled, j.again(m.w.engines[j.target].cache.match(j.req.Prefix)))
+		}
+	}
+}
+
 func (m *meter) answered(j *job) {
 	now := m.w.clk.now
 	m.ended(j)
--- a/proof/bench/omniscient.go
+++ b/proof/bench/omniscient.go
@@ -192,12 +192,13 @@
 
 // estimate returns the seconds until the first token when pending prompt
 // tokens come first, and the cost of the choice: the time to compute what is
-// not cached counts three times, because it also delays others.
+// not cached counts six times, because it also delays others and is wasted
+// where another engine holds it.
 func (o *omniscient) estimate(e *engine, j *job, pending int) (first, cost float64) {
 	own := j.promptTokens - e.cache.match(j.req.Prefix)*blockTokens
 	perToken := e.stepTime(o.count[enginePool][e.id], e.gen.chunk).Seconds() / float64(e.gen.chunk)
 	first = float64(pending+own) * perToken
-	return first, first + 2*float64(own)*perToken
+	return first, first + 5*float64(own)*perToken
 }
 
 // choosePaused stops patient work for a request of a higher tier and returns
--- a/proof/bench/pooled.go
+++ b/proof/bench/pooled.go
@@ -256,4 +256,5 @@
 
 func (p *pooled) leave(j *job) {
 	p.hosts[j.host].apply(j.pool, p.at(j).Cancel(j.req.ID, p.w.clk.wall()))
+	delete(p.jobs, j.req.ID)
 }
--- /dev/null
+++ b/proof/bench/sharing.go
@@ -0,0 +1,78 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/sourcegraph/conc/iter"
+	"sardinefront.dev/sched/pool"
+)
+
+// sharings are the ways of sharing targets among hosts that RunSharing
+// compares.
+var sharings = []struct {
+	name string
+	way  pool.Sharing
+}{
+	{"peer-digests", pool.PeerDigests},
+	{"two-choices", pool.TwoChoices},
+	{"host-shares", pool.HostShares},
+	{"probing", pool.Probing},
+}
+
+// sharingFigures are the columns of RunSharing.
+var sharingFigures = []string{
+	"urgent goodput", "interactive goodput", "total goodput / omniscient",
+	"wasted prefill / omniscient", "inversions", "first token p95 ms", "peer bytes/s",
+}
+
+// RunSharing measures the ways of sharing targets among hosts against each
+// other under the scenarios that opts selects, and prints one line for each
+// way and scenario in the form of a Markdown table. opts.Sharing is ignored.
+func RunSharing(w io.Writer, opts Options) error {
+	o, err := opts.defaults()
+	if err != nil {
+		return err
+	}
+	scenarios := o.scenarios()
+	type task struct {
+		s     *scenario
+		build func(*world) scheduler
+	}
+	var tasks []task
+	for _, s := range scenarios {
+		tasks = append(tasks, task{s, newOmniscient}, task{s, newLeastInProgress})
+		for _, way := range sharings {
+			tasks = append(tasks, task{s, pooledWith(way.way)})
+		}
+	}
+	mapper := iter.Mapper[task, *result]{MaxGoroutines: o.Parallel}
+	results := mapper.Map(tasks, func(t *task) *result { return t.s.run(t.build) })
+	return writeSharing(w, scenarios, results)
+}
+
+func writeSharing(w io.Writer, scenarios []*scenario, results []*result) error {
+	t := tabwriter.NewWriter(w, 0, 0, 1, ' ', 0)
+	fmt.Fprint(t, "| scenario\t| sharing\t")
+	for _, f := range sharingFigures {
+		fmt.Fprintf(t, "| %s\t", f)
+	}
+	fmt.Fprint(t, "|\n| ---\t| ---\t")
+	for range sharingFigures {
+		fmt.Fprint(t, "| ---\t")
+	}
+	fmt.Fprintln(t, "|")
+	for i, s := range scenarios {
+		r := results[i*(2+len(sharings)):]
+		c := &comparison{s: s, omniscient: r[0], least: r[1]}
+		for k, way := range sharings {
+			fmt.Fprintf(t, "| %s\t| %s\t", s, way.name)
+			for _, f := range sharingFigures {
+				fmt.Fprintf(t, "| %s\t", format(figureNamed(f).value(r[2+k], c)))
+			}
+			fmt.Fprintln(t, "|")
+		}
+	}
+	return t.Flush()
+}
--- a/proof/bench/world.go
+++ b/proof/bench/world.go
@@ -73,6 +73,7 @@
 		w.crashes(s.span)
 	}
 	w.clk.runUntil(s.span + tail)
+	w.meter.chargePaused()
 	return w.meter.result()
 }
 
@@ -144,8 +145,12 @@
 	return farDelay
 }
 
-// dispatch sends a request to a target, or resumes it there.
+// dispatch sends a request to a target, or resumes it there. It has no effect
+// on a request whose answer is complete and on its way.
 func (w *world) dispatch(j *job, target int, resume bool) {
+	if j.complete() {
+		return
+	}
 	w.meter.started(j)
 	j.resumed = resume && target == j.target
 	j.target = target
@@ -173,7 +178,7 @@
 // stop cancels a running request at its target and leaves it paused. It has no
 // effect on a request whose answer is complete and on its way.
 func (w *world) stop(j *job) {
-	if j.answerTokens > 0 && j.generated >= j.answerTokens {
+	if j.complete() {
 		return
 	}
 	j.run++
@@ -184,7 +189,7 @@
 // pause is stop for a request that continues later.
 func (w *world) pause(j *job) {
 	w.stop(j)
-	w.meter.stopped()
+	w.meter.stopped(j)
 }
 
 // refuse ends a request without an answer.
