--- a/proof/scenario/caller.go
+++ b/proof/scenario/caller.go
@@ -49,8 +49,9 @@
 	class                          rules.Class
 }
 
-// key is the request's name at the targets and in events.
-func (s *callSpec) key() string { return s.organisation + "." + s.id }
+// key is the request's id at the targets and its name in events: hosts put the
+// organisation before the caller's id.
+func (s *callSpec) key() string { return s.organisation + "~" + s.id }
 
 func (s *callSpec) chat() bool { return strings.Contains(s.path, "/chat/") }
 
--- a/proof/scenario/commands.go
+++ b/proof/scenario/commands.go
@@ -38,6 +38,7 @@
 	"until":    doUntil,
 	"holds":    doHolds,
 	"store":    doStore,
+	"platform": doPlatform,
 	"fault":    doFault,
 	"leave":    doLeave,
 	"unlist":   doUnlist,
@@ -197,13 +198,15 @@
 }
 
 func doStore(w *world, a *arguments) error {
-	what := a.next("down, up, slow, loses, silent, cut or reachable")
+	what := a.next("down, up, slow, loses, silent or cut")
 	names := a.words
 	var change func(f *platformd.Faults)
 	switch what {
 	case "down":
-		change = func(f *platformd.Faults) { f.Down = true }
+		w.storeDown.Store(true)
+		return a.end()
 	case "up":
+		w.storeDown.Store(false)
 		change = func(f *platformd.Faults) { *f = platformd.Faults{} }
 	case "slow":
 		d, err := time.ParseDuration(a.next("a duration"))
@@ -235,6 +238,19 @@
 	return nil
 }
 
+// doPlatform reads down or up: the store and the list fail together.
+func doPlatform(w *world, a *arguments) error {
+	state := a.next("down or up")
+	if err := a.end(); err != nil {
+		return err
+	}
+	if state != "down" && state != "up" {
+		return fmt.Errorf("%q is neither down nor up", state)
+	}
+	w.setFaults(func(f *platformd.Faults) { f.Down = state == "down" })
+	return nil
+}
+
 func doFault(w *world, a *arguments) error {
 	s, err := w.targetNamed(a.next("a target"))
 	if err != nil {
--- a/proof/scenario/commands_calls.go
+++ b/proof/scenario/commands_calls.go
@@ -67,9 +67,9 @@
 func (w *world) readCall(a *arguments, label string) (callSpec, []string, error) {
 	s := callSpec{
 		stream: a.flag("stream"), method: a.next("a method"), path: a.next("a path"),
-		id: a.text("id", label), prompt: a.text("prompt", "tell me about "+label), body: a.text("body", ""),
-		tokens: int(a.number("tokens", 8)),
+		id: a.text("id", label), body: a.text("body", ""), tokens: int(a.number("tokens", 8)),
 	}
+	s.prompt = a.text("prompt", "tell me about "+s.id)
 	a.keyword("from")
 	s.organisation = a.next("an organisation")
 	a.keyword("to")
--- a/proof/scenario/commands_faults.go
+++ b/proof/scenario/commands_faults.go
@@ -54,11 +54,17 @@
 		if err != nil {
 			return err
 		}
+		w.reachAll(name, false)
 		s.crash(w.rec)
 	}
 	return nil
 }
 
+// reachAll lets the relays of all hosts to a target follow its process.
+func (w *world) reachAll(target string, can bool) {
+	w.hosts.each(func(p *hostProcess) { _ = p.reach(target, can) })
+}
+
 // doRestart starts hosts and targets again that have crashed or stopped.
 func doRestart(w *world, a *arguments) error {
 	for _, name := range a.words {
@@ -78,6 +84,7 @@
 		if err := w.restartTarget(s); err != nil {
 			return err
 		}
+		w.reachAll(name, true)
 	}
 	return nil
 }
--- a/proof/scenario/gate.go
+++ b/proof/scenario/gate.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sardinefront.dev/platform"
@@ -21,6 +22,8 @@
 	hosts platform.Hosts
 	// address maps a target's address to that of the host's relay to it.
 	address func(info platform.HostInfo) string
+	// storeDown refuses the calls of every host to the store, not to the list.
+	storeDown *atomic.Bool
 
 	mu      sync.Mutex
 	closed  bool
@@ -95,47 +98,56 @@
 	}
 }
 
+// store passes a call to the store.
+func store[T any](ctx context.Context, g *gate, giveUp error, f func(context.Context) (T, error)) (T, error) {
+	if g.storeDown.Load() {
+		var zero T
+		return zero, fmt.Errorf("store down: %w", platform.ErrUnavailable)
+	}
+	return pass(ctx, g, giveUp, f)
+}
+
 func noValue(f func(context.Context) error) func(context.Context) (struct{}, error) {
 	return func(ctx context.Context) (struct{}, error) { return struct{}{}, f(ctx) }
 }
 
 // Get implements platform.KV.
 func (g *gate) Get(ctx context.Context, key string) (platform.Entry, error) {
-	return pass(ctx, g, platform.ErrUnavailable, func(ctx context.Context) (platform.Entry, error) { return g.kv.Get(ctx, key) })
+	return store(ctx, g, platform.ErrUnavailable, func(ctx context.Context) (platform.Entry, error) { return g.kv.Get(ctx, key) })
 }
 
 // List implements platform.KV.
 func (g *gate) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
-	return pass(ctx, g, platform.ErrUnavailable, func(ctx context.Context) ([]platform.Entry, error) { return g.kv.List(ctx, prefix) })
+	return store(ctx, g, platform.ErrUnavailable, func(ctx context.Context) ([]platform.Entry, error) { return g.kv.List(ctx, prefix) })
 }
 
 // CompareAndSwap implements platform.KV.
 func (g *gate) CompareAndSwap(ctx context.Context, key string, value []byte, prev int64, lease platform.LeaseID) (int64, error) {
-	return pass(ctx, g, platform.ErrNoAnswer, func(ctx context.Context) (int64, error) {
+	return store(ctx, g, platform.ErrNoAnswer, func(ctx context.Context) (int64, error) {
 		return g.kv.CompareAndSwap(ctx, key, value, prev, lease)
 	})
 }
 
 // Delete implements platform.KV.
 func (g *gate) Delete(ctx context.Context, key string, prev int64) error {
-	_, err := pass(ctx, g, platform.ErrNoAnswer, noValue(func(ctx context.Context) error { return g.kv.Delete(ctx, key, prev) }))
+	_, err := store(ctx, g, platform.ErrNoAnswer, noValue(func(ctx context.Context) error { return g.kv.Delete(ctx, key, prev) }))
 	return err
 }
 
 // Grant implements platform.KV.
 func (g *gate) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
-	return pass(ctx, g, platform.ErrNoAnswer, func(ctx context.Context) (platform.LeaseID, error) { return g.kv.Grant(ctx, ttl) })
+	return store(ctx, g, platform.ErrNoAnswer, func(ctx context.Context) (platform.LeaseID, error) { return g.kv.Grant(ctx, ttl) })
 }
 
 // KeepAlive implements platform.KV.
 func (g *gate) KeepAlive(ctx context.Context, id platform.LeaseID) error {
-	_, err := pass(ctx, g, platform.ErrNoAnswer, noValue(func(ctx context.Context) error { return g.kv.KeepAlive(ctx, id) }))
+	_, err := store(ctx, g, platform.ErrNoAnswer, noValue(func(ctx context.Context) error { return g.kv.KeepAlive(ctx, id) }))
 	return err
 }
 
 // Revoke implements platform.KV.
 func (g *gate) Revoke(ctx context.Context, id platform.LeaseID) error {
-	_, err := pass(ctx, g, platform.ErrNoAnswer, noValue(func(ctx context.Context) error { return g.kv.Revoke(ctx, id) }))
+	_, err := store(ctx, g, platform.ErrNoAnswer, noValue(func(ctx context.Context) error { return g.kv.Revoke(ctx, id) }))
 	return err
 }
 
@@ -147,7 +159,7 @@
 
 // Watch implements platform.KV.
 func (g *gate) Watch(ctx context.Context, prefix string, after int64) ([]platform.Entry, int64, error) {
-	c, err := pass(ctx, g, platform.ErrUnavailable, func(ctx context.Context) (changes, error) {
+	c, err := store(ctx, g, platform.ErrUnavailable, func(ctx context.Context) (changes, error) {
 		es, rev, err := g.kv.Watch(ctx, prefix, after)
 		return changes{es, rev}, err
 	})
--- a/proof/scenario/world.go
+++ b/proof/scenario/world.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -37,7 +38,9 @@
 
 	platform *platformd.Server
 	faults   platformd.Faults
-	operator *httpkv.Client
+	// storeDown makes only the store fail; the list still answers.
+	storeDown atomic.Bool
+	operator  *httpkv.Client
 
 	rulesFile string
 	set       *rules.Set
@@ -101,7 +104,8 @@
 	}
 }
 
-// useRules selects a rules file of the examples or of the scenario.
+// useRules selects a rules file of the examples or of the scenario, by which
+// calls are classified from now on.
 func (w *world) useRules(name string) error {
 	file := filepath.Join(w.dir, name)
 	if _, err := os.Stat(file); err != nil {
@@ -136,7 +140,7 @@
 		return 0, err
 	}
 	w.rec.Record(invariant.Event{Kind: invariant.ConfigAccepted, Number: v.Number})
-	return v.Number, nil
+	return v.Number, w.useRules(name)
 }
 
 // list replaces or adds a row of the platform's list.
