--- a/proof/scenario/commands.go
+++ b/proof/scenario/commands.go
@@ -34,6 +34,7 @@
 	"expect":   doExpect,
 	"runs":     doRuns,
 	"served":   doServed,
+	"ejected":  doEjected,
 	"outcome":  doOutcome,
 	"until":    doUntil,
 	"holds":    doHolds,
--- a/proof/scenario/commands_calls.go
+++ b/proof/scenario/commands_calls.go
@@ -318,3 +318,31 @@
 	}
 	return nil
 }
+
+// doEjected reads HOST POOL BOUND: how many targets of the pool the host has
+// ejected.
+func doEjected(w *world, a *arguments) error {
+	p, err := w.hostNamed(a.next("a host"))
+	if err != nil {
+		return err
+	}
+	name := a.next("a pool")
+	b, ok := parseBound(a.next("a count"), 0)
+	if !ok {
+		a.fail("not a count")
+	}
+	if err := a.end(); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.host == nil {
+		return fmt.Errorf("host %s is down", p.name)
+	}
+	for _, pool := range p.host.Status().Pools {
+		if pool.Name == name && !b.holds(pool.Ejected) {
+			return fmt.Errorf("host %s has ejected %d targets of %s, expected %s", p.name, pool.Ejected, name, b.word)
+		}
+	}
+	return nil
+}
--- a/proof/scenario/commands_faults.go
+++ b/proof/scenario/commands_faults.go
@@ -190,6 +190,7 @@
 	"down":      whenDown,
 	"adopted":   whenAdopted,
 	"past":      whenPast,
+	"claimed":   whenClaimed,
 }
 
 func doUntil(w *world, a *arguments) error {
--- a/proof/scenario/hostprocess.go
+++ b/proof/scenario/hostprocess.go
@@ -242,12 +242,13 @@
 	p.host = nil
 	p.gate.close()
 	p.gate.resume()
-	for _, r := range p.relays {
-		r.shut()
-	}
+	// Callers go first, so that the dying process cannot tell them what it sees.
 	for c := range p.conns {
 		c.Close()
 	}
+	for _, r := range p.relays {
+		r.shut()
+	}
 	go func() {
 		defer close(ended)
 		h.Abort()
--- a/proof/scenario/outcomes.go
+++ b/proof/scenario/outcomes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"time"
@@ -45,18 +46,61 @@
 	return nil
 }
 
+// get asks a host once about a recorded request.
+func (w *world) get(ctx context.Context, p *hostProcess, spec callSpec) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.callerAddress()+"/sardinefront/requests/"+spec.id, nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("X-Organisation", spec.organisation)
+	return p.client.Do(req)
+}
+
+// phase returns the state of a request without an outcome, empty if it has one
+// or the host cannot say.
+func (w *world) phase(p *hostProcess, spec callSpec) string {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	resp, err := w.get(ctx, p, spec)
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	var body struct {
+		State string `json:"state"`
+	}
+	if resp.StatusCode != http.StatusAccepted || json.NewDecoder(resp.Body).Decode(&body) != nil {
+		return ""
+	}
+	return body.State
+}
+
+// whenClaimed reads LABEL from HOST: each of its requests is claimed.
+func whenClaimed(w *world, a *arguments) (func() bool, error) {
+	label := a.next("a label")
+	a.keyword("from")
+	p, err := w.hostNamed(a.next("a host"))
+	if err != nil {
+		return nil, err
+	}
+	calls, err := w.labels.calls(label)
+	return func() bool {
+		for _, c := range calls {
+			if w.phase(p, c.spec) != "claimed" {
+				return false
+			}
+		}
+		return true
+	}, err
+}
+
 // fetch asks a host once for the outcome of a request and records what it says.
 // It returns the state of the outcome, empty if there is none yet or the host
 // cannot say.
 func (w *world) fetch(ctx context.Context, p *hostProcess, spec callSpec) string {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.callerAddress()+"/sardinefront/requests/"+spec.id, nil)
-	if err != nil {
-		return ""
-	}
-	req.Header.Set("X-Organisation", spec.organisation)
-	resp, err := p.client.Do(req)
+	resp, err := w.get(ctx, p, spec)
 	if err != nil {
 		return ""
 	}
