--- a/standin/engine/run.go
+++ b/standin/engine/run.go
@@ -109,7 +109,8 @@
 	defer func() { <-s.batch.prefill }()
 	cached := s.cache.use(r.prefixes) * target.BlockBytes / 4
 	missing := max(0, r.promptTokens-cached)
-	s.prefilled.Add(int64(missing))
+	s.stats.Prefilled.Add(int64(missing))
+	s.stats.Cached.Add(int64(r.promptTokens - missing))
 	return pause(ctx, seconds(r.slow*float64(missing)/s.cfg.PrefillRate))
 }
 
@@ -124,6 +125,7 @@
 		if !pause(ctx, time.Until(due)) {
 			return
 		}
+		s.stats.Generated.Add(1)
 		r.advance()
 	}
 }
@@ -173,13 +175,27 @@
 	r.changed = make(chan struct{})
 }
 
-// cancel stops the production of tokens and frees the slot.
-func (r *run) cancel() {
+// cancel stops the production of tokens and returns when the slot is free, so
+// that a resume that follows starts it again.
+func (r *run) cancel(ctx context.Context) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	if r.stop != nil {
 		r.stop()
 	}
+	r.mu.Unlock()
+	for {
+		r.mu.Lock()
+		active, changed := r.active, r.changed
+		r.mu.Unlock()
+		if !active {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 func (r *run) state() (produced int, active bool) {
