--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,17 @@
 demo: build
 	bin/sardinectl demo
 
+# Prints goodput, wasted prefill and bounds beside the baselines.
+bench: build
+	bin/sardinectl bench
+
+# Explores the claim protocol.
+explore: build
+	bin/sardinectl explore
+
+scenarios: build
+	bin/sardinectl scenarios scenarios
+
 # Prints the share of test code. Fails above one third.
 loc:
 	@code=$$(git ls-files '*.go' | grep -v _test.go | xargs cat | wc -l); \
--- a/cmd/internal/ctl/ctl.go
+++ b/cmd/internal/ctl/ctl.go
@@ -113,6 +113,9 @@
 		drainCommand(),
 		keysCommand(),
 		demoCommand(),
+		benchCommand(),
+		exploreCommand(),
+		scenariosCommand(),
 		standinCommand(),
 	}
 }
