Bound the first byte by the deadline for completions only

Cause: a plain service that went silent was waited for until the request's deadline. Found by open-connections-go-silent, which fails before and passes after.

--- a/host/exchange.go
+++ b/host/exchange.go
@@ -164,10 +164,10 @@
 }
 
 // callNow returns the call with the wait for its first byte bounded by the
-// request's deadline, because an answer that is not streamed begins late.
+// request's deadline, because a completion that is not streamed begins late.
 func (x *exchange) callNow() target.Call {
 	c := x.call
-	if !c.Stream {
+	if x.pool.kind == pool.Engine && !c.Stream {
 		c.FirstByte = max(minFirstByte, time.Until(x.ticket.req.Deadline))
 	}
 	return c
