Test the decision packages and the pool

Faults that the tests found are fixed: virtual time did not advance past idle organisations, so state grew with each new one; a target that was never idle took its loaded times as unloaded; ties went to the first target of the list.

--- a/sched/flow/fair.go
+++ b/sched/flow/fair.go
@@ -14,6 +14,10 @@
 	count         int
 }
 
+// maxIdle bounds the organisations of a tier that are remembered without
+// waiting work; each takes about 150 bytes.
+const maxIdle = 1024
+
 // organisation is the state of one organisation in one tier.
 type organisation struct {
 	name   string
@@ -89,12 +93,18 @@
 }
 
 // trim forgets idle organisations whose start time would be the virtual time
-// again. When nothing waits there is no one to be fair to, so all go.
+// again. When nothing waits there is no one to be fair to, so all go. Beyond
+// maxIdle, virtual time advances to the earliest idle one, but not past the
+// next item to be served.
 func (f *fair) trim() {
-	for len(f.idle) > 0 && (f.count == 0 || f.idle[0].start <= f.virtual) {
+	for len(f.idle) > 0 && (f.count == 0 || len(f.idle) > maxIdle || f.idle[0].start <= f.virtual) {
 		o := heap.Pop(&f.idle).(*organisation)
-		f.virtual = max(f.virtual, o.start)
 		delete(f.organisations, o.name)
+		next := o.start
+		if len(f.waiting) > 0 {
+			next = min(next, f.waiting[0].start)
+		}
+		f.virtual = max(f.virtual, next)
 	}
 }
 
--- /dev/null
+++ b/sched/health/health_test.go
@@ -0,0 +1,107 @@
+package health
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Date(2027, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Guards against a failing target that stays in use and against one that gets
+// full traffic the moment it returns.
+func TestEjectionTrialAndRamp(t *testing.T) {
+	var h Tracker
+	now := start
+	for range 2 {
+		if why := h.Observe(Failure, now); why != "" {
+			t.Fatalf("ejected early: %s", why)
+		}
+	}
+	if why := h.Observe(Failure, now); why == "" || h.Weight(now) != 0 {
+		t.Fatal("three failures in a row do not eject")
+	}
+	if h.Advance(now.Add(firstEjection - 1)) {
+		t.Error("trial before the ejection ended")
+	}
+	now = now.Add(firstEjection)
+	if !h.Advance(now) || h.State() != Trial {
+		t.Fatal("no trial after the ejection")
+	}
+	for range trialSuccesses {
+		h.Observe(Success, now)
+	}
+	if w := h.Weight(now); h.State() != Healthy || w > 0.2 {
+		t.Errorf("state %d with weight %.2f after the trial", h.State(), w)
+	}
+	if w := h.Weight(now.Add(rampTime)); w != 1 {
+		t.Errorf("weight %.2f after the ramp", w)
+	}
+}
+
+// Guards against a target that fails its trial and returns just as soon.
+func TestEjectionsGrow(t *testing.T) {
+	var h Tracker
+	now := start
+	for range failuresInRow {
+		h.Observe(Failure, now)
+	}
+	for k := range 8 {
+		d := h.until.Sub(now)
+		if want := min(firstEjection<<k, maxEjection); d != want {
+			t.Errorf("ejection %d lasts %s, want %s", k, d, want)
+		}
+		now = h.until
+		h.Advance(now)
+		h.Observe(Failure, now)
+	}
+}
+
+// Guards against ejecting for a mixed but mostly good record, and against
+// missing one where every other answer fails.
+func TestFailureRate(t *testing.T) {
+	for every, want := range map[int]bool{2: true, 5: false} {
+		var h Tracker
+		ejected := false
+		for k := range 100 {
+			e := Success
+			if k%every == 0 {
+				e = Failure
+			}
+			ejected = ejected || h.Observe(e, start) != ""
+		}
+		if ejected != want {
+			t.Errorf("one failure in %d: ejected %v", every, ejected)
+		}
+	}
+}
+
+// Guards against a silent target that costs many callers their timeout, and
+// against a slow one that is ejected for a moment of slowness.
+func TestSilenceAndSlowness(t *testing.T) {
+	var h Tracker
+	h.Observe(Silence, start)
+	if h.Observe(Silence, start) == "" {
+		t.Error("two silences do not eject")
+	}
+	var s Tracker
+	for ms := 0; ms < 3000; ms += 50 {
+		factor := 10.0
+		if ms == 1000 {
+			factor = 1
+		}
+		why := s.Slowdown(factor, start.Add(time.Duration(ms)*time.Millisecond))
+		if (why != "") != (ms >= 3050) && ms < 3050 {
+			t.Fatalf("ejected after %d ms, before 2 s of slowness in a row", ms)
+		}
+	}
+	if s.Slowdown(10, start.Add(3100*time.Millisecond)) == "" {
+		t.Error("2 s of slowness do not eject")
+	}
+}
+
+// Guards against a host that ejects everything because its own network fails.
+func TestPanic(t *testing.T) {
+	if Panic(1, 2) || Panic(150, 300) || !Panic(151, 300) || !Panic(2, 2) || Panic(1, 1) {
+		t.Error("panic mode starts above half of at least two targets")
+	}
+}
--- a/sched/limit/limit.go
+++ b/sched/limit/limit.go
@@ -58,6 +58,10 @@
 	// drift lets an unloaded value that was learned in a good hour, or from one
 	// lucky sample, rise by 0.1% per second.
 	drift = 0.001
+	// unloadedAt is the work in progress up to which a target counts as
+	// unloaded. Without it, a target that is always full would make its loaded
+	// times the measure.
+	unloadedAt = 2.5
 	// minPrefill keeps the fixed part of the first-token time out of the
 	// prefill time per token.
 	minPrefill = 64
@@ -113,7 +117,7 @@
 	if n <= 0 || d < 0 {
 		return
 	}
-	l.between.add(d.Seconds()/float64(n), now)
+	l.between.add(d.Seconds()/float64(n), requests <= unloadedAt, now)
 	l.adapt(requests, tokens, now)
 }
 
@@ -122,10 +126,10 @@
 func (l *Limiter) First(d time.Duration, uncached int, requests, tokens float64, now time.Time) {
 	s := d.Seconds()
 	if l.cfg.Service {
-		l.unloaded.learnBase(s, now)
+		l.unloaded.learnBase(s, requests <= unloadedAt, now)
 	}
 	if uncached >= minPrefill {
-		l.prefill.learnBase(s/float64(uncached), now)
+		l.prefill.learnBase(s/float64(uncached), requests <= unloadedAt, now)
 	}
 	l.first.blend(s/l.firstGoal(uncached), firstWeight, now)
 	l.adapt(requests, tokens, now)
@@ -163,7 +167,11 @@
 
 // betweenGoal returns the goal between tokens in seconds.
 func (l *Limiter) betweenGoal() float64 {
-	return max(l.cfg.BetweenTokens.Seconds()*goalPart, l.between.base*betweenSlack)
+	goal := l.cfg.BetweenTokens.Seconds() * goalPart
+	if !l.between.unloaded {
+		return goal
+	}
+	return max(goal, l.between.base*betweenSlack)
 }
 
 // Pressure returns the current times relative to their goals; above 1 the
@@ -281,14 +289,16 @@
 	return between, prefill
 }
 
-// signal is one measured quantity: its current value and its unloaded value.
+// signal is one measured quantity: its current value and its least value.
 type signal struct {
 	now, base  float64
 	at, baseAt time.Time
+	// unloaded says that base was measured on an unloaded target.
+	unloaded bool
 }
 
-func (s *signal) add(v float64, now time.Time) {
-	s.learnBase(v, now)
+func (s *signal) add(v float64, unloaded bool, now time.Time) {
+	s.learnBase(v, unloaded, now)
 	if s.now == 0 {
 		s.now, s.at = v, now
 		return
@@ -315,13 +325,17 @@
 	}
 }
 
-// learnBase keeps the least value, which is that of an unloaded target, and
-// lets it rise slowly.
-func (s *signal) learnBase(v float64, now time.Time) {
-	if s.base == 0 || v < s.base {
-		s.base, s.baseAt = v, now
+// learnBase keeps the least value. Values of an unloaded target also let it
+// rise slowly.
+func (s *signal) learnBase(v float64, unloaded bool, now time.Time) {
+	s.unloaded = s.unloaded || unloaded
+	switch {
+	case s.base == 0 || v < s.base:
+		s.base = v
+	case unloaded:
+		s.base = min(v, s.base*(1+drift*min(1, max(0, now.Sub(s.baseAt).Seconds()))))
+	default:
 		return
 	}
-	s.base = min(v, s.base*(1+drift*max(0, now.Sub(s.baseAt).Seconds())))
 	s.baseAt = now
 }
--- /dev/null
+++ b/sched/limit/limit_test.go
@@ -0,0 +1,91 @@
+package limit
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Date(2027, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func config() Config {
+	return Config{Initial: 8, Max: 512, FirstToken: 590 * time.Millisecond, BetweenTokens: 30 * time.Millisecond}
+}
+
+// drive keeps the target as full as the limit allows. Its time between tokens
+// is base + grow*streams, in seconds. It returns the mean limit of the last
+// half and the time.
+func drive(l *Limiter, base, grow float64, seconds int, now time.Time) (float64, time.Time) {
+	sum, n := 0.0, 0
+	steps := seconds * 50
+	for k := range steps {
+		now = now.Add(20 * time.Millisecond)
+		streams := float64(int(l.Requests()))
+		l.Between(time.Duration((base+grow*streams)*float64(time.Second)), 1, streams, 0, now)
+		if k > steps/2 {
+			sum += l.Requests()
+			n++
+		}
+	}
+	return sum / float64(n), now
+}
+
+// Guards against one limit for unlike engines: each is filled until its own
+// time between tokens reaches 27 ms, 90% of the goal.
+func TestUnlikeEnginesGetUnlikeLimits(t *testing.T) {
+	for _, c := range []struct{ base, grow, want float64 }{{0.012, 0.001, 15}, {0.007, 0.0005, 40}, {0.015, 0.004, 3}} {
+		got, _ := drive(New(config()), c.base, c.grow, 60, start)
+		t.Logf("base %.0f ms, %.1f ms per stream: limit %.1f, ideal %.0f", c.base*1e3, c.grow*1e3, got, c.want)
+		if got < 0.75*c.want-1 || got > 1.25*c.want+1 {
+			t.Errorf("limit %.1f is far from %.0f", got, c.want)
+		}
+	}
+}
+
+// Guards against a slowed target that keeps its share.
+func TestThreefoldSlowdownCutsWithinASecond(t *testing.T) {
+	l := New(config())
+	before, now := drive(l, 0.012, 0.001, 60, start)
+	for range 50 {
+		now = now.Add(20 * time.Millisecond)
+		// The work in progress has not ended yet.
+		l.Between(81*time.Millisecond, 1, before, 0, now)
+	}
+	t.Logf("limit %.1f before, %.1f one second later", before, l.Requests())
+	if l.Requests() > before/2 {
+		t.Errorf("limit fell only from %.1f to %.1f", before, l.Requests())
+	}
+	if s := l.Slowdown(); s < 3 {
+		t.Errorf("slowdown %.1f", s)
+	}
+}
+
+// Guards against a limit that waits for a first token that never comes.
+func TestStallLowersTheLimit(t *testing.T) {
+	l := New(config())
+	before, now := drive(l, 0.012, 0.001, 20, start)
+	for k := range 40 {
+		now = now.Add(50 * time.Millisecond)
+		l.Stalled(time.Duration(k)*50*time.Millisecond, 0, 500, before, 0, now)
+	}
+	if l.Requests() >= before {
+		t.Errorf("limit %.1f after 2 s without a byte, %.1f before", l.Requests(), before)
+	}
+}
+
+// Guards against a plain service that is limited by token times it never has.
+func TestServiceLimitFollowsItsOwnTime(t *testing.T) {
+	c := config()
+	c.Service = true
+	l := New(c)
+	now := start
+	for range 500 {
+		now = now.Add(20 * time.Millisecond)
+		n := l.Requests()
+		// 20 ms up to 20 requests, then every further one adds 10 ms.
+		l.First(20*time.Millisecond+time.Duration(max(0, n-20)*10)*time.Millisecond, 0, n, 0, now)
+	}
+	t.Logf("limit %.1f", l.Requests())
+	if l.Requests() < 18 || l.Requests() > 35 {
+		t.Errorf("limit %.1f; the service slows down from 20", l.Requests())
+	}
+}
--- a/sched/pick/picker.go
+++ b/sched/pick/picker.go
@@ -142,8 +142,10 @@
 	}
 	k := p.s.sampleSize()
 	if k >= n {
-		for _, i := range p.s.local {
-			p.add(i, 0)
+		// A random start breaks ties; else all hosts would prefer the first.
+		first := rnd.IntN(n)
+		for j := range n {
+			p.add(p.s.local[(first+j)%n], 0)
 		}
 		return
 	}
@@ -197,6 +199,9 @@
 	if u.full || (maxUse < 1 && u.part > maxUse) {
 		return false
 	}
+	if !p.s.targets[i].Local && l.Fresh.Get() < spillFresh {
+		return false
+	}
 	slow := l.Slowdown.Get()
 	uncached := max(0, float64(p.r.PromptTokens)-reuse)
 	cost := reuseWeight*uncached*l.Prefill.Get()*slow + loadCost*u.part*u.part + slowCost*(slow-1)
--- a/sched/pick/snapshot.go
+++ b/sched/pick/snapshot.go
@@ -125,6 +125,9 @@
 	// spillUse is the use up to which targets in other zones take work; they do
 	// so only when no target of the zone has room.
 	spillUse = 0.8
+	// spillFresh is the report weight that counts as an advertisement of spare
+	// capacity in another zone; it corresponds to about 3 s.
+	spillFresh = 0.2
 )
 
 // Pick returns the target for the request, or false if no target has room.
--- a/sched/pool/api.go
+++ b/sched/pool/api.go
@@ -64,7 +64,8 @@
 	BetweenTokens time.Duration
 	// Floor is how long a tier floor lasts unless renewed. Default 2 s.
 	Floor time.Duration
-	// DigestBytes bounds one encoded digest. Default 2000.
+	// DigestBytes bounds one encoded digest of this pool. Default 1500; a host
+	// with several pools divides it.
 	DigestBytes int
 	// ProbesPerSecond bounds Probe actions. Default 5, and two for each
 	// dispatch where Sharing is Probing.
--- /dev/null
+++ b/sched/pool/overload_test.go
@@ -0,0 +1,138 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"sardinefront.dev/core/request"
+)
+
+// offered runs the zone for some steps at the given rates per second.
+func (z *zone) offered(steps int, urgent, interactive, patient float64) {
+	for range steps {
+		z.offer(request.Urgent, urgent, 20*time.Second, "a")
+		z.offer(request.Interactive, interactive, 20*time.Second, "a")
+		z.offer(request.Patient, patient, time.Hour, "a")
+		z.step()
+	}
+}
+
+// Guards against shedding a higher tier while a lower one is started anywhere
+// in the zone, against second dispatches, and against losing patient work. The
+// zone serves about 22 requests per second.
+func TestOverloadKeepsTheSheddingOrder(t *testing.T) {
+	for seed := range uint64(4) {
+		for _, way := range []Sharing{PeerDigests, HostShares, Probing} {
+			z := newZone(seed, 6, 12, Config{Pool: "p", Sharing: way})
+			z.offered(1000, 4, 6, 20)
+			z.offered(1500, 14, 30, 20)
+			z.offered(1500, 60, 30, 20)
+			z.offered(1000, 4, 6, 0)
+			t.Logf("seed %d way %d: good %v refused %v paused %d", seed, way, z.good, z.refused, z.paused)
+			z.check(t)
+			if z.refused[request.Patient] > 0 {
+				t.Errorf("%d accepted patient requests were refused", z.refused[request.Patient])
+			}
+			if z.paused == 0 || z.refused[request.Urgent] == 0 {
+				t.Error("the test does not reach overload")
+			}
+		}
+	}
+}
+
+// Guards against urgent requests that lose capacity to lower tiers.
+func TestUrgentGoodputWhenUrgentFits(t *testing.T) {
+	for seed := range uint64(3) {
+		z := newZone(seed+10, 6, 12, Config{Pool: "p"})
+		z.offered(4000, 10, 40, 20)
+		offered := z.good[0] + z.refused[0]
+		for range 1500 {
+			z.step()
+		}
+		t.Logf("seed %d: good %v refused %v", seed+10, z.good, z.refused)
+		if z.refused[0]*100 > offered {
+			t.Errorf("seed %d: %d urgent requests were refused of %d", seed+10, z.refused[0], offered)
+		}
+		z.check(t)
+	}
+}
+
+// Guards against patient work that stays paused once there is room again.
+func TestPausedWorkEnds(t *testing.T) {
+	z := newZone(3, 6, 12, Config{Pool: "p"})
+	z.offered(1000, 0, 0, 10)
+	z.offered(1000, 40, 0, 0)
+	before := z.paused
+	for range 6000 {
+		z.step()
+	}
+	if before == 0 || z.done[request.Patient] != len(z.started)-z.done[0] || len(z.runs) != 0 {
+		t.Errorf("paused %d, done %v of %d started, %d unfinished", before, z.done, len(z.started), len(z.runs))
+	}
+	z.check(t)
+}
+
+// Guards against a slowed target that keeps its share of new work, with one
+// host and with several.
+func TestSlowedTargetLosesItsShare(t *testing.T) {
+	for _, hosts := range []int{1, 6} {
+		z := newZone(5, hosts, 12, Config{Pool: "p"})
+		z.offered(3000, 7, 10, 0)
+		z.engines[4].slow = 3
+		z.offered(150, 7, 10, 0)
+		z.byEngine = map[string]int{}
+		z.offered(1500, 7, 10, 0)
+		all := 0
+		for _, n := range z.byEngine {
+			all += n
+		}
+		share := float64(z.byEngine["e004"]) / (float64(all) / 12)
+		t.Logf("%d hosts: the slowed target gets %.2f of an equal share from 1.5 s on", hosts, share)
+		if share > 0.5 {
+			t.Errorf("%d hosts: share %.2f, want at most 0.5", hosts, share)
+		}
+	}
+}
+
+// Guards against work for a leaving target, against pausing work there, and
+// against interrupting it.
+func TestLeavingTargetGetsNothingNew(t *testing.T) {
+	z := newZone(6, 3, 12, Config{Pool: "p"})
+	z.offered(1000, 4, 4, 4)
+	left := z.now
+	var ts []Target
+	for i, e := range z.engines {
+		ts = append(ts, Target{Name: e.name, Version: "1", Local: true, Leaving: i == 2})
+	}
+	for h, p := range z.hosts {
+		z.act(h, p.SetTargets(ts, z.now))
+	}
+	z.onDispatch = func(a Action) {
+		if a.Target == "e002" && !a.Resume {
+			t.Errorf("dispatch to a leaving target %s after the notice", z.now.Sub(left))
+		}
+	}
+	z.offered(2000, 10, 10, 10)
+	if n := len(z.engine("e002").work); n > 0 {
+		t.Errorf("%d requests still at the leaving target after 20 s", n)
+	}
+}
+
+// Guards against digests that take more than their part of the 5 KB/s of
+// control traffic per host, at the size of a zone: 40 hosts, 300 targets, each
+// host sends one digest a second to one random peer and answers one on average.
+func TestDigestBytesAtZoneSize(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs 40 hosts")
+	}
+	z := newZone(8, 40, 300, Config{Pool: "p"})
+	z.offered(400, 60, 90, 150)
+	z.digests, z.floorsSent = 0, 0
+	z.offered(400, 60, 90, 150)
+	// A floor message is the pool's name, tier and time: 64 bytes with framing.
+	perHost := (z.digests + 64*z.floorsSent) / 40 / 4
+	t.Logf("%d bytes per second and host, %d floor messages", perHost, z.floorsSent)
+	if perHost > 4500 {
+		t.Errorf("%d bytes per second and host", perHost)
+	}
+}
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -102,7 +102,7 @@
 	setDefault(&l.FirstToken, 590*time.Millisecond)
 	setDefault(&l.BetweenTokens, 30*time.Millisecond)
 	setDefault(&l.Floor, 2*time.Second)
-	setDefault(&l.DigestBytes, 2000)
+	setDefault(&l.DigestBytes, 1500)
 	setDefault(&l.ProbesPerSecond, 5)
 	setDefault(&l.RetryBudget, 0.1)
 }
--- a/sched/pool/sim_test.go
+++ b/sched/pool/sim_test.go
@@ -19,26 +19,26 @@
 // batching: prompts are computed one after the other, up to slots streams run
 // at once, and the time between tokens grows with their number.
 type zone struct {
-	now       time.Time
-	rnd       *rand.Rand
-	hosts     []*Pool
-	engines   []*simEngine
-	runs      map[string]*simRun
-	events    []simEvent // not sorted
-	digests   int        // bytes sent
-	maxTokens int
+	now                   time.Time
+	rnd                   *rand.Rand
+	hosts                 []*Pool
+	engines               []*simEngine
+	runs                  map[string]*simRun
+	events                []simEvent // not sorted
+	digests               int        // bytes sent
+	maxTokens, floorsSent int
 
-	done, good, refused   [request.TierCount]int
-	paused, inversions    int
-	prefill               int // prompt tokens computed
-	byEngine              map[string]int
-	byOrg                 map[string]float64
-	floorAt               [request.TierCount]time.Time
-	floorEnd              [request.TierCount]time.Time
-	lastStart             [request.TierCount]time.Time
-	started               map[string]int // dispatches by id, resumptions excluded
-	first                 []time.Duration
-	onDispatch, onPickVer func(a Action)
+	done, good, refused [request.TierCount]int
+	paused, inversions  int
+	prefill             int // prompt tokens computed
+	byEngine            map[string]int
+	byOrg               map[string]float64
+	floorAt             [request.TierCount]time.Time
+	floorEnd            [request.TierCount]time.Time
+	lastStart           [request.TierCount]time.Time
+	started             map[string]int // dispatches by id, resumptions excluded
+	first               []time.Duration
+	onDispatch          func(a Action)
 }
 
 type simEvent struct {
@@ -209,6 +209,7 @@
 	z.floorEnd[a.Tier] = a.Until
 	for h := range z.hosts {
 		if h != host {
+			z.floorsSent++
 			z.later(func() { z.act(h, z.hosts[h].Floor(a.Tier, a.Until, "peer", z.now)) })
 		}
 	}
--- /dev/null
+++ b/sched/prefix/prefix_test.go
@@ -0,0 +1,124 @@
+package prefix
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+var start = time.Date(2027, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func names(n int) []uint64 {
+	ids := make([]uint64, n)
+	for i := range ids {
+		ids[i] = HashName(fmt.Sprint("target-", i))
+	}
+	return ids
+}
+
+// Guards against a table that depends on the order of joins and leaves: hosts
+// that saw them differently must agree on the homes.
+func TestHomesDoNotDependOnHistory(t *testing.T) {
+	const seed = 7
+	t.Logf("seed %d", seed)
+	p := gopter.DefaultTestParametersWithSeed(seed)
+	p.MinSuccessfulTests = 20
+	ps := gopter.NewProperties(p)
+	ps.Property("incremental equals complete", prop.ForAll(func(seed int64) bool {
+		rnd := rand.New(rand.NewSource(seed))
+		ids := names(12)
+		h := NewHomes(ids, nil)
+		for range 6 {
+			i := rnd.Intn(len(ids))
+			if ids[i] == 0 {
+				ids[i] = HashName(fmt.Sprint(rnd.Int63()))
+			} else {
+				ids[i] = 0
+			}
+			h = NewHomes(ids, h)
+		}
+		full := NewHomes(ids, nil)
+		for s := range h.ranks {
+			if h.ranks[s] != full.ranks[s] {
+				return false
+			}
+		}
+		return true
+	}, gen.Int64()))
+	ps.TestingRun(t)
+}
+
+// Guards against a reshuffle of caches when one target leaves, and against
+// uneven homes.
+func TestOneLeavingTargetMovesOnlyItsPrefixes(t *testing.T) {
+	ids := names(100)
+	before := NewHomes(ids, nil)
+	ids[17] = 0
+	after := NewHomes(ids, before)
+	homes := make([]int, 100)
+	for s, r := range before.ranks {
+		homes[r[0]]++
+		if r[0] != 17 && after.ranks[s][0] != r[0] {
+			t.Fatalf("slot %d moved from %d to %d", s, r[0], after.ranks[s][0])
+		}
+		if r[0] == 17 && after.ranks[s][0] != r[1] {
+			t.Fatalf("slot %d did not move to its second home", s)
+		}
+	}
+	for i, n := range homes {
+		if n < slots/100/2 || n > slots/100*2 {
+			t.Errorf("target %d is the home of %d of %d slots", i, n, slots)
+		}
+	}
+	if after.Scored > slots*100/20 {
+		t.Errorf("one leaving target cost %d hashes of %d for the whole table", after.Scored, before.Scored)
+	}
+}
+
+// Guards against reliance on events that were lost, and against holders that
+// evicted the prefix.
+func TestEventsAndGaps(t *testing.T) {
+	h := NewHistory(1024)
+	var out [MaxHolders]Holder
+	h.Dispatched(5, 1, start)
+	h.Event(5, 2, true, start.Add(time.Second))
+	h.Event(5, 3, true, start.Add(time.Second))
+	h.Event(5, 3, false, start.Add(2*time.Second))
+	h.Gap(2, start.Add(3*time.Second))
+	n, _ := h.Holders(5, start.Add(4*time.Second), &out)
+	chance := map[int32]float64{}
+	for _, x := range out[:n] {
+		chance[x.Target] = x.Chance
+	}
+	if n != 2 || chance[1] < 0.8 || chance[2] > 0.5 {
+		t.Errorf("holders %v", chance)
+	}
+	h.Forget(1)
+	if n, _ := h.Holders(5, start.Add(4*time.Second), &out); n != 1 {
+		t.Errorf("%d holders after forgetting one of two", n)
+	}
+}
+
+// Guards against a history that grows without bound or loses what is in use.
+func TestHistoryIsBounded(t *testing.T) {
+	h := NewHistory(1024)
+	var out [MaxHolders]Holder
+	for k := range uint64(20000) {
+		now := start.Add(time.Duration(k) * time.Millisecond)
+		h.Dispatched(k+1000, int(k%9), now)
+		if k%20 == 0 {
+			h.Dispatched(1, 4, now)
+		}
+	}
+	if n, rate := h.Holders(1, start.Add(20*time.Second), &out); n != 1 || rate < 20 || rate > 80 {
+		t.Errorf("a prefix used 50 times a second has %d holders and rate %.1f", n, rate)
+	}
+	if len(h.sets)*ways > 1024 {
+		t.Errorf("%d entries", len(h.sets)*ways)
+	}
+}
