--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -54,6 +54,7 @@
 	patient     []*entry // running patient work that can be paused, oldest first
 	bound       int      // entries that wait for their target
 	blocked     [request.TierCount]time.Time
+	hostCap     float64 // requests that this host may have in progress
 	ownMean     float64 // smoothed requests in progress of this host
 	tokensMean  float64 // smoothed tokens per request
 	refreshedAt time.Time
@@ -94,14 +95,14 @@
 		setDefault(&l.Waiting[t], n)
 	}
 	if l.Headroom == [request.TierCount]float64{} {
-		l.Headroom = [request.TierCount]float64{0, 0.03, 0.1}
+		l.Headroom = [request.TierCount]float64{-0.1, 0.03, 0.1}
 	}
 	setDefault(&l.Requests, 8)
 	setDefault(&l.MaxRequests, 512)
 	setDefault(&l.FirstToken, 590*time.Millisecond)
 	setDefault(&l.BetweenTokens, 30*time.Millisecond)
 	setDefault(&l.Floor, 2*time.Second)
-	setDefault(&l.DigestBytes, 2000)
+	setDefault(&l.DigestBytes, 1500)
 	setDefault(&l.ProbesPerSecond, 5)
 	setDefault(&l.RetryBudget, 0.1)
 }
