Tell late first tokens at the host from those at the target

A late first token has two very different causes: no room at any target, or a target whose engine computes other prompts first. The table did not tell which.

Two rows count late first tokens and those that waited longer at the host.

--- a/proof/bench/bounds.go
+++ b/proof/bench/bounds.go
@@ -114,6 +114,12 @@
 	{"peer bytes/s", func(r *result, _ *comparison) float64 { return r.PeerBytes }},
 	{"dispatches per request", func(r *result, _ *comparison) float64 { return float64(r.MaxDispatches) }},
 	{"first token p95 ms", func(r *result, _ *comparison) float64 { return float64(r.FirstToken.Microseconds()) / 1000 }},
+	{"late first tokens", func(r *result, _ *comparison) float64 {
+		return float64(r.Tier[request.Urgent].LateFirst + r.Tier[request.Interactive].LateFirst)
+	}},
+	{"  after waiting at the host", func(r *result, _ *comparison) float64 {
+		return float64(r.Tier[request.Urgent].LateAtHost + r.Tier[request.Interactive].LateAtHost)
+	}},
 	{"token gap p95 ms", func(r *result, _ *comparison) float64 { return float64(r.Gap.Microseconds()) / 1000 }},
 }
 
--- a/proof/bench/job.go
+++ b/proof/bench/job.go
@@ -31,6 +31,7 @@
 	seq        *sequence
 	generated  int
 	computed   int // prompt tokens computed and not counted as wasted so far
+	startedAt  time.Duration
 	firstAt    time.Duration
 	lastAt     time.Duration
 	longGaps   int
--- a/proof/bench/meter.go
+++ b/proof/bench/meter.go
@@ -29,6 +29,9 @@
 	Offered, Answered, Good int
 	Refused, Lost           int
 	LateFirst, SlowTokens   int // answered, but outside the objective
+	// LateAtHost counts the late first tokens of requests that waited longer at
+	// the host than at the target.
+	LateAtHost int
 }
 
 // goodput returns the part of the offered requests that met all objectives.
@@ -192,6 +195,9 @@
 	m.record(m.first, j.firstAt-j.at)
 	if j.firstAt-j.at > firstTokenLimit {
 		t.LateFirst++
+		if j.startedAt-j.at > j.firstAt-j.startedAt {
+			t.LateAtHost++
+		}
 	} else if !ok {
 		t.SlowTokens++
 	}
--- a/proof/bench/world.go
+++ b/proof/bench/world.go
@@ -152,6 +152,9 @@
 		return
 	}
 	w.meter.started(j)
+	if j.state == jobWaiting {
+		j.startedAt = w.clk.now
+	}
 	j.resumed = resume && target == j.target
 	j.target = target
 	j.state = jobRunning
