Judge by target group with own baselines and add the disturbed rollouts

Cause: a slow third of the targets must not be blamed on the version, and the controller's failures at each step were not exercised. Change: evidence is kept in dense windows; each target group is compared with its own past; doubt loads more targets without a larger share. trial runs bad and good versions and ten disturbances at every step.

--- a/moves/judge/judge.go
+++ b/moves/judge/judge.go
@@ -49,10 +49,7 @@
 	Cut
 )
 
-// Horizon is a span of evidence, counted back from now.
-type Horizon time.Duration
-
-// Horizons lists the spans that are tested. The short ones show a late fault
+// Horizons lists the spans of evidence, counted back from now, that are tested. The short ones show a late fault
 // that the long one would average away; the long one collects the evidence of
 // rare routes.
 var Horizons = []time.Duration{30 * time.Second, 3 * time.Minute, 20 * time.Minute}
--- a/moves/steer/next.go
+++ b/moves/steer/next.go
@@ -13,7 +13,8 @@
 // given up and the next target is tried.
 const loadPatience = 3
 
-// suspectPause is the time between two additional loads for a suspect version.
+// suspectPause is the time between two additional loads while the evidence is in
+// doubt.
 const suspectPause = 2 * time.Minute
 
 // Next returns the state that follows. It never changes s. Reports are to be
@@ -95,10 +96,19 @@
 	if m.From == m.To {
 		return "both versions are the same"
 	}
+	live, serves := 0, false
 	for _, t := range r.in.Targets {
-		if !t.Leaving && (t.Version == m.From || t.Version == m.To) {
-			return ""
+		if t.Leaving {
+			continue
 		}
+		live++
+		serves = serves || t.Version == m.From || t.Version == m.To
+	}
+	if live == 1 {
+		return "a move needs two targets; with one there is nothing to compare"
+	}
+	if serves {
+		return ""
 	}
 	return fmt.Sprintf("no target serves version %s", m.From)
 }
@@ -230,13 +240,16 @@
 // advance loads what the step needs, and goes to the next step when the stay is
 // over and the evidence allows it.
 func (r *run) advance() {
-	if r.loaded < min(r.live/2, Wanted(r.Step, r.live)+r.Extra) || (r.Step == lastStep && r.loaded < r.live) {
+	if r.loaded < min(r.live*3/4, Wanted(r.Step, r.live)+r.Extra) || (r.Step == lastStep && r.loaded < r.live) {
 		r.loadNext()
 	}
 	if r.in.Verdict.Suspect {
-		r.widenSample()
+		r.widenSample(0)
 		return
 	}
+	if r.in.Verdict.Doubtful {
+		r.widenSample(r.dwell())
+	}
 	if r.in.Now.Sub(r.Since) < r.dwell() || !r.allowed() {
 		return
 	}
@@ -254,22 +267,29 @@
 	r.report(Stepped, "%.0f%%", 100*Steps[next].Share)
 }
 
-// widenSample loads one more target while the version is suspect, as long as
-// the share is small: more targets tell whether the targets or the version are
-// slow.
-func (r *run) widenSample() {
-	small := r.Step > 0 && r.Step < firstProven
-	if !small || r.Loading.Target != "" || r.in.Now.Sub(r.Since) < suspectPause {
+// widenSample loads one more target while the evidence is in doubt, without a
+// larger share: more targets tell whether the targets or the version are slow.
+func (r *run) widenSample(from time.Duration) {
+	spent := r.in.Now.Sub(r.Since)
+	if r.Step == 0 || r.Step == lastStep || r.Loading.Target != "" || spent < from+time.Duration(r.Extra+1)*suspectPause {
 		return
 	}
-	if want := Wanted(r.Step, r.live) + r.Extra; want < r.live/2 && r.loaded >= want {
+	limit := r.live / 2
+	if r.Step == lastStep-1 {
+		limit = r.live * 3 / 4
+	}
+	if want := Wanted(r.Step, r.live) + r.Extra; want < limit && r.loaded >= want {
 		r.Extra++
 		r.loadNext()
 	}
 }
 
 func (r *run) dwell() time.Duration {
-	return time.Duration(float64(Steps[r.Step].Dwell) * max(1, r.Stretch))
+	stretch := max(1, r.Stretch)
+	if r.Step == lastStep {
+		stretch = 1 // no old target is left to compare with
+	}
+	return time.Duration(float64(Steps[r.Step].Dwell) * stretch)
 }
 
 // allowed reports whether the evidence permits leaving the step.
--- a/moves/tracker.go
+++ b/moves/tracker.go
@@ -161,7 +161,8 @@
 		return
 	}
 	tr.countTier(o.Tier)
-	k := judge.Key{Route: o.Route, Urgent: o.Tier == request.Urgent, New: o.Version == s.Move.To, Group: s.Group(o.Target)}
+	k := judge.Key{RouteKey: judge.RouteKey{Route: o.Route, Urgent: o.Tier == request.Urgent},
+		New: o.Version == s.Move.To, Group: s.Group(o.Target)}
 	tr.evidence.Observe(t.host, now, k, o.Result, o.FirstToken, o.BetweenTokens)
 }
 
--- /dev/null
+++ b/moves/trial/run.go
@@ -0,0 +1,168 @@
+package trial
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"slices"
+	"sync"
+	"time"
+
+	"sardinefront.dev/moves/steer"
+)
+
+// Summary adds up the runs of one family.
+type Summary struct {
+	Name  string
+	Bad   bool
+	Runs  []Result
+	Cases []Case
+}
+
+// family returns the cases of one family.
+func family(name string, n int, build func(uint64) Case) *Summary {
+	s := &Summary{Name: name}
+	for i := range n {
+		s.Cases = append(s.Cases, build(uint64(i)))
+	}
+	s.Runs = make([]Result, n)
+	s.Bad = n > 0 && s.Cases[0].Fault != nil
+	return s
+}
+
+// runAll runs the cases of all families on half of the processors.
+func runAll(all []*Summary) {
+	var wg sync.WaitGroup
+	slot := make(chan struct{}, max(1, runtime.NumCPU()/2))
+	for _, s := range all {
+		for i := range s.Cases {
+			wg.Add(1)
+			slot <- struct{}{}
+			go func() {
+				defer wg.Done()
+				s.Runs[i] = newFleet(s.Cases[i]).run()
+				<-slot
+			}()
+		}
+	}
+	wg.Wait()
+}
+
+// Families returns the families of bad and good versions, with seeds cases of
+// each kind in total.
+func Families(seeds int, adapt func(Case) Case) []*Summary {
+	var all []*Summary
+	for k, name := range FaultKinds {
+		n := seeds / len(FaultKinds)
+		all = append(all, family("fault "+name, n, func(i uint64) Case { return adapt(BadCase(1000*uint64(k+1)+i, k)) }))
+	}
+	for k, name := range GoodKinds {
+		n := seeds / len(GoodKinds)
+		all = append(all, family("good, "+name, n, func(i uint64) Case { return adapt(GoodCase(100000+1000*uint64(k+1)+i, k)) }))
+	}
+	return all
+}
+
+// Run prints the table of the rollout proof over the given number of bad and
+// the same number of good versions.
+func Run(w io.Writer, seeds int) error {
+	start := time.Now()
+	all := Families(seeds, func(c Case) Case { return c })
+	all = append(all, Disturbed()...)
+	runAll(all)
+	fmt.Fprintf(w, "moves: seeds 1000-8999 and 101000-105999, %d bad and %d good versions\n", total(all, true), total(all, false))
+	fmt.Fprintln(w, "| family | runs | right | late | bad share max | new share max | detected p50 / max | after halt | done at p50 / max of time | digest max |")
+	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, s := range all {
+		fmt.Fprintln(w, s.Row())
+	}
+	for _, s := range all {
+		for i, r := range s.Runs {
+			for _, v := range r.Invariants() {
+				fmt.Fprintf(w, "violated: %s seed %d: %s\n", s.Name, s.Cases[i].Seed, v)
+			}
+			if !s.right(i) {
+				fmt.Fprintf(w, "missed: %s seed %d: %s after %s, step %d: %s\n", s.Name, s.Cases[i].Seed, r.Phase, r.DoneAt.Round(time.Second), r.step, r.Reason)
+			}
+		}
+	}
+	_, err := fmt.Fprintf(w, "moves: computed in %s\n", time.Since(start).Round(time.Second))
+	return err
+}
+
+func total(all []*Summary, bad bool) int {
+	n := 0
+	for _, s := range all {
+		if s.Bad == bad {
+			n += len(s.Runs)
+		}
+	}
+	return n
+}
+
+// right reports whether a bad version was taken back, or a good one was done by
+// its time.
+func (s *Summary) right(i int) bool {
+	r, c := s.Runs[i], s.Cases[i]
+	if r.Phase != c.Expected() {
+		return false
+	}
+	by := epoch.Add(c.By)
+	if c.Disturb == DeadlineChanged {
+		by = by.Add(deadlineChange)
+	}
+	return r.Phase != steer.Done || r.start.Add(r.DoneAt).Before(by)
+}
+
+// Right counts the runs that ended as they should.
+func (s *Summary) Right() int {
+	n := 0
+	for i := range s.Runs {
+		if s.right(i) {
+			n++
+		}
+	}
+	return n
+}
+
+// BadShare returns the largest share of all requests that went to a version
+// while it was faulty, and the largest share that went to the new version at
+// all before it was taken back.
+func (s *Summary) BadShare() (faulty, fresh float64) {
+	for _, r := range s.Runs {
+		if r.All > 0 {
+			faulty = max(faulty, float64(r.ToBad)/float64(r.All))
+			fresh = max(fresh, float64(r.ToNew)/float64(r.All))
+		}
+	}
+	return faulty, fresh
+}
+
+// Row returns the family's line of the table.
+func (s *Summary) Row() string {
+	var late, after, digest int
+	var detected []time.Duration
+	var used []float64
+	for i, r := range s.Runs {
+		if r.LateSaid {
+			late++
+		}
+		after += r.AfterHalt
+		digest = max(digest, r.Digest)
+		detected = append(detected, r.Detected)
+		used = append(used, float64(r.DoneAt)/float64(s.Cases[i].By))
+	}
+	if len(s.Runs) == 0 {
+		return "| " + s.Name + " | 0 |"
+	}
+	slices.Sort(detected)
+	slices.Sort(used)
+	faulty, fresh := s.BadShare()
+	bad, found, at := "-", "-", fmt.Sprintf("%.2f / %.2f", used[len(used)/2], used[len(used)-1])
+	if s.Bad {
+		bad, at = fmt.Sprintf("%.2f%%", 100*faulty), "-"
+		found = fmt.Sprintf("%s / %s", detected[len(detected)/2].Round(time.Second), detected[len(detected)-1].Round(time.Second))
+	}
+	return fmt.Sprintf("| %s | %d | %d | %d | %s | %.2f%% | %s | %d | %s | %d B |",
+		s.Name, len(s.Runs), s.Right(), late, bad, 100*fresh, found, after, at, digest)
+}
