--- a/sched/pool/api.go
+++ b/sched/pool/api.go
@@ -53,7 +53,8 @@
 	// hosts. 0 leaves tokens unlimited until the limit is learned.
 	Tokens int
 	// Headroom is the part of each target's limit that a tier leaves free for
-	// higher tiers. Default 0, 0.03, 0.1.
+	// higher tiers; negative lets a tier exceed the limit, which is cheaper than
+	// a floor for a short burst. Default -0.1, 0.03, 0.1.
 	Headroom [request.TierCount]float64
 	// FirstToken is the time to first token that the limits aim for. Default
 	// 590 ms.
@@ -63,7 +64,8 @@
 	BetweenTokens time.Duration
 	// Floor is how long a tier floor lasts unless renewed. Default 2 s.
 	Floor time.Duration
-	// DigestBytes bounds one encoded digest. Default 2000.
+	// DigestBytes bounds one encoded digest of this pool. Default 1500; a host
+	// with several pools divides it.
 	DigestBytes int
 	// ProbesPerSecond bounds Probe actions. Default 5, and two for each
 	// dispatch where Sharing is Probing.
