Send move evidence to the hosts that may steer a pool

Cause: evidence of a pool of 12 targets takes up to 814 bytes (measured in the demo), which does not fit a digest of 600 bytes, so none was pooled. Change: evidence goes to the two candidates of the pool's controller, at a period that grows with the fleet, so that a collector receives about 3 KB/s.

--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -35,6 +35,7 @@
 	runs       map[string]int
 	prefilled  int64
 	violations []string
+	move       string
 }
 
 // Run performs the demo. logs receives the hosts' log records.
@@ -54,6 +55,9 @@
 		return err
 	}
 	writeTable(out, own, base)
+	for _, r := range own {
+		fmt.Fprintf(out, "%s: version move: %s\n", r.deployment, r.move)
+	}
 	broken := 0
 	for _, r := range own {
 		for _, v := range r.violations {
@@ -82,7 +86,7 @@
 }
 
 func runFleet(ctx context.Context, d *deployment, seed uint64, dir string, out, logs io.Writer) (*report, error) {
-	targets, err := startTargets(d)
+	targets, err := startTargets(d, true)
 	defer targets.close()
 	if err != nil {
 		return nil, err
@@ -96,12 +100,20 @@
 	jobs := makeLoad(d, seed)
 	s := &fleetCaller{hosts: hosts, client: newClient()}
 	r := &report{deployment: d.name, scheduler: s, jobs: jobs}
+	move := &badMove{engine: targets.engines[0], hosts: hosts, to: d.newVersion()}
+	started := time.Now()
+	watching, stopWatching := context.WithCancel(ctx)
+	var watch sync.WaitGroup
+	watch.Go(func() { move.watch(watching) })
 	r.results = replay(ctx, s, jobs, faults(d, hosts), out)
+	stopWatching()
+	watch.Wait()
 	stopping, stop := context.WithTimeout(context.Background(), stopTimeout)
 	defer stop()
 	hosts.close(stopping)
 	r.runs, r.prefilled = targets.runs(), targets.prefilled()
-	r.violations = violations(s, jobs, r.results, r.runs)
+	r.violations = append(violations(s, jobs, r.results, r.runs), move.violations(targets.engineRuns())...)
+	r.move = move.summary(started, targets.engineRuns())
 	return r, nil
 }
 
@@ -115,7 +127,7 @@
 }
 
 func runBaseline(ctx context.Context, d *deployment, seed uint64) (*report, error) {
-	targets, err := startTargets(d)
+	targets, err := startTargets(d, false)
 	defer targets.close()
 	if err != nil {
 		return nil, err
--- a/cmd/internal/demo/hosts.go
+++ b/cmd/internal/demo/hosts.go
@@ -55,7 +55,11 @@
 		list = append(list, platform.HostInfo{Name: name, Role: platform.RoleHost, Address: all[i].Listen.Peers, Zone: all[i].Host.Zone})
 	}
 	s.platform.SetHosts(list)
-	if _, err := config.Push(ctx, s.platform.Store(), d.rules, "demo", "rules of the demo", 0); err != nil {
+	by := time.Now().Add(moveFor).UTC().Truncate(time.Second)
+	if _, err := config.Push(ctx, s.platform.Store(), moveRules(d, by), "demo", "rules of the demo", 0); err != nil {
+		return s, err
+	}
+	if err := storeMove(ctx, s.platform.Store(), d, by); err != nil {
 		return s, err
 	}
 	for _, one := range all {
@@ -96,6 +100,7 @@
 	s.Platform.Address = platformAddress
 	s.Keys = settings.Keys{Authority: keys.CA, Certificate: keys.Cert, Key: keys.Key}
 	s.Journal.Partitions = len(d.zones)
+	s.Orders.UncheckedPools = []string{d.enginePool}
 	return s, nil
 }
 
--- a/cmd/internal/demo/targets.go
+++ b/cmd/internal/demo/targets.go
@@ -25,21 +25,30 @@
 	list     []platform.HostInfo
 }
 
-func startTargets(d *deployment) (*targetSet, error) {
+// startTargets starts the targets. With badVersion, the first engine serves a
+// new version that fails every request.
+func startTargets(d *deployment, badVersion bool) (*targetSet, error) {
 	s := &targetSet{}
 	for i := range d.engines {
 		speed := generations[i%len(generations)]
+		version := d.version
+		if i == 0 && badVersion {
+			version = d.newVersion()
+		}
 		e := engine.New(engine.Config{
-			Name: fmt.Sprintf("%s-%d", d.enginePool, i), Model: d.enginePool, Version: d.version,
+			Name: fmt.Sprintf("%s-%d", d.enginePool, i), Model: d.enginePool, Version: version,
 			TokenRate: tokenRate * speed, PrefillRate: prefillRate * speed, Slots: slots,
 			ReportLag: reportLag, CacheLag: cacheLag, CacheGap: cacheGap,
 			IgnoreFencing: i%2 == 1,
 		})
+		if version != d.version {
+			e.AddFault(engine.Fault{Kind: engine.FaultFail, Version: version})
+		}
 		if err := e.Start("127.0.0.1:0"); err != nil {
 			return s, err
 		}
 		s.engines = append(s.engines, e)
-		s.add(d, fmt.Sprintf("%s-%d", d.enginePool, i), e.Addr(), d.enginePool, i)
+		s.add(d, fmt.Sprintf("%s-%d", d.enginePool, i), e.Addr(), d.enginePool, version, i)
 	}
 	for i := range d.services {
 		v := service.New(service.Config{Name: fmt.Sprintf("%s-%d", d.servicePool, i), Latency: serviceLatency})
@@ -47,16 +56,12 @@
 			return s, err
 		}
 		s.services = append(s.services, v)
-		s.add(d, fmt.Sprintf("%s-%d", d.servicePool, i), v.Addr(), d.servicePool, i)
+		s.add(d, fmt.Sprintf("%s-%d", d.servicePool, i), v.Addr(), d.servicePool, "", i)
 	}
 	return s, nil
 }
 
-func (s *targetSet) add(d *deployment, name, address, pool string, i int) {
-	version := ""
-	if pool == d.enginePool {
-		version = d.version
-	}
+func (s *targetSet) add(d *deployment, name, address, pool, version string, i int) {
 	s.list = append(s.list, platform.HostInfo{
 		Name: name, Role: platform.RoleTarget, Address: address, Zone: d.zones[i%len(d.zones)], Pool: pool, Version: version,
 	})
@@ -87,6 +92,15 @@
 	return all
 }
 
+// engineRuns returns the number of requests that ran at engines.
+func (s *targetSet) engineRuns() int {
+	n := 0
+	for _, e := range s.engines {
+		n += len(e.Runs())
+	}
+	return n
+}
+
 func (s *targetSet) prefilled() int64 {
 	var sum int64
 	for _, e := range s.engines {
--- a/core/event/table.go
+++ b/core/event/table.go
@@ -42,6 +42,7 @@
 	MoveDone      = Event{703, "move done", slog.LevelInfo, "All traffic is on the new version."}
 	MoveTakenBack = Event{704, "move taken back", slog.LevelError, "The new version was judged bad; traffic is back on the old one for good."}
 	MoveLate      = Event{705, "move late", slog.LevelWarn, "The move cannot end by its time."}
+	MoveRetried   = Event{707, "move step retried", slog.LevelWarn, "A store call or control command of a move failed and is tried again."}
 	VersionHalted = Event{706, "version halted", slog.LevelError, "This host stopped sending to a version on its own evidence or a peer's word."}
 )
 
@@ -54,6 +55,6 @@
 		WriterElected, WriterLost, AppendUnknown, OutcomeUnknown, TakenOver,
 		MemberSuspected, MemberDead, MemberAlive, PeerRejected,
 		ConfigAdopted, ConfigRejected, StoreCutOff, StoreBack,
-		MoveStarted, MoveStepped, MoveDone, MoveTakenBack, MoveLate, VersionHalted,
+		MoveStarted, MoveStepped, MoveDone, MoveTakenBack, MoveLate, VersionHalted, MoveRetried,
 	}
 }
--- a/host/digest.go
+++ b/host/digest.go
@@ -16,12 +16,11 @@
 	Pools []poolDigest
 }
 
-// moveDigest names the newest state of a pool's move and carries evidence.
+// moveDigest names the newest state of a pool's move.
 type moveDigest struct {
-	_        struct{} `cbor:",toarray"`
-	Pool     string
-	Seq      uint64
-	Evidence []byte
+	_    struct{} `cbor:",toarray"`
+	Pool string
+	Seq  uint64
 }
 
 type poolDigest struct {
@@ -45,7 +44,7 @@
 	turn := int(h.digestTurn.Add(1)) % len(names)
 	var body []byte
 	now := time.Now()
-	d := hostDigest{Moves: h.moveDigests(names, now)}
+	d := hostDigest{Moves: h.moveDigests(names)}
 	for i := range names {
 		name := names[(turn+i)%len(names)]
 		d.Pools = append(d.Pools, poolDigest{Pool: name, Body: pools[name].sched.Digest(now)})
@@ -58,18 +57,14 @@
 	return body
 }
 
-func (h *Host) moveDigests(names []string, now time.Time) []moveDigest {
+func (h *Host) moveDigests(names []string) []moveDigest {
 	var all []moveDigest
 	for _, name := range names {
 		s, ok := h.tracker.State(name)
 		if !ok {
 			continue
 		}
-		evidence, err := h.tracker.Digest(name, now, evidenceBytes)
-		if err != nil {
-			continue
-		}
-		all = append(all, moveDigest{Pool: name, Seq: s.Seq, Evidence: evidence})
+		all = append(all, moveDigest{Pool: name, Seq: s.Seq})
 	}
 	return all
 }
@@ -82,9 +77,6 @@
 	now := time.Now()
 	for _, m := range d.Moves {
 		h.learnMoveState(from, m.Pool, m.Seq)
-		if len(m.Evidence) > 0 {
-			_ = h.tracker.Merge(m.Evidence, now)
-		}
 	}
 	for _, p := range d.Pools {
 		if runner, ok := (*h.pools.Load())[p.Pool]; ok {
--- a/host/fleet.go
+++ b/host/fleet.go
@@ -72,6 +72,9 @@
 		return h.relay(ctx, body)
 	case kindMoveState:
 		return h.serveMoveState(string(body))
+	case kindEvidence:
+		_ = h.tracker.Merge(body, time.Now())
+		return nil
 	default:
 		return nil
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -112,6 +112,8 @@
 	}
 	if h.fleet == nil {
 		h.tasks.Go(h.followStore)
+	} else {
+		h.tasks.Go(h.runEvidence)
 	}
 	if err := h.startJournal(); err != nil {
 		return err
--- a/host/journal.go
+++ b/host/journal.go
@@ -53,8 +53,15 @@
 // partition: live hosts of the partition's availability zone come first, each
 // group by rendezvous hash. The writers are thereby spread over the zones and
 // move little when hosts come and go.
-func isCandidate(self string, members []member.Member, partition int) bool {
-	zone := zoneOf(members, partition)
+func isCandidate(self string, members []member.Member, order int) bool {
+	at := slices.IndexFunc(ranked(self, members, order), func(m member.Member) bool { return m.Name == self })
+	return at >= 0 && at < candidates
+}
+
+// ranked returns the live hosts in the given order. A host counts itself as
+// live.
+func ranked(self string, members []member.Member, order int) []member.Member {
+	zone := zoneOf(members, order)
 	var live []member.Member
 	for _, m := range members {
 		if m.Name == self || (m.State == member.Alive && !m.Leaving) {
@@ -64,11 +71,10 @@
 	slices.SortFunc(live, func(a, b member.Member) int {
 		return cmp.Or(
 			-compareBool(a.Zone == zone, b.Zone == zone),
-			cmp.Compare(rendezvous(a.Name, partition), rendezvous(b.Name, partition)),
+			cmp.Compare(rendezvous(a.Name, order), rendezvous(b.Name, order)),
 		)
 	})
-	at := slices.IndexFunc(live, func(m member.Member) bool { return m.Name == self })
-	return at < candidates
+	return live
 }
 
 // zoneOf assigns partitions to the known availability zones in turn.
--- a/host/moves.go
+++ b/host/moves.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"sardinefront.dev/core/event"
+	"sardinefront.dev/fleet/member"
 	"sardinefront.dev/moves"
 	"sardinefront.dev/moves/steer"
 	"sardinefront.dev/platform"
@@ -24,12 +25,21 @@
 	checkMovesEvery = 500 * time.Millisecond
 	// controllerEvery is how often a rollout controller looks for a due step.
 	controllerEvery = time.Second
-	// evidenceBytes bounds the evidence in one digest.
-	evidenceBytes = 200
+	// evidenceBytes bounds the evidence on one move in a message.
+	evidenceBytes = 2048
+	// evidenceEvery is the shortest time between two messages of evidence, and
+	// evidencePerHost what each host of the fleet adds to it, so that a
+	// collector receives about 3 KB/s however many hosts there are.
+	evidenceEvery   = time.Second
+	evidencePerHost = 250 * time.Millisecond
 )
 
-// kindMoveState asks a peer for the state of a pool's move.
-const kindMoveState = "move-state"
+const (
+	// kindMoveState asks a peer for the state of a pool's move.
+	kindMoveState = "move-state"
+	// kindEvidence hands evidence on a move to a collector.
+	kindEvidence = "move-evidence"
+)
 
 // rollout is this host's part in the moves of one pool.
 type rollout struct {
@@ -62,7 +72,7 @@
 		OnReport:  r.report,
 		Count:     h.metrics.Move,
 		OnError: func(err error) {
-			h.log.Debug("move", slog.String("pool", p.Name), slog.String("error", err.Error()))
+			event.MoveRetried.Log(h.log, slog.String("pool", p.Name), slog.String("error", err.Error()))
 		},
 	})
 	h.tasks.Go(r.run)
@@ -119,11 +129,12 @@
 	if r.h.fleet == nil {
 		return true
 	}
-	return isCandidate(r.h.settings.Host.Name, r.h.fleet.Members(), int(xxhash.Sum64String(r.runner.name)%partitionSpace))
+	return isCandidate(r.h.settings.Host.Name, r.h.fleet.Members(), poolOrder(r.runner.name))
 }
 
-// partitionSpace spreads the controllers of pools over the order of hosts.
-const partitionSpace = 1 << 16
+// poolOrder selects the order of hosts for a pool's controller as partitions do
+// for their writers.
+func poolOrder(pool string) int { return int(xxhash.Sum64String(pool) % (1 << 16)) }
 
 // Load implements moves.Loader.
 func (r *rollout) Load(ctx context.Context, name string, o moves.Order) error {
@@ -183,6 +194,33 @@
 	}
 }
 
+// runEvidence sends this host's evidence to the hosts that may steer each
+// pool, which thereby judge a version on the whole fleet's requests.
+func (h *Host) runEvidence() {
+	for turn := 0; h.ctx.Err() == nil; turn++ {
+		members := h.fleet.Members()
+		h.sleep(max(evidenceEvery, time.Duration(len(members))*evidencePerHost))
+		for name := range *h.pools.Load() {
+			h.sendEvidence(name, members, turn)
+		}
+	}
+}
+
+func (h *Host) sendEvidence(poolName string, members []member.Member, turn int) {
+	evidence, err := h.tracker.Digest(poolName, time.Now(), evidenceBytes)
+	if err != nil || len(evidence) == 0 {
+		return
+	}
+	collectors := ranked(h.settings.Host.Name, members, poolOrder(poolName))
+	to := collectors[turn%min(candidates, len(collectors))].Name
+	if to == h.settings.Host.Name {
+		return
+	}
+	ctx, cancel := context.WithTimeout(h.ctx, relayTimeout)
+	defer cancel()
+	_, _ = h.fleet.Call(ctx, to, kindEvidence, evidence)
+}
+
 // receiveHalt takes a peer's halt. The fleet passes it on.
 func (h *Host) receiveHalt(_ string, body []byte) {
 	var halt moves.Halt
