--- a/moves/controller.go
+++ b/moves/controller.go
@@ -137,7 +137,7 @@
 	v := c.cfg.Tracker.View(c.cfg.Pool)
 	return steer.Input{
 		Now: c.cfg.Now().Round(0).UTC(), Moves: c.cfg.Moves(), Targets: c.cfg.Targets(),
-		Verdict: v.Verdict, Halt: v.Halt, OnlyUrgent: v.OnlyUrgent, LoadTime: c.loadTime,
+		Verdict: v.Verdict, Halt: v.Halt, UrgentShare: v.UrgentShare, LoadTime: c.loadTime,
 	}
 }
 
--- a/moves/judge/cell.go
+++ b/moves/judge/cell.go
@@ -8,11 +8,14 @@
 )
 
 // logScale is the number of integer steps per unit of the natural logarithm.
-const logScale = 32
+const logScale = 16
 
-// logReference is the latency, in seconds, whose logarithm counts as zero. It
-// is a usual first-token time, which keeps the encoded sums short.
-const logReference = 0.1
+// The latencies, in seconds, whose logarithm counts as zero. They are usual
+// values, which keeps the encoded sums short.
+const (
+	firstReference   = 0.25
+	betweenReference = 0.015
+)
 
 // logLimit bounds one logarithm, so that a single outlier cannot decide.
 const logLimit = 5.0
@@ -25,11 +28,11 @@
 	Squares uint64
 }
 
-func (m *Moments) add(d time.Duration) {
+func (m *Moments) add(d time.Duration, reference float64) {
 	if d <= 0 {
 		return
 	}
-	x := math.Log(d.Seconds() / logReference)
+	x := math.Log(d.Seconds() / reference)
 	x = max(-logLimit, min(logLimit, x))
 	m.N++
 	m.Sum += int64(math.Round(x * logScale))
@@ -76,8 +79,8 @@
 	case Cut:
 		c.Cut++
 	}
-	c.FirstToken.add(firstToken)
-	c.BetweenTok.add(betweenTokens)
+	c.FirstToken.add(firstToken, firstReference)
+	c.BetweenTok.add(betweenTokens, betweenReference)
 }
 
 // Merge adds the counts of o.
@@ -119,13 +122,32 @@
 // maxCount bounds a decoded count, so that sums cannot overflow.
 const maxCount = 1 << 32
 
-// append encodes the cell, 4 to 20 bytes for usual counts.
+// Bits below the number of requests in the encoded form. They save four bytes in
+// the usual case that all requests were answered and measured.
+const (
+	hasBad    = 1 << iota // failed and cut counts follow
+	hasCounts             // the numbers of measured latencies follow
+	flagBits  = iota
+)
+
+// append encodes the cell, about 10 bytes for usual counts.
 func (c Cell) append(b []byte) []byte {
-	b = binary.AppendUvarint(b, c.Requests)
-	b = binary.AppendUvarint(b, c.Failed)
-	b = binary.AppendUvarint(b, c.Cut)
+	head := c.Requests << flagBits
+	if c.Failed+c.Cut > 0 {
+		head |= hasBad
+	}
+	if answered := c.Requests - c.Failed; c.FirstToken.N != answered || c.BetweenTok.N != answered {
+		head |= hasCounts
+	}
+	b = binary.AppendUvarint(b, head)
+	if head&hasBad != 0 {
+		b = binary.AppendUvarint(b, c.Failed)
+		b = binary.AppendUvarint(b, c.Cut)
+	}
 	for _, m := range []Moments{c.FirstToken, c.BetweenTok} {
-		b = binary.AppendUvarint(b, m.N)
+		if head&hasCounts != 0 {
+			b = binary.AppendUvarint(b, m.N)
+		}
 		if m.N > 0 {
 			b = binary.AppendVarint(b, m.Sum)
 			b = binary.AppendUvarint(b, m.Squares)
@@ -134,34 +156,54 @@
 	return b
 }
 
+// reader decodes integers and keeps the first error.
+type reader struct {
+	b   []byte
+	bad bool
+}
+
+func (r *reader) uint() uint64 {
+	v, n := binary.Uvarint(r.b)
+	if n <= 0 || v > maxCount {
+		r.bad = true
+		return 0
+	}
+	r.b = r.b[n:]
+	return v
+}
+
+func (r *reader) int() int64 {
+	v, n := binary.Varint(r.b)
+	if n <= 0 || v > maxCount || v < -maxCount {
+		r.bad = true
+		return 0
+	}
+	r.b = r.b[n:]
+	return v
+}
+
 // decodeCell decodes one cell and returns the remaining bytes.
 func decodeCell(b []byte) (Cell, []byte, error) {
-	var c Cell
-	ok := true
-	next := func() uint64 {
-		v, n := binary.Uvarint(b)
-		if n <= 0 || v > maxCount {
-			ok = false
-			return 0
-		}
-		b = b[n:]
-		return v
+	r := reader{b: b}
+	head := r.uint()
+	c := Cell{Requests: head >> flagBits}
+	if head&hasBad != 0 {
+		c.Failed, c.Cut = r.uint(), r.uint()
+	}
+	if c.Failed+c.Cut > c.Requests {
+		return Cell{}, nil, errShort
 	}
-	c.Requests, c.Failed, c.Cut = next(), next(), next()
 	for _, m := range []*Moments{&c.FirstToken, &c.BetweenTok} {
-		m.N = next()
-		if !ok || m.N == 0 {
-			continue
+		m.N = c.Requests - c.Failed
+		if head&hasCounts != 0 {
+			m.N = r.uint()
 		}
-		sum, n := binary.Varint(b)
-		if n <= 0 || sum > maxCount || sum < -maxCount {
-			return Cell{}, nil, errShort
+		if m.N > 0 {
+			m.Sum, m.Squares = r.int(), r.uint()
 		}
-		b = b[n:]
-		m.Sum, m.Squares = sum, next()
 	}
-	if !ok {
+	if r.bad {
 		return Cell{}, nil, errShort
 	}
-	return c, b, nil
+	return c, r.b, nil
 }
--- a/moves/judge/evidence.go
+++ b/moves/judge/evidence.go
@@ -69,6 +69,17 @@
 	}
 }
 
+func (w Window) hasNew() bool {
+	for _, cells := range w {
+		for i := newBit; i < len(cells); i++ {
+			if cells[i].Requests > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (w Window) requests() uint64 {
 	var n uint64
 	for _, cells := range w {
@@ -90,9 +101,14 @@
 // Evidence pools the windows of all hosts for one move. It is not safe for
 // concurrent use.
 type Evidence struct {
-	open     map[int64]map[string]Window // window, origin
-	closed   map[int64]Window
-	baseline Window // old version, older than the longest horizon
+	open   map[int64]map[string]Window // window, origin
+	closed map[int64]Window
+	// baseline is what has left the ring of the time before the new version's
+	// first request. It shows each target on the old version. Later records
+	// must not enter it: they cover other times than those of the targets that
+	// were loaded first.
+	baseline Window
+	firstNew int64 // window of the new version's first request; 0 for none
 	latest   int64
 	// spans holds, by horizon, the sums over the closed windows; it changes
 	// only when a window closes.
@@ -101,7 +117,7 @@
 	findings map[time.Duration]finding
 }
 
-// span is the evidence of a horizon, and what came before it.
+// span is the evidence of a horizon, and of the time before the new version.
 type span struct{ recent, before Window }
 
 // NewEvidence returns empty evidence.
@@ -123,6 +139,9 @@
 	if byOrigin[origin] == nil {
 		byOrigin[origin] = Window{}
 	}
+	if k.New {
+		e.begin(w)
+	}
 	byOrigin[origin].at(k.RouteKey)[k.index()].Add(r, firstToken, betweenTokens)
 }
 
@@ -139,9 +158,24 @@
 		return false
 	}
 	byOrigin[origin] = w
+	if w.hasNew() {
+		e.begin(number)
+	}
 	return true
 }
 
+// begin notes that the new version answered in the window.
+func (e *Evidence) begin(window int64) {
+	if e.firstNew == 0 || window < e.firstNew {
+		e.firstNew = window
+		e.spans = map[time.Duration]span{}
+	}
+}
+
+// precedes reports whether the window belongs to the time before the new
+// version.
+func (e *Evidence) precedes(window int64) bool { return e.firstNew == 0 || window < e.firstNew }
+
 // Own returns the numbers of the open windows of the origin, newest first.
 func (e *Evidence) Own(origin string, now time.Time) []int64 {
 	e.advance(WindowOf(now))
@@ -179,8 +213,10 @@
 		}
 	}
 	for n, w := range e.closed {
-		if n <= current-ringLength {
-			e.retire(w)
+		if n < current-ringLength {
+			if e.precedes(n) {
+				e.retire(w)
+			}
 			delete(e.closed, n)
 		}
 	}
@@ -207,8 +243,8 @@
 	}
 }
 
-// over returns the evidence of the horizon that ends now, and the old version's
-// evidence from before it. The caller may change neither.
+// over returns the evidence of the horizon that ends now, and that of the time
+// before the new version. The caller may change neither.
 func (e *Evidence) over(now time.Time, h time.Duration) span {
 	e.advance(WindowOf(now))
 	first := e.latest - int64(h/WindowLength)
@@ -217,7 +253,7 @@
 		closed = span{Window{}, Window{}}
 		closed.before.add(e.baseline)
 		for n, w := range e.closed {
-			closed.part(n > first).add(w)
+			e.place(closed, n, first, w)
 		}
 		e.spans[h] = closed
 	}
@@ -226,15 +262,17 @@
 	s.before.add(closed.before)
 	for n, by := range e.open {
 		for _, w := range by {
-			s.part(n > first).add(w)
+			e.place(s, n, first, w)
 		}
 	}
 	return s
 }
 
-func (s span) part(recent bool) Window {
-	if recent {
-		return s.recent
+func (e *Evidence) place(s span, n, first int64, w Window) {
+	if n >= first {
+		s.recent.add(w)
+	}
+	if e.precedes(n) {
+		s.before.add(w)
 	}
-	return s.before
 }
--- a/moves/judge/ratio.go
+++ b/moves/judge/ratio.go
@@ -38,6 +38,7 @@
 type contrast struct {
 	recent, before *Cells
 	urgent         bool
+	naive          bool // without targetDrift, see Config.Pooled
 }
 
 func (c *contrast) fresh(g int) *Cell { return &c.recent[newBit|g] }
@@ -58,7 +59,7 @@
 	for g := range newBit {
 		mo := c.old(g).moments(m)
 		if mo.N >= minGroup {
-			b, _ := reference(c.ownRecord(g, m, false), mean, s2)
+			b, _ := reference(c.before[g].moments(m), mean, s2)
 			shifts = append(shifts, mo.Mean()-b)
 			sizes = append(sizes, float64(mo.N))
 		}
@@ -66,18 +67,22 @@
 	if len(shifts) == 0 {
 		return nil, nil
 	}
-	center, centerVar := median(shifts, sizes, s2)
+	drift := targetDrift * targetDrift
+	if c.naive {
+		drift = 0
+	}
+	center, centerVar := median(shifts, sizes, s2, drift)
 	ratio := func(mo, own Moments) float64 {
 		b, bv := reference(own, mean, s2)
-		v := dispersion*s2/float64(mo.N) + bv + centerVar + targetDrift*targetDrift
+		v := dispersion*s2/float64(mo.N) + bv + centerVar + drift
 		return shiftRatio(mo.Mean()-b-center, v)
 	}
 	for g := range newBit {
 		if mo := c.old(g).moments(m); mo.N >= minGroup {
-			old = append(old, ratio(mo, c.ownRecord(g, m, false)))
+			old = append(old, ratio(mo, c.before[g].moments(m)))
 		}
 		if mo := c.fresh(g).moments(m); mo.N > 0 {
-			fresh = append(fresh, ratio(mo, c.ownRecord(g, m, true)))
+			fresh = append(fresh, ratio(mo, c.before[g].moments(m)))
 		}
 	}
 	return fresh, old
@@ -101,35 +106,20 @@
 	return max(squares/n, 0.01), true
 }
 
-// minBaseline is the number of requests from which a group's record before the
-// horizon suffices as its reference.
-const minBaseline = 30
-
-// baselineMean returns the pool's mean on the old version, before the horizon
-// if there is a record of it.
+// baselineMean returns the pool's mean before the new version, or during the
+// horizon if this host has no record of that time.
 func (c *contrast) baselineMean(m Measure) float64 {
 	var before, during Moments
 	for g := range newBit {
 		before.merge(c.before[g].moments(m))
 		during.merge(c.old(g).moments(m))
 	}
-	if before.N < minBaseline {
-		before.merge(during)
+	if before.N == 0 {
+		return during.Mean()
 	}
 	return before.Mean()
 }
 
-// ownRecord returns what the group did on the old version before the horizon.
-// For a group on the new version, a short record is completed with what its
-// targets did within the horizon before they were loaded.
-func (c *contrast) ownRecord(g int, m Measure, fresh bool) Moments {
-	mo := c.before[g].moments(m)
-	if fresh && mo.N < minBaseline {
-		mo.merge(c.old(g).moments(m))
-	}
-	return mo
-}
-
 // reference returns the mean of a record and its variance, drawn towards the
 // pool's mean as far as the record is short.
 func reference(mo Moments, poolMean, s2 float64) (mean, variance float64) {
@@ -143,7 +133,7 @@
 }
 
 // median returns the weighted median of the shifts and its variance.
-func median(shifts, sizes []float64, s2 float64) (center, variance float64) {
+func median(shifts, sizes []float64, s2, drift float64) (center, variance float64) {
 	order := make([]int, len(shifts))
 	var total float64
 	for i := range order {
@@ -161,7 +151,7 @@
 		x, w = append(x, shifts[i]), append(w, sizes[i])
 	}
 	const efficiency = math.Pi / 2 // variance of a median relative to a mean
-	return stat.Quantile(0.5, stat.Empirical, x, w), efficiency * (dispersion*s2/total + targetDrift*targetDrift/float64(len(x)))
+	return stat.Quantile(0.5, stat.Empirical, x, w), efficiency * (dispersion*s2/total + drift/float64(len(x)))
 }
 
 // shiftRatio averages the likelihood ratio over the fault sizes. The null
--- a/moves/judge/verdict.go
+++ b/moves/judge/verdict.go
@@ -242,7 +242,7 @@
 }
 
 func (c *contrast) pooled() *contrast {
-	p := &contrast{recent: &Cells{}, before: &Cells{}, urgent: c.urgent}
+	p := &contrast{recent: &Cells{}, before: &Cells{}, urgent: c.urgent, naive: true}
 	for g := range newBit {
 		p.fresh(0).Merge(*c.fresh(g))
 		p.old(0).Merge(*c.old(g))
--- a/moves/steer/move.go
+++ b/moves/steer/move.go
@@ -67,8 +67,8 @@
 
 // Step is one stage of a move.
 type Step struct {
-	// Share and Urgent are the new version's shares of urgent and of other
-	// requests, 0 to 1.
+	// Share is the new version's share of all requests, Urgent that of urgent
+	// ones, 0 to 1.
 	Share, Urgent float64
 	// Dwell is the shortest stay.
 	Dwell time.Duration
@@ -165,9 +165,8 @@
 	Halt string
 	// LoadTime is the time that one load takes at the weight store's rate.
 	LoadTime time.Duration
-	// OnlyUrgent means that the pool has hardly any other requests, so urgent
-	// ones must supply the evidence.
-	OnlyUrgent bool
+	// UrgentShare is the part of urgent requests among all, 0 to 1.
+	UrgentShare float64
 }
 
 // ReportKind says what happened.
--- a/moves/steer/next.go
+++ b/moves/steer/next.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -309,6 +310,10 @@
 	r.report(Finished, "all %d targets serve version %s", r.live, r.Move.To)
 }
 
+// mostlyUrgent is the part of urgent requests from which they must supply the
+// evidence themselves, because there are hardly any others.
+const mostlyUrgent = 0.95
+
 // share sets the shares of the step. Without a loaded target there is none.
 func (r *run) share() {
 	if r.Phase != Running {
@@ -316,25 +321,41 @@
 	}
 	s := Steps[r.Step]
 	share, urgent := s.Share, s.Urgent
-	if r.Step < firstProven {
+	switch {
+	case r.loaded == 0:
+		share, urgent = 0, 0
+	case r.Step < firstProven:
 		share = min(share, r.Move.atMost())
-	}
-	if r.Step == lastStep && r.live > 0 {
+	case r.Step == lastStep:
 		share = max(Steps[lastStep-1].Share, float64(r.loaded)/float64(r.live))
 		urgent = share
 	}
-	if r.in.OnlyUrgent {
+	if r.in.UrgentShare > mostlyUrgent {
 		urgent = share
 	}
-	if r.loaded == 0 {
-		share, urgent = 0, 0
+	other := share
+	if r.Step >= firstProven {
+		other = r.others(share, urgent)
 	}
 	for t := range r.Shares {
-		r.Shares[t] = share
+		r.Shares[t] = other
 	}
 	r.Shares[request.Urgent] = urgent
 }
 
+// others returns the share of the requests that are not urgent, so that the new
+// version receives the given share of all requests. Its targets must carry the
+// load of the step for a fault under load to show. It is rounded to whole
+// percents, which keeps small changes of the mix out of the store.
+func (r *run) others(share, urgent float64) float64 {
+	u := min(r.in.UrgentShare, mostlyUrgent)
+	x := math.Round(100*(share-urgent*u)/(1-u)) / 100
+	if was := r.Shares[request.Patient]; math.Abs(was-x) < 0.03 && was >= urgent && r.Step < lastStep {
+		return was
+	}
+	return min(1, max(x, urgent))
+}
+
 // restore loads the old version again where the new one is, one target at a
 // time.
 func (r *run) restore() {
--- a/moves/tracker.go
+++ b/moves/tracker.go
@@ -166,7 +166,7 @@
 	tr.evidence.Observe(t.host, now, k, o.Result, o.FirstToken, o.BetweenTokens)
 }
 
-// tierMemory bounds the counts from which OnlyUrgent is derived.
+// tierMemory bounds the counts from which UrgentShare is derived.
 const tierMemory = 10000
 
 func (tr *track) countTier(t request.Tier) {
@@ -181,11 +181,13 @@
 	}
 }
 
-// onlyUrgent reports that fewer than 5% of at least 100 requests were not
-// urgent.
-func (tr *track) onlyUrgent() bool {
+// urgentShare returns the part of urgent requests; 0 before 100 requests.
+func (tr *track) urgentShare() float64 {
 	n := tr.urgent + tr.other
-	return n >= 100 && tr.other*20 < n
+	if n < 100 {
+		return 0
+	}
+	return float64(tr.urgent) / float64(n)
 }
 
 // Check weighs the evidence of all running moves. It returns new halts, which
@@ -256,9 +258,9 @@
 
 // View is what the controller needs from the evidence.
 type View struct {
-	Verdict    judge.Verdict
-	Halt       string
-	OnlyUrgent bool
+	Verdict     judge.Verdict
+	Halt        string
+	UrgentShare float64
 }
 
 // View returns the result of the last Check for the pool.
@@ -269,7 +271,7 @@
 	if tr == nil {
 		return View{}
 	}
-	v := View{Verdict: tr.verdict, OnlyUrgent: tr.onlyUrgent()}
+	v := View{Verdict: tr.verdict, UrgentShare: tr.urgentShare()}
 	if h := t.haltOf(tr.state); h != nil {
 		v.Halt = h.Reason + ", established by " + h.By
 	}
--- a/moves/trial/fleet.go
+++ b/moves/trial/fleet.go
@@ -40,7 +40,6 @@
 	slowFrom time.Time
 	slowTo   time.Time
 	slow     float64
-	ready    time.Time // end of a load
 	pending  string
 	fence    int64
 	commands []command
--- a/moves/trial/host.go
+++ b/moves/trial/host.go
@@ -83,7 +83,7 @@
 	}
 	f.after(time.Second, h.tick)
 	h.ticks++
-	if !f.c.Broken.NoJudge && (h.ticks+h.index)%f.c.CheckEvery == 0 {
+	if !f.c.Broken.NoJudge && (h.ticks+h.index*f.c.CheckEvery/f.c.Hosts)%f.c.CheckEvery == 0 {
 		for _, halt := range h.tracker.Check(f.now) {
 			f.res.established(f, h, halt)
 			h.broadcast(halt)
--- a/moves/trial/result.go
+++ b/moves/trial/result.go
@@ -39,9 +39,9 @@
 	Steps       [8]time.Duration
 	Reports     []steer.Report
 
-	start, knownAt, halt time.Time
-	ended, entered       bool
-	step                 int
+	start, halt    time.Time
+	ended, entered bool
+	step           int
 }
 
 func (r *Result) report(f *fleet, x steer.Report) {
