Keep a host to the served versions until it knows a move's state

Cause: a host that had not learned the state of a move sent to every version. Shares are in force before the first target is.

--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"sardinefront.dev/core/request"
+	"sardinefront.dev/standin/engine"
 	"sardinefront.dev/standin/platformd"
 )
 
@@ -86,7 +87,7 @@
 }
 
 func runFleet(ctx context.Context, d *deployment, seed uint64, dir string, out, logs io.Writer) (*report, error) {
-	targets, err := startTargets(d, true)
+	targets, err := startTargets(d)
 	defer targets.close()
 	if err != nil {
 		return nil, err
@@ -100,7 +101,7 @@
 	jobs := makeLoad(d, seed)
 	s := &fleetCaller{hosts: hosts, client: newClient()}
 	r := &report{deployment: d.name, scheduler: s, jobs: jobs}
-	move := &badMove{engine: targets.engines[0], hosts: hosts, to: d.newVersion()}
+	move := &badMove{engines: targets.engines[:d.onNewVersion()], hosts: hosts, to: d.newVersion(), last: make(map[*engine.Server]int)}
 	started := time.Now()
 	watching, stopWatching := context.WithCancel(ctx)
 	var watch sync.WaitGroup
@@ -127,7 +128,7 @@
 }
 
 func runBaseline(ctx context.Context, d *deployment, seed uint64) (*report, error) {
-	targets, err := startTargets(d, false)
+	targets, err := startTargets(d)
 	defer targets.close()
 	if err != nil {
 		return nil, err
--- a/cmd/internal/demo/move.go
+++ b/cmd/internal/demo/move.go
@@ -11,6 +11,7 @@
 
 	"sardinefront.dev/core/request"
 	"sardinefront.dev/moves"
+	"sardinefront.dev/moves/judge"
 	"sardinefront.dev/moves/steer"
 	"sardinefront.dev/platform"
 	"sardinefront.dev/standin/engine"
@@ -31,19 +32,24 @@
 
 // badMove is a move to a version that fails, as far as it is seen from outside.
 type badMove struct {
-	engine *engine.Server
-	hosts  *hostSet
-	to     string
+	// engines started with the bad version.
+	engines []*engine.Server
+	hosts   *hostSet
+	to      string
 
 	mu        sync.Mutex
 	haltedAt  time.Time
 	halt      string
 	takenBack bool
-	last      int
+	last      map[*engine.Server]int
 	sent      int
 	late      int
 }
 
+// onNewVersion is the number of engines that serve the new version when the demo
+// begins: as many as a verdict needs.
+func (d *deployment) onNewVersion() int { return judge.Config{Targets: d.engines}.Needed() }
+
 // newVersion returns the version after the one in use.
 func (d *deployment) newVersion() string {
 	n, _ := strconv.Atoi(d.version)
@@ -101,15 +107,9 @@
 func (m *badMove) look(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	runs := len(m.engine.Runs())
-	bad := m.engine.Version() == m.to
-	if bad {
-		m.sent += runs - m.last
-	}
-	if bad && !m.haltedAt.IsZero() && now.Sub(m.haltedAt) > haltBound {
-		m.late += runs - m.last
+	for _, e := range m.engines {
+		m.count(e, now)
 	}
-	m.last = runs
 	for _, h := range m.hosts.hosts {
 		for _, s := range h.Moves() {
 			if s.Halted != "" && m.haltedAt.IsZero() {
@@ -120,6 +120,21 @@
 	}
 }
 
+// count adds what an engine ran since the last look while it served the bad
+// version.
+func (m *badMove) count(e *engine.Server, now time.Time) {
+	runs := len(e.Runs())
+	more := runs - m.last[e]
+	m.last[e] = runs
+	if e.Version() != m.to {
+		return
+	}
+	m.sent += more
+	if !m.haltedAt.IsZero() && now.Sub(m.haltedAt) > haltBound {
+		m.late += more
+	}
+}
+
 // violations states what the move broke. total is the number of requests that
 // ran at all engines.
 func (m *badMove) violations(total int) []string {
--- a/cmd/internal/demo/targets.go
+++ b/cmd/internal/demo/targets.go
@@ -25,14 +25,14 @@
 	list     []platform.HostInfo
 }
 
-// startTargets starts the targets. With badVersion, the first engine serves a
-// new version that fails every request.
-func startTargets(d *deployment, badVersion bool) (*targetSet, error) {
+// startTargets starts the targets. The first engines serve a new version that
+// fails every request.
+func startTargets(d *deployment) (*targetSet, error) {
 	s := &targetSet{}
 	for i := range d.engines {
 		speed := generations[i%len(generations)]
 		version := d.version
-		if i == 0 && badVersion {
+		if i < d.onNewVersion() {
 			version = d.newVersion()
 		}
 		e := engine.New(engine.Config{
--- a/host/pool.go
+++ b/host/pool.go
@@ -8,7 +8,6 @@
 
 	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/core/request"
-	"sardinefront.dev/moves"
 	"sardinefront.dev/platform"
 	"sardinefront.dev/sched/pool"
 )
@@ -48,8 +47,6 @@
 	backends atomic.Pointer[map[string]backend]
 	// infos is the platform's list of the pool.
 	infos atomic.Pointer[[]platform.HostInfo]
-	// shares is the share map that the scheduler has.
-	shares atomic.Pointer[moves.Shares]
 	// addresses is owned by the goroutine that updates the targets.
 	addresses map[string]string
 
@@ -61,6 +58,8 @@
 	probes  map[string]*probeState
 	// versions holds what targets said they serve.
 	versions map[string]string
+	// shares is what the scheduler was last given.
+	shares map[string]float64
 
 	onTarget func(pool string, a pool.Action)
 	onProbe  func(target string, b backend)
--- a/host/poolset.go
+++ b/host/poolset.go
@@ -32,7 +32,6 @@
 		})
 	}
 	p.backends.Store(&next)
-	p.infos.Store(&infos)
 	p.do(func(now time.Time) []pool.Action { return p.sched.SetTargets(targets, now) })
 	for name, b := range old {
 		if next[name] != b {
--- /dev/null
+++ b/host/shares.go
@@ -0,0 +1,80 @@
+package host
+
+import (
+	"maps"
+	"strconv"
+	"time"
+
+	"sardinefront.dev/moves"
+	"sardinefront.dev/sched/pool"
+)
+
+// applyShares hands the shares in force to the pool's scheduler. Tiers are kept
+// apart there: urgent requests use a version only once it has its whole share.
+func (h *Host) applyShares(runner *poolRunner) {
+	shares := h.sharesOf(runner)
+	if !runner.newShares(shares) {
+		return
+	}
+	runner.do(func(now time.Time) []pool.Action { return runner.sched.SetShares(shares, now) })
+}
+
+// sharesOf returns the part of the traffic that each version may receive. Without
+// a move, or before its state is known here, these are the versions that the
+// rules serve. Nil lifts all restrictions, which is also the answer if no target
+// has a version that may receive traffic.
+func (h *Host) sharesOf(runner *poolRunner) map[string]float64 {
+	shares := moveShares(h.tracker.Shares(runner.name))
+	if shares == nil {
+		shares = h.servedVersions(runner.name)
+	}
+	for _, t := range runner.steerTargets() {
+		if shares[t.Version] > 0 {
+			return shares
+		}
+	}
+	return nil
+}
+
+func moveShares(s *moves.Shares) map[string]float64 {
+	if s == nil {
+		return nil
+	}
+	share := max(0, min(1, s.ByTier[len(s.ByTier)-1]))
+	if s.Halted {
+		share = 0
+	}
+	if share == 1 {
+		return map[string]float64{s.From: 0, s.To: 1}
+	}
+	// The old version may receive everything: it takes over what the new one
+	// cannot serve.
+	return map[string]float64{s.From: 1, s.To: share}
+}
+
+func (h *Host) servedVersions(poolName string) map[string]float64 {
+	set := h.rules.Load()
+	if set == nil {
+		return nil
+	}
+	p, _ := set.rules.Pool(poolName)
+	if len(p.Versions) == 0 {
+		return nil
+	}
+	shares := make(map[string]float64, len(p.Versions))
+	for _, v := range p.Versions {
+		shares[strconv.Itoa(v)] = 1
+	}
+	return shares
+}
+
+// newShares records the shares and reports whether they differ from the last.
+func (p *poolRunner) newShares(shares map[string]float64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if maps.Equal(shares, p.shares) {
+		return false
+	}
+	p.shares = shares
+	return true
+}
--- a/host/targets.go
+++ b/host/targets.go
@@ -49,7 +49,12 @@
 		return
 	}
 	for name, runner := range *h.pools.Load() {
-		runner.setTargets(listed[name], h.settings)
+		infos := listed[name]
+		runner.infos.Store(&infos)
+		// The shares come first, so that no version receives more than its own
+		// even at the start.
+		h.applyShares(runner)
+		runner.setTargets(infos, h.settings)
 	}
 }
 
