--- a/sched/pick/picker.go
+++ b/sched/pick/picker.go
@@ -52,11 +52,14 @@
 	n      int
 	list   [maxCandidates]candidate
 	choice Choice
+	// borrowCost is the cost in milliseconds of exceeding the allowance.
+	borrowCost float64
 }
 
 func (p *picker) init(s *Snapshot, r *request.Request, skip func(int) bool) {
 	p.s, p.r, p.skip = s, r, skip
 	p.tokens = r.Tokens()
+	p.borrowCost = borrowCost
 }
 
 // add makes target i a candidate, or raises what it may hold.
@@ -209,7 +212,7 @@
 		cost += riskCost * (1 - l.Fresh.Get()) * (u.part - riskFrom) / (1 - riskFrom)
 	}
 	if u.borrowed {
-		cost += borrowCost
+		cost += p.borrowCost
 	}
 	p.keep(Scored{i, float32(cost)}, reuse)
 	return true
@@ -234,15 +237,17 @@
 }
 
 // scan looks for room from a random start until it has a few targets. It runs
-// only when the sample has no room, that is when most targets are full.
-func (p *picker) scan(list []int32, rnd *rand.Rand, maxUse, borrow float64) {
+// only when the sample has no room, that is when most targets are full. Targets
+// beyond the host's allowance are taken only if there are no others.
+func (p *picker) scan(list []int32, rnd *rand.Rand, maxUse float64) {
 	if len(list) == 0 {
 		return
 	}
 	start, found := rnd.IntN(len(list)), 0
+	p.borrowCost = scanBorrowCost
 	for k := range list {
 		i := list[(start+k)%len(list)]
-		if p.consider(i, 0, maxUse, borrow) {
+		if p.consider(i, 0, maxUse, 1) && p.choice.Best[0].Cost < scanBorrowCost {
 			found++
 		}
 		if found >= scanEnough {
--- a/sched/pick/snapshot.go
+++ b/sched/pick/snapshot.go
@@ -110,6 +110,9 @@
 	riskCost = 600
 	// borrowCost is the cost in milliseconds of exceeding the host's allowance.
 	borrowCost = 60
+	// scanBorrowCost is the same once the sample has shown no room; it exceeds
+	// every other cost, so that a host borrows only when nothing else is left.
+	scanBorrowCost = 1e6
 	// reuseBorrow is the use up to which a host exceeds its allowance at a target
 	// that holds more than half of the prompt. A trial with 40 hosts and 300
 	// targets at 70% load computed half as many prompt tokens with it; without a
@@ -146,13 +149,10 @@
 	p.addSample(rnd)
 	p.score()
 	if p.choice.N == 0 {
-		p.scan(s.local, rnd, 1, 0)
+		p.scan(s.local, rnd, 1)
 	}
 	if p.choice.N == 0 {
-		p.scan(s.local, rnd, 1, 1)
-	}
-	if p.choice.N == 0 {
-		p.scan(s.remote, rnd, spillUse, spillUse)
+		p.scan(s.remote, rnd, spillUse)
 	}
 	if p.choice.N == 0 {
 		return p.choice, false
--- a/sched/pool/api.go
+++ b/sched/pool/api.go
@@ -54,7 +54,7 @@
 	Tokens int
 	// Headroom is the part of each target's limit that a tier leaves free for
 	// higher tiers; negative lets a tier exceed the limit, which is cheaper than
-	// a floor for a short burst. Default -0.1, 0.03, 0.1.
+	// a floor for a short burst. Default -0.1, 0.03, 0.15.
 	Headroom [request.TierCount]float64
 	// FirstToken is the time to first token that the limits aim for. Default
 	// 590 ms.
@@ -201,7 +201,8 @@
 }
 
 // Alternative is a target that was considered, with its cost in milliseconds;
-// lower is better.
+// lower is better. A cost above 1,000,000 marks a target where the host exceeds
+// its allowance because it found no other room.
 type Alternative struct {
 	Target string
 	Cost   float64
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -95,7 +95,7 @@
 		setDefault(&l.Waiting[t], n)
 	}
 	if l.Headroom == [request.TierCount]float64{} {
-		l.Headroom = [request.TierCount]float64{-0.1, 0.03, 0.1}
+		l.Headroom = [request.TierCount]float64{-0.1, 0.03, 0.15}
 	}
 	setDefault(&l.Requests, 8)
 	setDefault(&l.MaxRequests, 512)
--- a/sched/pool/sim_test.go
+++ b/sched/pool/sim_test.go
@@ -19,14 +19,14 @@
 // batching: prompts are computed one after the other, up to slots streams run
 // at once, and the time between tokens grows with their number.
 type zone struct {
-	now                   time.Time
-	rnd                   *rand.Rand
-	hosts                 []*Pool
-	engines               []*simEngine
-	runs                  map[string]*simRun
-	events                []simEvent // not sorted
-	digests               int        // bytes sent
-	maxTokens, floorsSent int
+	now                           time.Time
+	rnd                           *rand.Rand
+	hosts                         []*Pool
+	engines                       []*simEngine
+	runs                          map[string]*simRun
+	events                        []simEvent // not sorted
+	digests                       int        // bytes sent
+	maxTokens, floorsSent, probes int
 
 	done, good, refused [request.TierCount]int
 	paused, inversions  int
@@ -108,6 +108,7 @@
 		case RaiseFloor:
 			z.raise(host, a)
 		case Probe:
+			z.probes++
 			z.later(func() { z.report(host, a.Target) })
 		}
 	}
--- a/sched/pool/versions.go
+++ b/sched/pool/versions.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"sardinefront.dev/core/request"
@@ -55,7 +57,9 @@
 // set replaces the shares. If no version was proven before, the one with the
 // largest share is.
 func (v *versions) set(shares map[string]float64) {
-	for name := range shares {
+	// Sorted, so that the numbers of versions do not depend on the order of a
+	// map.
+	for _, name := range slices.Sorted(maps.Keys(shares)) {
 		v.index(name)
 	}
 	first := !v.limited
