Let the number of hosts and the weights change while a pool runs

Hosts join and leave, and rules change weights, while requests wait. A blocked tier is not scanned again until something changes that could make room.

--- a/sched/flow/flow.go
+++ b/sched/flow/flow.go
@@ -91,6 +91,9 @@
 	return 1
 }
 
+// SetWeights replaces the weights; they apply to requests from now on.
+func (q *Queue) SetWeights(weights map[string]float64) { q.cfg.Weights = weights }
+
 // Next returns the item to start next without removing it, or nil, and the
 // items that expired, which it removes. Items below an active floor are not
 // returned.
--- a/sched/pool/entry.go
+++ b/sched/pool/entry.go
@@ -72,6 +72,7 @@
 
 // end records the end of a run.
 func (p *Pool) end(e *entry) {
+	p.changes++
 	t := e.target
 	last := len(t.runs) - 1
 	t.runs[e.run] = t.runs[last]
--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -28,7 +28,7 @@
 			return out
 		}
 		e := p.entries[it.Request.ID]
-		choice, ok := p.choose(e, now)
+		choice, ok := p.chooseIfChanged(e, now)
 		if !ok && e.req.Tier != request.Patient {
 			out, choice, ok = p.preempt(out, e, now)
 		}
@@ -53,6 +53,21 @@
 	return out
 }
 
+// chooseIfChanged is choose, unless it failed for this tier and nothing has
+// changed since that could make room. It keeps a burst into a full pool from
+// scanning all targets for each request.
+func (p *Pool) chooseIfChanged(e *entry, now time.Time) (pick.Choice, bool) {
+	tier := e.req.Tier
+	if p.fullAt[tier] == p.changes {
+		return pick.Choice{}, false
+	}
+	c, ok := p.choose(e, now)
+	if !ok {
+		p.fullAt[tier] = p.changes
+	}
+	return c, ok
+}
+
 // choose picks a target among the versions that the request may use. A version
 // with an unused share is served first, except for urgent requests, which use
 // it only when nothing else has room.
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -50,10 +50,15 @@
 	service  serviceTime
 	ring     ring
 
-	running     [request.TierCount]int
-	patient     []*entry // running patient work that can be paused, oldest first
-	bound       int      // entries that wait for their target
-	blocked     [request.TierCount]time.Time
+	running [request.TierCount]int
+	patient []*entry // running patient work that can be paused, oldest first
+	bound   int      // entries that wait for their target
+	blocked [request.TierCount]time.Time
+	// changes counts events that may make room; fullAt is its value when a
+	// request of the tier last found none.
+	changes uint64
+	fullAt  [request.TierCount]uint64
+
 	hostCap     float64 // requests that this host may have in progress
 	ownMean     float64 // smoothed requests in progress of this host
 	tokensMean  float64 // smoothed tokens per request
@@ -79,6 +84,7 @@
 		byName:  map[string]*target{},
 		retries: budget{credit: 1, most: 10},
 		probes:  budget{most: 10},
+		changes: 1,
 	}
 	p.skip = p.skipSlot
 	if c.Kind == Engine {
@@ -139,6 +145,29 @@
 	return now.Add(idleInterval)
 }
 
+// SetHosts changes this host's index and the number of hosts that feed the
+// same targets, including this one. Call it when members join or leave.
+func (p *Pool) SetHosts(index, hosts int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cfg.Host, p.cfg.Hosts = max(0, index), max(1, hosts)
+	for _, t := range p.slots {
+		if t != nil {
+			t.draw = uniform(t.hash, uint64(p.cfg.Host))
+			t.load.Allowance.Store(-1)
+		}
+	}
+	p.rebuild()
+}
+
+// SetWeights replaces the weights of organisations. Waiting requests keep the
+// order that they have within their organisation.
+func (p *Pool) SetWeights(weights map[string]float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.queue.SetWeights(weights)
+}
+
 // Stats returns a consistent view of the pool.
 func (p *Pool) Stats(now time.Time) Stats {
 	p.mu.Lock()
--- a/sched/pool/refresh.go
+++ b/sched/pool/refresh.go
@@ -137,6 +137,7 @@
 
 // publishLoad writes a target's estimates where Pick reads them.
 func (p *Pool) publishLoad(t *target, now time.Time) {
+	p.changes++
 	l := t.limiter.Requests()
 	t.load.Limit.Set(l)
 	t.load.TokenLimit.Set(t.limiter.Tokens())
--- a/sched/pool/targets.go
+++ b/sched/pool/targets.go
@@ -154,6 +154,7 @@
 
 // rebuild swaps the snapshot after a change of the list or of health.
 func (p *Pool) rebuild() {
+	p.changes++
 	ids := make([]uint64, len(p.slots))
 	ts := make([]pick.Target, len(p.slots))
 	ejected, all := 0, 0
--- a/sched/pool/versions.go
+++ b/sched/pool/versions.go
@@ -140,5 +140,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.versions.set(shares)
+	p.changes++
 	return p.place(nil, now)
 }
