Base each measured change on the file in the store

Cause: the traffic measurement counted on from a push that had failed, so that every later push conflicted and too few changes were measured (5 of about 46 in 10 minutes at 360 hosts, seed 8).

Change: each push reads its base first.

--- a/fleet/simulate/measure.go
+++ b/fleet/simulate/measure.go
@@ -170,7 +170,8 @@
 	m.version++
 	text := RulesText(300, m.version)
 	m.w.Operate(func(ctx context.Context, o *config.Operator) {
-		v, _ := o.Push(ctx, text, "operator", "change of a weight", int64(m.version-1))
+		base, _ := config.Show(ctx, o.KV) // none before the first push
+		v, _ := o.Push(ctx, text, "operator", "change of a weight", base.Number)
 		if v.Number > 0 {
 			m.changes++
 			m.follow(v.Stamp(), m.w.Now)
