Compare stamps before putting a file into force

Cause: after a store was set back, two files can have one number; the Node took the second for the one already in force. A digest that is too long vanished without a word, and Stop of a Node that was not started failed.

Change: compare stamps, log the first digest that is too long, and let Stop return.

--- a/fleet/deliver.go
+++ b/fleet/deliver.go
@@ -111,7 +111,7 @@
 func (n *Node) putInForce() {
 	v := n.Held()
 	n.mu.Lock()
-	done := v.Number == n.inForce
+	done := v.Stamp() == n.inForce
 	n.mu.Unlock()
 	if done {
 		return
@@ -123,7 +123,7 @@
 	n.mu.Lock()
 	n.rejected = err
 	if err == nil {
-		n.inForce = v.Number
+		n.inForce = v.Stamp()
 	}
 	n.mu.Unlock()
 	attrs := []slog.Attr{slog.Int64("number", v.Number), slog.String("author", v.Author), slog.String("comment", v.Comment)}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -119,11 +119,13 @@
 	mu       sync.Mutex
 	core     *core.Core
 	halts    seen
-	inForce  int64
+	inForce  config.Stamp
 	rejected error
+	started  bool
 
 	deliveries deliveries
 	store      storeState
+	longDigest sync.Once
 }
 
 // New validates the settings. It opens nothing.
@@ -141,11 +143,11 @@
 // Start opens the transport and joins the fleet. Configuration and members
 // arrive through the callbacks.
 func (n *Node) Start() error {
-	n.core = core.New(n.cfg.Member, n.cfg.Spread, n.cfg.Digest, time.Now())
+	n.core = core.New(n.cfg.Member, n.cfg.Spread, n.digest, time.Now())
 	// Handlers may run before New returns; they wait for the lock.
 	n.mu.Lock()
 	peers, err := peer.New(n.cfg.Peer, peer.Handlers{Message: n.message, Call: n.call})
-	n.peers = peers
+	n.peers, n.started = peers, err == nil
 	n.mu.Unlock()
 	if err != nil {
 		return fmt.Errorf("fleet: %w", err)
@@ -158,9 +160,31 @@
 	return nil
 }
 
+// digest returns the host's digest, or nil if it is too long to send.
+func (n *Node) digest() []byte {
+	if n.cfg.Digest == nil {
+		return nil
+	}
+	d := n.cfg.Digest()
+	if len(d) <= MaxDigest {
+		return d
+	}
+	n.longDigest.Do(func() {
+		n.cfg.Logger.Error("digest not sent: too long", "bytes", len(d), "limit", MaxDigest)
+	})
+	return nil
+}
+
 // Stop announces the planned stop, ends all connections and waits for the
-// callbacks.
+// callbacks. A Node that was not started needs no Stop.
 func (n *Node) Stop() error {
+	n.mu.Lock()
+	started := n.started
+	n.started = false
+	n.mu.Unlock()
+	if !started {
+		return nil
+	}
 	n.do(func(c *core.Core, now time.Time) core.Actions { return c.Leave(now) })
 	// The transport sends in the background; without this pause Close would
 	// discard the announcement.
--- a/fleet/internal/core/core.go
+++ b/fleet/internal/core/core.go
@@ -14,7 +14,7 @@
 	"sardinefront.dev/fleet/member"
 )
 
-// MaxDigest is the longest digest, in bytes, that is sent. At 2.8 messages a
+// MaxDigest is the longest digest, in bytes, that a caller of New may return. At 2.8 messages a
 // second it makes up half of the traffic; 600 bytes left no room under 5 KB/s
 // for floors, halts and churn at 360 hosts.
 const MaxDigest = 512
@@ -192,13 +192,9 @@
 	return a
 }
 
-// currentDigest returns the digest unless it is too long to send.
 func (c *Core) currentDigest() []byte {
 	if c.digest == nil {
 		return nil
 	}
-	if d := c.digest(); len(d) <= MaxDigest {
-		return d
-	}
-	return nil
+	return c.digest()
 }
--- a/fleet/messages.go
+++ b/fleet/messages.go
@@ -169,7 +169,7 @@
 	defer n.mu.Unlock()
 	return Status{
 		Status:   n.core.Spread.Status(time.Now()),
-		InForce:  n.inForce,
+		InForce:  n.inForce.Number,
 		Rejected: n.rejected,
 		Watching: n.core.Watches(),
 	}
