--- a/proof/invariant/event.go
+++ b/proof/invariant/event.go
@@ -29,7 +29,8 @@
 	// Accepted: the caller of a patient request was told its id.
 	Accepted
 	// Outcome: a caller fetched the outcome of a recorded request. State is
-	// answered, failed or unknown; Digest for answered, Ran for the others.
+	// answered, error (the target's own error answer), failed or unknown; Digest
+	// for answered, Ran for the others.
 	Outcome
 	// Lost: a caller was told that an accepted request is not on record.
 	Lost
--- a/proof/scenario/commands.go
+++ b/proof/scenario/commands.go
@@ -194,6 +194,9 @@
 	var b strings.Builder
 	for _, v := range found {
 		fmt.Fprintf(&b, "\n%s", v)
+		if v.Invariant == invariant.I10 && len(v.Events) > 0 {
+			b.WriteString(w.explain(v.Events[0].Request))
+		}
 	}
 	return fmt.Errorf("%d violations%s", len(found), b.String())
 }
--- a/proof/scenario/outcomes.go
+++ b/proof/scenario/outcomes.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/proof/invariant"
 )
 
@@ -37,10 +38,10 @@
 			return got != ""
 		})
 		if err != nil {
-			return err
+			return fmt.Errorf("%w%s", err, w.explain(c.spec.key()))
 		}
 		if got != state {
-			return fmt.Errorf("the outcome of %s is %s, expected %s", c.spec.key(), got, state)
+			return fmt.Errorf("the outcome of %s is %s, expected %s%s", c.spec.key(), got, state, w.explain(c.spec.key()))
 		}
 	}
 	return nil
@@ -122,6 +123,8 @@
 		ev.State, ev.Digest = "answered", digest(e.text)
 	case e.end == endRefused && outcomeStates[e.reason] != "":
 		ev.State, ev.Ran = outcomeStates[e.reason], parseRan(e.ran)
+	case e.end == endFailed:
+		ev.State, ev.Ran, ev.Reason = "error", refusal.Completed, e.detail
 	case e.end == endRefused && e.reason == "not-found":
 		ev.Kind = invariant.Lost
 	default:
