Judge a plain service by the mean time of its calls

Cause: calls of one service differ a hundredfold in length, and the limiter compared each with the shortest, so services fell to a limit of 1 and were ejected as slow.

Change: compare the mean of 32 calls with the least mean; only a call of ten times the mean counts as stuck; the limit starts at 16.

--- a/sched/limit/limit.go
+++ b/sched/limit/limit.go
@@ -32,8 +32,13 @@
 	// are tolerated where the goal itself is shorter.
 	betweenSlack = 1.3
 	firstSlack   = 2.0
-	serviceSlack = 2.0
-	serviceFloor = 50 * time.Millisecond
+	// serviceSlack is wide because calls of one service differ a hundredfold in
+	// length: the mean of serviceSamples of them varies by a fifth. serviceStall
+	// is the multiple of the mean from which one call counts as stuck.
+	serviceSlack   = 3.0
+	serviceFloor   = 50 * time.Millisecond
+	serviceSamples = 32
+	serviceStall   = 10
 	// growth per window while the limit is in use and the goals are met; it
 	// shrinks where less than growFull is left to the goal, and nothing changes
 	// from steady to the goal.
@@ -82,8 +87,11 @@
 	first signal
 	// prefill is the time per prompt token, and unloaded the time of a plain
 	// service; both keep only their least values, in seconds.
-	prefill   signal
-	unloaded  signal
+	prefill  signal
+	unloaded signal
+	// mean is the smoothed time of a plain service in seconds, from calls answers.
+	mean      float64
+	calls     int
 	windowEnd time.Time
 	windows   int
 	lastOwn   time.Time
@@ -126,7 +134,9 @@
 func (l *Limiter) First(d time.Duration, uncached int, requests, tokens float64, now time.Time) {
 	s := d.Seconds()
 	if l.cfg.Service {
-		l.unloaded.learnBase(s, requests <= unloadedAt, now)
+		l.serve(s, requests, now)
+		l.adapt(requests, tokens, now)
+		return
 	}
 	if uncached >= minPrefill {
 		l.prefill.learnBase(s/float64(uncached), requests <= unloadedAt, now)
@@ -135,10 +145,30 @@
 	l.adapt(requests, tokens, now)
 }
 
+// serve records the time of a call to a plain service. Only the mean of many
+// calls is compared with the least mean so far: a single long call says nothing
+// about the load.
+func (l *Limiter) serve(s, requests float64, now time.Time) {
+	l.calls++
+	l.mean += (s - l.mean) / float64(min(l.calls, serviceSamples))
+	if l.calls < serviceSamples {
+		return
+	}
+	l.unloaded.learnBase(l.mean, requests <= unloadedAt, now)
+	l.first.now, l.first.at = l.mean/l.firstGoal(0), now
+}
+
 // Stalled records that a request has waited d for its first byte so far, or
 // that a stream has waited d for its next token where n is 1. It only ever
 // lowers the limit.
 func (l *Limiter) Stalled(d time.Duration, n, uncached int, requests, tokens float64, now time.Time) {
+	if l.cfg.Service {
+		if ratio := d.Seconds() / (serviceStall * l.mean); l.calls >= serviceSamples && ratio > 1 {
+			l.first.raise(ratio, now)
+			l.adapt(requests, tokens, now)
+		}
+		return
+	}
 	if n == 0 {
 		ratio := d.Seconds() / l.firstGoal(uncached)
 		if ratio > 1 {
--- a/sched/pool/api.go
+++ b/sched/pool/api.go
@@ -45,7 +45,7 @@
 	// Default 4096, 4096, 16384.
 	Waiting [request.TierCount]int
 	// Requests is the initial limit of requests in progress per target, over
-	// all hosts. Default 8.
+	// all hosts. Default 8, and 16 for services.
 	Requests int
 	// MaxRequests bounds the learned limit per target. Default 512.
 	MaxRequests int
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -97,6 +97,9 @@
 	if l.Headroom == [request.TierCount]float64{} {
 		l.Headroom = [request.TierCount]float64{-0.1, 0.03, 0.1}
 	}
+	if c.Kind == Service {
+		setDefault(&l.Requests, 16)
+	}
 	setDefault(&l.Requests, 8)
 	setDefault(&l.MaxRequests, 512)
 	setDefault(&l.FirstToken, 590*time.Millisecond)
