--- a/sched/limit/limit.go
+++ b/sched/limit/limit.go
@@ -60,6 +60,12 @@
 	maxFirstCut = 0.8
 	// firstWeight is the weight of one first-token time.
 	firstWeight = 0.2
+	// tailPart is the quantile of the time between tokens that is held to the
+	// goal. A caller notices the steps in which the target also computes a long
+	// prompt, which the mean hides. tailStep is the part of the goal by which the
+	// estimate moves up or down in all.
+	tailPart = 0.97
+	tailStep = 0.03
 	// drift lets an unloaded value that was learned in a good hour, or from one
 	// lucky sample, rise by 0.1% per second.
 	drift = 0.001
@@ -83,6 +89,8 @@
 	limit   float64
 	tokens  float64
 	between signal
+	// tail estimates the tailPart quantile of the time between tokens.
+	tail float64
 	// first is relative to its goal, which depends on the prompt.
 	first signal
 	// prefill is the time per prompt token, and unloaded the time of a plain
@@ -125,10 +133,24 @@
 	if n <= 0 || d < 0 {
 		return
 	}
-	l.between.add(d.Seconds()/float64(n), requests <= unloadedAt, now)
+	v := d.Seconds() / float64(n)
+	l.between.add(v, requests <= unloadedAt, now)
+	l.moveTail(v)
 	l.adapt(requests, tokens, now)
 }
 
+func (l *Limiter) moveTail(v float64) {
+	if l.tail == 0 {
+		l.tail = v
+	}
+	step := tailStep * l.cfg.BetweenTokens.Seconds()
+	if v > l.tail {
+		l.tail += min(step*tailPart, v-l.tail)
+	} else {
+		l.tail -= min(step*(1-tailPart), l.tail-v)
+	}
+}
+
 // First records the time to the first byte of a request with the given number
 // of prompt tokens that were not in the prefix cache.
 func (l *Limiter) First(d time.Duration, uncached int, requests, tokens float64, now time.Time) {
@@ -209,11 +231,17 @@
 func (l *Limiter) Pressure() float64 {
 	p := l.first.now
 	if !l.cfg.Service && l.between.now > 0 {
-		p = max(p, l.between.now/l.betweenGoal())
+		p = max(p, l.gapPressure())
 	}
 	return p
 }
 
+// gapPressure returns the time between tokens relative to its goal.
+func (l *Limiter) gapPressure() float64 {
+	goal := l.betweenGoal()
+	return max(l.between.now/goal, l.tail/(goal/goalPart))
+}
+
 // adapt moves the limit once per window.
 func (l *Limiter) adapt(requests, tokens float64, now time.Time) {
 	l.lastOwn = now
@@ -246,7 +274,7 @@
 	if l.first.now > 1 {
 		cut = max(maxFirstCut, 1/l.first.now)
 	}
-	if p := l.between.now / l.betweenGoal(); p > 1 {
+	if p := l.gapPressure(); p > 1 {
 		cut = min(cut, max(maxCut, 1/p))
 	}
 	return cut
