--- a/sched/flow/flow.go
+++ b/sched/flow/flow.go
@@ -28,7 +28,11 @@
 	Cost float64
 	// LatestStart is when the item expires. Zero means never.
 	LatestStart time.Time
+	// FreshUntil is when the item misses the objective for its first token.
+	// From then on it waits behind the fresh items of its tier. Zero means never.
+	FreshUntil time.Time
 
+	queue    *fair
 	org      *organisation
 	place    int // index in org.items while waiting
 	deadline int // index in the deadline heap, -1 if it never expires
@@ -44,7 +48,8 @@
 // concurrent use.
 type Queue struct {
 	cfg       Config
-	tiers     [request.TierCount]fair
+	tiers     [request.TierCount]fair // fresh items
+	late      [request.TierCount]fair // items that waited beyond FreshUntil
 	items     map[string]*Item
 	deadlines deadlineHeap
 	floors    [request.TierCount]time.Time // end of the floor of each tier
@@ -55,6 +60,7 @@
 	q := &Queue{cfg: c, items: map[string]*Item{}}
 	for t := range q.tiers {
 		q.tiers[t].organisations = map[string]*organisation{}
+		q.late[t].organisations = map[string]*organisation{}
 	}
 	return q
 }
@@ -62,8 +68,8 @@
 // Push adds an item. It refuses an item of a full tier as not run.
 func (q *Queue) Push(it *Item, now time.Time) *refusal.Refusal {
 	tier := it.Request.Tier
-	if q.tiers[tier].count >= q.cfg.Waiting[tier] {
-		return refusal.New(refusal.QueueFull, "%d %s requests are waiting", q.tiers[tier].count, tier)
+	if n := q.Len(tier); n >= q.cfg.Waiting[tier] {
+		return refusal.New(refusal.QueueFull, "%d %s requests are waiting", n, tier)
 	}
 	q.add(it, false)
 	return nil
@@ -81,7 +87,8 @@
 	if !it.LatestStart.IsZero() {
 		heap.Push(&q.deadlines, it)
 	}
-	q.tiers[it.Request.Tier].add(it, front, q.weight(it.Request.Organisation))
+	it.queue = &q.tiers[it.Request.Tier]
+	it.queue.add(it, front, q.weight(it.Request.Organisation))
 }
 
 func (q *Queue) weight(organisation string) float64 {
@@ -101,13 +108,31 @@
 		if request.Tier(t) > floor {
 			break
 		}
-		if it := q.tiers[t].head(); it != nil {
+		if it := q.fresh(request.Tier(t), now); it != nil {
+			return it, expired
+		}
+		if it := q.late[t].head(); it != nil {
 			return it, expired
 		}
 	}
 	return nil, expired
 }
 
+// fresh returns the next fresh item of a tier. Items that have become late are
+// set aside without a charge: serving them first would make the others late too.
+func (q *Queue) fresh(t request.Tier, now time.Time) *Item {
+	f := &q.tiers[t]
+	for it := f.head(); it != nil; it = f.head() {
+		if it.FreshUntil.IsZero() || now.Before(it.FreshUntil) {
+			return it
+		}
+		f.remove(it)
+		it.queue = &q.late[t]
+		it.queue.add(it, false, q.weight(it.Request.Organisation))
+	}
+	return nil
+}
+
 func (q *Queue) expire(now time.Time) []Expired {
 	var out []Expired
 	for len(q.deadlines) > 0 && !q.deadlines[0].LatestStart.After(now) {
@@ -122,7 +147,7 @@
 // Take removes an item that Next returned and charges its organisation.
 func (q *Queue) Take(it *Item) {
 	q.forget(it)
-	q.tiers[it.Request.Tier].take(it)
+	it.queue.take(it)
 }
 
 // Remove removes a waiting item without a charge. It returns nil if no item
@@ -137,7 +162,7 @@
 
 func (q *Queue) drop(it *Item) {
 	q.forget(it)
-	q.tiers[it.Request.Tier].remove(it)
+	it.queue.remove(it)
 }
 
 func (q *Queue) forget(it *Item) {
@@ -170,7 +195,10 @@
 func (q *Queue) FloorUntil(t request.Tier) time.Time { return q.floors[t] }
 
 // Len returns the number of waiting items of a tier.
-func (q *Queue) Len(t request.Tier) int { return q.tiers[t].count }
+func (q *Queue) Len(t request.Tier) int { return q.tiers[t].count + q.late[t].count }
+
+// Late reports whether the item was set aside because it waited too long.
+func (it *Item) Late(q *Queue) bool { return it.queue == &q.late[it.Request.Tier] }
 
 // Waits reports whether an item with this id waits.
 func (q *Queue) Waits(id string) bool { return q.items[id] != nil }
@@ -179,7 +207,7 @@
 func (q *Queue) Organisations() int {
 	n := 0
 	for t := range q.tiers {
-		n += len(q.tiers[t].organisations)
+		n += len(q.tiers[t].organisations) + len(q.late[t].organisations)
 	}
 	return n
 }
--- a/sched/pick/picker.go
+++ b/sched/pick/picker.go
@@ -49,6 +49,7 @@
 	r      *request.Request
 	skip   func(int) bool
 	tokens int
+	part   float64 // part of the limits that may be filled
 	n      int
 	list   [maxCandidates]candidate
 	choice Choice
@@ -179,7 +180,7 @@
 		if 2*c.reuse > float64(p.r.PromptTokens) {
 			borrow = reuseBorrow
 		}
-		p.consider(c.index, c.reuse, 1, borrow)
+		p.consider(c.index, c.reuse, p.part, borrow)
 	}
 }
 
--- a/sched/pick/snapshot.go
+++ b/sched/pick/snapshot.go
@@ -135,8 +135,15 @@
 // the only source of randomness. It is safe for concurrent use with different
 // rnd.
 func (s *Snapshot) Pick(r *request.Request, now time.Time, rnd *rand.Rand, skip func(int) bool) (Choice, bool) {
+	return s.PickWithin(r, 1, now, rnd, skip)
+}
+
+// PickWithin is Pick for a request that may fill targets only up to a part of
+// their limits, 0..1.
+func (s *Snapshot) PickWithin(r *request.Request, part float64, now time.Time, rnd *rand.Rand, skip func(int) bool) (Choice, bool) {
 	var p picker
 	p.init(s, r, skip)
+	p.part = part
 	if s.homes != nil && len(r.Prefix) > 0 {
 		s.history.RLock()
 		p.addHolders(now)
@@ -146,13 +153,13 @@
 	p.addSample(rnd)
 	p.score()
 	if p.choice.N == 0 {
-		p.scan(s.local, rnd, 1, 0)
+		p.scan(s.local, rnd, part, 0)
 	}
 	if p.choice.N == 0 {
-		p.scan(s.local, rnd, 1, 1)
+		p.scan(s.local, rnd, part, part)
 	}
 	if p.choice.N == 0 {
-		p.scan(s.remote, rnd, spillUse, spillUse)
+		p.scan(s.remote, rnd, min(part, spillUse), spillUse)
 	}
 	if p.choice.N == 0 {
 		return p.choice, false
--- a/sched/pool/entry.go
+++ b/sched/pool/entry.go
@@ -128,7 +128,7 @@
 	t := e.target
 	d := now.Sub(e.started)
 	t.limiter.First(d, e.uncached, t.load.Total(), t.load.Tokens(), now)
-	p.service.first(d)
+	p.service.first(d, e.req.Tier)
 }
 
 // Progress records that tokens tokens of the answer have been received in
--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -13,6 +13,10 @@
 // floor does the rest.
 const maxPausesPerStart = 4
 
+// latePart is the part of each limit that requests may fill which have missed
+// the objective for their first token, so that fresh ones find room.
+const latePart = 0.6
+
 // place starts what can start now: by tier, then by fairness. It stops at the
 // first request that no target can take, so that no lower tier passes it.
 func (p *Pool) place(out []Action, now time.Time) []Action {
@@ -79,7 +83,11 @@
 
 func (p *Pool) pickFrom(e *entry, versions []bool, now time.Time) (pick.Choice, bool) {
 	p.wanted.versions, p.wanted.excluded = versions, e.failed
-	return p.snapshot.Load().Pick(e.req, now, p.rnd, p.skip)
+	part := 1.0
+	if e.item.Late(p.queue) {
+		part = latePart
+	}
+	return p.snapshot.Load().PickWithin(e.req, part, now, p.rnd, p.skip)
 }
 
 // skipSlot reports whether the current choice leaves out a target.
--- a/sched/pool/requests.go
+++ b/sched/pool/requests.go
@@ -19,7 +19,7 @@
 		return []Action{{Kind: Refuse, Request: r, Refusal: f}}
 	}
 	e := &entry{req: r}
-	e.item = flow.Item{Request: r, Cost: float64(r.Tokens()), LatestStart: p.latestStart(r)}
+	e.item = flow.Item{Request: r, Cost: float64(r.Tokens()), LatestStart: p.latestStart(r), FreshUntil: p.freshUntil(r)}
 	if !e.item.LatestStart.IsZero() && e.item.LatestStart.Before(now) {
 		f := refusal.New(refusal.DeadlinePassed, "the deadline is too short for the estimated run time")
 		return p.refuse(nil, e, f, now)
@@ -44,6 +44,17 @@
 	return r.Deadline.Add(-p.service.estimate(r))
 }
 
+// freshUntil returns when the request must start to meet the objective for its
+// first token, zero if it has none.
+func (p *Pool) freshUntil(r *request.Request) time.Time {
+	if p.cfg.Kind != Engine || r.Tier == request.Patient {
+		return time.Time{}
+	}
+	limit := p.cfg.Limits.FirstToken
+	run := time.Duration(p.service.fastFirst * float64(time.Second))
+	return r.Arrived.Add(max(limit/4, limit-run))
+}
+
 // refuse ends a request with a refusal.
 func (p *Pool) refuse(out []Action, e *entry, f *refusal.Refusal, now time.Time) []Action {
 	delete(p.entries, e.req.ID)
--- a/sched/pool/service.go
+++ b/sched/pool/service.go
@@ -10,7 +10,9 @@
 // serviceTime learns how long requests of the pool run, in seconds.
 type serviceTime struct {
 	firstMean, firstDev float64
-	perToken            float64
+	// fastFirst is the mean time to first token of urgent and interactive work.
+	fastFirst float64
+	perToken  float64
 	// length is the mean of generated tokens as a part of MaxTokens.
 	length, lengthDev float64
 }
@@ -24,8 +26,11 @@
 	defaultLength   = 0.5
 )
 
-func (s *serviceTime) first(d time.Duration) {
+func (s *serviceTime) first(d time.Duration, tier request.Tier) {
 	v := d.Seconds()
+	if tier != request.Patient {
+		s.fastFirst += (v - s.fastFirst) * smoothing
+	}
 	if s.firstMean == 0 {
 		s.firstMean = v
 	}
