Count only targets of the zone in the capacity that its hosts divide

Cause: with targets of three zones in the list, a host divided the limits of all zones by the hosts of its own, so its cap and allowances were three times too high, the mean work of others was too low, and hosts overshot every limit.

Change: means, caps and allowances use the targets of the host's zone; those of other zones have an allowance of 0 and take spilled work only.

--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -40,6 +40,8 @@
 	homes   *prefix.Homes
 	history *prefix.History
 	inPanic bool
+	// anyLocal says that the list holds a target of this host's zone.
+	anyLocal bool
 
 	versions versions
 	peers    peers
--- a/sched/pool/refresh.go
+++ b/sched/pool/refresh.go
@@ -69,13 +69,17 @@
 	}
 }
 
+// counts reports whether a target belongs to the capacity that the hosts of
+// this zone divide: those of other zones do not, unless the zone has none.
+func (p *Pool) counts(t *target) bool { return t.Local || !p.anyLocal }
+
 // updateMean estimates the work of the other hosts as a part of all limits:
 // from load reports where they are fresh, from peers' totals, and else from
 // this host's own work, as if all hosts were alike.
 func (p *Pool) updateMean(now time.Time) {
 	limits, reported, weight, n := 0.0, 0.0, 0.0, 0.0
 	for _, t := range p.slots {
-		if t == nil {
+		if t == nil || !p.counts(t) {
 			continue
 		}
 		l := t.limiter.Requests()
@@ -113,7 +117,7 @@
 func (p *Pool) updateCap(limits float64) {
 	total, own := 0.0, 0.0
 	for _, t := range p.slots {
-		if t != nil {
+		if t != nil && p.counts(t) {
 			total += t.load.Total()
 			own += float64(t.load.Own.Load())
 		}
@@ -155,7 +159,11 @@
 	t.load.Others.Set(others.Requests)
 	t.load.OthersTokens.Set(others.Tokens)
 	if p.cfg.Hosts > 1 && p.cfg.Sharing != TwoChoices {
-		t.load.Allowance.Store(int64(share.Allowance(l, p.peers.demand, t.draw)))
+		allowed := share.Allowance(l, p.peers.demand, t.draw)
+		if !p.counts(t) {
+			allowed = 0
+		}
+		t.load.Allowance.Store(int64(allowed))
 	}
 }
 
--- a/sched/pool/targets.go
+++ b/sched/pool/targets.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"sardinefront.dev/core/refusal"
@@ -60,6 +61,7 @@
 		}
 		p.addTarget(t)
 	}
+	p.anyLocal = slices.ContainsFunc(ts, func(t Target) bool { return t.Local })
 	p.rehash()
 	p.rebuild()
 	out = p.refresh(out, now)
