Cut a limit for late first tokens only where they are twice the goal

Cause: one long prompt ahead delays the first tokens behind it, and the limiter answered with fewer requests in progress; at 0.8 of capacity some engines fell to a limit of 3 of 17. A larger limit does not change that delay. At 3 times capacity the tail goal was too lax (8-token means hide single steps).

Change: first tokens count against the limit from twice their goal; the tail of the token gap is held to 1.05 times the goal of its mean instead of 1.11.

--- a/sched/limit/limit.go
+++ b/sched/limit/limit.go
@@ -58,6 +58,10 @@
 	// maxFirstCut is milder: a burst of prompts at once lengthens first-token
 	// times without the limit being too high.
 	maxFirstCut = 0.8
+	// firstOver is the multiple of the first-token goal from which the limit is
+	// too high: one long prompt ahead delays first tokens as well, and fewer
+	// requests in progress would not help then.
+	firstOver = 2.0
 	// firstWeight is the weight of one first-token time.
 	firstWeight = 0.2
 	// tailPart is the quantile of the time between tokens that is held to the
@@ -66,6 +70,8 @@
 	// estimate moves up or down in all.
 	tailPart = 0.97
 	tailStep = 0.03
+	// tailGoal is the goal of the tail as a multiple of that of the mean.
+	tailGoal = 1.05
 	// drift lets an unloaded value that was learned in a good hour, or from one
 	// lucky sample, rise by 0.1% per second.
 	drift = 0.001
@@ -229,17 +235,26 @@
 // Pressure returns the current times relative to their goals; above 1 the
 // target is too slow.
 func (l *Limiter) Pressure() float64 {
-	p := l.first.now
+	p := l.first.now / l.firstOver()
 	if !l.cfg.Service && l.between.now > 0 {
 		p = max(p, l.gapPressure())
 	}
 	return p
 }
 
+// firstOver returns the multiple of the first-token goal that counts as too
+// much work in progress.
+func (l *Limiter) firstOver() float64 {
+	if l.cfg.Service {
+		return 1
+	}
+	return firstOver
+}
+
 // gapPressure returns the time between tokens relative to its goal.
 func (l *Limiter) gapPressure() float64 {
 	goal := l.betweenGoal()
-	return max(l.between.now/goal, l.tail/(goal/goalPart))
+	return max(l.between.now/goal, l.tail/(goal*tailGoal))
 }
 
 // adapt moves the limit once per window.
@@ -271,8 +286,8 @@
 // cut returns the factor for a target that misses a goal.
 func (l *Limiter) cut() float64 {
 	cut := 1.0
-	if l.first.now > 1 {
-		cut = max(maxFirstCut, 1/l.first.now)
+	if p := l.first.now / l.firstOver(); p > 1 {
+		cut = max(maxFirstCut, 1/p)
 	}
 	if p := l.gapPressure(); p > 1 {
 		cut = min(cut, max(maxCut, 1/p))
