Hold the tail of the token gap below the goal itself

Cause: an answer meets its objective if at most 5% of its gaps exceed 30 ms, and gaps are seen as means of 8 tokens, so a bound on their 97th percentile slightly above the mean's goal still let engines run 20% over their best batch.

Change: hold the 98th percentile to 0.97 of the goal of the mean.

--- a/sched/limit/limit.go
+++ b/sched/limit/limit.go
@@ -68,10 +68,10 @@
 	// goal. A caller notices the steps in which the target also computes a long
 	// prompt, which the mean hides. tailStep is the part of the goal by which the
 	// estimate moves up or down in all.
-	tailPart = 0.97
+	tailPart = 0.98
 	tailStep = 0.03
 	// tailGoal is the goal of the tail as a multiple of that of the mean.
-	tailGoal = 1.05
+	tailGoal = 0.97
 	// drift lets an unloaded value that was learned in a good hour, or from one
 	// lucky sample, rise by 0.1% per second.
 	drift = 0.001
