Keep urgent and interactive work off targets that miss the token goal idle

Cause: an engine at a third of its speed exceeds 30 ms between tokens with a single request, and hosts sent urgent work there until its limit was 1; pauses also stopped work where that made no room.

Change: a target whose least time between tokens in 5 s exceeds the goal takes patient work only, up to 2.5 times that time, unless no target of the zone is better; patient work prefers such targets; only requests whose pause makes room are paused. Tried and not kept: 10 load reports a second instead of 5 (no difference outside noise).

--- a/sched/limit/limit.go
+++ b/sched/limit/limit.go
@@ -72,6 +72,13 @@
 	tailStep = 0.03
 	// tailGoal is the goal of the tail as a multiple of that of the mean.
 	tailGoal = 0.97
+	// leastWindow and leastSamples are the time and the number of samples from
+	// which the least recent time between tokens says that a target cannot meet
+	// the goal at any load. unfitSlack is the multiple of that time up to which
+	// such a target is filled with work that has no goal.
+	leastWindow  = 5 * time.Second
+	leastSamples = 20
+	unfitSlack   = 2.5
 	// drift lets an unloaded value that was learned in a good hour, or from one
 	// lucky sample, rise by 0.1% per second.
 	drift = 0.001
@@ -97,6 +104,11 @@
 	between signal
 	// tail estimates the tailPart quantile of the time between tokens.
 	tail float64
+	// least holds the least time between tokens of the current and the previous
+	// leastWindow.
+	least    [2]float64
+	counts   [2]int
+	leastEnd time.Time
 	// first is relative to its goal, which depends on the prompt.
 	first signal
 	// prefill is the time per prompt token, and unloaded the time of a plain
@@ -142,9 +154,40 @@
 	v := d.Seconds() / float64(n)
 	l.between.add(v, requests <= unloadedAt, now)
 	l.moveTail(v)
+	l.noteLeast(v, now)
 	l.adapt(requests, tokens, now)
 }
 
+func (l *Limiter) noteLeast(v float64, now time.Time) {
+	if !now.Before(l.leastEnd) {
+		l.least[1], l.counts[1] = l.least[0], l.counts[0]
+		l.least[0], l.counts[0] = v, 0
+		l.leastEnd = now.Add(leastWindow)
+	}
+	l.least[0] = min(l.least[0], v)
+	l.counts[0]++
+}
+
+// Fit reports whether the target can meet the goal for the time between tokens
+// at some load. It can as far as is known if it was not used lately.
+func (l *Limiter) Fit(now time.Time) bool {
+	return !l.unfit() || now.Sub(l.lastOwn) > 2*leastWindow
+}
+
+func (l *Limiter) unfit() bool {
+	if l.cfg.Service || l.counts[0]+l.counts[1] < leastSamples {
+		return false
+	}
+	return l.leastRecent() > l.cfg.BetweenTokens.Seconds()
+}
+
+func (l *Limiter) leastRecent() float64 {
+	if l.counts[1] == 0 {
+		return l.least[0]
+	}
+	return min(l.least[0], l.least[1])
+}
+
 func (l *Limiter) moveTail(v float64) {
 	if l.tail == 0 {
 		l.tail = v
@@ -226,6 +269,9 @@
 // betweenGoal returns the goal between tokens in seconds.
 func (l *Limiter) betweenGoal() float64 {
 	goal := l.cfg.BetweenTokens.Seconds() * goalPart
+	if l.unfit() {
+		return unfitSlack * l.leastRecent()
+	}
 	if !l.between.unloaded {
 		return goal
 	}
--- a/sched/pick/load.go
+++ b/sched/pick/load.go
@@ -35,6 +35,8 @@
 	Fresh number
 	// Allowance bounds Own where hosts divide the limits; negative is none.
 	Allowance atomic.Int64
+	// Unfit targets cannot meet the objectives of the tiers above Patient.
+	Unfit atomic.Bool
 	// Trial admits one request at a time.
 	Trial atomic.Bool
 
@@ -94,10 +96,17 @@
 // estimates, hosts cannot overload the target together. Beyond it, a host
 // borrows only where the estimate leaves a margin that grows with its age.
 func (l *Load) room(tier request.Tier, tokens int, c *Config) use {
-	own := l.Own.Load()
+	return l.roomWith(l.Own.Load(), tier, tokens, c)
+}
+
+// roomWith is room as if this host had own requests at the target.
+func (l *Load) roomWith(own int64, tier request.Tier, tokens int, c *Config) use {
 	if l.Trial.Load() {
 		return use{full: own > 0}
 	}
+	if tier != request.Patient && l.Unfit.Load() {
+		return use{full: true}
+	}
 	limit := l.Limit.Get() * l.Weight.Get()
 	if c.OwnCountsOnly {
 		return l.ownRoom(own, limit, c)
--- a/sched/pick/picker.go
+++ b/sched/pick/picker.go
@@ -212,6 +212,9 @@
 	if u.borrowed {
 		cost += borrowCost
 	}
+	if l.Unfit.Load() {
+		cost -= unfitGain
+	}
 	p.keep(Scored{i, float32(cost)}, reuse)
 	return true
 }
--- a/sched/pick/snapshot.go
+++ b/sched/pick/snapshot.go
@@ -119,6 +119,9 @@
 	riskFrom = 0.7
 	// slowCost is the cost in milliseconds of each multiple of slowdown.
 	slowCost = 60
+	// unfitGain is the gain in milliseconds of using a target that no other tier
+	// can use; it outweighs the slow prefill there.
+	unfitGain = 5000
 	// freshEnough is the report weight from which FreshOnly accepts a target;
 	// it corresponds to about 1.4 s.
 	freshEnough = 0.5
@@ -174,6 +177,13 @@
 	return !s.targets[i].Load.room(r.Tier, r.Tokens(), &s.cfg).full
 }
 
+// Frees reports whether target i would have room for the request if one request
+// of this host ended there.
+func (s *Snapshot) Frees(i int, r *request.Request) bool {
+	l := s.targets[i].Load
+	return !l.roomWith(l.Own.Load()-1, r.Tier, r.Tokens(), &s.cfg).full
+}
+
 // sampleSize returns how many random targets are scored.
 func (s *Snapshot) sampleSize() int {
 	if s.cfg.OwnCountsOnly {
--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -139,12 +139,13 @@
 	return out, pick.Choice{}, false
 }
 
-// victim returns the newest patient request that runs where e may run.
+// victim returns the newest patient request whose pause makes room where e may
+// run.
 func (p *Pool) victim(e *entry) *entry {
 	snap := p.snapshot.Load()
 	for i := len(p.patient) - 1; i >= 0; i-- {
 		t := p.patient[i].target
-		if !t.gone && snap.Targets()[t.slot].Open && p.versions.proven[t.version] && t != e.failed {
+		if !t.gone && snap.Frees(t.slot, e.req) && snap.Targets()[t.slot].Open && p.versions.proven[t.version] && t != e.failed {
 			return p.patient[i]
 		}
 	}
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -42,6 +42,8 @@
 	inPanic bool
 	// anyLocal says that the list holds a target of this host's zone.
 	anyLocal bool
+	// anyFit says that a target of the zone can meet the objectives.
+	anyFit bool
 
 	versions versions
 	peers    peers
--- a/sched/pool/refresh.go
+++ b/sched/pool/refresh.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"sardinefront.dev/core/request"
@@ -62,6 +63,7 @@
 
 func (p *Pool) publishAll(now time.Time) {
 	p.updateMean(now)
+	p.updateFit(now)
 	for _, t := range p.slots {
 		if t != nil {
 			p.publishLoad(t, now)
@@ -69,6 +71,14 @@
 	}
 }
 
+// updateFit notes whether any target of the zone can meet the objectives. If
+// none can, all are used.
+func (p *Pool) updateFit(now time.Time) {
+	p.anyFit = slices.ContainsFunc(p.slots, func(t *target) bool {
+		return t != nil && p.counts(t) && !t.Leaving && !t.ejected() && t.limiter.Fit(now)
+	})
+}
+
 // counts reports whether a target belongs to the capacity that the hosts of
 // this zone divide: those of other zones do not, unless the zone has none.
 func (p *Pool) counts(t *target) bool { return t.Local || !p.anyLocal }
@@ -150,6 +160,7 @@
 		t.load.Weight.Set(1)
 		t.load.Trial.Store(false)
 	}
+	t.load.Unfit.Store(p.anyFit && !t.limiter.Fit(now))
 	t.load.Slowdown.Set(t.limiter.Slowdown())
 	_, prefill := t.limiter.Speeds(0, 0.0001)
 	t.load.Prefill.Set(prefill * 1000)
