Fill targets to 0.3 with requests that have missed their first-token objective

Cause: at 3 times capacity such requests took 15% of the answers, and fresh ones missed the objective in turn.

--- a/sched/pick/load.go
+++ b/sched/pick/load.go
@@ -86,6 +86,8 @@
 	// borrowed says that the host would exceed its allowance.
 	borrowed bool
 	full     bool
+	// idle says that nothing is in progress.
+	idle bool
 }
 
 // room judges whether the target can start a request of the tier. Estimates
@@ -125,6 +127,7 @@
 		slack += limit * withinSlack
 	}
 	if total < idle {
+		u.idle = true
 		return u
 	}
 	u.full = total+1 > c.capacity(limit, tier, l.dither)+slack
--- a/sched/pick/picker.go
+++ b/sched/pick/picker.go
@@ -197,7 +197,7 @@
 	if u.borrowed {
 		maxUse = min(maxUse, borrow)
 	}
-	if u.full || (maxUse < 1 && u.part > maxUse) {
+	if u.full || (maxUse < 1 && u.part > maxUse && !u.idle) {
 		return false
 	}
 	if !p.s.targets[i].Local && l.Fresh.Get() < spillFresh {
--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -15,7 +15,7 @@
 
 // latePart is the part of each limit that requests may fill which have missed
 // the objective for their first token, so that fresh ones find room.
-const latePart = 0.6
+const latePart = 0.3
 
 // place starts what can start now: by tier, then by fairness. It stops at the
 // first request that no target can take, so that no lower tier passes it.
