--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -14,8 +14,9 @@
 const maxPausesPerStart = 4
 
 // latePart is the part of each limit that requests may fill which have missed
-// the objective for their first token, so that fresh ones find room.
-const latePart = 0.3
+// the objective for their first token, so that fresh ones find room. Urgent ones
+// compete with little fresh work and keep the lower tiers waiting meanwhile.
+var latePart = [request.TierCount]float64{0.8, 0.3, 1}
 
 // place starts what can start now: by tier, then by fairness. It stops at the
 // first request that no target can take, so that no lower tier passes it.
@@ -85,7 +86,7 @@
 	p.wanted.versions, p.wanted.excluded = versions, e.failed
 	part := 1.0
 	if e.item.Late(p.queue) {
-		part = latePart
+		part = latePart[e.req.Tier]
 	}
 	return p.snapshot.Load().PickWithin(e.req, part, now, p.rnd, p.skip)
 }
