Raise a floor as soon as a request finds no room, and pause less for it

Every floor also paused all running patient work within 400 ms, which then computed its prompt again.

Change: the floor is raised or renewed whenever the first request finds no room; for other hosts' floors a host pauses one request per 200 ms, at once for an urgent floor and after 1 s for an interactive one.

--- a/sched/pool/floors.go
+++ b/sched/pool/floors.go
@@ -8,44 +8,33 @@
 )
 
 const (
-	// blockGrace is how long a request waits for room before the floor is
-	// raised, or half the time left to its latest start if that is shorter.
-	// Most gaps close within it because a request on this host ends; a floor
-	// stops the lower tiers of the whole zone.
-	blockGrace = 100 * time.Millisecond
 	// firstFloor is the length of a first floor. Each renewal doubles it up to
 	// Limits.Floor, so a short shortage stops lower tiers only briefly and a
 	// long one costs few messages.
 	firstFloor = 500 * time.Millisecond
-	// pauseParts is in how many steps of a tick running patient work is paused
-	// under a floor; 8 steps take 400 ms, less than the first floor. A floor
-	// that ends sooner has not paused everything.
-	pauseParts = 8
+	// pauseAfter is how long floors must have lasted without a gap before running
+	// patient work is paused for a floor that is not urgent: a paused request
+	// computes its prompt and answer again, and most shortages end sooner. The
+	// host that has the shortage pauses its own work at once.
+	pauseAfter = time.Second
+	// pauseEvery is the time between two such pauses of one host.
+	pauseEvery = 200 * time.Millisecond
 )
 
 // floors is this host's part in raising floors and pausing work.
 type floors struct {
 	length   [request.TierCount]time.Duration
 	pausedAt time.Time
-	quota    int
+	since    time.Time // start of the floors that are active without a gap
 }
 
-// block records that the first request of a tier finds no room and raises the
-// floor after the grace.
+// block records that the first request of a tier finds no room. The floor is
+// raised at once: lower work that starts while the request waits would have
+// been served before it if the request had to be refused in the end.
 func (p *Pool) block(out []Action, tier request.Tier, now time.Time) []Action {
 	if tier == request.Patient {
 		return out
 	}
-	if p.blocked[tier].IsZero() {
-		p.blocked[tier] = now
-	}
-	grace := blockGrace
-	if next := p.queue.NextExpiry(); !next.IsZero() {
-		grace = min(grace, next.Sub(p.blocked[tier])/2)
-	}
-	if now.Sub(p.blocked[tier]) < grace {
-		return out
-	}
 	return p.raiseFloor(out, tier, now)
 }
 
@@ -103,25 +92,28 @@
 	}
 }
 
-// pauseStep pauses a part of the running patient work while a floor is active.
+// pauseStep pauses one running patient request, the newest, while floors last.
 // Work at a leaving target goes on: nothing else may start there.
 func (p *Pool) pauseStep(out []Action, now time.Time) []Action {
-	if _, active := p.queue.Floor(now); !active {
-		p.floors.quota = 0
+	tier, active := p.queue.Floor(now)
+	if !active {
+		p.floors.since = time.Time{}
 		return out
 	}
-	if now.Sub(p.floors.pausedAt) < tickInterval {
+	if p.floors.since.IsZero() {
+		p.floors.since = now
+	}
+	if tier != request.Urgent && now.Sub(p.floors.since) < pauseAfter {
 		return out
 	}
-	p.floors.pausedAt = now
-	if p.floors.quota == 0 {
-		p.floors.quota = (len(p.patient) + pauseParts - 1) / pauseParts
+	if now.Sub(p.floors.pausedAt) < pauseEvery {
+		return out
 	}
-	left := max(1, p.floors.quota)
-	for i := len(p.patient) - 1; i >= 0 && left > 0; i-- {
-		if e := p.patient[i]; !e.target.Leaving && !e.target.gone {
-			out = p.pause(out, e, "floor", now)
-			left--
+	for i := len(p.patient) - 1; i >= 0; i-- {
+		t := p.patient[i].target
+		if !t.Leaving && !t.gone && !t.load.Unfit.Load() {
+			p.floors.pausedAt = now
+			return p.pause(out, p.patient[i], "floor", now)
 		}
 	}
 	return out
--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -40,7 +40,6 @@
 		if !ok {
 			return p.block(out, e.req.Tier, now)
 		}
-		p.blocked[e.req.Tier] = time.Time{}
 		out = p.start(out, e, choice, now)
 	}
 }
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -57,10 +57,9 @@
 	running     [request.TierCount]int
 	patient     []*entry // running patient work that can be paused, oldest first
 	bound       int      // entries that wait for their target
-	blocked     [request.TierCount]time.Time
-	hostCap     float64 // requests that this host may have in progress
-	ownMean     float64 // smoothed requests in progress of this host
-	tokensMean  float64 // smoothed tokens per request
+	hostCap     float64  // requests that this host may have in progress
+	ownMean     float64  // smoothed requests in progress of this host
+	tokensMean  float64  // smoothed tokens per request
 	refreshedAt time.Time
 	digestAt    int
 
