--- a/sched/pick/picker.go
+++ b/sched/pick/picker.go
@@ -49,6 +49,7 @@
 	r      *request.Request
 	skip   func(int) bool
 	tokens int
+	part   float64 // part of the limits that may be filled
 	n      int
 	list   [maxCandidates]candidate
 	choice Choice
@@ -182,7 +183,7 @@
 		if 2*c.reuse > float64(p.r.PromptTokens) {
 			borrow = reuseBorrow
 		}
-		p.consider(c.index, c.reuse, 1, borrow)
+		p.consider(c.index, c.reuse, p.part, borrow)
 	}
 }
 
@@ -199,7 +200,7 @@
 	if u.borrowed {
 		maxUse = min(maxUse, borrow)
 	}
-	if u.full || (maxUse < 1 && u.part > maxUse) {
+	if u.full || (maxUse < 1 && u.part > maxUse && !u.idle) {
 		return false
 	}
 	if !p.s.targets[i].Local && l.Fresh.Get() < spillFresh {
@@ -214,6 +215,9 @@
 	if u.borrowed {
 		cost += p.borrowCost
 	}
+	if l.Unfit.Load() {
+		cost -= unfitGain
+	}
 	p.keep(Scored{i, float32(cost)}, reuse)
 	return true
 }
--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -13,6 +13,11 @@
 // floor does the rest.
 const maxPausesPerStart = 4
 
+// latePart is the part of each limit that requests may fill which have missed
+// the objective for their first token, so that fresh ones find room. Urgent ones
+// compete with little fresh work and keep the lower tiers waiting meanwhile.
+var latePart = [request.TierCount]float64{0.8, 0.3, 1}
+
 // place starts what can start now: by tier, then by fairness. It stops at the
 // first request that no target can take, so that no lower tier passes it.
 func (p *Pool) place(out []Action, now time.Time) []Action {
@@ -35,7 +40,6 @@
 		if !ok {
 			return p.block(out, e.req.Tier, now)
 		}
-		p.blocked[e.req.Tier] = time.Time{}
 		out = p.start(out, e, choice, now)
 	}
 }
@@ -57,13 +61,16 @@
 // changed since that could make room. It keeps a burst into a full pool from
 // scanning all targets for each request.
 func (p *Pool) chooseIfChanged(e *entry, now time.Time) (pick.Choice, bool) {
-	tier := e.req.Tier
-	if p.fullAt[tier] == p.changes {
+	fullAt := &p.fullAt[e.req.Tier][0]
+	if e.item.Late(p.queue) {
+		fullAt = &p.fullAt[e.req.Tier][1]
+	}
+	if *fullAt == p.changes {
 		return pick.Choice{}, false
 	}
 	c, ok := p.choose(e, now)
 	if !ok {
-		p.fullAt[tier] = p.changes
+		*fullAt = p.changes
 	}
 	return c, ok
 }
@@ -94,7 +101,11 @@
 
 func (p *Pool) pickFrom(e *entry, versions []bool, now time.Time) (pick.Choice, bool) {
 	p.wanted.versions, p.wanted.excluded = versions, e.failed
-	return p.snapshot.Load().Pick(e.req, now, p.rnd, p.skip)
+	part := 1.0
+	if e.item.Late(p.queue) {
+		part = latePart[e.req.Tier]
+	}
+	return p.snapshot.Load().PickWithin(e.req, part, now, p.rnd, p.skip)
 }
 
 // skipSlot reports whether the current choice leaves out a target.
@@ -146,12 +157,13 @@
 	return out, pick.Choice{}, false
 }
 
-// victim returns the newest patient request that runs where e may run.
+// victim returns the newest patient request whose pause makes room where e may
+// run.
 func (p *Pool) victim(e *entry) *entry {
 	snap := p.snapshot.Load()
 	for i := len(p.patient) - 1; i >= 0; i-- {
 		t := p.patient[i].target
-		if !t.gone && snap.Targets()[t.slot].Open && p.versions.proven[t.version] && t != e.failed {
+		if !t.gone && snap.Frees(t.slot, e.req) && snap.Targets()[t.slot].Open && p.versions.proven[t.version] && t != e.failed {
 			return p.patient[i]
 		}
 	}
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -40,6 +40,10 @@
 	homes   *prefix.Homes
 	history *prefix.History
 	inPanic bool
+	// anyLocal says that the list holds a target of this host's zone.
+	anyLocal bool
+	// anyFit says that a target of the zone can meet the objectives.
+	anyFit bool
 
 	versions versions
 	peers    peers
@@ -53,11 +57,10 @@
 	running [request.TierCount]int
 	patient []*entry // running patient work that can be paused, oldest first
 	bound   int      // entries that wait for their target
-	blocked [request.TierCount]time.Time
 	// changes counts events that may make room; fullAt is its value when a
-	// request of the tier last found none.
+	// fresh or a late request of the tier last found none.
 	changes uint64
-	fullAt  [request.TierCount]uint64
+	fullAt  [request.TierCount][2]uint64
 
 	hostCap float64 // requests that this host may have in progress
 	ownMean float64 // smoothed requests in progress of this host
@@ -108,6 +111,9 @@
 	if l.Headroom == [request.TierCount]float64{} {
 		l.Headroom = [request.TierCount]float64{-0.1, 0.03, 0.15}
 	}
+	if c.Kind == Service {
+		setDefault(&l.Requests, 16)
+	}
 	setDefault(&l.Requests, 8)
 	setDefault(&l.MaxRequests, 512)
 	setDefault(&l.FirstToken, 590*time.Millisecond)
--- a/sched/pool/refresh.go
+++ b/sched/pool/refresh.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"sardinefront.dev/core/request"
@@ -84,6 +85,7 @@
 
 func (p *Pool) publishAll(now time.Time) {
 	p.updateMean(now)
+	p.updateFit(now)
 	for _, t := range p.slots {
 		if t != nil {
 			p.publishLoad(t, now)
@@ -91,13 +93,25 @@
 	}
 }
 
+// updateFit notes whether any target of the zone can meet the objectives. If
+// none can, all are used.
+func (p *Pool) updateFit(now time.Time) {
+	p.anyFit = slices.ContainsFunc(p.slots, func(t *target) bool {
+		return t != nil && p.counts(t) && !t.Leaving && !t.ejected() && t.limiter.Fit(now)
+	})
+}
+
+// counts reports whether a target belongs to the capacity that the hosts of
+// this zone divide: those of other zones do not, unless the zone has none.
+func (p *Pool) counts(t *target) bool { return t.Local || !p.anyLocal }
+
 // updateMean estimates the work of the other hosts as a part of all limits:
 // from load reports where they are fresh, from peers' totals, and else from
 // this host's own work, as if all hosts were alike.
 func (p *Pool) updateMean(now time.Time) {
 	limits, reported, weight, n := 0.0, 0.0, 0.0, 0.0
 	for _, t := range p.slots {
-		if t == nil {
+		if t == nil || !p.counts(t) {
 			continue
 		}
 		l := t.limiter.Requests()
@@ -135,7 +149,7 @@
 func (p *Pool) updateCap(limits float64) {
 	total, own := 0.0, 0.0
 	for _, t := range p.slots {
-		if t != nil {
+		if t != nil && p.counts(t) {
 			total += t.load.Total()
 			own += float64(t.load.Own.Load())
 		}
@@ -169,6 +183,7 @@
 		t.load.Weight.Set(1)
 		t.load.Trial.Store(false)
 	}
+	t.load.Unfit.Store(p.anyFit && !t.limiter.Fit(now))
 	t.load.Slowdown.Set(t.limiter.Slowdown())
 	_, prefill := t.limiter.Speeds(0, 0.0001)
 	t.load.Prefill.Set(prefill * 1000)
@@ -178,7 +193,11 @@
 	t.load.Others.Set(others.Requests)
 	t.load.OthersTokens.Set(others.Tokens)
 	if p.cfg.Hosts > 1 && p.cfg.Sharing != TwoChoices {
-		t.load.Allowance.Store(int64(share.Allowance(l, p.peers.demand, t.draw)))
+		allowed := share.Allowance(l, p.peers.demand, t.draw)
+		if !p.counts(t) {
+			allowed = 0
+		}
+		t.load.Allowance.Store(int64(allowed))
 	}
 }
 
