--- a/host/moves.go
+++ b/host/moves.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"sardinefront.dev/core/event"
