--- a/cmd/internal/demo/load.go
+++ b/cmd/internal/demo/load.go
@@ -17,14 +17,14 @@
 	burstFactor = 4
 
 	// loadFactor is the load on engines as a part of their capacity, outside
-	// the burst.
-	loadFactor = 0.8
+	// the burst. It leaves room for the engines that serve the bad version.
+	loadFactor = 0.55
 	// serviceRate is calls per second to plain services.
 	serviceRate = 30
 
 	slots       = 8
 	tokenRate   = 60.0
-	prefillRate = 10_000.0
+	prefillRate = 40_000.0
 
 	// Requests differ a hundredfold in length.
 	minTokens, maxTokens = 4, 400
