--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -7,10 +7,11 @@
 	"errors"
 	"fmt"
 	"io"
-	"sync"
 	"text/tabwriter"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"sardinefront.dev/core/request"
 	"sardinefront.dev/standin/engine"
 	"sardinefront.dev/standin/platformd"
@@ -78,7 +79,7 @@
 	all := deployments()
 	reports := make([]*report, len(all))
 	errs := make([]error, len(all))
-	var wg sync.WaitGroup
+	var wg conc.WaitGroup
 	for i := range all {
 		wg.Go(func() { reports[i], errs[i] = run(&all[i], i) })
 	}
@@ -104,7 +105,7 @@
 	move := &badMove{engines: targets.engines[:d.onNewVersion()], hosts: hosts, to: d.newVersion(), last: make(map[*engine.Server]int)}
 	started := time.Now()
 	watching, stopWatching := context.WithCancel(ctx)
-	var watch sync.WaitGroup
+	var watch conc.WaitGroup
 	watch.Go(func() { move.watch(watching) })
 	r.results = replay(ctx, s, jobs, faults(d, hosts), out)
 	stopWatching()
--- a/cmd/internal/demo/hosts.go
+++ b/cmd/internal/demo/hosts.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"sardinefront.dev/core/telemetry"
 	"sardinefront.dev/fleet/config"
 	"sardinefront.dev/fleet/peer"
@@ -168,7 +170,7 @@
 
 func (s *hostSet) close(ctx context.Context) int64 {
 	var cut int64
-	var wg sync.WaitGroup
+	var wg conc.WaitGroup
 	var mu sync.Mutex
 	for _, h := range s.hosts {
 		wg.Go(func() {
--- a/cmd/internal/demo/phase.go
+++ b/cmd/internal/demo/phase.go
@@ -4,10 +4,10 @@
 	"cmp"
 	"context"
 	"fmt"
+	"github.com/sourcegraph/conc"
 	"io"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -39,7 +39,7 @@
 	defer cancel(nil)
 	results := make([]result, len(jobs))
 	start := time.Now()
-	var wg sync.WaitGroup
+	var wg conc.WaitGroup
 	for _, f := range faults {
 		wg.Go(func() {
 			if wait(ctx, f.at) {
