--- a/cmd/internal/ctl/operator.go
+++ b/cmd/internal/ctl/operator.go
@@ -17,7 +17,6 @@
 
 	"sardinefront.dev/core/request"
 	"sardinefront.dev/host"
-	"sardinefront.dev/sched/pool"
 )
 
 // operatorTimeout bounds one call to a host's operator interface.
@@ -135,30 +134,37 @@
 func explainCommand() command {
 	organisation, id := "", ""
 	sub := flaggy.NewSubcommand("explain")
-	sub.Description = "Shows each recent decision about a request with the alternatives and their costs."
+	sub.Description = "Shows each recent decision about a request with the alternatives and their costs, and its record in the journal."
 	sub.AddPositionalValue(&organisation, "organisation", 1, true, "the organisation of the request")
 	sub.AddPositionalValue(&id, "request-id", 2, true, "the id that the caller used")
 	return command{sub: sub, run: func(e *env) error {
-		var found []pool.Decision
+		var found host.Explanation
 		if err := e.call(http.MethodGet, "/v1/explain/"+organisation+"/"+id, &found); err != nil {
 			return err
 		}
 		if e.output == "json" {
 			return e.json(found)
 		}
-		return e.table(func(w io.Writer) { writeDecisions(w, found) })
+		return e.table(func(w io.Writer) { writeExplanation(w, found) })
 	}}
 }
 
-func writeDecisions(w io.Writer, found []pool.Decision) {
-	fmt.Fprintf(w, "at\taction\ttarget\twhy\tconsidered (cost in ms)\n")
-	for _, d := range found {
+func writeExplanation(w io.Writer, found host.Explanation) {
+	if len(found.Decisions) > 0 {
+		fmt.Fprintf(w, "at\taction\ttarget\twhy\tconsidered (cost in ms)\n")
+	}
+	for _, d := range found.Decisions {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t", d.At.Format(time.RFC3339Nano), d.Kind, d.Target, d.Why)
 		for _, a := range d.Considered {
 			fmt.Fprintf(w, "%s=%.1f ", a.Target, a.Cost)
 		}
 		fmt.Fprintln(w)
 	}
+	if r := found.Record; r != nil {
+		fmt.Fprintf(w, "\nrecord\thost\tincarnation\ttarget\tfence\tgiven back\tchanged\treason\n")
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%d\t%d\t%s\t%s\n", r.Phase, r.Host, r.Incarnation, r.Target, r.Fence,
+			r.Attempts, r.Changed.UTC().Format(time.RFC3339Nano), r.Reason)
+	}
 }
 
 func movesCommand() command {
--- a/cmd/internal/demo/phase.go
+++ b/cmd/internal/demo/phase.go
@@ -4,11 +4,12 @@
 	"cmp"
 	"context"
 	"fmt"
-	"github.com/sourcegraph/conc"
 	"io"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/sourcegraph/conc"
 )
 
 // settleFor is how long requests may go on after the last arrival.
--- a/host/callers.go
+++ b/host/callers.go
@@ -252,6 +252,7 @@
 		}
 	}
 	c.Set(headerOwnID, in.id)
+	c.Set(headerRequestID, in.id)
 	return c.SendStreamWriter(func(w *bufio.Writer) {
 		defer done()
 		if err := copyAnswer(ctx, w, s); err != nil {
--- a/host/operators.go
+++ b/host/operators.go
@@ -1,9 +1,11 @@
 package host
 
 import (
+	"context"
 	"crypto/tls"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
@@ -13,6 +15,7 @@
 	"sardinefront.dev/core/request"
 	"sardinefront.dev/fleet/member"
 	"sardinefront.dev/host/internal/keyfiles"
+	"sardinefront.dev/journal/claim"
 	"sardinefront.dev/sched/pool"
 )
 
@@ -160,17 +163,53 @@
 	return p
 }
 
-// serveExplain shows the recent decisions about one request.
+// Explanation is what this host knows about one request.
+type Explanation struct {
+	// Decisions are recent ones of this host's schedulers, oldest first.
+	Decisions []pool.Decision `json:"decisions"`
+	// Record is the state on record; nil if there is none or it can't be read.
+	Record *RecordStatus `json:"record,omitempty"`
+}
+
+// RecordStatus is the recorded state of a patient or non-idempotent request.
+type RecordStatus struct {
+	Phase string `json:"phase"`
+	// Host and Incarnation name the process that claimed the request.
+	Host        string    `json:"host,omitempty"`
+	Incarnation uint64    `json:"incarnation,omitempty"`
+	Target      string    `json:"target,omitempty"`
+	Fence       int64     `json:"fence,omitempty"`
+	Attempts    int       `json:"attempts_given_back"`
+	Reason      string    `json:"reason,omitempty"`
+	Changed     time.Time `json:"changed"`
+}
+
+// explainTimeout bounds the look-up of the record.
+const explainTimeout = 3 * time.Second
+
+// serveExplain shows the recent decisions about one request and its record.
 func (h *Host) serveExplain(c fiber.Ctx) error {
-	id := c.Params("organisation") + idSeparator + c.Params("id")
-	var found []pool.Decision
+	organisation, id := strings.Clone(c.Params("organisation")), strings.Clone(c.Params("id"))
+	var e Explanation
 	for _, runner := range *h.pools.Load() {
-		found = append(found, runner.sched.Explain(id)...)
+		e.Decisions = append(e.Decisions, runner.sched.Explain(organisation+idSeparator+id)...)
 	}
-	if len(found) == 0 {
-		return c.Status(http.StatusNotFound).JSON(fiber.Map{"error": "no recent decision about this request on this host"})
+	ctx, cancel := context.WithTimeout(h.ctx, explainTimeout)
+	defer cancel()
+	if st, err := h.journal.Lookup(ctx, organisation, id); err == nil && st.Phase != claim.Absent {
+		e.Record = recordStatus(st)
+	}
+	if len(e.Decisions) == 0 && e.Record == nil {
+		return c.Status(http.StatusNotFound).JSON(fiber.Map{"error": "no recent decision about this request on this host and no record of it"})
+	}
+	return c.JSON(e)
+}
+
+func recordStatus(st claim.State) *RecordStatus {
+	return &RecordStatus{
+		Phase: st.Phase.String(), Host: st.Owner().Host, Incarnation: st.Owner().Incarnation, Target: st.Target,
+		Fence: st.Fence, Attempts: len(st.Ended), Reason: st.Reason, Changed: time.UnixMilli(st.Changed),
 	}
-	return c.JSON(found)
 }
 
 // serveDrain begins a graceful shutdown, as SIGTERM does.
