Count the prompts that a host's targets have still to compute

Cause: a target computes prompts in order of arrival, and the choice of a target saw the number of requests but not the long prompts among them.

Change: each host counts the uncached prompt tokens that it sent and that have no first token yet, and their time is part of a target's cost, three times as the request's own.

--- a/sched/pick/load.go
+++ b/sched/pick/load.go
@@ -21,6 +21,9 @@
 type Load struct {
 	// Own and OwnTokens count this host's work in progress.
 	Own, OwnTokens atomic.Int64
+	// Pending counts the prompt tokens that this host has sent there and that
+	// are not computed yet, as far as it knows.
+	Pending atomic.Int64
 	// Others and OthersTokens estimate the work of other hosts.
 	Others, OthersTokens number
 	// Limit and TokenLimit bound the work of all hosts; TokenLimit 0 is none.
--- a/sched/pick/picker.go
+++ b/sched/pick/picker.go
@@ -208,7 +208,8 @@
 	}
 	slow := l.Slowdown.Get()
 	uncached := max(0, float64(p.r.PromptTokens)-reuse)
-	cost := reuseWeight*uncached*l.Prefill.Get()*slow + loadCost*u.part*u.part + slowCost*(slow-1)
+	wait := float64(l.Pending.Load()) * l.Prefill.Get() * slow
+	cost := reuseWeight*uncached*l.Prefill.Get()*slow + loadCost*u.part*u.part + slowCost*(slow-1) + pendingWeight*wait
 	if u.part > riskFrom {
 		cost += riskCost * (1 - l.Fresh.Get()) * (u.part - riskFrom) / (1 - riskFrom)
 	}
--- a/sched/pick/snapshot.go
+++ b/sched/pick/snapshot.go
@@ -105,6 +105,9 @@
 	// reuseWeight counts prefill more than once: it delays the request itself
 	// and takes the target's time from the others.
 	reuseWeight = 3
+	// pendingWeight is the weight of the time until the prompts that this host has
+	// sent to the target are computed.
+	pendingWeight = 3
 	// riskCost is the cost in milliseconds of filling a target to its limit by
 	// an estimate that has lost its report: the request may queue there.
 	riskCost = 600
--- a/sched/pool/entry.go
+++ b/sched/pool/entry.go
@@ -29,7 +29,9 @@
 	// offset counts the tokens received over all runs.
 	offset   int
 	uncached int
-	retries  int
+	// pending is the part of uncached that its target has still to compute.
+	pending int
+	retries int
 	// failed is the target that the last attempt did not reach.
 	failed *target
 
@@ -63,6 +65,8 @@
 	t.runs = append(t.runs, e)
 	t.load.Own.Add(1)
 	t.load.OwnTokens.Add(int64(e.req.Tokens()))
+	e.pending = e.uncached
+	t.load.Pending.Add(int64(e.pending))
 	p.running[e.req.Tier]++
 	p.tokensMean += (float64(e.req.Tokens()) - p.tokensMean) / 32
 	if e.req.Tier == request.Patient && p.cfg.Kind == Engine {
@@ -81,6 +85,7 @@
 	t.runs = t.runs[:last]
 	t.load.Own.Add(-1)
 	t.load.OwnTokens.Add(-int64(e.req.Tokens()))
+	t.computed(e)
 	p.running[e.req.Tier]--
 	if e.req.Tier != request.Patient {
 		return
@@ -93,6 +98,12 @@
 	}
 }
 
+// computed notes that the prompt of a request needs no more time at the target.
+func (t *target) computed(e *entry) {
+	t.load.Pending.Add(-int64(e.pending))
+	e.pending = 0
+}
+
 // stall lowers the limit of the target if one of its requests waits longer for
 // a byte than it should, before the byte arrives.
 func (t *target) stall(now time.Time) {
@@ -122,6 +133,7 @@
 	}
 	e.first = true
 	e.progressAt = now
+	e.target.computed(e)
 	if e.tied {
 		// How much of a resumed stream is still cached is not known.
 		return
