Keep a quarter of a zone's engines free of patient work

Cause: patient prompts of up to 8,000 tokens delay every first token behind them by up to 1.5 s, and a host does not know which prompts other hosts have sent.

Change: all hosts mark the same quarter of their zone's engines, by hash, as express; patient work does not start there while the host has work of higher tiers, and urgent work prefers them. Pools of fewer than four targets have none.

--- a/sched/pick/picker.go
+++ b/sched/pick/picker.go
@@ -195,7 +195,11 @@
 	if p.skip != nil && p.skip(int(i)) {
 		return false
 	}
-	l := p.s.targets[i].Load
+	t := &p.s.targets[i]
+	if t.Express && p.r.Tier == request.Patient {
+		return false
+	}
+	l := t.Load
 	u := l.room(p.r.Tier, p.tokens, &p.s.cfg)
 	if u.borrowed {
 		maxUse = min(maxUse, borrow)
@@ -203,7 +207,7 @@
 	if u.full || (maxUse < 1 && u.part > maxUse && !u.idle) {
 		return false
 	}
-	if !p.s.targets[i].Local && l.Fresh.Get() < spillFresh {
+	if !t.Local && l.Fresh.Get() < spillFresh {
 		return false
 	}
 	slow := l.Slowdown.Get()
@@ -216,6 +220,9 @@
 	if u.borrowed {
 		cost += p.borrowCost
 	}
+	if t.Express && p.r.Tier == request.Urgent {
+		cost -= expressGain
+	}
 	if l.Unfit.Load() {
 		cost -= unfitGain
 	}
--- a/sched/pick/snapshot.go
+++ b/sched/pick/snapshot.go
@@ -32,6 +32,9 @@
 	Name    string
 	Version string
 	Local   bool
+	// Express targets take no patient work, whose prompts are long, and are
+	// preferred by urgent work.
+	Express bool
 	// Open targets may be given new work; ejected and leaving ones may not.
 	Open bool
 	Load *Load
@@ -108,6 +111,9 @@
 	// pendingWeight is the weight of the time until the prompts that this host has
 	// sent to the target are computed.
 	pendingWeight = 3
+	// expressGain is the gain in milliseconds of a target without long prompts
+	// for an urgent request.
+	expressGain = 150
 	// riskCost is the cost in milliseconds of filling a target to its limit by
 	// an estimate that has lost its report: the request may queue there.
 	riskCost = 600
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -68,6 +68,7 @@
 	// smooths this host's work above the patient tier.
 	headroom    [request.TierCount]float64
 	higherMean  float64
+	anyHigher   bool    // express targets are kept free of patient work
 	tokensMean  float64 // smoothed tokens per request
 	refreshedAt time.Time
 	digestAt    int
--- a/sched/pool/refresh.go
+++ b/sched/pool/refresh.go
@@ -65,6 +65,10 @@
 	p.adjustHeadroom()
 }
 
+// expressFrom is the mean number of urgent and interactive requests of this
+// host from which express targets are kept free of patient work.
+const expressFrom = 0.5
+
 // headroomStep keeps small changes from replacing the snapshot.
 const headroomStep = 0.02
 
@@ -77,6 +81,10 @@
 	if p.ownMean > 0 {
 		want *= min(1, 4*p.higherMean/p.ownMean)
 	}
+	if any := p.higherMean >= expressFrom; any != p.anyHigher {
+		p.anyHigher = any
+		p.rebuild()
+	}
 	if math.Abs(want-p.headroom[request.Patient]) >= headroomStep {
 		p.headroom[request.Patient] = want
 		p.rebuild()
--- a/sched/pool/targets.go
+++ b/sched/pool/targets.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -29,6 +30,8 @@
 	// draw is a uniform hash of host and target in [0, 1).
 	draw float64
 	gone bool
+	// express targets take no patient work while there is work of higher tiers.
+	express bool
 }
 
 func (t *target) ejected() bool { return t.health.State() == health.Ejected }
@@ -63,6 +66,7 @@
 	}
 	p.anyLocal = slices.ContainsFunc(ts, func(t Target) bool { return t.Local })
 	p.rehash()
+	p.chooseExpress()
 	p.rebuild()
 	out = p.refresh(out, now)
 	return p.place(out, now)
@@ -154,6 +158,28 @@
 	}
 }
 
+// expressPart is one over the part of the zone's targets that are express.
+const expressPart = 4
+
+// chooseExpress marks the same targets of the zone on all hosts: those with the
+// least hashes.
+func (p *Pool) chooseExpress() {
+	var local []*target
+	for _, t := range p.slots {
+		if t == nil {
+			continue
+		}
+		t.express = false
+		if t.Local && !t.Leaving && p.cfg.Kind == Engine {
+			local = append(local, t)
+		}
+	}
+	slices.SortFunc(local, func(a, b *target) int { return cmp.Compare(a.hash, b.hash) })
+	for _, t := range local[:len(local)/expressPart] {
+		t.express = true
+	}
+}
+
 // rebuild swaps the snapshot after a change of the list or of health.
 func (p *Pool) rebuild() {
 	p.changes++
@@ -174,7 +200,7 @@
 	for i, t := range p.slots {
 		if t != nil {
 			open := !t.Leaving && (p.inPanic || !t.ejected())
-			ts[i] = pick.Target{Name: t.Name, Version: t.Version, Local: t.Local, Open: open, Load: t.load}
+			ts[i] = pick.Target{Express: t.express && p.anyHigher, Name: t.Name, Version: t.Version, Local: t.Local, Open: open, Load: t.load}
 		}
 	}
 	if p.history != nil {
