--- a/sched/limit/limit.go
+++ b/sched/limit/limit.go
@@ -72,12 +72,14 @@
 	tailStep = 0.03
 	// tailGoal is the goal of the tail as a multiple of that of the mean.
 	tailGoal = 0.97
-	// leastWindow and leastSamples are the time and the number of samples from
-	// which the least recent time between tokens says that a target cannot meet
-	// the goal at any load. unfitSlack is the multiple of that time up to which
+	// leastWindow is the time over which the least time between tokens is kept.
+	// leastSamples in leastTime or more say that a target cannot meet the goal at
+	// any load if even the least exceeds it; a slow target with one stream gives
+	// two samples a second. unfitSlack is the multiple of that time up to which
 	// such a target is filled with work that has no goal.
-	leastWindow  = 5 * time.Second
-	leastSamples = 20
+	leastWindow  = 10 * time.Second
+	leastTime    = 2 * time.Second
+	leastSamples = 6
 	unfitSlack   = 2.5
 	// drift lets an unloaded value that was learned in a good hour, or from one
 	// lucky sample, rise by 0.1% per second.
@@ -178,6 +180,9 @@
 	if l.cfg.Service || l.counts[0]+l.counts[1] < leastSamples {
 		return false
 	}
+	if start := l.leastEnd.Add(-leastWindow); l.counts[1] == 0 && l.lastOwn.Sub(start) < leastTime {
+		return false
+	}
 	return l.leastRecent() > l.cfg.BetweenTokens.Seconds()
 }
 
