--- a/sched/pick/picker.go
+++ b/sched/pick/picker.go
@@ -195,7 +195,11 @@
 	if p.skip != nil && p.skip(int(i)) {
 		return false
 	}
-	l := p.s.targets[i].Load
+	t := &p.s.targets[i]
+	if t.Express && p.r.Tier == request.Patient {
+		return false
+	}
+	l := t.Load
 	u := l.room(p.r.Tier, p.tokens, &p.s.cfg)
 	if u.borrowed {
 		maxUse = min(maxUse, borrow)
@@ -203,18 +207,22 @@
 	if u.full || (maxUse < 1 && u.part > maxUse && !u.idle) {
 		return false
 	}
-	if !p.s.targets[i].Local && l.Fresh.Get() < spillFresh {
+	if !t.Local && l.Fresh.Get() < spillFresh {
 		return false
 	}
 	slow := l.Slowdown.Get()
 	uncached := max(0, float64(p.r.PromptTokens)-reuse)
-	cost := reuseWeight*uncached*l.Prefill.Get()*slow + loadCost*u.part*u.part + slowCost*(slow-1)
+	wait := float64(l.Pending.Load()) * l.Prefill.Get() * slow
+	cost := reuseWeight*uncached*l.Prefill.Get()*slow + loadCost*u.part*u.part + slowCost*(slow-1) + pendingWeight*wait
 	if u.part > riskFrom {
 		cost += riskCost * (1 - l.Fresh.Get()) * (u.part - riskFrom) / (1 - riskFrom)
 	}
 	if u.borrowed {
 		cost += p.borrowCost
 	}
+	if t.Express && p.r.Tier == request.Urgent {
+		cost -= expressGain
+	}
 	if l.Unfit.Load() {
 		cost -= unfitGain
 	}
