--- a/proof/scenario/explain.go
+++ b/proof/scenario/explain.go
@@ -10,6 +10,8 @@
 	"os"
 	"strings"
 	"time"
+
+	"sardinefront.dev/host"
 )
 
 // explainTimeout bounds one question to a host's operator interface.
@@ -25,11 +27,22 @@
 			return
 		}
 		spec := callSpec{organisation: organisation, id: id}
-		fmt.Fprintf(&b, "\n    host %s: outcome: %s\n      decisions: %s", p.name, w.answerOf(p, spec), p.decisions(organisation, id))
+		fmt.Fprintf(&b, "\n    host %s: outcome: %s\n      decisions: %s\n      pools: %+v",
+			p.name, w.answerOf(p, spec), p.decisions(organisation, id), p.pools())
 	})
 	return b.String()
 }
 
+// pools returns the state of the host's pools.
+func (p *hostProcess) pools() []host.PoolStatus {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.host == nil {
+		return nil
+	}
+	return p.host.Status().Pools
+}
+
 // answerOf returns what the host answers to a question for the outcome.
 func (w *world) answerOf(p *hostProcess, spec callSpec) string {
 	ctx, cancel := context.WithTimeout(context.Background(), explainTimeout)
