--- a/host/pool.go
+++ b/host/pool.go
@@ -47,7 +47,8 @@
 	backends atomic.Pointer[map[string]backend]
 	// infos is the platform's list of the pool.
 	infos atomic.Pointer[[]platform.HostInfo]
-	// addresses is owned by the goroutine that updates the targets.
+	// addresses and feeders are owned by the goroutine that updates the targets.
+	feeders   feeders
 	addresses map[string]string
 
 	// order keeps the actions of successive decisions in order.
--- a/host/poolset.go
+++ b/host/poolset.go
@@ -65,11 +65,12 @@
 	for name, runner := range old {
 		next[name] = runner
 	}
+	weights := set.Weights()
 	for _, p := range set.Pools() {
-		if _, ok := next[p.Name]; ok {
-			continue
+		if _, ok := next[p.Name]; !ok {
+			next[p.Name] = h.startPool(p)
 		}
-		next[p.Name] = h.startPool(p)
+		next[p.Name].sched.SetWeights(weights)
 	}
 	h.pools.Store(&next)
 }
@@ -77,6 +78,38 @@
 // poolDigestBytes leaves room for the envelope of a digest that holds one pool.
 const poolDigestBytes = fleet.MaxDigest - 64
 
+// updateFeeders tells each pool how many hosts feed its targets and which of
+// them this one is, so that they account for each other's work.
+func (h *Host) updateFeeders() {
+	if h.fleet == nil {
+		return
+	}
+	index, hosts := 0, 0
+	for _, m := range h.fleet.Members() {
+		if m.State.Gone() || m.Zone != h.settings.Host.Zone {
+			continue
+		}
+		if m.Name == h.settings.Host.Name {
+			index = hosts
+		}
+		hosts++
+	}
+	for _, runner := range *h.pools.Load() {
+		runner.setFeeders(index, max(1, hosts))
+	}
+}
+
+// setFeeders is called by the goroutine that updates the targets.
+func (p *poolRunner) setFeeders(index, hosts int) {
+	if now := (feeders{index, hosts}); now != p.feeders {
+		p.feeders = now
+		p.sched.SetHosts(index, hosts)
+	}
+}
+
+// feeders is the place of this host among those that feed the same targets.
+type feeders struct{ index, hosts int }
+
 func (h *Host) startPool(p rules.Pool) *poolRunner {
 	kind := pool.Service
 	if p.Engine {
--- a/host/targets.go
+++ b/host/targets.go
@@ -31,6 +31,7 @@
 	defer tick.Stop()
 	for {
 		h.updateTargets()
+		h.updateFeeders()
 		select {
 		case <-h.ctx.Done():
 			return
