--- a/cmd/internal/demo/load.go
+++ b/cmd/internal/demo/load.go
@@ -27,7 +27,7 @@
 	prefillRate = 40_000.0
 
 	// Requests differ a hundredfold in length.
-	minTokens, maxTokens = 4, 400
+	minTokens, maxTokens = 2, 200
 	minPrompt, maxPrompt = 25, 2500
 	// sharedPrompts is how many different beginnings the prompts of a
 	// deployment have, and sharedTokens how long these are.
