--- a/host/callers.go
+++ b/host/callers.go
@@ -255,7 +255,7 @@
 	c.Set(headerRequestID, in.id)
 	return c.SendStreamWriter(func(w *bufio.Writer) {
 		defer done()
-		if err := copyAnswer(ctx, w, s); err != nil {
+		if err := copyAnswer(ctx, w, conn, s); err != nil {
 			// Closing the connection keeps the caller from taking a cut answer
 			// for a whole one: the last chunk is never sent.
 			_ = conn.Close()
@@ -284,10 +284,15 @@
 	abandon()
 }
 
+// callerStall bounds how long a caller may take to read a part of its answer. A
+// caller that stops reading would otherwise hold its place at the target.
+const callerStall = 30 * time.Second
+
 // copyAnswer forwards each part as soon as it arrives.
-func copyAnswer(ctx context.Context, w *bufio.Writer, s source) error {
+func copyAnswer(ctx context.Context, w *bufio.Writer, conn net.Conn, s source) error {
 	for {
 		part, err := s.next(ctx)
+		_ = conn.SetWriteDeadline(time.Now().Add(callerStall))
 		if errors.Is(err, io.EOF) {
 			return w.Flush()
 		}
