Close two gaps in which patient work started under a shortage

Cause: (1) interactive requests behind an urgent floor were not looked at, so nothing stopped patient work between the end of that floor and the next tick; (2) a floor that only a digest of another zone mentioned kept a host from raising its own, which its neighbours then never heard of; (3) a request refused at intake for its estimated run time raised no floor.

Change: a floor is renewed for interactive requests that wait behind an urgent one; only floors that the zone was told of count as raised; a refusal at intake raises the floor as well.

--- a/sched/pool/floors.go
+++ b/sched/pool/floors.go
@@ -23,7 +23,10 @@
 
 // floors is this host's part in raising floors and pausing work.
 type floors struct {
-	length   [request.TierCount]time.Duration
+	length [request.TierCount]time.Duration
+	// known is the end of the floors that all hosts of the zone were told of. One
+	// that only a digest mentioned need not be known to the others.
+	known    [request.TierCount]time.Time
 	pausedAt time.Time
 	since    time.Time // start of the floors that are active without a gap
 }
@@ -38,6 +41,16 @@
 	return p.raiseFloor(out, tier, now)
 }
 
+// keepFloor renews the floor for interactive requests that wait behind an urgent
+// floor. Else patient work would start in the time between the end of that floor
+// and the next look at the queue.
+func (p *Pool) keepFloor(out []Action, now time.Time) []Action {
+	if p.queue.Len(request.Interactive) == 0 {
+		return out
+	}
+	return p.raiseFloor(out, request.Interactive, now)
+}
+
 // raiseFloor raises or renews the floor of a tier unless one that stops the
 // lower tiers as well lasts long enough already.
 func (p *Pool) raiseFloor(out []Action, tier request.Tier, now time.Time) []Action {
@@ -54,16 +67,18 @@
 	}
 	until := now.Add(*length)
 	p.queue.SetFloor(tier, until)
+	p.floors.known[tier] = until
 	why := fmt.Sprintf("%d %s requests wait without room", p.queue.Len(tier), tier)
 	p.ring.add("", Decision{At: now, Kind: RaiseFloor, Why: why})
 	return append(out, Action{Kind: RaiseFloor, Tier: tier, Until: until, Why: why})
 }
 
-// floorLeft returns how long the tiers below tier are still stopped.
+// floorLeft returns how long the tiers below tier are still stopped on all hosts
+// of the zone.
 func (p *Pool) floorLeft(tier request.Tier, now time.Time) time.Duration {
 	left := time.Duration(0)
 	for t := request.Urgent; t <= tier; t++ {
-		left = max(left, p.queue.FloorUntil(t).Sub(now))
+		left = max(left, p.floors.known[t].Sub(now))
 	}
 	return left
 }
@@ -76,9 +91,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.acceptFloor(t, until, from, now)
+	if end := p.queue.FloorUntil(t); t < request.Patient && until.After(p.floors.known[t]) {
+		p.floors.known[t] = minTime(until, end)
+	}
 	return p.pauseStep(nil, now)
 }
 
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func (p *Pool) acceptFloor(t request.Tier, until time.Time, from string, now time.Time) {
 	if t >= request.Patient || !until.After(now) {
 		return
--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -30,7 +30,7 @@
 			resumed = true
 		}
 		if it == nil {
-			return out
+			return p.keepFloor(out, now)
 		}
 		e := p.entries[it.Request.ID]
 		choice, ok := p.chooseIfChanged(e, now)
@@ -38,7 +38,7 @@
 			out, choice, ok = p.preempt(out, e, now)
 		}
 		if !ok {
-			return p.block(out, e.req.Tier, now)
+			return p.keepFloor(p.block(out, e.req.Tier, now), now)
 		}
 		out = p.start(out, e, choice, now)
 	}
--- a/sched/pool/requests.go
+++ b/sched/pool/requests.go
@@ -22,7 +22,11 @@
 	e.item = flow.Item{Request: r, Cost: float64(r.Tokens()), LatestStart: p.latestStart(r), FreshUntil: p.freshUntil(r)}
 	if !e.item.LatestStart.IsZero() && e.item.LatestStart.Before(now) {
 		f := refusal.New(refusal.DeadlinePassed, "the deadline is too short for the estimated run time")
-		return p.refuse(nil, e, f, now)
+		var out []Action
+		if r.Tier != request.Patient {
+			out = p.raiseFloor(out, r.Tier, now)
+		}
+		return p.refuse(out, e, f, now)
 	}
 	if f := p.queue.Push(&e.item, now); f != nil {
 		var out []Action
