Renew floors that a peer raised before they end

Cause: a host that had not raised a floor itself had a renewal length of 0, so it renewed a peer's floor only at the first tick after its end, up to 50 ms late.

Change: the length is at least that of a first floor, so the floor is renewed when half of that is left.

--- a/sched/pool/floors.go
+++ b/sched/pool/floors.go
@@ -56,8 +56,8 @@
 func (p *Pool) raiseFloor(out []Action, tier request.Tier, now time.Time) []Action {
 	left := p.floorLeft(tier, now)
 	length := &p.floors.length[tier]
-	if left <= 0 {
-		*length = min(firstFloor, p.cfg.Limits.Floor)
+	if first := min(firstFloor, p.cfg.Limits.Floor); left <= 0 || *length < first {
+		*length = first
 	}
 	if left > *length/2 {
 		return out
