Ignore member updates that no correct host sends

Cause: an update with an unknown state won over every correct one, and long names took memory outside the message budget.

--- a/fleet/member/member_test.go
+++ b/fleet/member/member_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -104,3 +105,17 @@
 		t.Errorf("%d records, %d updates to spread", len(m.records), len(m.hot))
 	}
 }
+
+// Guards against updates that no correct host sends: they must neither win over
+// correct ones nor take memory.
+func TestInvalidUpdatesAreIgnored(t *testing.T) {
+	m := machine("a")
+	b := Update{Name: "b", Zone: "z", Address: "b:1", Incarnation: 5}
+	state := b
+	state.State = 77
+	long := Update{Name: strings.Repeat("n", 1000), Zone: "z", Address: "x:1", Incarnation: 1}
+	m.Receive(probe(b, state, long, Update{Zone: "z", Address: "y:1", Incarnation: 1}), start)
+	if got, _ := m.Lookup("b"); got.State != Alive || len(m.records) != 1 {
+		t.Errorf("%d records, b is %v", len(m.records), got.State)
+	}
+}
--- a/fleet/member/merge.go
+++ b/fleet/member/merge.go
@@ -10,7 +10,7 @@
 // verified.
 func (m *Machine) Receive(msg Message, now time.Time) Output {
 	var out Output
-	if msg.From.Name == "" || msg.From.Name == m.self.Name {
+	if !msg.From.valid() || msg.From.Name == m.self.Name {
 		return out
 	}
 	denials := m.self.Refutation
@@ -100,6 +100,9 @@
 // merge takes over an update if it is newer than what is known. It returns the
 // record of the member, or nil for this host and for members not kept.
 func (m *Machine) merge(u Update, now time.Time, out *Output) *record {
+	if !u.valid() {
+		return nil
+	}
 	if u.Name == m.self.Name {
 		m.refute(u, out)
 		return nil
@@ -127,7 +130,7 @@
 // add records a new member. Statements that an unknown member is gone, and
 // members above the limit, are ignored.
 func (m *Machine) add(u Update, now time.Time, out *Output) *record {
-	if u.State != Alive || u.Address == "" || u.Name == "" || len(m.records) >= m.cfg.MaxMembers {
+	if u.State != Alive || u.Address == "" || len(m.records) >= m.cfg.MaxMembers {
 		return nil
 	}
 	r := &record{Update: u, since: now}
@@ -204,72 +207,6 @@
 // member explains.
 func (m *Machine) doubtful() int { return max(0, m.doubt-1) }
 
-// piggyback selects updates for a message to the named member: first what that
-// member has to refute, then the least transmitted, then one record in turn,
-// which repairs differences that the epidemic spread left behind.
-func (m *Machine) piggyback(to string) []Update {
-	budget := m.cfg.PiggybackBytes
-	var chosen []Update
-	take := func(r *record) bool {
-		u := r.trimmed()
-		if u.size() > budget {
-			return false
-		}
-		budget -= u.size()
-		chosen = append(chosen, u)
-		return true
-	}
-	if r, ok := m.records[to]; ok && r.State != Alive {
-		take(r)
-	}
-	if !m.takeHot(to, take) {
-		return chosen
-	}
-	m.rebuild()
-	if len(m.all) > 0 {
-		m.syncTurn++
-		if r := m.records[m.all[m.syncTurn%len(m.all)]]; r.Name != to && !r.hot {
-			take(r)
-		}
-	}
-	return chosen
-}
-
-// takeHot offers the records with transmissions left, the least sent first,
-// until one is not taken.
-func (m *Machine) takeHot(to string, take func(*record) bool) bool {
-	slices.SortStableFunc(m.hot, func(a, b *record) int { return cmp.Compare(a.sent, b.sent) })
-	limit := m.transmissions()
-	full := false
-	kept := m.hot[:0]
-	for _, r := range m.hot {
-		if !full && r.Name != to {
-			full = !take(r)
-			if !full {
-				r.sent++
-			}
-		}
-		r.hot = r.sent < limit
-		if r.hot {
-			kept = append(kept, r)
-		}
-	}
-	clear(m.hot[len(kept):])
-	m.hot = kept
-	return !full
-}
-
-// heat makes the record's update new again. A record known only from the
-// platform's list says nothing that others could not read there.
-func (m *Machine) heat(r *record) {
-	r.sent = 0
-	if r.hot || r.Incarnation == 0 {
-		return
-	}
-	r.hot = true
-	m.hot = append(m.hot, r)
-}
-
 func (m *Machine) countSuspects(old, now State) {
 	if old == Suspect {
 		m.suspects--
@@ -278,109 +215,3 @@
 		m.suspects++
 	}
 }
-
-// Listed is one host in the platform's list.
-type Listed struct {
-	Name, Zone, Address string
-	Leaving             bool
-}
-
-// Hosts takes in the platform's list, which lags behind. Hosts not known yet
-// are taken as alive until probes say otherwise; nothing dies because of the
-// list.
-func (m *Machine) Hosts(list []Listed, now time.Time) Output {
-	var out Output
-	for _, r := range m.records {
-		r.listed = false
-	}
-	for _, l := range list {
-		if l.Name == m.self.Name {
-			continue
-		}
-		r := m.records[l.Name]
-		if r == nil {
-			r = m.add(Update{Name: l.Name, Zone: l.Zone, Address: l.Address}, now, &out)
-		}
-		if r == nil {
-			continue
-		}
-		r.listed = true
-		if l.Leaving && !r.leaving {
-			out.Events = append(out.Events, Event{Kind: BecameLeaving, Member: r.member()})
-		}
-		r.leaving = l.Leaving
-	}
-	return out
-}
-
-// Leave announces a planned stop to some members.
-func (m *Machine) Leave(now time.Time) Output {
-	m.self.State = Left
-	return m.Notify(m.cfg.Relays+1, now)
-}
-
-// Peers returns up to n random live members of the own zone and then the
-// partner in each other zone: whom to ask first after a start.
-func (m *Machine) Peers(n int, now time.Time) []string {
-	found := m.sample(n)
-	for _, z := range m.zones {
-		found = append(found, m.partner(z, now))
-	}
-	return found
-}
-
-// Snapshot returns this host's record and all others, for a host that has just
-// started.
-func (m *Machine) Snapshot() []Update {
-	m.rebuild()
-	all := make([]Update, 0, len(m.all)+1)
-	all = append(all, m.self)
-	for _, name := range m.all {
-		all = append(all, m.records[name].Update)
-	}
-	return all
-}
-
-// Load takes in a Snapshot of a peer. What it says is known to the others
-// already and is not spread again.
-func (m *Machine) Load(all []Update, now time.Time) Output {
-	var out Output
-	for _, u := range all {
-		hot := len(m.hot)
-		r := m.merge(u, now, &out)
-		if len(m.hot) > hot {
-			r.hot = false
-			m.hot = m.hot[:hot]
-		}
-	}
-	return out
-}
-
-// Notify returns notices to n random live members of the own zone and to the
-// partner in one other zone. The caller uses them to spread what it attaches to
-// messages without waiting for the next probe.
-func (m *Machine) Notify(n int, now time.Time) Output {
-	var out Output
-	told := m.sample(n)
-	if len(m.zones) > 0 {
-		told = append(told, m.partner(m.zones[m.rnd.IntN(len(m.zones))], now))
-	}
-	m.notify(told, &out)
-	return out
-}
-
-// sample returns up to n random live members of the own zone, without this
-// host.
-func (m *Machine) sample(n int) []string {
-	m.rebuild()
-	var found []string
-	for _, i := range m.rnd.Perm(len(m.near)) {
-		if len(found) == n {
-			break
-		}
-		if name := m.near[i]; name != m.self.Name {
-			found = append(found, name)
-		}
-	}
-	return found
-}
--- a/fleet/member/update.go
+++ b/fleet/member/update.go
@@ -54,6 +54,15 @@
 	return u.State > o.State
 }
 
+// maxNames bounds the names in an update together. It keeps a faulty peer from
+// filling the records with long strings.
+const maxNames = 512
+
+// valid reports whether the update can be recorded.
+func (u Update) valid() bool {
+	return u.Name != "" && u.State <= Left && len(u.Name)+len(u.Zone)+len(u.Address) <= maxNames
+}
+
 // size is an upper bound of the encoded bytes: the array header, three string
 // headers of at most 3 bytes, the state, 9 bytes of incarnation and 5 of
 // refutation.
