Call hosts by the name in their certificate

Cause: replaced hosts leave their addresses to others, so a call to a host that was replaced could be handled by its successor at the address. Rejected handshakes, which anyone can cause, were logged without limit.

Change: CallHost compares the name before anything is sent; at most 10 rejections are logged in 10 s, all are counted.

--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -52,7 +52,7 @@
 	if !ok {
 		return nil, fmt.Errorf("call %s at %s: %w", kind, host, ErrUnknownHost)
 	}
-	answer, err := n.peers.Call(ctx, m.Address, kind, body)
+	answer, err := n.peers.CallHost(ctx, host, m.Address, kind, body)
 	for _, r := range relays {
 		if !errors.Is(err, peer.ErrNotSent) || ctx.Err() != nil {
 			break
@@ -121,7 +121,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(c.Millis)*time.Millisecond)
 	defer cancel()
-	answer, err := n.peers.Call(ctx, m.Address, c.Kind, c.Body)
+	answer, err := n.peers.CallHost(ctx, c.Host, m.Address, c.Kind, c.Body)
 	for class, e := range relayClasses {
 		if class > 0 && errors.Is(err, e) {
 			return cbor.Marshal(relayReply{Class: class, Body: []byte(err.Error())})
--- a/fleet/peer/call.go
+++ b/fleet/peer/call.go
@@ -23,6 +23,12 @@
 // Call sends a message of that kind to the address and returns the answer. The
 // error wraps ErrNotSent, ErrNoReply or ErrRefused.
 func (t *Transport) Call(ctx context.Context, address, kind string, body []byte) ([]byte, error) {
+	return t.CallHost(ctx, "", address, kind, body)
+}
+
+// CallHost is Call to the host whose certificate bears the name. Replaced hosts
+// leave their addresses to others; nothing is sent to another host.
+func (t *Transport) CallHost(ctx context.Context, name, address, kind string, body []byte) ([]byte, error) {
 	data, err := cbor.Marshal(frame{Kind: kind, Body: body})
 	if err != nil {
 		return nil, callError(address, kind, ErrNotSent, err)
@@ -36,6 +42,9 @@
 	if err != nil {
 		return nil, callError(address, kind, ErrNotSent, err)
 	}
+	if got := nameOf(c.ConnectionState().TLS.PeerCertificates); name != "" && got != name {
+		return nil, callError(address, kind, ErrNotSent, fmt.Errorf("%s is there, not %s", got, name))
+	}
 	s, err := c.OpenStreamSync(ctx)
 	if err != nil {
 		return nil, callError(address, kind, ErrNotSent, err)
--- a/fleet/peer/peer_test.go
+++ b/fleet/peer/peer_test.go
@@ -99,6 +99,9 @@
 	if _, err := call(t, a, "127.0.0.1:1", ""); !errors.Is(err, ErrNotSent) {
 		t.Errorf("nobody there: %v", err)
 	}
+	if _, err := a.CallHost(t.Context(), "c", b.Address(), "echo", nil); !errors.Is(err, ErrNotSent) {
+		t.Errorf("another host at the address: %v", err)
+	}
 	large := strings.Repeat("x", 1<<20)
 	if r, err := call(t, a, b.Address(), large); err != nil || r != "a "+large {
 		t.Errorf("large call: %d bytes, %v", len(r), err)
--- a/fleet/peer/transport.go
+++ b/fleet/peer/transport.go
@@ -110,6 +110,9 @@
 	links map[string]*link // by address
 	conns map[*quic.Conn]struct{}
 	ended Stats // totals of closed connections
+	// windowStart and windowLogged limit the logging of rejections.
+	windowStart  time.Time
+	windowLogged int
 }
 
 // New opens the socket and starts to accept connections. The error names the
@@ -212,9 +215,29 @@
 // reject counts and logs a peer whose certificate does not verify.
 func (t *Transport) reject(cs tls.ConnectionState, err error) {
 	t.rejected.Add(1)
+	if !t.mayLogRejection() {
+		return
+	}
 	event.PeerRejected.Log(t.cfg.Logger, slog.String("name", nameOf(cs.PeerCertificates)), slog.Any("error", err))
 }
 
+// Rejections logged per window; all are counted. Anyone who reaches the port can
+// cause one.
+const (
+	rejectionWindow  = 10 * time.Second
+	rejectionsLogged = 10
+)
+
+func (t *Transport) mayLogRejection() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now := time.Now(); now.Sub(t.windowStart) >= rejectionWindow {
+		t.windowStart, t.windowLogged = now, 0
+	}
+	t.windowLogged++
+	return t.windowLogged <= rejectionsLogged
+}
+
 // watchKeys reads the key files again and closes connections whose peers the
 // current authorities no longer accept, or whose certificate has expired.
 func (t *Transport) watchKeys() {
