Keep the old targets able to carry their share during a move

Cause: targets loaded for a small share are lost to the old version. Change: the new version gets at most as many targets as leaves the old ones at 1.45 times their load; nothing counts as proven while the old targets are 2.5 times slower than before; small pools get the share their targets can carry; a version still in doubt at its deadline is taken back.

--- a/moves/digest.go
+++ b/moves/digest.go
@@ -70,3 +70,27 @@
 	}
 	return nil
 }
+
+// StateBytes returns the pool's state in its stored form with its sequence
+// number, to be given to a peer that holds a smaller one; nil if there is none.
+func (t *Tracker) StateBytes(pool string) (state []byte, seq uint64, err error) {
+	s, ok := t.State(pool)
+	if !ok {
+		return nil, 0, nil
+	}
+	b, err := EncodeState(s)
+	return b, s.Seq, err
+}
+
+// AdoptBytes is Adopt for a value of the store's key StateKey(pool), or for a
+// peer's StateBytes.
+func (t *Tracker) AdoptBytes(pool string, value []byte, now time.Time) (bool, error) {
+	s, err := DecodeState(value)
+	if err != nil {
+		return false, err
+	}
+	return t.Adopt(pool, s, now), nil
+}
+
+// StateKey is the store's key of a pool's move state.
+func StateKey(pool string) string { return "moves/" + pool + "/state" }
--- a/moves/judge/judge_test.go
+++ b/moves/judge/judge_test.go
@@ -117,7 +117,7 @@
 				old = append(old, e)
 			}
 		}
-		if combine(news, old, math.Log(60)) >= (Config{Targets: targets}).Threshold() {
+		if l, _ := combine(news, old, math.Log(60)); l >= (Config{Targets: targets}).Threshold() {
 			blamed++
 		}
 	}
@@ -187,12 +187,15 @@
 func TestThresholdIsWithinReach(t *testing.T) {
 	for n := 2; n <= 300; n++ {
 		c := Config{Targets: n}
-		half := max(1, n/2)
-		if best := strongest(min(half, GroupCount), min(GroupCount, n-half)); best < c.Threshold() {
-			t.Errorf("%d targets: threshold %.1f, attainable %.1f", n, c.Threshold(), best)
+		m := c.Needed()
+		if best := strongest(min(m, GroupCount), min(GroupCount, n-m)); best < c.Threshold() {
+			t.Errorf("%d targets: threshold %.1f, %d of them show %.1f", n, c.Threshold(), m, best)
 		}
-		if m := c.Needed(); m > half {
-			t.Errorf("%d targets: needs %d", n, m)
+		if old := (1 - smallShare) * float64(n) / float64(n-m); n > 3 && old > relief {
+			t.Errorf("%d targets: the old ones carry %.2f times their load", n, old)
+		}
+		if n <= 20 {
+			t.Logf("%d targets: needs %d, threshold %.0f to 1", n, m, math.Exp(c.Threshold()))
 		}
 	}
 }
--- a/moves/judge/ratio.go
+++ b/moves/judge/ratio.go
@@ -39,6 +39,9 @@
 	recent, before *Cells
 	urgent         bool
 	naive          bool // without targetDrift, see Config.Pooled
+	// center is the largest change of the old targets' latency since before
+	// the move, as a logarithm.
+	center float64
 }
 
 func (c *contrast) fresh(g int) *Cell { return &c.recent[newBit|g] }
@@ -72,6 +75,7 @@
 		drift = 0
 	}
 	center, centerVar := median(shifts, sizes, s2, drift)
+	c.center = max(c.center, center)
 	ratio := func(mo, own Moments) float64 {
 		b, bv := reference(own, mean, s2)
 		v := dispersion*s2/float64(mo.N) + bv + centerVar + drift
--- a/moves/judge/verdict.go
+++ b/moves/judge/verdict.go
@@ -46,6 +46,9 @@
 	// Doubtful means that a route has many requests on the new version, and yet
 	// the evidence neither suffices for it nor against it.
 	Doubtful bool
+	// Strained means that the old targets are much slower than before the move,
+	// so that nothing can be proven beside them.
+	Strained bool
 	// LogRatio is the strongest evidence against the version, as a natural
 	// logarithm, after correction.
 	LogRatio float64
@@ -68,29 +71,50 @@
 // above what three slow targets of four show now and then.
 var suspectLog = math.Log(10)
 
+// relief is the load that the old targets may carry relative to before the
+// move. Targets on the new version with a small share are lost to the old one;
+// beyond this, the old targets slow down under their load, and a slow version
+// looks good beside them.
+const relief = 1.45
+
+// Most returns the largest number of targets that may be on the new version
+// while it has the given share of the requests, at least 1.
+func (c Config) Most(share float64) int {
+	return max(1, int(float64(c.Targets)*(1-(1-share)/relief)))
+}
+
+// smallShare is the share at which a bad version should be recognised.
+const smallShare = 0.05
+
 // Threshold returns the evidence, as a natural logarithm, at which a version is
-// judged bad. In a pool of fewer than 11 targets the targets are too few to
-// reach 1/ErrorRate, and the threshold is what half of them can show.
+// judged bad. In a pool of fewer than 12 targets, the targets that can be
+// spared at a small share are too few to reach 1/ErrorRate; the threshold is
+// then half of what they can show.
 func (c Config) Threshold() float64 {
-	rate := c.ErrorRate
-	if rate == 0 {
-		rate = DefaultErrorRate
+	m := min(GroupCount, c.Most(smallShare))
+	attainable := strongest(m, min(GroupCount, max(1, c.Targets-m)))
+	return min(c.sampling(), attainable-math.Log(2))
+}
+
+// sampling returns the evidence that the requests alone must show, whatever the
+// number of targets.
+func (c Config) sampling() float64 {
+	if c.ErrorRate == 0 {
+		return -math.Log(DefaultErrorRate)
 	}
-	units := min(c.Targets, 2*GroupCount)
-	half := max(1, units/2)
-	attainable := strongest(half, min(GroupCount, max(1, units-half)))
-	return min(-math.Log(rate), attainable+math.Log(0.7))
+	return -math.Log(c.ErrorRate)
 }
 
 // Needed returns the number of targets that the new version needs before it
 // can be judged bad.
 func (c Config) Needed() int {
-	for m := 1; m < c.Targets/2; m++ {
+	most := c.Most(smallShare)
+	for m := 1; m < most; m++ {
 		if strongest(min(m, GroupCount), min(GroupCount, c.Targets-m)) >= c.Threshold()+math.Log(1.2) {
 			return m
 		}
 	}
-	return max(1, c.Targets/2)
+	return most
 }
 
 // strongest returns the evidence when all m new groups are bad and all n old
@@ -103,6 +127,11 @@
 	return sum
 }
 
+// strained is the slowdown of the old targets over the second horizon since the
+// move began, as a logarithm, above which the comparison proves nothing good: a
+// slow version looks good beside overloaded targets.
+var strained = math.Log(2.5)
+
 // finding is the result of one horizon.
 type finding struct {
 	at      time.Time
@@ -112,6 +141,7 @@
 	missing string
 	proven  int
 	doubt   bool
+	center  float64 // largest change of the old targets' latency
 }
 
 // refresh is the part of a horizon after which it is weighed again. It keeps
@@ -130,8 +160,11 @@
 		if f.log > v.LogRatio {
 			v.LogRatio, v.Route, v.Measure, v.Horizon = f.log, f.route, f.measure, h
 		}
+		if h == Horizons[1] {
+			v.Strained = f.center > strained
+		}
 		// The longest horizon decides whether the evidence suffices.
-		v.Enough = f.proven > 0 && f.missing == ""
+		v.Enough = f.proven > 0 && f.missing == "" && !v.Strained
 		v.Missing, v.Doubtful = f.missing, f.doubt
 	}
 	v.Bad = v.LogRatio >= cfg.Threshold()
@@ -173,11 +206,15 @@
 		if len(fresh) == 0 {
 			continue
 		}
-		l := combine(fresh, old, correction)
+		l, requests := combine(fresh, old, correction)
 		if cfg.Pooled {
-			l = math.Log(fresh[0]) - correction
+			l = requests
+		}
+		if requests < cfg.sampling() {
+			l = min(l, cfg.Threshold()-0.01)
 		}
 		worst = max(worst, l)
+		f.center = max(f.center, c.center)
 		if l > f.log {
 			f.log, f.route, f.measure = l, name, m
 		}
@@ -187,8 +224,9 @@
 
 // combine returns the evidence of all new groups together. A good version's
 // group is bad by itself with the predictive probability that follows from the
-// old groups and from the new groups already counted.
-func combine(fresh, old []float64, correction float64) float64 {
+// old groups and from the new groups already counted. requests is the evidence
+// if targets never turned bad by themselves.
+func combine(fresh, old []float64, correction float64) (evidence, requests float64) {
 	var bad float64
 	for _, e := range old {
 		bad += e / (e + 3)
@@ -196,15 +234,16 @@
 	slices.Sort(fresh)
 	slices.Reverse(fresh)
 	perGroup := math.Exp(-correction / float64(len(fresh)))
-	var sum float64
+	requests = -correction
 	for i, e := range fresh {
+		requests += math.Log((1-missShare)*e + missShare)
 		if e > 1 {
 			e = max(1, e*perGroup)
 		}
 		own := (priorBad + bad + float64(i)) / (priorBad + priorGood + float64(len(old)+i))
-		sum += math.Log(((1-missShare)*e + missShare) / (1 - own + own*e))
+		evidence += math.Log(((1-missShare)*e + missShare) / (1 - own + own*e))
 	}
-	return sum
+	return evidence, requests
 }
 
 const (
@@ -217,12 +256,12 @@
 )
 
 // require counts the route as proven if it has evidence for the version, and
-// notes it as missing if it should have. Rare routes and urgent requests that
-// are not yet sent to the new version do not count.
+// notes it as missing if it should have. Rare routes do not count, and urgent
+// requests only where there are hardly any others.
 func (f *finding) require(c, all *contrast, name string, worst float64) {
 	fresh, old := c.requests()
 	_, allOld := all.requests()
-	if float64(old) < minRouteShare*float64(allOld) || (c.urgent && fresh == 0) {
+	if float64(old) < minRouteShare*float64(allOld) || (c.urgent && float64(allOld) > minRouteShare*float64(old)) {
 		return
 	}
 	if fresh < enoughRequests || worst > enoughLog {
--- a/moves/lease.go
+++ b/moves/lease.go
@@ -22,7 +22,7 @@
 }
 
 func (c *Controller) leaseKey() string { return "moves/" + c.cfg.Pool + "/steerer" }
-func (c *Controller) stateKey() string { return "moves/" + c.cfg.Pool + "/state" }
+func (c *Controller) stateKey() string { return StateKey(c.cfg.Pool) }
 
 // valid reports whether the lease is held at this instant.
 func (c *Controller) valid() bool {
--- a/moves/steer/next.go
+++ b/moves/steer/next.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -148,13 +147,8 @@
 }
 
 func (r *run) running() {
-	if r.in.Halt != "" || r.in.Verdict.Bad {
-		why := r.in.Halt
-		if why == "" {
-			why = r.in.Verdict.Reason()
-		}
-		r.end(TakenBack, why)
-		r.report(TookBack, "%s", why)
+	if why := r.fault(); why != "" {
+		r.takeBack(why)
 		return
 	}
 	if !r.amend() {
@@ -162,12 +156,41 @@
 		r.report(Removed, "the rule was removed")
 		return
 	}
+	if why := r.unproven(); why != "" {
+		r.takeBack(why)
+		return
+	}
 	r.lateness()
 	r.confirm()
 	r.advance()
 	r.share()
 }
 
+// fault returns why the version is bad; empty if it is not.
+func (r *run) fault() string {
+	if r.in.Halt != "" {
+		return r.in.Halt
+	}
+	if r.in.Verdict.Bad {
+		return r.in.Verdict.Reason()
+	}
+	return ""
+}
+
+// unproven returns why a version that is in doubt at its deadline is given up;
+// empty if it is not.
+func (r *run) unproven() string {
+	if r.in.Now.Before(r.Move.By) || r.Step == lastStep || !(r.in.Verdict.Suspect || r.in.Verdict.Doubtful) {
+		return ""
+	}
+	return "still in doubt at the deadline: " + r.in.Verdict.Reason()
+}
+
+func (r *run) takeBack(why string) {
+	r.end(TakenBack, why)
+	r.report(TookBack, "%s", why)
+}
+
 // amend follows changes of the rule. It reports whether the rule still exists.
 func (r *run) amend() bool {
 	for _, m := range r.in.Moves {
@@ -241,7 +264,8 @@
 // advance loads what the step needs, and goes to the next step when the stay is
 // over and the evidence allows it.
 func (r *run) advance() {
-	if r.loaded < min(r.live*3/4, Wanted(r.Step, r.live)+r.Extra) || (r.Step == lastStep && r.loaded < r.live) {
+	if (r.Step < lastStep && r.loaded < min(Spare(r.Step, r.live), Wanted(r.Step, r.live)+r.Extra)) ||
+		(r.Step == lastStep && r.loaded < r.live && !r.in.Verdict.Suspect) {
 		r.loadNext()
 	}
 	if r.in.Verdict.Suspect {
@@ -275,11 +299,7 @@
 	if r.Step == 0 || r.Step == lastStep || r.Loading.Target != "" || spent < from+time.Duration(r.Extra+1)*suspectPause {
 		return
 	}
-	limit := r.live / 2
-	if r.Step == lastStep-1 {
-		limit = r.live * 3 / 4
-	}
-	if want := Wanted(r.Step, r.live) + r.Extra; want < limit && r.loaded >= want {
+	if want := Wanted(r.Step, r.live) + r.Extra; want < Spare(r.Step, r.live) && r.loaded >= want {
 		r.Extra++
 		r.loadNext()
 	}
@@ -310,52 +330,6 @@
 	r.report(Finished, "all %d targets serve version %s", r.live, r.Move.To)
 }
 
-// mostlyUrgent is the part of urgent requests from which they must supply the
-// evidence themselves, because there are hardly any others.
-const mostlyUrgent = 0.95
-
-// share sets the shares of the step. Without a loaded target there is none.
-func (r *run) share() {
-	if r.Phase != Running {
-		return
-	}
-	s := Steps[r.Step]
-	share, urgent := s.Share, s.Urgent
-	switch {
-	case r.loaded == 0:
-		share, urgent = 0, 0
-	case r.Step < firstProven:
-		share = min(share, r.Move.atMost())
-	case r.Step == lastStep:
-		share = max(Steps[lastStep-1].Share, float64(r.loaded)/float64(r.live))
-		urgent = share
-	}
-	if r.in.UrgentShare > mostlyUrgent {
-		urgent = share
-	}
-	other := share
-	if r.Step >= firstProven {
-		other = r.others(share, urgent)
-	}
-	for t := range r.Shares {
-		r.Shares[t] = other
-	}
-	r.Shares[request.Urgent] = urgent
-}
-
-// others returns the share of the requests that are not urgent, so that the new
-// version receives the given share of all requests. Its targets must carry the
-// load of the step for a fault under load to show. It is rounded to whole
-// percents, which keeps small changes of the mix out of the store.
-func (r *run) others(share, urgent float64) float64 {
-	u := min(r.in.UrgentShare, mostlyUrgent)
-	x := math.Round(100*(share-urgent*u)/(1-u)) / 100
-	if was := r.Shares[request.Patient]; math.Abs(was-x) < 0.03 && was >= urgent && r.Step < lastStep {
-		return was
-	}
-	return min(1, max(x, urgent))
-}
-
 // restore loads the old version again where the new one is, one target at a
 // time.
 func (r *run) restore() {
--- a/moves/steer/plan.go
+++ b/moves/steer/plan.go
@@ -27,11 +27,9 @@
 }
 
 // Wanted returns how many of count targets the step needs on the new version.
-// Never more than half before the last step, so that the old version can take
-// the traffic back.
+// The old version keeps enough targets to carry its share.
 func Wanted(step, count int) int {
-	half := max(1, count/2)
-	needed := judge.Config{Targets: count}.Needed()
+	c := judge.Config{Targets: count}
 	share := int(math.Ceil(Steps[step].Share * float64(count)))
 	switch {
 	case step == 0:
@@ -40,10 +38,18 @@
 		return 1
 	case step == lastStep:
 		return count
-	case step == lastStep-1:
-		return half
 	}
-	return min(half, max(needed, share))
+	return min(Spare(step, count), max(c.Needed(), share))
+}
+
+// Spare returns how many targets may be on the new version in the step.
+func Spare(step, count int) int {
+	share := max(Steps[step].Share, Steps[2].Share)
+	most := judge.Config{Targets: count}.Most(share)
+	if step >= firstProven {
+		most = max(most, count/2) // at 25%, half of the targets carry 1.5 times their load
+	}
+	return max(1, min(count-1, most))
 }
 
 // MakePlan computes what remains of a move in the given step since the given
--- a/moves/steer/steer_test.go
+++ b/moves/steer/steer_test.go
@@ -143,6 +143,21 @@
 	}
 }
 
+// Guards against a version that stays in doubt on a small share for ever.
+func TestDoubtEndsAtTheDeadline(t *testing.T) {
+	p := newPool(12, move("7", "8", 2*time.Hour))
+	p.run(20 * time.Minute)
+	p.in.Verdict = judge.Verdict{Suspect: true}
+	p.run(99 * time.Minute)
+	if p.state.Phase != Running || p.state.Step >= firstProven {
+		t.Fatalf("%s at step %d", p.state.Phase, p.state.Step)
+	}
+	p.run(2 * time.Minute)
+	if p.state.Phase != TakenBack {
+		t.Errorf("%s after the deadline", p.state.Phase)
+	}
+}
+
 // Guards against a changed deadline that restarts the move, and against a new
 // deadline that escapes a roll-back.
 func TestChangedDeadlineContinues(t *testing.T) {
--- a/moves/trial/fleet.go
+++ b/moves/trial/fleet.go
@@ -203,7 +203,8 @@
 	return request.Patient
 }
 
-// choose returns the less busy of two random targets of the version.
+// choose returns the less busy of two random targets of the version, nil if it
+// is full: hosts limit the requests in progress at a target and shed the rest.
 func (f *fleet) choose(version string) *target {
 	var best *target
 	var candidates [64]*target
@@ -220,6 +221,9 @@
 			best = t
 		}
 	}
+	if best != nil && best.inWork >= slots {
+		return nil
+	}
 	return best
 }
 
--- a/moves/trial/host.go
+++ b/moves/trial/host.go
@@ -112,13 +112,19 @@
 		return
 	}
 	f.res.digest(len(b))
-	s, known := h.tracker.State(pool)
+	s, _, err := h.tracker.StateBytes(pool)
+	if err != nil {
+		f.res.Errors++
+	}
 	f.after(f.delay(), func() {
 		if len(b) > 0 && p.tracker.Merge(b, f.now) != nil {
 			f.res.Errors++
 		}
-		if known {
-			p.tracker.Adopt(pool, s, f.now)
+		if len(s) == 0 {
+			return
+		}
+		if _, err := p.tracker.AdoptBytes(pool, s, f.now); err != nil {
+			f.res.Errors++
 		}
 	})
 }
