Wait until hosts have joined before floors and take-overs are tested

A host that has not heard of its peers receives no tier floor; one of four runs of the I1 scenario was red for that reason, 12 starts of interactive work at host b 0.2 s after host a had raised the urgent floor.

--- a/proof/scenario/commands_faults.go
+++ b/proof/scenario/commands_faults.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"sardinefront.dev/fleet/config"
+	"sardinefront.dev/fleet/member"
+	"sardinefront.dev/host"
 	"sardinefront.dev/proof/invariant"
 )
 
@@ -191,6 +193,8 @@
 	"adopted":   whenAdopted,
 	"past":      whenPast,
 	"claimed":   whenClaimed,
+	"joined":    whenJoined,
+	"writes":    whenWrites,
 }
 
 func doUntil(w *world, a *arguments) error {
@@ -270,18 +274,47 @@
 
 // whenAdopted reads HOST NUMBER: the configuration in force is at least that.
 func whenAdopted(w *world, a *arguments) (func() bool, error) {
-	p, err := w.hostNamed(a.next("a host"))
+	name := a.next("a host")
+	n, err := strconv.ParseInt(a.next("a number"), 10, 64)
 	if err != nil {
 		return nil, err
 	}
-	n, err := strconv.ParseInt(a.next("a number"), 10, 64)
+	return whenStatus(w, &arguments{words: []string{name}}, func(s host.Status) bool { return s.Revision >= n })
+}
+
+// whenStatus reads HOST and waits until its status satisfies ok.
+func whenStatus(w *world, a *arguments, ok func(s host.Status) bool) (func() bool, error) {
+	p, err := w.hostNamed(a.next("a host"))
 	return func() bool {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		return p.host != nil && p.host.Status().Revision >= n
+		return p.host != nil && ok(p.host.Status())
 	}, err
 }
 
+// whenJoined reads HOST NUMBER: the host has heard from so many live peers.
+func whenJoined(w *world, a *arguments) (func() bool, error) {
+	name := a.next("a host")
+	n, err := strconv.Atoi(a.next("a number of peers"))
+	if err != nil {
+		return nil, err
+	}
+	return whenStatus(w, &arguments{words: []string{name}}, func(s host.Status) bool {
+		heard := 0
+		for _, m := range s.Members {
+			if m.Name != name && m.State == member.Alive.String() && m.Incarnation > 0 {
+				heard++
+			}
+		}
+		return heard >= n
+	})
+}
+
+// whenWrites reads HOST: it writes a partition of the journal.
+func whenWrites(w *world, a *arguments) (func() bool, error) {
+	return whenStatus(w, a, func(s host.Status) bool { return len(s.Partitions) > 0 })
+}
+
 // leavingGrace is the time after which a leaving target gets no new work.
 const leavingGrace = 3 * time.Second
 
