--- a/sched/limit/limit.go
+++ b/sched/limit/limit.go
@@ -50,8 +50,11 @@
 	// farOff: the work in progress takes many windows to shrink to the limit.
 	gentle = 0.25
 	farOff = 1.3
-	// used is the part of the limit that must be in use for it to grow.
-	used = 0.75
+	// used is the part of the limit that must be in use for it to grow. For
+	// small limits all but spare requests suffice, because hosts that hold
+	// fractions of a request rarely use a limit of 3 at the same time.
+	used  = 0.75
+	spare = 2
 	// maxCut bounds the cut of one window, so that one outlier cannot close a
 	// target.
 	maxCut = 0.3
@@ -72,12 +75,14 @@
 	tailStep = 0.03
 	// tailGoal is the goal of the tail as a multiple of that of the mean.
 	tailGoal = 0.97
-	// leastWindow and leastSamples are the time and the number of samples from
-	// which the least recent time between tokens says that a target cannot meet
-	// the goal at any load. unfitSlack is the multiple of that time up to which
+	// leastWindow is the time over which the least time between tokens is kept.
+	// leastSamples in leastTime or more say that a target cannot meet the goal at
+	// any load if even the least exceeds it; a slow target with one stream gives
+	// two samples a second. unfitSlack is the multiple of that time up to which
 	// such a target is filled with work that has no goal.
-	leastWindow  = 5 * time.Second
-	leastSamples = 20
+	leastWindow  = 10 * time.Second
+	leastTime    = 2 * time.Second
+	leastSamples = 6
 	unfitSlack   = 2.5
 	// drift lets an unloaded value that was learned in a good hour, or from one
 	// lucky sample, rise by 0.1% per second.
@@ -178,6 +183,9 @@
 	if l.cfg.Service || l.counts[0]+l.counts[1] < leastSamples {
 		return false
 	}
+	if start := l.leastEnd.Add(-leastWindow); l.counts[1] == 0 && l.lastOwn.Sub(start) < leastTime {
+		return false
+	}
 	return l.leastRecent() > l.cfg.BetweenTokens.Seconds()
 }
 
@@ -303,6 +311,17 @@
 	return max(l.between.now/goal, l.tail/(goal*tailGoal))
 }
 
+// Slow returns how far the target itself misses its goals, 0 if nothing is
+// known: the time between tokens of an engine, or the whole time of a plain
+// service, relative to the goal. Late first tokens of an engine are left out,
+// because a burst causes them too.
+func (l *Limiter) Slow() float64 {
+	if l.cfg.Service {
+		return l.first.now
+	}
+	return l.between.now / l.betweenGoal()
+}
+
 // adapt moves the limit once per window.
 func (l *Limiter) adapt(requests, tokens float64, now time.Time) {
 	l.lastOwn = now
@@ -342,7 +361,7 @@
 }
 
 func (l *Limiter) grow(load, loadTok, part float64) {
-	if load >= used*l.limit {
+	if load >= min(used*l.limit, l.limit-spare) {
 		l.limit += max(minGrow*part/growth, part*l.limit)
 	}
 	if l.tokens > 0 && loadTok >= used*l.tokens {
@@ -384,6 +403,12 @@
 	l.clamp()
 }
 
+// Lower lowers the limit to that of a peer that sees the target miss its goals.
+func (l *Limiter) Lower(limit float64) {
+	l.limit = min(l.limit, limit)
+	l.clamp()
+}
+
 // Slowdown returns how many times slower than unloaded the target is, at
 // least 1.
 func (l *Limiter) Slowdown() float64 {
--- a/sched/pool/refresh.go
+++ b/sched/pool/refresh.go
@@ -36,12 +36,19 @@
 	return out
 }
 
+// alarmFrom is the multiple of a goal from which a host tells its peers. Most of
+// 40 hosts have nothing in progress at a given target and would notice too late.
+const alarmFrom = 1.4
+
 // judge ejects a target that stays slow and starts the trial of one whose
 // ejection has ended.
 func (p *Pool) judge(out []Action, t *target, now time.Time) []Action {
-	factor := 0.0
+	factor, slow := 0.0, 0.0
 	if now.Sub(t.limiter.LastSample()) < tickInterval*4 {
-		factor = t.limiter.Pressure()
+		factor, slow = t.limiter.Pressure(), t.limiter.Slow()
+	}
+	if slow >= alarmFrom {
+		t.alarm, t.alarmAt = t.limiter.Requests(), now
 	}
 	if why := t.health.Slowdown(factor, now); why != "" {
 		return p.ejected(out, t, why, now)
@@ -65,6 +72,10 @@
 	p.adjustHeadroom()
 }
 
+// expressFrom is the mean number of urgent and interactive requests of this
+// host from which express targets are kept free of patient work.
+const expressFrom = 0.5
+
 // headroomStep keeps small changes from replacing the snapshot.
 const headroomStep = 0.02
 
@@ -77,6 +88,10 @@
 	if p.ownMean > 0 {
 		want *= min(1, 4*p.higherMean/p.ownMean)
 	}
+	if any := p.higherMean >= expressFrom; any != p.anyHigher {
+		p.anyHigher = any
+		p.rebuild()
+	}
 	if math.Abs(want-p.headroom[request.Patient]) >= headroomStep {
 		p.headroom[request.Patient] = want
 		p.rebuild()
