--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -189,13 +189,7 @@
 	// The transport sends in the background; without this pause Close would
 	// discard the announcement.
 	time.Sleep(tickEvery)
-	n.mu.Lock()
-	n.cancel() // under mu: no pull is started after this
-	n.mu.Unlock()
-	n.deliveries.close()
-	err := n.peers.Close()
-	n.wg.Wait()
-	return err
+	return n.shutDown()
 }
 
 // do runs an input of the core and carries out the actions. Callbacks are
--- a/host/fleet.go
+++ b/host/fleet.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -17,19 +15,11 @@
 	"sardinefront.dev/sched/pool"
 )
 
-// The kinds of calls between hosts that this package answers.
-const (
-	kindJournal = "journal"
-	// kindRelay asks the receiver to pass a journal call on to a host that the
-	// sender cannot reach.
-	kindRelay = "journal-relay"
-)
-
-// relays is how many peers are tried for a journal call that failed directly.
-const relays = 2
+// kindJournal is a call to a partition's writer.
+const kindJournal = "journal"
 
-// relayTimeout bounds the relayed call at the peer that passes it on.
-const relayTimeout = 2 * time.Second
+// callTimeout bounds a call between hosts, at both ends.
+const callTimeout = 2 * time.Second
 
 // startFleet joins the other hosts. A host without a peer address runs alone.
 func (h *Host) startFleet() error {
@@ -63,13 +53,11 @@
 
 // handlePeer answers calls of other hosts.
 func (h *Host) handlePeer(kind string, body []byte) []byte {
-	ctx, cancel := context.WithTimeout(h.ctx, relayTimeout)
+	ctx, cancel := context.WithTimeout(h.ctx, callTimeout)
 	defer cancel()
 	switch kind {
 	case kindJournal:
 		return h.journal.Handle(ctx, body)
-	case kindRelay:
-		return h.relay(ctx, body)
 	case kindMoveState:
 		return h.serveMoveState(string(body))
 	case kindEvidence:
@@ -80,70 +68,12 @@
 	}
 }
 
-// relayed is a journal call on its way through another host.
-type relayed struct {
-	_    struct{} `cbor:",toarray"`
-	Host string
-	Body []byte
-}
-
-// relay passes a journal call on. An empty answer means that it failed, after
-// which the sender looks the state up.
-func (h *Host) relay(ctx context.Context, body []byte) []byte {
-	var r relayed
-	if err := cbor.Unmarshal(body, &r); err != nil {
-		return nil
-	}
-	answer, err := h.fleet.Call(ctx, r.Host, kindJournal, r.Body)
-	if err != nil {
-		return nil
-	}
-	return answer
-}
-
 // journalCaller reaches partition writers on other hosts.
 type journalCaller struct{ h *Host }
 
-// errNoRelay means that neither the host nor a relay could be reached.
-var errNoRelay = errors.New("no relay reached the host")
-
-// Call implements journal.Caller. A record that arrives twice takes effect
-// once, so a call without an answer may be repeated through a relay.
+// Call implements journal.Caller.
 func (c journalCaller) Call(ctx context.Context, host string, req []byte) ([]byte, error) {
-	answer, err := c.h.fleet.Call(ctx, host, kindJournal, req)
-	if err == nil || ctx.Err() != nil {
-		return answer, err
-	}
-	if answer, ok := c.relay(ctx, host, req); ok {
-		return answer, nil
-	}
-	return nil, errors.Join(err, errNoRelay)
-}
-
-func (c journalCaller) relay(ctx context.Context, host string, req []byte) ([]byte, bool) {
-	body, err := cbor.Marshal(relayed{Host: host, Body: req})
-	if err != nil {
-		return nil, false
-	}
-	for _, via := range c.h.randomPeers(host, relays) {
-		answer, err := c.h.fleet.Call(ctx, via, kindRelay, body)
-		if err == nil && len(answer) > 0 {
-			return answer, true
-		}
-	}
-	return nil, false
-}
-
-// randomPeers returns up to n live hosts other than this one and the given one.
-func (h *Host) randomPeers(except string, n int) []string {
-	var names []string
-	for _, m := range h.fleet.Members() {
-		if m.State == member.Alive && m.Name != except && m.Name != h.settings.Host.Name {
-			names = append(names, m.Name)
-		}
-	}
-	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	return names[:min(n, len(names))]
+	return c.h.fleet.Call(ctx, host, kindJournal, req)
 }
 
 // deadMembers returns the processes that membership holds to have ended: those
--- a/host/moves.go
+++ b/host/moves.go
@@ -99,7 +99,7 @@
 	if to == h.settings.Host.Name {
 		return
 	}
-	ctx, cancel := context.WithTimeout(h.ctx, relayTimeout)
+	ctx, cancel := context.WithTimeout(h.ctx, callTimeout)
 	defer cancel()
 	_, _ = h.fleet.Call(ctx, to, kindEvidence, evidence)
 }
@@ -142,7 +142,7 @@
 		return
 	}
 	h.tasks.Go(func() {
-		ctx, cancel := context.WithTimeout(h.ctx, relayTimeout)
+		ctx, cancel := context.WithTimeout(h.ctx, callTimeout)
 		defer cancel()
 		body, err := h.fleet.Call(ctx, from, kindMoveState, []byte(poolName))
 		if err != nil {
