Split the exchange by waiting, attempt and answer, and judge empty answers

An answer that held nothing but its end counted as good for its version, the time of a pause counted as slowness, and a 5xx counted as an answer in time.

--- /dev/null
+++ b/host/answer.go
@@ -0,0 +1,146 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"sardinefront.dev/core/refusal"
+	"sardinefront.dev/core/telemetry"
+	"sardinefront.dev/sched/pool"
+	"sardinefront.dev/target"
+)
+
+// cancelTimeout bounds the wait for a target to confirm a cancel.
+const cancelTimeout = 2 * time.Second
+
+// next returns the next part of the answer, or io.EOF after a verified end.
+// Any other error is a *refusal.Refusal, and the exchange has ended.
+func (x *exchange) next(ctx context.Context) ([]byte, error) {
+	for {
+		part, err := x.answer.Body.Next()
+		if err == nil {
+			x.progress()
+			return part, nil
+		}
+		if errors.Is(err, io.EOF) {
+			x.complete()
+			return nil, io.EOF
+		}
+		if ref := x.recover(ctx, err); ref != nil {
+			return nil, x.finish(ref)
+		}
+	}
+}
+
+func (x *exchange) progress() {
+	now := time.Now()
+	if x.first.IsZero() {
+		x.first = now
+		x.pool.sched.FirstByte(x.ticket.req.ID, now)
+		x.h.metrics.FirstToken(x.ticket.req.Tier, now.Sub(x.ticket.req.Arrived).Seconds())
+	}
+	if x.pool.kind == pool.Engine {
+		x.offset++
+		x.pool.sched.Progress(x.ticket.req.ID, int(x.offset), now)
+	}
+}
+
+// recover continues an answer that was paused or cut, or returns why it can't.
+func (x *exchange) recover(ctx context.Context, err error) *refusal.Refusal {
+	_ = x.answer.Body.Close()
+	if ctx.Err() != nil {
+		return x.failed(ctx, err)
+	}
+	if x.paused.Load() {
+		x.pauseAtTarget(ctx)
+		x.answer = nil
+		_, ref := x.open(ctx)
+		return ref
+	}
+	var cut *target.CutError
+	if x.answer.Streamed && errors.As(err, &cut) && x.reconnect(ctx, cut.Offset) {
+		return nil
+	}
+	return x.failed(ctx, err)
+}
+
+// pauseAtTarget stops the generation until it is resumed. It waits for the
+// engine's answer, because a cancel that arrives after the resume would end the
+// resumed stream.
+func (x *exchange) pauseAtTarget(ctx context.Context) {
+	e, ok := x.backend.(engineBackend)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	_ = e.Cancel(ctx, x.call.ID)
+}
+
+// cancelAtTarget stops the generation, so that nothing is computed for nobody.
+func (x *exchange) cancelAtTarget() {
+	e, ok := x.backend.(engineBackend)
+	if !ok {
+		return
+	}
+	id := x.call.ID
+	x.h.metrics.WastedPrefill(telemetry.WasteCancelled, x.ticket.req.PromptTokens)
+	x.h.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		_ = e.Cancel(ctx, id)
+	})
+}
+
+// complete records a whole answer.
+func (x *exchange) complete() {
+	result := pool.OK
+	if x.answer.Status >= http.StatusInternalServerError {
+		result = pool.Failed
+	}
+	x.pool.done(x.ticket, result)
+	if x.empty() {
+		// A version that answers without content is as bad as one that is cut.
+		x.observe(pool.Cut)
+	} else {
+		x.observe(result)
+	}
+	x.end()
+	req := x.ticket.req
+	if result != pool.OK {
+		return
+	}
+	if req.Deadline.IsZero() || time.Now().Before(req.Deadline) {
+		x.h.metrics.Answer(req.Tier, req.Pool)
+	}
+}
+
+// empty reports whether a stream had nothing but its terminal event.
+func (x *exchange) empty() bool {
+	return x.pool.kind == pool.Engine && x.answer.Streamed && x.offset <= 1
+}
+
+// abandon ends an exchange whose caller no longer reads the answer.
+func (x *exchange) abandon() {
+	if x.answer != nil {
+		_ = x.answer.Body.Close()
+	}
+	x.cancelAtTarget()
+	x.pool.cancel(x.ticket)
+	x.end()
+}
+
+func (x *exchange) finish(ref *refusal.Refusal) *refusal.Refusal {
+	x.end()
+	return ref
+}
+
+func (x *exchange) end() {
+	if x.stop != nil {
+		x.stop(nil)
+	}
+	x.pool.release(x.ticket)
+}
--- a/host/observe.go
+++ b/host/observe.go
@@ -32,7 +32,8 @@
 	if !x.first.IsZero() {
 		o.FirstToken = x.first.Sub(x.sent)
 	}
-	if x.offset > 1 {
+	// A pause is the host's doing and says nothing about the version.
+	if x.offset > 1 && x.ticket.pauses.Load() == 0 {
 		o.BetweenTokens = time.Since(x.first) / time.Duration(x.offset-1)
 	}
 	x.h.tracker.Observe(o, x.pool.name, time.Now())
