--- /dev/null
+++ b/proof/slopes/journal.go
@@ -0,0 +1,222 @@
+package slopes
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"sardinefront.dev/journal"
+	"sardinefront.dev/journal/claim"
+)
+
+const (
+	journalSeed = 11
+	// storeDelay is the time of each store call. Added latency is what a claim
+	// takes beyond it.
+	storeDelay = 3 * time.Millisecond
+	// runTime is the time from a claim to its outcome.
+	runTime = time.Second
+	// answerBytes is what fits the longest answer that platform/httpkv accepts,
+	// 256 MB with values in base64. A successor reads all segments in one call.
+	answerBytes = 256 << 20 * 3 / 4
+	// responseBytes is the length of a recorded response.
+	responseBytes = 300
+)
+
+// journalTimes are the spans of one journal measurement.
+type journalTimes struct{ warm, span time.Duration }
+
+// times returns spans that include the removal of rolled batches, which begins
+// after 13 s, or short ones in real time.
+func (o Options) times() journalTimes {
+	if o.Virtual == nil {
+		return journalTimes{time.Second, 3 * time.Second}
+	}
+	return journalTimes{30 * time.Second, time.Minute}
+}
+
+func (o Options) run(f func()) {
+	if o.Virtual == nil {
+		f()
+		return
+	}
+	o.Virtual(f)
+}
+
+func measureJournal(o Options) ([]Cost, error) {
+	cost := func(name, unit string, budget float64, source string) Cost {
+		return Cost{Name: name, Unit: unit, Over: "claims/s per partition", Target: claimsPerSecond, Budget: budget, Source: source}
+	}
+	log := cost("journal-log-writes", "log writes/s per partition", journalWrites, "section 2.6")
+	all := cost("journal-writes", "writes/s of 9 partitions, removals and leases included", storeWrites, "section 1.3")
+	reads := cost("journal-reads", "reads/s of 9 writers", storeReads, "section 1.3")
+	size := cost("journal-bytes", "B/s written per partition", 0, "")
+	delay := cost("journal-delay", "s added to the median claim", journalDelay, "section 2.6")
+	tm := o.times()
+	for _, rate := range []float64{50, 100, 200, 400} {
+		var t calls
+		var median time.Duration
+		var err error
+		o.run(func() { t, median, err = journalLoad(rate, tm) })
+		if err != nil {
+			return nil, err
+		}
+		s := tm.span.Seconds()
+		log.add(rate, float64(t.LogWrites)/s)
+		all.add(rate, zones*float64(t.Writes)/s)
+		reads.add(rate, zones*float64(t.Reads)/s)
+		size.add(rate, float64(t.BytesIn)/s)
+		delay.add(rate, (median - storeDelay).Seconds())
+	}
+	replays, err := measureReplay(o)
+	return append([]Cost{log, all, reads, size, delay}, replays...), err
+}
+
+// partition is a journal of one partition under measurement.
+type partition struct {
+	node *journal.Node
+	rnd  *rand.Rand
+	stop func()
+}
+
+func startPartition(kv *counted, incarnation uint64) (*partition, error) {
+	node, err := journal.New(journal.Config{
+		Self: claim.Owner{Host: "host-0", Incarnation: incarnation}, KV: kv, Partitions: 1, LeaseTTL: 4 * time.Second,
+	})
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { node.Run(ctx) })
+	rnd := rand.New(rand.NewPCG(journalSeed, incarnation))
+	p := &partition{node: node, rnd: rnd, stop: func() { cancel(); wg.Wait() }}
+	for end := time.Now().Add(20 * time.Second); !node.Writes(0); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			p.stop()
+			return nil, errors.New("no writer elected in 20 s")
+		}
+	}
+	return p, nil
+}
+
+// journalLoad returns the store calls during the span and the median time of a
+// claim.
+func journalLoad(rate float64, tm journalTimes) (calls, time.Duration, error) {
+	kv := newCounted(time.Now, storeDelay)
+	p, err := startPartition(kv, 1)
+	if err != nil {
+		return calls{}, 0, err
+	}
+	defer p.stop()
+	// The counts are of a window inside the load, which goes on after it.
+	var wg sync.WaitGroup
+	var times []time.Duration
+	wg.Go(func() { times, err = p.load(rate, tm.warm+tm.span+2*runTime) })
+	time.Sleep(tm.warm)
+	kv.reset()
+	time.Sleep(tm.span)
+	total := kv.totals()
+	wg.Wait()
+	slices.Sort(times)
+	if len(times) == 0 {
+		return total, 0, errors.Join(err, errors.New("no claims"))
+	}
+	return total, times[len(times)/2], err
+}
+
+// load claims at random times for span, gives each claim an outcome after
+// runTime and returns how long the claims took.
+func (p *partition) load(rate float64, span time.Duration) ([]time.Duration, error) {
+	var mu sync.Mutex
+	var times []time.Duration
+	var failed error
+	var wg sync.WaitGroup
+	start := time.Now()
+	for at := time.Duration(0); at < span; {
+		at += time.Duration(p.rnd.ExpFloat64() / rate * float64(time.Second))
+		time.Sleep(time.Until(start.Add(at)))
+		k := key(p.rnd)
+		wg.Go(func() {
+			took, err := p.request(k)
+			mu.Lock()
+			defer mu.Unlock()
+			times = append(times, took)
+			if failed == nil {
+				failed = err
+			}
+		})
+	}
+	wg.Wait()
+	return times, failed
+}
+
+// key returns a request key of usual lengths.
+func key(rnd *rand.Rand) claim.Key {
+	return claim.Key{Organisation: fmt.Sprintf("customer-%05d", rnd.IntN(organisations)),
+		ID: fmt.Sprintf("%016x-%016x", rnd.Uint64(), rnd.Uint64())}
+}
+
+// request takes one request through its claim and outcome.
+func (p *partition) request(k claim.Key) (time.Duration, error) {
+	start := time.Now()
+	st, err := p.node.Submit(context.Background(), claim.Record{Kind: claim.Claim, Key: k, Target: "feltdesk-1"})
+	took := time.Since(start)
+	if err != nil {
+		return took, err
+	}
+	time.Sleep(runTime)
+	_, err = p.node.Submit(context.Background(), claim.Record{Kind: claim.Outcome, Key: k, Fence: st.Fence, Phase: claim.Answered,
+		Answer: claim.Answer{Status: 200, ContentType: "application/json", Response: make([]byte, responseBytes)}})
+	return took, err
+}
+
+// measureReplay counts what a successor reads.
+func measureReplay(o Options) ([]Cost, error) {
+	reads := Cost{Name: "replay-reads", Unit: "reads of a successor", Over: "requests on record", Target: partitionRecords}
+	size := Cost{Name: "replay-bytes", Unit: "B read by a successor", Over: "requests on record", Target: partitionRecords,
+		Budget: answerBytes, Source: "platform/httpkv, maxAnswerBytes in base64"}
+	spans := []time.Duration{20 * time.Second, 40 * time.Second, 80 * time.Second}
+	if o.Virtual == nil {
+		spans = []time.Duration{1500 * time.Millisecond, 2 * time.Second, 3 * time.Second}
+	}
+	for _, span := range spans {
+		var err error
+		o.run(func() {
+			var n int
+			var t calls
+			n, t, err = replay(span)
+			reads.add(float64(n), float64(t.Reads))
+			size.add(float64(n), float64(t.BytesOut))
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	return []Cost{reads, size}, nil
+}
+
+func replay(span time.Duration) (int, calls, error) {
+	kv := newCounted(time.Now, storeDelay)
+	p, err := startPartition(kv, 1)
+	if err != nil {
+		return 0, calls{}, err
+	}
+	times, err := p.load(claimsPerSecond, span)
+	p.stop()
+	if err != nil {
+		return 0, calls{}, err
+	}
+	kv.reset()
+	next, err := startPartition(kv, 2)
+	if err != nil {
+		return 0, calls{}, err
+	}
+	t := kv.totals()
+	next.stop()
+	return len(times), t, nil
+}
--- /dev/null
+++ b/proof/slopes/peers.go
@@ -0,0 +1,106 @@
+package slopes
+
+import (
+	"fmt"
+	"time"
+
+	"sardinefront.dev/fleet"
+	"sardinefront.dev/fleet/member"
+	"sardinefront.dev/fleet/simulate"
+)
+
+// peerSeed makes the simulated fleets repeatable.
+const peerSeed = 7
+
+// peerSpan is the virtual time measured at 360 hosts; smaller fleets, which are
+// cheaper and noisier, run longer.
+const peerSpan = 100 * time.Second
+
+// peerLayouts are today's fleet and three on the way to the target.
+var peerLayouts = []simulate.Layout{
+	{Zones: 3, PerZone: 3}, {Zones: 4, PerZone: 10}, {Zones: 3, PerZone: 40}, {Zones: zones, PerZone: hostsPerZone},
+}
+
+func measurePeers(Options) ([]Cost, error) {
+	traffic := Cost{Name: "peer-bytes", Unit: "B/s sent and received per host", Over: "hosts", Target: hosts,
+		Budget: peerBytes, Source: "section 6"}
+	busiest := Cost{Name: "peer-bytes-busiest", Unit: "B/s of the busiest host, restarts included", Over: "hosts", Target: hosts}
+	messages := Cost{Name: "peer-messages", Unit: "messages sent/s per host", Over: "hosts", Target: hosts}
+	inForce := Cost{Name: "config-in-force", Unit: "s until in force on all hosts, virtual", Over: "hosts", Target: hosts,
+		Budget: inForceSeconds, Source: "section 1.5"}
+	reads := Cost{Name: "config-store-reads", Unit: "reads/s of the fleet, waiting watches not counted", Over: "watching hosts", Target: 2 * zones}
+	memory := Cost{Name: "fleet-memory", Unit: "B of heap per host for members, configuration and simulation", Over: "hosts", Target: hosts}
+	work := Cost{Name: "fleet-time", Unit: "part of a core per host, simulation included", Over: "hosts", Target: hosts, Clock: true,
+		Budget: corePart, Source: "section 1.5"}
+	for _, l := range peerLayouts {
+		l.DigestBytes = fleet.MaxDigest
+		n := l.Zones * l.PerZone
+		span := peerSpan * time.Duration(max(1, hosts/n/2))
+		warm := 50 * time.Second
+		start := time.Now()
+		r := simulate.Measure(peerSeed, l, warm, span)
+		took := time.Since(start)
+		if r.FalseDeaths > 0 {
+			return nil, fmt.Errorf("%d running hosts of %d were declared dead, seed %d", r.FalseDeaths, n, peerSeed)
+		}
+		x := float64(n)
+		traffic.add(x, r.OutPerSecond+r.InPerSecond)
+		busiest.add(x, r.HighestPerSecond)
+		messages.add(x, r.MessagesPerHost)
+		inForce.add(x, r.SlowestChange.Seconds())
+		reads.add(float64(2*l.Zones), r.StoreReads)
+		memory.add(x, float64(r.MemoryPerHost))
+		work.add(x, took.Seconds()/(warm+span).Seconds()/x)
+	}
+	return []Cost{traffic, busiest, messages, inForce, reads, memory, work}, nil
+}
+
+func (c *Cost) add(x, y float64) { c.Points = append(c.Points, Point{x, y}) }
+
+func measureMembership(Options) ([]Cost, error) {
+	memory := Cost{Name: "member-memory", Unit: "B of one host's member table", Over: "members", Target: hosts,
+		Budget: hostMemory, Source: "section 1.5"}
+	update := Cost{Name: "member-message", Unit: "s per probe received and answered", Over: "members", Target: hosts, Clock: true}
+	for _, n := range []int{40, 120, 360, 1000} {
+		now := time.Unix(1_800_000_000, 0)
+		list := memberList(n)
+		build := func() *member.Machine {
+			m := member.New(member.Config{Name: "host-0", Zone: "zone-0", Address: "10.0.0.1:7400", Incarnation: 1, Seed: 1}, now)
+			m.Hosts(list, now)
+			m.Zones()
+			return m
+		}
+		memory.add(float64(n), held(build))
+		m := build()
+		peer := member.New(member.Config{Name: "host-9", Zone: "zone-0", Address: "10.0.0.9:7400", Incarnation: 1, Seed: 2}, now)
+		peer.Hosts(list, now)
+		probes := firstProbes(peer, now)
+		if len(probes) == 0 {
+			return nil, fmt.Errorf("no probe among %d members", n)
+		}
+		seconds, _ := timed(2000, func(i int) { m.Receive(probes[i%len(probes)], now) })
+		update.add(float64(n), seconds)
+	}
+	return []Cost{memory, update}, nil
+}
+
+func memberList(n int) []member.Listed {
+	list := make([]member.Listed, n)
+	for i := range list {
+		list[i] = member.Listed{Name: fmt.Sprintf("host-%d", i), Zone: fmt.Sprintf("zone-%d", i%zones),
+			Address: fmt.Sprintf("10.%d.%d.1:7400", i/250, i%250)}
+	}
+	return list
+}
+
+// firstProbes returns the messages of a machine's first ten seconds.
+func firstProbes(m *member.Machine, now time.Time) []member.Message {
+	var found []member.Message
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		for _, s := range m.Tick(now).Send {
+			found = append(found, s.Message)
+		}
+	}
+	return found
+}
