--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -7,11 +7,13 @@
 	"errors"
 	"fmt"
 	"io"
-	"sync"
 	"text/tabwriter"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"sardinefront.dev/core/request"
+	"sardinefront.dev/standin/engine"
 	"sardinefront.dev/standin/platformd"
 )
 
@@ -35,6 +37,7 @@
 	runs       map[string]int
 	prefilled  int64
 	violations []string
+	move       string
 }
 
 // Run performs the demo. logs receives the hosts' log records.
@@ -54,6 +57,9 @@
 		return err
 	}
 	writeTable(out, own, base)
+	for _, r := range own {
+		fmt.Fprintf(out, "%s: version move: %s\n", r.deployment, r.move)
+	}
 	broken := 0
 	for _, r := range own {
 		for _, v := range r.violations {
@@ -73,7 +79,7 @@
 	all := deployments()
 	reports := make([]*report, len(all))
 	errs := make([]error, len(all))
-	var wg sync.WaitGroup
+	var wg conc.WaitGroup
 	for i := range all {
 		wg.Go(func() { reports[i], errs[i] = run(&all[i], i) })
 	}
@@ -96,12 +102,20 @@
 	jobs := makeLoad(d, seed)
 	s := &fleetCaller{hosts: hosts, client: newClient()}
 	r := &report{deployment: d.name, scheduler: s, jobs: jobs}
+	move := &badMove{engines: targets.engines[:d.onNewVersion()], hosts: hosts, to: d.newVersion(), last: make(map[*engine.Server]int)}
+	started := time.Now()
+	watching, stopWatching := context.WithCancel(ctx)
+	var watch conc.WaitGroup
+	watch.Go(func() { move.watch(watching) })
 	r.results = replay(ctx, s, jobs, faults(d, hosts), out)
+	stopWatching()
+	watch.Wait()
 	stopping, stop := context.WithTimeout(context.Background(), stopTimeout)
 	defer stop()
 	hosts.close(stopping)
 	r.runs, r.prefilled = targets.runs(), targets.prefilled()
-	r.violations = violations(s, jobs, r.results, r.runs)
+	r.violations = append(violations(s, jobs, r.results, r.runs), move.violations(targets.engineRuns())...)
+	r.move = move.summary(started, targets.engineRuns())
 	return r, nil
 }
 
--- a/cmd/internal/demo/phase.go
+++ b/cmd/internal/demo/phase.go
@@ -7,8 +7,9 @@
 	"io"
 	"slices"
 	"strings"
-	"sync"
 	"time"
+
+	"github.com/sourcegraph/conc"
 )
 
 // settleFor is how long requests may go on after the last arrival.
@@ -39,7 +40,7 @@
 	defer cancel(nil)
 	results := make([]result, len(jobs))
 	start := time.Now()
-	var wg sync.WaitGroup
+	var wg conc.WaitGroup
 	for _, f := range faults {
 		wg.Go(func() {
 			if wait(ctx, f.at) {
--- a/fleet/peer/transport.go
+++ b/fleet/peer/transport.go
@@ -32,6 +32,9 @@
 
 	ReloadEvery      time.Duration // how often the key files are read; 10 s
 	HandshakeTimeout time.Duration // 3 s
+	// ConnectTimeout is how long a call waits for a connection; 1 s. It leaves
+	// the caller time to try another way.
+	ConnectTimeout time.Duration
 	// IdleTimeout closes unused connections; 2 min. It exceeds the time in
 	// which the probes of a zone come round, so zone connections stay open.
 	IdleTimeout time.Duration
@@ -49,6 +52,7 @@
 func (c Config) withDefaults() Config {
 	c.ReloadEvery = cmp.Or(c.ReloadEvery, 10*time.Second)
 	c.HandshakeTimeout = cmp.Or(c.HandshakeTimeout, 3*time.Second)
+	c.ConnectTimeout = cmp.Or(c.ConnectTimeout, time.Second)
 	c.IdleTimeout = cmp.Or(c.IdleTimeout, 2*time.Minute)
 	c.SilentAfter = cmp.Or(c.SilentAfter, 2*time.Second)
 	c.RedialAfter = cmp.Or(c.RedialAfter, time.Second)
@@ -106,6 +110,9 @@
 	links map[string]*link // by address
 	conns map[*quic.Conn]struct{}
 	ended Stats // totals of closed connections
+	// windowStart and windowLogged limit the logging of rejections.
+	windowStart  time.Time
+	windowLogged int
 }
 
 // New opens the socket and starts to accept connections. The error names the
@@ -208,9 +215,29 @@
 // reject counts and logs a peer whose certificate does not verify.
 func (t *Transport) reject(cs tls.ConnectionState, err error) {
 	t.rejected.Add(1)
+	if !t.mayLogRejection() {
+		return
+	}
 	event.PeerRejected.Log(t.cfg.Logger, slog.String("name", nameOf(cs.PeerCertificates)), slog.Any("error", err))
 }
 
+// Rejections logged per window; all are counted. Anyone who reaches the port can
+// cause one.
+const (
+	rejectionWindow  = 10 * time.Second
+	rejectionsLogged = 10
+)
+
+func (t *Transport) mayLogRejection() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now := time.Now(); now.Sub(t.windowStart) >= rejectionWindow {
+		t.windowStart, t.windowLogged = now, 0
+	}
+	t.windowLogged++
+	return t.windowLogged <= rejectionsLogged
+}
+
 // watchKeys reads the key files again and closes connections whose peers the
 // current authorities no longer accept, or whose certificate has expired.
 func (t *Transport) watchKeys() {
--- a/host/targets.go
+++ b/host/targets.go
@@ -31,6 +31,7 @@
 	defer tick.Stop()
 	for {
 		h.updateTargets()
+		h.updateFeeders()
 		select {
 		case <-h.ctx.Done():
 			return
@@ -49,7 +50,12 @@
 		return
 	}
 	for name, runner := range *h.pools.Load() {
-		runner.setTargets(listed[name], h.settings)
+		infos := listed[name]
+		runner.infos.Store(&infos)
+		// The shares come first, so that no version receives more than its own
+		// even at the start.
+		h.applyShares(runner)
+		runner.setTargets(infos, h.settings)
 	}
 }
 
--- a/moves/steer/next.go
+++ b/moves/steer/next.go
@@ -13,7 +13,8 @@
 // given up and the next target is tried.
 const loadPatience = 3
 
-// suspectPause is the time between two additional loads for a suspect version.
+// suspectPause is the time between two additional loads while the evidence is in
+// doubt.
 const suspectPause = 2 * time.Minute
 
 // Next returns the state that follows. It never changes s. Reports are to be
@@ -95,10 +96,19 @@
 	if m.From == m.To {
 		return "both versions are the same"
 	}
+	live, serves := 0, false
 	for _, t := range r.in.Targets {
-		if !t.Leaving && (t.Version == m.From || t.Version == m.To) {
-			return ""
+		if t.Leaving {
+			continue
 		}
+		live++
+		serves = serves || t.Version == m.From || t.Version == m.To
+	}
+	if live == 1 {
+		return "a move needs two targets; with one there is nothing to compare"
+	}
+	if serves {
+		return ""
 	}
 	return fmt.Sprintf("no target serves version %s", m.From)
 }
@@ -137,13 +147,8 @@
 }
 
 func (r *run) running() {
-	if r.in.Halt != "" || r.in.Verdict.Bad {
-		why := r.in.Halt
-		if why == "" {
-			why = r.in.Verdict.Reason()
-		}
-		r.end(TakenBack, why)
-		r.report(TookBack, "%s", why)
+	if why := r.fault(); why != "" {
+		r.takeBack(why)
 		return
 	}
 	if !r.amend() {
@@ -151,12 +156,41 @@
 		r.report(Removed, "the rule was removed")
 		return
 	}
+	if why := r.unproven(); why != "" {
+		r.takeBack(why)
+		return
+	}
 	r.lateness()
 	r.confirm()
 	r.advance()
 	r.share()
 }
 
+// fault returns why the version is bad; empty if it is not.
+func (r *run) fault() string {
+	if r.in.Halt != "" {
+		return r.in.Halt
+	}
+	if r.in.Verdict.Bad {
+		return r.in.Verdict.Reason()
+	}
+	return ""
+}
+
+// unproven returns why a version that is in doubt at its deadline is given up;
+// empty if it is not.
+func (r *run) unproven() string {
+	if r.in.Now.Before(r.Move.By) || r.Step == lastStep || !(r.in.Verdict.Suspect || r.in.Verdict.Doubtful) {
+		return ""
+	}
+	return "still in doubt at the deadline: " + r.in.Verdict.Reason()
+}
+
+func (r *run) takeBack(why string) {
+	r.end(TakenBack, why)
+	r.report(TookBack, "%s", why)
+}
+
 // amend follows changes of the rule. It reports whether the rule still exists.
 func (r *run) amend() bool {
 	for _, m := range r.in.Moves {
@@ -230,13 +264,17 @@
 // advance loads what the step needs, and goes to the next step when the stay is
 // over and the evidence allows it.
 func (r *run) advance() {
-	if r.loaded < min(r.live/2, Wanted(r.Step, r.live)+r.Extra) || (r.Step == lastStep && r.loaded < r.live) {
+	if (r.Step < lastStep && r.loaded < min(Spare(r.Step, r.live), Wanted(r.Step, r.live)+r.Extra)) ||
+		(r.Step == lastStep && r.loaded < r.live && !r.in.Verdict.Suspect) {
 		r.loadNext()
 	}
 	if r.in.Verdict.Suspect {
-		r.widenSample()
+		r.widenSample(0)
 		return
 	}
+	if r.in.Verdict.Doubtful {
+		r.widenSample(r.dwell())
+	}
 	if r.in.Now.Sub(r.Since) < r.dwell() || !r.allowed() {
 		return
 	}
@@ -254,22 +292,25 @@
 	r.report(Stepped, "%.0f%%", 100*Steps[next].Share)
 }
 
-// widenSample loads one more target while the version is suspect, as long as
-// the share is small: more targets tell whether the targets or the version are
-// slow.
-func (r *run) widenSample() {
-	small := r.Step > 0 && r.Step < firstProven
-	if !small || r.Loading.Target != "" || r.in.Now.Sub(r.Since) < suspectPause {
+// widenSample loads one more target while the evidence is in doubt, without a
+// larger share: more targets tell whether the targets or the version are slow.
+func (r *run) widenSample(from time.Duration) {
+	spent := r.in.Now.Sub(r.Since)
+	if r.Step == 0 || r.Step == lastStep || r.Loading.Target != "" || spent < from+time.Duration(r.Extra+1)*suspectPause {
 		return
 	}
-	if want := Wanted(r.Step, r.live) + r.Extra; want < r.live/2 && r.loaded >= want {
+	if want := Wanted(r.Step, r.live) + r.Extra; want < Spare(r.Step, r.live) && r.loaded >= want {
 		r.Extra++
 		r.loadNext()
 	}
 }
 
 func (r *run) dwell() time.Duration {
-	return time.Duration(float64(Steps[r.Step].Dwell) * max(1, r.Stretch))
+	stretch := max(1, r.Stretch)
+	if r.Step == lastStep {
+		stretch = 1 // no old target is left to compare with
+	}
+	return time.Duration(float64(Steps[r.Step].Dwell) * stretch)
 }
 
 // allowed reports whether the evidence permits leaving the step.
@@ -289,32 +330,6 @@
 	r.report(Finished, "all %d targets serve version %s", r.live, r.Move.To)
 }
 
-// share sets the shares of the step. Without a loaded target there is none.
-func (r *run) share() {
-	if r.Phase != Running {
-		return
-	}
-	s := Steps[r.Step]
-	share, urgent := s.Share, s.Urgent
-	if r.Step < firstProven {
-		share = min(share, r.Move.atMost())
-	}
-	if r.Step == lastStep && r.live > 0 {
-		share = max(Steps[lastStep-1].Share, float64(r.loaded)/float64(r.live))
-		urgent = share
-	}
-	if r.in.OnlyUrgent {
-		urgent = share
-	}
-	if r.loaded == 0 {
-		share, urgent = 0, 0
-	}
-	for t := range r.Shares {
-		r.Shares[t] = share
-	}
-	r.Shares[request.Urgent] = urgent
-}
-
 // restore loads the old version again where the new one is, one target at a
 // time.
 func (r *run) restore() {
--- a/moves/tracker.go
+++ b/moves/tracker.go
@@ -161,11 +161,12 @@
 		return
 	}
 	tr.countTier(o.Tier)
-	k := judge.Key{Route: o.Route, Urgent: o.Tier == request.Urgent, New: o.Version == s.Move.To, Group: s.Group(o.Target)}
+	k := judge.Key{RouteKey: judge.RouteKey{Route: o.Route, Urgent: o.Tier == request.Urgent},
+		New: o.Version == s.Move.To, Group: s.Group(o.Target)}
 	tr.evidence.Observe(t.host, now, k, o.Result, o.FirstToken, o.BetweenTokens)
 }
 
-// tierMemory bounds the counts from which OnlyUrgent is derived.
+// tierMemory bounds the counts from which UrgentShare is derived.
 const tierMemory = 10000
 
 func (tr *track) countTier(t request.Tier) {
@@ -180,11 +181,13 @@
 	}
 }
 
-// onlyUrgent reports that fewer than 5% of at least 100 requests were not
-// urgent.
-func (tr *track) onlyUrgent() bool {
+// urgentShare returns the part of urgent requests; 0 before 100 requests.
+func (tr *track) urgentShare() float64 {
 	n := tr.urgent + tr.other
-	return n >= 100 && tr.other*20 < n
+	if n < 100 {
+		return 0
+	}
+	return float64(tr.urgent) / float64(n)
 }
 
 // Check weighs the evidence of all running moves. It returns new halts, which
@@ -235,13 +238,20 @@
 	return fresh
 }
 
-// Halts returns all halts in order of move id, for digests and new hosts.
+// Halts returns the halts that no state records yet, in order of move id. Send
+// them with every digest, and to new hosts.
 func (t *Tracker) Halts() []Halt {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	all := make([]Halt, 0, len(t.halts))
+	var all []Halt
 	for _, id := range slices.Sorted(maps.Keys(t.halts)) {
-		all = append(all, t.halts[id])
+		h := t.halts[id]
+		if tr := t.pools[h.Pool]; tr != nil {
+			if _, recorded := tr.state.Ended[id]; recorded {
+				continue
+			}
+		}
+		all = append(all, h)
 	}
 	return all
 }
@@ -255,9 +265,9 @@
 
 // View is what the controller needs from the evidence.
 type View struct {
-	Verdict    judge.Verdict
-	Halt       string
-	OnlyUrgent bool
+	Verdict     judge.Verdict
+	Halt        string
+	UrgentShare float64
 }
 
 // View returns the result of the last Check for the pool.
@@ -268,7 +278,7 @@
 	if tr == nil {
 		return View{}
 	}
-	v := View{Verdict: tr.verdict, OnlyUrgent: tr.onlyUrgent()}
+	v := View{Verdict: tr.verdict, UrgentShare: tr.urgentShare()}
 	if h := t.haltOf(tr.state); h != nil {
 		v.Halt = h.Reason + ", established by " + h.By
 	}
--- a/sched/pick/load.go
+++ b/sched/pick/load.go
@@ -21,6 +21,9 @@
 type Load struct {
 	// Own and OwnTokens count this host's work in progress.
 	Own, OwnTokens atomic.Int64
+	// Pending counts the prompt tokens that this host has sent there and that
+	// are not computed yet, as far as it knows.
+	Pending atomic.Int64
 	// Others and OthersTokens estimate the work of other hosts.
 	Others, OthersTokens number
 	// Limit and TokenLimit bound the work of all hosts; TokenLimit 0 is none.
@@ -35,6 +38,8 @@
 	Fresh number
 	// Allowance bounds Own where hosts divide the limits; negative is none.
 	Allowance atomic.Int64
+	// Unfit targets cannot meet the objectives of the tiers above Patient.
+	Unfit atomic.Bool
 	// Trial admits one request at a time.
 	Trial atomic.Bool
 
@@ -84,6 +89,8 @@
 	// borrowed says that the host would exceed its allowance.
 	borrowed bool
 	full     bool
+	// idle says that nothing is in progress.
+	idle bool
 }
 
 // room judges whether the target can start a request of the tier. Estimates
@@ -94,10 +101,17 @@
 // estimates, hosts cannot overload the target together. Beyond it, a host
 // borrows only where the estimate leaves a margin that grows with its age.
 func (l *Load) room(tier request.Tier, tokens int, c *Config) use {
-	own := l.Own.Load()
+	return l.roomWith(l.Own.Load(), tier, tokens, c)
+}
+
+// roomWith is room as if this host had own requests at the target.
+func (l *Load) roomWith(own int64, tier request.Tier, tokens int, c *Config) use {
 	if l.Trial.Load() {
 		return use{full: own > 0}
 	}
+	if tier != request.Patient && l.Unfit.Load() {
+		return use{full: true}
+	}
 	limit := l.Limit.Get() * l.Weight.Get()
 	if c.OwnCountsOnly {
 		return l.ownRoom(own, limit, c)
@@ -116,6 +130,7 @@
 		slack += limit * withinSlack
 	}
 	if total < idle {
+		u.idle = true
 		return u
 	}
 	u.full = total+1 > c.capacity(limit, tier, l.dither)+slack
--- a/sched/pool/floors.go
+++ b/sched/pool/floors.go
@@ -8,45 +8,47 @@
 )
 
 const (
-	// blockGrace is how long a request waits for room before the floor is
-	// raised, or half the time left to its latest start if that is shorter.
-	// Most gaps close within it because a request on this host ends; a floor
-	// stops the lower tiers of the whole zone.
-	blockGrace = 100 * time.Millisecond
 	// firstFloor is the length of a first floor. Each renewal doubles it up to
 	// Limits.Floor, so a short shortage stops lower tiers only briefly and a
 	// long one costs few messages.
 	firstFloor = 500 * time.Millisecond
-	// pauseParts is in how many steps of a tick running patient work is paused
-	// under a floor; 8 steps take 400 ms, less than the first floor. A floor
-	// that ends sooner has not paused everything.
-	pauseParts = 8
+	// pauseAfter is how long floors must have lasted without a gap before running
+	// patient work is paused for a floor that is not urgent: a paused request
+	// computes its prompt and answer again, and most shortages end sooner. The
+	// host that has the shortage pauses its own work at once.
+	pauseAfter = time.Second
+	// pauseEvery is the time between two such pauses of one host.
+	pauseEvery = 200 * time.Millisecond
 )
 
 // floors is this host's part in raising floors and pausing work.
 type floors struct {
-	length   [request.TierCount]time.Duration
+	length [request.TierCount]time.Duration
+	// known is the end of the floors that all hosts of the zone were told of. One
+	// that only a digest mentioned need not be known to the others.
+	known    [request.TierCount]time.Time
 	pausedAt time.Time
-	quota    int
+	since    time.Time // start of the floors that are active without a gap
 }
 
-// block records that the first request of a tier finds no room and raises the
-// floor after the grace.
+// block records that the first request of a tier finds no room. The floor is
+// raised at once: lower work that starts while the request waits would have
+// been served before it if the request had to be refused in the end.
 func (p *Pool) block(out []Action, tier request.Tier, now time.Time) []Action {
 	if tier == request.Patient {
 		return out
 	}
-	if p.blocked[tier].IsZero() {
-		p.blocked[tier] = now
-	}
-	grace := blockGrace
-	if next := p.queue.NextExpiry(); !next.IsZero() {
-		grace = min(grace, next.Sub(p.blocked[tier])/2)
-	}
-	if now.Sub(p.blocked[tier]) < grace {
+	return p.raiseFloor(out, tier, now)
+}
+
+// keepFloor renews the floor for interactive requests that wait behind an urgent
+// floor. Else patient work would start in the time between the end of that floor
+// and the next look at the queue.
+func (p *Pool) keepFloor(out []Action, now time.Time) []Action {
+	if p.queue.Len(request.Interactive) == 0 {
 		return out
 	}
-	return p.raiseFloor(out, tier, now)
+	return p.raiseFloor(out, request.Interactive, now)
 }
 
 // raiseFloor raises or renews the floor of a tier unless one that stops the
@@ -54,8 +56,8 @@
 func (p *Pool) raiseFloor(out []Action, tier request.Tier, now time.Time) []Action {
 	left := p.floorLeft(tier, now)
 	length := &p.floors.length[tier]
-	if left <= 0 {
-		*length = min(firstFloor, p.cfg.Limits.Floor)
+	if first := min(firstFloor, p.cfg.Limits.Floor); left <= 0 || *length < first {
+		*length = first
 	}
 	if left > *length/2 {
 		return out
@@ -65,16 +67,18 @@
 	}
 	until := now.Add(*length)
 	p.queue.SetFloor(tier, until)
+	p.floors.known[tier] = until
 	why := fmt.Sprintf("%d %s requests wait without room", p.queue.Len(tier), tier)
 	p.ring.add("", Decision{At: now, Kind: RaiseFloor, Why: why})
 	return append(out, Action{Kind: RaiseFloor, Tier: tier, Until: until, Why: why})
 }
 
-// floorLeft returns how long the tiers below tier are still stopped.
+// floorLeft returns how long the tiers below tier are still stopped on all hosts
+// of the zone.
 func (p *Pool) floorLeft(tier request.Tier, now time.Time) time.Duration {
 	left := time.Duration(0)
 	for t := request.Urgent; t <= tier; t++ {
-		left = max(left, p.queue.FloorUntil(t).Sub(now))
+		left = max(left, p.floors.known[t].Sub(now))
 	}
 	return left
 }
@@ -87,9 +91,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.acceptFloor(t, until, from, now)
+	if end := p.queue.FloorUntil(t); t < request.Patient && until.After(p.floors.known[t]) {
+		p.floors.known[t] = minTime(until, end)
+	}
 	return p.pauseStep(nil, now)
 }
 
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func (p *Pool) acceptFloor(t request.Tier, until time.Time, from string, now time.Time) {
 	if t >= request.Patient || !until.After(now) {
 		return
@@ -103,25 +117,28 @@
 	}
 }
 
-// pauseStep pauses a part of the running patient work while a floor is active.
+// pauseStep pauses one running patient request, the newest, while floors last.
 // Work at a leaving target goes on: nothing else may start there.
 func (p *Pool) pauseStep(out []Action, now time.Time) []Action {
-	if _, active := p.queue.Floor(now); !active {
-		p.floors.quota = 0
+	tier, active := p.queue.Floor(now)
+	if !active {
+		p.floors.since = time.Time{}
 		return out
 	}
-	if now.Sub(p.floors.pausedAt) < tickInterval {
+	if p.floors.since.IsZero() {
+		p.floors.since = now
+	}
+	if tier != request.Urgent && now.Sub(p.floors.since) < pauseAfter {
 		return out
 	}
-	p.floors.pausedAt = now
-	if p.floors.quota == 0 {
-		p.floors.quota = (len(p.patient) + pauseParts - 1) / pauseParts
+	if now.Sub(p.floors.pausedAt) < pauseEvery {
+		return out
 	}
-	left := max(1, p.floors.quota)
-	for i := len(p.patient) - 1; i >= 0 && left > 0; i-- {
-		if e := p.patient[i]; !e.target.Leaving && !e.target.gone {
-			out = p.pause(out, e, "floor", now)
-			left--
+	for i := len(p.patient) - 1; i >= 0; i-- {
+		t := p.patient[i].target
+		if !t.Leaving && !t.gone && !t.load.Unfit.Load() {
+			p.floors.pausedAt = now
+			return p.pause(out, p.patient[i], "floor", now)
 		}
 	}
 	return out
--- a/sched/pool/targets.go
+++ b/sched/pool/targets.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"sardinefront.dev/core/refusal"
@@ -25,9 +27,15 @@
 	runs []*entry
 	// bound holds paused or taken-over requests that resume only here.
 	bound []*entry
+	// alarm is the lowered limit of a target that far misses its goals, as seen
+	// by this host or a peer, and alarmAt when it was seen.
+	alarm   float64
+	alarmAt time.Time
 	// draw is a uniform hash of host and target in [0, 1).
 	draw float64
 	gone bool
+	// express targets take no patient work while there is work of higher tiers.
+	express bool
 }
 
 func (t *target) ejected() bool { return t.health.State() == health.Ejected }
@@ -60,7 +68,9 @@
 		}
 		p.addTarget(t)
 	}
+	p.anyLocal = slices.ContainsFunc(ts, func(t Target) bool { return t.Local })
 	p.rehash()
+	p.chooseExpress()
 	p.rebuild()
 	out = p.refresh(out, now)
 	return p.place(out, now)
@@ -152,8 +162,31 @@
 	}
 }
 
+// expressPart is one over the part of the zone's targets that are express.
+const expressPart = 4
+
+// chooseExpress marks the same targets of the zone on all hosts: those with the
+// least hashes.
+func (p *Pool) chooseExpress() {
+	var local []*target
+	for _, t := range p.slots {
+		if t == nil {
+			continue
+		}
+		t.express = false
+		if t.Local && !t.Leaving && p.cfg.Kind == Engine {
+			local = append(local, t)
+		}
+	}
+	slices.SortFunc(local, func(a, b *target) int { return cmp.Compare(a.hash, b.hash) })
+	for _, t := range local[:len(local)/expressPart] {
+		t.express = true
+	}
+}
+
 // rebuild swaps the snapshot after a change of the list or of health.
 func (p *Pool) rebuild() {
+	p.changes++
 	ids := make([]uint64, len(p.slots))
 	ts := make([]pick.Target, len(p.slots))
 	ejected, all := 0, 0
@@ -171,14 +204,14 @@
 	for i, t := range p.slots {
 		if t != nil {
 			open := !t.Leaving && (p.inPanic || !t.ejected())
-			ts[i] = pick.Target{Name: t.Name, Version: t.Version, Local: t.Local, Open: open, Load: t.load}
+			ts[i] = pick.Target{Express: t.express && p.anyHigher, Name: t.Name, Version: t.Version, Local: t.Local, Open: open, Load: t.load}
 		}
 	}
 	if p.history != nil {
 		p.homes = prefix.NewHomes(ids, p.homes)
 	}
 	c := pick.Config{
-		Headroom:      p.cfg.Limits.Headroom,
+		Headroom:      p.headroom,
 		Hosts:         p.cfg.Hosts,
 		OwnCountsOnly: p.cfg.Sharing == TwoChoices,
 		AllowanceOnly: p.cfg.Sharing == HostShares,
