--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,10 @@
 bench: build
 	bin/sardinectl bench
 
+# Measures the slopes behind docs/CAPACITY.md.
+slopes: build
+	bin/sardinectl slopes
+
 # Explores the claim protocol.
 explore: build
 	bin/sardinectl explore
--- a/cmd/internal/ctl/ctl.go
+++ b/cmd/internal/ctl/ctl.go
@@ -115,6 +115,7 @@
 		demoCommand(),
 		benchCommand(),
 		exploreCommand(),
+		slopesCommand(),
 		scenariosCommand(),
 		standinCommand(),
 	}
--- a/cmd/internal/ctl/proof.go
+++ b/cmd/internal/ctl/proof.go
@@ -8,6 +8,7 @@
 	"sardinefront.dev/journal/explore"
 	"sardinefront.dev/proof/bench"
 	"sardinefront.dev/proof/scenario"
+	"sardinefront.dev/proof/slopes"
 )
 
 func benchCommand() command {
@@ -43,3 +44,9 @@
 	sub.AddPositionalValue(&dir, "directory", 1, false, "where the scenarios are")
 	return command{sub: sub, run: func(e *env) error { return scenario.Run(dir, e.out) }}
 }
+
+func slopesCommand() command {
+	sub := flaggy.NewSubcommand("slopes")
+	sub.Description = "Measures how each cost grows and works out its value at the target size."
+	return command{sub: sub, run: func(e *env) error { return slopes.Run(e.out) }}
+}
