Tell from the share map whether its move still runs

Cause: the share map stays after a move, and a host must know whether a serve rule takes precedence. Change: Shares has the move's phase. Conclusion: no behaviour of this module changes.

--- a/moves/tracker.go
+++ b/moves/tracker.go
@@ -30,13 +30,16 @@
 	FirstToken, BetweenTokens time.Duration
 }
 
-// Shares is the share map of one pool. It is immutable.
+// Shares is the share map of one pool. It is immutable. It stays after the move
+// has ended; a serve rule without a move rule takes precedence unless Phase is
+// Running.
 type Shares struct {
 	Move, From, To string
 	// ByTier is the share of requests for version To, 0 to 1.
 	ByTier [request.TierCount]float64
 	// Halted means that nothing may be sent to version To.
 	Halted bool
+	Phase  steer.Phase
 	Step   int
 	Seq    uint64
 }
@@ -128,7 +131,7 @@
 			continue
 		}
 		next[pool] = &Shares{Move: s.ID, From: s.Move.From, To: s.Move.To, ByTier: s.Shares,
-			Halted: t.haltOf(s) != nil, Step: s.Step, Seq: s.Seq}
+			Halted: t.haltOf(s) != nil, Phase: s.Phase, Step: s.Step, Seq: s.Seq}
 	}
 	t.shares.Store(&next)
 }
