Bound the unfairness of serving fresh requests first, and refuse late ones

Change: an organisation has one start time in both queues of a tier; late requests go first when it is more than 1,000 tokens behind; an interactive request is refused as not run 1 s after it missed the objective. Urgent ones keep their deadline.

--- a/sched/flow/fair.go
+++ b/sched/flow/fair.go
@@ -12,6 +12,9 @@
 	idle          startHeap // organisations without items, ahead of virtual time
 	virtual       float64
 	count         int
+	// other is the queue of the same organisations' late items, or the reverse.
+	// An organisation that is in both has the same start time in both.
+	other *fair
 }
 
 // maxIdle bounds the organisations of a tier that are remembered without
@@ -33,6 +36,9 @@
 	o := f.organisations[it.Request.Organisation]
 	if o == nil {
 		o = &organisation{name: it.Request.Organisation, start: f.virtual, index: -1}
+		if s := f.sibling(o.name); s != nil {
+			o.start = max(o.start, s.start)
+		}
 		f.organisations[o.name] = o
 	}
 	o.weight = weight
@@ -61,9 +67,41 @@
 	if o.live > 0 {
 		return o.start
 	}
+	if s := f.sibling(o.name); s != nil && s.live > 0 {
+		return s.start
+	}
 	return f.virtual
 }
 
+// sibling returns the state of the organisation in the other queue, or nil.
+func (f *fair) sibling(name string) *organisation {
+	if f.other == nil {
+		return nil
+	}
+	return f.other.organisations[name]
+}
+
+// mirror gives the organisation the same start time in the other queue.
+func (f *fair) mirror(o *organisation) {
+	if f.other == nil {
+		return
+	}
+	f.other.virtual = max(f.other.virtual, f.virtual)
+	s := f.other.organisations[o.name]
+	if s == nil {
+		return
+	}
+	s.start = o.start
+	if s.live > 0 {
+		heap.Fix(&f.other.waiting, s.index)
+	} else {
+		heap.Fix(&f.other.idle, s.index)
+	}
+}
+
+// lead returns the start time of the head's organisation.
+func (f *fair) lead() float64 { return f.waiting[0].start }
+
 func (f *fair) head() *Item {
 	if len(f.waiting) == 0 {
 		return nil
@@ -77,6 +115,7 @@
 	f.virtual = max(f.virtual, o.start)
 	o.start += it.Cost / o.weight
 	f.remove(it)
+	f.mirror(o)
 }
 
 func (f *fair) remove(it *Item) {
--- a/sched/flow/flow.go
+++ b/sched/flow/flow.go
@@ -33,6 +33,7 @@
 	FreshUntil time.Time
 
 	queue    *fair
+	lags     bool // late, but due before the fresh items
 	org      *organisation
 	place    int // index in org.items while waiting
 	deadline int // index in the deadline heap, -1 if it never expires
@@ -61,6 +62,7 @@
 	for t := range q.tiers {
 		q.tiers[t].organisations = map[string]*organisation{}
 		q.late[t].organisations = map[string]*organisation{}
+		q.late[t].other, q.tiers[t].other = &q.tiers[t], &q.late[t]
 	}
 	return q
 }
@@ -111,16 +113,26 @@
 		if request.Tier(t) > floor {
 			break
 		}
-		if it := q.fresh(request.Tier(t), now); it != nil {
-			return it, expired
-		}
-		if it := q.late[t].head(); it != nil {
-			return it, expired
+		fresh, late := q.fresh(request.Tier(t), now), q.late[t].head()
+		switch {
+		case fresh != nil && late != nil && q.late[t].lead()+lateLag < q.tiers[t].lead():
+			late.lags = true
+			return late, expired
+		case fresh != nil:
+			return fresh, expired
+		case late != nil:
+			late.lags = false
+			return late, expired
 		}
 	}
 	return nil, expired
 }
 
+// lateLag is how many tokens an organisation whose requests are all late may be
+// behind the next fresh request before it is served first. It bounds what
+// serving fresh requests first costs in fairness.
+const lateLag = 1000
+
 // fresh returns the next fresh item of a tier. Items that have become late are
 // set aside without a charge: serving them first would make the others late too.
 func (q *Queue) fresh(t request.Tier, now time.Time) *Item {
@@ -200,8 +212,9 @@
 // Len returns the number of waiting items of a tier.
 func (q *Queue) Len(t request.Tier) int { return q.tiers[t].count + q.late[t].count }
 
-// Late reports whether the item was set aside because it waited too long.
-func (it *Item) Late(q *Queue) bool { return it.queue == &q.late[it.Request.Tier] }
+// Late reports whether the item was set aside because it waited too long, unless
+// its organisation is due.
+func (it *Item) Late(q *Queue) bool { return it.queue == &q.late[it.Request.Tier] && !it.lags }
 
 // Waits reports whether an item with this id waits.
 func (q *Queue) Waits(id string) bool { return q.items[id] != nil }
--- a/sched/flow/flow_test.go
+++ b/sched/flow/flow_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"strings"
 	"testing"
 	"time"
 
@@ -186,3 +187,30 @@
 		}
 	}
 }
+
+// Guards against late items that make fresh ones late too, and against an
+// organisation that falls behind because all of its items are late.
+func TestLateItemsWaitUnlessTheirOrganisationIsDue(t *testing.T) {
+	q := New(Config{Waiting: [request.TierCount]int{10, 10, 10}})
+	now := time.Date(2027, 1, 1, 0, 0, 0, 0, time.UTC)
+	push := func(id, org string, fresh time.Duration) {
+		r := &request.Request{ID: id, Organisation: org, Tier: request.Interactive}
+		q.Push(&Item{Request: r, Cost: 0.6 * lateLag, FreshUntil: now.Add(fresh)}, now)
+	}
+	push("late", "a", time.Second)
+	for _, id := range []string{"1", "2", "3", "4"} {
+		push(id, "b", time.Minute)
+	}
+	now = now.Add(2 * time.Second)
+	var order []string
+	for it, _ := q.Next(now); it != nil; it, _ = q.Next(now) {
+		if it.Late(q) {
+			t.Errorf("%s is taken as late although its organisation is due", it.Request.ID)
+		}
+		order = append(order, it.Request.ID)
+		q.Take(it)
+	}
+	if got := strings.Join(order, " "); got != "1 2 late 3 4" {
+		t.Errorf("served %s", got)
+	}
+}
--- a/sched/pool/requests.go
+++ b/sched/pool/requests.go
@@ -39,13 +39,22 @@
 	return p.place(nil, now)
 }
 
+// lateFor is how long an interactive request is kept that has missed the
+// objective for its first token. Under lasting overload it would wait in vain,
+// keep patient work stopped, and set its organisation behind the others.
+const lateFor = 1 * time.Second
+
 // latestStart returns when the request must start to meet its deadline, zero
 // if it has none. A patient request is never given up on an estimate.
 func (p *Pool) latestStart(r *request.Request) time.Time {
 	if r.Deadline.IsZero() || r.Tier == request.Patient {
 		return r.Deadline
 	}
-	return r.Deadline.Add(-p.service.estimate(r))
+	latest := r.Deadline.Add(-p.service.estimate(r))
+	if fresh := p.freshUntil(r); r.Tier == request.Interactive && !fresh.IsZero() {
+		latest = minTime(latest, fresh.Add(lateFor))
+	}
+	return latest
 }
 
 // freshUntil returns when the request must start to meet the objective for its
