--- a/sched/pool/floors.go
+++ b/sched/pool/floors.go
@@ -11,7 +11,7 @@
 	// firstFloor is the length of a first floor. Each renewal doubles it up to
 	// Limits.Floor, so a short shortage stops lower tiers only briefly and a
 	// long one costs few messages.
-	firstFloor = 500 * time.Millisecond
+	firstFloor = 200 * time.Millisecond
 	// pauseAfter is how long floors must have lasted without a gap before running
 	// patient work is paused for a floor that is not urgent: a paused request
 	// computes its prompt and answer again, and most shortages end sooner. The
