Repeat a cancel that overtakes its request, and hand paused work over at a stop

Change: an unknown stream is cancelled again, and the claim of paused work stays for the host that takes it over.

--- a/host/answer.go
+++ b/host/answer.go
@@ -88,11 +88,30 @@
 	}
 	id := x.call.ID
 	x.h.metrics.WastedPrefill(telemetry.WasteCancelled, x.ticket.req.PromptTokens)
-	x.h.tasks.Go(func() {
+	x.h.tasks.Go(func() { cancelRun(e, id) })
+}
+
+const (
+	// cancelTries is how often a cancel is sent: it travels on a connection of
+	// its own and may arrive before the request that it cancels.
+	cancelTries = 5
+	// cancelAgain is the wait before the second cancel, doubled each time.
+	cancelAgain = 100 * time.Millisecond
+)
+
+// cancelRun cancels until the engine has known the request.
+func cancelRun(e engineBackend, id string) {
+	wait := cancelAgain
+	for range cancelTries {
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
-		defer cancel()
-		_ = e.Cancel(ctx, id)
-	})
+		err := e.Cancel(ctx, id)
+		cancel()
+		if !errors.Is(err, target.ErrUnknownStream) {
+			return
+		}
+		time.Sleep(wait)
+		wait *= 2
+	}
 }
 
 // complete records a whole answer.
--- a/host/patient.go
+++ b/host/patient.go
@@ -221,8 +221,9 @@
 	case ref == nil:
 		h.record(c.state, claim.Record{Phase: claim.Answered, Answer: stored.finish(answer)})
 		return true
-	case c.lost, h.ctx.Err() != nil:
-		// Another host has it, or will take it over from this one.
+	case c.lost, h.ctx.Err() != nil, x.dispatched && ctx.Err() != nil:
+		// Another host has it, or will take it over from this one: the claim
+		// stays, and whoever takes it over resumes the stream.
 		return true
 	case x.dispatched:
 		h.record(c.state, claim.Record{Phase: claim.Unknown, Reason: ref.Error()})
