Tell a silent connection from a silent target

One stream that had gone silent raised the measured time between tokens at every tick, cut the limit to 1 and got a healthy target ejected. A stalled stream now counts only while no other stream of the target moves, a lone wait only for 2 s, and alarms to peers rest on measured tokens.

--- a/sched/limit/limit.go
+++ b/sched/limit/limit.go
@@ -145,13 +145,13 @@
 	if n == 0 {
 		ratio := d.Seconds() / l.firstGoal(uncached)
 		if ratio > 1 {
-			l.first.raise(ratio, now)
+			l.first.raise(ratio)
 			l.adapt(requests, tokens, now)
 		}
 		return
 	}
 	if d.Seconds() > l.between.now {
-		l.between.raise(d.Seconds(), now)
+		l.between.raise(d.Seconds())
 		l.adapt(requests, tokens, now)
 	}
 }
@@ -198,6 +198,16 @@
 	return l.between.now / l.betweenGoal()
 }
 
+// Measured reports whether Slow rests on a measurement of the last 200 ms
+// rather than on a wait, which one silent connection causes too.
+func (l *Limiter) Measured(now time.Time) bool {
+	at := l.between.at
+	if l.cfg.Service {
+		at = l.first.at
+	}
+	return now.Sub(at) < window
+}
+
 // adapt moves the limit once per window.
 func (l *Limiter) adapt(requests, tokens float64, now time.Time) {
 	l.lastOwn = now
@@ -338,11 +348,10 @@
 }
 
 // raise moves the current value up to a lower bound that an unfinished wait
-// proves.
-func (s *signal) raise(v float64, now time.Time) {
-	if v > s.now {
-		s.now, s.at = v, now
-	}
+// proves. The time of the last sample stays, so that the next one weighs more
+// the longer the wait was.
+func (s *signal) raise(v float64) {
+	s.now = max(s.now, v)
 }
 
 // learnBase keeps the least value. Values of an unloaded target also let it
--- a/sched/pool/entry.go
+++ b/sched/pool/entry.go
@@ -52,6 +52,8 @@
 	stallGaps = 3
 	// stallLeast keeps scheduling jitter from counting as a stall.
 	stallLeast = 100 * time.Millisecond
+	// loneWait bounds what one waiting request says about its target.
+	loneWait = 2 * time.Second
 )
 
 // begin records the start of a run at t.
@@ -93,20 +95,35 @@
 	}
 }
 
-// stall lowers the limit of the target if one of its requests waits longer for
-// a byte than it should, before the byte arrives.
+// stall lowers the limit of the target if its requests wait longer for a byte
+// than they should, before the byte arrives. A single connection may have gone
+// silent while the target works: a stalled stream counts only while no other
+// stream of the target moves, and a lone wait only up to loneWait.
 func (t *target) stall(now time.Time) {
+	stalled, moving := 0, false
+	for _, e := range t.runs {
+		moving = moving || (e.first && now.Sub(e.progressAt) <= stallLeast)
+		if e.stalled(now) {
+			stalled++
+		}
+	}
 	for _, e := range t.runs {
 		wait := now.Sub(e.progressAt)
 		switch {
-		case !e.first && !e.tied:
+		case !e.first && !e.tied && wait < loneWait:
 			t.limiter.Stalled(wait, 0, e.uncached, t.load.Total(), t.load.Tokens(), now)
-		case e.first && e.steps >= stallSteps && wait > stallLeast && wait > stallGaps*e.gap:
+		case e.stalled(now) && !moving && (stalled > 1 || wait < loneWait):
 			t.limiter.Stalled(wait, 1, 0, t.load.Total(), t.load.Tokens(), now)
 		}
 	}
 }
 
+// stalled reports whether a stream that used to report progress has stopped.
+func (e *entry) stalled(now time.Time) bool {
+	wait := now.Sub(e.progressAt)
+	return e.first && e.steps >= stallSteps && wait > stallLeast && wait > stallGaps*e.gap
+}
+
 // FirstByte records the first byte of the answer.
 func (p *Pool) FirstByte(id string, now time.Time) {
 	p.mu.Lock()
--- a/sched/pool/pool_test.go
+++ b/sched/pool/pool_test.go
@@ -187,6 +187,37 @@
 	}
 }
 
+// Guards against a target that loses its limit or is ejected because one of its
+// connections has gone silent, and against one that keeps both although all of
+// its streams have stopped.
+func TestSilentConnectionAndSilentTarget(t *testing.T) {
+	for _, silent := range []int{1, 4} {
+		p := small(Engine, "1", "1")
+		now := start
+		for k := range 8 {
+			r := req(k, request.Urgent)
+			only(t, p.Submit(r, now), Dispatch)
+			p.FirstByte(r.ID, now)
+		}
+		sick := append([]*entry(nil), p.byName["t0"].runs...)
+		ejected := false
+		for step := 1; step < 150; step++ {
+			now = now.Add(50 * time.Millisecond)
+			for id, e := range p.entries {
+				if step < 10 || e.target.Name != "t0" || e.run >= silent {
+					p.Progress(id, step*2, now)
+				}
+			}
+			for _, a := range p.Tick(now) {
+				ejected = ejected || a.Kind == Eject
+			}
+		}
+		if want := silent == len(sick); ejected != want {
+			t.Errorf("%d of %d streams silent: ejected %v", silent, len(sick), ejected)
+		}
+	}
+}
+
 // Guards against a digest that loses numbers, or that a peer cannot refuse.
 func TestDigestRoundTripAndMalformed(t *testing.T) {
 	p := New(Config{Pool: "p", Hosts: 40})
--- a/sched/pool/refresh.go
+++ b/sched/pool/refresh.go
@@ -42,11 +42,11 @@
 // judge ejects a target that stays slow and starts the trial of one whose
 // ejection has ended.
 func (p *Pool) judge(out []Action, t *target, now time.Time) []Action {
-	factor, slow := 0.0, 0.0
+	factor := 0.0
 	if now.Sub(t.limiter.LastSample()) < tickInterval*4 {
-		factor, slow = t.limiter.Pressure(), t.limiter.Slow()
+		factor = t.limiter.Slow()
 	}
-	if slow >= alarmFrom {
+	if factor >= alarmFrom && t.limiter.Measured(now) {
 		t.alarm, t.alarmAt = t.limiter.Requests(), now
 	}
 	if why := t.health.Slowdown(factor, now); why != "" {
