Ignore times that a pause of the host itself lengthens

A host that was paused for 20 s cut the limits of all its targets from 5.2 to 1.2 when it resumed and raised alarms about them. Times that end more than 1.5 s after the last refresh are no longer evidence, and all waits begin anew.

--- a/sched/pool/entry.go
+++ b/sched/pool/entry.go
@@ -143,6 +143,9 @@
 		// How much of a resumed stream is still cached is not known.
 		return
 	}
+	if p.late(now) {
+		return
+	}
 	t := e.target
 	d := now.Sub(e.started)
 	t.limiter.First(d, e.uncached, t.load.Total(), t.load.Tokens(), now)
@@ -165,14 +168,34 @@
 		return
 	}
 	d := now.Sub(e.progressAt)
+	e.progressAt = now
+	if p.late(now) {
+		return
+	}
 	t := e.target
 	t.limiter.Between(d, n, t.load.Total(), t.load.Tokens(), now)
 	p.service.between(d, n)
-	e.progressAt = now
 	e.steps++
 	e.gap = max(e.gap, d)
 }
 
+// lateAfter is the time without a refresh from which the host itself must have
+// been paused: with work it ticks every 50 ms, without every second.
+const lateAfter = 1500 * time.Millisecond
+
+// late reports whether times that end now say more about this host than about
+// its targets.
+func (p *Pool) late(now time.Time) bool {
+	return !p.refreshedAt.IsZero() && now.Sub(p.refreshedAt) > lateAfter
+}
+
+// forgive lets all waits begin now, after this host was paused.
+func (t *target) forgive(now time.Time) {
+	for _, e := range t.runs {
+		e.progressAt = now
+	}
+}
+
 // evidence translates a result; ok is false where it says nothing about the
 // target.
 func (r Result) evidence() (e health.Evidence, ok bool) {
--- a/sched/pool/overload_test.go
+++ b/sched/pool/overload_test.go
@@ -40,6 +40,27 @@
 	}
 }
 
+// Guards against an organisation that takes another's share of the zone with
+// more requests: both wait all the time, one offers three times as much.
+func TestOrganisationsShareTheZone(t *testing.T) {
+	z := newZone(4, 6, 12, Config{Pool: "p"})
+	run := func(steps int) {
+		for range steps {
+			z.offer(request.Interactive, 48, 20*time.Second, "large")
+			z.offer(request.Interactive, 16, 20*time.Second, "small")
+			z.step()
+		}
+	}
+	run(1500)
+	z.byOrg = map[string]float64{}
+	run(4000)
+	ratio := z.byOrg["large"] / z.byOrg["small"]
+	t.Logf("large got %.2f times as much as small", ratio)
+	if ratio < 0.9 || ratio > 1.1 {
+		t.Errorf("ratio %.2f", ratio)
+	}
+}
+
 // Guards against urgent requests that lose capacity to lower tiers.
 func TestUrgentGoodputWhenUrgentFits(t *testing.T) {
 	for seed := range uint64(3) {
--- a/sched/pool/pool_test.go
+++ b/sched/pool/pool_test.go
@@ -218,6 +218,38 @@
 	}
 }
 
+// Guards against a host that was paused and takes its own pause for slowness of
+// all targets, and tells its peers so.
+func TestPausedHostBlamesNoTarget(t *testing.T) {
+	p := small(Engine, "1", "1")
+	now := start
+	for k := range 8 {
+		only(t, p.Submit(req(k, request.Urgent), now), Dispatch)
+	}
+	progress := func(n int) {
+		for k := range 8 {
+			p.Progress(fmt.Sprint(k), n, now)
+		}
+	}
+	for n := range 50 {
+		now = now.Add(20 * time.Millisecond)
+		progress(n + 1)
+		p.Tick(now)
+	}
+	before := p.byName["t0"].limiter.Requests()
+	now = now.Add(20 * time.Second)
+	progress(51)
+	p.Tick(now)
+	for n := range 20 {
+		now = now.Add(20 * time.Millisecond)
+		progress(n + 52)
+		p.Tick(now)
+	}
+	if tt := p.byName["t0"]; tt.limiter.Requests() < before || !tt.alarmAt.IsZero() {
+		t.Errorf("limit %.1f after the pause, %.1f before; alarm %v", tt.limiter.Requests(), before, tt.alarmAt)
+	}
+}
+
 // Guards against a digest that loses numbers, or that a peer cannot refuse.
 func TestDigestRoundTripAndMalformed(t *testing.T) {
 	p := New(Config{Pool: "p", Hosts: 40})
--- a/sched/pool/refresh.go
+++ b/sched/pool/refresh.go
@@ -22,10 +22,14 @@
 // refresh updates the estimates of all targets. It runs at most every 50 ms.
 func (p *Pool) refresh(out []Action, now time.Time) []Action {
 	p.smoothOwn(now)
+	late := p.late(now)
 	for _, t := range p.slots {
 		if t == nil {
 			continue
 		}
+		if late {
+			t.forgive(now)
+		}
 		t.stall(now)
 		t.work.Sample(t.load.Own.Load(), now)
 		out = p.judge(out, t, now)
