--- a/sched/pool/refresh.go
+++ b/sched/pool/refresh.go
@@ -22,10 +22,14 @@
 // refresh updates the estimates of all targets. It runs at most every 50 ms.
 func (p *Pool) refresh(out []Action, now time.Time) []Action {
 	p.smoothOwn(now)
+	late := p.late(now)
 	for _, t := range p.slots {
 		if t == nil {
 			continue
 		}
+		if late {
+			t.forgive(now)
+		}
 		t.stall(now)
 		t.work.Sample(t.load.Own.Load(), now)
 		out = p.judge(out, t, now)
@@ -42,11 +46,11 @@
 // judge ejects a target that stays slow and starts the trial of one whose
 // ejection has ended.
 func (p *Pool) judge(out []Action, t *target, now time.Time) []Action {
-	factor, slow := 0.0, 0.0
+	factor := 0.0
 	if now.Sub(t.limiter.LastSample()) < tickInterval*4 {
-		factor, slow = t.limiter.Pressure(), t.limiter.Slow()
+		factor = t.limiter.Slow()
 	}
-	if slow >= alarmFrom {
+	if factor >= alarmFrom && t.limiter.Measured(now) {
 		t.alarm, t.alarmAt = t.limiter.Requests(), now
 	}
 	if why := t.health.Slowdown(factor, now); why != "" {
