--- a/sched/pool/entry.go
+++ b/sched/pool/entry.go
@@ -56,6 +56,8 @@
 	stallGaps = 3
 	// stallLeast keeps scheduling jitter from counting as a stall.
 	stallLeast = 100 * time.Millisecond
+	// loneWait bounds what one waiting request says about its target.
+	loneWait = 2 * time.Second
 )
 
 // begin records the start of a run at t.
@@ -106,20 +108,35 @@
 	e.pending = 0
 }
 
-// stall lowers the limit of the target if one of its requests waits longer for
-// a byte than it should, before the byte arrives.
+// stall lowers the limit of the target if its requests wait longer for a byte
+// than they should, before the byte arrives. A single connection may have gone
+// silent while the target works: a stalled stream counts only while no other
+// stream of the target moves, and a lone wait only up to loneWait.
 func (t *target) stall(now time.Time) {
+	stalled, moving := 0, false
+	for _, e := range t.runs {
+		moving = moving || (e.first && now.Sub(e.progressAt) <= stallLeast)
+		if e.stalled(now) {
+			stalled++
+		}
+	}
 	for _, e := range t.runs {
 		wait := now.Sub(e.progressAt)
 		switch {
-		case !e.first && !e.tied:
+		case !e.first && !e.tied && wait < loneWait:
 			t.limiter.Stalled(wait, 0, e.uncached, t.load.Total(), t.load.Tokens(), now)
-		case e.first && e.steps >= stallSteps && wait > stallLeast && wait > stallGaps*e.gap:
+		case e.stalled(now) && !moving && (stalled > 1 || wait < loneWait):
 			t.limiter.Stalled(wait, 1, 0, t.load.Total(), t.load.Tokens(), now)
 		}
 	}
 }
 
+// stalled reports whether a stream that used to report progress has stopped.
+func (e *entry) stalled(now time.Time) bool {
+	wait := now.Sub(e.progressAt)
+	return e.first && e.steps >= stallSteps && wait > stallLeast && wait > stallGaps*e.gap
+}
+
 // FirstByte records the first byte of the answer.
 func (p *Pool) FirstByte(id string, now time.Time) {
 	p.mu.Lock()
@@ -141,6 +158,9 @@
 		// How much of a resumed stream is still cached is not known.
 		return
 	}
+	if p.late(now) {
+		return
+	}
 	t := e.target
 	d := now.Sub(e.started)
 	t.limiter.First(d, e.uncached, t.load.Total(), t.load.Tokens(), now)
@@ -167,14 +187,34 @@
 		return
 	}
 	d := now.Sub(e.progressAt)
+	e.progressAt = now
+	if p.late(now) {
+		return
+	}
 	t := e.target
 	t.limiter.Between(d, n, t.load.Total(), t.load.Tokens(), now)
 	p.service.between(d, n)
-	e.progressAt = now
 	e.steps++
 	e.gap = max(e.gap, d)
 }
 
+// lateAfter is the time without a refresh from which the host itself must have
+// been paused: with work it ticks every 50 ms, without every second.
+const lateAfter = 1500 * time.Millisecond
+
+// late reports whether times that end now say more about this host than about
+// its targets.
+func (p *Pool) late(now time.Time) bool {
+	return !p.refreshedAt.IsZero() && now.Sub(p.refreshedAt) > lateAfter
+}
+
+// forgive lets all waits begin now, after this host was paused.
+func (t *target) forgive(now time.Time) {
+	for _, e := range t.runs {
+		e.progressAt = now
+	}
+}
+
 // evidence translates a result; ok is false where it says nothing about the
 // target.
 func (r Result) evidence() (e health.Evidence, ok bool) {
