Let hosts exceed their share of a service by a quarter

Cause: a service has 16 workers and three hosts, whose shares of 5 calls were full while workers were idle; each such wait also raised a floor.

Change: urgent and interactive calls may exceed the host's cap in service pools by 1.25.

--- a/sched/pool/refresh.go
+++ b/sched/pool/refresh.go
@@ -170,13 +170,22 @@
 	}
 }
 
+// serviceCap is the part of its cap that a host may use in a service pool for
+// urgent and interactive calls. A service has few workers and many hosts, so
+// that shares are a few calls each, and a call that waits there harms none.
+const serviceCap = 1.25
+
 // capped reports whether this host may start no more work of a tier.
 func (p *Pool) capped(tier request.Tier) bool {
 	own := 1
 	for _, n := range p.running {
 		own += n
 	}
-	return float64(own) > max(1, p.hostCap*(1-p.headroom[tier]))
+	limit := p.hostCap * (1 - p.headroom[tier])
+	if p.cfg.Kind == Service && tier != request.Patient {
+		limit = p.hostCap * serviceCap
+	}
+	return float64(own) > max(1, limit)
 }
 
 // publishLoad writes a target's estimates where Pick reads them.
