--- a/sched/health/health.go
+++ b/sched/health/health.go
@@ -177,7 +177,8 @@
 }
 
 // Panic reports whether so many targets are ejected that the host distrusts its
-// own observations: more than half, of at least two.
+// own observations: more than half. The only target of a pool counts too, because
+// without it the pool would answer nothing at all.
 func Panic(ejected, targets int) bool {
-	return targets >= 2 && 2*ejected > targets
+	return 2*ejected > targets
 }
