Pause less running patient work for floors of other hosts

Cause: a paused request computes its prompt and answer again, which was a fifth of the waste with slow engines.

Change: one request per 500 ms once floors have lasted 2 s, instead of one per 200 ms after 1 s.

--- a/sched/pool/floors.go
+++ b/sched/pool/floors.go
@@ -16,9 +16,9 @@
 	// patient work is paused for a floor that is not urgent: a paused request
 	// computes its prompt and answer again, and most shortages end sooner. The
 	// host that has the shortage pauses its own work at once.
-	pauseAfter = time.Second
+	pauseAfter = 2 * time.Second
 	// pauseEvery is the time between two such pauses of one host.
-	pauseEvery = 200 * time.Millisecond
+	pauseEvery = 500 * time.Millisecond
 )
 
 // floors is this host's part in raising floors and pausing work.
