Leave room for urgent work on express targets

Cause: interactive work filled the engines that are kept free of long prompts, and urgent requests then exceeded their best batch.

Change: interactive work fills express targets to 0.85 of their limit.

--- a/sched/pick/picker.go
+++ b/sched/pick/picker.go
@@ -204,6 +204,9 @@
 	if u.borrowed {
 		maxUse = min(maxUse, borrow)
 	}
+	if t.Express && p.r.Tier == request.Interactive {
+		maxUse = min(maxUse, expressUse)
+	}
 	if u.full || (maxUse < 1 && u.part > maxUse && !u.idle) {
 		return false
 	}
--- a/sched/pick/snapshot.go
+++ b/sched/pick/snapshot.go
@@ -114,6 +114,8 @@
 	// expressGain is the gain in milliseconds of a target without long prompts
 	// for an urgent request.
 	expressGain = 150
+	// expressUse is the use up to which interactive work takes express targets.
+	expressUse = 0.85
 	// riskCost is the cost in milliseconds of filling a target to its limit by
 	// an estimate that has lost its report: the request may queue there.
 	riskCost = 600
