Keep loading slowly in the last step while the version is suspect

Change: in the last step, a suspect version gets one more target every 2 min; once all targets are loaded, only a verdict stops the move.

--- a/moves/steer/next.go
+++ b/moves/steer/next.go
@@ -268,7 +268,7 @@
 		(r.Step == lastStep && r.loaded < r.live && !r.in.Verdict.Suspect) {
 		r.loadNext()
 	}
-	if r.in.Verdict.Suspect {
+	if r.in.Verdict.Suspect && (r.Step < lastStep || r.loaded < r.live) {
 		r.widenSample(0)
 		return
 	}
@@ -293,10 +293,16 @@
 }
 
 // widenSample loads one more target while the evidence is in doubt, without a
-// larger share: more targets tell whether the targets or the version are slow.
+// larger share before the last step: more targets tell whether the targets or
+// the version are slow.
 func (r *run) widenSample(from time.Duration) {
-	spent := r.in.Now.Sub(r.Since)
-	if r.Step == 0 || r.Step == lastStep || r.Loading.Target != "" || spent < from+time.Duration(r.Extra+1)*suspectPause {
+	pauses := int((r.in.Now.Sub(r.Since) - from) / suspectPause)
+	if r.Step == 0 || r.Loading.Target != "" || pauses <= r.Extra {
+		return
+	}
+	if r.Step == lastStep {
+		r.Extra = pauses
+		r.loadNext()
 		return
 	}
 	if want := Wanted(r.Step, r.live) + r.Extra; want < Spare(r.Step, r.live) && r.loaded >= want {
