--- a/moves/steer/steer_test.go
+++ b/moves/steer/steer_test.go
@@ -272,3 +272,24 @@
 	}
 	return ""
 }
+
+// Guards against a move that stays in the last step because the few old targets
+// left cannot clear a suspicion.
+func TestSuspicionDoesNotBlockTheLastStep(t *testing.T) {
+	p := newPool(12, move("7", "8", 2*time.Hour))
+	for p.state.Step < lastStep {
+		p.step()
+		if p.in.Now.Sub(start) > 2*time.Hour {
+			t.Fatalf("step %d after 2 h", p.state.Step)
+		}
+	}
+	p.in.Verdict.Suspect = true
+	p.step()
+	if p.serving("8") > 7 {
+		t.Fatalf("%d targets at once", p.serving("8"))
+	}
+	p.run(time.Hour)
+	if p.state.Phase != Done {
+		t.Errorf("%s with %d targets", p.state.Phase, p.serving("8"))
+	}
+}
