--- a/rules/diff_test.go
+++ b/rules/diff_test.go
@@ -1,7 +1,6 @@
 package rules
 
 import (
-	"errors"
 	"fmt"
 	"strings"
 	"testing"
--- a/rules/fuzz_test.go
+++ b/rules/fuzz_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"testing"
 )
 
@@ -37,4 +36,3 @@
 		}
 	})
 }
-
--- a/rules/scale_test.go
+++ b/rules/scale_test.go
@@ -77,4 +77,3 @@
 		Parse("f", text, testNow)
 	}
 }
-
