--- a/sched/pool/refresh.go
+++ b/sched/pool/refresh.go
@@ -23,10 +23,14 @@
 // refresh updates the estimates of all targets. It runs at most every 50 ms.
 func (p *Pool) refresh(out []Action, now time.Time) []Action {
 	p.smoothOwn(now)
+	late := p.late(now)
 	for _, t := range p.slots {
 		if t == nil {
 			continue
 		}
+		if late {
+			t.forgive(now)
+		}
 		t.stall(now)
 		t.work.Sample(t.load.Own.Load(), now)
 		out = p.judge(out, t, now)
@@ -43,11 +47,11 @@
 // judge ejects a target that stays slow and starts the trial of one whose
 // ejection has ended.
 func (p *Pool) judge(out []Action, t *target, now time.Time) []Action {
-	factor, slow := 0.0, 0.0
+	factor := 0.0
 	if now.Sub(t.limiter.LastSample()) < tickInterval*4 {
-		factor, slow = t.limiter.Pressure(), t.limiter.Slow()
+		factor = t.limiter.Slow()
 	}
-	if slow >= alarmFrom {
+	if factor >= alarmFrom && t.limiter.Measured(now) {
 		t.alarm, t.alarmAt = t.limiter.Requests(), now
 	}
 	if why := t.health.Slowdown(factor, now); why != "" {
@@ -177,13 +181,22 @@
 	}
 }
 
+// serviceCap is the part of its cap that a host may use in a service pool for
+// urgent and interactive calls. A service has few workers and many hosts, so
+// that shares are a few calls each, and a call that waits there harms none.
+const serviceCap = 1.25
+
 // capped reports whether this host may start no more work of a tier.
 func (p *Pool) capped(tier request.Tier) bool {
 	own := 1
 	for _, n := range p.running {
 		own += n
 	}
-	return float64(own) > max(1, p.hostCap*(1-p.headroom[tier]))
+	limit := p.hostCap * (1 - p.headroom[tier])
+	if p.cfg.Kind == Service && tier != request.Patient {
+		limit = p.hostCap * serviceCap
+	}
+	return float64(own) > max(1, limit)
 }
 
 // publishLoad writes a target's estimates where Pick reads them.
