--- a/proof/scenario/hostprocess.go
+++ b/proof/scenario/hostprocess.go
@@ -29,6 +29,7 @@
 type hostProcess struct {
 	name     string
 	settings settings.Settings
+	loopback string
 	client   *http.Client
 
 	mu     sync.Mutex
@@ -130,7 +131,7 @@
 // addHost writes the settings of a host and starts it.
 func (w *world) addHost(name string, o hostOptions) error {
 	p := &hostProcess{
-		name: name, relays: make(map[string]*relay), broken: make(map[string]bool),
+		name: name, loopback: w.loopback, relays: make(map[string]*relay), broken: make(map[string]bool),
 		conns: make(map[net.Conn]struct{}), ended: make(chan struct{}),
 		floors: make(map[string]floorSeen),
 	}
@@ -157,7 +158,7 @@
 func (w *world) settingsFor(name string, o hostOptions) (settings.Settings, error) {
 	s := settings.Defaults()
 	s.Host = settings.Host{Name: name, Zone: o.zone}
-	s.Listen = settings.Listen{Callers: loopback, Operators: loopback}
+	s.Listen = settings.Listen{Callers: w.loopback, Operators: w.loopback}
 	s.Platform.Address = w.platform.Addr()
 	s.Platform.HostListEvery = 200 * time.Millisecond
 	s.Rules.File = w.rulesFile
@@ -186,13 +187,13 @@
 	}
 	k := files[s.Host.Name]
 	s.Keys = settings.Keys{Authority: k.CA, Certificate: k.Cert, Key: k.Key}
-	s.Listen.Peers, err = freeUDP()
+	s.Listen.Peers, err = freeUDP(w.loopback)
 	return err
 }
 
 // freeUDP returns a UDP address that was free a moment ago.
-func freeUDP() (string, error) {
-	c, err := net.ListenPacket("udp", loopback)
+func freeUDP(listen string) (string, error) {
+	c, err := net.ListenPacket("udp", listen)
 	if err != nil {
 		return "", err
 	}
@@ -334,7 +335,7 @@
 	r := p.relays[info.Name]
 	if r == nil {
 		var err error
-		if r, err = newRelay(info.Address); err != nil {
+		if r, err = newRelay(p.loopback, info.Address); err != nil {
 			return noAddress
 		}
 		p.relays[info.Name] = r
--- a/proof/scenario/relay.go
+++ b/proof/scenario/relay.go
@@ -27,9 +27,9 @@
 	once, mute   sync.Once
 }
 
-func newRelay(upstream string) (*relay, error) {
+func newRelay(listen, upstream string) (*relay, error) {
 	r := &relay{upstream: upstream, conns: make(map[*relayed]struct{})}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, err
 	}
--- a/proof/scenario/standins.go
+++ b/proof/scenario/standins.go
@@ -116,7 +116,7 @@
 func (w *world) addTarget(info platform.HostInfo, build func() server) error {
 	s := &standin{info: info, build: build, server: build(), seen: map[string]int{}, earlier: map[string]int{}}
 	s.engine, _ = s.server.(*engine.Server)
-	if err := s.server.Start(loopback); err != nil {
+	if err := s.server.Start(w.loopback); err != nil {
 		return err
 	}
 	s.info.Address = s.server.Addr()
@@ -153,7 +153,7 @@
 	s.seen = map[string]int{}
 	s.server = s.build()
 	s.engine, _ = s.server.(*engine.Server)
-	err := s.server.Start(loopback)
+	err := s.server.Start(w.loopback)
 	if err == nil {
 		s.info.Address = s.server.Addr()
 	}
--- a/proof/scenario/world.go
+++ b/proof/scenario/world.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -21,7 +22,6 @@
 )
 
 const (
-	loopback = "127.0.0.1:0"
 	// observeEvery is how often the stand-ins' counts and the hosts' state are
 	// read.
 	observeEvery = 10 * time.Millisecond
@@ -32,6 +32,7 @@
 // world is everything that one scenario has started.
 type world struct {
 	dir      string // working directory
+	loopback string // address with port 0, for listeners
 	examples string
 	rec      *invariant.Recorder
 	log      logBuffer
@@ -57,14 +58,32 @@
 	observer sync.WaitGroup
 }
 
+// worlds counts the worlds of this process.
+var worlds atomic.Uint32
+
+// ownLoopback returns a loopback address that no other scenario uses. The port of
+// a closed relay may be given to another listener; on a shared address that one
+// could belong to another scenario, whose targets would then receive this one's
+// requests.
+func ownLoopback() string {
+	n := worlds.Add(1)
+	own := fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()%250, 1+n/250%250, 1+n%250)
+	ln, err := net.Listen("tcp", own)
+	if err != nil { // a system with one loopback address only
+		return "127.0.0.1:0"
+	}
+	ln.Close()
+	return own
+}
+
 // newWorld starts the platform and the observation.
 func newWorld(dir, examples string) (*world, error) {
 	w := &world{
-		dir: dir, examples: examples,
+		dir: dir, examples: examples, loopback: ownLoopback(),
 		rec: invariant.NewRecorder(invariant.Limits{}, nil),
 	}
 	w.platform = platformd.New(platformd.Config{})
-	if err := w.platform.Start(loopback); err != nil {
+	if err := w.platform.Start(w.loopback); err != nil {
 		return nil, err
 	}
 	w.operator = httpkv.New(httpkv.Config{Address: w.platform.Addr(), Caller: "operator"})
