Tell the engine of a pause before its connection is closed

Cause: a pause closed the connection first. Change: the cancel is sent first and the connection is closed after it.

--- a/host/answer.go
+++ b/host/answer.go
@@ -55,7 +55,7 @@
 		return x.failed(ctx, err)
 	}
 	if x.paused.Load() {
-		x.pauseAtTarget(ctx)
+		x.awaitPause(ctx)
 		x.answer = nil
 		_, ref := x.open(ctx)
 		return ref
@@ -67,19 +67,6 @@
 	return x.failed(ctx, err)
 }
 
-// pauseAtTarget stops the generation until it is resumed. It waits for the
-// engine's answer, because a cancel that arrives after the resume would end the
-// resumed stream.
-func (x *exchange) pauseAtTarget(ctx context.Context) {
-	e, ok := x.backend.(engineBackend)
-	if !ok {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
-	defer cancel()
-	_ = e.Cancel(ctx, x.call.ID)
-}
-
 // cancelAtTarget stops the generation, so that nothing is computed for nobody.
 func (x *exchange) cancelAtTarget() {
 	e, ok := x.backend.(engineBackend)
--- a/host/attempt.go
+++ b/host/attempt.go
@@ -17,17 +17,17 @@
 // attempt performs a dispatch. It returns neither refusal nor answer if no byte
 // went out, in which case the pool decides on a retry.
 func (x *exchange) attempt(ctx context.Context, a ticketAction) *refusal.Refusal {
-	attempt := x.attemptContext(ctx)
-	if x.ticket.pauses.Load() > a.pauses {
-		// Paused before it began; the next dispatch goes on.
-		return nil
-	}
 	b, ok := x.pool.backend(a.Target)
 	if !ok {
 		x.notSent(refusal.RetryTargetLeft)
 		return nil
 	}
 	x.backend, x.target, x.version = b, a.Target, x.pool.version(a.Target)
+	attempt := x.attemptContext(ctx)
+	if x.ticket.pauses.Load() > a.pauses {
+		// Paused before it began; the next dispatch goes on.
+		return nil
+	}
 	if !x.dispatched && x.h.tracker.Halted(x.pool.name, x.version) {
 		x.notSent(refusal.RetryVersionHalted)
 		return nil
@@ -87,6 +87,7 @@
 		return refusal.New(refusal.BadRequest, "%v", send.Err)
 	case x.paused.Load():
 		// The pool's next dispatch sends the request for the first time.
+		x.awaitPause(ctx)
 		return nil
 	}
 	x.notSent(refusal.RetryDialFailed)
@@ -102,7 +103,7 @@
 // returns nil if the scheduler paused it, after which it is resumed later.
 func (x *exchange) interrupted(ctx context.Context, err error) *refusal.Refusal {
 	if ctx.Err() == nil && x.paused.Load() {
-		x.pauseAtTarget(ctx)
+		x.awaitPause(ctx)
 		return nil
 	}
 	if x.call.Stream && lostConnection(err) && x.reconnect(ctx, x.offset) {
@@ -145,14 +146,37 @@
 	actx, stop := context.WithCancelCause(ctx)
 	x.stop = stop
 	x.paused.Store(false)
+	ended := make(chan struct{})
+	x.pauseEnded = ended
+	backend, id := x.backend, x.call.ID
 	pause := func() {
-		x.paused.Store(true)
-		stop(errPaused)
+		if x.paused.Swap(true) {
+			return
+		}
+		x.h.tasks.Go(func() {
+			defer close(ended)
+			// The engine cancels before the connection is closed. A request whose
+			// connection closed first might never have been read, and its stream
+			// could then not be resumed.
+			if e, ok := backend.(engineBackend); ok {
+				cancelRun(e, id)
+			}
+			stop(errPaused)
+		})
 	}
 	x.ticket.onPause.Store(&pause)
 	return actx
 }
 
+// awaitPause waits until the engine has been told of the pause. A cancel that
+// arrived after the resume would end the resumed stream.
+func (x *exchange) awaitPause(ctx context.Context) {
+	select {
+	case <-x.pauseEnded:
+	case <-ctx.Done():
+	}
+}
+
 // reopen continues the stream at its engine from what has been received.
 func (x *exchange) reopen(ctx, attempt context.Context) *refusal.Refusal {
 	e, ok := x.backend.(engineBackend)
--- a/host/exchange.go
+++ b/host/exchange.go
@@ -43,6 +43,8 @@
 	reconnects int
 	first      time.Time
 	paused     atomic.Bool
+	// pauseEnded is closed once the engine has been told of a pause.
+	pauseEnded chan struct{}
 	stop       context.CancelCauseFunc
 }
 
