--- a/sched/limit/limit.go
+++ b/sched/limit/limit.go
@@ -50,8 +50,11 @@
 	// farOff: the work in progress takes many windows to shrink to the limit.
 	gentle = 0.25
 	farOff = 1.3
-	// used is the part of the limit that must be in use for it to grow.
-	used = 0.75
+	// used is the part of the limit that must be in use for it to grow. For
+	// small limits all but spare requests suffice, because hosts that hold
+	// fractions of a request rarely use a limit of 3 at the same time.
+	used  = 0.75
+	spare = 2
 	// maxCut bounds the cut of one window, so that one outlier cannot close a
 	// target.
 	maxCut = 0.3
@@ -81,6 +84,9 @@
 	leastTime    = 2 * time.Second
 	leastSamples = 6
 	unfitSlack   = 2.5
+	// tailMost bounds the tail by the current mean, so that a target which was slow
+	// recovers with its mean; the slowest engines of the benchmark have 1.3.
+	tailMost = 1.5
 	// drift lets an unloaded value that was learned in a good hour, or from one
 	// lucky sample, rise by 0.1% per second.
 	drift = 0.001
@@ -173,7 +179,7 @@
 // Fit reports whether the target can meet the goal for the time between tokens
 // at some load. It can as far as is known if it was not used lately.
 func (l *Limiter) Fit(now time.Time) bool {
-	return !l.unfit() || now.Sub(l.lastOwn) > 2*leastWindow
+	return !l.unfit() || now.Sub(l.lastOwn) > leastWindow/2
 }
 
 func (l *Limiter) unfit() bool {
@@ -203,6 +209,7 @@
 	} else {
 		l.tail -= min(step*(1-tailPart), l.tail-v)
 	}
+	l.tail = min(l.tail, tailMost*max(l.between.now, v))
 }
 
 // First records the time to the first byte of a request with the given number
@@ -240,7 +247,7 @@
 func (l *Limiter) Stalled(d time.Duration, n, uncached int, requests, tokens float64, now time.Time) {
 	if l.cfg.Service {
 		if ratio := d.Seconds() / (serviceStall * l.mean); l.calls >= serviceSamples && ratio > 1 {
-			l.first.raise(ratio, now)
+			l.first.raise(ratio)
 			l.adapt(requests, tokens, now)
 		}
 		return
@@ -248,13 +255,13 @@
 	if n == 0 {
 		ratio := d.Seconds() / l.firstGoal(uncached)
 		if ratio > 1 {
-			l.first.raise(ratio, now)
+			l.first.raise(ratio)
 			l.adapt(requests, tokens, now)
 		}
 		return
 	}
 	if d.Seconds() > l.between.now {
-		l.between.raise(d.Seconds(), now)
+		l.between.raise(d.Seconds())
 		l.adapt(requests, tokens, now)
 	}
 }
@@ -308,6 +315,27 @@
 	return max(l.between.now/goal, l.tail/(goal*tailGoal))
 }
 
+// Slow returns how far the target itself misses its goals, 0 if nothing is
+// known: the time between tokens of an engine, or the whole time of a plain
+// service, relative to the goal. Late first tokens of an engine are left out,
+// because a burst causes them too.
+func (l *Limiter) Slow() float64 {
+	if l.cfg.Service {
+		return l.first.now
+	}
+	return l.between.now / l.betweenGoal()
+}
+
+// Measured reports whether Slow rests on a measurement of the last 200 ms
+// rather than on a wait, which one silent connection causes too.
+func (l *Limiter) Measured(now time.Time) bool {
+	at := l.between.at
+	if l.cfg.Service {
+		at = l.first.at
+	}
+	return now.Sub(at) < window
+}
+
 // adapt moves the limit once per window.
 func (l *Limiter) adapt(requests, tokens float64, now time.Time) {
 	l.lastOwn = now
@@ -347,7 +375,7 @@
 }
 
 func (l *Limiter) grow(load, loadTok, part float64) {
-	if load >= used*l.limit {
+	if load >= min(used*l.limit, l.limit-spare) {
 		l.limit += max(minGrow*part/growth, part*l.limit)
 	}
 	if l.tokens > 0 && loadTok >= used*l.tokens {
@@ -389,6 +417,12 @@
 	l.clamp()
 }
 
+// Lower lowers the limit to that of a peer that sees the target miss its goals.
+func (l *Limiter) Lower(limit float64) {
+	l.limit = min(l.limit, limit)
+	l.clamp()
+}
+
 // Slowdown returns how many times slower than unloaded the target is, at
 // least 1.
 func (l *Limiter) Slowdown() float64 {
@@ -442,11 +476,10 @@
 }
 
 // raise moves the current value up to a lower bound that an unfinished wait
-// proves.
-func (s *signal) raise(v float64, now time.Time) {
-	if v > s.now {
-		s.now, s.at = v, now
-	}
+// proves. The time of the last sample stays, so that the next one weighs more
+// the longer the wait was.
+func (s *signal) raise(v float64) {
+	s.now = max(s.now, v)
 }
 
 // learnBase keeps the least value. Values of an unloaded target also let it
--- a/sched/pool/pool_test.go
+++ b/sched/pool/pool_test.go
@@ -187,6 +187,69 @@
 	}
 }
 
+// Guards against a target that loses its limit or is ejected because one of its
+// connections has gone silent, and against one that keeps both although all of
+// its streams have stopped.
+func TestSilentConnectionAndSilentTarget(t *testing.T) {
+	for _, silent := range []int{1, 4} {
+		p := small(Engine, "1", "1")
+		now := start
+		for k := range 8 {
+			r := req(k, request.Urgent)
+			only(t, p.Submit(r, now), Dispatch)
+			p.FirstByte(r.ID, now)
+		}
+		sick := append([]*entry(nil), p.byName["t0"].runs...)
+		ejected := false
+		for step := 1; step < 150; step++ {
+			now = now.Add(50 * time.Millisecond)
+			for id, e := range p.entries {
+				if step < 10 || e.target.Name != "t0" || e.run >= silent {
+					p.Progress(id, step*2, now)
+				}
+			}
+			for _, a := range p.Tick(now) {
+				ejected = ejected || a.Kind == Eject
+			}
+		}
+		if want := silent == len(sick); ejected != want {
+			t.Errorf("%d of %d streams silent: ejected %v", silent, len(sick), ejected)
+		}
+	}
+}
+
+// Guards against a host that was paused and takes its own pause for slowness of
+// all targets, and tells its peers so.
+func TestPausedHostBlamesNoTarget(t *testing.T) {
+	p := small(Engine, "1", "1")
+	now := start
+	for k := range 8 {
+		only(t, p.Submit(req(k, request.Urgent), now), Dispatch)
+	}
+	progress := func(n int) {
+		for k := range 8 {
+			p.Progress(fmt.Sprint(k), n, now)
+		}
+	}
+	for n := range 50 {
+		now = now.Add(20 * time.Millisecond)
+		progress(n + 1)
+		p.Tick(now)
+	}
+	before := p.byName["t0"].limiter.Requests()
+	now = now.Add(20 * time.Second)
+	progress(51)
+	p.Tick(now)
+	for n := range 20 {
+		now = now.Add(20 * time.Millisecond)
+		progress(n + 52)
+		p.Tick(now)
+	}
+	if tt := p.byName["t0"]; tt.limiter.Requests() < before || !tt.alarmAt.IsZero() {
+		t.Errorf("limit %.1f after the pause, %.1f before; alarm %v", tt.limiter.Requests(), before, tt.alarmAt)
+	}
+}
+
 // Guards against a digest that loses numbers, or that a peer cannot refuse.
 func TestDigestRoundTripAndMalformed(t *testing.T) {
 	p := New(Config{Pool: "p", Hosts: 40})
@@ -200,6 +263,7 @@
 	}
 	p.Report("t7", LoadReport{Running: 5, Queued: 300, At: start}, start.Add(250*time.Millisecond))
 	p.Floor(request.Urgent, start.Add(2*time.Second), "x", start)
+	p.byName["t9"].alarm, p.byName["t9"].alarmAt = 2, start
 	d := p.Digest(start.Add(time.Second))
 	m, err := decode(d)
 	own := 0
@@ -208,6 +272,9 @@
 		if it.hash == shortHash(p.byName["t7"].hash) && (it.total != 305 || it.age != 1100*time.Millisecond) {
 			t.Errorf("report in digest: %+v", it)
 		}
+		if it.hash == shortHash(p.byName["t9"].hash) && (it.alarm != 2 || it.alarmAge != 1100*time.Millisecond) {
+			t.Errorf("alarm in digest: %+v", it)
+		}
 	}
 	if err != nil || own != p.running[0] || m.floors[0] != time.Second {
 		t.Errorf("decoded %d own of %d, floors %v, %v", own, p.running[0], m.floors, err)
--- a/sched/pool/refresh.go
+++ b/sched/pool/refresh.go
@@ -23,10 +23,14 @@
 // refresh updates the estimates of all targets. It runs at most every 50 ms.
 func (p *Pool) refresh(out []Action, now time.Time) []Action {
 	p.smoothOwn(now)
+	late := p.late(now)
 	for _, t := range p.slots {
 		if t == nil {
 			continue
 		}
+		if late {
+			t.forgive(now)
+		}
 		t.stall(now)
 		t.work.Sample(t.load.Own.Load(), now)
 		out = p.judge(out, t, now)
@@ -36,12 +40,19 @@
 	return out
 }
 
+// alarmFrom is the multiple of a goal from which a host tells its peers. Most of
+// 40 hosts have nothing in progress at a given target and would notice too late.
+const alarmFrom = 1.4
+
 // judge ejects a target that stays slow and starts the trial of one whose
 // ejection has ended.
 func (p *Pool) judge(out []Action, t *target, now time.Time) []Action {
 	factor := 0.0
 	if now.Sub(t.limiter.LastSample()) < tickInterval*4 {
-		factor = t.limiter.Pressure()
+		factor = t.limiter.Slow()
+	}
+	if factor >= alarmFrom && t.limiter.Measured(now) {
+		t.alarm, t.alarmAt = t.limiter.Requests(), now
 	}
 	if why := t.health.Slowdown(factor, now); why != "" {
 		return p.ejected(out, t, why, now)
