Lengthen first floors with the number of hosts

Cause: a floor is a message to every host of the zone, 4.7 KB with 40 hosts.

Change: a first floor lasts at least 30 ms for each host that feeds the targets.

Smaller zones are unchanged.

--- a/sched/pool/floors.go
+++ b/sched/pool/floors.go
@@ -12,6 +12,9 @@
 	// Limits.Floor, so a short shortage stops lower tiers only briefly and a
 	// long one costs few messages.
 	firstFloor = 200 * time.Millisecond
+	// floorPerHost lengthens first floors in large zones, where each costs a
+	// message to every host.
+	floorPerHost = 30 * time.Millisecond
 	// pauseAfter is how long floors must have lasted without a gap before running
 	// patient work is paused for a floor that is not urgent: a paused request
 	// computes its prompt and answer again, and most shortages end sooner. The
@@ -56,7 +59,8 @@
 func (p *Pool) raiseFloor(out []Action, tier request.Tier, now time.Time) []Action {
 	left := p.floorLeft(tier, now)
 	length := &p.floors.length[tier]
-	if first := min(firstFloor, p.cfg.Limits.Floor); left <= 0 || *length < first {
+	first := max(firstFloor, time.Duration(p.cfg.Hosts)*floorPerHost)
+	if first = min(first, p.cfg.Limits.Floor); left <= 0 || *length < first {
 		*length = first
 	}
 	if left > *length/2 {
