--- a/sched/flow/flow.go
+++ b/sched/flow/flow.go
@@ -128,10 +128,28 @@
 	return nil, expired
 }
 
+// DropLate removes and returns the oldest late item of the organisation that has
+// the most of them if more than keep late items of the tier wait, else nil.
+func (q *Queue) DropLate(t request.Tier, keep int) *Item {
+	f := &q.late[t]
+	if f.count <= keep {
+		return nil
+	}
+	var most *organisation
+	for _, o := range f.organisations {
+		if most == nil || o.live > most.live || (o.live == most.live && o.name < most.name) {
+			most = o
+		}
+	}
+	it := most.items[most.first]
+	q.drop(it)
+	return it
+}
+
 // lateLag is how many tokens an organisation whose requests are all late may be
 // behind the next fresh request before it is served first. It bounds what
 // serving fresh requests first costs in fairness.
-const lateLag = 1000
+const lateLag = 800
 
 // fresh returns the next fresh item of a tier. Items that have become late are
 // set aside without a charge: serving them first would make the others late too.
--- a/sched/limit/limit.go
+++ b/sched/limit/limit.go
@@ -84,6 +84,9 @@
 	leastTime    = 2 * time.Second
 	leastSamples = 6
 	unfitSlack   = 2.5
+	// tailMost bounds the tail by the current mean, so that a target which was slow
+	// recovers with its mean; the slowest engines of the benchmark have 1.3.
+	tailMost = 1.5
 	// drift lets an unloaded value that was learned in a good hour, or from one
 	// lucky sample, rise by 0.1% per second.
 	drift = 0.001
@@ -176,7 +179,7 @@
 // Fit reports whether the target can meet the goal for the time between tokens
 // at some load. It can as far as is known if it was not used lately.
 func (l *Limiter) Fit(now time.Time) bool {
-	return !l.unfit() || now.Sub(l.lastOwn) > 2*leastWindow
+	return !l.unfit() || now.Sub(l.lastOwn) > leastWindow/2
 }
 
 func (l *Limiter) unfit() bool {
@@ -206,6 +209,7 @@
 	} else {
 		l.tail -= min(step*(1-tailPart), l.tail-v)
 	}
+	l.tail = min(l.tail, tailMost*max(l.between.now, v))
 }
 
 // First records the time to the first byte of a request with the given number
--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/core/request"
 	"sardinefront.dev/sched/flow"
 	"sardinefront.dev/sched/pick"
@@ -25,6 +26,9 @@
 	for {
 		it, expired := p.queue.Next(now)
 		out = p.expire(out, expired, now)
+		if dropped := p.shedLate(&out, now); dropped {
+			continue
+		}
 		if !resumed && (it == nil || it.Request.Tier == request.Patient) {
 			out = p.resumeBound(out, now)
 			resumed = true
@@ -44,6 +48,34 @@
 	}
 }
 
+// lateKept is how many late interactive requests a host keeps at least, and a
+// lateShare of its requests in progress if that is more. More would wait in vain
+// under lasting overload, keep patient work stopped, and set their organisations
+// behind the others.
+const (
+	lateKept  = 4
+	lateShare = 12
+)
+
+// shedLate refuses late interactive requests beyond those that are kept.
+func (p *Pool) shedLate(out *[]Action, now time.Time) bool {
+	running := 0
+	for _, n := range p.running {
+		running += n
+	}
+	dropped := false
+	for {
+		it := p.queue.DropLate(request.Interactive, max(lateKept, running/lateShare))
+		if it == nil {
+			return dropped
+		}
+		dropped = true
+		wait := now.Sub(it.Request.Arrived).Round(time.Millisecond)
+		f := refusal.New(refusal.Shed, "overload: no room within %s", wait)
+		*out = p.refuse(p.raiseFloor(*out, request.Interactive, now), p.entries[it.Request.ID], f, now)
+	}
+}
+
 // expire refuses requests that can no longer meet their deadline. By then the
 // floor is up, so lower tiers have stopped first.
 func (p *Pool) expire(out []Action, expired []flow.Expired, now time.Time) []Action {
