Renew floors at different moments on the hosts of a zone

Cause: all hosts renewed a floor when half of it was left, within the same few milliseconds, each with a message to every other host.

--- a/sched/pool/floors.go
+++ b/sched/pool/floors.go
@@ -15,6 +15,8 @@
 	// floorPerHost lengthens first floors in large zones, where each costs a
 	// message to every host.
 	floorPerHost = 30 * time.Millisecond
+	// leastRenewal is two ticks, so that a short floor is renewed before it ends.
+	leastRenewal = 2 * tickInterval
 	// pauseAfter is how long floors must have lasted without a gap before running
 	// patient work is paused for a floor that is not urgent: a paused request
 	// computes its prompt and answer again, and most shortages end sooner. The
@@ -29,7 +31,9 @@
 	length [request.TierCount]time.Duration
 	// known is the end of the floors that all hosts of the zone were told of. One
 	// that only a digest mentioned need not be known to the others.
-	known    [request.TierCount]time.Time
+	known [request.TierCount]time.Time
+	// raised counts the floors that this host has raised.
+	raised   int
 	pausedAt time.Time
 	since    time.Time // start of the floors that are active without a gap
 }
@@ -63,9 +67,10 @@
 	if first = min(first, p.cfg.Limits.Floor); left <= 0 || *length < first {
 		*length = first
 	}
-	if left > *length/2 {
+	if left > p.renewWithin(*length) {
 		return out
 	}
+	p.floors.raised++
 	if left > 0 {
 		*length = min(2**length, p.cfg.Limits.Floor)
 	}
@@ -77,6 +82,15 @@
 	return append(out, Action{Kind: RaiseFloor, Tier: tier, Until: until, Why: why})
 }
 
+// renewWithin returns the rest of a floor from which this host renews it. It
+// differs between the hosts of a zone and with each renewal: hosts that renewed
+// at the same moment would each send a message to every other host.
+func (p *Pool) renewWithin(length time.Duration) time.Duration {
+	turn := (p.cfg.Host + p.floors.raised) % p.cfg.Hosts
+	spread := length / 4 * time.Duration(turn) / time.Duration(p.cfg.Hosts)
+	return max(length/4+spread, leastRenewal)
+}
+
 // floorLeft returns how long the tiers below tier are still stopped on all hosts
 // of the zone.
 func (p *Pool) floorLeft(tier request.Tier, now time.Time) time.Duration {
