--- a/sched/limit/limit.go
+++ b/sched/limit/limit.go
@@ -166,52 +166,6 @@
 	l.adapt(requests, tokens, now)
 }
 
-func (l *Limiter) noteLeast(v float64, now time.Time) {
-	if !now.Before(l.leastEnd) {
-		l.least[1], l.counts[1] = l.least[0], l.counts[0]
-		l.least[0], l.counts[0] = v, 0
-		l.leastEnd = now.Add(leastWindow)
-	}
-	l.least[0] = min(l.least[0], v)
-	l.counts[0]++
-}
-
-// Fit reports whether the target can meet the goal for the time between tokens
-// at some load. It can as far as is known if it was not used lately.
-func (l *Limiter) Fit(now time.Time) bool {
-	return !l.unfit() || now.Sub(l.lastOwn) > leastWindow/2
-}
-
-func (l *Limiter) unfit() bool {
-	if l.cfg.Service || l.counts[0]+l.counts[1] < leastSamples {
-		return false
-	}
-	if start := l.leastEnd.Add(-leastWindow); l.counts[1] == 0 && l.lastOwn.Sub(start) < leastTime {
-		return false
-	}
-	return l.leastRecent() > l.cfg.BetweenTokens.Seconds()
-}
-
-func (l *Limiter) leastRecent() float64 {
-	if l.counts[1] == 0 {
-		return l.least[0]
-	}
-	return min(l.least[0], l.least[1])
-}
-
-func (l *Limiter) moveTail(v float64) {
-	if l.tail == 0 {
-		l.tail = v
-	}
-	step := tailStep * l.cfg.BetweenTokens.Seconds()
-	if v > l.tail {
-		l.tail += min(step*tailPart, v-l.tail)
-	} else {
-		l.tail -= min(step*(1-tailPart), l.tail-v)
-	}
-	l.tail = min(l.tail, tailMost*max(l.between.now, v))
-}
-
 // First records the time to the first byte of a request with the given number
 // of prompt tokens that were not in the prefix cache.
 func (l *Limiter) First(d time.Duration, uncached int, requests, tokens float64, now time.Time) {
@@ -446,53 +400,3 @@
 	}
 	return between, prefill
 }
-
-// signal is one measured quantity: its current value and its least value.
-type signal struct {
-	now, base  float64
-	at, baseAt time.Time
-	// unloaded says that base was measured on an unloaded target.
-	unloaded bool
-}
-
-func (s *signal) add(v float64, unloaded bool, now time.Time) {
-	s.learnBase(v, unloaded, now)
-	if s.now == 0 {
-		s.now, s.at = v, now
-		return
-	}
-	dt := max(now.Sub(s.at).Seconds(), 0.01)
-	s.now += (v - s.now) * (1 - math.Exp(-dt/fast.Seconds()))
-	s.at = now
-}
-
-// blend is add with a fixed weight, for values that come rarely and vary much.
-func (s *signal) blend(v, weight float64, now time.Time) {
-	if s.now == 0 {
-		weight = 1
-	}
-	s.now += (v - s.now) * weight
-	s.at = now
-}
-
-// raise moves the current value up to a lower bound that an unfinished wait
-// proves. The time of the last sample stays, so that the next one weighs more
-// the longer the wait was.
-func (s *signal) raise(v float64) {
-	s.now = max(s.now, v)
-}
-
-// learnBase keeps the least value. Values of an unloaded target also let it
-// rise slowly.
-func (s *signal) learnBase(v float64, unloaded bool, now time.Time) {
-	s.unloaded = s.unloaded || unloaded
-	switch {
-	case s.base == 0 || v < s.base:
-		s.base = v
-	case unloaded:
-		s.base = min(v, s.base*(1+drift*min(1, max(0, now.Sub(s.baseAt).Seconds()))))
-	default:
-		return
-	}
-	s.baseAt = now
-}
