--- a/sched/limit/limit.go
+++ b/sched/limit/limit.go
@@ -263,12 +263,6 @@
 	return firstOver
 }
 
-// gapPressure returns the time between tokens relative to its goal.
-func (l *Limiter) gapPressure() float64 {
-	goal := l.betweenGoal()
-	return max(l.between.now/goal, l.tail/(goal*tailGoal))
-}
-
 // Slow returns how far the target itself misses its goals, 0 if nothing is
 // known: the time between tokens of an engine, or the whole time of a plain
 // service, relative to the goal. Late first tokens of an engine are left out,
--- a/sched/limit/tail.go
+++ b/sched/limit/tail.go
@@ -47,3 +47,9 @@
 	}
 	l.tail = min(l.tail, tailMost*max(l.between.now, v))
 }
+
+// gapPressure returns the time between tokens relative to its goal.
+func (l *Limiter) gapPressure() float64 {
+	goal := l.betweenGoal()
+	return max(l.between.now/goal, l.tail/(goal*tailGoal))
+}
