--- a/core/request/request.go
+++ b/core/request/request.go
@@ -72,6 +72,9 @@
 	Route    string
 	Arrived  time.Time
 	Deadline time.Time
+	// FirstToken is the time from arrival within which the rules want the first
+	// token; 0 if they state none.
+	FirstToken time.Duration
 	// PromptTokens and MaxTokens are estimates in tokens; both are 0 for plain
 	// services.
 	PromptTokens int
--- a/host/callers.go
+++ b/host/callers.go
@@ -183,6 +183,7 @@
 		Route:        in.class.Route,
 		Arrived:      now,
 		Deadline:     now.Add(in.class.Answer),
+		FirstToken:   in.class.FirstToken,
 	}
 	in.call = target.Call{
 		ID:     in.req.ID,
--- a/proof/bench/workload.go
+++ b/proof/bench/workload.go
@@ -126,6 +126,9 @@
 		return j
 	}
 	g.drawTokens(j, s)
+	if tier != request.Patient {
+		j.req.FirstToken = firstTokenLimit
+	}
 	if tier == request.Interactive && g.rnd.Float64() < leaveShare {
 		j.leave = at + time.Duration(g.rnd.Float64()*float64(2*time.Second))
 	}
--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -57,7 +57,8 @@
 	lateShare = 12
 )
 
-// shedLate refuses late interactive requests beyond those that are kept.
+// shedLate refuses interactive requests that have missed the time for their
+// first token, beyond those that are kept.
 func (p *Pool) shedLate(out *[]Action, now time.Time) bool {
 	running := 0
 	for _, n := range p.running {
@@ -71,7 +72,7 @@
 		}
 		dropped = true
 		wait := now.Sub(it.Request.Arrived).Round(time.Millisecond)
-		f := refusal.New(refusal.Shed, "overload: no room within %s", wait)
+		f := refusal.New(refusal.DeadlinePassed, "overload: no room for a first token within %s, the rules want it within %s", wait, it.Request.FirstToken)
 		*out = p.refuse(p.raiseFloor(*out, request.Interactive, now), p.entries[it.Request.ID], f, now)
 	}
 }
--- a/sched/pool/requests.go
+++ b/sched/pool/requests.go
@@ -49,12 +49,12 @@
 }
 
 // freshUntil returns when the request must start to meet the objective for its
-// first token, zero if it has none.
+// first token, zero if the rules state none.
 func (p *Pool) freshUntil(r *request.Request) time.Time {
-	if p.cfg.Kind != Engine || r.Tier == request.Patient {
+	if p.cfg.Kind != Engine || r.Tier == request.Patient || r.FirstToken == 0 {
 		return time.Time{}
 	}
-	limit := p.cfg.Limits.FirstToken
+	limit := r.FirstToken
 	run := time.Duration(p.service.fastFirst * float64(time.Second))
 	return r.Arrived.Add(max(limit/4, limit-run))
 }
--- a/sched/pool/sim_test.go
+++ b/sched/pool/sim_test.go
@@ -330,8 +330,13 @@
 		}
 		key := uint64(z.rnd.IntN(200))
 		id := fmt.Sprintf("%s-%s-%d-%d", tier, organisation, z.now.UnixMilli(), z.rnd.Uint64())
+		firstToken := 590 * time.Millisecond
+		if tier == request.Patient {
+			firstToken = 0
+		}
 		z.submit(z.rnd.IntN(len(z.hosts)), &request.Request{
-			ID: id, Organisation: organisation, Tier: tier, Pool: "p", Arrived: z.now, Deadline: z.now.Add(deadline),
+			FirstToken: firstToken,
+			ID:         id, Organisation: organisation, Tier: tier, Pool: "p", Arrived: z.now, Deadline: z.now.Add(deadline),
 			PromptTokens: 800, MaxTokens: z.maxTokens, Prefix: []uint64{1, key + 10, key + 1000, key + 2000},
 		})
 	}
