Read KNOWN-RED.txt in one place

The benchmark, the slopes and the scenarios each parsed the file. A missing file still fails the first two and counts as empty for the scenarios. The comment on the period of evidence stands at its constants again.

--- a/host/moves.go
+++ b/host/moves.go
@@ -23,12 +23,12 @@
 	// evidenceEvery is the shortest time between two messages of evidence, and
 	// evidencePerHost what each host of the fleet adds to it, so that a
 	// collector receives about 3 KB/s however many hosts there are.
-	evidenceEvery = time.Second
+	evidenceEvery   = time.Second
+	evidencePerHost = 250 * time.Millisecond
 	// stateTimeout bounds a read of a move's state, stateRetry the pause after a
 	// failed one.
-	stateTimeout    = 2 * time.Second
-	stateRetry      = 2 * time.Second
-	evidencePerHost = 250 * time.Millisecond
+	stateTimeout = 2 * time.Second
+	stateRetry   = 2 * time.Second
 )
 
 const (
--- a/proof/bench/bounds_test.go
+++ b/proof/bench/bounds_test.go
@@ -1,14 +1,12 @@
 package bench
 
 import (
-	"bufio"
-	"os"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
 	"sardinefront.dev/core/request"
+	"sardinefront.dev/proof/knownred"
 	"sardinefront.dev/sched/pool"
 )
 
@@ -55,7 +53,7 @@
 }
 
 // checkBound checks a bound under all seeds of one scenario.
-func checkBound(t *testing.T, b *Bound, name string, all []*comparison, known map[string]bool) {
+func checkBound(t *testing.T, b *Bound, name string, all []*comparison, known map[string]string) {
 	missed := false
 	for _, c := range all {
 		v := figureNamed(b.Figure).value(c.pool, c)
@@ -69,29 +67,22 @@
 		}
 	}
 	switch {
-	case missed && known[t.Name()]:
+	case missed && known[t.Name()] != "":
 		t.Skip("known failure, see KNOWN-RED.txt")
 	case missed:
 		t.Fail()
-	case known[t.Name()]:
+	case known[t.Name()] != "":
 		t.Log("listed in KNOWN-RED.txt, but passes")
 	}
 }
 
 // knownFailures reads the names of the tests in KNOWN-RED.txt.
-func knownFailures(t *testing.T) map[string]bool {
-	f, err := os.Open("../../KNOWN-RED.txt")
+func knownFailures(t *testing.T) map[string]string {
+	known, err := knownred.Read("../../KNOWN-RED.txt")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer f.Close()
-	names := map[string]bool{}
-	for s := bufio.NewScanner(f); s.Scan(); {
-		if name, ok := strings.CutPrefix(strings.TrimSpace(s.Text()), "test: "); ok {
-			names[strings.TrimSpace(name)] = true
-		}
-	}
-	return names
+	return known
 }
 
 // TestOmniscientServesCapacity guards the yardstick: a weak omniscient
--- a/proof/scenario/scenario.go
+++ b/proof/scenario/scenario.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"sardinefront.dev/proof/knownred"
 )
 
 // extension of scenario files.
@@ -213,25 +215,13 @@
 	return results
 }
 
-// ReadKnownRed returns the entries of a KNOWN-RED.txt file by the names of
-// their tests. Blank lines separate entries. A missing file has none.
+// ReadKnownRed is knownred.Read, without entries where there is no file.
 func ReadKnownRed(file string) (map[string]string, error) {
-	text, err := os.ReadFile(file)
+	known, err := knownred.Read(file)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
 	}
-	if err != nil {
-		return nil, err
-	}
-	known := make(map[string]string)
-	for _, entry := range strings.Split(string(text), "\n\n") {
-		for line := range strings.Lines(entry) {
-			if name, ok := strings.CutPrefix(line, "test:"); ok {
-				known[strings.TrimSpace(name)] = strings.TrimSpace(entry)
-			}
-		}
-	}
-	return known, nil
+	return known, err
 }
 
 // Run runs every scenario below dir and writes a table with one line for each,
--- a/proof/slopes/slopes_test.go
+++ b/proof/slopes/slopes_test.go
@@ -1,13 +1,12 @@
 package slopes
 
 import (
-	"bufio"
 	"flag"
 	"math"
-	"os"
-	"strings"
 	"testing"
 	"testing/synctest"
+
+	"sardinefront.dev/proof/knownred"
 )
 
 var all = flag.Bool("all", false, "measure the sections that take long or run a real host too")
@@ -40,12 +39,12 @@
 	}
 }
 
-func checkBudget(t *testing.T, c *Cost, known map[string]bool) {
+func checkBudget(t *testing.T, c *Cost, known map[string]string) {
 	switch {
-	case c.Within() && known[t.Name()]:
+	case c.Within() && known[t.Name()] != "":
 		t.Log("listed in KNOWN-RED.txt, but passes")
 	case c.Within():
-	case known[t.Name()]:
+	case known[t.Name()] != "":
 		t.Skipf("known failure, see KNOWN-RED.txt: %s", c)
 	default:
 		t.Errorf("budget missed: %s", c)
@@ -53,19 +52,12 @@
 }
 
 // knownFailures reads the names of the tests in KNOWN-RED.txt.
-func knownFailures(t *testing.T) map[string]bool {
-	f, err := os.Open("../../KNOWN-RED.txt")
+func knownFailures(t *testing.T) map[string]string {
+	known, err := knownred.Read("../../KNOWN-RED.txt")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer f.Close()
-	names := map[string]bool{}
-	for s := bufio.NewScanner(f); s.Scan(); {
-		if name, ok := strings.CutPrefix(strings.TrimSpace(s.Text()), "test: "); ok {
-			names[strings.TrimSpace(name)] = true
-		}
-	}
-	return names
+	return known
 }
 
 // Guards against a wrong line, which would hide a missed budget.
