--- a/cmd/sardinefront/main.go
+++ b/cmd/sardinefront/main.go
@@ -31,10 +31,16 @@
 
 func run() int {
 	file := ""
+	entry := flaggy.NewSubcommand("entry")
+	entry.Description = "serves on the platform; the settings file is named by " + settingsVariable + " unless given"
 	flaggy.SetName("sardinefront")
 	flaggy.SetDescription("Schedules callers' requests onto targets. One process per entry host.")
 	flaggy.String(&file, "s", "settings", "YAML settings file; without one the host runs alone on loopback with an embedded store")
+	flaggy.AttachSubcommand(entry, 1)
 	flaggy.Parse()
+	if entry.Used {
+		return runEntry(file)
+	}
 
 	log := slog.New(slog.NewJSONHandler(os.Stderr, nil))
 	s, err := load(file)
--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -59,6 +59,12 @@
 	ShuttingDown
 	Unauthorized
 	NotFound
+	NotReady
+	QuotaExceeded
+	Overloaded
+	TargetFull
+	TargetMoved
+	RetryBudget
 	reasonCount
 )
 
@@ -99,7 +105,13 @@
 	ShuttingDown:       {"shutting-down", http.StatusServiceUnavailable, NotRun, time.Second},
 	Unauthorized:       {"unauthorized", http.StatusUnauthorized, NotRun, 0},
 	// An earlier submission may still be on its way to the record.
-	NotFound: {"not-found", http.StatusNotFound, Unknown, 0},
+	NotFound:      {"not-found", http.StatusNotFound, Unknown, 0},
+	NotReady:      {"not-ready", http.StatusServiceUnavailable, NotRun, time.Second},
+	QuotaExceeded: {"quota-exceeded", http.StatusTooManyRequests, NotRun, time.Second},
+	Overloaded:    {"overloaded", http.StatusServiceUnavailable, NotRun, time.Second},
+	TargetFull:    {"target-full", http.StatusServiceUnavailable, NotRun, 200 * time.Millisecond},
+	TargetMoved:   {"target-moved", http.StatusServiceUnavailable, NotRun, 200 * time.Millisecond},
+	RetryBudget:   {"retry-budget", http.StatusServiceUnavailable, NotRun, 500 * time.Millisecond},
 }
 
 // Reasons returns all reasons in table order.
@@ -122,6 +134,16 @@
 // Status returns the HTTP status code of the reason.
 func (r Reason) Status() int { return table[r].status }
 
+// PromisesNotRun reports whether callers take the reason's status as a promise that
+// the request has not run and never will.
+func (r Reason) PromisesNotRun() bool {
+	switch r.Status() {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // Ran returns what the reason says about the run unless the refusal itself
 // knows better.
 func (r Reason) Ran() Ran { return table[r].ran }
--- a/core/refusal/retry.go
+++ b/core/refusal/retry.go
@@ -2,8 +2,8 @@
 
 import "fmt"
 
-// Retry identifies why a request was tried at another target. Every retry is
-// one where it is proven that no byte of the request went out.
+// Retry identifies why a request was tried at another target. Requests that must
+// not run twice are retried only where it is proven that they did not run.
 type Retry uint8
 
 // The retry reasons. They label the retry counter.
@@ -11,10 +11,15 @@
 	RetryDialFailed Retry = iota
 	RetryTargetLeft
 	RetryVersionHalted
+	RetryTargetFull
+	RetryTargetFailed
+	RetryTargetSilent
+	RetryAnswerCut
+	RetryAnswerMismatched
 	retryCount
 )
 
-var retryNames = [retryCount]string{"dial-failed", "target-left", "version-halted"}
+var retryNames = [retryCount]string{"dial-failed", "target-left", "version-halted", "target-full", "target-failed", "target-silent", "answer-cut", "answer-mismatched"}
 
 // String returns the counter label.
 func (r Retry) String() string {
--- a/target/quiet_unix.go
+++ b/core/sockets/quiet_unix.go
@@ -1,16 +1,16 @@
 //go:build unix
 
-package target
+package sockets
 
 import (
 	"net"
 	"syscall"
 )
 
-// quiet reports whether an idle connection is open and has nothing to read. A
+// Quiet reports whether an idle connection is open and has nothing to read. A
 // request on a connection that the target has closed would be lost, and bytes
 // that arrive before the request would be taken for its answer.
-func quiet(c net.Conn) bool {
+func Quiet(c net.Conn) bool {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return true
--- a/core/telemetry/telemetry.go
+++ b/core/telemetry/telemetry.go
@@ -38,6 +38,7 @@
 	{"sardinefront_moves", "counter", "{move}", []string{"outcome"}, "Version moves ended, by outcome."},
 	{"sardinefront_outcomes_unknown", "counter", "{request}", nil, "Claimed requests that cannot be proven to have run or not."},
 	{"sardinefront_store_calls", "counter", "{call}", []string{"kind"}, "Calls to the platform's store."},
+	{"sardinefront_store_results", "counter", "{call}", []string{"kind", "result"}, "Ends of calls to the platform's store, by result."},
 	{"sardinefront_peer_bytes", "counter", "By", []string{"direction"}, "Bytes of control traffic with peers."},
 }
 
@@ -164,6 +165,11 @@
 	m.add("sardinefront_store_calls", 1, attribute.String("kind", kind))
 }
 
+// StoreResult counts the end of a call to the platform's store.
+func (m *Metrics) StoreResult(kind, result string) {
+	m.add("sardinefront_store_results", 1, attribute.String("kind", kind), attribute.String("result", result))
+}
+
 // PeerBytes counts control traffic; direction is in or out.
 func (m *Metrics) PeerBytes(direction string, n int) {
 	m.add("sardinefront_peer_bytes", int64(n), attribute.String("direction", direction))
--- /dev/null
+++ b/gateway/directory/directory.go
@@ -0,0 +1,456 @@
+package directory
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"sardinefront.dev/core/event"
+	"sardinefront.dev/gateway/peers"
+	"sardinefront.dev/gateway/routing"
+	"sardinefront.dev/platform"
+)
+
+const (
+	// readEvery is how old the list may get before the first host reads it again.
+	// A target that leaves must get no new work 2 s after it is listed as leaving.
+	readEvery = 600 * time.Millisecond
+	// rankStep is added for each host that comes before this one, so that one host
+	// reads and the others hear from it; maxRank bounds the sum.
+	rankStep = 120 * time.Millisecond
+	maxRank  = 5
+	// mismatchTime is how long a peer's list may differ before this host reads for
+	// itself: a change on its way takes one or two heartbeats.
+	mismatchTime = 400 * time.Millisecond
+	// passOnFor is how long a change is repeated in heartbeats.
+	passOnFor = 2 * peers.Interval
+	// maxPassOn bounds the bytes of changes in one heartbeat. Hosts that miss a
+	// change notice it by the digest.
+	maxPassOn = 1000
+	// historyKept is the age of this host's revision from which a watch may be
+	// answered that the history is gone.
+	historyKept = 15 * time.Second
+	// retryRead is the pause after a failed read.
+	retryRead = 300 * time.Millisecond
+	// pollStep is how often the directory looks whether something is due.
+	pollStep = 50 * time.Millisecond
+	// doubtAfter is the time without a successful read from which entries may have
+	// lapsed while the store was away.
+	doubtAfter = 2500 * time.Millisecond
+)
+
+// Store is what the directory needs of the platform's store.
+type Store interface {
+	Get(ctx context.Context, key string) (platform.Entry, error)
+	Snapshot(ctx context.Context, prefix string) ([]platform.Entry, int64, error)
+	Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]platform.Entry, int64, error)
+}
+
+// Layout names the keys of the store and reads their values.
+type Layout struct {
+	ConfigKey     string
+	TargetPrefix  string
+	RolloutPrefix string
+	Target        Decode
+	Config        func(value []byte) (routing.Config, error)
+}
+
+// Fleet is what the directory needs of the peers.
+type Fleet interface {
+	Alive(now time.Time) []peers.Peer
+	Kick()
+	// Fetch gets what a peer holds, for a host that cannot reach the store.
+	Fetch(ctx context.Context, address string) (*peers.Bulk, error)
+}
+
+// Config connects a directory.
+type Config struct {
+	Name    string
+	Store   Store
+	Layout  Layout
+	Current *routing.Current
+	Log     *slog.Logger
+	// Changed is called after the configuration or the list has changed.
+	Changed func()
+	// Ordered is called with each rollout order, which a removal ends.
+	Ordered func(service string, e platform.Entry)
+}
+
+// Directory follows the store.
+type Directory struct {
+	cfg   Config
+	list  *List
+	fleet Fleet
+
+	mu sync.Mutex
+	// asOf is the revision up to which this host itself has read.
+	asOf int64
+	// readAt is when the last successful read of this host began.
+	readAt time.Time
+	// freshAt is when the list was last known to be current.
+	freshAt time.Time
+	failed  bool // the last read failed
+	nextTry time.Time
+	// mismatch is since when a peer with a fresher list differs.
+	mismatch time.Time
+	// wanted is a newer configuration version that a peer has.
+	wanted     int64
+	wantedFrom string
+	recent     []passedOn
+	config     []byte
+	orders     map[string]int64 // revision of the newest order by key
+}
+
+// passedOn is a change that heartbeats repeat.
+type passedOn struct {
+	change platform.Entry
+	at     time.Time
+}
+
+// New returns a directory that knows nothing yet.
+func New(cfg Config) *Directory {
+	return &Directory{cfg: cfg, list: NewList(cfg.Layout.Target), orders: map[string]int64{}}
+}
+
+// SetFleet connects the peers. Call it before Run.
+func (d *Directory) SetFleet(f Fleet) { d.fleet = f }
+
+// Targets returns the targets in use.
+func (d *Directory) Targets() []Target { return d.list.Targets() }
+
+// Ready reports whether a configuration and a list are known.
+func (d *Directory) Ready() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.cfg.Current.Load() != nil && !d.freshAt.IsZero()
+}
+
+// Run follows the store and the peers until ctx ends.
+func (d *Directory) Run(ctx context.Context) {
+	t := time.NewTicker(pollStep)
+	defer t.Stop()
+	for {
+		d.step(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// step does what is due.
+func (d *Directory) step(ctx context.Context) {
+	now := time.Now()
+	if gone := d.list.Expire(now); len(gone) > 0 {
+		d.changed(gone, now)
+	}
+	if v, from := d.wantedConfig(); v > 0 {
+		d.fetchConfig(ctx, from)
+	}
+	if d.due(now) {
+		d.read(ctx, now)
+	}
+}
+
+// due reports whether this host must read the store itself.
+func (d *Directory) due(now time.Time) bool {
+	rank := d.rank(now)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if now.Before(d.nextTry) {
+		return false
+	}
+	if !d.mismatch.IsZero() && now.Sub(d.mismatch) > mismatchTime {
+		return true
+	}
+	return now.Sub(d.freshAt) >= readEvery+time.Duration(min(rank, maxRank))*rankStep
+}
+
+// rank counts the live peers that come before this host.
+func (d *Directory) rank(now time.Time) int {
+	if d.fleet == nil {
+		return 0
+	}
+	n := 0
+	for _, p := range d.fleet.Alive(now) {
+		if p.Name < d.cfg.Name {
+			n++
+		}
+	}
+	return n
+}
+
+// read reads the changes since this host's last read, or everything.
+func (d *Directory) read(ctx context.Context, now time.Time) {
+	d.mu.Lock()
+	after, readAt := d.asOf, d.readAt
+	doubtful := d.failed || !d.freshAt.IsZero() && now.Sub(d.freshAt) > doubtAfter
+	d.mu.Unlock()
+	var err error
+	if after > 0 && now.Sub(readAt) < historyKept {
+		err = d.readChanges(ctx, after, doubtful, now)
+	} else {
+		err = platform.ErrHistoryGone
+	}
+	if errors.Is(err, platform.ErrHistoryGone) {
+		err = d.readAll(ctx, doubtful, now)
+	}
+	d.finishRead(ctx, err, now)
+}
+
+func (d *Directory) readChanges(ctx context.Context, after int64, doubtful bool, now time.Time) error {
+	changes, asOf, err := d.cfg.Store.Changes(ctx, "", after, 0)
+	if err != nil {
+		return err
+	}
+	d.take(changes, doubtful, now)
+	d.mu.Lock()
+	d.asOf = asOf
+	d.mu.Unlock()
+	return nil
+}
+
+func (d *Directory) readAll(ctx context.Context, doubtful bool, now time.Time) error {
+	l := d.cfg.Layout
+	targets, asOf, err := d.cfg.Store.Snapshot(ctx, l.TargetPrefix)
+	if err != nil {
+		return err
+	}
+	c, err := d.cfg.Store.Get(ctx, l.ConfigKey)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	if err == nil {
+		d.take([]platform.Entry{c}, false, now)
+	}
+	orders, _, err := d.cfg.Store.Snapshot(ctx, l.RolloutPrefix)
+	if err != nil {
+		return err
+	}
+	d.take(orders, false, now)
+	d.changed(d.list.Replace(targets, asOf, doubtful, now), now)
+	d.mu.Lock()
+	d.asOf = asOf
+	d.mu.Unlock()
+	return nil
+}
+
+func (d *Directory) finishRead(ctx context.Context, err error, began time.Time) {
+	d.mu.Lock()
+	was := d.failed
+	d.failed = err != nil
+	if err == nil {
+		d.readAt, d.freshAt, d.mismatch = began, began, time.Time{}
+	} else {
+		d.nextTry = time.Now().Add(retryRead)
+	}
+	never := d.freshAt.IsZero()
+	d.mu.Unlock()
+	switch {
+	case err != nil && !was:
+		event.StoreCutOff.Log(d.cfg.Log, slog.Any("error", err))
+	case err == nil && was:
+		event.StoreBack.Log(d.cfg.Log)
+	}
+	if err != nil && never {
+		d.fetchFromPeer(ctx)
+	}
+}
+
+// take sorts changes by what they are about.
+func (d *Directory) take(changes []platform.Entry, doubtful bool, now time.Time) {
+	l := d.cfg.Layout
+	var targets []platform.Entry
+	for _, c := range changes {
+		switch {
+		case c.Key == l.ConfigKey && !c.Deleted:
+			d.adopt(c.Value)
+		case strings.HasPrefix(c.Key, l.TargetPrefix):
+			targets = append(targets, c)
+		case strings.HasPrefix(c.Key, l.RolloutPrefix):
+			d.order(c, now)
+		}
+	}
+	d.changed(d.list.Apply(targets, doubtful, now), now)
+}
+
+func (d *Directory) order(c platform.Entry, now time.Time) {
+	d.mu.Lock()
+	known := d.orders[c.Key] >= c.Revision
+	if !known {
+		d.orders[c.Key] = c.Revision
+		d.recent = append(d.recent, passedOn{c, now})
+	}
+	d.mu.Unlock()
+	if !known && d.cfg.Ordered != nil {
+		d.cfg.Ordered(strings.TrimPrefix(c.Key, d.cfg.Layout.RolloutPrefix), c)
+		d.kick()
+	}
+}
+
+// adopt puts a configuration in force if it is newer.
+func (d *Directory) adopt(value []byte) {
+	c, err := d.cfg.Layout.Config(value)
+	if err != nil {
+		event.ConfigRejected.Log(d.cfg.Log, slog.Any("error", err))
+		return
+	}
+	if !d.cfg.Current.Adopt(routing.Compile(c)) {
+		return
+	}
+	d.mu.Lock()
+	d.config = slices.Clone(value)
+	d.mu.Unlock()
+	event.ConfigAdopted.Log(d.cfg.Log, slog.Int64("version", c.Version), slog.Int("routes", len(c.Routes)))
+	d.cfg.Changed()
+	d.kick()
+}
+
+func (d *Directory) changed(changes []platform.Entry, now time.Time) {
+	if len(changes) == 0 {
+		return
+	}
+	d.mu.Lock()
+	for _, c := range changes {
+		d.recent = append(d.recent, passedOn{c, now})
+	}
+	d.mu.Unlock()
+	for _, c := range changes {
+		event.TargetListed.Log(d.cfg.Log, slog.String("key", c.Key), slog.Int64("revision", c.Revision), slog.Bool("removed", c.Deleted))
+	}
+	d.cfg.Changed()
+	d.kick()
+}
+
+func (d *Directory) kick() {
+	if d.fleet != nil {
+		d.fleet.Kick()
+	}
+}
+
+// Fill adds the directory's part to a heartbeat.
+func (d *Directory) Fill(h *peers.Heartbeat, now time.Time) {
+	h.ConfigVersion = d.cfg.Current.Version()
+	h.ListDigest = d.list.Digest()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h.ListAge = -1
+	if !d.freshAt.IsZero() {
+		h.ListAge = now.Sub(d.freshAt).Milliseconds()
+	}
+	d.recent = slices.DeleteFunc(d.recent, func(p passedOn) bool { return now.Sub(p.at) > passOnFor })
+	size := 0
+	for i := len(d.recent) - 1; i >= 0; i-- {
+		c := d.recent[i].change
+		if size += len(c.Key) + len(c.Value); size > maxPassOn {
+			break
+		}
+		h.Changes = append(h.Changes, peers.Change{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted})
+	}
+}
+
+// Heard takes what a peer knows.
+func (d *Directory) Heard(h *peers.Heartbeat, now time.Time) {
+	for _, c := range h.Changes {
+		d.take([]platform.Entry{{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted}}, false, now)
+	}
+	digest := d.list.Digest()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if h.ConfigVersion > d.cfg.Current.Version() && h.ConfigVersion > d.wanted {
+		d.wanted, d.wantedFrom = h.ConfigVersion, h.Address
+	}
+	if h.ListAge < 0 || d.freshAt.IsZero() {
+		return
+	}
+	at := now.Add(-time.Duration(h.ListAge) * time.Millisecond)
+	switch {
+	case !at.After(d.freshAt):
+	case h.ListDigest == digest:
+		d.freshAt, d.mismatch = at, time.Time{}
+	case d.mismatch.IsZero():
+		d.mismatch = now
+	}
+}
+
+func (d *Directory) wantedConfig() (int64, string) {
+	version := d.cfg.Current.Version()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.wanted <= version {
+		return 0, ""
+	}
+	return d.wanted, d.wantedFrom
+}
+
+// fetchConfig reads a newer configuration from the store or from the peer that
+// has it.
+func (d *Directory) fetchConfig(ctx context.Context, from string) {
+	e, err := d.cfg.Store.Get(ctx, d.cfg.Layout.ConfigKey)
+	if err == nil {
+		d.adopt(e.Value)
+	}
+	if v, _ := d.wantedConfig(); v > 0 {
+		d.fetchBulk(ctx, from)
+	}
+	d.mu.Lock()
+	d.wanted = 0
+	d.mu.Unlock()
+}
+
+// fetchFromPeer starts a host that cannot reach the store with what a peer holds.
+func (d *Directory) fetchFromPeer(ctx context.Context) {
+	if d.fleet == nil {
+		return
+	}
+	for _, p := range d.fleet.Alive(time.Now()) {
+		if d.fetchBulk(ctx, p.Address) {
+			return
+		}
+	}
+}
+
+func (d *Directory) fetchBulk(ctx context.Context, address string) bool {
+	b, err := d.fleet.Fetch(ctx, address)
+	if err != nil {
+		event.PeerFetchFailed.Log(d.cfg.Log, slog.String("peer", address), slog.Any("error", err))
+		return false
+	}
+	now := time.Now()
+	if len(b.Config) > 0 {
+		d.adopt(b.Config)
+	}
+	entries := make([]platform.Entry, 0, len(b.Targets))
+	for _, c := range b.Targets {
+		entries = append(entries, platform.Entry{Key: c.Key, Value: c.Value, Revision: c.Revision})
+	}
+	d.take(entries, false, now)
+	if b.ListAge >= 0 {
+		d.mu.Lock()
+		if at := now.Add(-time.Duration(b.ListAge) * time.Millisecond); at.After(d.freshAt) {
+			d.freshAt = at
+		}
+		d.mu.Unlock()
+	}
+	return len(b.Config) > 0 && b.ListAge >= 0
+}
+
+// Bulk returns what this host holds, for peers that cannot reach the store.
+func (d *Directory) Bulk() *peers.Bulk {
+	b := &peers.Bulk{ListAge: -1}
+	for _, e := range d.list.Entries() {
+		b.Targets = append(b.Targets, peers.Change{Key: e.Key, Value: e.Value, Revision: e.Revision})
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b.Config = d.config
+	if !d.freshAt.IsZero() {
+		b.ListAge = time.Since(d.freshAt).Milliseconds()
+	}
+	return b
+}
--- /dev/null
+++ b/gateway/dispatch/dispatch.go
@@ -0,0 +1,219 @@
+// Package dispatch runs the schedulers of the services: it hands waiting requests
+// their targets as the decisions of sched/reserve allow, and wakes them in time.
+package dispatch
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"sardinefront.dev/core/event"
+	"sardinefront.dev/core/refusal"
+	"sardinefront.dev/gateway/directory"
+	"sardinefront.dev/gateway/protocol"
+	"sardinefront.dev/gateway/routing"
+	"sardinefront.dev/sched/reserve"
+)
+
+// Service schedules the requests of one service on this host. It is safe for
+// concurrent use.
+type Service struct {
+	name string
+	log  *slog.Logger
+
+	mu      sync.Mutex
+	pool    *reserve.Pool
+	targets map[string]directory.Target
+	waiting map[*reserve.Waiter]chan outcome
+	timer   *time.Timer
+}
+
+// outcome is what a waiting request gets.
+type outcome struct {
+	target  directory.Target
+	refusal *refusal.Refusal
+}
+
+func newService(name string, reservations bool, log *slog.Logger) *Service {
+	s := &Service{
+		name: name, log: log,
+		pool:    reserve.New(reserve.Config{Reservations: reservations, Seed: rand.Uint64()}),
+		targets: map[string]directory.Target{},
+		waiting: map[*reserve.Waiter]chan outcome{},
+	}
+	s.timer = time.AfterFunc(time.Hour, s.wake)
+	s.timer.Stop()
+	return s
+}
+
+// SetTargets replaces the list of targets.
+func (s *Service) setTargets(list []directory.Target, zone string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.targets)
+	infos := make([]reserve.Target, 0, len(list))
+	for _, t := range list {
+		key := t.Key()
+		s.targets[key] = t
+		infos = append(infos, reserve.Target{
+			Name: key, Local: t.Zone == zone, Slots: t.Slots, Leaving: t.Leaving, ColdUntil: t.ColdUntil,
+		})
+	}
+	s.pool.SetTargets(infos)
+	s.pump(time.Now())
+}
+
+// Acquire waits for a target. Again says that the request had a target before and
+// did not run there. An error is a *refusal.Refusal or the error of ctx.
+func (s *Service) Acquire(ctx context.Context, w *reserve.Waiter, again bool) (directory.Target, error) {
+	ch := make(chan outcome, 1)
+	s.mu.Lock()
+	now := time.Now()
+	if again {
+		s.pool.Resubmit(w)
+	} else if f := s.pool.Submit(w, now); f != nil {
+		s.mu.Unlock()
+		return directory.Target{}, f
+	}
+	s.waiting[w] = ch
+	s.pump(now)
+	s.mu.Unlock()
+	select {
+	case o := <-ch:
+		return o.result()
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pool.Remove(w) {
+		delete(s.waiting, w)
+		return directory.Target{}, ctx.Err()
+	}
+	// The grant and the end of ctx crossed.
+	o := <-ch
+	if o.refusal == nil {
+		s.pool.End(o.target.Key(), reserve.Abandoned, reserve.Sample{}, time.Now())
+		s.pump(time.Now())
+	}
+	return directory.Target{}, ctx.Err()
+}
+
+func (o outcome) result() (directory.Target, error) {
+	if o.refusal != nil {
+		return directory.Target{}, o.refusal
+	}
+	return o.target, nil
+}
+
+// pump hands out what can start now. The caller holds the lock.
+func (s *Service) pump(now time.Time) {
+	grants, expired := s.pool.Next(now)
+	for _, x := range expired {
+		s.deliver(x.Waiter, outcome{refusal: x.Refusal})
+	}
+	for _, g := range grants {
+		s.deliver(g.Waiter, outcome{target: s.targets[g.Target]})
+	}
+	if at := s.pool.Wake(now); at.IsZero() {
+		s.timer.Stop()
+	} else {
+		s.timer.Reset(max(time.Millisecond, at.Sub(now)))
+	}
+}
+
+func (s *Service) deliver(w *reserve.Waiter, o outcome) {
+	s.waiting[w] <- o
+	delete(s.waiting, w)
+}
+
+func (s *Service) wake() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pump(time.Now())
+}
+
+// Full ends a grant whose target had no room.
+func (s *Service) Full(target string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.pool.Full(target, now)
+	s.pump(now)
+}
+
+// Reserved notes that the target granted a reservation.
+func (s *Service) Reserved(target string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.Reserved(target)
+}
+
+// Load notes what a target says of itself.
+func (s *Service) Load(target string, l *protocol.Load) {
+	if l == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.Load(target, l.Running, l.Waiting, l.Slots, time.Now())
+}
+
+// End ends a grant.
+func (s *Service) End(target string, o reserve.Outcome, sample reserve.Sample) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if why := s.pool.End(target, o, sample, now); why != "" {
+		event.TargetEjected.Log(s.log, slog.String("service", s.name), slog.String("target", target), slog.String("why", why))
+	}
+	s.pump(now)
+}
+
+// Stats returns the counts of the scheduler.
+func (s *Service) Stats() reserve.Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.Stats()
+}
+
+// Services holds the schedulers of all services.
+type Services struct {
+	zone string
+	log  *slog.Logger
+	mu   sync.Mutex
+	all  map[string]*Service
+}
+
+// NewServices returns an empty set for a host in the zone.
+func NewServices(zone string, log *slog.Logger) *Services {
+	return &Services{zone: zone, log: log, all: map[string]*Service{}}
+}
+
+// Get returns the scheduler of a service, or nil.
+func (s *Services) Get(name string) *Service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.all[name]
+}
+
+// Update follows the configuration and the list of targets. Services that are
+// gone keep their scheduler without targets, for requests that still wait.
+func (s *Services) Update(table *routing.Table, targets []directory.Target) {
+	byService := map[string][]directory.Target{}
+	for _, t := range targets {
+		byService[t.Service] = append(byService[t.Service], t)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range table.Services {
+		info := &table.Services[i]
+		if s.all[info.Name] == nil {
+			s.all[info.Name] = newService(info.Name, info.Engine != nil && info.Engine.MaxHold > 0, s.log)
+		}
+	}
+	for name, service := range s.all {
+		service.setTargets(byService[name], s.zone)
+	}
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,233 @@
+// Package gateway is the entry host on the platform: it serves callers with the
+// configuration and targets that the store names, and shares what it knows with
+// the other hosts.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"sardinefront.dev/core/event"
+	"sardinefront.dev/gateway/directory"
+	"sardinefront.dev/gateway/dispatch"
+	"sardinefront.dev/gateway/ingress"
+	"sardinefront.dev/gateway/peers"
+	"sardinefront.dev/gateway/protocol"
+	"sardinefront.dev/gateway/quota"
+	"sardinefront.dev/gateway/retry"
+	"sardinefront.dev/gateway/routing"
+	"sardinefront.dev/gateway/settings"
+	"sardinefront.dev/gateway/upstream"
+)
+
+// Config connects a Gateway to its surroundings.
+type Config struct {
+	Settings settings.Settings
+	Store    directory.Store
+	Layout   directory.Layout
+	Codec    protocol.Codec
+	// ReadyPath is the path of the readiness question.
+	ReadyPath string
+	Metrics   ingress.Metrics
+	Log       *slog.Logger
+}
+
+const (
+	// dialTimeout bounds a connect to a target; connects take a few milliseconds.
+	dialTimeout = 300 * time.Millisecond
+	// headerTimeout bounds the arrival of a request's head where the configuration
+	// does not say.
+	headerTimeout = 5 * time.Second
+	// idleTimeout closes callers' connections that have been idle for longer than
+	// any configuration lets them.
+	idleTimeout = 2 * time.Minute
+	// headerBytes bounds a request's head.
+	headerBytes = 64 << 10
+	// sweepEvery is how often idle connections are looked at.
+	sweepEvery = time.Second
+	// unlistTime is how long the balancer may take to notice a stop: two questions
+	// a second apart, and connections on their way.
+	unlistTime = 2500 * time.Millisecond
+	// stopMargin is kept before the end of the grace time.
+	stopMargin = 400 * time.Millisecond
+)
+
+// Gateway is a running entry host.
+type Gateway struct {
+	cfg      Config
+	current  routing.Current
+	quota    *quota.Meter
+	budget   *retry.Budget
+	services *dispatch.Services
+	upstream *upstream.Pool
+	dir      *directory.Directory
+	mesh     *peers.Mesh
+	ingress  *ingress.Server
+
+	callers, ready, internal *http.Server
+	stopping                 atomic.Bool
+	cancel                   context.CancelFunc
+	wg                       conc.WaitGroup
+}
+
+// New builds a gateway. Nothing runs before Start.
+func New(cfg Config) *Gateway {
+	s := cfg.Settings
+	g := &Gateway{
+		cfg:      cfg,
+		quota:    quota.New(),
+		services: dispatch.NewServices(s.Host.Zone, cfg.Log),
+		upstream: upstream.New(cfg.Codec, dialTimeout, nil),
+		budget: retry.New(retry.Limits{
+			Ratio: s.RetryBudget.Ratio, Slack: s.RetryBudget.Slack,
+			Window: time.Duration(s.RetryBudget.WindowSeconds * float64(time.Second)),
+		}),
+	}
+	g.dir = directory.New(directory.Config{
+		Name: s.Host.Name, Store: cfg.Store, Layout: cfg.Layout, Current: &g.current, Log: cfg.Log, Changed: g.update,
+	})
+	g.ingress = ingress.New(ingress.Config{
+		Codec: cfg.Codec, Current: &g.current, Quota: g.quota, Budget: g.budget, Services: g.services,
+		Upstream: g.upstream, Metrics: cfg.Metrics, Log: cfg.Log,
+	})
+	return g
+}
+
+// Start binds the addresses and begins to serve.
+func (g *Gateway) Start() error {
+	s := g.cfg.Settings
+	mesh, err := peers.New(peers.Config{
+		Name: s.Host.Name, Zone: s.Host.Zone, Address: s.PeerAddress(), Seeds: s.PeerSeeds(), Log: g.cfg.Log,
+	}, g)
+	if err != nil {
+		return fmt.Errorf("peer socket: %w", err)
+	}
+	g.mesh = mesh
+	g.dir.SetFleet(mesh)
+	g.callers = &http.Server{
+		Handler: g.ingress, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		ErrorLog: slog.NewLogLogger(g.cfg.Log.Handler(), slog.LevelDebug),
+	}
+	g.ready = &http.Server{Handler: http.HandlerFunc(g.serveReady)}
+	g.internal = &http.Server{Handler: peers.BulkHandler(g.dir.Bulk)}
+	for _, l := range []struct {
+		server  *http.Server
+		address string
+	}{{g.callers, s.Listen.Callers}, {g.ready, s.Listen.Ready}, {g.internal, s.PeerAddress()}} {
+		if err := g.listen(l.server, l.address); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	g.cancel = cancel
+	g.wg.Go(func() { mesh.Run(ctx) })
+	g.wg.Go(func() { g.dir.Run(ctx) })
+	g.wg.Go(func() { g.sweep(ctx) })
+	event.Started.Log(g.cfg.Log, slog.String("host", s.Host.Name), slog.String("callers", s.Listen.Callers))
+	return nil
+}
+
+func (g *Gateway) listen(server *http.Server, address string) error {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	g.wg.Go(func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			g.cfg.Log.Error("server ended", "address", address, "error", err)
+		}
+	})
+	return nil
+}
+
+// serveReady answers the platform's question.
+func (g *Gateway) serveReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != g.cfg.ReadyPath {
+		http.NotFound(w, r)
+		return
+	}
+	if g.stopping.Load() || !g.dir.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// update follows a change of the configuration or of the list of targets.
+func (g *Gateway) update() {
+	table := g.current.Load()
+	if table == nil {
+		return
+	}
+	limits := make(map[string]quota.Limit, len(table.Organisations))
+	for _, o := range table.Organisations {
+		limits[o.Name] = quota.Limit{Rate: o.Rate, Burst: o.Burst}
+	}
+	g.quota.SetLimits(limits, time.Now())
+	targets := g.dir.Targets()
+	keys := make(map[string]bool, len(targets))
+	for i := range targets {
+		keys[targets[i].Key()] = true
+	}
+	g.upstream.Retain(keys)
+	g.services.Update(table, targets)
+}
+
+// Fill implements peers.State.
+func (g *Gateway) Fill(h *peers.Heartbeat, now time.Time) {
+	g.dir.Fill(h, now)
+	h.Use = g.quota.Use()
+	h.Levels = g.quota.Levels(now)
+}
+
+// Heard implements peers.State.
+func (g *Gateway) Heard(h *peers.Heartbeat, now time.Time) {
+	g.dir.Heard(h, now)
+	g.quota.Report(h.Name, h.Incarnation, h.Use, h.Levels, now)
+}
+
+func (g *Gateway) sweep(ctx context.Context) {
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			g.upstream.Sweep(now)
+			g.budget.SetHosts(1 + len(g.mesh.Alive(now)))
+		}
+	}
+}
+
+// Stop shuts down gracefully: the balancer is told first, then idle connections
+// are closed, and requests in progress end within the grace time. It returns an
+// error if some did not.
+func (g *Gateway) Stop() error {
+	end := time.Now().Add(g.cfg.Settings.Grace() - stopMargin)
+	event.ShutdownBegun.Log(g.cfg.Log)
+	g.stopping.Store(true)
+	g.ingress.Stop()
+	g.mesh.Stop()
+	time.Sleep(min(unlistTime, time.Until(end)))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	err := g.callers.Shutdown(ctx)
+	g.cancel()
+	_ = g.ready.Close() // nothing waits on it any more
+	_ = g.internal.Close()
+	if err != nil {
+		event.ShutdownCut.Log(g.cfg.Log, slog.Any("error", err))
+		return fmt.Errorf("requests in progress at the end of the grace time: %w", err)
+	}
+	event.ShutdownDone.Log(g.cfg.Log)
+	return nil
+}
--- /dev/null
+++ b/gateway/ingress/run.go
@@ -0,0 +1,256 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"time"
+
+	"sardinefront.dev/core/event"
+	"sardinefront.dev/core/refusal"
+	"sardinefront.dev/core/request"
+	"sardinefront.dev/gateway/directory"
+	"sardinefront.dev/gateway/dispatch"
+	"sardinefront.dev/gateway/protocol"
+	"sardinefront.dev/gateway/routing"
+	"sardinefront.dev/gateway/upstream"
+	"sardinefront.dev/sched/reserve"
+)
+
+type reserveWaiter = reserve.Waiter
+
+const (
+	// leastServiceTime is the time before the deadline at which waiting ends.
+	leastServiceTime = 60 * time.Millisecond
+	// prefillAllowance is taken off the goal: a request that starts later than that
+	// before it is late.
+	prefillAllowance = 100 * time.Millisecond
+)
+
+func newWaiter(r *request.Request, route *routing.Route) *reserve.Waiter {
+	w := &reserve.Waiter{Request: r, LatestStart: r.Deadline.Add(-leastServiceTime)}
+	if route.Goal > 0 {
+		w.FreshUntil = r.Arrived.Add(max(route.Goal/2, route.Goal-prefillAllowance))
+	}
+	return w
+}
+
+// verdict says what follows from one try at a target.
+type verdict uint8
+
+const (
+	// answered: the caller has its answer.
+	answered verdict = iota
+	// unsent: the target was not sent the request, or says that it did not run it.
+	unsent
+	// failed: the request may have run and gave no whole answer.
+	failed
+)
+
+// try is the result of one try at a target.
+type try struct {
+	verdict verdict
+	// outcome is what the try says about the target.
+	outcome reserve.Outcome
+	sample  reserve.Sample
+	full    bool // the target had no room
+	sent    bool
+	reason  refusal.Reason
+	err     error
+}
+
+// run finds targets for the request until it is answered or given up.
+func (x *exchange) run(ctx context.Context) {
+	x.cfg.Budget.Request(x.service, x.arrived)
+	service := x.cfg.Services.Get(x.service)
+	if service == nil {
+		x.refuse(refusal.New(refusal.UnknownPool, "service %s is not configured", x.service))
+		return
+	}
+	w := x.waiter()
+	for again := false; ; again = true {
+		target, err := service.Acquire(ctx, w, again)
+		if err != nil {
+			x.giveUp(err)
+			return
+		}
+		t := x.attemptAt(ctx, service, target)
+		x.finishTry(service, target, t)
+		if t.verdict == answered {
+			return
+		}
+		if f := x.mayGoOn(ctx, w, target, t); f != nil {
+			x.end(f, t)
+			return
+		}
+	}
+}
+
+// giveUp ends a request that got no target.
+func (x *exchange) giveUp(err error) {
+	var f *refusal.Refusal
+	switch {
+	case errors.As(err, &f):
+	case x.callerLeft():
+		f = refusal.New(refusal.CallerGone, "after %s in the queue", time.Since(x.arrived).Round(time.Millisecond))
+	default:
+		f = refusal.New(refusal.Overloaded, "no target within %s", time.Since(x.arrived).Round(time.Millisecond))
+	}
+	x.end(f, try{})
+}
+
+// end gives the caller its final answer: a refusal, or a cut stream.
+func (x *exchange) end(f *refusal.Refusal, t try) {
+	if x.started {
+		x.broken(fmt.Errorf("%s: %w", f.Reason, errors.Join(t.err, f)))
+	}
+	if x.mayHaveRun && f.Reason.PromisesNotRun() {
+		f = refusal.New(refusal.TargetFailed, "%s after %d sends", f.Reason, x.sends)
+	}
+	x.refuse(f)
+}
+
+func (x *exchange) finishTry(service *dispatch.Service, target directory.Target, t try) {
+	if t.full {
+		service.Full(target.Key())
+	} else {
+		service.End(target.Key(), t.outcome, t.sample)
+	}
+	if t.verdict == answered {
+		return
+	}
+	if t.sent && t.verdict == failed {
+		x.mayHaveRun = true
+	}
+	event.TargetDoubted.Log(x.cfg.Log, slog.String("id", x.call.ID), slog.String("target", target.ID),
+		slog.String("service", x.service), slog.Bool("full", t.full), slog.Bool("sent", t.sent), slog.Any("error", t.err))
+}
+
+// mayGoOn decides whether the request is tried at another target, and prepares
+// that. A refusal ends it.
+func (x *exchange) mayGoOn(ctx context.Context, w *reserve.Waiter, target directory.Target, t try) *refusal.Refusal {
+	if x.callerLeft() {
+		return refusal.New(refusal.CallerGone, "after %d sends", x.sends)
+	}
+	if ctx.Err() != nil {
+		if x.mayHaveRun {
+			return refusal.New(refusal.TargetSilent, "no whole answer within %s", time.Since(x.arrived).Round(time.Millisecond))
+		}
+		return refusal.New(refusal.Overloaded, "not run within %s", time.Since(x.arrived).Round(time.Millisecond))
+	}
+	if x.mayHaveRun && !x.route.Idempotent() {
+		return refusal.New(t.reason, "target %s: %v", target.ID, t.err)
+	}
+	if t.sent {
+		if x.sends >= x.route.MaxAttempts {
+			if x.mayHaveRun {
+				return refusal.New(t.reason, "target %s: %v", target.ID, t.err)
+			}
+			return refusal.New(refusal.TargetFull, "target %s", target.ID)
+		}
+		if !x.cfg.Budget.Repeat(x.service, time.Now()) {
+			f := refusal.New(refusal.RetryBudget, "target %s: %v", target.ID, t.err)
+			if x.mayHaveRun {
+				f = refusal.New(t.reason, "target %s: %v, and the retry budget is used up", target.ID, t.err)
+			}
+			return f
+		}
+		w.Exclude(target.Key())
+		x.cfg.Metrics.Retry(retryReason(t.reason))
+		event.RequestRetried.Log(x.cfg.Log, slog.String("id", x.call.ID), slog.String("target", target.ID), slog.String("reason", t.reason.String()))
+	}
+	return nil
+}
+
+// attemptAt tries one target.
+func (x *exchange) attemptAt(ctx context.Context, service *dispatch.Service, target directory.Target) try {
+	conn, err := x.cfg.Upstream.Get(ctx, target.Key(), target.Address)
+	if err != nil {
+		return x.unreachable(ctx, err)
+	}
+	conn.Bind(ctx)
+	engine := x.table.Service(x.service).Engine
+	reservation := ""
+	if engine != nil && engine.MaxHold > 0 {
+		var t *try
+		if reservation, t = x.reserve(ctx, conn, target, engine); t != nil {
+			return *t
+		}
+		service.Reserved(target.Key())
+	}
+	return x.exchangeOn(ctx, service, conn, target, reservation)
+}
+
+func (x *exchange) unreachable(ctx context.Context, err error) try {
+	t := try{verdict: unsent, outcome: reserve.Unreachable, reason: refusal.TargetUnreachable, err: err}
+	if ctx.Err() != nil {
+		t.outcome = reserve.Abandoned
+	}
+	return t
+}
+
+const (
+	// reserveTimeout bounds the answer to a reservation, which targets give at once.
+	reserveTimeout = 400 * time.Millisecond
+	// holdLife is how long a reservation lives; the request follows at once.
+	holdLife = 500 * time.Millisecond
+	// maxSmallAnswer bounds the answer to a reservation.
+	maxSmallAnswer = 4 << 10
+)
+
+// reserve takes a slot and memory at an engine. A try is returned if that failed;
+// the connection is then finished.
+func (x *exchange) reserve(ctx context.Context, conn *upstream.Conn, target directory.Target, engine *routing.Engine) (string, *try) {
+	tokens := max(1, x.call.PromptTokens+x.call.MaxTokens)
+	if engine.KVTokens > 0 {
+		tokens = min(tokens, engine.KVTokens)
+	}
+	reservation, a, err := x.askReservation(conn, x.cfg.Codec.Reserve(target.ID, tokens, min(holdLife, engine.MaxHold)))
+	if err == nil && reservation != "" {
+		return reservation, nil
+	}
+	conn.Finish(a, err == nil)
+	t := &try{verdict: unsent, outcome: reserve.Silent, reason: refusal.TargetUnreachable, err: err}
+	switch {
+	case err == nil:
+		t.full, t.reason, t.err = true, refusal.TargetFull, errors.New("reservation refused")
+	case ctx.Err() != nil:
+		t.outcome = reserve.Abandoned
+	}
+	return "", t
+}
+
+func (x *exchange) askReservation(conn *upstream.Conn, m protocol.Message) (string, *upstream.Answer, error) {
+	if err := conn.Send(m); err != nil {
+		return "", nil, err
+	}
+	a, err := conn.Receive(m.Method, "", reserveTimeout)
+	if err != nil {
+		return "", nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxSmallAnswer))
+	if err != nil {
+		return "", a, err
+	}
+	id, err := x.cfg.Codec.Reservation(a.Status, body)
+	return id, a, err
+}
+
+// retryReason maps the reason of a failed try to the label of the retry counter.
+func retryReason(r refusal.Reason) refusal.Retry {
+	switch r {
+	case refusal.TargetFull:
+		return refusal.RetryTargetFull
+	case refusal.TargetMoved:
+		return refusal.RetryTargetLeft
+	case refusal.TargetSilent:
+		return refusal.RetryTargetSilent
+	case refusal.AnswerCut:
+		return refusal.RetryAnswerCut
+	case refusal.AnswerMismatched:
+		return refusal.RetryAnswerMismatched
+	}
+	return refusal.RetryTargetFailed
+}
--- /dev/null
+++ b/gateway/ingress/stream.go
@@ -0,0 +1,148 @@
+package ingress
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"sardinefront.dev/core/refusal"
+	"sardinefront.dev/gateway/upstream"
+	"sardinefront.dev/sched/reserve"
+)
+
+const (
+	// maxEvent bounds one event of a stream.
+	maxEvent = 1 << 20
+	// silentGaps bounds the pause between events of a resumable stream, in the
+	// longest pauses of its route, before it is resumed elsewhere.
+	silentGaps = 3
+	// leastSilence bounds that pause from below.
+	leastSilence = 600 * time.Millisecond
+)
+
+var errEventTooLong = errors.New("event too long")
+
+// passStream passes events on as they arrive. Only whole events go to the caller,
+// so that another target can go on after the last one.
+func (x *exchange) passStream(ctx context.Context, conn *upstream.Conn, a *upstream.Answer, began time.Time) try {
+	s := newEventReader(a.Body)
+	var first, last time.Time
+	events := 0
+	flusher := http.NewResponseController(x.w)
+	for {
+		conn.SetReadTimeout(x.eventWait(events))
+		event, err := s.next()
+		if err != nil {
+			return x.streamEnded(ctx, conn, a, err, streamTiming{began, first, last, events})
+		}
+		x.head(a, 0, false)
+		if _, err := x.w.Write(event.text); err != nil {
+			conn.Finish(a, false)
+			return x.fail(ctx, reserve.Abandoned, refusal.CallerGone, err)
+		}
+		if err := flusher.Flush(); err != nil {
+			conn.Finish(a, false)
+			return x.fail(ctx, reserve.Abandoned, refusal.CallerGone, err)
+		}
+		if event.id != "" {
+			x.lastEvent = event.id
+		}
+		last = time.Now()
+		if events == 0 {
+			first = last
+		}
+		events++
+	}
+}
+
+// eventWait bounds the wait for the next event where the stream may go on
+// elsewhere; 0 waits until the deadline.
+func (x *exchange) eventWait(events int) time.Duration {
+	if !x.route.Resumable || x.sends >= x.route.MaxAttempts {
+		return 0
+	}
+	if events == 0 && !x.started {
+		return max(leastSafePatience, safePatienceGoals*x.route.Goal)
+	}
+	return max(leastSilence, silentGaps*x.route.MaxGap)
+}
+
+// streamTiming is what a stream says about its target's speed.
+type streamTiming struct {
+	began, first, last time.Time
+	events             int
+}
+
+// leastEvents is the number of events from which the pause between them counts.
+const leastEvents = 4
+
+func (t streamTiming) sample() reserve.Sample {
+	if t.events < leastEvents {
+		return reserve.Sample{}
+	}
+	return reserve.Sample{Gap: t.last.Sub(t.first) / time.Duration(t.events-1)}
+}
+
+func (x *exchange) streamEnded(ctx context.Context, conn *upstream.Conn, a *upstream.Answer, err error, timing streamTiming) try {
+	if errors.Is(err, io.EOF) {
+		x.head(a, 0, false)
+		conn.Finish(a, true)
+		x.done()
+		return try{verdict: answered, sent: true, outcome: reserve.Served, sample: timing.sample()}
+	}
+	conn.Finish(a, false)
+	var timeout interface{ Timeout() bool }
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return x.fail(ctx, reserve.Silent, refusal.TargetSilent, err)
+	}
+	return x.fail(ctx, reserve.Failed, refusal.AnswerCut, err)
+}
+
+// streamEvent is one event with its closing blank line.
+type streamEvent struct {
+	text []byte
+	id   string
+}
+
+// eventReader cuts a stream into events.
+type eventReader struct {
+	br  *bufio.Reader
+	buf bytes.Buffer
+}
+
+func newEventReader(r io.Reader) *eventReader { return &eventReader{br: bufio.NewReaderSize(r, 2<<10)} }
+
+// next returns the next whole event. It returns io.EOF only if the stream ended
+// between events; the text is valid until the next call.
+func (s *eventReader) next() (streamEvent, error) {
+	s.buf.Reset()
+	id := ""
+	for {
+		line, err := s.br.ReadSlice('\n')
+		s.buf.Write(line)
+		if s.buf.Len() > maxEvent {
+			return streamEvent{}, errEventTooLong
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err != nil {
+			if errors.Is(err, io.EOF) && s.buf.Len() > 0 {
+				err = io.ErrUnexpectedEOF
+			}
+			return streamEvent{}, err
+		}
+		text := bytes.TrimRight(line, "\r\n")
+		if len(text) == 0 && s.buf.Len() > 0 {
+			return streamEvent{s.buf.Bytes(), id}, nil
+		}
+		if v, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+			id = strings.TrimSpace(string(v))
+		}
+	}
+}
--- /dev/null
+++ b/gateway/peers/message.go
@@ -0,0 +1,128 @@
+// Package peers connects the hosts of the system: a heartbeat datagram from each
+// host to each other one, several times a second, carries what every host must
+// know of the others. Datagrams may be lost, so each repeats the whole state that
+// it stands for. Membership is advice: nothing that must be exclusive hangs on it.
+package peers
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// formatVersion is the first field of every message. Hosts drop messages of other
+// versions.
+const formatVersion = 1
+
+// Heartbeat is the state of one host.
+type Heartbeat struct {
+	_       struct{} `cbor:",toarray"`
+	Format  uint8
+	Name    string
+	Zone    string
+	Address string // IP:port of the peer socket
+	// Incarnation differs between the processes of one host.
+	Incarnation int64
+	// ConfigVersion is the version of the configuration in force, 0 for none.
+	ConfigVersion int64
+	// ListDigest is a hash over the list of targets; hosts with the same one hold
+	// the same list.
+	ListDigest uint64
+	// ListAge is the time since the list was read from the store, by this host or
+	// by the one it learned from, in milliseconds; negative for no list.
+	ListAge int64
+	// Stopping hosts take no new connections.
+	Stopping bool
+	// Use is what the host has used of quotas since its start, by organisation.
+	Use map[string]float64
+	// Levels are the levels of the quotas that are not full, by organisation.
+	Levels map[string]float64
+	// Known are addresses of other hosts.
+	Known []string
+	// Changes are recent changes of the list of targets.
+	Changes []Change
+	// Verdicts are the rollout verdicts that the host knows, by service.
+	Verdicts map[string]Verdict
+	// Evidence is what the host has counted for rollouts, by service.
+	Evidence map[string]Evidence
+}
+
+// Change is one entry of the list of targets as the store holds it.
+type Change struct {
+	_        struct{} `cbor:",toarray"`
+	Key      string
+	Value    []byte // empty where Deleted
+	Revision int64
+	Deleted  bool
+}
+
+// Verdict is the end of a rollout.
+type Verdict struct {
+	_ struct{} `cbor:",toarray"`
+	// Order is the store's revision of the order.
+	Order int64
+	Bad   bool
+}
+
+// Evidence is what one host has seen of the two versions of a rollout since the
+// order. Each count only grows.
+type Evidence struct {
+	_     struct{} `cbor:",toarray"`
+	Order int64
+	Old   Counts
+	New   Counts
+}
+
+// Counts are the answers of one version.
+type Counts struct {
+	_      struct{} `cbor:",toarray"`
+	Good   int64
+	Failed int64
+	Slow   int64
+}
+
+var (
+	encoder = mustEncoder()
+	decoder = mustDecoder()
+)
+
+func mustEncoder() cbor.EncMode {
+	m, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(fmt.Sprintf("peer message encoder: %v", err))
+	}
+	return m
+}
+
+// Decoding bounds: a datagram is small, so larger counts are malformed.
+const (
+	maxElements = 4096
+	maxNesting  = 8
+)
+
+func mustDecoder() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxElements, MaxNestedLevels: maxNesting}.DecMode()
+	if err != nil {
+		panic(fmt.Sprintf("peer message decoder: %v", err))
+	}
+	return m
+}
+
+// Encode returns the wire form of a heartbeat.
+func Encode(h *Heartbeat) ([]byte, error) {
+	h.Format = formatVersion
+	return encoder.Marshal(h)
+}
+
+// Decode reads a heartbeat. It returns an error for malformed bytes and for other
+// formats.
+func Decode(b []byte) (*Heartbeat, error) {
+	var h Heartbeat
+	if err := decoder.Unmarshal(b, &h); err != nil {
+		return nil, fmt.Errorf("peer message: %w", err)
+	}
+	if h.Format != formatVersion || h.Name == "" || h.Address == "" {
+		return nil, fmt.Errorf("peer message: format %d from %q at %q", h.Format, h.Name, h.Address)
+	}
+	return &h, nil
+}
--- /dev/null
+++ b/gateway/peers/peers.go
@@ -0,0 +1,278 @@
+package peers
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"sardinefront.dev/core/event"
+)
+
+const (
+	// Interval is the time between heartbeats to each peer.
+	Interval = 250 * time.Millisecond
+	// lostAfter is the silence after which a peer counts as gone.
+	lostAfter = 1200 * time.Millisecond
+	// forgetAfter is the silence after which its address is no longer tried.
+	forgetAfter = 60 * time.Second
+	// retryLost is how often addresses that do not answer are tried.
+	retryLost = time.Second
+	// knownSent is how many addresses a heartbeat passes on.
+	knownSent = 3
+	// maxPeers bounds the addresses that are remembered.
+	maxPeers = 1024
+	// maxDatagram bounds what is read; senders stay under the size of a packet where
+	// they can.
+	maxDatagram = 16 << 10
+)
+
+// State supplies what this host tells its peers and takes what they tell.
+type State interface {
+	// Fill sets the fields of the heartbeat beyond those that name the host.
+	Fill(h *Heartbeat, now time.Time)
+	// Heard takes a peer's heartbeat.
+	Heard(h *Heartbeat, now time.Time)
+}
+
+// Config describes this host.
+type Config struct {
+	Name, Zone string
+	// Address is the IP:port to bind and to be reached at.
+	Address string
+	// Seeds are addresses to try first.
+	Seeds []string
+	Log   *slog.Logger
+}
+
+// Peer is what is known of another host.
+type Peer struct {
+	Name, Zone, Address string
+	Incarnation         int64
+	// Heard is when the last heartbeat came.
+	Heard    time.Time
+	Stopping bool
+}
+
+// Mesh exchanges heartbeats. Its methods are safe for concurrent use.
+type Mesh struct {
+	cfg         Config
+	state       State
+	incarnation int64
+	conn        *net.UDPConn
+
+	mu       sync.Mutex
+	peers    map[string]*Peer     // by address
+	tried    map[string]time.Time // addresses without an answer: last try
+	added    map[string]time.Time // those addresses: when they were learned
+	stopping bool
+	kick     chan struct{}
+}
+
+// New binds the socket.
+func New(cfg Config, state State) (*Mesh, error) {
+	addr, err := net.ResolveUDPAddr("udp4", cfg.Address)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := net.ListenUDP("udp4", addr)
+	if err != nil {
+		return nil, err
+	}
+	m := &Mesh{
+		cfg: cfg, state: state, conn: conn, incarnation: rand.Int64(),
+		peers: map[string]*Peer{}, tried: map[string]time.Time{}, added: map[string]time.Time{},
+		kick: make(chan struct{}, 1),
+	}
+	m.Learn(cfg.Seeds)
+	return m, nil
+}
+
+// Run exchanges heartbeats until ctx ends.
+func (m *Mesh) Run(ctx context.Context) {
+	var wg conc.WaitGroup
+	stop := context.AfterFunc(ctx, func() { m.conn.Close() })
+	defer stop()
+	wg.Go(func() { m.receive(ctx) })
+	wg.Go(func() { m.send(ctx) })
+	wg.Wait()
+}
+
+// Learn adds addresses to try.
+func (m *Mesh) Learn(addresses []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	for _, a := range addresses {
+		if a == m.cfg.Address || m.peers[a] != nil || len(m.tried) >= maxPeers {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			continue
+		}
+		if _, ok := m.tried[a]; !ok {
+			m.tried[a] = time.Time{}
+			m.added[a] = now
+		}
+	}
+}
+
+// Kick sends a heartbeat to all peers at once.
+func (m *Mesh) Kick() {
+	select {
+	case m.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Stop marks this host as stopping.
+func (m *Mesh) Stop() {
+	m.mu.Lock()
+	m.stopping = true
+	m.mu.Unlock()
+	m.Kick()
+}
+
+// Alive returns the peers heard lately, in order of their names.
+func (m *Mesh) Alive(now time.Time) []Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]Peer, 0, len(m.peers))
+	for _, p := range m.peers {
+		if now.Sub(p.Heard) < lostAfter {
+			out = append(out, *p)
+		}
+	}
+	slices.SortFunc(out, func(a, b Peer) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+func (m *Mesh) send(ctx context.Context) {
+	t := time.NewTicker(Interval)
+	defer t.Stop()
+	for {
+		m.beat()
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		case <-m.kick:
+		}
+	}
+}
+
+// beat sends one heartbeat to every peer and to addresses that are due for a try.
+func (m *Mesh) beat() {
+	now := time.Now()
+	to, known := m.recipients(now)
+	if len(to) == 0 {
+		return
+	}
+	b, err := m.heartbeat(known, now)
+	if err != nil {
+		m.cfg.Log.Error("encode heartbeat", "error", err)
+		return
+	}
+	for _, a := range to {
+		// A lost datagram is made good by the next one.
+		_, _ = m.conn.WriteToUDPAddrPort(b, a)
+	}
+}
+
+func (m *Mesh) heartbeat(known []string, now time.Time) ([]byte, error) {
+	h := &Heartbeat{Name: m.cfg.Name, Zone: m.cfg.Zone, Address: m.cfg.Address, Incarnation: m.incarnation, Known: known}
+	m.mu.Lock()
+	h.Stopping = m.stopping
+	m.mu.Unlock()
+	m.state.Fill(h, now)
+	return Encode(h)
+}
+
+func (m *Mesh) recipients(now time.Time) (to []netip.AddrPort, known []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.dropSilent(now)
+	for a := range m.peers {
+		to = append(to, netip.MustParseAddrPort(a))
+		if len(known) < knownSent { // the order of a map is random
+			known = append(known, a)
+		}
+	}
+	for a, last := range m.tried {
+		if now.Sub(last) >= retryLost {
+			m.tried[a] = now
+			to = append(to, netip.MustParseAddrPort(a))
+		}
+	}
+	return to, known
+}
+
+// dropSilent moves silent peers to the addresses that are tried now and then.
+func (m *Mesh) dropSilent(now time.Time) {
+	for a, p := range m.peers {
+		if now.Sub(p.Heard) >= lostAfter {
+			delete(m.peers, a)
+			m.tried[a], m.added[a] = now, now
+			event.MemberDead.Log(m.cfg.Log, slog.String("peer", p.Name), slog.Duration("silent", now.Sub(p.Heard)))
+		}
+	}
+	for a, at := range m.added {
+		if now.Sub(at) >= forgetAfter {
+			delete(m.tried, a)
+			delete(m.added, a)
+		}
+	}
+}
+
+func (m *Mesh) receive(ctx context.Context) {
+	buf := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		n, _, err := m.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			continue
+		}
+		h, err := Decode(buf[:n])
+		if err != nil {
+			event.PeerRejected.Log(m.cfg.Log, slog.Any("error", err))
+			continue
+		}
+		m.heard(h, time.Now())
+	}
+}
+
+func (m *Mesh) heard(h *Heartbeat, now time.Time) {
+	if h.Address == m.cfg.Address {
+		return
+	}
+	if _, err := netip.ParseAddrPort(h.Address); err != nil {
+		return
+	}
+	m.mu.Lock()
+	p := m.peers[h.Address]
+	fresh := p == nil || p.Incarnation != h.Incarnation
+	if p == nil {
+		p = &Peer{}
+		m.peers[h.Address] = p
+		delete(m.tried, h.Address)
+		delete(m.added, h.Address)
+	}
+	*p = Peer{Name: h.Name, Zone: h.Zone, Address: h.Address, Incarnation: h.Incarnation, Heard: now, Stopping: h.Stopping}
+	m.mu.Unlock()
+	m.Learn(h.Known)
+	m.state.Heard(h, now)
+	if fresh {
+		event.MemberAlive.Log(m.cfg.Log, slog.String("peer", h.Name), slog.String("address", h.Address))
+		m.Kick()
+	}
+}
--- /dev/null
+++ b/gateway/quota/quota.go
@@ -0,0 +1,221 @@
+// Package quota limits what each organisation may use over all hosts. Each host
+// keeps a replica of every token bucket: it subtracts its own use at once and the
+// use of its peers as they report it. The package does no I/O and reads no clock.
+package quota
+
+import (
+	"sync"
+	"time"
+)
+
+// Limit is the quota of one organisation. A Rate of 0 is no limit.
+type Limit struct {
+	// Rate is in units per second, Burst in units.
+	Rate, Burst float64
+}
+
+// silentAfter is the age of a peer's last report from which its use is
+// extrapolated. Reports come four times a second.
+const silentAfter = time.Second
+
+// forgetPeer is how long a silent peer is taken to go on using the quota.
+const forgetPeer = 15 * time.Second
+
+// bucket is the replica of one organisation's bucket.
+type bucket struct {
+	limit Limit
+	level float64
+	at    time.Time
+	// used is what this host has used since its start.
+	used float64
+}
+
+// report is the last known use of one organisation by one peer.
+type report struct {
+	used float64
+	// rate is the smoothed use in units per second.
+	rate float64
+	// extrapolated was charged since the last report.
+	extrapolated float64
+}
+
+// peer is what one peer has reported.
+type peer struct {
+	incarnation int64
+	at          time.Time
+	charged     time.Time // end of the extrapolation so far
+	use         map[string]*report
+}
+
+// Meter holds the buckets of all organisations. It is safe for concurrent use.
+type Meter struct {
+	mu      sync.Mutex
+	buckets map[string]*bucket
+	peers   map[string]*peer
+}
+
+// New returns a meter without limits.
+func New() *Meter {
+	return &Meter{buckets: map[string]*bucket{}, peers: map[string]*peer{}}
+}
+
+// SetLimits replaces the limits. A bucket that stays keeps its level, cut to the
+// new burst.
+func (m *Meter) SetLimits(limits map[string]Limit, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name := range m.buckets {
+		if _, ok := limits[name]; !ok {
+			delete(m.buckets, name)
+		}
+	}
+	for name, l := range limits {
+		b := m.buckets[name]
+		if b == nil {
+			m.buckets[name] = &bucket{limit: l, level: l.Burst, at: now}
+			continue
+		}
+		b.refill(now)
+		b.limit = l
+		b.level = min(b.level, l.Burst)
+	}
+}
+
+func (b *bucket) refill(now time.Time) {
+	if d := now.Sub(b.at).Seconds(); d > 0 {
+		b.level = min(b.limit.Burst, b.level+d*b.limit.Rate)
+		b.at = now
+	}
+}
+
+// Take uses units of an organisation's quota. It returns 0 if they are granted,
+// else how long until they would be.
+func (m *Meter) Take(name string, units float64, now time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	b := m.buckets[name]
+	if b == nil || b.limit.Rate <= 0 {
+		return 0
+	}
+	m.extrapolate(now)
+	b.refill(now)
+	need := min(units, b.limit.Burst)
+	if b.level < need {
+		return max(time.Millisecond, time.Duration((need-b.level)/b.limit.Rate*float64(time.Second)))
+	}
+	b.level -= units
+	b.used += units
+	return 0
+}
+
+// Return gives back units that were taken for a request that did not run.
+func (m *Meter) Return(name string, units float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if b := m.buckets[name]; b != nil && b.limit.Rate > 0 {
+		b.level = min(b.limit.Burst, b.level+units)
+		b.used -= units
+	}
+}
+
+// Use returns what this host has used by organisation since its start.
+func (m *Meter) Use() map[string]float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make(map[string]float64, len(m.buckets))
+	for name, b := range m.buckets {
+		if b.used != 0 {
+			out[name] = b.used
+		}
+	}
+	return out
+}
+
+// Levels returns the levels of the buckets that are not full.
+func (m *Meter) Levels(now time.Time) map[string]float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := map[string]float64{}
+	for name, b := range m.buckets {
+		b.refill(now)
+		if b.limit.Rate > 0 && b.level < b.limit.Burst {
+			out[name] = b.level
+		}
+	}
+	return out
+}
+
+// Report records a peer's use since its start. The first report of a peer only
+// sets the base line; levels lowers this host's levels to the peer's, so that a
+// process that has just started does not grant a full burst once more.
+func (m *Meter) Report(from string, incarnation int64, use, levels map[string]float64, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[from]
+	if p == nil || p.incarnation != incarnation {
+		first := p == nil
+		p = &peer{incarnation: incarnation, at: now, charged: now, use: map[string]*report{}}
+		m.peers[from] = p
+		for name, used := range use {
+			p.use[name] = &report{used: used}
+			if !first {
+				m.charge(name, used, now)
+			}
+		}
+		m.lower(levels, now)
+		return
+	}
+	elapsed := now.Sub(p.at).Seconds()
+	for name, used := range use {
+		r := p.use[name]
+		if r == nil {
+			r = &report{}
+			p.use[name] = r
+		}
+		delta := used - r.used
+		m.charge(name, delta-r.extrapolated, now)
+		r.extrapolated = 0
+		if elapsed > 0 {
+			r.rate += (max(0, delta)/elapsed - r.rate) * min(1, elapsed)
+		}
+		r.used = used
+	}
+	p.at, p.charged = now, now
+}
+
+func (m *Meter) charge(name string, units float64, now time.Time) {
+	if b := m.buckets[name]; b != nil && b.limit.Rate > 0 {
+		b.refill(now)
+		b.level = min(b.limit.Burst, b.level-units)
+	}
+}
+
+func (m *Meter) lower(levels map[string]float64, now time.Time) {
+	for name, level := range levels {
+		if b := m.buckets[name]; b != nil {
+			b.refill(now)
+			b.level = min(b.level, level)
+		}
+	}
+}
+
+// extrapolate charges the use of silent peers at their last rate: a host that is
+// cut off from them still shares the quota with them.
+func (m *Meter) extrapolate(now time.Time) {
+	for name, p := range m.peers {
+		age := now.Sub(p.at)
+		if age > forgetPeer {
+			delete(m.peers, name)
+			continue
+		}
+		if age < silentAfter {
+			continue
+		}
+		d := now.Sub(p.charged).Seconds()
+		p.charged = now
+		for org, r := range p.use {
+			m.charge(org, d*r.rate, now)
+			r.extrapolated += d * r.rate
+		}
+	}
+}
--- /dev/null
+++ b/gateway/settings/settings.go
@@ -0,0 +1,124 @@
+// Package settings reads the YAML settings of an entry host on the platform. Fields
+// that it does not know are ignored; wrong ones are reported together.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+)
+
+// Settings configure one entry host.
+type Settings struct {
+	Host struct {
+		// Name is unique in the fleet.
+		Name string `yaml:"name"`
+		Zone string `yaml:"zone"`
+		// Address is the IP address of the host.
+		Address string `yaml:"address"`
+	} `yaml:"host"`
+	Listen struct {
+		// Callers and Ready are IP:port.
+		Callers string `yaml:"callers"`
+		Ready   string `yaml:"ready"`
+		// InternalPorts are the first and last port for use between hosts.
+		InternalPorts []uint16 `yaml:"internal_ports"`
+	} `yaml:"listen"`
+	// Seeds are addresses of other hosts; only their IP matters.
+	Seeds []string `yaml:"seeds"`
+	Store struct {
+		Address string `yaml:"address"`
+		// ReadsPerSecond and WritesPerSecond bound the calls of all hosts together.
+		ReadsPerSecond  float64 `yaml:"reads_per_second"`
+		WritesPerSecond float64 `yaml:"writes_per_second"`
+	} `yaml:"store"`
+	Limits struct {
+		MemoryMB        int `yaml:"memory_mb"`
+		FileDescriptors int `yaml:"file_descriptors"`
+	} `yaml:"limits"`
+	Stop struct {
+		// GraceSeconds is the time between the signal to stop and the kill.
+		GraceSeconds float64 `yaml:"grace_s"`
+	} `yaml:"stop"`
+	RetryBudget struct {
+		Ratio         float64 `yaml:"ratio"`
+		Slack         float64 `yaml:"slack"`
+		WindowSeconds float64 `yaml:"window_s"`
+	} `yaml:"retry_budget"`
+}
+
+// Load reads and checks a file.
+func Load(file string) (Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(file, text)
+}
+
+// Parse reads and checks the text of a file. The error lists every finding.
+func Parse(file string, text []byte) (Settings, error) {
+	var s Settings
+	s.Stop.GraceSeconds = 8
+	s.RetryBudget.Ratio, s.RetryBudget.Slack, s.RetryBudget.WindowSeconds = 0.2, 50, 10
+	if err := yaml.Unmarshal(text, &s); err != nil {
+		return s, fmt.Errorf("settings: %s: %w", file, err)
+	}
+	if f := s.check(); len(f) > 0 {
+		return s, fmt.Errorf("settings: %d findings\n%s: %s", len(f), file, strings.Join(f, "\n"+file+": "))
+	}
+	return s, nil
+}
+
+// check returns a line for each wrong setting.
+func (s *Settings) check() []string {
+	var out []string
+	want := func(ok bool, setting, format string, args ...any) {
+		if !ok {
+			out = append(out, setting+": "+fmt.Sprintf(format, args...))
+		}
+	}
+	want(s.Host.Name != "", "host.name", "is missing")
+	want(s.Host.Zone != "", "host.zone", "is missing")
+	_, err := netip.ParseAddr(s.Host.Address)
+	want(err == nil, "host.address", "%q is not an IP address", s.Host.Address)
+	for setting, v := range map[string]string{"listen.callers": s.Listen.Callers, "listen.ready": s.Listen.Ready, "store.address": s.Store.Address} {
+		_, err := netip.ParseAddrPort(v)
+		want(err == nil, setting, "%q is not IP:port", v)
+	}
+	want(len(s.Listen.InternalPorts) > 0, "listen.internal_ports", "is missing")
+	want(s.Stop.GraceSeconds > 0, "stop.grace_s", "%v is not positive", s.Stop.GraceSeconds)
+	want(s.RetryBudget.WindowSeconds > 0, "retry_budget.window_s", "%v is not positive", s.RetryBudget.WindowSeconds)
+	want(s.RetryBudget.Ratio >= 0, "retry_budget.ratio", "%v is negative", s.RetryBudget.Ratio)
+	slices.Sort(out)
+	return out
+}
+
+// PeerAddress is where the host is reached by its peers.
+func (s *Settings) PeerAddress() string {
+	return netip.AddrPortFrom(netip.MustParseAddr(s.Host.Address), s.Listen.InternalPorts[0]).String()
+}
+
+// PeerSeeds are the seeds' addresses for peers; seeds that are no address are left
+// out.
+func (s *Settings) PeerSeeds() []string {
+	var out []string
+	for _, v := range s.Seeds {
+		a, err := netip.ParseAddrPort(v)
+		if err != nil {
+			continue
+		}
+		out = append(out, netip.AddrPortFrom(a.Addr(), s.Listen.InternalPorts[0]).String())
+	}
+	return out
+}
+
+// Grace is the time between the signal to stop and the kill.
+func (s *Settings) Grace() time.Duration {
+	return time.Duration(s.Stop.GraceSeconds * float64(time.Second))
+}
--- /dev/null
+++ b/sched/reserve/reserve.go
@@ -0,0 +1,439 @@
+// Package reserve decides, for one service on one host, which waiting request
+// tries which target next. A request leaves the queue only for a target that is
+// believed to have a free slot. Targets that take reservations confirm or refuse
+// each try, so hosts need not know each other's counts; plain services are chosen
+// by latency and load. The package does no I/O and reads no clock.
+package reserve
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"sardinefront.dev/core/refusal"
+	"sardinefront.dev/core/request"
+	"sardinefront.dev/sched/flow"
+	"sardinefront.dev/sched/health"
+)
+
+// Config describes the pool.
+type Config struct {
+	// Reservations says that targets confirm each try before they run it.
+	Reservations bool
+	// Waiting bounds the queue of each tier. Default 2048.
+	Waiting int
+	// Seed determines the random choices.
+	Seed uint64
+}
+
+// Target is one target as the directory lists it.
+type Target struct {
+	// Name is the incarnation's unique name.
+	Name string
+	// Local says that the target is in the host's availability zone.
+	Local bool
+	// Slots is the number of requests that run at once.
+	Slots int
+	// Leaving targets get nothing new.
+	Leaving bool
+	// ColdUntil is the end of the slow time after a target's start.
+	ColdUntil time.Time
+}
+
+// Waiter is one request from Submit until its grant has ended.
+type Waiter struct {
+	Request *request.Request
+	// LatestStart is when waiting becomes pointless.
+	LatestStart time.Time
+	// FreshUntil is when the request misses its goal; from then on it waits behind
+	// the fresh requests of its tier.
+	FreshUntil time.Time
+
+	item     flow.Item
+	excluded []string // targets that this request must not try again
+	queued   bool
+}
+
+// Exclude keeps the request from a target.
+func (w *Waiter) Exclude(target string) { w.excluded = append(w.excluded, target) }
+
+func (w *Waiter) excludes(target string) bool {
+	for _, name := range w.excluded {
+		if name == target {
+			return true
+		}
+	}
+	return false
+}
+
+// Grant lets a request try a target.
+type Grant struct {
+	Waiter *Waiter
+	Target string
+}
+
+// Expired is a request that left the queue unserved.
+type Expired struct {
+	Waiter  *Waiter
+	Refusal *refusal.Refusal
+}
+
+// Outcome says how a grant ended.
+type Outcome uint8
+
+// The outcomes of a grant.
+const (
+	// Served is a whole answer without a fault of the target.
+	Served Outcome = iota
+	// Failed is an error or a cut answer of the target.
+	Failed
+	// Silent is a target that did not answer in time.
+	Silent
+	// Unreachable is a target that no connection could be made to.
+	Unreachable
+	// Abandoned says nothing about the target, for example because the caller left.
+	Abandoned
+)
+
+// Sample is what a served request says about its target's speed.
+type Sample struct {
+	// Latency is the time to the whole answer of a plain service.
+	Latency time.Duration
+	// Gap is the mean time between the events of a stream; 0 if unknown.
+	Gap time.Duration
+}
+
+const (
+	// fullBackoff is how long a target that refused a reservation is left alone,
+	// unless a slot of this host's own comes free there. It doubles with each
+	// further refusal up to maxFullBackoff.
+	fullBackoff    = 20 * time.Millisecond
+	maxFullBackoff = 80 * time.Millisecond
+	// remotePenalty is added to the cost of targets in other zones.
+	remotePenalty = 3 * time.Millisecond
+	// typicalEvents weighs the pause between events against fixed costs.
+	typicalEvents = 25
+	// firstGap and firstLatency stand in for targets without a sample.
+	firstGap     = 8 * time.Millisecond
+	firstLatency = 25 * time.Millisecond
+	// smoothing is the weight of a new sample.
+	smoothing = 0.2
+	// coldFactor multiplies the cost of targets that have just started.
+	coldFactor = 2
+	// serviceOvercommit lets a plain service queue a little work, which costs less
+	// than a wait on the host when other hosts are idle.
+	serviceOvercommit = 1.5
+	// defaultWaiting bounds the queue of a tier.
+	defaultWaiting = 2048
+	// wakeEvery bounds the time between looks at the queue while requests wait.
+	wakeEvery = 50 * time.Millisecond
+)
+
+// target is the state of one target.
+type target struct {
+	Target
+	health    health.Tracker
+	inflight  int
+	fullUntil time.Time
+	refusals  int // reservations refused in a row
+	gap       time.Duration
+	latency   time.Duration
+	load      float64 // running and waiting requests per slot, as last reported
+	loadAt    time.Time
+}
+
+// Pool is the scheduler of one service on one host. It is not safe for concurrent
+// use.
+type Pool struct {
+	cfg     Config
+	rnd     *rand.Rand
+	queue   *flow.Queue
+	waiters map[string]*Waiter
+	targets map[string]*target
+	order   []*target
+	ejected int
+}
+
+// New returns a pool without targets.
+func New(c Config) *Pool {
+	if c.Waiting == 0 {
+		c.Waiting = defaultWaiting
+	}
+	var bounds [request.TierCount]int
+	for t := range bounds {
+		bounds[t] = c.Waiting
+	}
+	return &Pool{
+		cfg:     c,
+		rnd:     rand.New(rand.NewPCG(c.Seed, c.Seed^0x9e3779b97f4a7c15)),
+		queue:   flow.New(flow.Config{Waiting: bounds}),
+		waiters: map[string]*Waiter{},
+		targets: map[string]*target{},
+	}
+}
+
+// SetTargets replaces the list of targets. What is known about those that stay is
+// kept.
+func (p *Pool) SetTargets(list []Target) {
+	next := make(map[string]*target, len(list))
+	p.order = p.order[:0]
+	for _, info := range list {
+		t := p.targets[info.Name]
+		if t == nil {
+			t = &target{}
+		}
+		t.Target = info
+		next[info.Name] = t
+		p.order = append(p.order, t)
+	}
+	p.targets = next
+}
+
+// Submit queues a request. It returns a refusal if the queue of its tier is full.
+func (p *Pool) Submit(w *Waiter, now time.Time) *refusal.Refusal {
+	w.item = flow.Item{Request: w.Request, Cost: float64(w.Request.Tokens()), LatestStart: w.LatestStart, FreshUntil: w.FreshUntil}
+	if f := p.queue.Push(&w.item, now); f != nil {
+		return f
+	}
+	w.queued = true
+	p.waiters[w.Request.ID] = w
+	return nil
+}
+
+// Resubmit queues a request again, ahead of its organisation's other requests,
+// after a grant that did not run it.
+func (p *Pool) Resubmit(w *Waiter) {
+	w.item = flow.Item{Request: w.Request, Cost: float64(w.Request.Tokens()), LatestStart: w.LatestStart, FreshUntil: w.FreshUntil}
+	p.queue.PushFront(&w.item)
+	w.queued = true
+	p.waiters[w.Request.ID] = w
+}
+
+// Remove takes a waiting request out of the queue and reports whether it waited.
+func (p *Pool) Remove(w *Waiter) bool {
+	if !w.queued {
+		return false
+	}
+	p.queue.Remove(w.Request.ID)
+	p.dequeue(w)
+	return true
+}
+
+func (p *Pool) dequeue(w *Waiter) {
+	w.queued = false
+	delete(p.waiters, w.Request.ID)
+}
+
+// Next returns what to try now and which requests have expired.
+func (p *Pool) Next(now time.Time) (grants []Grant, expired []Expired) {
+	p.advance(now)
+	for {
+		it, gone := p.queue.Next(now)
+		for _, x := range gone {
+			w := p.waiters[x.Item.Request.ID]
+			p.dequeue(w)
+			expired = append(expired, Expired{w, x.Refusal})
+		}
+		if it == nil {
+			return grants, expired
+		}
+		w := p.waiters[it.Request.ID]
+		t := p.choose(w, now)
+		if t == nil {
+			return grants, expired
+		}
+		p.queue.Take(it)
+		p.dequeue(w)
+		t.inflight++
+		grants = append(grants, Grant{w, t.Name})
+	}
+}
+
+// Wake returns when Next may have something to do without a further event; zero
+// if nothing waits.
+func (p *Pool) Wake(now time.Time) time.Time {
+	if len(p.waiters) == 0 {
+		return time.Time{}
+	}
+	wake := now.Add(wakeEvery)
+	if at := p.queue.NextExpiry(); !at.IsZero() && at.Before(wake) {
+		wake = at
+	}
+	for _, t := range p.order {
+		if t.fullUntil.After(now) && t.fullUntil.Before(wake) {
+			wake = t.fullUntil
+		}
+	}
+	return wake
+}
+
+// advance starts the trials of targets whose ejection has ended.
+func (p *Pool) advance(now time.Time) {
+	p.ejected = 0
+	for _, t := range p.order {
+		t.health.Advance(now)
+		if t.health.State() == health.Ejected {
+			p.ejected++
+		}
+	}
+}
+
+// choose returns the cheapest target that may take the request, or nil.
+func (p *Pool) choose(w *Waiter, now time.Time) *target {
+	var best *target
+	bestCost := 0.0
+	distrust := health.Panic(p.ejected, len(p.order))
+	for _, t := range p.order {
+		if !p.open(t, now, distrust) || w.excludes(t.Name) {
+			continue
+		}
+		c := p.cost(t, now) * (1 + 0.1*p.rnd.Float64())
+		if best == nil || c < bestCost {
+			best, bestCost = t, c
+		}
+	}
+	return best
+}
+
+// open reports whether a target is believed to have room.
+func (p *Pool) open(t *target, now time.Time, distrust bool) bool {
+	if t.Leaving || t.fullUntil.After(now) {
+		return false
+	}
+	switch t.health.State() {
+	case health.Ejected:
+		if !distrust {
+			return false
+		}
+	case health.Trial:
+		if t.inflight > 0 {
+			return false
+		}
+	}
+	room := float64(max(1, t.Slots))
+	if !p.cfg.Reservations {
+		room *= serviceOvercommit
+	}
+	return float64(t.inflight) < room
+}
+
+// cost estimates the time of a request at a target, in seconds.
+func (p *Pool) cost(t *target, now time.Time) float64 {
+	c := 0.0
+	if p.cfg.Reservations {
+		c = orDefault(t.gap, firstGap).Seconds() * typicalEvents
+	} else {
+		c = orDefault(t.latency, firstLatency).Seconds() * (1 + max(t.use(), t.reported(now)))
+	}
+	if now.Before(t.ColdUntil) {
+		c *= coldFactor
+	}
+	if !t.Local {
+		c += remotePenalty.Seconds()
+	}
+	return c
+}
+
+func (t *target) use() float64 { return float64(t.inflight) / float64(max(1, t.Slots)) }
+
+// loadLife is how long a load report counts.
+const loadLife = 300 * time.Millisecond
+
+func (t *target) reported(now time.Time) float64 {
+	age := now.Sub(t.loadAt)
+	if age > loadLife {
+		return 0
+	}
+	return t.load * (1 - float64(age)/float64(loadLife))
+}
+
+func orDefault(d, fallback time.Duration) time.Duration {
+	if d == 0 {
+		return fallback
+	}
+	return d
+}
+
+// Full records that a target refused a reservation or a request for lack of room,
+// and ends the grant.
+func (p *Pool) Full(name string, now time.Time) {
+	t := p.targets[name]
+	if t == nil {
+		return
+	}
+	t.inflight = max(0, t.inflight-1)
+	d := min(maxFullBackoff, fullBackoff<<min(t.refusals, 8))
+	t.refusals++
+	t.fullUntil = now.Add(time.Duration((0.75 + 0.5*p.rnd.Float64()) * float64(d)))
+}
+
+// Reserved records that a target granted a reservation.
+func (p *Pool) Reserved(name string) {
+	if t := p.targets[name]; t != nil {
+		t.refusals = 0
+	}
+}
+
+// Load records what a target says of its load.
+func (p *Pool) Load(name string, running, waiting, slots int, now time.Time) {
+	if t := p.targets[name]; t != nil && slots > 0 {
+		t.load = float64(running+waiting) / float64(slots)
+		t.loadAt = now
+	}
+}
+
+// End ends a grant. It returns the reason if the outcome ejects the target.
+func (p *Pool) End(name string, o Outcome, s Sample, now time.Time) string {
+	t := p.targets[name]
+	if t == nil {
+		return ""
+	}
+	t.inflight = max(0, t.inflight-1)
+	t.fullUntil = time.Time{}
+	t.refusals = 0
+	t.gap = smooth(t.gap, s.Gap)
+	t.latency = smooth(t.latency, s.Latency)
+	switch o {
+	case Served:
+		return t.health.Observe(health.Success, now)
+	case Failed:
+		return t.health.Observe(health.Failure, now)
+	case Silent:
+		return t.health.Observe(health.Silence, now)
+	case Unreachable:
+		// A refused connection costs little, and a target that cannot be reached
+		// is asked again soon: the backoff spreads the tries of a host.
+		t.fullUntil = now.Add(maxFullBackoff)
+		return t.health.Observe(health.Failure, now)
+	}
+	return ""
+}
+
+func smooth(old, sample time.Duration) time.Duration {
+	if sample <= 0 {
+		return old
+	}
+	if old == 0 {
+		return sample
+	}
+	return old + time.Duration(smoothing*float64(sample-old))
+}
+
+// Stats counts what the pool holds.
+type Stats struct {
+	Waiting  [request.TierCount]int
+	Inflight int
+	Targets  int
+	Ejected  int
+}
+
+// Stats returns the counts.
+func (p *Pool) Stats() Stats {
+	s := Stats{Targets: len(p.order), Ejected: p.ejected}
+	for t := range s.Waiting {
+		s.Waiting[t] = p.queue.Len(request.Tier(t))
+	}
+	for _, t := range p.order {
+		s.Inflight += t.inflight
+	}
+	return s
+}
--- a/target/pool.go
+++ b/target/pool.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"sardinefront.dev/core/sockets"
 )
 
 const readBufferBytes = 16 << 10 // also bounds the size of an answer's header
@@ -53,7 +55,7 @@
 		if c == nil {
 			return p.connect(ctx)
 		}
-		if p.usable(c, time.Now()) && quiet(c.Conn) {
+		if p.usable(c, time.Now()) && sockets.Quiet(c.Conn) {
 			return c, nil
 		}
 		c.Close()
--- a/target/pool_test.go
+++ b/target/pool_test.go
@@ -8,6 +8,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"sardinefront.dev/core/sockets"
 )
 
 // stuckConn accepts the first n bytes of a request and then fails.
@@ -106,7 +108,7 @@
 		c.pool.mu.Lock()
 		idle := c.pool.idle[0]
 		c.pool.mu.Unlock()
-		for deadline := time.Now().Add(5 * time.Second); quiet(idle.Conn); time.Sleep(time.Millisecond) {
+		for deadline := time.Now().Add(5 * time.Second); sockets.Quiet(idle.Conn); time.Sleep(time.Millisecond) {
 			if time.Now().After(deadline) {
 				t.Fatal("the connection still looks usable")
 			}
