--- a/gateway/ingress/answer.go
+++ b/gateway/ingress/answer.go
@@ -60,6 +60,11 @@
 	if isEventStream(a.Header) && a.Status == http.StatusOK {
 		return x.passStream(ctx, conn, a, began)
 	}
+	if x.started {
+		// Only events can follow what the caller already has.
+		conn.Finish(a, false)
+		return x.fail(ctx, reserve.Failed, refusal.TargetFailed, fmt.Errorf("status %d for a resumed stream", a.Status))
+	}
 	return x.passAnswer(ctx, conn, a, began)
 }
 
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -5,8 +5,10 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -40,6 +42,10 @@
 		if err != nil {
 			return x.streamEnded(ctx, conn, a, err, streamTiming{began, first, last, events})
 		}
+		if !after(event.id, x.lastEvent) {
+			conn.Finish(a, false)
+			return x.fail(ctx, reserve.Failed, refusal.AnswerCut, fmt.Errorf("event %q after %q", event.id, x.lastEvent))
+		}
 		x.head(a, 0, false)
 		if _, err := x.w.Write(event.text); err != nil {
 			conn.Finish(a, false)
@@ -60,6 +66,14 @@
 	}
 }
 
+// after reports whether an event may follow another one: ids that are numbers
+// increase.
+func after(id, last string) bool {
+	a, err1 := strconv.ParseInt(id, 10, 64)
+	b, err2 := strconv.ParseInt(last, 10, 64)
+	return err1 != nil || err2 != nil || a > b
+}
+
 // eventWait bounds the wait for the next event where the stream may go on
 // elsewhere; 0 waits until the deadline.
 func (x *exchange) eventWait(events int) time.Duration {
