--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,7 +83,7 @@
 	s := cfg.Settings
 	g := &Gateway{
 		cfg:      cfg,
-		quota:    quota.New(),
+		quota:    quota.New(s.QuotaTolerance()),
 		services: dispatch.NewServices(s.Host.Zone, cfg.Log),
 		upstream: upstream.New(cfg.Codec, dialTimeout, nil),
 		budget: retry.New(retry.Limits{
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -14,6 +14,38 @@
 	Rate, Burst float64
 }
 
+// Tolerance says how far use may exceed a limit within a window before it breaks
+// the promise to the operator: Rate x Window + Burst, times 1 + Ratio, plus Slack.
+// Refusing what the limit allows is worse for an organisation than granting a
+// little more, so most of the tolerance is granted.
+type Tolerance struct {
+	Window time.Duration
+	Ratio  float64
+	// Slack is in units.
+	Slack float64
+}
+
+const (
+	// grantedPart of what a window may hold is granted; the rest covers the time
+	// that reports of use take between hosts, and a full bucket after a restart.
+	grantedPart = 0.9
+	// slackBurst is the part of the slack that may be used at once.
+	slackBurst = 0.3
+)
+
+// widen returns the bucket that grants no more than the granted part in any
+// window. Its burst stays near the limit's, so that an organisation that sends too
+// much is held back evenly.
+func (t Tolerance) widen(l Limit) Limit {
+	w := t.Window.Seconds()
+	if l.Rate <= 0 || w <= 0 {
+		return l
+	}
+	most := (l.Rate*w+l.Burst)*(1+t.Ratio) + t.Slack
+	burst := l.Burst + slackBurst*t.Slack
+	return Limit{Rate: max(l.Rate, (grantedPart*most-burst)/w), Burst: burst}
+}
+
 // silentAfter is the age of a peer's last report from which its use is
 // extrapolated. Reports come four times a second.
 const silentAfter = time.Second
@@ -49,14 +81,16 @@
 
 // Meter holds the buckets of all organisations. It is safe for concurrent use.
 type Meter struct {
+	tolerance Tolerance
+
 	mu      sync.Mutex
 	buckets map[string]*bucket
 	peers   map[string]*peer
 }
 
 // New returns a meter without limits.
-func New() *Meter {
-	return &Meter{buckets: map[string]*bucket{}, peers: map[string]*peer{}}
+func New(t Tolerance) *Meter {
+	return &Meter{tolerance: t, buckets: map[string]*bucket{}, peers: map[string]*peer{}}
 }
 
 // SetLimits replaces the limits. A bucket that stays keeps its level, cut to the
@@ -70,6 +104,7 @@
 		}
 	}
 	for name, l := range limits {
+		l = m.tolerance.widen(l)
 		b := m.buckets[name]
 		if b == nil {
 			m.buckets[name] = &bucket{limit: l, level: l.Burst, at: now}
--- a/gateway/settings/settings.go
+++ b/gateway/settings/settings.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/goccy/go-yaml"
+
+	"sardinefront.dev/gateway/quota"
 )
 
 // Settings configure one entry host.
@@ -50,6 +52,12 @@
 		Slack         float64 `yaml:"slack"`
 		WindowSeconds float64 `yaml:"window_s"`
 	} `yaml:"retry_budget"`
+	// Quota is how far use may exceed a quota within a window.
+	Quota struct {
+		WindowSeconds float64 `yaml:"window_s"`
+		Over          float64 `yaml:"over"`
+		Slack         float64 `yaml:"slack"`
+	} `yaml:"quota"`
 }
 
 // Load reads and checks a file.
@@ -95,6 +103,7 @@
 	want(s.Stop.GraceSeconds > 0, "stop.grace_s", "%v is not positive", s.Stop.GraceSeconds)
 	want(s.RetryBudget.WindowSeconds > 0, "retry_budget.window_s", "%v is not positive", s.RetryBudget.WindowSeconds)
 	want(s.RetryBudget.Ratio >= 0, "retry_budget.ratio", "%v is negative", s.RetryBudget.Ratio)
+	want(s.Quota.WindowSeconds >= 0 && s.Quota.Over >= 0 && s.Quota.Slack >= 0, "quota", "a value is negative")
 	slices.Sort(out)
 	return out
 }
@@ -122,3 +131,8 @@
 func (s *Settings) Grace() time.Duration {
 	return time.Duration(s.Stop.GraceSeconds * float64(time.Second))
 }
+
+// QuotaTolerance is how far use may exceed a quota.
+func (s *Settings) QuotaTolerance() quota.Tolerance {
+	return quota.Tolerance{Window: time.Duration(s.Quota.WindowSeconds * float64(time.Second)), Ratio: s.Quota.Over, Slack: s.Quota.Slack}
+}
