--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 
 	"sardinefront.dev/core/event"
 	"sardinefront.dev/core/refusal"
+	"sardinefront.dev/core/request"
 	"sardinefront.dev/gateway/directory"
 	"sardinefront.dev/gateway/protocol"
 	"sardinefront.dev/gateway/routing"
@@ -28,6 +29,10 @@
 	targets map[string]directory.Target
 	waiting map[*reserve.Waiter]chan outcome
 	timer   *time.Timer
+	// starved is the highest tier that waits for long, TierCount if none does.
+	starved   request.Tier
+	raisedAt  time.Time
+	onStarved func()
 }
 
 // outcome is what a waiting request gets.
@@ -36,9 +41,9 @@
 	refusal *refusal.Refusal
 }
 
-func newService(name string, reservations bool, log *slog.Logger) *Service {
+func newService(name string, reservations bool, log *slog.Logger, onStarved func()) *Service {
 	s := &Service{
-		name: name, log: log,
+		name: name, log: log, starved: request.TierCount, onStarved: onStarved,
 		pool:    reserve.New(reserve.Config{Reservations: reservations, Seed: rand.Uint64()}),
 		targets: map[string]directory.Target{},
 		waiting: map[*reserve.Waiter]chan outcome{},
@@ -116,6 +121,7 @@
 	for _, g := range grants {
 		s.deliver(g.Waiter, outcome{target: s.targets[g.Target]})
 	}
+	s.raise(now)
 	if at := s.pool.Wake(now); at.IsZero() {
 		s.timer.Stop()
 	} else {
@@ -123,6 +129,21 @@
 	}
 }
 
+// raise tells the other hosts when a request of a higher tier has waited for long.
+func (s *Service) raise(now time.Time) {
+	tier, ok := s.pool.Starved(now)
+	if !ok {
+		tier = request.TierCount
+	}
+	if ok && (tier < s.starved || now.Sub(s.raisedAt) > floorLife/2) {
+		s.raisedAt = now
+		s.starved = tier
+		s.onStarved()
+		return
+	}
+	s.starved = tier
+}
+
 func (s *Service) deliver(w *reserve.Waiter, o outcome) {
 	s.waiting[w] <- o
 	delete(s.waiting, w)
@@ -171,6 +192,23 @@
 	s.pump(now)
 }
 
+// floorLife is how long a floor holds unless it is renewed by a heartbeat.
+const floorLife = 300 * time.Millisecond
+
+// setFloor starts nothing below the tier for a while.
+func (s *Service) setFloor(t request.Tier) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.SetFloor(t, time.Now().Add(floorLife))
+}
+
+// Congested reports whether requests wait for a target.
+func (s *Service) Congested() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.Waiting() > 0
+}
+
 // Stats returns the counts of the scheduler.
 func (s *Service) Stats() reserve.Stats {
 	s.mu.Lock()
@@ -180,15 +218,41 @@
 
 // Services holds the schedulers of all services.
 type Services struct {
-	zone string
-	log  *slog.Logger
-	mu   sync.Mutex
-	all  map[string]*Service
+	zone      string
+	log       *slog.Logger
+	onStarved func()
+	mu        sync.Mutex
+	all       map[string]*Service
+}
+
+// NewServices returns an empty set for a host in the zone. The function is called,
+// and must not block, when the other hosts should hear of waiting requests.
+func NewServices(zone string, log *slog.Logger, onStarved func()) *Services {
+	return &Services{zone: zone, log: log, onStarved: onStarved, all: map[string]*Service{}}
 }
 
-// NewServices returns an empty set for a host in the zone.
-func NewServices(zone string, log *slog.Logger) *Services {
-	return &Services{zone: zone, log: log, all: map[string]*Service{}}
+// Floors returns the highest tier that waits for long, by service.
+func (s *Services) Floors() map[string]uint8 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]uint8{}
+	for name, service := range s.all {
+		service.mu.Lock()
+		if service.starved < request.TierCount {
+			out[name] = uint8(service.starved)
+		}
+		service.mu.Unlock()
+	}
+	return out
+}
+
+// Heard starts nothing below the tiers that wait on a peer.
+func (s *Services) Heard(floors map[string]uint8) {
+	for name, tier := range floors {
+		if service := s.Get(name); service != nil && tier < request.TierCount {
+			service.setFloor(request.Tier(tier))
+		}
+	}
 }
 
 // Get returns the scheduler of a service, or nil.
@@ -210,7 +274,7 @@
 	for i := range table.Services {
 		info := &table.Services[i]
 		if s.all[info.Name] == nil {
-			s.all[info.Name] = newService(info.Name, info.Engine != nil && info.Engine.MaxHold > 0, s.log)
+			s.all[info.Name] = newService(info.Name, info.Engine != nil && info.Engine.MaxHold > 0, s.log, s.onStarved)
 		}
 	}
 	for name, service := range s.all {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,13 +84,13 @@
 	g := &Gateway{
 		cfg:      cfg,
 		quota:    quota.New(s.QuotaTolerance()),
-		services: dispatch.NewServices(s.Host.Zone, cfg.Log),
 		upstream: upstream.New(cfg.Codec, dialTimeout, nil),
 		budget: retry.New(retry.Limits{
 			Ratio: s.RetryBudget.Ratio, Slack: s.RetryBudget.Slack,
 			Window: time.Duration(s.RetryBudget.WindowSeconds * float64(time.Second)),
 		}),
 	}
+	g.services = dispatch.NewServices(s.Host.Zone, cfg.Log, g.kick)
 	g.dir = directory.New(directory.Config{
 		Name: s.Host.Name, Store: cfg.Store, Layout: cfg.Layout, Current: &g.current, Log: cfg.Log, Changed: g.update,
 	})
@@ -181,16 +181,25 @@
 	g.services.Update(table, targets)
 }
 
+// kick sends a heartbeat at once.
+func (g *Gateway) kick() {
+	if g.mesh != nil {
+		g.mesh.Kick()
+	}
+}
+
 // Fill implements peers.State.
 func (g *Gateway) Fill(h *peers.Heartbeat, now time.Time) {
 	g.dir.Fill(h, now)
 	h.Use = g.quota.Use()
+	h.Floors = g.services.Floors()
 	h.Levels = g.quota.Levels(now)
 }
 
 // Heard implements peers.State.
 func (g *Gateway) Heard(h *peers.Heartbeat, now time.Time) {
 	g.dir.Heard(h, now)
+	g.services.Heard(h.Floors)
 	g.quota.Report(h.Name, h.Incarnation, h.Use, h.Levels, now)
 }
 
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -37,6 +37,8 @@
 	Use map[string]float64
 	// Levels are the levels of the quotas that are not full, by organisation.
 	Levels map[string]float64
+	// Floors are the highest tiers that have waited for long, by service.
+	Floors map[string]uint8
 	// Known are addresses of other hosts.
 	Known []string
 	// Changes are recent changes of the list of targets.
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -55,9 +55,13 @@
 
 // bucket is the replica of one organisation's bucket.
 type bucket struct {
+	// limit is the limit with the tolerance, level what is left of it.
 	limit Limit
 	level float64
-	at    time.Time
+	// bare is the limit itself, left what is left of it.
+	bare Limit
+	left float64
+	at   time.Time
 	// used is what this host has used since its start.
 	used float64
 }
@@ -103,29 +107,38 @@
 			delete(m.buckets, name)
 		}
 	}
-	for name, l := range limits {
-		l = m.tolerance.widen(l)
+	for name, bare := range limits {
+		l := m.tolerance.widen(bare)
 		b := m.buckets[name]
 		if b == nil {
-			m.buckets[name] = &bucket{limit: l, level: l.Burst, at: now}
+			m.buckets[name] = &bucket{limit: l, level: l.Burst, bare: bare, left: bare.Burst, at: now}
 			continue
 		}
 		b.refill(now)
-		b.limit = l
-		b.level = min(b.level, l.Burst)
+		b.limit, b.bare = l, bare
+		b.level, b.left = min(b.level, l.Burst), min(b.left, bare.Burst)
 	}
 }
 
 func (b *bucket) refill(now time.Time) {
 	if d := now.Sub(b.at).Seconds(); d > 0 {
 		b.level = min(b.limit.Burst, b.level+d*b.limit.Rate)
+		b.left = min(b.bare.Burst, b.left+d*b.bare.Rate)
 		b.at = now
 	}
 }
 
+// use subtracts units; negative ones are given back. What was granted beyond the
+// bare limit does not lower it for long.
+func (b *bucket) use(units float64) {
+	b.level = min(b.limit.Burst, b.level-units)
+	b.left = max(-b.bare.Burst, min(b.bare.Burst, b.left-units))
+}
+
 // Take uses units of an organisation's quota. It returns 0 if they are granted,
-// else how long until they would be.
-func (m *Meter) Take(name string, units float64, now time.Time) time.Duration {
+// else how long until they would be. While others wait for the same targets, strict
+// is set and nothing is granted beyond the limit itself.
+func (m *Meter) Take(name string, units float64, strict bool, now time.Time) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	b := m.buckets[name]
@@ -134,21 +147,34 @@
 	}
 	m.extrapolate(now)
 	b.refill(now)
-	need := min(units, b.limit.Burst)
-	if b.level < need {
-		return max(time.Millisecond, time.Duration((need-b.level)/b.limit.Rate*float64(time.Second)))
+	wait := until(b.level, units, b.limit)
+	if strict {
+		wait = max(wait, until(b.left, units, b.bare))
 	}
-	b.level -= units
+	if wait > 0 {
+		return wait
+	}
+	b.use(units)
 	b.used += units
 	return 0
 }
 
+// until returns how long it takes until a bucket can grant units, or 0. More than a
+// burst is granted by a full bucket.
+func until(level, units float64, l Limit) time.Duration {
+	missing := min(units, l.Burst) - level
+	if missing <= 0 {
+		return 0
+	}
+	return max(time.Millisecond, time.Duration(missing/l.Rate*float64(time.Second)))
+}
+
 // Return gives back units that were taken for a request that did not run.
 func (m *Meter) Return(name string, units float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if b := m.buckets[name]; b != nil && b.limit.Rate > 0 {
-		b.level = min(b.limit.Burst, b.level+units)
+		b.use(-units)
 		b.used -= units
 	}
 }
@@ -221,7 +247,7 @@
 func (m *Meter) charge(name string, units float64, now time.Time) {
 	if b := m.buckets[name]; b != nil && b.limit.Rate > 0 {
 		b.refill(now)
-		b.level = min(b.limit.Burst, b.level-units)
+		b.use(units)
 	}
 }
 
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -51,6 +51,7 @@
 	item     flow.Item
 	excluded []string // targets that this request must not try again
 	queued   bool
+	queuedAt time.Time
 }
 
 // Exclude keeps the request from a target.
@@ -194,7 +195,7 @@
 	if f := p.queue.Push(&w.item, now); f != nil {
 		return f
 	}
-	w.queued = true
+	w.queued, w.queuedAt = true, now
 	p.waiters[w.Request.ID] = w
 	return nil
 }
@@ -418,6 +419,29 @@
 	return old + time.Duration(smoothing*float64(sample-old))
 }
 
+// Waiting returns the number of requests that wait.
+func (p *Pool) Waiting() int { return len(p.waiters) }
+
+// starvedAfter is how long a request waits before its host asks the others to
+// start nothing of a lower tier. A try at an engine takes a few milliseconds.
+const starvedAfter = 15 * time.Millisecond
+
+// Starved returns the highest tier of which a request has waited for long, and
+// whether there is one. The lowest tier stops nobody and is not reported.
+func (p *Pool) Starved(now time.Time) (request.Tier, bool) {
+	best, found := request.Tier(request.TierCount), false
+	for _, w := range p.waiters {
+		if w.Request.Tier < best && w.Request.Tier < request.Patient && now.Sub(w.queuedAt) >= starvedAfter {
+			best, found = w.Request.Tier, true
+		}
+	}
+	return best, found
+}
+
+// SetFloor starts nothing below a tier until the given time: a host has requests
+// of that tier waiting.
+func (p *Pool) SetFloor(t request.Tier, until time.Time) { p.queue.SetFloor(t, until) }
+
 // Stats counts what the pool holds.
 type Stats struct {
 	Waiting  [request.TierCount]int
