--- a/gateway/routing/routing.go
+++ b/gateway/routing/routing.go
@@ -206,9 +206,6 @@
 // count as the lowest.
 func (t *Table) Tier(r *Route, org *Organisation) request.Tier {
 	p := r.Priority
-	if org != nil && org.Priority != nil {
-		p = *org.Priority
-	}
 	return request.Tier(min(max(p, 0), request.TierCount-1))
 }
 
