--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -202,13 +202,6 @@
 	s.pool.SetFloor(t, time.Now().Add(floorLife))
 }
 
-// Congested reports whether requests wait for a target.
-func (s *Service) Congested() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.pool.Waiting() > 0
-}
-
 // Stats returns the counts of the scheduler.
 func (s *Service) Stats() reserve.Stats {
 	s.mu.Lock()
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -233,7 +233,7 @@
 			x.units = float64(x.call.PromptTokens + x.call.MaxTokens)
 		}
 	}
-	if wait := x.cfg.Quota.Take(x.org.Name, x.units, x.congested(), x.arrived); wait > 0 {
+	if wait := x.cfg.Quota.Take(x.org.Name, x.units, x.arrived); wait > 0 {
 		f := refusal.New(refusal.QuotaExceeded, "quota of %s: %.0f units", x.org.Name, x.units)
 		x.units = 0
 		f.RetryAfter = wait
@@ -242,12 +242,6 @@
 	return nil
 }
 
-// congested reports whether requests wait for the targets of the request.
-func (x *exchange) congested() bool {
-	service := x.cfg.Services.Get(x.service)
-	return service != nil && service.Congested()
-}
-
 // returnQuota gives the units back for a request that did not run.
 func (x *exchange) returnQuota() {
 	if x.units > 0 && x.sends == 0 {
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -55,13 +55,10 @@
 
 // bucket is the replica of one organisation's bucket.
 type bucket struct {
-	// limit is the limit with the tolerance, level what is left of it.
+	// limit is the limit with the granted part of the tolerance.
 	limit Limit
 	level float64
-	// bare is the limit itself, left what is left of it.
-	bare Limit
-	left float64
-	at   time.Time
+	at    time.Time
 	// used is what this host has used since its start.
 	used float64
 }
@@ -107,38 +104,32 @@
 			delete(m.buckets, name)
 		}
 	}
-	for name, bare := range limits {
-		l := m.tolerance.widen(bare)
+	for name, l := range limits {
+		l = m.tolerance.widen(l)
 		b := m.buckets[name]
 		if b == nil {
-			m.buckets[name] = &bucket{limit: l, level: l.Burst, bare: bare, left: bare.Burst, at: now}
+			m.buckets[name] = &bucket{limit: l, level: l.Burst, at: now}
 			continue
 		}
 		b.refill(now)
-		b.limit, b.bare = l, bare
-		b.level, b.left = min(b.level, l.Burst), min(b.left, bare.Burst)
+		b.limit = l
+		b.level = min(b.level, l.Burst)
 	}
 }
 
 func (b *bucket) refill(now time.Time) {
 	if d := now.Sub(b.at).Seconds(); d > 0 {
 		b.level = min(b.limit.Burst, b.level+d*b.limit.Rate)
-		b.left = min(b.bare.Burst, b.left+d*b.bare.Rate)
 		b.at = now
 	}
 }
 
-// use subtracts units; negative ones are given back. What was granted beyond the
-// bare limit does not lower it for long.
-func (b *bucket) use(units float64) {
-	b.level = min(b.limit.Burst, b.level-units)
-	b.left = max(-b.bare.Burst, min(b.bare.Burst, b.left-units))
-}
+// use subtracts units; negative ones are given back.
+func (b *bucket) use(units float64) { b.level = min(b.limit.Burst, b.level-units) }
 
 // Take uses units of an organisation's quota. It returns 0 if they are granted,
-// else how long until they would be. While others wait for the same targets, strict
-// is set and nothing is granted beyond the limit itself.
-func (m *Meter) Take(name string, units float64, strict bool, now time.Time) time.Duration {
+// else how long until they would be.
+func (m *Meter) Take(name string, units float64, now time.Time) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	b := m.buckets[name]
@@ -147,11 +138,7 @@
 	}
 	m.extrapolate(now)
 	b.refill(now)
-	wait := until(b.level, units, b.limit)
-	if strict {
-		wait = max(wait, until(b.left, units, b.bare))
-	}
-	if wait > 0 {
+	if wait := until(b.level, units, b.limit); wait > 0 {
 		return wait
 	}
 	b.use(units)
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -419,9 +419,6 @@
 	return old + time.Duration(smoothing*float64(sample-old))
 }
 
-// Waiting returns the number of requests that wait.
-func (p *Pool) Waiting() int { return len(p.waiters) }
-
 // starvedAfter is how long a request waits before its host asks the others to
 // start nothing of a lower tier. A try at an engine takes a few milliseconds.
 const starvedAfter = 15 * time.Millisecond
