--- a/core/event/table.go
+++ b/core/event/table.go
@@ -13,10 +13,11 @@
 	SettingsRejected = Event{106, "settings rejected", slog.LevelError, "The settings file has findings; nothing was started."}
 	SettingsReread   = Event{107, "settings reread", slog.LevelInfo, "The settings file was read again."}
 
-	RequestRefused = Event{201, "request refused", slog.LevelInfo, "A caller received a typed refusal."}
-	RequestRetried = Event{202, "request retried", slog.LevelInfo, "No byte had gone out, so the request was tried at another target."}
-	CallerLeft     = Event{203, "caller left", slog.LevelInfo, "The caller closed its connection; the request was cancelled."}
-	AnswerBroken   = Event{204, "answer broken", slog.LevelWarn, "An answer that had begun could not be completed; the caller's connection was closed."}
+	RequestRefused  = Event{201, "request refused", slog.LevelInfo, "A caller received a typed refusal."}
+	RequestRetried  = Event{202, "request retried", slog.LevelInfo, "No byte had gone out, so the request was tried at another target."}
+	CallerLeft      = Event{203, "caller left", slog.LevelInfo, "The caller closed its connection; the request was cancelled."}
+	RequestAnswered = Event{205, "request answered", slog.LevelInfo, "A caller has its whole answer."}
+	AnswerBroken    = Event{204, "answer broken", slog.LevelWarn, "An answer that had begun could not be completed; the caller's connection was closed."}
 
 	TargetEjected   = Event{301, "target ejected", slog.LevelWarn, "Failures, slowness or silence removed a target from picking."}
 	TargetRestored  = Event{302, "target restored", slog.LevelInfo, "A target passed its trial requests and is picked again."}
@@ -56,7 +57,7 @@
 func All() []Event {
 	return []Event{
 		Started, EmbeddedStore, ShutdownBegun, ShutdownDone, ShutdownCut, SettingsRejected, SettingsReread,
-		RequestRefused, RequestRetried, CallerLeft, AnswerBroken,
+		RequestRefused, RequestRetried, CallerLeft, AnswerBroken, RequestAnswered,
 		TargetEjected, TargetRestored, TargetLeaving, TargetListStale, TargetListed, TargetDoubted,
 		WriterElected, WriterLost, AppendUnknown, OutcomeUnknown, TakenOver,
 		MemberSuspected, MemberDead, MemberAlive, PeerRejected, PeerFetchFailed,
--- a/gateway/ingress/answer.go
+++ b/gateway/ingress/answer.go
@@ -5,12 +5,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"maps"
 	"mime"
 	"net/http"
 	"strconv"
 	"time"
 
+	"sardinefront.dev/core/event"
 	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/gateway/directory"
 	"sardinefront.dev/gateway/dispatch"
@@ -39,6 +41,7 @@
 		Header: x.cfg.Codec.Forward(x.r.Header, x.attempt(target, reservation)),
 	}
 	x.sends++
+	x.target, x.waited = target.ID, began.Sub(x.arrived)
 	if err := conn.Send(m); err != nil {
 		conn.Finish(nil, false)
 		return x.fail(ctx, reserve.Failed, refusal.TargetFailed, err)
@@ -192,7 +195,11 @@
 }
 
 // done notes that the caller has its whole answer.
-func (x *exchange) done() {
+func (x *exchange) done(details ...slog.Attr) {
 	x.answered = true
 	x.cfg.Metrics.Answer(x.request.Tier, x.service)
+	event.RequestAnswered.Log(x.cfg.Log, append(details,
+		slog.String("id", x.call.ID), slog.String("target", x.target), slog.String("tier", x.request.Tier.String()),
+		slog.Int("sends", x.sends), slog.Int("promptTokens", x.call.PromptTokens),
+		slog.Duration("waited", x.waited), slog.Duration("after", time.Since(x.arrived)))...)
 }
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -105,6 +105,10 @@
 	request  *request.Request
 	deadline time.Time
 
+	// target is the one that the request is at, or was at last.
+	target string
+	// waited is the time from arrival until the request was sent.
+	waited time.Duration
 	// sends counts the targets that the request was sent to.
 	sends int
 	// started says that the head of an answer has gone to the caller.
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"strings"
@@ -33,14 +34,13 @@
 // so that another target can go on after the last one.
 func (x *exchange) passStream(ctx context.Context, conn *upstream.Conn, a *upstream.Answer, began time.Time) try {
 	s := newEventReader(a.Body)
-	var first, last time.Time
-	events := 0
+	timing := streamTiming{began: began}
 	flusher := http.NewResponseController(x.w)
 	for {
-		conn.SetReadTimeout(x.eventWait(events))
+		conn.SetReadTimeout(x.eventWait(timing.events))
 		event, err := s.next()
 		if err != nil {
-			return x.streamEnded(ctx, conn, a, err, streamTiming{began, first, last, events})
+			return x.streamEnded(ctx, conn, a, err, timing)
 		}
 		if !after(event.id, x.lastEvent) {
 			conn.Finish(a, false)
@@ -58,11 +58,7 @@
 		if event.id != "" {
 			x.lastEvent = event.id
 		}
-		last = time.Now()
-		if events == 0 {
-			first = last
-		}
-		events++
+		timing.event(time.Now())
 	}
 }
 
@@ -90,6 +86,18 @@
 type streamTiming struct {
 	began, first, last time.Time
 	events             int
+	longest            time.Duration // longest pause between events
+}
+
+// event notes that an event has been passed on.
+func (t *streamTiming) event(now time.Time) {
+	if t.events == 0 {
+		t.first = now
+	} else {
+		t.longest = max(t.longest, now.Sub(t.last))
+	}
+	t.last = now
+	t.events++
 }
 
 // leastEvents is the number of events from which the pause between them counts.
@@ -106,7 +114,7 @@
 	if errors.Is(err, io.EOF) {
 		x.head(a, 0, false)
 		conn.Finish(a, true)
-		x.done()
+		x.done(slog.Duration("first", timing.first.Sub(x.arrived)), slog.Int("events", timing.events), slog.Duration("longestPause", timing.longest))
 		return try{verdict: answered, sent: true, outcome: reserve.Served, sample: timing.sample()}
 	}
 	conn.Finish(a, false)
