Keep fresh requests off slow engines, and share learned speeds between hosts

Cause: a third of the engines are 4 times slower. A stream that shares one with a prefill pauses for 500 ms, so nearly every answer from them is late; each host learned that alone, in the first seconds. Change: lanes order fresh before late requests across tiers; fresh requests of the upper tiers wait for a fast engine; speeds go into heartbeats.

--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -11,7 +11,6 @@
 
 	"sardinefront.dev/core/event"
 	"sardinefront.dev/core/refusal"
-	"sardinefront.dev/core/request"
 	"sardinefront.dev/gateway/directory"
 	"sardinefront.dev/gateway/protocol"
 	"sardinefront.dev/gateway/routing"
@@ -29,8 +28,8 @@
 	targets map[string]directory.Target
 	waiting map[*reserve.Waiter]chan outcome
 	timer   *time.Timer
-	// starved is the highest tier that waits for long, TierCount if none does.
-	starved   request.Tier
+	// starved is the lowest lane that waits for long, LaneCount if none does.
+	starved   reserve.Lane
 	raisedAt  time.Time
 	onStarved func()
 }
@@ -43,7 +42,7 @@
 
 func newService(name string, reservations bool, log *slog.Logger, onStarved func()) *Service {
 	s := &Service{
-		name: name, log: log, starved: request.TierCount, onStarved: onStarved,
+		name: name, log: log, starved: reserve.LaneCount, onStarved: onStarved,
 		pool:    reserve.New(reserve.Config{Reservations: reservations, Seed: rand.Uint64()}),
 		targets: map[string]directory.Target{},
 		waiting: map[*reserve.Waiter]chan outcome{},
@@ -129,19 +128,14 @@
 	}
 }
 
-// raise tells the other hosts when a request of a higher tier has waited for long.
+// raise tells the other hosts when a request of a lower lane has waited for long.
 func (s *Service) raise(now time.Time) {
-	tier, ok := s.pool.Starved(now)
-	if !ok {
-		tier = request.TierCount
-	}
-	if ok && (tier < s.starved || now.Sub(s.raisedAt) > floorLife/2) {
+	was := s.starved
+	s.starved = s.pool.Starved(now)
+	if s.starved < was || s.starved < reserve.LaneCount && now.Sub(s.raisedAt) > floorLife/2 {
 		s.raisedAt = now
-		s.starved = tier
 		s.onStarved()
-		return
 	}
-	s.starved = tier
 }
 
 func (s *Service) deliver(w *reserve.Waiter, o outcome) {
@@ -195,11 +189,18 @@
 // floorLife is how long a floor holds unless it is renewed by a heartbeat.
 const floorLife = 300 * time.Millisecond
 
-// setFloor starts nothing below the tier for a while.
-func (s *Service) setFloor(t request.Tier) {
+// setFloor holds back what comes after a lane for a while.
+func (s *Service) setFloor(l reserve.Lane) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.SetFloor(l, time.Now().Add(floorLife))
+}
+
+// Observe notes the pause between events that a target shows.
+func (s *Service) Observe(target string, gap time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pool.SetFloor(t, time.Now().Add(floorLife))
+	s.pool.Observe(target, gap)
 }
 
 // Stats returns the counts of the scheduler.
@@ -224,14 +225,15 @@
 	return &Services{zone: zone, log: log, onStarved: onStarved, all: map[string]*Service{}}
 }
 
-// Floors returns the highest tier that waits for long, by service.
+// Floors returns the lowest lane that waits for long, by service. The last lane
+// holds back nothing and is left out.
 func (s *Services) Floors() map[string]uint8 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := map[string]uint8{}
 	for name, service := range s.all {
 		service.mu.Lock()
-		if service.starved < request.TierCount {
+		if service.starved < reserve.LaneCount-1 {
 			out[name] = uint8(service.starved)
 		}
 		service.mu.Unlock()
@@ -239,12 +241,38 @@
 	return out
 }
 
-// Heard starts nothing below the tiers that wait on a peer.
+// Heard holds back what comes after the lanes that wait on a peer.
 func (s *Services) Heard(floors map[string]uint8) {
-	for name, tier := range floors {
-		if service := s.Get(name); service != nil && tier < request.TierCount {
-			service.setFloor(request.Tier(tier))
+	for name, lane := range floors {
+		if service := s.Get(name); service != nil {
+			service.setFloor(reserve.Lane(lane))
+		}
+	}
+}
+
+// Speeds returns the pauses between events of all targets.
+func (s *Services) Speeds() []reserve.Speed {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []reserve.Speed
+	for _, service := range s.all {
+		service.mu.Lock()
+		out = append(out, service.pool.Speeds()...)
+		service.mu.Unlock()
+	}
+	return out
+}
+
+// Seed takes what a peer has learned of targets that this host does not know.
+func (s *Services) Seed(speeds []reserve.Speed) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, service := range s.all {
+		service.mu.Lock()
+		for _, v := range speeds {
+			service.pool.Seed(v.Target, v.Gap)
 		}
+		service.mu.Unlock()
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,6 +71,7 @@
 	dir      *directory.Directory
 	mesh     *peers.Mesh
 	ingress  *ingress.Server
+	speeds   speedTable
 
 	callers, ready, internal *http.Server
 	stopping                 atomic.Bool
@@ -193,6 +194,7 @@
 	g.dir.Fill(h, now)
 	h.Use = g.quota.Use()
 	h.Floors = g.services.Floors()
+	h.Speeds = g.speeds.news(g.services.Speeds(), now)
 	h.Levels = g.quota.Levels(now)
 }
 
@@ -200,9 +202,22 @@
 func (g *Gateway) Heard(h *peers.Heartbeat, now time.Time) {
 	g.dir.Heard(h, now)
 	g.services.Heard(h.Floors)
+	if len(h.Speeds) > 0 {
+		g.services.Seed(resolve(h.Speeds, g.targetKeys()))
+	}
 	g.quota.Report(h.Name, h.Incarnation, h.Use, h.Levels, now)
 }
 
+// targetKeys returns the names of all targets as the schedulers know them.
+func (g *Gateway) targetKeys() []string {
+	targets := g.dir.Targets()
+	out := make([]string, len(targets))
+	for i := range targets {
+		out[i] = targets[i].Key()
+	}
+	return out
+}
+
 func (g *Gateway) sweep(ctx context.Context) {
 	t := time.NewTicker(sweepEvery)
 	defer t.Stop()
--- a/gateway/ingress/answer.go
+++ b/gateway/ingress/answer.go
@@ -41,7 +41,7 @@
 		Header: x.cfg.Codec.Forward(x.r.Header, x.attempt(target, reservation)),
 	}
 	x.sends++
-	x.target, x.waited = target.ID, began.Sub(x.arrived)
+	x.target, x.targetKey, x.waited = target.ID, target.Key(), began.Sub(x.arrived)
 	if err := conn.Send(m); err != nil {
 		conn.Finish(nil, false)
 		return x.fail(ctx, reserve.Failed, refusal.TargetFailed, err)
@@ -61,7 +61,7 @@
 		return x.fail(ctx, reserve.Failed, refusal.TargetFailed, fmt.Errorf("status %d", a.Status))
 	}
 	if isEventStream(a.Header) && a.Status == http.StatusOK {
-		return x.passStream(ctx, conn, a, began)
+		return x.passStream(ctx, service, conn, a, began)
 	}
 	if x.started {
 		// Only events can follow what the caller already has.
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -106,7 +106,8 @@
 	deadline time.Time
 
 	// target is the one that the request is at, or was at last.
-	target string
+	target    string
+	targetKey string
 	// waited is the time from arrival until the request was sent.
 	waited time.Duration
 	// sends counts the targets that the request was sent to.
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -24,15 +24,18 @@
 const (
 	// leastServiceTime is the time before the deadline at which waiting ends.
 	leastServiceTime = 60 * time.Millisecond
-	// prefillAllowance is taken off the goal: a request that starts later than that
-	// before it is late.
-	prefillAllowance = 100 * time.Millisecond
+	// firstEventFixed and prefillPerToken estimate the time from the send to the
+	// first event at a fast engine. A request that is sent later than that before
+	// its goal is late.
+	firstEventFixed = 30 * time.Millisecond
+	prefillPerToken = 25 * time.Microsecond
 )
 
 func newWaiter(r *request.Request, route *routing.Route) *reserve.Waiter {
 	w := &reserve.Waiter{Request: r, LatestStart: r.Deadline.Add(-leastServiceTime)}
 	if route.Goal > 0 {
-		w.FreshUntil = r.Arrived.Add(max(route.Goal/2, route.Goal-prefillAllowance))
+		first := firstEventFixed + time.Duration(r.PromptTokens)*prefillPerToken
+		w.FreshUntil = r.Arrived.Add(max(route.Goal/2, route.Goal-first))
 	}
 	return w
 }
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"sardinefront.dev/core/refusal"
+	"sardinefront.dev/gateway/dispatch"
 	"sardinefront.dev/gateway/upstream"
 	"sardinefront.dev/sched/reserve"
 )
@@ -32,7 +33,7 @@
 
 // passStream passes events on as they arrive. Only whole events go to the caller,
 // so that another target can go on after the last one.
-func (x *exchange) passStream(ctx context.Context, conn *upstream.Conn, a *upstream.Answer, began time.Time) try {
+func (x *exchange) passStream(ctx context.Context, service *dispatch.Service, conn *upstream.Conn, a *upstream.Answer, began time.Time) try {
 	s := newEventReader(a.Body)
 	timing := streamTiming{began: began}
 	flusher := http.NewResponseController(x.w)
@@ -59,6 +60,9 @@
 			x.lastEvent = event.id
 		}
 		timing.event(time.Now())
+		if timing.events == leastEvents {
+			service.Observe(x.targetKey, timing.gap())
+		}
 	}
 }
 
@@ -107,9 +111,12 @@
 	if t.events < leastEvents {
 		return reserve.Sample{}
 	}
-	return reserve.Sample{Gap: t.last.Sub(t.first) / time.Duration(t.events-1)}
+	return reserve.Sample{Gap: t.gap()}
 }
 
+// gap returns the mean pause between the events so far.
+func (t streamTiming) gap() time.Duration { return t.last.Sub(t.first) / time.Duration(t.events-1) }
+
 func (x *exchange) streamEnded(ctx context.Context, conn *upstream.Conn, a *upstream.Answer, err error, timing streamTiming) try {
 	if errors.Is(err, io.EOF) {
 		x.head(a, 0, false)
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -37,8 +37,11 @@
 	Use map[string]float64
 	// Levels are the levels of the quotas that are not full, by organisation.
 	Levels map[string]float64
-	// Floors are the highest tiers that have waited for long, by service.
+	// Floors are the lowest lanes that have waited for long, by service.
 	Floors map[string]uint8
+	// Speeds are pauses between events in microseconds, by the short name of the
+	// target.
+	Speeds map[uint32]uint32
 	// Known are addresses of other hosts.
 	Known []string
 	// Changes are recent changes of the list of targets.
--- a/sched/flow/flow.go
+++ b/sched/flow/flow.go
@@ -166,6 +166,23 @@
 	return nil
 }
 
+// Lane returns the next item of a tier without removing it, or nil: of its fresh
+// items, or of those that are late. Floors do not count. It is for callers that
+// order fresh and late items across tiers themselves.
+func (q *Queue) Lane(t request.Tier, late bool, now time.Time) *Item {
+	if fresh := q.fresh(t, now); !late {
+		return fresh
+	}
+	it := q.late[t].head()
+	if it != nil {
+		it.lags = false
+	}
+	return it
+}
+
+// Expire removes and returns the items whose deadline can no longer be met.
+func (q *Queue) Expire(now time.Time) []Expired { return q.expire(now) }
+
 func (q *Queue) expire(now time.Time) []Expired {
 	var out []Expired
 	for len(q.deadlines) > 0 && !q.deadlines[0].LatestStart.After(now) {
--- /dev/null
+++ b/sched/reserve/lanes.go
@@ -0,0 +1,118 @@
+package reserve
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// starvedAfter is how long a request waits before its host asks the others to
+	// start nothing of a lower lane. A try at an engine takes a few milliseconds.
+	starvedAfter = 15 * time.Millisecond
+	// slowFactor marks a target as slow whose events come that much slower than
+	// those of a fast one.
+	slowFactor = 2.2
+	// fastRank is the part of the targets, fastest first, whose slowest member stands
+	// for a fast target.
+	fastRank = 0.25
+	// leastKnown is the number of targets with a sample from which speeds are told
+	// apart.
+	leastKnown = 3
+)
+
+// slowGap returns the pause between events above which a target is slow, or 0 if
+// too little is known.
+func (p *Pool) slowGap() time.Duration {
+	if !p.cfg.Reservations {
+		return 0
+	}
+	p.gaps = p.gaps[:0]
+	for _, t := range p.order {
+		if t.gap > 0 && !t.Leaving {
+			p.gaps = append(p.gaps, t.gap)
+		}
+	}
+	if len(p.gaps) < leastKnown {
+		return 0
+	}
+	slices.Sort(p.gaps)
+	fast := p.gaps[int(fastRank*float64(len(p.gaps)-1))]
+	return time.Duration(slowFactor * float64(fast))
+}
+
+// held reports whether another host has requests of a lower lane waiting.
+func (p *Pool) held(l Lane, now time.Time) bool {
+	for _, until := range p.floors[:l] {
+		if now.Before(until) {
+			return true
+		}
+	}
+	return false
+}
+
+// SetFloor starts nothing above a lane at fast targets until the given time: a host
+// has requests of that lane waiting.
+func (p *Pool) SetFloor(l Lane, until time.Time) {
+	if l < LaneCount && until.After(p.floors[l]) {
+		p.floors[l] = until
+	}
+}
+
+// Starved returns the lowest lane in which a request has waited for long,
+// LaneCount if there is none.
+func (p *Pool) Starved(now time.Time) Lane {
+	best := LaneCount
+	for _, w := range p.waiters {
+		if now.Sub(w.queuedAt) < starvedAfter {
+			continue
+		}
+		best = min(best, laneOf(w, now))
+	}
+	return best
+}
+
+// laneOf returns the lane of a waiting request.
+func laneOf(w *Waiter, now time.Time) Lane {
+	late := !w.FreshUntil.IsZero() && !now.Before(w.FreshUntil)
+	for l := range lanes {
+		if lanes[l].tier == w.Request.Tier && lanes[l].late == late {
+			return Lane(l)
+		}
+	}
+	return LaneCount - 1
+}
+
+// Observe records the pause between events that a target shows while it answers.
+func (p *Pool) Observe(name string, gap time.Duration) {
+	if t := p.targets[name]; t != nil {
+		t.gap = smooth(t.gap, gap)
+	}
+}
+
+// Seed records what another host has learned of a target that this host knows
+// nothing of, and reports whether it was news.
+func (p *Pool) Seed(name string, gap time.Duration) bool {
+	t := p.targets[name]
+	if t == nil || t.gap > 0 || gap <= 0 {
+		return false
+	}
+	t.gap = gap
+	return true
+}
+
+// Speed is the pause between the events of one target.
+type Speed struct {
+	Target string
+	Gap    time.Duration
+}
+
+// Speeds returns what is known of the targets' speeds.
+func (p *Pool) Speeds() []Speed {
+	var out []Speed
+	for _, t := range p.order {
+		if t.gap > 0 {
+			out = append(out, Speed{t.Name, t.gap})
+		}
+	}
+	return out
+}
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -129,6 +129,27 @@
 	wakeEvery = 50 * time.Millisecond
 )
 
+// Lane is a group of waiting requests; a lower one is served first.
+type Lane uint8
+
+// lanes lists the lanes in the order of service. Fresh requests of a middle tier
+// precede late ones of the highest, whose answers have lost most of their value.
+var lanes = [...]struct {
+	tier     request.Tier
+	late     bool
+	fastOnly bool
+}{
+	{request.Urgent, false, true},
+	{request.Interactive, false, true},
+	{request.Urgent, true, false},
+	{request.Interactive, true, false},
+	{request.Patient, false, false},
+	{request.Patient, true, false},
+}
+
+// LaneCount is the number of lanes.
+const LaneCount = Lane(len(lanes))
+
 // target is the state of one target.
 type target struct {
 	Target
@@ -152,6 +173,8 @@
 	targets map[string]*target
 	order   []*target
 	ejected int
+	floors  [LaneCount]time.Time // end of the floor of each lane
+	gaps    []time.Duration      // scratch space of slowGap
 }
 
 // New returns a pool without targets.
@@ -227,20 +250,32 @@
 // Next returns what to try now and which requests have expired.
 func (p *Pool) Next(now time.Time) (grants []Grant, expired []Expired) {
 	p.advance(now)
+	for _, x := range p.queue.Expire(now) {
+		w := p.waiters[x.Item.Request.ID]
+		p.dequeue(w)
+		expired = append(expired, Expired{w, x.Refusal})
+	}
+	if len(p.waiters) == 0 {
+		return nil, expired
+	}
+	slow := p.slowGap()
+	for l := range lanes {
+		grants = p.serveLane(Lane(l), slow, grants, now)
+	}
+	return grants, expired
+}
+
+// serveLane starts the requests of one lane until no target takes the next one.
+func (p *Pool) serveLane(l Lane, slow time.Duration, grants []Grant, now time.Time) []Grant {
 	for {
-		it, gone := p.queue.Next(now)
-		for _, x := range gone {
-			w := p.waiters[x.Item.Request.ID]
-			p.dequeue(w)
-			expired = append(expired, Expired{w, x.Refusal})
-		}
+		it := p.queue.Lane(lanes[l].tier, lanes[l].late, now)
 		if it == nil {
-			return grants, expired
+			return grants
 		}
 		w := p.waiters[it.Request.ID]
-		t := p.choose(w, now)
+		t := p.choose(w, l, slow, now)
 		if t == nil {
-			return grants, expired
+			return grants
 		}
 		p.queue.Take(it)
 		p.dequeue(w)
@@ -278,15 +313,21 @@
 	}
 }
 
-// choose returns the cheapest target that may take the request, or nil.
-func (p *Pool) choose(w *Waiter, now time.Time) *target {
+// choose returns the cheapest target that may take a request of the lane, or nil.
+// Targets slower than the given pause between events serve only lanes that cannot
+// be in time there anyway: a fresh request does better to wait for a fast one.
+func (p *Pool) choose(w *Waiter, l Lane, slow time.Duration, now time.Time) *target {
 	var best *target
 	bestCost := 0.0
 	distrust := health.Panic(p.ejected, len(p.order))
+	held := p.held(l, now)
 	for _, t := range p.order {
 		if !p.open(t, now, distrust) || w.excludes(t.Name) {
 			continue
 		}
+		if isSlow := slow > 0 && t.gap > slow; isSlow && lanes[l].fastOnly || !isSlow && held {
+			continue
+		}
 		c := p.cost(t, now) * (1 + 0.1*p.rnd.Float64())
 		if best == nil || c < bestCost {
 			best, bestCost = t, c
@@ -419,26 +460,6 @@
 	return old + time.Duration(smoothing*float64(sample-old))
 }
 
-// starvedAfter is how long a request waits before its host asks the others to
-// start nothing of a lower tier. A try at an engine takes a few milliseconds.
-const starvedAfter = 15 * time.Millisecond
-
-// Starved returns the highest tier of which a request has waited for long, and
-// whether there is one. The lowest tier stops nobody and is not reported.
-func (p *Pool) Starved(now time.Time) (request.Tier, bool) {
-	best, found := request.Tier(request.TierCount), false
-	for _, w := range p.waiters {
-		if w.Request.Tier < best && w.Request.Tier < request.Patient && now.Sub(w.queuedAt) >= starvedAfter {
-			best, found = w.Request.Tier, true
-		}
-	}
-	return best, found
-}
-
-// SetFloor starts nothing below a tier until the given time: a host has requests
-// of that tier waiting.
-func (p *Pool) SetFloor(t request.Tier, until time.Time) { p.queue.SetFloor(t, until) }
-
 // Stats counts what the pool holds.
 type Stats struct {
 	Waiting  [request.TierCount]int
