Refuse at once what would outwait its caller

Cause: streams whose callers leave after four goals were held to the end. Change: a caller's patience bounds the wait; a request behind one of its organisation and tier that has waited for 0.4 of it is refused with a spread Retry-After.

--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"sardinefront.dev/core/event"
@@ -22,8 +23,11 @@
 type reserveWaiter = reserve.Waiter
 
 const (
-	// leastServiceTime is the time before the deadline at which waiting ends.
-	leastServiceTime = 60 * time.Millisecond
+	// A caller leaves a stream whose first event does not come within the longest of
+	// these: a fixed time, a number of goals, and a number of longest pauses.
+	streamPatience      = 2 * time.Second
+	streamPatienceGoals = 4
+	streamPatienceGaps  = 8
 	// firstEventFixed and prefillPerToken estimate the time from the send to the
 	// first event at a fast engine. A request that is sent later than that before
 	// its goal is late.
@@ -32,7 +36,10 @@
 )
 
 func newWaiter(r *request.Request, route *routing.Route) *reserve.Waiter {
-	w := &reserve.Waiter{Request: r, LatestStart: r.Deadline.Add(-leastServiceTime)}
+	w := &reserve.Waiter{Request: r, Patience: r.Deadline.Sub(r.Arrived)}
+	if route.Kind == routing.Stream {
+		w.Patience = min(w.Patience, max(streamPatience, streamPatienceGoals*route.Goal, streamPatienceGaps*route.MaxGap))
+	}
 	if route.Goal > 0 {
 		first := firstEventFixed + time.Duration(r.PromptTokens)*prefillPerToken
 		w.FreshUntil = r.Arrived.Add(max(route.Goal/2, route.Goal-first))
@@ -95,15 +102,35 @@
 func (x *exchange) giveUp(err error) {
 	var f *refusal.Refusal
 	switch {
+	case errors.As(err, &f) && f.Reason == refusal.DeadlinePassed:
+		f = x.overloaded("%s", f.Detail)
+	case errors.As(err, &f) && f.Reason == refusal.Overloaded:
+		f = x.overloaded("%s", f.Detail)
 	case errors.As(err, &f):
 	case x.callerLeft():
 		f = refusal.New(refusal.CallerGone, "after %s in the queue", time.Since(x.arrived).Round(time.Millisecond))
 	default:
-		f = refusal.New(refusal.Overloaded, "no target within %s", time.Since(x.arrived).Round(time.Millisecond))
+		f = x.overloaded("no target within %s", time.Since(x.arrived).Round(time.Millisecond))
 	}
 	x.end(f, try{})
 }
 
+// Callers wait for a Retry-After of up to a third of the time they have left; the
+// random part keeps those that were refused together from returning together.
+const (
+	retryAfterMost  = 1.0 / 3
+	retryAfterLeast = 0.6 * retryAfterMost
+)
+
+// overloaded returns a refusal that brings the caller back when a burst is likely
+// to be over.
+func (x *exchange) overloaded(format string, args ...any) *refusal.Refusal {
+	f := refusal.New(refusal.Overloaded, format, args...)
+	part := retryAfterLeast + (retryAfterMost-retryAfterLeast)*rand.Float64()
+	f.RetryAfter = max(0, time.Duration(part*float64(time.Until(x.deadline))))
+	return f
+}
+
 // end gives the caller its final answer: a refusal, or a cut stream.
 func (x *exchange) end(f *refusal.Refusal, t try) {
 	if x.started {
@@ -141,7 +168,7 @@
 		if x.mayHaveRun {
 			return refusal.New(refusal.TargetSilent, "no whole answer within %s", time.Since(x.arrived).Round(time.Millisecond))
 		}
-		return refusal.New(refusal.Overloaded, "not run within %s", time.Since(x.arrived).Round(time.Millisecond))
+		return x.overloaded("not run within %s", time.Since(x.arrived).Round(time.Millisecond))
 	}
 	if x.mayHaveRun && !x.route.Idempotent() {
 		return refusal.New(t.reason, "target %s: %v", target.ID, t.err)
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -42,8 +42,8 @@
 // Waiter is one request from Submit until its grant has ended.
 type Waiter struct {
 	Request *request.Request
-	// LatestStart is when waiting becomes pointless.
-	LatestStart time.Time
+	// Patience is how long after its arrival the caller waits for the first byte.
+	Patience time.Duration
 	// FreshUntil is when the request misses its goal; from then on it waits behind
 	// the fresh requests of its tier.
 	FreshUntil time.Time
@@ -123,6 +123,12 @@
 	// serviceOvercommit lets a plain service queue a little work, which costs less
 	// than a wait on the host when other hosts are idle.
 	serviceOvercommit = 1.5
+	// waitedPart is the part of a caller's patience after which a waiting request is
+	// refused; the rest is for the way to the first byte.
+	waitedPart = 0.65
+	// hopelessPart is the wait of the requests ahead, as a part of the patience, from
+	// which a new one is refused at once.
+	hopelessPart = 0.4
 	// defaultWaiting bounds the queue of a tier.
 	defaultWaiting = 2048
 	// wakeEvery bounds the time between looks at the queue while requests wait.
@@ -212,9 +218,13 @@
 	p.targets = next
 }
 
-// Submit queues a request. It returns a refusal if the queue of its tier is full.
+// Submit queues a request. It returns a refusal if the request would wait for
+// longer than its caller does, or if the queue of its tier is full.
 func (p *Pool) Submit(w *Waiter, now time.Time) *refusal.Refusal {
-	w.item = flow.Item{Request: w.Request, Cost: float64(w.Request.Tokens()), LatestStart: w.LatestStart, FreshUntil: w.FreshUntil}
+	if f := p.hopeless(w, now); f != nil {
+		return f
+	}
+	w.item = w.queueItem()
 	if f := p.queue.Push(&w.item, now); f != nil {
 		return f
 	}
@@ -226,12 +236,35 @@
 // Resubmit queues a request again, ahead of its organisation's other requests,
 // after a grant that did not run it.
 func (p *Pool) Resubmit(w *Waiter) {
-	w.item = flow.Item{Request: w.Request, Cost: float64(w.Request.Tokens()), LatestStart: w.LatestStart, FreshUntil: w.FreshUntil}
+	w.item = w.queueItem()
 	p.queue.PushFront(&w.item)
 	w.queued = true
 	p.waiters[w.Request.ID] = w
 }
 
+func (w *Waiter) queueItem() flow.Item {
+	return flow.Item{
+		Request: w.Request, Cost: float64(w.Request.Tokens()), FreshUntil: w.FreshUntil,
+		LatestStart: w.Request.Arrived.Add(time.Duration(waitedPart * float64(w.Patience))),
+	}
+}
+
+// hopeless refuses a request at once if another one of its organisation and tier
+// has waited for so long that this one would outwait its caller: a caller that is
+// told early comes back while it still has time.
+func (p *Pool) hopeless(w *Waiter, now time.Time) *refusal.Refusal {
+	most := time.Duration(hopelessPart * float64(w.Patience))
+	for _, other := range p.waiters {
+		if other.Request.Tier != w.Request.Tier || other.Request.Organisation != w.Request.Organisation {
+			continue
+		}
+		if age := now.Sub(other.Request.Arrived); age > most {
+			return refusal.New(refusal.Overloaded, "a request before it has waited for %s, this one has %s", age.Round(time.Millisecond), w.Patience)
+		}
+	}
+	return nil
+}
+
 // Remove takes a waiting request out of the queue and reports whether it waited.
 func (p *Pool) Remove(w *Waiter) bool {
 	if !w.queued {
