Steer work away from targets that failed lately

Cause: a target that fails part of its requests kept its share until three failures in a row or half of five on each host. Change: recent failures raise a target's cost, fading within 10 s.

--- a/sched/health/health.go
+++ b/sched/health/health.go
@@ -67,6 +67,7 @@
 	failures    int // in a row
 	silences    int // in a row
 	bad, all    float64
+	lastBad     time.Time
 	slowSince   time.Time
 	until       time.Time // end of the ejection
 	rampStart   time.Time
@@ -86,6 +87,7 @@
 		return ""
 	}
 	t.bad++
+	t.lastBad = now
 	t.failures++
 	if e == Silence {
 		t.silences++
@@ -121,6 +123,24 @@
 	return ""
 }
 
+// doubtLife is how long a failure makes a target less attractive than others, and
+// doubtPrior keeps a single one from weighing like many.
+const (
+	doubtLife  = 10 * time.Second
+	doubtPrior = 3
+)
+
+// Doubt returns the part of the recent evidence that is bad, 0..1, faded with the
+// time since the last failure. It steers work away before the evidence suffices to
+// eject, and lets it come back without a trial.
+func (t *Tracker) Doubt(now time.Time) float64 {
+	if t.bad == 0 {
+		return 0
+	}
+	faded := 1 - float64(now.Sub(t.lastBad))/float64(doubtLife)
+	return max(0, faded) * t.bad / (t.all + doubtPrior)
+}
+
 // Slowdown records how many times slower than its unloaded speed the target
 // is. It returns the reason if that ejects the target now.
 func (t *Tracker) Slowdown(factor float64, now time.Time) string {
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -120,6 +120,9 @@
 	smoothing = 0.2
 	// coldFactor multiplies the cost of targets that have just started.
 	coldFactor = 2
+	// doubtWeight makes a target that failed lately cost more than one that is four
+	// times slower.
+	doubtWeight = 10
 	// serviceOvercommit lets a plain service queue a little work, which costs less
 	// than a wait on the host when other hosts are idle.
 	serviceOvercommit = 1.5
@@ -160,6 +163,7 @@
 type target struct {
 	Target
 	health    health.Tracker
+	failed    uint32 // requests that failed there since the start
 	inflight  int
 	fullUntil time.Time
 	refusals  int // reservations refused in a row
@@ -402,6 +406,7 @@
 	if now.Before(t.ColdUntil) {
 		c *= coldFactor
 	}
+	c *= 1 + doubtWeight*t.health.Doubt(now)
 	if !t.Local {
 		c += remotePenalty.Seconds()
 	}
@@ -471,6 +476,7 @@
 	case Served:
 		return t.health.Observe(health.Success, now)
 	case Failed:
+		t.failed++
 		return t.health.Observe(health.Failure, now)
 	case Silent:
 		return t.health.Observe(health.Silence, now)
