Share the quota between the sides of a cut, and test the gateway's decisions

A host that stops hearing a peer charges that peer's part of the level and of the rate, and takes it back when the peer reports. Before, each side of a cut that came before a burst granted the burst in full; TestCutBeforeTheBurstSharesTheBurst failed with it.

--- /dev/null
+++ b/gateway/directory/list_test.go
@@ -0,0 +1,116 @@
+package directory_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"sardinefront.dev/gateway/directory"
+	"sardinefront.dev/platform"
+)
+
+// decode reads "state version" as a target at a fixed address.
+func decode(key string, value []byte, _ time.Time) (directory.Target, error) {
+	state, version, ok := strings.Cut(string(value), " ")
+	if !ok {
+		return directory.Target{}, errors.New("unreadable")
+	}
+	return directory.Target{
+		ID: strings.TrimPrefix(key, "t/"), Service: "s", Address: "127.0.0.1:1", Version: version, Slots: 1, Leaving: state == "leaving",
+	}, nil
+}
+
+func put(id, value string, revision int64) platform.Entry {
+	return platform.Entry{Key: "t/" + id, Value: []byte(value), Revision: revision}
+}
+
+func removed(id string, revision int64) platform.Entry {
+	return platform.Entry{Key: "t/" + id, Revision: revision, Deleted: true}
+}
+
+func ids(l *directory.List) string {
+	var out []string
+	for _, t := range l.Targets() {
+		id := t.ID
+		if t.Leaving {
+			id += "-"
+		}
+		out = append(out, id)
+	}
+	return strings.Join(out, " ")
+}
+
+var start = time.Unix(1000, 0)
+
+// Guards against beats that count as changes, and against a leaving target that is
+// not noticed.
+func TestOnlyChangesThatMatterAreReported(t *testing.T) {
+	l := directory.NewList(decode)
+	if n := len(l.Apply([]platform.Entry{put("a", "ready 1", 1), put("b", "ready 1", 2)}, false, start)); n != 2 {
+		t.Errorf("%d changes, want 2", n)
+	}
+	digest := l.Digest()
+	if n := len(l.Apply([]platform.Entry{put("a", "ready 1", 3)}, false, start)); n != 0 || l.Digest() != digest {
+		t.Error("a beat counts as a change")
+	}
+	if n := len(l.Apply([]platform.Entry{put("a", "leaving 1", 4)}, false, start)); n != 1 || l.Digest() == digest || ids(l) != "a- b" {
+		t.Errorf("%d changes, targets %q", n, ids(l))
+	}
+}
+
+// Guards against a change that arrives late and undoes a newer one, also a removal.
+func TestOlderChangesAreIgnored(t *testing.T) {
+	l := directory.NewList(decode)
+	l.Apply([]platform.Entry{put("a", "leaving 1", 5)}, false, start)
+	l.Apply([]platform.Entry{put("a", "ready 1", 4)}, false, start)
+	if ids(l) != "a-" {
+		t.Errorf("targets %q after a late change", ids(l))
+	}
+	l.Apply([]platform.Entry{removed("a", 7)}, false, start)
+	l.Apply([]platform.Entry{put("a", "ready 1", 6)}, false, start)
+	if ids(l) != "" {
+		t.Errorf("targets %q: a late change brought a removed one back", ids(l))
+	}
+}
+
+// Guards against live targets that are dropped because their entries lapsed while
+// the store was away, and against gone ones that stay.
+func TestDoubtfulRemovalsWaitForTheTargetsReturn(t *testing.T) {
+	l := directory.NewList(decode)
+	l.Apply([]platform.Entry{put("back", "ready 1", 1), put("gone", "ready 1", 2)}, false, start)
+	l.Replace(nil, 10, true, start)
+	if ids(l) != "back gone" {
+		t.Fatalf("targets %q right after the store's return", ids(l))
+	}
+	l.Apply([]platform.Entry{put("back", "ready 1", 11)}, false, start.Add(time.Second))
+	if gone := l.Expire(start.Add(3 * time.Second)); len(gone) != 1 || ids(l) != "back" {
+		t.Errorf("removed %v, targets %q", gone, ids(l))
+	}
+}
+
+// Guards against an entry that cannot be read and takes others with it, or that
+// leaves the old target in use.
+func TestUnreadableEntryNamesNoTarget(t *testing.T) {
+	l := directory.NewList(decode)
+	l.Apply([]platform.Entry{put("a", "ready 1", 1), put("b", "ready 1", 2)}, false, start)
+	l.Apply([]platform.Entry{put("a", "garbage", 3)}, false, start)
+	if ids(l) != "b" {
+		t.Errorf("targets %q", ids(l))
+	}
+}
+
+// Guards against hosts that hold the same list and believe that they differ, or the
+// reverse.
+func TestDigestDoesNotDependOnOrder(t *testing.T) {
+	a, b := directory.NewList(decode), directory.NewList(decode)
+	a.Apply([]platform.Entry{put("x", "ready 1", 1), put("y", "ready 2", 2)}, false, start)
+	b.Apply([]platform.Entry{put("y", "ready 2", 2)}, false, start)
+	if a.Digest() == b.Digest() {
+		t.Error("different lists have one digest")
+	}
+	b.Apply([]platform.Entry{put("x", "ready 1", 9)}, false, start)
+	if a.Digest() != b.Digest() {
+		t.Error("equal lists have different digests")
+	}
+}
--- /dev/null
+++ b/gateway/peers/message_test.go
@@ -0,0 +1,58 @@
+package peers_test
+
+import (
+	"reflect"
+	"testing"
+
+	"sardinefront.dev/gateway/peers"
+)
+
+func heartbeat() *peers.Heartbeat {
+	return &peers.Heartbeat{
+		Name: "host-1", Zone: "zone-1", Address: "127.0.0.1:7000", Incarnation: 7, ConfigVersion: 3, ListDigest: 99, ListAge: 120,
+		Use: map[string]float64{"org": 12.5}, Levels: map[string]float64{"org": 3}, Floors: map[string]uint8{"s": 1},
+		Speeds: map[uint32]uint32{1: 8000}, Known: []string{"127.0.0.1:7001"},
+		Changes: []peers.Change{{Key: "k", Value: []byte("v"), Revision: 4}},
+	}
+}
+
+// Guards against fields that do not survive the wire.
+func TestHeartbeatSurvivesTheWire(t *testing.T) {
+	want := heartbeat()
+	b, err := peers.Encode(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := peers.Decode(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	if len(b) > 400 {
+		t.Errorf("a small heartbeat takes %d bytes", len(b))
+	}
+}
+
+// Guards against a crash on malformed datagrams and against one that is taken for a
+// heartbeat of this format.
+func FuzzDecode(f *testing.F) {
+	b, err := peers.Encode(heartbeat())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Add(b[:len(b)/2])
+	f.Add([]byte{})
+	f.Add([]byte{0x9f, 0xff})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		h, err := peers.Decode(b)
+		if err == nil && (h.Name == "" || h.Address == "" || h.Format != 1) {
+			t.Errorf("accepted %+v", h)
+		}
+		if bulk, err := peers.DecodeBulk(b); err == nil && bulk == nil {
+			t.Error("no state and no error")
+		}
+	})
+}
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -46,9 +46,9 @@
 	return Limit{Rate: max(l.Rate, (grantedPart*most-burst)/w), Burst: burst}
 }
 
-// silentAfter is the age of a peer's last report from which its use is
-// extrapolated. Reports come four times a second.
-const silentAfter = time.Second
+// silentAfter is the age of a peer's last report from which its use is extrapolated.
+// Reports come four times a second, and a wrong guess is put right by the next one.
+const silentAfter = 600 * time.Millisecond
 
 // forgetPeer is how long a silent peer is taken to go on using the quota.
 const forgetPeer = 15 * time.Second
@@ -66,9 +66,7 @@
 // report is the last known use of one organisation by one peer.
 type report struct {
 	used float64
-	// rate is the smoothed use in units per second.
-	rate float64
-	// extrapolated was charged since the last report.
+	// extrapolated was charged since the last report, in its place.
 	extrapolated float64
 }
 
@@ -77,6 +75,7 @@
 	incarnation int64
 	at          time.Time
 	charged     time.Time // end of the extrapolation so far
+	silent      bool
 	use         map[string]*report
 }
 
@@ -201,34 +200,39 @@
 	defer m.mu.Unlock()
 	p := m.peers[from]
 	if p == nil || p.incarnation != incarnation {
-		first := p == nil
-		p = &peer{incarnation: incarnation, at: now, charged: now, use: map[string]*report{}}
+		old := p
+		p = &peer{incarnation: incarnation, use: map[string]*report{}}
 		m.peers[from] = p
 		for name, used := range use {
-			p.use[name] = &report{used: used}
-			if !first {
+			p.report(name).used = used
+			if old != nil {
 				m.charge(name, used, now)
 			}
 		}
+		if old != nil {
+			m.settle(old, now)
+		}
 		m.lower(levels, now)
-		return
-	}
-	elapsed := now.Sub(p.at).Seconds()
-	for name, used := range use {
-		r := p.use[name]
-		if r == nil {
-			r = &report{}
-			p.use[name] = r
+	} else {
+		m.settle(p, now)
+		for name, used := range use {
+			r := p.report(name)
+			m.charge(name, used-r.used, now)
+			r.used = used
 		}
-		delta := used - r.used
-		m.charge(name, delta-r.extrapolated, now)
-		r.extrapolated = 0
-		if elapsed > 0 {
-			r.rate += (max(0, delta)/elapsed - r.rate) * min(1, elapsed)
+	}
+	p.at, p.charged, p.silent = now, now, false
+}
+
+// settle gives back what was charged while a peer was silent; its report tells what
+// it has used.
+func (m *Meter) settle(p *peer, now time.Time) {
+	for name, r := range p.use {
+		if r.extrapolated != 0 {
+			m.charge(name, -r.extrapolated, now)
+			r.extrapolated = 0
 		}
-		r.used = used
 	}
-	p.at, p.charged = now, now
 }
 
 func (m *Meter) charge(name string, units float64, now time.Time) {
@@ -247,8 +251,8 @@
 	}
 }
 
-// extrapolate charges the use of silent peers at their last rate: a host that is
-// cut off from them still shares the quota with them.
+// extrapolate charges silent peers with their part of every quota: a host that is
+// cut off from them cannot tell whether they are gone or go on using it.
 func (m *Meter) extrapolate(now time.Time) {
 	for name, p := range m.peers {
 		age := now.Sub(p.at)
@@ -259,11 +263,31 @@
 		if age < silentAfter {
 			continue
 		}
+		hosts := float64(1 + len(m.peers))
 		d := now.Sub(p.charged).Seconds()
 		p.charged = now
-		for org, r := range p.use {
-			m.charge(org, d*r.rate, now)
-			r.extrapolated += d * r.rate
+		for org, b := range m.buckets {
+			if b.limit.Rate <= 0 {
+				continue
+			}
+			r := p.report(org)
+			part := d * b.limit.Rate / hosts
+			if !p.silent {
+				part += max(0, b.level) / hosts
+			}
+			m.charge(org, part, now)
+			r.extrapolated += part
 		}
+		p.silent = true
+	}
+}
+
+// report returns the report on an organisation, which is empty at first.
+func (p *peer) report(org string) *report {
+	r := p.use[org]
+	if r == nil {
+		r = &report{}
+		p.use[org] = r
 	}
+	return r
 }
--- /dev/null
+++ b/gateway/quota/quota_test.go
@@ -0,0 +1,183 @@
+package quota_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"sardinefront.dev/gateway/quota"
+)
+
+const (
+	window = 8 * time.Second
+	report = 250 * time.Millisecond
+)
+
+var tolerance = quota.Tolerance{Window: window, Ratio: 0.1, Slack: 190000}
+
+// grant is a use of the quota somewhere in the fleet.
+type grant struct {
+	at    time.Time
+	units float64
+}
+
+// most returns the largest use within any window.
+func most(grants []grant) float64 {
+	best := 0.0
+	for i := range grants {
+		sum := 0.0
+		for _, g := range grants[i:] {
+			if g.at.Sub(grants[i].at) < window {
+				sum += g.units
+			}
+		}
+		best = max(best, sum)
+	}
+	return best
+}
+
+// fleet drives several hosts with reports between them.
+type fleet struct {
+	hosts  []*quota.Meter
+	names  []string
+	now    time.Time
+	grants []grant
+	cut    func(from, to int) bool
+}
+
+func newFleet(n int, limit quota.Limit) *fleet {
+	f := &fleet{now: time.Unix(1000, 0), cut: func(int, int) bool { return false }}
+	for i := range n {
+		m := quota.New(tolerance)
+		m.SetLimits(map[string]quota.Limit{"org": limit}, f.now)
+		f.hosts = append(f.hosts, m)
+		f.names = append(f.names, string(rune('a'+i)))
+	}
+	f.exchange()
+	return f
+}
+
+func (f *fleet) exchange() {
+	for i, from := range f.hosts {
+		for j, to := range f.hosts {
+			if i != j && !f.cut(i, j) {
+				to.Report(f.names[i], int64(i+1), from.Use(), from.Levels(f.now), f.now)
+			}
+		}
+	}
+}
+
+// run lets every host ask for units every step, with reports in between.
+func (f *fleet) run(d time.Duration, units float64) {
+	const step = 10 * time.Millisecond
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(step) {
+		for _, m := range f.hosts {
+			if m.Take("org", units, f.now) == 0 {
+				f.grants = append(f.grants, grant{f.now, units})
+			}
+		}
+		if f.now.Sub(time.Unix(1000, 0))%report == 0 {
+			f.exchange()
+		}
+	}
+}
+
+func allowed(l quota.Limit) float64 {
+	return (l.Rate*window.Seconds()+l.Burst)*(1+tolerance.Ratio) + tolerance.Slack
+}
+
+// Guards against hosts that each grant the whole quota, and against one that is not
+// used: nine hosts with a hot organisation.
+func TestHotOrganisationOverManyHosts(t *testing.T) {
+	limit := quota.Limit{Rate: 146000, Burst: 146000}
+	f := newFleet(9, limit)
+	f.run(20*time.Second, 800)
+	if got := most(f.grants); got > allowed(limit) || got < limit.Rate*window.Seconds() {
+		t.Errorf("%.0f units in a window, allowed %.0f, owed %.0f", got, allowed(limit), limit.Rate*window.Seconds())
+	}
+}
+
+// Guards against a host that grants the whole quota once it no longer hears its
+// peers: they go on using their part of it.
+func TestCutHostSharesTheQuota(t *testing.T) {
+	limit := quota.Limit{Rate: 146000, Burst: 146000}
+	f := newFleet(7, limit)
+	f.run(8*time.Second, 800)
+	f.cut = func(i, j int) bool { return i < 2 != (j < 2) }
+	f.run(10*time.Second, 800)
+	if got := most(f.grants); got > allowed(limit) {
+		t.Errorf("%.0f units in a window during a cut, allowed %.0f", got, allowed(limit))
+	}
+}
+
+// Guards against a burst that both sides of a cut grant in full: nothing was used
+// before the cut.
+func TestCutBeforeTheBurstSharesTheBurst(t *testing.T) {
+	limit := quota.Limit{Rate: 146000, Burst: 146000}
+	f := newFleet(6, limit)
+	f.run(2*time.Second, 0)
+	f.cut = func(i, j int) bool { return i%3 != j%3 }
+	f.run(1500*time.Millisecond, 0)
+	f.run(10*time.Second, 800)
+	if got := most(f.grants); got > allowed(limit) {
+		t.Errorf("%.0f units in a window on three sides of a cut, allowed %.0f", got, allowed(limit))
+	}
+}
+
+// Guards against a restart that grants a full burst once more.
+func TestRestartedHostLearnsLevels(t *testing.T) {
+	limit := quota.Limit{Rate: 1000, Burst: 1000}
+	f := newFleet(2, limit)
+	for f.hosts[0].Take("org", 500, f.now) == 0 {
+	}
+	fresh := quota.New(tolerance)
+	fresh.SetLimits(map[string]quota.Limit{"org": limit}, f.now)
+	fresh.Report("a", 1, f.hosts[0].Use(), f.hosts[0].Levels(f.now), f.now)
+	if fresh.Take("org", 500, f.now) == 0 {
+		t.Error("a restarted host grants a burst that its peers have used up")
+	}
+}
+
+// Guards against units that stay used though the request did not run, and against
+// a large request that no burst ever covers.
+func TestReturnedAndLargeUnits(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := quota.New(quota.Tolerance{})
+	m.SetLimits(map[string]quota.Limit{"org": {Rate: 10, Burst: 100}}, now)
+	if m.Take("org", 100, now) != 0 || m.Take("org", 1, now) == 0 {
+		t.Fatal("the burst is not the limit")
+	}
+	m.Return("org", 100)
+	if m.Take("org", 500, now) != 0 {
+		t.Error("a request above the burst is refused by a full bucket")
+	}
+	if wait := m.Take("org", 1, now); wait < 40*time.Second {
+		t.Errorf("a large request is not paid off: wait %s", wait)
+	}
+}
+
+// Guards against a bucket whose grants within a window exceed the promise for some
+// pattern of requests, on one host.
+func TestNoPatternExceedsTheTolerance(t *testing.T) {
+	p := gopter.DefaultTestParameters()
+	p.Rng.Seed(1)
+	properties := gopter.NewProperties(p)
+	properties.Property("grants stay within the tolerance", prop.ForAll(func(gaps []int, units []int) bool {
+		limit := quota.Limit{Rate: 1000, Burst: 2000}
+		now := time.Unix(1000, 0)
+		m := quota.New(quota.Tolerance{Window: window, Ratio: 0.1, Slack: 500})
+		m.SetLimits(map[string]quota.Limit{"org": limit}, now)
+		var grants []grant
+		for i := range min(len(gaps), len(units)) {
+			now = now.Add(time.Duration(gaps[i]) * time.Millisecond)
+			if u := float64(units[i]); m.Take("org", u, now) == 0 {
+				grants = append(grants, grant{now, u})
+			}
+		}
+		return most(grants) <= (limit.Rate*window.Seconds()+limit.Burst)*1.1+500
+	}, gen.SliceOfN(200, gen.IntRange(0, 120)), gen.SliceOfN(200, gen.IntRange(1, 1500))))
+	properties.TestingRun(t)
+}
--- /dev/null
+++ b/gateway/routing/routing_test.go
@@ -0,0 +1,97 @@
+package routing_test
+
+import (
+	"testing"
+
+	"sardinefront.dev/core/request"
+	"sardinefront.dev/gateway/routing"
+)
+
+func table(version int64, routes ...routing.Route) *routing.Table {
+	return routing.Compile(routing.Config{Version: version, Routes: routes})
+}
+
+// Guards against a request that goes to a route with a shorter prefix, to another
+// host's route, or to a route whose prefix only looks like the start of the path.
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	tab := table(1,
+		routing.Route{Name: "short", Host: "a.example", Prefix: "/x/"},
+		routing.Route{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		routing.Route{Name: "other", Host: "b.example", Prefix: "/x/y/z/"},
+	)
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/y/z/1", "long"},
+		{"A.example:80", "/x/1", "short"},
+		{"a.example", "/xy/1", ""},
+		{"b.example", "/x/y/1", ""},
+		{"c.example", "/x/", ""},
+	} {
+		got := ""
+		if r := tab.Route(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("%s%s: route %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+// Guards against a configuration that goes back to an older version.
+func TestCurrentNeverGoesBack(t *testing.T) {
+	var c routing.Current
+	if c.Load() != nil || c.Version() != 0 {
+		t.Fatal("a configuration before the first one")
+	}
+	for _, step := range []struct {
+		version int64
+		adopted bool
+	}{{5, true}, {4, false}, {5, false}, {9, true}, {8, false}} {
+		if got := c.Adopt(table(step.version)); got != step.adopted {
+			t.Errorf("version %d adopted %v", step.version, got)
+		}
+	}
+	if c.Version() != 9 {
+		t.Errorf("version %d in force", c.Version())
+	}
+}
+
+// Guards against keys of one organisation that open another one's, and against
+// routes that need a key where the configuration has no organisations.
+func TestKeys(t *testing.T) {
+	tab := routing.Compile(routing.Config{Organisations: []routing.Organisation{
+		{Name: "one", Keys: []string{"k1", "k2"}}, {Name: "two", Keys: []string{"k3"}},
+	}})
+	if o := tab.OrganisationByKey("k2"); o == nil || o.Name != "one" {
+		t.Errorf("key k2 belongs to %v", o)
+	}
+	if tab.OrganisationByKey("") != nil || tab.OrganisationByKey("k4") != nil {
+		t.Error("an unknown key belongs to somebody")
+	}
+	if !tab.NeedsKey(&routing.Route{}) || tab.NeedsKey(&routing.Route{Public: true}) {
+		t.Error("only public routes go without a key")
+	}
+	if table(1).NeedsKey(&routing.Route{}) {
+		t.Error("a key is asked for though nobody holds one")
+	}
+}
+
+// Guards against traffic at a service with no weight, and against a share that is
+// lost at the end of the range.
+func TestPickFollowsWeights(t *testing.T) {
+	r := routing.Route{Split: []routing.Share{{Service: "a", Weight: 9}, {Service: "b", Weight: 1}}}
+	for draw, want := range map[float64]string{0: "a", 0.89: "a", 0.91: "b", 0.9999999: "b"} {
+		if got := r.Pick(draw); got != want {
+			t.Errorf("draw %v: %s, want %s", draw, got, want)
+		}
+	}
+}
+
+// Guards against ranks beyond the lowest tier.
+func TestTierIsBounded(t *testing.T) {
+	tab := table(1)
+	for rank, want := range map[int]request.Tier{-1: request.Urgent, 0: request.Urgent, 1: request.Interactive, 7: request.Patient} {
+		if got := tab.Tier(&routing.Route{Priority: rank}, nil); got != want {
+			t.Errorf("rank %d: %s", rank, got)
+		}
+	}
+}
--- /dev/null
+++ b/sched/reserve/reserve_test.go
@@ -0,0 +1,190 @@
+package reserve_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"sardinefront.dev/core/request"
+	"sardinefront.dev/sched/reserve"
+)
+
+var start = time.Unix(1000, 0)
+
+const ms = time.Millisecond
+
+// waiter returns a request of a tier that arrived at the given time, is fresh for
+// 500 ms, and whose caller waits for 4 s.
+func waiter(id string, tier request.Tier, org string, at time.Time) *reserve.Waiter {
+	return &reserve.Waiter{
+		Request:  &request.Request{ID: id, Tier: tier, Organisation: org, Arrived: at, Deadline: at.Add(10 * time.Second)},
+		Patience: 4 * time.Second, FreshUntil: at.Add(500 * ms),
+	}
+}
+
+func engines(n, slots int) []reserve.Target {
+	var out []reserve.Target
+	for i := range n {
+		out = append(out, reserve.Target{Name: fmt.Sprintf("e%d", i), Local: true, Slots: slots})
+	}
+	return out
+}
+
+func submit(t *testing.T, p *reserve.Pool, w *reserve.Waiter, now time.Time) {
+	t.Helper()
+	if f := p.Submit(w, now); f != nil {
+		t.Fatalf("%s: %v", w.Request.ID, f)
+	}
+}
+
+// next returns the ids of the requests that may try a target now.
+func next(p *reserve.Pool, now time.Time) (out []string) {
+	grants, _ := p.Next(now)
+	for _, g := range grants {
+		out = append(out, g.Waiter.Request.ID)
+	}
+	return out
+}
+
+func expect(t *testing.T, got []string, want ...string) {
+	t.Helper()
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+// Guards against a burst in which late storm calls keep fresh reviews from being in
+// time, or batch work goes before either.
+func TestLanesUnderABurst(t *testing.T) {
+	p := reserve.New(reserve.Config{Reservations: true})
+	p.SetTargets(engines(1, 1))
+	submit(t, p, waiter("running", request.Urgent, "o", start), start)
+	expect(t, next(p, start), "running")
+	now := start.Add(600 * ms)
+	submit(t, p, waiter("tip", request.Patient, "o", now), now)
+	submit(t, p, waiter("late-storm", request.Urgent, "o", start), now)
+	submit(t, p, waiter("review", request.Interactive, "o", now), now)
+	submit(t, p, waiter("storm", request.Urgent, "o", now), now)
+	for _, want := range []string{"storm", "review", "late-storm", "tip"} {
+		p.End("e0", reserve.Served, reserve.Sample{}, now)
+		expect(t, next(p, now), want)
+	}
+}
+
+// Guards against fresh requests that go to an engine whose pauses make them late,
+// while one that is late anyway or may wait can use it.
+func TestFreshRequestsWaitForFastEngines(t *testing.T) {
+	p := reserve.New(reserve.Config{Reservations: true})
+	p.SetTargets(engines(4, 1))
+	for i := range 4 {
+		gap := 10 * ms
+		if i == 3 {
+			gap = 45 * ms
+		}
+		p.Observe(fmt.Sprintf("e%d", i), gap)
+	}
+	for i := range 4 {
+		submit(t, p, waiter(fmt.Sprintf("storm-%d", i), request.Urgent, "o", start), start)
+	}
+	if got := next(p, start); len(got) != 3 {
+		t.Fatalf("%v started, only three engines are fast", got)
+	}
+	submit(t, p, waiter("tip", request.Patient, "o", start), start)
+	expect(t, next(p, start), "tip")
+	p.End("e3", reserve.Served, reserve.Sample{}, start)
+	expect(t, next(p, start.Add(501*ms)), "storm-3")
+}
+
+// Guards against batch work that takes the slots for which urgent requests wait on
+// another host.
+func TestFloorOfAnotherHost(t *testing.T) {
+	a, b := reserve.New(reserve.Config{Reservations: true}), reserve.New(reserve.Config{Reservations: true})
+	a.SetTargets(nil)
+	b.SetTargets(engines(1, 1))
+	submit(t, a, waiter("storm", request.Urgent, "o", start), start)
+	if a.Starved(start) != reserve.LaneCount {
+		t.Error("a request that has just come counts as starved")
+	}
+	now := start.Add(30 * ms)
+	b.SetFloor(a.Starved(now), now.Add(300*ms))
+	submit(t, b, waiter("tip", request.Patient, "o", now), now)
+	expect(t, next(b, now))
+	submit(t, b, waiter("storm-b", request.Urgent, "o", now), now)
+	expect(t, next(b, now), "storm-b")
+	b.End("e0", reserve.Served, reserve.Sample{}, now)
+	expect(t, next(b, now.Add(301*ms)), "tip")
+}
+
+// Guards against polling of a full engine at each event, and against a full one that
+// is not tried when a slot of the host's own comes free there.
+func TestRefusedReservation(t *testing.T) {
+	p := reserve.New(reserve.Config{Reservations: true})
+	p.SetTargets(engines(1, 2))
+	w := waiter("a", request.Urgent, "o", start)
+	submit(t, p, waiter("first", request.Urgent, "o", start), start)
+	submit(t, p, w, start)
+	expect(t, next(p, start), "first", "a")
+	p.Full("e0", start)
+	p.Resubmit(w)
+	expect(t, next(p, start.Add(ms)))
+	if wake := p.Wake(start); wake.Sub(start) < 10*ms || wake.Sub(start) > 50*ms {
+		t.Errorf("tries again after %s", wake.Sub(start))
+	}
+	p.End("e0", reserve.Served, reserve.Sample{}, start.Add(2*ms))
+	expect(t, next(p, start.Add(2*ms)), "a")
+}
+
+// Guards against requests that are held to the end: one that would outwait its
+// caller is refused when it comes, and only for the organisation that waits.
+func TestHopelessRequestsAreRefusedAtOnce(t *testing.T) {
+	p := reserve.New(reserve.Config{Reservations: true})
+	p.SetTargets(nil)
+	submit(t, p, waiter("old", request.Patient, "hot", start), start)
+	now := start.Add(1700 * ms)
+	if f := p.Submit(waiter("new", request.Patient, "hot", now), now); f == nil {
+		t.Error("a request behind one that has waited for long is queued")
+	}
+	submit(t, p, waiter("other", request.Patient, "cold", now), now)
+	submit(t, p, waiter("storm", request.Urgent, "hot", now), now)
+	if _, expired := p.Next(start.Add(2700 * ms)); len(expired) != 1 || expired[0].Waiter.Request.ID != "old" {
+		t.Errorf("expired: %v", expired)
+	}
+}
+
+// Guards against an engine that fails part of its requests and keeps its share.
+func TestFailingEngineLosesItsWork(t *testing.T) {
+	p := reserve.New(reserve.Config{Reservations: true})
+	p.SetTargets(engines(3, 4))
+	for i := range 3 {
+		p.Observe(fmt.Sprintf("e%d", i), 10*ms)
+	}
+	p.End("e1", reserve.Failed, reserve.Sample{}, start)
+	for i := range 8 {
+		submit(t, p, waiter(fmt.Sprint(i), request.Urgent, "o", start), start)
+	}
+	grants, _ := p.Next(start)
+	for _, g := range grants {
+		if g.Target == "e1" {
+			t.Errorf("%s goes to the engine that has just failed", g.Waiter.Request.ID)
+		}
+	}
+}
+
+// Guards against leaving targets, and ones that the request must not try again,
+// getting work.
+func TestClosedTargets(t *testing.T) {
+	p := reserve.New(reserve.Config{})
+	list := engines(2, 4)
+	list[0].Leaving = true
+	p.SetTargets(list)
+	w := waiter("a", request.Urgent, "o", start)
+	w.Exclude("e1")
+	submit(t, p, w, start)
+	expect(t, next(p, start))
+	submit(t, p, waiter("b", request.Urgent, "o", start), start)
+	expect(t, next(p, start))
+	if !p.Remove(w) {
+		t.Error("a waiting request cannot be removed")
+	}
+	expect(t, next(p, start), "b")
+}
--- /dev/null
+++ b/standin/slotengine/slotengine.go
@@ -0,0 +1,306 @@
+// Package slotengine is a stand-in for the platform's servers, for tests: engines
+// that run a number of requests at once, take reservations and stream events, and
+// plain services. It misbehaves on request and remembers what reached it.
+package slotengine
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Fault is one way to misbehave.
+type Fault string
+
+// The faults. Each applies to the next request only, unless Sticky is set.
+const (
+	// Shed answers that the request was not run.
+	Shed Fault = "shed"
+	// Fail answers 500 after a run.
+	Fail Fault = "fail"
+	// Reset runs the request and closes the connection without an answer.
+	Reset Fault = "reset"
+	// CutStream closes the connection in the middle of an event.
+	CutStream Fault = "cut"
+	// Mute never answers.
+	Mute Fault = "mute"
+	// Extra sends a second answer after the first.
+	Extra Fault = "extra"
+	// Crossed sends an answer to another request first.
+	Crossed Fault = "crossed"
+	// Unframed sends an answer that ends with its connection.
+	Unframed Fault = "unframed"
+)
+
+// Run is one request that reached the server and was run.
+type Run struct {
+	ID, Method, URI, Organisation, After, Reservation string
+	Body                                              []byte
+	Header                                            http.Header
+}
+
+// Config describes a server.
+type Config struct {
+	// ID is the server's name.
+	ID string
+	// Slots is the number of reservations and runs at once.
+	Slots int
+	// Events is the number of events of a stream; 0 makes a plain service.
+	Events int
+	// Pause is the time between events, or of a plain answer.
+	Pause time.Duration
+	// Address is where to listen; empty picks a loopback port.
+	Address string
+}
+
+// Server is a running stand-in. Its methods are safe for concurrent use.
+type Server struct {
+	cfg      Config
+	listener net.Listener
+
+	mu       sync.Mutex
+	faults   []Fault
+	sticky   Fault
+	runs     []Run
+	holds    map[string]bool
+	busy     int
+	most     int
+	accepted int
+	conns    map[net.Conn]bool
+	closed   bool
+}
+
+// Start serves on a loopback port.
+func Start(cfg Config) (*Server, error) {
+	if cfg.Address == "" {
+		cfg.Address = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp4", cfg.Address)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{cfg: cfg, listener: l, holds: map[string]bool{}, conns: map[net.Conn]bool{}}
+	go s.accept()
+	return s, nil
+}
+
+// Address is host:port.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close ends the server and its connections.
+func (s *Server) Close() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for c := range s.conns {
+		_ = c.Close()
+	}
+}
+
+// Next makes the next requests misbehave, one fault each.
+func (s *Server) Next(f ...Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = append(s.faults, f...)
+}
+
+// Always makes all requests misbehave; an empty fault ends that.
+func (s *Server) Always(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sticky = f
+}
+
+// Runs returns what was run.
+func (s *Server) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Run(nil), s.runs...)
+}
+
+// Connections returns how many connections were accepted.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.accepted
+}
+
+// Most returns the largest number of runs at once.
+func (s *Server) Most() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.most
+}
+
+// Busy returns the number of runs now.
+func (s *Server) Busy() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.busy
+}
+
+func (s *Server) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.accepted++
+		s.conns[c] = true
+		closed := s.closed
+		s.mu.Unlock()
+		if closed {
+			_ = c.Close()
+			return
+		}
+		go s.serve(c)
+	}
+}
+
+func (s *Server) serve(c net.Conn) {
+	defer func() {
+		_ = c.Close()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil || !s.handle(c, br, r, body) {
+			return
+		}
+	}
+}
+
+// handle answers one request and reports whether the connection stays open.
+func (s *Server) handle(c net.Conn, br *bufio.Reader, r *http.Request, body []byte) bool {
+	if want := r.Header.Get("Expect-Instance"); want != "" && want != s.cfg.ID {
+		return write(c, 421, "Instance-Id: "+s.cfg.ID+"\r\n", nil)
+	}
+	if r.URL.Path == "/-/hold-take" {
+		return s.reserve(c)
+	}
+	if id, ok := strings.CutPrefix(r.URL.Path, "/-/hold-drop/"); ok {
+		s.mu.Lock()
+		delete(s.holds, id)
+		s.mu.Unlock()
+		return write(c, 200, "", nil)
+	}
+	return s.run(c, br, r, body)
+}
+
+func (s *Server) reserve(c net.Conn) bool {
+	s.mu.Lock()
+	full := s.busy+len(s.holds) >= s.cfg.Slots
+	id := fmt.Sprintf("%s-%d", s.cfg.ID, time.Now().UnixNano())
+	if !full {
+		s.holds[id] = true
+	}
+	s.mu.Unlock()
+	if full {
+		return write(c, 503, "", nil)
+	}
+	b, err := json.Marshal(map[string]string{"hold": id})
+	return err == nil && write(c, 200, "", b)
+}
+
+// begin notes a run and returns the fault that it shows.
+func (s *Server) begin(r *http.Request, body []byte) (Fault, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.sticky
+	if f == "" && len(s.faults) > 0 {
+		f, s.faults = s.faults[0], s.faults[1:]
+	}
+	hold := r.Header.Get("Hold")
+	reserved := s.holds[hold]
+	delete(s.holds, hold)
+	if f == Shed || !reserved && s.busy+len(s.holds) >= s.cfg.Slots {
+		return Shed, false
+	}
+	s.busy++
+	s.most = max(s.most, s.busy)
+	s.runs = append(s.runs, Run{
+		ID: r.Header.Get("Request-Id"), Method: r.Method, URI: r.RequestURI, Organisation: r.Header.Get("Tenant"),
+		After: r.Header.Get("Last-Event-Id"), Reservation: hold, Body: body, Header: r.Header,
+	})
+	return f, true
+}
+
+func (s *Server) done() {
+	s.mu.Lock()
+	s.busy--
+	s.mu.Unlock()
+}
+
+func (s *Server) run(c net.Conn, br *bufio.Reader, r *http.Request, body []byte) bool {
+	f, ran := s.begin(r, body)
+	if !ran {
+		return write(c, 503, "Not-Executed: 1\r\n", nil)
+	}
+	defer s.done()
+	head := "Request-Id: " + r.Header.Get("Request-Id") + "\r\nServer-Stamp: stamp-" + s.cfg.ID + "\r\nServer-Load: 1,0," + strconv.Itoa(s.cfg.Slots) + "\r\n"
+	switch f {
+	case Fail:
+		time.Sleep(s.cfg.Pause)
+		return write(c, 500, head, []byte("failed"))
+	case Reset:
+		return false
+	case Mute:
+		_, _ = br.ReadByte() // until the caller closes the connection
+		return false
+	case Crossed:
+		write(c, 200, "Request-Id: other\r\nServer-Stamp: stamp-other\r\n", []byte("not yours"))
+	case Unframed:
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\nplain from %s", head, s.cfg.ID)
+		return false
+	}
+	if s.cfg.Events > 0 {
+		return s.stream(c, r, head, f)
+	}
+	time.Sleep(s.cfg.Pause)
+	ok := write(c, 200, head, []byte("plain from "+s.cfg.ID))
+	if f == Extra {
+		ok = write(c, 200, head, []byte("once more"))
+	}
+	return ok
+}
+
+func (s *Server) stream(c net.Conn, r *http.Request, head string, f Fault) bool {
+	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", head); err != nil {
+		return false
+	}
+	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // none begins at the start
+	for i := first + 1; i <= s.cfg.Events; i++ {
+		time.Sleep(s.cfg.Pause)
+		event := fmt.Sprintf("id: %d\ndata: piece-%d\n\n", i, i)
+		if f == CutStream && i == s.cfg.Events/2 {
+			fmt.Fprintf(c, "%x\r\n%s", len(event), event[:len(event)/2])
+			return false
+		}
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
+			return false
+		}
+	}
+	_, err := io.WriteString(c, "0\r\n\r\n")
+	return err == nil
+}
+
+func write(c net.Conn, status int, head string, body []byte) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), head, len(body), body)
+	return err == nil
+}
