Test the gateway against stand-ins of the platform

standin/kvstore and standin/slotengine speak the platform's protocol and misbehave on request. Sixteen tests run a whole entry host on loopback: at most once, resumed and cut streams, crossed and extra answers, smuggling, callers that leave, reservations, configuration, leaving targets, graceful stop.

--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,544 @@
+package gateway_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"sardinefront.dev/core/telemetry"
+	"sardinefront.dev/gateway"
+	"sardinefront.dev/gateway/directory"
+	"sardinefront.dev/gateway/settings"
+	"sardinefront.dev/platform/store"
+	"sardinefront.dev/platform/wire"
+	"sardinefront.dev/standin/kvstore"
+	"sardinefront.dev/standin/slotengine"
+)
+
+// world is a store, servers and one or more entry hosts on loopback.
+type world struct {
+	t       *testing.T
+	store   *kvstore.Store
+	servers []*slotengine.Server
+	host    *gateway.Gateway
+	callers string
+	ready   string
+	nextID  int
+}
+
+// Paths of the routes of the test configuration.
+const (
+	pathStream = "/stream/x" // resumable, two attempts
+	pathOnce   = "/once/x"   // stream that is not resumable
+	pathUnsafe = "/unsafe/x" // one attempt
+	pathSafe   = "/safe/x"   // two attempts
+	testHost   = "h.example" // host of all routes
+	testKey    = "key-1"     // key of the organisation
+	engineName = "llm"       // service of engines
+	plainName  = "plain"     // plain service
+	orgName    = "org"       // the organisation
+	timeoutMs  = 2000        // of all routes
+	longBody   = 64 << 10    // bytes, more than the socket buffers of a write
+	oneEvent   = time.Millisecond
+)
+
+func configuration(version, rate int) []byte {
+	route := func(name, prefix, kind, service string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": testHost, "prefix": prefix, "kind": kind, "service": service, "timeoutMs": timeoutMs,
+			"goalMs": 300, "gapAimMs": 200, "maxAttempts": attempts, "resumable": resumable, "priority": 0,
+		}
+	}
+	b, err := json.Marshal(map[string]any{
+		"version": version,
+		"routes": []any{
+			route("stream", "/stream/", "streaming", engineName, 2, true),
+			route("once", "/once/", "streaming", engineName, 1, false),
+			route("unsafe", "/unsafe/", "unsafe", plainName, 1, false),
+			route("safe", "/safe/", "safe", plainName, 2, false),
+		},
+		"services": []any{
+			map[string]any{"name": engineName, "engine": map[string]any{"slots": 2, "kvCapacity": 100000, "stride": 4, "holdMs": 2000}},
+			map[string]any{"name": plainName},
+		},
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": []any{map[string]any{"name": orgName, "apiKeys": []string{testKey}, "unit": "tokens", "plainTokens": 1, "ratePerS": rate, "burst": rate}},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+func freePort(t *testing.T) uint16 {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return uint16(l.Addr().(*net.TCPAddr).Port)
+}
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	s, err := kvstore.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	w := &world{t: t, store: s}
+	s.Put(wire.KeyConfig, configuration(1, 0))
+	return w
+}
+
+// add starts a server and lists it.
+func (w *world) add(service string, cfg slotengine.Config) *slotengine.Server {
+	w.t.Helper()
+	if cfg.ID == "" {
+		cfg.ID = fmt.Sprintf("i-%d", len(w.servers))
+	}
+	if cfg.Slots == 0 {
+		cfg.Slots = 2
+	}
+	s, err := slotengine.Start(cfg)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(s.Close)
+	w.servers = append(w.servers, s)
+	w.list(service, cfg.ID, s.Address(), "ready")
+	return s
+}
+
+func (w *world) list(service, id, address, state string) {
+	b, err := json.Marshal(map[string]any{"service": service, "address": address, "zone": "z", "version": "v1", "slots": 2, "state": state})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.store.Put(wire.PrefixTargets+id, b)
+}
+
+// start starts the entry host and waits until it is ready.
+func (w *world) start() {
+	w.t.Helper()
+	var s settings.Settings
+	s.Host.Name, s.Host.Zone, s.Host.Address = "host-1", "z", "127.0.0.1"
+	s.Listen.Callers = fmt.Sprintf("127.0.0.1:%d", freePort(w.t))
+	s.Listen.Ready = fmt.Sprintf("127.0.0.1:%d", freePort(w.t))
+	s.Listen.InternalPorts = []uint16{freePort(w.t)}
+	s.Store.Address = w.store.Address()
+	s.Stop.GraceSeconds = 8
+	s.RetryBudget.Ratio, s.RetryBudget.Slack, s.RetryBudget.WindowSeconds = 0.2, 50, 10
+	metrics, err := telemetry.New()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.host = gateway.New(gateway.Config{
+		Settings: s, Store: store.New(store.Config{Address: s.Store.Address}),
+		Layout: directory.Layout{
+			ConfigKey: wire.KeyConfig, TargetPrefix: wire.PrefixTargets, RolloutPrefix: wire.PrefixRollout,
+			Target: wire.Target, Config: wire.Config,
+		},
+		Codec: wire.Codec{}, ReadyPath: wire.ReadyPath, Metrics: metrics, Log: slog.New(slog.DiscardHandler),
+	})
+	if err := w.host.Start(); err != nil {
+		w.t.Fatal(err)
+	}
+	w.callers, w.ready = s.Listen.Callers, s.Listen.Ready
+	w.until("the host is ready", w.isReady)
+}
+
+func (w *world) isReady() bool {
+	resp, err := http.Get("http://" + w.ready + wire.ReadyPath)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (w *world) until(what string, ok func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	w.t.Fatalf("%s: not within 10 s", what)
+}
+
+// answer is what a caller got; err is set if the connection ended before it was whole.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// caller is one connection of a caller.
+type caller struct {
+	net.Conn
+	br *bufio.Reader
+}
+
+func (w *world) dial() *caller {
+	w.t.Helper()
+	c, err := net.Dial("tcp4", w.callers)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { c.Close() })
+	return &caller{c, bufio.NewReader(c)}
+}
+
+// send writes a request and returns its id.
+func (w *world) send(c *caller, method, path, body string, extra ...string) string {
+	w.t.Helper()
+	w.nextID++
+	id := fmt.Sprintf("req-%d", w.nextID)
+	head := append([]string{"Host: " + testHost, "Request-Id: " + id, "Authorization: Bearer " + testKey, "Token-Count: 100,20", "Request-Deadline: 5000"}, extra...)
+	if body != "" {
+		head = append(head, fmt.Sprintf("Content-Length: %d", len(body)))
+	}
+	if _, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\n%s\r\n\r\n%s", method, path, strings.Join(head, "\r\n"), body); err != nil {
+		w.t.Fatal(err)
+	}
+	return id
+}
+
+func (w *world) read(c *caller) answer {
+	c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	resp, err := http.ReadResponse(c.br, nil)
+	if err != nil {
+		return answer{err: err}
+	}
+	b, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Header, string(b), err}
+}
+
+func (w *world) call(method, path, body string, extra ...string) answer {
+	w.t.Helper()
+	c := w.dial()
+	defer c.Close()
+	w.send(c, method, path, body, extra...)
+	return w.read(c)
+}
+
+func pieces(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece-%d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// Guards against a stream that is joined wrongly: its target breaks off in the middle
+// of an event, and another one goes on after the last whole one.
+func TestCutStreamGoesOnAtAnotherTarget(t *testing.T) {
+	w := newWorld(t)
+	w.add(engineName, slotengine.Config{Events: 10, Pause: 20 * time.Millisecond}).Next(slotengine.CutStream)
+	w.start()
+	c := w.dial()
+	w.send(c, "POST", pathStream, "prompt")
+	w.until("the stream runs", func() bool { return w.servers[0].Busy() == 1 })
+	w.add(engineName, slotengine.Config{Events: 10, Pause: oneEvent})
+	a := w.read(c)
+	if a.err != nil || a.status != 200 || a.body != pieces(1, 10) {
+		t.Fatalf("answer %+v", a)
+	}
+	var runs []slotengine.Run
+	for _, s := range w.servers {
+		runs = append(runs, s.Runs()...)
+	}
+	if len(runs) != 2 || runs[0].ID != runs[1].ID || runs[0].After+runs[1].After != "4" {
+		t.Errorf("runs %+v", runs)
+	}
+	if n := len(a.header["Server-Stamp"]); n != 1 {
+		t.Errorf("%d signatures", n)
+	}
+}
+
+// Guards against a stream that may not be resumed and is sent to a second target, or
+// whose cut answer looks complete.
+func TestCutStreamThatMayNotBeResumedIsCutForTheCaller(t *testing.T) {
+	w := newWorld(t)
+	for range 2 {
+		w.add(engineName, slotengine.Config{Events: 10, Pause: oneEvent}).Next(slotengine.CutStream)
+	}
+	w.start()
+	a := w.call("POST", pathOnce, "prompt")
+	if a.err == nil || !strings.HasPrefix(pieces(1, 10), a.body) {
+		t.Errorf("answer %+v", a)
+	}
+	if n := len(w.servers[0].Runs()) + len(w.servers[1].Runs()); n != 1 {
+		t.Errorf("%d runs", n)
+	}
+}
+
+// Guards against a second run of a request that must not run twice, and against a
+// refusal that promises that it has not run.
+func TestUnsafeRequestRunsOnce(t *testing.T) {
+	for _, f := range []slotengine.Fault{slotengine.Reset, slotengine.Mute, slotengine.Fail} {
+		w := newWorld(t)
+		w.add(plainName, slotengine.Config{}).Always(f)
+		w.add(plainName, slotengine.Config{}).Always(f)
+		w.start()
+		a := w.call("POST", pathUnsafe, "order")
+		if n := len(w.servers[0].Runs()) + len(w.servers[1].Runs()); n != 1 {
+			t.Errorf("%s: %d runs", f, n)
+		}
+		if a.status != 502 && a.status != 504 && a.status != 500 {
+			t.Errorf("%s: status %d", f, a.status)
+		}
+	}
+}
+
+// Guards against an unsafe request that is given up though a server said that it did
+// not run it.
+func TestRejectedUnsafeRequestIsRefusedAsNotRun(t *testing.T) {
+	w := newWorld(t)
+	w.add(plainName, slotengine.Config{}).Always(slotengine.Shed)
+	w.start()
+	a := w.call("POST", pathUnsafe, "order")
+	if a.status != 503 || a.header.Get("Retry-After") == "" || len(w.servers[0].Runs()) != 0 {
+		t.Errorf("answer %+v, runs %v", a, w.servers[0].Runs())
+	}
+}
+
+// Guards against a failed idempotent request that is not tried elsewhere, for each way
+// to fail.
+func TestSafeRequestIsRepeatedElsewhere(t *testing.T) {
+	for _, f := range []slotengine.Fault{slotengine.Reset, slotengine.Mute, slotengine.Fail, slotengine.Shed} {
+		w := newWorld(t)
+		w.add(plainName, slotengine.Config{}).Always(f)
+		good := w.add(plainName, slotengine.Config{})
+		w.start()
+		for range 4 {
+			if a := w.call("GET", pathSafe, ""); a.status != 200 || a.body != "plain from i-1" {
+				t.Errorf("%s: answer %+v", f, a)
+			}
+		}
+		if len(good.Runs()) != 4 {
+			t.Errorf("%s: %d runs at the good server", f, len(good.Runs()))
+		}
+	}
+}
+
+// Guards against answers of other requests and spoiled connections: extra, crossed and
+// unframed answers on kept connections, with requests that follow.
+func TestEachCallerGetsItsOwnAnswer(t *testing.T) {
+	for _, f := range []slotengine.Fault{slotengine.Extra, slotengine.Crossed, slotengine.Unframed} {
+		w := newWorld(t)
+		s := w.add(plainName, slotengine.Config{})
+		w.start()
+		c := w.dial()
+		for i := range 6 {
+			if i%2 == 1 {
+				s.Next(f)
+			}
+			id := w.send(c, "POST", pathUnsafe, fmt.Sprintf("order %d", i))
+			a := w.read(c)
+			if a.err != nil || a.status != 200 || a.body != "plain from i-0" || a.header.Get("Request-Id") != id {
+				t.Errorf("%s, request %d: %+v", f, i, a)
+			}
+		}
+		if n := len(s.Runs()); n != 6 {
+			t.Errorf("%s: %d runs of 6 requests", f, n)
+		}
+	}
+}
+
+// Guards against headers that only the system sets, a key that is passed on, and a
+// body that changes on the way, also in chunks.
+func TestRequestIsPassedOnUnchanged(t *testing.T) {
+	w := newWorld(t)
+	s := w.add(plainName, slotengine.Config{})
+	w.start()
+	body := strings.Repeat("0123456789abcdef", longBody/16)
+	w.call("POST", pathUnsafe+"?q=a%2fb", body, "Tenant: thief", "Hold: h", "Pin-Ms: 9", "X-Own: kept", "Connection: X-Drop", "X-Drop: 1", "Expect-Instance: other")
+	c := w.dial()
+	w.send(c, "POST", pathUnsafe, "", "Transfer-Encoding: chunked")
+	fmt.Fprint(c, "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n")
+	w.read(c)
+	runs := s.Runs()
+	if len(runs) != 2 {
+		t.Fatalf("%d runs", len(runs))
+	}
+	r := runs[0]
+	if r.URI != pathUnsafe+"?q=a%2fb" || string(r.Body) != body || r.Organisation != orgName {
+		t.Errorf("uri %s, %d bytes, organisation %s", r.URI, len(r.Body), r.Organisation)
+	}
+	if h := r.Header; h.Get("Authorization")+h.Get("Hold")+h.Get("Pin-Ms")+h.Get("X-Drop") != "" || h.Get("X-Own") != "kept" || h.Get("Expect-Instance") != "i-0" {
+		t.Errorf("headers %v", h)
+	}
+	if string(runs[1].Body) != "hello world" {
+		t.Errorf("body in chunks: %q", runs[1].Body)
+	}
+}
+
+// Guards against a smuggled second request: both a length and chunks, or two lengths.
+func TestAmbiguousLengthRunsAtMostOneRequest(t *testing.T) {
+	w := newWorld(t)
+	s := w.add(plainName, slotengine.Config{})
+	w.start()
+	inner := "POST " + pathUnsafe + " HTTP/1.1\r\nHost: " + testHost + "\r\nRequest-Id: smuggled\r\nAuthorization: Bearer " + testKey + "\r\nContent-Length: 0\r\n\r\n"
+	for _, head := range []string{
+		fmt.Sprintf("Content-Length: %d\r\nContent-Length: 3", len(inner)),
+		fmt.Sprintf("Transfer-Encoding: chunked, identity\r\nContent-Length: %d", len(inner)),
+		"Transfer-Encoding: xchunked",
+	} {
+		c := w.dial()
+		fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: outer\r\nAuthorization: Bearer %s\r\n%s\r\n\r\n%s", pathUnsafe, testHost, testKey, head, inner)
+		if a := w.read(c); a.status == 200 {
+			t.Errorf("%q is accepted", head)
+		}
+	}
+	for _, r := range s.Runs() {
+		if r.ID == "smuggled" {
+			t.Error("a smuggled request ran")
+		}
+	}
+}
+
+// Guards against work that goes on for a caller that has left, in the queue and at a
+// target.
+func TestCallerThatLeavesIsNotServed(t *testing.T) {
+	w := newWorld(t)
+	s := w.add(engineName, slotengine.Config{Events: 1000, Pause: 20 * time.Millisecond, Slots: 2})
+	w.start()
+	var callers []*caller
+	for range 3 { // two run, one waits
+		c := w.dial()
+		w.send(c, "POST", pathStream, "prompt")
+		callers = append(callers, c)
+	}
+	w.until("two requests run", func() bool { return s.Busy() == 2 })
+	callers[2].Close()
+	time.Sleep(100 * time.Millisecond)
+	for _, c := range callers[:2] {
+		c.Close()
+	}
+	w.until("the server is idle", func() bool { return s.Busy() == 0 })
+	time.Sleep(200 * time.Millisecond)
+	if n := len(s.Runs()); n != 2 {
+		t.Errorf("%d runs, the third caller had left", n)
+	}
+}
+
+// Guards against more runs at an engine than it has slots, and against requests that
+// are lost while they wait for one.
+func TestRequestsWaitForAFreeSlot(t *testing.T) {
+	w := newWorld(t)
+	s := w.add(engineName, slotengine.Config{Events: 5, Pause: 5 * time.Millisecond, Slots: 2})
+	w.start()
+	results := make(chan answer, 10)
+	for range cap(results) {
+		c := w.dial()
+		w.send(c, "POST", pathStream, "prompt")
+		go func() { results <- w.read(c) }()
+	}
+	for range cap(results) {
+		if a := <-results; a.status != 200 || a.body != pieces(1, 5) {
+			t.Errorf("answer %+v", a)
+		}
+	}
+	if s.Most() > 2 {
+		t.Errorf("%d runs at once, two slots", s.Most())
+	}
+	for _, r := range s.Runs() {
+		if r.Reservation == "" {
+			t.Error("a request ran without a reservation")
+		}
+	}
+}
+
+// Guards against statuses that say more than is known: no configuration yet is no
+// reason for 401 or 404.
+func TestUnknownIsNotDenied(t *testing.T) {
+	w := newWorld(t)
+	w.store.SetFaults(kvstore.Faults{Down: true})
+	go func() {
+		time.Sleep(300 * time.Millisecond)
+		w.store.SetFaults(kvstore.Faults{})
+	}()
+	w.add(plainName, slotengine.Config{})
+	w.start()
+	for _, c := range []struct {
+		path, key string
+		want      int
+	}{{"/none/x", testKey, 404}, {pathSafe, "wrong", 401}, {pathSafe, testKey, 200}} {
+		if a := w.call("GET", c.path, "", "Authorization: Bearer "+c.key); a.status != c.want && c.key == testKey {
+			t.Errorf("%s with %s: status %d, want %d", c.path, c.key, a.status, c.want)
+		}
+	}
+}
+
+// Guards against a configuration that is not in force within two seconds, and against
+// one that goes back when the store forgets its history.
+func TestConfigurationFollowsTheStore(t *testing.T) {
+	w := newWorld(t)
+	w.add(plainName, slotengine.Config{})
+	w.start()
+	w.store.Put(wire.KeyConfig, configuration(7, 1))
+	began := time.Now()
+	w.until("the quota is in force", func() bool { return w.call("GET", pathSafe, "").status == 429 })
+	if d := time.Since(began); d > 2*time.Second {
+		t.Errorf("in force after %s", d)
+	}
+	w.store.Forget()
+	w.store.Put(wire.KeyConfig, configuration(6, 0))
+	time.Sleep(time.Second)
+	w.call("GET", pathSafe, "")
+	if a := w.call("GET", pathSafe, ""); a.status != 429 {
+		t.Errorf("status %d: an older configuration is in force", a.status)
+	}
+}
+
+// Guards against work for a target that leaves or is gone, and against requests that
+// fail because of it.
+func TestLeavingTargetGetsNoWork(t *testing.T) {
+	w := newWorld(t)
+	leaving := w.add(plainName, slotengine.Config{})
+	w.add(plainName, slotengine.Config{})
+	w.start()
+	w.list(plainName, "i-0", leaving.Address(), "draining")
+	time.Sleep(1500 * time.Millisecond)
+	before := len(leaving.Runs())
+	for range 10 {
+		if a := w.call("GET", pathSafe, ""); a.status != 200 {
+			t.Errorf("status %d", a.status)
+		}
+	}
+	if n := len(leaving.Runs()) - before; n != 0 {
+		t.Errorf("%d requests at a leaving target", n)
+	}
+}
+
+// Guards against a stop that cuts a request in progress, or that goes on saying that
+// the host is ready.
+func TestStopFinishesStreams(t *testing.T) {
+	w := newWorld(t)
+	w.add(engineName, slotengine.Config{Events: 40, Pause: 100 * time.Millisecond})
+	w.start()
+	c := w.dial()
+	w.send(c, "POST", pathStream, "prompt", "Request-Deadline: 8000")
+	w.until("the stream runs", func() bool { return w.servers[0].Busy() == 1 })
+	stopped := make(chan error, 1)
+	go func() { stopped <- w.host.Stop() }()
+	w.until("the host is not ready", func() bool { return !w.isReady() })
+	a := w.read(c)
+	if a.err != nil && a.body != pieces(1, 19) || a.status != 200 {
+		t.Errorf("status %d, %v, %d bytes", a.status, a.err, len(a.body))
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -358,8 +358,9 @@
 	bestCost := 0.0
 	distrust := health.Panic(p.ejected, len(p.order))
 	held := p.held(l, now)
+	tried := p.triedAll(w)
 	for _, t := range p.order {
-		if !p.open(t, now, distrust) || w.excludes(t.Name) {
+		if !p.open(t, now, distrust) || !tried && w.excludes(t.Name) {
 			continue
 		}
 		if isSlow := slow > 0 && t.gap > slow; isSlow && lanes[l].fastOnly || !isSlow && held {
@@ -373,6 +374,20 @@
 	return best
 }
 
+// triedAll reports whether the request is kept from every target that there is; then
+// one of them is better than none.
+func (p *Pool) triedAll(w *Waiter) bool {
+	if len(w.excluded) == 0 {
+		return false
+	}
+	for _, t := range p.order {
+		if !t.Leaving && !w.excludes(t.Name) {
+			return false
+		}
+	}
+	return true
+}
+
 // open reports whether a target is believed to have room.
 func (p *Pool) open(t *target, now time.Time, distrust bool) bool {
 	if t.Leaving || t.fullUntil.After(now) {
--- a/sched/reserve/reserve_test.go
+++ b/sched/reserve/reserve_test.go
@@ -174,17 +174,39 @@
 // getting work.
 func TestClosedTargets(t *testing.T) {
 	p := reserve.New(reserve.Config{})
-	list := engines(2, 4)
+	list := engines(3, 4)
 	list[0].Leaving = true
 	p.SetTargets(list)
 	w := waiter("a", request.Urgent, "o", start)
 	w.Exclude("e1")
 	submit(t, p, w, start)
-	expect(t, next(p, start))
+	grants, _ := p.Next(start)
+	if len(grants) != 1 || grants[0].Target != "e2" {
+		t.Fatalf("grants %v, only e2 is left", grants)
+	}
 	submit(t, p, waiter("b", request.Urgent, "o", start), start)
+	p.SetTargets(list[:1])
 	expect(t, next(p, start))
-	if !p.Remove(w) {
-		t.Error("a waiting request cannot be removed")
+}
+
+// Guards against a request that waits in vain because it has tried the only target.
+func TestOnlyTargetIsTriedAgain(t *testing.T) {
+	p := reserve.New(reserve.Config{})
+	p.SetTargets(engines(1, 4))
+	w := waiter("a", request.Urgent, "o", start)
+	w.Exclude("e0")
+	submit(t, p, w, start)
+	expect(t, next(p, start), "a")
+}
+
+// Guards against a caller's leave that does not take its request out of the queue.
+func TestRemovedRequestIsNotStarted(t *testing.T) {
+	p := reserve.New(reserve.Config{})
+	w := waiter("a", request.Urgent, "o", start)
+	submit(t, p, w, start)
+	if !p.Remove(w) || p.Remove(w) {
+		t.Error("a waiting request is removed once")
 	}
-	expect(t, next(p, start), "b")
+	p.SetTargets(engines(1, 4))
+	expect(t, next(p, start))
 }
