--- /dev/null
+++ b/gateway/settings/settings_test.go
@@ -0,0 +1,49 @@
+package settings_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"sardinefront.dev/gateway/settings"
+)
+
+const good = `
+host: {name: "h1", zone: "z1", address: "10.1.0.25"}
+listen: {callers: "10.1.0.25:8221", ready: "10.1.0.25:8224", internal_ports: [7600,7615]}
+seeds: ["10.2.0.17:8229","not an address"]
+store: {address: "10.200.1.7:8225", reads_per_second: 2000, writes_per_second: 400}
+stop: {grace_s: 8}
+retry_budget: {ratio: 0.2, slack: 54, window_s: 10}
+quota: {window_s: 8, over: 0.1, slack: 190000}
+from_the_future: {x: 1}
+`
+
+// Guards against a setting that is read wrongly and against one that a later version
+// of the platform adds.
+func TestGoodSettings(t *testing.T) {
+	s, err := settings.Parse("f", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.PeerAddress() != "10.1.0.25:7600" || strings.Join(s.PeerSeeds(), " ") != "10.2.0.17:7600" || s.Grace() != 8*time.Second {
+		t.Errorf("%s, %v, %s", s.PeerAddress(), s.PeerSeeds(), s.Grace())
+	}
+	if q := s.QuotaTolerance(); q.Window != 8*time.Second || q.Ratio != 0.1 || q.Slack != 190000 {
+		t.Errorf("%+v", q)
+	}
+}
+
+// Guards against a file with several faults of which only the first is reported.
+func TestAllFindingsAreReported(t *testing.T) {
+	bad := strings.NewReplacer(`"h1"`, `""`, `address: "10.1.0.25"`, `address: "x"`, `"10.1.0.25:8224"`, `"8224"`, "grace_s: 8", "grace_s: 0").Replace(good)
+	_, err := settings.Parse("f.yaml", []byte(bad))
+	if err == nil {
+		t.Fatal("accepted")
+	}
+	for _, want := range []string{"host.name", "host.address", "listen.ready", "stop.grace_s", "f.yaml"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("%q is not in: %v", want, err)
+		}
+	}
+}
