Bound the log, serve metrics, and report settings' faults with their line

Logs are buffered, never block, and leave out lines about what went well first. Host and gateway settings share one checker (core/findings).

TestCallerThatLeavesIsNotServed failed once: its third request could get a slot before the first two, so the caller that left was not the waiting one. It now sends the third after the first two run; the assertion is unchanged.

--- a/cmd/sardinefront/entry.go
+++ b/cmd/sardinefront/entry.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"os"
@@ -8,6 +9,7 @@
 	"syscall"
 
 	"sardinefront.dev/core/event"
+	"sardinefront.dev/core/logs"
 	"sardinefront.dev/core/telemetry"
 	"sardinefront.dev/gateway"
 	"sardinefront.dev/gateway/directory"
@@ -21,7 +23,11 @@
 
 // runEntry serves as an entry host on the platform until a signal.
 func runEntry(file string) int {
-	log := slog.New(slog.NewJSONHandler(os.Stdout, nil))
+	sink := logs.NewSink(os.Stdout)
+	defer sink.Flush()
+	handler := logs.NewHandler(sink)
+	log := slog.New(handler)
+	go logs.Run(context.Background(), sink, handler, log)
 	if file == "" {
 		file = os.Getenv(settingsVariable)
 	}
@@ -43,7 +49,7 @@
 			ConfigKey: wire.KeyConfig, TargetPrefix: wire.PrefixTargets, RolloutPrefix: wire.PrefixRollout,
 			Target: wire.Target, Config: wire.Config,
 		},
-		Codec: wire.Codec{}, ReadyPath: wire.ReadyPath, Metrics: metrics, Log: log,
+		Codec: wire.Codec{}, ReadyPath: wire.ReadyPath, Metrics: metrics, MetricsPage: metrics.Handler(), Log: log,
 	})
 	if err := g.Start(); err != nil {
 		fmt.Fprintln(os.Stderr, "sardinefront:", err)
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -13,10 +13,20 @@
 	Name    string
 	Level   slog.Level
 	Meaning string
+	// Sampled events tell what went well; a handler may leave some out under load.
+	Sampled bool
 }
 
+// sampler is a slog.Handler that leaves out some sampled events.
+type sampler interface{ Sample() bool }
+
 // Log writes the event with its number and the given attributes.
 func (e Event) Log(l *slog.Logger, attrs ...slog.Attr) {
+	if e.Sampled {
+		if s, ok := l.Handler().(sampler); ok && !s.Sample() {
+			return
+		}
+	}
 	all := make([]slog.Attr, 0, len(attrs)+1)
 	all = append(all, slog.Int("event", e.Number))
 	all = append(all, attrs...)
--- a/core/event/table.go
+++ b/core/event/table.go
@@ -5,59 +5,61 @@
 // The events, grouped by hundreds: 1xx process, 2xx requests, 3xx targets,
 // 4xx journal, 5xx membership and peers, 6xx configuration, 7xx moves.
 var (
-	Started          = Event{101, "started", slog.LevelInfo, "The process accepts requests."}
-	EmbeddedStore    = Event{102, "embedded store", slog.LevelWarn, "No settings file was given; records are kept in memory and end with the process."}
-	ShutdownBegun    = Event{103, "shutdown begun", slog.LevelInfo, "Readiness is down; requests in progress are being finished."}
-	ShutdownDone     = Event{104, "shutdown done", slog.LevelInfo, "All requests in progress have ended."}
-	ShutdownCut      = Event{105, "shutdown cut", slog.LevelError, "The drain deadline or a second signal ended the process with requests in progress."}
-	SettingsRejected = Event{106, "settings rejected", slog.LevelError, "The settings file has findings; nothing was started."}
-	SettingsReread   = Event{107, "settings reread", slog.LevelInfo, "The settings file was read again."}
+	Started          = Event{Number: 101, Name: "started", Level: slog.LevelInfo, Meaning: "The process accepts requests."}
+	EmbeddedStore    = Event{Number: 102, Name: "embedded store", Level: slog.LevelWarn, Meaning: "No settings file was given; records are kept in memory and end with the process."}
+	ShutdownBegun    = Event{Number: 103, Name: "shutdown begun", Level: slog.LevelInfo, Meaning: "Readiness is down; requests in progress are being finished."}
+	ShutdownDone     = Event{Number: 104, Name: "shutdown done", Level: slog.LevelInfo, Meaning: "All requests in progress have ended."}
+	ShutdownCut      = Event{Number: 105, Name: "shutdown cut", Level: slog.LevelError, Meaning: "The drain deadline or a second signal ended the process with requests in progress."}
+	SettingsRejected = Event{Number: 106, Name: "settings rejected", Level: slog.LevelError, Meaning: "The settings file has findings; nothing was started."}
+	LinesLeftOut     = Event{Number: 108, Name: "log lines left out", Level: slog.LevelWarn, Meaning: "Lines were left out to keep the log within its rate."}
+	SettingsReread   = Event{Number: 107, Name: "settings reread", Level: slog.LevelInfo, Meaning: "The settings file was read again."}
 
-	RequestRefused  = Event{201, "request refused", slog.LevelInfo, "A caller received a typed refusal."}
-	RequestRetried  = Event{202, "request retried", slog.LevelInfo, "No byte had gone out, so the request was tried at another target."}
-	CallerLeft      = Event{203, "caller left", slog.LevelInfo, "The caller closed its connection; the request was cancelled."}
-	RequestAnswered = Event{205, "request answered", slog.LevelInfo, "A caller has its whole answer."}
-	AnswerBroken    = Event{204, "answer broken", slog.LevelWarn, "An answer that had begun could not be completed; the caller's connection was closed."}
+	RequestRefused  = Event{Number: 201, Name: "request refused", Level: slog.LevelInfo, Meaning: "A caller received a typed refusal."}
+	RequestRetried  = Event{Number: 202, Name: "request retried", Level: slog.LevelInfo, Meaning: "No byte had gone out, so the request was tried at another target."}
+	CallerLeft      = Event{Number: 203, Name: "caller left", Level: slog.LevelInfo, Meaning: "The caller closed its connection; the request was cancelled."}
+	RequestSent     = Event{Number: 206, Name: "request sent", Level: slog.LevelInfo, Meaning: "A request was sent to a target.", Sampled: true}
+	RequestAnswered = Event{Number: 205, Name: "request answered", Level: slog.LevelInfo, Meaning: "A caller has its whole answer.", Sampled: true}
+	AnswerBroken    = Event{Number: 204, Name: "answer broken", Level: slog.LevelWarn, Meaning: "An answer that had begun could not be completed; the caller's connection was closed."}
 
-	TargetEjected   = Event{301, "target ejected", slog.LevelWarn, "Failures, slowness or silence removed a target from picking."}
-	TargetRestored  = Event{302, "target restored", slog.LevelInfo, "A target passed its trial requests and is picked again."}
-	TargetLeaving   = Event{303, "target leaving", slog.LevelInfo, "The platform lists the target as leaving; it gets no new work."}
-	TargetListStale = Event{304, "target list stale", slog.LevelWarn, "The platform's host list could not be read; the last one stays in use."}
+	TargetEjected   = Event{Number: 301, Name: "target ejected", Level: slog.LevelWarn, Meaning: "Failures, slowness or silence removed a target from picking."}
+	TargetRestored  = Event{Number: 302, Name: "target restored", Level: slog.LevelInfo, Meaning: "A target passed its trial requests and is picked again."}
+	TargetLeaving   = Event{Number: 303, Name: "target leaving", Level: slog.LevelInfo, Meaning: "The platform lists the target as leaving; it gets no new work."}
+	TargetListStale = Event{Number: 304, Name: "target list stale", Level: slog.LevelWarn, Meaning: "The platform's host list could not be read; the last one stays in use."}
 
-	TargetListed  = Event{305, "target listed", slog.LevelInfo, "An entry of the list of targets was added, changed or removed."}
-	TargetDoubted = Event{306, "target doubted", slog.LevelInfo, "A target failed a request or refused a connection."}
+	TargetListed  = Event{Number: 305, Name: "target listed", Level: slog.LevelInfo, Meaning: "An entry of the list of targets was added, changed or removed."}
+	TargetDoubted = Event{Number: 306, Name: "target doubted", Level: slog.LevelInfo, Meaning: "A target failed a request or refused a connection."}
 
-	WriterElected  = Event{401, "journal writer elected", slog.LevelInfo, "This host writes a partition of the journal."}
-	WriterLost     = Event{402, "journal writer lost", slog.LevelWarn, "The lease or the log order ended this host's term as writer."}
-	AppendUnknown  = Event{403, "append without answer", slog.LevelWarn, "The store did not answer a write; it is being read back."}
-	OutcomeUnknown = Event{404, "outcome unknown", slog.LevelError, "It cannot be proven whether a claimed request ran."}
-	TakenOver      = Event{405, "request taken over", slog.LevelInfo, "A patient request of a dead host continues on this host."}
+	WriterElected  = Event{Number: 401, Name: "journal writer elected", Level: slog.LevelInfo, Meaning: "This host writes a partition of the journal."}
+	WriterLost     = Event{Number: 402, Name: "journal writer lost", Level: slog.LevelWarn, Meaning: "The lease or the log order ended this host's term as writer."}
+	AppendUnknown  = Event{Number: 403, Name: "append without answer", Level: slog.LevelWarn, Meaning: "The store did not answer a write; it is being read back."}
+	OutcomeUnknown = Event{Number: 404, Name: "outcome unknown", Level: slog.LevelError, Meaning: "It cannot be proven whether a claimed request ran."}
+	TakenOver      = Event{Number: 405, Name: "request taken over", Level: slog.LevelInfo, Meaning: "A patient request of a dead host continues on this host."}
 
-	MemberSuspected = Event{501, "member suspected", slog.LevelWarn, "A host did not answer direct and indirect probes."}
-	MemberDead      = Event{502, "member dead", slog.LevelWarn, "A suspected host did not refute within the suspicion time."}
-	MemberAlive     = Event{503, "member alive", slog.LevelInfo, "A host joined or came back."}
-	PeerRejected    = Event{504, "peer rejected", slog.LevelWarn, "A connection without a valid peer certificate was closed."}
-	PeerFetchFailed = Event{505, "peer state not fetched", slog.LevelWarn, "A peer did not hand over its configuration and list of targets."}
+	MemberSuspected = Event{Number: 501, Name: "member suspected", Level: slog.LevelWarn, Meaning: "A host did not answer direct and indirect probes."}
+	MemberDead      = Event{Number: 502, Name: "member dead", Level: slog.LevelWarn, Meaning: "A suspected host did not refute within the suspicion time."}
+	MemberAlive     = Event{Number: 503, Name: "member alive", Level: slog.LevelInfo, Meaning: "A host joined or came back."}
+	PeerRejected    = Event{Number: 504, Name: "peer rejected", Level: slog.LevelWarn, Meaning: "A connection without a valid peer certificate was closed."}
+	PeerFetchFailed = Event{Number: 505, Name: "peer state not fetched", Level: slog.LevelWarn, Meaning: "A peer did not hand over its configuration and list of targets."}
 
-	ConfigAdopted  = Event{601, "configuration adopted", slog.LevelInfo, "A newer rules file is in force on this host."}
-	ConfigRejected = Event{602, "configuration rejected", slog.LevelError, "A rules file with findings or an older number was refused."}
-	StoreCutOff    = Event{603, "store unreachable", slog.LevelWarn, "The store does not answer; the last configuration stays in force."}
-	StoreBack      = Event{604, "store reachable", slog.LevelInfo, "The store answers again."}
+	ConfigAdopted  = Event{Number: 601, Name: "configuration adopted", Level: slog.LevelInfo, Meaning: "A newer rules file is in force on this host."}
+	ConfigRejected = Event{Number: 602, Name: "configuration rejected", Level: slog.LevelError, Meaning: "A rules file with findings or an older number was refused."}
+	StoreCutOff    = Event{Number: 603, Name: "store unreachable", Level: slog.LevelWarn, Meaning: "The store does not answer; the last configuration stays in force."}
+	StoreBack      = Event{Number: 604, Name: "store reachable", Level: slog.LevelInfo, Meaning: "The store answers again."}
 
-	MoveStarted   = Event{701, "move started", slog.LevelInfo, "A version move began."}
-	MoveStepped   = Event{702, "move stepped", slog.LevelInfo, "The share of the new version grew."}
-	MoveDone      = Event{703, "move done", slog.LevelInfo, "All traffic is on the new version."}
-	MoveTakenBack = Event{704, "move taken back", slog.LevelError, "The new version was judged bad; traffic is back on the old one for good."}
-	MoveLate      = Event{705, "move late", slog.LevelWarn, "The move cannot end by its time."}
-	MoveRetried   = Event{707, "move step retried", slog.LevelWarn, "A store call or control command of a move failed and is tried again."}
-	VersionHalted = Event{706, "version halted", slog.LevelError, "This host stopped sending to a version on its own evidence or a peer's word."}
+	MoveStarted   = Event{Number: 701, Name: "move started", Level: slog.LevelInfo, Meaning: "A version move began."}
+	MoveStepped   = Event{Number: 702, Name: "move stepped", Level: slog.LevelInfo, Meaning: "The share of the new version grew."}
+	MoveDone      = Event{Number: 703, Name: "move done", Level: slog.LevelInfo, Meaning: "All traffic is on the new version."}
+	MoveTakenBack = Event{Number: 704, Name: "move taken back", Level: slog.LevelError, Meaning: "The new version was judged bad; traffic is back on the old one for good."}
+	MoveLate      = Event{Number: 705, Name: "move late", Level: slog.LevelWarn, Meaning: "The move cannot end by its time."}
+	MoveRetried   = Event{Number: 707, Name: "move step retried", Level: slog.LevelWarn, Meaning: "A store call or control command of a move failed and is tried again."}
+	VersionHalted = Event{Number: 706, Name: "version halted", Level: slog.LevelError, Meaning: "This host stopped sending to a version on its own evidence or a peer's word."}
 )
 
 // All returns every declared event in the order of its number.
 func All() []Event {
 	return []Event{
-		Started, EmbeddedStore, ShutdownBegun, ShutdownDone, ShutdownCut, SettingsRejected, SettingsReread,
-		RequestRefused, RequestRetried, CallerLeft, AnswerBroken, RequestAnswered,
+		Started, EmbeddedStore, ShutdownBegun, ShutdownDone, ShutdownCut, SettingsRejected, SettingsReread, LinesLeftOut,
+		RequestRefused, RequestRetried, CallerLeft, AnswerBroken, RequestAnswered, RequestSent,
 		TargetEjected, TargetRestored, TargetLeaving, TargetListStale, TargetListed, TargetDoubted,
 		WriterElected, WriterLost, AppendUnknown, OutcomeUnknown, TakenOver,
 		MemberSuspected, MemberDead, MemberAlive, PeerRejected, PeerFetchFailed,
--- a/core/telemetry/telemetry.go
+++ b/core/telemetry/telemetry.go
@@ -39,6 +39,15 @@
 	{"sardinefront_outcomes_unknown", "counter", "{request}", nil, "Claimed requests that cannot be proven to have run or not."},
 	{"sardinefront_store_calls", "counter", "{call}", []string{"kind"}, "Calls to the platform's store."},
 	{"sardinefront_store_results", "counter", "{call}", []string{"kind", "result"}, "Ends of calls to the platform's store, by result."},
+	{"sardinefront_reservations", "counter", "{reservation}", []string{"service", "result"}, "Reservations asked for at engines, by result."},
+	{"sardinefront_queue_wait", "histogram", "s", []string{"tier"}, "Time from arrival until a request is sent to a target."},
+	{"sardinefront_event_pause", "histogram", "s", []string{"tier"}, "Longest pause between the events of an answered stream."},
+	{"sardinefront_target_connections", "counter", "{connection}", []string{"result"}, "New connections to targets."},
+	{"sardinefront_waiting", "gauge", "{request}", []string{"tier", "service"}, "Requests that wait for a target."},
+	{"sardinefront_targets", "gauge", "{target}", []string{"service", "state"}, "Targets in use, and those of them that are ejected."},
+	{"sardinefront_config_version", "gauge", "", nil, "Version of the configuration in force."},
+	{"sardinefront_target_list_age", "gauge", "s", nil, "Time since the list of targets was last known to be current."},
+	{"sardinefront_peers", "gauge", "{host}", nil, "Other hosts heard lately."},
 	{"sardinefront_peer_bytes", "counter", "By", []string{"direction"}, "Bytes of control traffic with peers."},
 }
 
@@ -61,9 +70,10 @@
 // Metrics records the process's metrics. All methods are safe for concurrent
 // use.
 type Metrics struct {
-	registry *prometheus.Registry
-	counters map[string]metric.Int64Counter
-	first    metric.Float64Histogram
+	registry   *prometheus.Registry
+	meter      metric.Meter
+	counters   map[string]metric.Int64Counter
+	histograms map[string]metric.Float64Histogram
 }
 
 // firstTokenBuckets are in seconds. 0.59 is the first-token target.
@@ -78,7 +88,10 @@
 		return nil, fmt.Errorf("telemetry: prometheus exporter: %w", err)
 	}
 	meter := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exp)).Meter("sardinefront")
-	m := &Metrics{registry: reg, counters: make(map[string]metric.Int64Counter)}
+	m := &Metrics{
+		registry: reg, meter: meter,
+		counters: make(map[string]metric.Int64Counter), histograms: make(map[string]metric.Float64Histogram),
+	}
 	for _, s := range Specs {
 		if err := m.declare(meter, s); err != nil {
 			return nil, fmt.Errorf("telemetry: metric %s: %w", s.Name, err)
@@ -89,10 +102,13 @@
 }
 
 func (m *Metrics) declare(meter metric.Meter, s Spec) error {
-	if s.Kind == "histogram" {
+	switch s.Kind {
+	case "gauge": // declared by Observe
+		return nil
+	case "histogram":
 		h, err := meter.Float64Histogram(s.Name, metric.WithUnit(s.Unit), metric.WithDescription(s.Meaning),
 			metric.WithExplicitBucketBoundaries(firstTokenBuckets...))
-		m.first = h
+		m.histograms[s.Name] = h
 		return err
 	}
 	c, err := meter.Int64Counter(s.Name, metric.WithUnit(s.Unit), metric.WithDescription(s.Meaning))
@@ -144,7 +160,72 @@
 
 // FirstToken records the time to the first byte of an answer, in seconds.
 func (m *Metrics) FirstToken(t request.Tier, seconds float64) {
-	m.first.Record(context.Background(), seconds, metric.WithAttributes(attribute.String("tier", t.String())))
+	m.record("sardinefront_first_token", t, seconds)
+}
+
+func (m *Metrics) record(name string, t request.Tier, seconds float64) {
+	m.histograms[name].Record(context.Background(), seconds, metric.WithAttributes(attribute.String("tier", t.String())))
+}
+
+// QueueWait records the time from arrival until a request is sent, in seconds.
+func (m *Metrics) QueueWait(t request.Tier, seconds float64) {
+	m.record("sardinefront_queue_wait", t, seconds)
+}
+
+// EventPause records the longest pause between the events of a stream, in seconds.
+func (m *Metrics) EventPause(t request.Tier, seconds float64) {
+	m.record("sardinefront_event_pause", t, seconds)
+}
+
+// Reservation counts a reservation that was asked for; result is granted, refused or
+// failed.
+func (m *Metrics) Reservation(service, result string) {
+	m.add("sardinefront_reservations", 1, attribute.String("service", service), attribute.String("result", result))
+}
+
+// Dialled counts a new connection to a target, or the failure to make one.
+func (m *Metrics) Dialled(ok bool) {
+	result := "made"
+	if !ok {
+		result = "failed"
+	}
+	m.add("sardinefront_target_connections", 1, attribute.String("result", result))
+}
+
+// Sample is one value of a gauge. Labels are in the order of the gauge's Spec.
+type Sample struct {
+	Labels []string
+	Value  float64
+}
+
+// Observe makes a function the source of a gauge of Specs. It is called at each read
+// of the metrics page.
+func (m *Metrics) Observe(name string, read func() []Sample) error {
+	spec, err := gauge(name)
+	if err != nil {
+		return err
+	}
+	_, err = m.meter.Float64ObservableGauge(name, metric.WithUnit(spec.Unit), metric.WithDescription(spec.Meaning),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			for _, s := range read() {
+				attrs := make([]attribute.KeyValue, 0, len(s.Labels))
+				for i, v := range s.Labels {
+					attrs = append(attrs, attribute.String(spec.Labels[i], v))
+				}
+				o.Observe(s.Value, metric.WithAttributes(attrs...))
+			}
+			return nil
+		}))
+	return err
+}
+
+func gauge(name string) (Spec, error) {
+	for _, s := range Specs {
+		if s.Name == name && s.Kind == "gauge" {
+			return s, nil
+		}
+	}
+	return Spec{}, fmt.Errorf("telemetry: no gauge %s", name)
 }
 
 // WastedPrefill counts prompt tokens whose prefill was not used.
--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -129,6 +129,17 @@
 	return d.cfg.Current.Load() != nil && !d.freshAt.IsZero()
 }
 
+// Age returns the time since the list was last known to be current, 0 before the
+// first one.
+func (d *Directory) Age(now time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.freshAt.IsZero() {
+		return 0
+	}
+	return now.Sub(d.freshAt)
+}
+
 // Run follows the store and the peers until ctx ends.
 func (d *Directory) Run(ctx context.Context) {
 	t := time.NewTicker(pollStep)
--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -203,13 +203,6 @@
 	s.pool.Observe(target, gap)
 }
 
-// Stats returns the counts of the scheduler.
-func (s *Service) Stats() reserve.Stats {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.pool.Stats()
-}
-
 // Services holds the schedulers of all services.
 type Services struct {
 	zone      string
@@ -250,6 +243,19 @@
 	}
 }
 
+// Stats returns the counts of the schedulers by service.
+func (s *Services) Stats() map[string]reserve.Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]reserve.Stats, len(s.all))
+	for name, service := range s.all {
+		service.mu.Lock()
+		out[name] = service.pool.Stats()
+		service.mu.Unlock()
+	}
+	return out
+}
+
 // Speeds returns the pauses between events of all targets.
 func (s *Services) Speeds() []reserve.Speed {
 	s.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/sourcegraph/conc"
 
 	"sardinefront.dev/core/event"
+	"sardinefront.dev/core/telemetry"
 	"sardinefront.dev/gateway/directory"
 	"sardinefront.dev/gateway/dispatch"
 	"sardinefront.dev/gateway/ingress"
@@ -28,6 +29,14 @@
 	"sardinefront.dev/gateway/upstream"
 )
 
+// Metrics takes the counts and gauges of the process.
+type Metrics interface {
+	ingress.Metrics
+	upstream.Counter
+	// Observe makes a function the source of a gauge.
+	Observe(name string, read func() []telemetry.Sample) error
+}
+
 // Config connects a Gateway to its surroundings.
 type Config struct {
 	Settings settings.Settings
@@ -36,8 +45,10 @@
 	Codec    protocol.Codec
 	// ReadyPath is the path of the readiness question.
 	ReadyPath string
-	Metrics   ingress.Metrics
-	Log       *slog.Logger
+	Metrics   Metrics
+	// MetricsPage serves the metrics; nil serves none.
+	MetricsPage http.Handler
+	Log         *slog.Logger
 }
 
 const (
@@ -73,10 +84,10 @@
 	ingress  *ingress.Server
 	speeds   speedTable
 
-	callers, ready, internal *http.Server
-	stopping                 atomic.Bool
-	cancel                   context.CancelFunc
-	wg                       conc.WaitGroup
+	callers, ready, internal, metrics *http.Server
+	stopping                          atomic.Bool
+	cancel                            context.CancelFunc
+	wg                                conc.WaitGroup
 }
 
 // New builds a gateway. Nothing runs before Start.
@@ -85,7 +96,7 @@
 	g := &Gateway{
 		cfg:      cfg,
 		quota:    quota.New(s.QuotaTolerance()),
-		upstream: upstream.New(cfg.Codec, dialTimeout, nil),
+		upstream: upstream.New(cfg.Codec, dialTimeout, cfg.Metrics),
 		budget: retry.New(retry.Limits{
 			Ratio: s.RetryBudget.Ratio, Slack: s.RetryBudget.Slack,
 			Window: time.Duration(s.RetryBudget.WindowSeconds * float64(time.Second)),
@@ -113,19 +124,18 @@
 	}
 	g.mesh = mesh
 	g.dir.SetFleet(mesh)
+	if err := g.observe(); err != nil {
+		return err
+	}
 	g.callers = &http.Server{
 		Handler: g.ingress, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
 		ErrorLog: slog.NewLogLogger(g.cfg.Log.Handler(), slog.LevelDebug),
 	}
 	g.ready = &http.Server{Handler: http.HandlerFunc(g.serveReady)}
+	g.metrics = &http.Server{Handler: g.cfg.MetricsPage}
 	g.internal = &http.Server{Handler: peers.BulkHandler(g.dir.Bulk)}
-	for _, l := range []struct {
-		server  *http.Server
-		address string
-	}{{g.callers, s.Listen.Callers}, {g.ready, s.Listen.Ready}, {g.internal, s.PeerAddress()}} {
-		if err := g.listen(l.server, l.address); err != nil {
-			return err
-		}
+	if err := g.listenAll(); err != nil {
+		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
@@ -136,6 +146,23 @@
 	return nil
 }
 
+func (g *Gateway) listenAll() error {
+	s := g.cfg.Settings
+	servers := []struct {
+		server  *http.Server
+		address string
+	}{{g.callers, s.Listen.Callers}, {g.ready, s.Listen.Ready}, {g.internal, s.PeerAddress()}, {g.metrics, s.Listen.Metrics}}
+	for _, l := range servers {
+		if l.address == "" {
+			continue
+		}
+		if err := g.listen(l.server, l.address); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (g *Gateway) listen(server *http.Server, address string) error {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
@@ -248,6 +275,7 @@
 	g.cancel()
 	_ = g.ready.Close() // nothing waits on it any more
 	_ = g.internal.Close()
+	_ = g.metrics.Close()
 	if err != nil {
 		event.ShutdownCut.Log(g.cfg.Log, slog.Any("error", err))
 		return fmt.Errorf("requests in progress at the end of the grace time: %w", err)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -415,12 +415,13 @@
 	s := w.add(engineName, slotengine.Config{Events: 1000, Pause: 20 * time.Millisecond, Slots: 2})
 	w.start()
 	var callers []*caller
-	for range 3 { // two run, one waits
+	for i := range 3 { // two run, one waits
 		c := w.dial()
 		w.send(c, "POST", pathStream, "prompt")
 		callers = append(callers, c)
+		w.until("the first two run", func() bool { return s.Busy() == min(i+1, 2) })
 	}
-	w.until("two requests run", func() bool { return s.Busy() == 2 })
+	time.Sleep(100 * time.Millisecond)
 	callers[2].Close()
 	time.Sleep(100 * time.Millisecond)
 	for _, c := range callers[:2] {
--- /dev/null
+++ b/gateway/gauges.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"time"
+
+	"sardinefront.dev/core/request"
+	"sardinefront.dev/core/telemetry"
+)
+
+// observe connects the gauges.
+func (g *Gateway) observe() error {
+	one := func(v float64) []telemetry.Sample { return []telemetry.Sample{{Value: v}} }
+	gauges := map[string]func() []telemetry.Sample{
+		"sardinefront_config_version": func() []telemetry.Sample { return one(float64(g.current.Version())) },
+		"sardinefront_target_list_age": func() []telemetry.Sample {
+			return one(g.dir.Age(time.Now()).Seconds())
+		},
+		"sardinefront_peers":   func() []telemetry.Sample { return one(float64(len(g.mesh.Alive(time.Now())))) },
+		"sardinefront_waiting": g.waitingSamples,
+		"sardinefront_targets": g.targetSamples,
+	}
+	for name, read := range gauges {
+		if err := g.cfg.Metrics.Observe(name, read); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (g *Gateway) waitingSamples() []telemetry.Sample {
+	var out []telemetry.Sample
+	for name, s := range g.services.Stats() {
+		for t, n := range s.Waiting {
+			out = append(out, telemetry.Sample{Labels: []string{request.Tier(t).String(), name}, Value: float64(n)})
+		}
+	}
+	return out
+}
+
+func (g *Gateway) targetSamples() []telemetry.Sample {
+	var out []telemetry.Sample
+	for name, s := range g.services.Stats() {
+		out = append(out,
+			telemetry.Sample{Labels: []string{name, "used"}, Value: float64(s.Targets)},
+			telemetry.Sample{Labels: []string{name, "ejected"}, Value: float64(s.Ejected)})
+	}
+	return out
+}
--- a/gateway/ingress/answer.go
+++ b/gateway/ingress/answer.go
@@ -42,6 +42,9 @@
 	}
 	x.sends++
 	x.target, x.targetKey, x.waited = target.ID, target.Key(), began.Sub(x.arrived)
+	x.cfg.Metrics.QueueWait(x.request.Tier, x.waited.Seconds())
+	event.RequestSent.Log(x.cfg.Log, slog.String("id", x.call.ID), slog.String("target", x.target), slog.Int("send", x.sends),
+		slog.Int("tries", x.tries), slog.Duration("waited", x.waited), slog.String("after", x.lastEvent))
 	if err := conn.Send(m); err != nil {
 		conn.Finish(nil, false)
 		return x.fail(ctx, reserve.Failed, refusal.TargetFailed, err)
@@ -198,8 +201,5 @@
 func (x *exchange) done(details ...slog.Attr) {
 	x.answered = true
 	x.cfg.Metrics.Answer(x.request.Tier, x.service)
-	event.RequestAnswered.Log(x.cfg.Log, append(details,
-		slog.String("id", x.call.ID), slog.String("target", x.target), slog.String("tier", x.request.Tier.String()),
-		slog.Int("sends", x.sends), slog.Int("promptTokens", x.call.PromptTokens),
-		slog.Duration("waited", x.waited), slog.Duration("after", time.Since(x.arrived)))...)
+	event.RequestAnswered.Log(x.cfg.Log, x.story(details...)...)
 }
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -33,6 +33,12 @@
 	Answer(tier request.Tier, service string)
 	Refusal(tier request.Tier, reason refusal.Reason)
 	Retry(reason refusal.Retry)
+	// Reservation counts a reservation that was asked for.
+	Reservation(service, result string)
+	// QueueWait records the time from arrival until a request is sent, in seconds.
+	QueueWait(tier request.Tier, seconds float64)
+	// EventPause records the longest pause of a stream, in seconds.
+	EventPause(tier request.Tier, seconds float64)
 	// FirstToken records the time to the first byte of an answer, in seconds.
 	FirstToken(tier request.Tier, seconds float64)
 }
@@ -110,6 +116,9 @@
 	targetKey string
 	// waited is the time from arrival until the request was sent.
 	waited time.Duration
+	// tries counts the reservations that were refused and the targets that could not
+	// be reached.
+	tries int
 	// sends counts the targets that the request was sent to.
 	sends int
 	// started says that the head of an answer has gone to the caller.
@@ -264,9 +273,9 @@
 		tier = x.request.Tier
 	}
 	x.cfg.Metrics.Refusal(tier, f.Reason)
-	event.RequestRefused.Log(x.cfg.Log,
-		slog.String("id", x.call.ID), slog.String("reason", f.Reason.String()), slog.String("detail", f.Detail),
-		slog.String("tier", tier.String()), slog.Int("sends", x.sends), slog.Duration("after", time.Since(x.arrived)))
+	event.RequestRefused.Log(x.cfg.Log, x.story(
+		slog.String("reason", f.Reason.String()), slog.String("detail", f.Detail), slog.String("ran", f.Ran.String()),
+		slog.Duration("retryAfter", f.RetryAfter))...)
 	if x.r.Context().Err() != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -282,11 +291,25 @@
 
 // broken ends a request whose answer has begun: the caller must see that it is cut.
 func (x *exchange) broken(why error) {
-	event.AnswerBroken.Log(x.cfg.Log, slog.String("id", x.call.ID), slog.Any("error", why),
-		slog.String("lastEvent", x.lastEvent), slog.Duration("after", time.Since(x.arrived)))
+	event.AnswerBroken.Log(x.cfg.Log, x.story(slog.Any("error", why), slog.String("lastEvent", x.lastEvent))...)
 	panic(http.ErrAbortHandler)
 }
 
+// story returns what decided about the request so far, for its last line in the log.
+func (x *exchange) story(attrs ...slog.Attr) []slog.Attr {
+	attrs = append(attrs, slog.String("id", x.call.ID), slog.Duration("after", time.Since(x.arrived)))
+	if x.table != nil {
+		attrs = append(attrs, slog.Int64("config", x.table.Version))
+	}
+	if x.request == nil {
+		return attrs
+	}
+	return append(attrs,
+		slog.String("route", x.route.Name), slog.String("service", x.service), slog.String("tier", x.request.Tier.String()),
+		slog.String("organisation", x.request.Organisation), slog.Int("promptTokens", x.call.PromptTokens),
+		slog.Int("tries", x.tries), slog.Int("sends", x.sends), slog.String("target", x.target), slog.Duration("waited", x.waited))
+}
+
 // waiter returns the request's entry for the queue of its service.
 func (x *exchange) waiter() *reserveWaiter { return newWaiter(x.request, x.route) }
 
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -154,8 +154,14 @@
 	if t.sent && t.verdict == failed {
 		x.mayHaveRun = true
 	}
+	if !t.sent {
+		x.tries++
+	}
+	if t.full && !t.sent {
+		return // the metrics count refused reservations; a busy host sees hundreds a second
+	}
 	event.TargetDoubted.Log(x.cfg.Log, slog.String("id", x.call.ID), slog.String("target", target.ID),
-		slog.String("service", x.service), slog.Bool("full", t.full), slog.Bool("sent", t.sent), slog.Any("error", t.err))
+		slog.String("service", x.service), slog.Bool("sent", t.sent), slog.String("reason", t.reason.String()), slog.Any("error", t.err))
 }
 
 // mayGoOn decides whether the request is tried at another target, and prepares
@@ -239,16 +245,20 @@
 	}
 	reservation, a, err := x.askReservation(conn, x.cfg.Codec.Reserve(target.ID, tokens, min(holdLife, engine.MaxHold)))
 	if err == nil && reservation != "" {
+		x.cfg.Metrics.Reservation(x.service, "granted")
 		return reservation, nil
 	}
 	conn.Finish(a, err == nil)
 	t := &try{verdict: unsent, outcome: reserve.Silent, reason: refusal.TargetUnreachable, err: err}
+	result := "failed"
 	switch {
 	case err == nil:
+		result = "refused"
 		t.full, t.reason, t.err = true, refusal.TargetFull, errors.New("reservation refused")
 	case ctx.Err() != nil:
 		t.outcome = reserve.Abandoned
 	}
+	x.cfg.Metrics.Reservation(x.service, result)
 	return "", t
 }
 
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -121,6 +121,7 @@
 	if errors.Is(err, io.EOF) {
 		x.head(a, 0, false)
 		conn.Finish(a, true)
+		x.cfg.Metrics.EventPause(x.request.Tier, timing.longest.Seconds())
 		x.done(slog.Duration("first", timing.first.Sub(x.arrived)), slog.Int("events", timing.events), slog.Duration("longestPause", timing.longest))
 		return try{verdict: answered, sent: true, outcome: reserve.Served, sample: timing.sample()}
 	}
--- a/gateway/settings/settings.go
+++ b/gateway/settings/settings.go
@@ -6,12 +6,11 @@
 	"fmt"
 	"net/netip"
 	"os"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/goccy/go-yaml"
 
+	"sardinefront.dev/core/findings"
 	"sardinefront.dev/gateway/quota"
 )
 
@@ -28,6 +27,8 @@
 		// Callers and Ready are IP:port.
 		Callers string `yaml:"callers"`
 		Ready   string `yaml:"ready"`
+		// Metrics is IP:port of the metrics page; empty serves none.
+		Metrics string `yaml:"metrics"`
 		// InternalPorts are the first and last port for use between hosts.
 		InternalPorts []uint16 `yaml:"internal_ports"`
 	} `yaml:"listen"`
@@ -40,8 +41,8 @@
 		WritesPerSecond float64 `yaml:"writes_per_second"`
 	} `yaml:"store"`
 	Limits struct {
-		MemoryMB        int `yaml:"memory_mb"`
-		FileDescriptors int `yaml:"file_descriptors"`
+		// MemoryMB is the memory after which the process is killed; 0 is no bound.
+		MemoryMB int `yaml:"memory_mb"`
 	} `yaml:"limits"`
 	Stop struct {
 		// GraceSeconds is the time between the signal to stop and the kill.
@@ -77,35 +78,36 @@
 	if err := yaml.Unmarshal(text, &s); err != nil {
 		return s, fmt.Errorf("settings: %s: %w", file, err)
 	}
-	if f := s.check(); len(f) > 0 {
-		return s, fmt.Errorf("settings: %d findings\n%s: %s", len(f), file, strings.Join(f, "\n"+file+": "))
+	if err := s.check(text).Err(file); err != nil {
+		return s, err
 	}
 	return s, nil
 }
 
-// check returns a line for each wrong setting.
-func (s *Settings) check() []string {
-	var out []string
-	want := func(ok bool, setting, format string, args ...any) {
-		if !ok {
-			out = append(out, setting+": "+fmt.Sprintf(format, args...))
-		}
-	}
-	want(s.Host.Name != "", "host.name", "is missing")
-	want(s.Host.Zone != "", "host.zone", "is missing")
+// check collects what is wrong.
+func (s *Settings) check(text []byte) *findings.Checker {
+	c := &findings.Checker{Text: text}
+	c.Required("host.name", s.Host.Name)
+	c.Required("host.zone", s.Host.Zone)
 	_, err := netip.ParseAddr(s.Host.Address)
-	want(err == nil, "host.address", "%q is not an IP address", s.Host.Address)
-	for setting, v := range map[string]string{"listen.callers": s.Listen.Callers, "listen.ready": s.Listen.Ready, "store.address": s.Store.Address} {
-		_, err := netip.ParseAddrPort(v)
-		want(err == nil, setting, "%q is not IP:port", v)
+	c.Want(err == nil, "host.address", "%q is not an IP address", s.Host.Address)
+	c.Address("listen.callers", s.Listen.Callers)
+	c.Address("listen.ready", s.Listen.Ready)
+	if s.Listen.Metrics != "" {
+		c.Address("listen.metrics", s.Listen.Metrics)
 	}
-	want(len(s.Listen.InternalPorts) > 0, "listen.internal_ports", "is missing")
-	want(s.Stop.GraceSeconds > 0, "stop.grace_s", "%v is not positive", s.Stop.GraceSeconds)
-	want(s.RetryBudget.WindowSeconds > 0, "retry_budget.window_s", "%v is not positive", s.RetryBudget.WindowSeconds)
-	want(s.RetryBudget.Ratio >= 0, "retry_budget.ratio", "%v is negative", s.RetryBudget.Ratio)
-	want(s.Quota.WindowSeconds >= 0 && s.Quota.Over >= 0 && s.Quota.Slack >= 0, "quota", "a value is negative")
-	slices.Sort(out)
-	return out
+	c.Want(len(s.Listen.InternalPorts) > 0, "listen.internal_ports", "must not be empty")
+	c.Address("store.address", s.Store.Address)
+	c.Want(s.Store.ReadsPerSecond >= 0, "store.reads_per_second", "%v is negative", s.Store.ReadsPerSecond)
+	c.Want(s.Store.WritesPerSecond >= 0, "store.writes_per_second", "%v is negative", s.Store.WritesPerSecond)
+	c.Want(s.Stop.GraceSeconds > 0, "stop.grace_s", "%v is not positive", s.Stop.GraceSeconds)
+	c.Want(s.RetryBudget.WindowSeconds > 0, "retry_budget.window_s", "%v is not positive", s.RetryBudget.WindowSeconds)
+	c.Want(s.RetryBudget.Ratio >= 0, "retry_budget.ratio", "%v is negative", s.RetryBudget.Ratio)
+	c.Want(s.RetryBudget.Slack >= 0, "retry_budget.slack", "%v is negative", s.RetryBudget.Slack)
+	c.Want(s.Quota.WindowSeconds >= 0, "quota.window_s", "%v is negative", s.Quota.WindowSeconds)
+	c.Want(s.Quota.Over >= 0, "quota.over", "%v is negative", s.Quota.Over)
+	c.Want(s.Quota.Slack >= 0, "quota.slack", "%v is negative", s.Quota.Slack)
+	return c
 }
 
 // PeerAddress is where the host is reached by its peers.
--- a/gateway/settings/settings_test.go
+++ b/gateway/settings/settings_test.go
@@ -41,7 +41,7 @@
 	if err == nil {
 		t.Fatal("accepted")
 	}
-	for _, want := range []string{"host.name", "host.address", "listen.ready", "stop.grace_s", "f.yaml"} {
+	for _, want := range []string{"f.yaml:2: host.name", "f.yaml:2: host.address", "f.yaml:3: listen.ready", "f.yaml:6: stop.grace_s"} {
 		if !strings.Contains(err.Error(), want) {
 			t.Errorf("%q is not in: %v", want, err)
 		}
--- a/host/settings/settings.go
+++ b/host/settings/settings.go
@@ -142,8 +142,8 @@
 	if err := yaml.UnmarshalWithOptions(text, &s, yaml.Strict()); err != nil {
 		return Settings{}, fmt.Errorf("settings: %s: %w", file, err)
 	}
-	if findings := s.check(text); len(findings) > 0 {
-		return Settings{}, &FindingsError{File: file, Findings: findings}
+	if err := s.check(text).Err(file); err != nil {
+		return Settings{}, err
 	}
 	return s, nil
 }
--- a/host/settings/settings_test.go
+++ b/host/settings/settings_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"strings"
 	"testing"
+
+	"sardinefront.dev/core/findings"
 )
 
 // Guards against a check that stops at the first fault, and against findings
@@ -25,8 +27,8 @@
     pool: p
 `
 	_, err := Parse("s.yaml", []byte(text))
-	var findings *FindingsError
-	if !errors.As(err, &findings) {
+	var found *findings.Error
+	if !errors.As(err, &found) {
 		t.Fatalf("got %v", err)
 	}
 	want := []string{
@@ -38,8 +40,8 @@
 			t.Errorf("no finding %q in:\n%v", w, err)
 		}
 	}
-	if len(findings.Findings) != len(want) {
-		t.Errorf("got %d findings, want %d", len(findings.Findings), len(want))
+	if len(found.Findings) != len(want) {
+		t.Errorf("got %d findings, want %d", len(found.Findings), len(want))
 	}
 }
 
