Tell a request's story from logs

sardinectl explain reads the logs of several hosts, or standard input, and ends with the cause in a sentence. Every refusal reason has one, checked by a test.

--- a/cmd/internal/ctl/operator.go
+++ b/cmd/internal/ctl/operator.go
@@ -16,6 +16,7 @@
 	"github.com/integrii/flaggy"
 
 	"sardinefront.dev/core/request"
+	"sardinefront.dev/gateway/story"
 	"sardinefront.dev/host"
 )
 
@@ -132,23 +133,66 @@
 }
 
 func explainCommand() command {
-	organisation, id := "", ""
+	id, organisation := "", ""
+	var files []string
 	sub := flaggy.NewSubcommand("explain")
-	sub.Description = "Shows each recent decision about a request with the alternatives and their costs, and its record in the journal."
-	sub.AddPositionalValue(&organisation, "organisation", 1, true, "the organisation of the request")
-	sub.AddPositionalValue(&id, "request-id", 2, true, "the id that the caller used")
+	sub.Description = "Tells what happened to a request and why: from logs, or from a running host where an organisation is given."
+	sub.AddPositionalValue(&id, "request-id", 1, true, "the id that the caller used")
+	sub.AddPositionalValue(&organisation, "organisation", 2, false, "its organisation; asks the host for its recent decisions and its record in the journal")
+	sub.StringSlice(&files, "l", "logs", "log file of a host, may be repeated; standard input if neither this nor an organisation is given")
 	return command{sub: sub, run: func(e *env) error {
-		var found host.Explanation
-		if err := e.call(http.MethodGet, "/v1/explain/"+organisation+"/"+id, &found); err != nil {
-			return err
-		}
-		if e.output == "json" {
-			return e.json(found)
+		if organisation == "" || len(files) > 0 {
+			return explainFromLogs(e.out, id, files)
 		}
-		return e.table(func(w io.Writer) { writeExplanation(w, found) })
+		return explainFromHost(e, organisation, id)
 	}}
 }
 
+// explainFromLogs tells the request's story from log files or standard input.
+func explainFromLogs(out io.Writer, id string, files []string) error {
+	var lines []story.Line
+	if len(files) == 0 {
+		found, err := story.Read(os.Stdin, id)
+		if err != nil {
+			return fmt.Errorf("standard input: %w", err)
+		}
+		lines = found
+	}
+	for _, name := range files {
+		found, err := readLog(name, id)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, found...)
+	}
+	story.Tell(out, id, lines)
+	return nil
+}
+
+func readLog(name, id string) ([]story.Line, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	lines, err := story.Read(f, id)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	return lines, nil
+}
+
+func explainFromHost(e *env, organisation, id string) error {
+	var found host.Explanation
+	if err := e.call(http.MethodGet, "/v1/explain/"+organisation+"/"+id, &found); err != nil {
+		return err
+	}
+	if e.output == "json" {
+		return e.json(found)
+	}
+	return e.table(func(w io.Writer) { writeExplanation(w, found) })
+}
+
 func writeExplanation(w io.Writer, found host.Explanation) {
 	if len(found.Decisions) > 0 {
 		fmt.Fprintf(w, "at\taction\ttarget\twhy\tconsidered (cost in ms)\n")
--- /dev/null
+++ b/gateway/story/story.go
@@ -0,0 +1,159 @@
+// Package story tells from the logs of one or more hosts what happened to a request
+// and why.
+package story
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"sardinefront.dev/core/event"
+	"sardinefront.dev/core/refusal"
+)
+
+// Line is one log line about a request.
+type Line struct {
+	// Host is what stands before the JSON object on the line, without its time; empty
+	// for plain JSON lines.
+	Host  string
+	Time  time.Time
+	Event int
+	Name  string
+	// Fields are the other attributes.
+	Fields map[string]any
+}
+
+// maxLine bounds one line of a log, in bytes.
+const maxLine = 1 << 20
+
+// Read returns the lines of a log that carry the request's id. Lines that are no log
+// lines are passed over.
+func Read(r io.Reader, id string) ([]Line, error) {
+	var out []Line
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLine)
+	for s.Scan() {
+		if l, ok := parse(s.Text()); ok && l.Fields["id"] == id {
+			out = append(out, l)
+		}
+	}
+	return out, s.Err()
+}
+
+func parse(text string) (Line, bool) {
+	start := strings.IndexByte(text, '{')
+	if start < 0 {
+		return Line{}, false
+	}
+	l := Line{Fields: map[string]any{}}
+	if err := json.Unmarshal([]byte(text[start:]), &l.Fields); err != nil {
+		return Line{}, false
+	}
+	if before := strings.Fields(text[:start]); len(before) > 0 {
+		l.Host = before[len(before)-1]
+	}
+	number, _ := l.Fields["event"].(float64)
+	l.Event = int(number)
+	l.Name, _ = l.Fields["msg"].(string)
+	at, _ := l.Fields["time"].(string)
+	l.Time, _ = time.Parse(time.RFC3339Nano, at) // a line without a time comes first
+	return l, l.Event > 0
+}
+
+// Tell writes the story in order of time, and its end in a sentence.
+func Tell(w io.Writer, id string, lines []Line) {
+	if len(lines) == 0 {
+		fmt.Fprintf(w, "%s: no line names this request. It was left out by sampling, or it reached another host.\n", id)
+		return
+	}
+	slices.SortStableFunc(lines, func(a, b Line) int { return cmp.Compare(a.Time.UnixNano(), b.Time.UnixNano()) })
+	for _, l := range lines {
+		fmt.Fprintf(w, "%s %s %s%s\n", l.Time.Format("15:04:05.000"), l.Host, l.Name, l.details())
+	}
+	fmt.Fprintf(w, "%s: %s\n", id, End(lines))
+}
+
+// details lists the fields that a reader needs, in a fixed order.
+func (l *Line) details() string {
+	var b strings.Builder
+	for _, key := range []string{
+		"reason", "target", "service", "tier", "organisation", "promptTokens", "config", "tries", "send", "sends",
+		"waited", "first", "longestPause", "after", "retryAfter", "lastEvent", "detail", "error",
+	} {
+		v, ok := l.Fields[key]
+		if !ok || v == "" {
+			continue
+		}
+		if n, isNumber := v.(float64); isNumber && durations[key] {
+			v = time.Duration(n).Round(time.Millisecond)
+		}
+		fmt.Fprintf(&b, " %s=%v", key, v)
+	}
+	return b.String()
+}
+
+// durations names the fields that hold nanoseconds.
+var durations = map[string]bool{"waited": true, "first": true, "longestPause": true, "after": true, "retryAfter": true}
+
+// End says in a sentence how the request ended.
+func End(lines []Line) string {
+	for i := len(lines) - 1; i >= 0; i-- {
+		switch l := lines[i]; l.Event {
+		case event.RequestRefused.Number:
+			reason, _ := l.Fields["reason"].(string)
+			detail, _ := l.Fields["detail"].(string)
+			return fmt.Sprintf("%s (%s)", Sentence(reason), detail)
+		case event.AnswerBroken.Number:
+			return fmt.Sprintf("The answer had begun and could not be completed, so the caller's connection was closed (%v).", l.Fields["error"])
+		case event.RequestAnswered.Number:
+			return "The caller got its whole answer."
+		}
+	}
+	return "No line tells its end: the process was killed, or the end was left out of the log."
+}
+
+// Sentence explains a reason of a refusal.
+func Sentence(reason string) string {
+	if s, ok := sentences[reason]; ok {
+		return s
+	}
+	return "Refused: " + reason + "."
+}
+
+var sentences = map[string]string{
+	refusal.BadRequest.String():         "The request was malformed and was not run.",
+	refusal.BodyTooLarge.String():       "The body exceeded the configured limit; the request was not run.",
+	refusal.CallerTimeout.String():      "The caller did not send the whole request in time; it was not run.",
+	refusal.NoRule.String():             "The configuration in force has no route for it.",
+	refusal.UnknownPool.String():        "Its route names a service that the configuration does not have.",
+	refusal.QueueFull.String():          "Too many requests of its tier were waiting; it was not run.",
+	refusal.Shed.String():               "It gave way to requests of a higher tier and was not run.",
+	refusal.DeadlinePassed.String():     "Its deadline could no longer be met; it was not run.",
+	refusal.NoTarget.String():           "No target was in use; it was not run.",
+	refusal.StoreUnavailable.String():   "The store was needed and did not answer; it was not run.",
+	refusal.JournalUnreachable.String(): "The journal was needed and could not be reached; it was not run.",
+	refusal.InProgress.String():         "An earlier submission of the same id is in progress.",
+	refusal.OutcomeUnknown.String():     "It cannot be proven whether an earlier submission ran.",
+	refusal.OutcomeFailed.String():      "An earlier submission ran and failed.",
+	refusal.TargetRefused.String():      "The target refused it.",
+	refusal.TargetUnreachable.String():  "No connection to a target could be made; it was not run.",
+	refusal.TargetFailed.String():       "The target failed while it may have been running it.",
+	refusal.AnswerCut.String():          "The target's connection ended before the answer was whole.",
+	refusal.AnswerMismatched.String():   "The target's connection carried an answer to another request.",
+	refusal.TargetSilent.String():       "The target gave no whole answer in the time allowed.",
+	refusal.CallerGone.String():         "The caller closed its connection.",
+	refusal.ShuttingDown.String():       "The host was stopping; it was not run.",
+	refusal.Unauthorized.String():       "No organisation holds its key in the configuration in force.",
+	refusal.NotFound.String():           "No such request is on record.",
+	refusal.NotReady.String():           "The host had no configuration yet; it was not run.",
+	refusal.QuotaExceeded.String():      "Its organisation had used up its quota over all hosts; it was not run.",
+	refusal.Overloaded.String():         "No target could have begun it before its caller would have left; it was not run.",
+	refusal.TargetFull.String():         "The targets it was sent to had no room and did not run it.",
+	refusal.TargetMoved.String():        "Another server has the target's address; it was not run.",
+	refusal.RetryBudget.String():        "The budget for repeats of its service was used up; it was not run.",
+}
--- /dev/null
+++ b/gateway/story/story_test.go
@@ -0,0 +1,58 @@
+package story_test
+
+import (
+	"strings"
+	"testing"
+
+	"sardinefront.dev/core/refusal"
+	"sardinefront.dev/gateway/story"
+)
+
+const log = `  12.100 front-a-1 {"time":"2026-01-02T03:04:05.300Z","level":"INFO","msg":"request refused","event":201,"id":"r1","reason":"answer-cut","detail":"target i-1: EOF","after":300000000}
+not a log line
+  12.000 front-a-1 {"time":"2026-01-02T03:04:05.100Z","level":"INFO","msg":"request sent","event":206,"id":"r1","target":"i-1","waited":12000000}
+{"time":"2026-01-02T03:04:05.200Z","level":"INFO","msg":"target doubted","event":306,"id":"r2","target":"i-9"}
+{"broken`
+
+// Guards against lines of other requests, a wrong order, and an end without its cause.
+func TestTell(t *testing.T) {
+	lines, err := story.Read(strings.NewReader(log), "r1")
+	if err != nil || len(lines) != 2 {
+		t.Fatalf("%d lines, %v", len(lines), err)
+	}
+	var out strings.Builder
+	story.Tell(&out, "r1", lines)
+	got := out.String()
+	if strings.Index(got, "request sent") > strings.Index(got, "request refused") || !strings.Contains(got, "waited=12ms") ||
+		!strings.Contains(got, "r1: "+story.Sentence("answer-cut")+" (target i-1: EOF)") || strings.Contains(got, "i-9") {
+		t.Errorf("story:\n%s", got)
+	}
+}
+
+// Guards against a reason that has no sentence.
+func TestEveryReasonHasASentence(t *testing.T) {
+	for _, r := range refusal.Reasons() {
+		if strings.HasPrefix(story.Sentence(r.String()), "Refused: ") {
+			t.Errorf("%s has no sentence", r)
+		}
+	}
+}
+
+// Guards against a request that is reported as served because nothing is known of it.
+func TestUnknownRequest(t *testing.T) {
+	var out strings.Builder
+	story.Tell(&out, "r3", nil)
+	if !strings.Contains(out.String(), "no line names this request") {
+		t.Error(out.String())
+	}
+}
+
+// Guards against a crash on logs that were cut or written by something else.
+func FuzzRead(f *testing.F) {
+	f.Add(log)
+	f.Add(`{"event":"x","id":"r1"}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		lines, _ := story.Read(strings.NewReader(text), "r1")
+		story.Tell(&strings.Builder{}, "r1", lines)
+	})
+}
