Leave silent streams sooner, and tell peers which targets are ejected

Change: the wait for a first event follows the prompt's length; a peer's ejection makes a target dearer for 0.6 s, unless the peer has ejected over a quarter of all targets.

--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -29,9 +29,9 @@
 	waiting map[*reserve.Waiter]chan outcome
 	timer   *time.Timer
 	// starved is the lowest lane that waits for long, LaneCount if none does.
-	starved   reserve.Lane
-	raisedAt  time.Time
-	onStarved func()
+	starved  reserve.Lane
+	raisedAt time.Time
+	tell     func() // sends a heartbeat
 }
 
 // outcome is what a waiting request gets.
@@ -40,9 +40,9 @@
 	refusal *refusal.Refusal
 }
 
-func newService(name string, reservations bool, log *slog.Logger, onStarved func()) *Service {
+func newService(name string, reservations bool, log *slog.Logger, tell func()) *Service {
 	s := &Service{
-		name: name, log: log, starved: reserve.LaneCount, onStarved: onStarved,
+		name: name, log: log, starved: reserve.LaneCount, tell: tell,
 		pool:    reserve.New(reserve.Config{Reservations: reservations, Seed: rand.Uint64()}),
 		targets: map[string]directory.Target{},
 		waiting: map[*reserve.Waiter]chan outcome{},
@@ -134,7 +134,7 @@
 	s.starved = s.pool.Starved(now)
 	if s.starved < was || s.starved < reserve.LaneCount && now.Sub(s.raisedAt) > floorLife/2 {
 		s.raisedAt = now
-		s.onStarved()
+		s.tell()
 	}
 }
 
@@ -181,6 +181,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	if why := s.pool.End(target, o, sample, now); why != "" {
+		s.tell()
 		event.TargetEjected.Log(s.log, slog.String("service", s.name), slog.String("target", target), slog.String("why", why))
 	}
 	s.pump(now)
@@ -205,17 +206,17 @@
 
 // Services holds the schedulers of all services.
 type Services struct {
-	zone      string
-	log       *slog.Logger
-	onStarved func()
-	mu        sync.Mutex
-	all       map[string]*Service
+	zone string
+	log  *slog.Logger
+	tell func()
+	mu   sync.Mutex
+	all  map[string]*Service
 }
 
 // NewServices returns an empty set for a host in the zone. The function is called,
 // and must not block, when the other hosts should hear of waiting requests.
-func NewServices(zone string, log *slog.Logger, onStarved func()) *Services {
-	return &Services{zone: zone, log: log, onStarved: onStarved, all: map[string]*Service{}}
+func NewServices(zone string, log *slog.Logger, tell func()) *Services {
+	return &Services{zone: zone, log: log, tell: tell, all: map[string]*Service{}}
 }
 
 // Floors returns the lowest lane that waits for long, by service. The last lane
@@ -269,6 +270,33 @@
 	return out
 }
 
+// Ejected returns the targets that this host has ejected.
+func (s *Services) Ejected() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for _, service := range s.all {
+		service.mu.Lock()
+		out = append(out, service.pool.Ejected()...)
+		service.mu.Unlock()
+	}
+	return out
+}
+
+// Doubt takes the targets that a peer has ejected.
+func (s *Services) Doubt(targets []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for _, service := range s.all {
+		service.mu.Lock()
+		for _, name := range targets {
+			service.pool.Doubt(name, now)
+		}
+		service.mu.Unlock()
+	}
+}
+
 // Seed takes what a peer has learned of targets that this host does not know.
 func (s *Services) Seed(speeds []reserve.Speed) {
 	s.mu.Lock()
@@ -301,7 +329,7 @@
 	for i := range table.Services {
 		info := &table.Services[i]
 		if s.all[info.Name] == nil {
-			s.all[info.Name] = newService(info.Name, info.Engine != nil && info.Engine.MaxHold > 0, s.log, s.onStarved)
+			s.all[info.Name] = newService(info.Name, info.Engine != nil && info.Engine.MaxHold > 0, s.log, s.tell)
 		}
 	}
 	for name, service := range s.all {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -222,6 +223,9 @@
 	h.Use = g.quota.Use()
 	h.Floors = g.services.Floors()
 	h.Speeds = g.speeds.news(g.services.Speeds(), now)
+	for _, name := range g.services.Ejected() {
+		h.Ejected = append(h.Ejected, shortName(name))
+	}
 	h.Levels = g.quota.Levels(now)
 }
 
@@ -232,9 +236,31 @@
 	if len(h.Speeds) > 0 {
 		g.services.Seed(resolve(h.Speeds, g.targetKeys()))
 	}
+	if len(h.Ejected) > 0 {
+		g.services.Doubt(g.trusted(h.Ejected))
+	}
 	g.quota.Report(h.Name, h.Incarnation, h.Use, h.Levels, now)
 }
 
+// mostEjected is the part of all targets from which a peer that has ejected them is
+// taken to be cut off itself.
+const mostEjected = 0.25
+
+// trusted returns the targets that a peer has ejected, none if they are too many.
+func (g *Gateway) trusted(ejected []uint32) []string {
+	keys := g.targetKeys()
+	if float64(len(ejected)) > max(2, mostEjected*float64(len(keys))) {
+		return nil
+	}
+	var out []string
+	for _, key := range keys {
+		if slices.Contains(ejected, shortName(key)) {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
 // targetKeys returns the names of all targets as the schedulers know them.
 func (g *Gateway) targetKeys() []string {
 	targets := g.dir.Targets()
--- a/gateway/ingress/answer.go
+++ b/gateway/ingress/answer.go
@@ -80,6 +80,9 @@
 	if !x.route.Idempotent() || x.sends >= x.route.MaxAttempts || x.route.Goal <= 0 {
 		return 0
 	}
+	if x.route.Kind == routing.Stream {
+		return x.eventWait(0)
+	}
 	return max(leastSafePatience, safePatienceGoals*x.route.Goal)
 }
 
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -24,9 +24,14 @@
 	maxEvent = 1 << 20
 	// silentGaps bounds the pause between events of a resumable stream, in the
 	// longest pauses of its route, before it is resumed elsewhere.
-	silentGaps = 3
+	silentGaps = 2
 	// leastSilence bounds that pause from below.
-	leastSilence = 600 * time.Millisecond
+	leastSilence = 500 * time.Millisecond
+	// firstWaitFixed and firstWaitPerToken bound the wait for the first event of a
+	// resumable stream. The second is six times the prefill time of a fast engine,
+	// so that a slow one is not taken for a silent one.
+	firstWaitFixed    = 350 * time.Millisecond
+	firstWaitPerToken = 6 * prefillPerToken
 )
 
 var errEventTooLong = errors.New("event too long")
@@ -81,7 +86,7 @@
 		return 0
 	}
 	if events == 0 && !x.started {
-		return max(leastSafePatience, safePatienceGoals*x.route.Goal)
+		return firstWaitFixed + time.Duration(x.call.PromptTokens)*firstWaitPerToken
 	}
 	return max(leastSilence, silentGaps*x.route.MaxGap)
 }
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -42,6 +42,8 @@
 	// Speeds are pauses between events in microseconds, by the short name of the
 	// target.
 	Speeds map[uint32]uint32
+	// Ejected are the short names of the targets that the host has ejected.
+	Ejected []uint32
 	// Known are addresses of other hosts.
 	Known []string
 	// Changes are recent changes of the list of targets.
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -123,6 +123,11 @@
 	// doubtWeight makes a target that failed lately cost more than one that is four
 	// times slower.
 	doubtWeight = 10
+	// hearsayDoubt is the doubt about a target that another host has ejected. It is
+	// avoided, not closed: the other host may be the one that is cut off.
+	hearsayDoubt = 0.4
+	// hearsayLife is how long that counts unless it is told again.
+	hearsayLife = 600 * time.Millisecond
 	// serviceOvercommit lets a plain service queue a little work, which costs less
 	// than a wait on the host when other hosts are idle.
 	serviceOvercommit = 1.5
@@ -162,15 +167,16 @@
 // target is the state of one target.
 type target struct {
 	Target
-	health    health.Tracker
-	failed    uint32 // requests that failed there since the start
-	inflight  int
-	fullUntil time.Time
-	refusals  int // reservations refused in a row
-	gap       time.Duration
-	latency   time.Duration
-	load      float64 // running and waiting requests per slot, as last reported
-	loadAt    time.Time
+	health health.Tracker
+	// doubtedUntil is how long another host's ejection counts.
+	doubtedUntil time.Time
+	inflight     int
+	fullUntil    time.Time
+	refusals     int // reservations refused in a row
+	gap          time.Duration
+	latency      time.Duration
+	load         float64 // running and waiting requests per slot, as last reported
+	loadAt       time.Time
 }
 
 // Pool is the scheduler of one service on one host. It is not safe for concurrent
@@ -421,13 +427,23 @@
 	if now.Before(t.ColdUntil) {
 		c *= coldFactor
 	}
-	c *= 1 + doubtWeight*t.health.Doubt(now)
+	c *= 1 + doubtWeight*t.doubt(now)
 	if !t.Local {
 		c += remotePenalty.Seconds()
 	}
 	return c
 }
 
+// doubt returns how far a target is to be avoided, 0..1: by its own failures, or
+// because another host has ejected it.
+func (t *target) doubt(now time.Time) float64 {
+	d := t.health.Doubt(now)
+	if now.Before(t.doubtedUntil) {
+		d = max(d, hearsayDoubt)
+	}
+	return d
+}
+
 func (t *target) use() float64 { return float64(t.inflight) / float64(max(1, t.Slots)) }
 
 // loadLife is how long a load report counts.
@@ -491,7 +507,6 @@
 	case Served:
 		return t.health.Observe(health.Success, now)
 	case Failed:
-		t.failed++
 		return t.health.Observe(health.Failure, now)
 	case Silent:
 		return t.health.Observe(health.Silence, now)
@@ -514,6 +529,24 @@
 	return old + time.Duration(smoothing*float64(sample-old))
 }
 
+// Ejected returns the targets that this host has ejected.
+func (p *Pool) Ejected() []string {
+	var out []string
+	for _, t := range p.order {
+		if t.health.State() == health.Ejected {
+			out = append(out, t.Name)
+		}
+	}
+	return out
+}
+
+// Doubt records that another host has ejected a target.
+func (p *Pool) Doubt(name string, now time.Time) {
+	if t := p.targets[name]; t != nil {
+		t.doubtedUntil = now.Add(hearsayLife)
+	}
+}
+
 // Stats counts what the pool holds.
 type Stats struct {
 	Waiting  [request.TierCount]int
--- a/sched/reserve/reserve_test.go
+++ b/sched/reserve/reserve_test.go
@@ -170,6 +170,21 @@
 	}
 }
 
+// Guards against a dark engine that each host has to find out by itself, and against
+// one that is closed on another host's word alone.
+func TestEngineEjectedByAnotherHostIsAvoided(t *testing.T) {
+	p := reserve.New(reserve.Config{Reservations: true})
+	p.SetTargets(engines(2, 1))
+	p.Doubt("e0", start)
+	for _, id := range []string{"a", "b"} {
+		submit(t, p, waiter(id, request.Urgent, "o", start), start)
+	}
+	grants, _ := p.Next(start)
+	if len(grants) != 2 || grants[0].Target != "e1" || grants[1].Target != "e0" {
+		t.Errorf("grants %+v", grants)
+	}
+}
+
 // Guards against leaving targets, and ones that the request must not try again,
 // getting work.
 func TestClosedTargets(t *testing.T) {
