Let a request that lost its target wait a little longer for the next one

Cause: a stream that broke 1.4 s after its arrival was given up as overload 0.3 s later, by the wait that bounds new requests; its caller waits for the next event.

--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -137,6 +137,8 @@
 	// hopelessPart is the wait of the requests ahead, as a part of the patience, from
 	// which a new one is refused at once.
 	hopelessPart = 0.4
+	// resubmitTime is how long a request may wait for its next target.
+	resubmitTime = 700 * time.Millisecond
 	// defaultWaiting bounds the queue of a tier.
 	defaultWaiting = 2048
 	// wakeEvery bounds the time between looks at the queue while requests wait.
@@ -243,10 +245,14 @@
 	return nil
 }
 
-// Resubmit queues a request again, ahead of its organisation's other requests,
-// after a grant that did not run it.
-func (p *Pool) Resubmit(w *Waiter) {
+// Resubmit queues a request again, ahead of its organisation's other requests, after
+// a grant that did not end it. It may wait a little beyond its usual time: its caller
+// has been kept waiting by a target, or already has a part of its answer.
+func (p *Pool) Resubmit(w *Waiter, now time.Time) {
 	w.item = w.queueItem()
+	if extended := now.Add(resubmitTime); extended.After(w.item.LatestStart) {
+		w.item.LatestStart = extended
+	}
 	p.queue.PushFront(&w.item)
 	w.queued = true
 	p.waiters[w.Request.ID] = w
--- a/sched/reserve/reserve_test.go
+++ b/sched/reserve/reserve_test.go
@@ -125,7 +125,7 @@
 	submit(t, p, w, start)
 	expect(t, next(p, start), "first", "a")
 	p.Full("e0", start)
-	p.Resubmit(w)
+	p.Resubmit(w, start)
 	expect(t, next(p, start.Add(ms)))
 	if wake := p.Wake(start); wake.Sub(start) < 10*ms || wake.Sub(start) > 50*ms {
 		t.Errorf("tries again after %s", wake.Sub(start))
@@ -185,6 +185,26 @@
 	}
 }
 
+// Guards against a stream that breaks late and is given up as overload, though its
+// caller waits for the next event.
+func TestResubmittedRequestMayWaitALittle(t *testing.T) {
+	p := reserve.New(reserve.Config{Reservations: true})
+	p.SetTargets(engines(1, 1))
+	w := waiter("a", request.Urgent, "o", start)
+	submit(t, p, w, start)
+	expect(t, next(p, start), "a")
+	now := start.Add(3500 * ms)
+	p.End("e0", reserve.Silent, reserve.Sample{}, now)
+	p.SetTargets(nil)
+	p.Resubmit(w, now)
+	if _, expired := p.Next(now.Add(600 * ms)); len(expired) != 0 {
+		t.Error("expired within the time of a resubmitted request")
+	}
+	if _, expired := p.Next(now.Add(800 * ms)); len(expired) != 1 {
+		t.Error("a resubmitted request waits for ever")
+	}
+}
+
 // Guards against leaving targets, and ones that the request must not try again,
 // getting work.
 func TestClosedTargets(t *testing.T) {
