Move versions by order, judged by the product's judge on the order's clock

A rollout sends half of the allowed share to the new version, pools what all hosts see in heartbeats, and weighs it with moves/judge, whose windows are stretched from the order's seconds. Any host takes a bad version back at once; the first live host reports the end by compare-and-swap.

--- a/cmd/sardinefront/entry.go
+++ b/cmd/sardinefront/entry.go
@@ -43,8 +43,13 @@
 		fmt.Fprintln(os.Stderr, "sardinefront:", err)
 		return exitStart
 	}
+	kv := store.New(store.Config{Address: s.Store.Address, Counter: metrics})
 	g := gateway.New(gateway.Config{
-		Settings: s, Store: store.New(store.Config{Address: s.Store.Address, Counter: metrics}),
+		Settings: s, Store: kv, RolloutStore: kv,
+		Rollouts: gateway.RolloutLayout{
+			StatusPrefix: wire.PrefixRolloutStatus, StartPrefix: wire.PrefixRolloutStart,
+			Order: wire.RolloutOrder, Status: wire.RolloutStatus, ReadStatus: wire.ReadRolloutStatus,
+		},
 		Layout: directory.Layout{
 			ConfigKey: wire.KeyConfig, TargetPrefix: wire.PrefixTargets, RolloutPrefix: wire.PrefixRollout,
 			Target: wire.Target, Config: wire.Config,
--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -62,7 +62,7 @@
 		key := t.Key()
 		s.targets[key] = t
 		infos = append(infos, reserve.Target{
-			Name: key, Local: t.Zone == zone, Slots: t.Slots, Leaving: t.Leaving, ColdUntil: t.ColdUntil,
+			Name: key, Local: t.Zone == zone, Version: t.Version, Slots: t.Slots, Leaving: t.Leaving, ColdUntil: t.ColdUntil,
 		})
 	}
 	s.pool.SetTargets(infos)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"sardinefront.dev/gateway/protocol"
 	"sardinefront.dev/gateway/quota"
 	"sardinefront.dev/gateway/retry"
+	"sardinefront.dev/gateway/rollout"
 	"sardinefront.dev/gateway/routing"
 	"sardinefront.dev/gateway/settings"
 	"sardinefront.dev/gateway/upstream"
@@ -47,6 +48,9 @@
 	// ReadyPath is the path of the readiness question.
 	ReadyPath string
 	Metrics   Metrics
+	// RolloutStore and Rollouts are for rollouts of versions.
+	RolloutStore RolloutStore
+	Rollouts     RolloutLayout
 	// MetricsPage serves the metrics; nil serves none.
 	MetricsPage http.Handler
 	Log         *slog.Logger
@@ -83,6 +87,7 @@
 	dir      *directory.Directory
 	mesh     *peers.Mesh
 	ingress  *ingress.Server
+	rollouts *rollout.Tracker
 	speeds   speedTable
 
 	callers, ready, internal, metrics *http.Server
@@ -106,10 +111,12 @@
 	g.services = dispatch.NewServices(s.Host.Zone, cfg.Log, g.kick)
 	g.dir = directory.New(directory.Config{
 		Name: s.Host.Name, Store: cfg.Store, Layout: cfg.Layout, Current: &g.current, Log: cfg.Log, Changed: g.update,
+		Ordered: g.ordered,
 	})
+	g.rollouts = rollout.New(s.Host.Name, rollout.Limits{Share: s.Rollout.ExposeShare})
 	g.ingress = ingress.New(ingress.Config{
 		Codec: cfg.Codec, Current: &g.current, Quota: g.quota, Budget: g.budget, Services: g.services,
-		Upstream: g.upstream, Metrics: cfg.Metrics, Log: cfg.Log,
+		Upstream: g.upstream, Rollouts: g.rollouts, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
 	return g
 }
@@ -143,6 +150,7 @@
 	g.wg.Go(func() { mesh.Run(ctx) })
 	g.wg.Go(func() { g.dir.Run(ctx) })
 	g.wg.Go(func() { g.sweep(ctx) })
+	g.wg.Go(func() { g.steer(ctx) })
 	event.Started.Log(g.cfg.Log, slog.String("host", s.Host.Name), slog.String("callers", s.Listen.Callers))
 	return nil
 }
@@ -226,6 +234,7 @@
 	for _, name := range g.services.Ejected() {
 		h.Ejected = append(h.Ejected, shortName(name))
 	}
+	h.Rollouts = g.rollouts.Report(now)
 	h.Levels = g.quota.Levels(now)
 }
 
@@ -239,6 +248,9 @@
 	if len(h.Ejected) > 0 {
 		g.services.Doubt(g.trusted(h.Ejected))
 	}
+	if err := g.rollouts.Heard(h.Name, h.Rollouts, now); err != nil {
+		event.PeerRejected.Log(g.cfg.Log, slog.Any("error", err))
+	}
 	g.quota.Report(h.Name, h.Incarnation, h.Use, h.Levels, now)
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -136,13 +136,19 @@
 	s.Listen.InternalPorts = []uint16{freePort(w.t)}
 	s.Store.Address = w.store.Address()
 	s.Stop.GraceSeconds = 8
+	s.Rollout.ExposeShare = 0.1
 	s.RetryBudget.Ratio, s.RetryBudget.Slack, s.RetryBudget.WindowSeconds = 0.2, 50, 10
 	metrics, err := telemetry.New()
 	if err != nil {
 		w.t.Fatal(err)
 	}
+	kv := store.New(store.Config{Address: s.Store.Address})
 	w.host = gateway.New(gateway.Config{
-		Settings: s, Store: store.New(store.Config{Address: s.Store.Address}),
+		Settings: s, Store: kv, RolloutStore: kv,
+		Rollouts: gateway.RolloutLayout{
+			StatusPrefix: wire.PrefixRolloutStatus, StartPrefix: wire.PrefixRolloutStart,
+			Order: wire.RolloutOrder, Status: wire.RolloutStatus, ReadStatus: wire.ReadRolloutStatus,
+		},
 		Layout: directory.Layout{
 			ConfigKey: wire.KeyConfig, TargetPrefix: wire.PrefixTargets, RolloutPrefix: wire.PrefixRollout,
 			Target: wire.Target, Config: wire.Config,
@@ -523,6 +529,65 @@
 	}
 }
 
+// order asks for a rollout of the plain service to v2 within two seconds, while
+// requests come, and returns the state that stands in the store at the end.
+func (w *world) order(fail bool) string {
+	w.t.Helper()
+	w.add(plainName, slotengine.Config{Slots: 8})
+	fresh := w.add(plainName, slotengine.Config{Slots: 8})
+	b, err := json.Marshal(map[string]any{"service": plainName, "address": fresh.Address(), "zone": "z", "version": "v2", "slots": 8, "state": "ready"})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.store.Put(wire.PrefixTargets+"i-1", b)
+	if fail {
+		fresh.Always(slotengine.Fail)
+	}
+	w.start()
+	w.store.Put(wire.PrefixRollout+plainName, []byte(`{"service":"plain","target":"v2","overS":3}`))
+	status := func() string {
+		var s struct{ State, Target string }
+		if v := w.store.Value(wire.PrefixRolloutStatus + plainName); v != nil && json.Unmarshal(v, &s) != nil {
+			w.t.Errorf("status %s", v)
+		}
+		return s.State
+	}
+	w.until("the rollout runs", func() bool { return status() == "running" })
+	w.until("the rollout ends", func() bool {
+		w.call("POST", pathUnsafe, "order")
+		return status() != "running"
+	})
+	return status()
+}
+
+// Guards against a good version that is not reported as done.
+func TestRolloutEnds(t *testing.T) {
+	w := newWorld(t)
+	if got := w.order(false); got != "done" {
+		t.Errorf("state %q", got)
+	}
+	w.until("all requests go to the new version", func() bool {
+		before := len(w.servers[0].Runs())
+		w.call("POST", pathUnsafe, "order")
+		return len(w.servers[0].Runs()) == before
+	})
+}
+
+// Guards against a bad version that is not taken back, or gets requests afterwards.
+func TestBadVersionIsTakenBack(t *testing.T) {
+	w := newWorld(t)
+	if got := w.order(true); got != "rolled_back" {
+		t.Errorf("state %q", got)
+	}
+	before := len(w.servers[1].Runs())
+	for range 50 {
+		w.call("POST", pathUnsafe, "order")
+	}
+	if n := len(w.servers[1].Runs()) - before; n != 0 {
+		t.Errorf("%d requests at a version that was taken back", n)
+	}
+}
+
 // Guards against a stop that cuts a request in progress, or that goes on saying that
 // the host is ready.
 func TestStopFinishesStreams(t *testing.T) {
--- a/gateway/ingress/answer.go
+++ b/gateway/ingress/answer.go
@@ -152,7 +152,7 @@
 	if a.Status >= 500 {
 		o = reserve.Failed
 	}
-	return try{verdict: answered, sent: true, outcome: o, sample: x.sample(began)}
+	return try{verdict: answered, sent: true, outcome: o, sample: x.sample(began), first: time.Since(began)}
 }
 
 // sample is empty for engines, whose answers of other kinds say nothing of speed.
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -23,6 +23,7 @@
 	"sardinefront.dev/gateway/protocol"
 	"sardinefront.dev/gateway/quota"
 	"sardinefront.dev/gateway/retry"
+	"sardinefront.dev/gateway/rollout"
 	"sardinefront.dev/gateway/routing"
 	"sardinefront.dev/gateway/upstream"
 )
@@ -51,6 +52,7 @@
 	Budget   *retry.Budget
 	Services *dispatch.Services
 	Upstream *upstream.Pool
+	Rollouts *rollout.Tracker
 	Metrics  Metrics
 	Log      *slog.Logger
 }
@@ -311,7 +313,13 @@
 }
 
 // waiter returns the request's entry for the queue of its service.
-func (x *exchange) waiter() *reserveWaiter { return newWaiter(x.request, x.route) }
+func (x *exchange) waiter() *reserveWaiter {
+	w := newWaiter(x.request, x.route)
+	if split := x.cfg.Rollouts.Split(x.service, x.arrived); split.Target != "" {
+		w.Version, w.Old = split.Target, rand.Float64() >= split.Share
+	}
+	return w
+}
 
 // callerLeft reports whether the caller has closed its connection.
 func (x *exchange) callerLeft() bool { return errors.Is(x.r.Context().Err(), context.Canceled) }
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -17,6 +17,7 @@
 	"sardinefront.dev/gateway/protocol"
 	"sardinefront.dev/gateway/routing"
 	"sardinefront.dev/gateway/upstream"
+	"sardinefront.dev/moves/judge"
 	"sardinefront.dev/sched/reserve"
 )
 
@@ -65,10 +66,12 @@
 	// outcome is what the try says about the target.
 	outcome reserve.Outcome
 	sample  reserve.Sample
-	full    bool // the target had no room
-	sent    bool
-	reason  refusal.Reason
-	err     error
+	// first is the time from the send to the first byte, 0 if there was none.
+	first  time.Duration
+	full   bool // the target had no room
+	sent   bool
+	reason refusal.Reason
+	err    error
 }
 
 // run finds targets for the request until it is answered or given up.
@@ -148,6 +151,7 @@
 	} else {
 		service.End(target.Key(), t.outcome, t.sample)
 	}
+	x.observe(target, t)
 	if t.verdict == answered {
 		return
 	}
@@ -164,6 +168,22 @@
 		slog.String("service", x.service), slog.Bool("sent", t.sent), slog.String("reason", t.reason.String()), slog.Any("error", t.err))
 }
 
+// observe counts the try for a rollout of the service.
+func (x *exchange) observe(target directory.Target, t try) {
+	if !t.sent || t.outcome == reserve.Abandoned {
+		return
+	}
+	result := judge.Answered
+	switch {
+	case t.outcome == reserve.Served:
+	case t.reason == refusal.AnswerCut:
+		result = judge.Cut
+	default:
+		result = judge.Failed
+	}
+	x.cfg.Rollouts.Observe(x.service, target.Version, target.ID, x.route.Name, result, t.first, t.sample.Gap, time.Now())
+}
+
 // mayGoOn decides whether the request is tried at another target, and prepares
 // that. A refusal ends it.
 func (x *exchange) mayGoOn(ctx context.Context, w *reserve.Waiter, target directory.Target, t try) *refusal.Refusal {
@@ -194,6 +214,7 @@
 			return f
 		}
 		w.Exclude(target.Key())
+		w.Old = w.Old || x.cfg.Rollouts.Split(x.service, time.Now()).Share < 1 // a repeat goes to the proven version
 		x.cfg.Metrics.Retry(retryReason(t.reason))
 		event.RequestRetried.Log(x.cfg.Log, slog.String("id", x.call.ID), slog.String("target", target.ID), slog.String("reason", t.reason.String()))
 	}
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -109,6 +109,14 @@
 	t.events++
 }
 
+// firstWait returns the time from the send to the first event, 0 if there was none.
+func (t streamTiming) firstWait() time.Duration {
+	if t.events == 0 {
+		return 0
+	}
+	return t.first.Sub(t.began)
+}
+
 // leastEvents is the number of events from which the pause between them counts.
 const leastEvents = 4
 
@@ -127,8 +135,8 @@
 		x.head(a, 0, false)
 		conn.Finish(a, true)
 		x.cfg.Metrics.EventPause(x.request.Tier, timing.longest.Seconds())
-		x.done(slog.Duration("first", timing.first.Sub(x.arrived)), slog.Int("events", timing.events), slog.Duration("longestPause", timing.longest))
-		return try{verdict: answered, sent: true, outcome: reserve.Served, sample: timing.sample()}
+		x.done(slog.Duration("first", x.waited+timing.firstWait()), slog.Int("events", timing.events), slog.Duration("longestPause", timing.longest))
+		return try{verdict: answered, sent: true, outcome: reserve.Served, sample: timing.sample(), first: timing.firstWait()}
 	}
 	conn.Finish(a, false)
 	var timeout interface{ Timeout() bool }
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -8,6 +8,8 @@
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"sardinefront.dev/moves/judge"
 )
 
 // formatVersion is the first field of every message. Hosts drop messages of other
@@ -48,44 +50,38 @@
 	Known []string
 	// Changes are recent changes of the list of targets.
 	Changes []Change
-	// Verdicts are the rollout verdicts that the host knows, by service.
-	Verdicts map[string]Verdict
-	// Evidence is what the host has counted for rollouts, by service.
-	Evidence map[string]Evidence
-}
-
-// Change is one entry of the list of targets as the store holds it.
-type Change struct {
-	_        struct{} `cbor:",toarray"`
-	Key      string
-	Value    []byte // empty where Deleted
-	Revision int64
-	Deleted  bool
+	// Rollouts are what the host knows of rollouts, by service.
+	Rollouts map[string]Rollout
 }
 
-// Verdict is the end of a rollout.
-type Verdict struct {
+// Rollout is what one host knows of the rollout of a service.
+type Rollout struct {
 	_ struct{} `cbor:",toarray"`
 	// Order is the store's revision of the order.
 	Order int64
-	Bad   bool
+	// ElapsedMs is how long the order has been known, in milliseconds.
+	ElapsedMs int64
+	// State is a rollout.State.
+	State uint8
+	Why   string
+	// Windows are the host's own newest counts.
+	Windows []EvidenceWindow
 }
 
-// Evidence is what one host has seen of the two versions of a rollout since the
-// order. Each count only grows.
-type Evidence struct {
-	_     struct{} `cbor:",toarray"`
-	Order int64
-	Old   Counts
-	New   Counts
+// EvidenceWindow is what one host has counted in one window of a rollout.
+type EvidenceWindow struct {
+	_      struct{} `cbor:",toarray"`
+	Number int64
+	Routes []judge.RouteDigest
 }
 
-// Counts are the answers of one version.
-type Counts struct {
-	_      struct{} `cbor:",toarray"`
-	Good   int64
-	Failed int64
-	Slow   int64
+// Change is one entry of the list of targets as the store holds it.
+type Change struct {
+	_        struct{} `cbor:",toarray"`
+	Key      string
+	Value    []byte // empty where Deleted
+	Revision int64
+	Deleted  bool
 }
 
 var (
--- /dev/null
+++ b/gateway/rollouts.go
@@ -0,0 +1,177 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"strconv"
+	"time"
+
+	"sardinefront.dev/core/event"
+	"sardinefront.dev/gateway/rollout"
+	"sardinefront.dev/platform"
+)
+
+// RolloutStore is what rollouts need of the store.
+type RolloutStore interface {
+	Get(ctx context.Context, key string) (platform.Entry, error)
+	CompareAndSwap(ctx context.Context, key string, value []byte, prev int64, lease platform.LeaseID) (int64, error)
+}
+
+// RolloutLayout names the keys of rollouts and reads their values.
+type RolloutLayout struct {
+	StatusPrefix string
+	// StartPrefix keeps when an order was first seen, for hosts that restart.
+	StartPrefix string
+	Order       func(e platform.Entry) (rollout.Order, error)
+	Status      func(o rollout.Order, s rollout.State) ([]byte, error)
+	ReadStatus  func(value []byte) (target string, s rollout.State, err error)
+}
+
+const (
+	// decideEvery is how often the evidence is weighed.
+	decideEvery = 100 * time.Millisecond
+	// rewriteAfter is how long a status that was written is taken to stand.
+	rewriteAfter = time.Second
+)
+
+// steering is what this host has written for an order.
+type steering struct {
+	revision int64 // of the order
+	state    rollout.State
+	at       time.Time
+	settled  bool
+}
+
+// ordered takes an order, or its removal, from the store.
+func (g *Gateway) ordered(service string, e platform.Entry) {
+	if e.Deleted {
+		g.rollouts.End(service, e.Revision)
+		return
+	}
+	o, err := g.cfg.Rollouts.Order(e)
+	if err != nil {
+		event.ConfigRejected.Log(g.cfg.Log, slog.Any("error", err))
+		return
+	}
+	g.rollouts.Begin(o, 0, time.Now())
+	event.MoveStarted.Log(g.cfg.Log, slog.String("service", service), slog.String("target", o.Target), slog.Duration("over", o.Over))
+	g.wg.Go(func() { g.recoverRollout(o) })
+}
+
+// recoverRollout learns what was decided about an order before this process started.
+func (g *Gateway) recoverRollout(o rollout.Order) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	l := g.cfg.Rollouts
+	if e, err := g.cfg.RolloutStore.Get(ctx, l.StatusPrefix+o.Service); err == nil && e.Revision > o.Revision {
+		if target, s, err := l.ReadStatus(e.Value); err == nil && target == o.Target {
+			g.rollouts.Settle(o.Service, o.Revision, s, "as the store says")
+		}
+	}
+	e, err := g.cfg.RolloutStore.Get(ctx, l.StartPrefix+o.Service)
+	if err == nil && e.Revision > o.Revision {
+		if ms, err := strconv.ParseInt(string(e.Value), 10, 64); err == nil {
+			g.rollouts.Age(o.Service, o.Revision, time.Since(time.UnixMilli(ms)), time.Now())
+		}
+		return
+	}
+	if errors.Is(err, platform.ErrNotFound) || err == nil {
+		now := strconv.FormatInt(time.Now().UnixMilli(), 10)
+		// Another host may have written it first; both times are right enough.
+		_, _ = g.cfg.RolloutStore.CompareAndSwap(ctx, l.StartPrefix+o.Service, []byte(now), e.Revision, platform.NoLease)
+	}
+}
+
+// steer weighs the evidence and writes the states of orders until ctx ends.
+func (g *Gateway) steer(ctx context.Context) {
+	t := time.NewTicker(decideEvery)
+	defer t.Stop()
+	written := map[string]*steering{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			for _, d := range g.rollouts.Decide(g.leads(now), g.targetCount, now) {
+				g.writeStatus(ctx, written, d, now)
+			}
+		}
+	}
+}
+
+// leads reports whether this host comes first among the live ones.
+func (g *Gateway) leads(now time.Time) bool {
+	for _, p := range g.mesh.Alive(now) {
+		if p.Name < g.cfg.Settings.Host.Name && !p.Stopping {
+			return false
+		}
+	}
+	return true
+}
+
+// targetCount returns the number of targets of a service.
+func (g *Gateway) targetCount(service string) int {
+	n := 0
+	for _, t := range g.dir.Targets() {
+		if t.Service == service {
+			n++
+		}
+	}
+	return n
+}
+
+// writeStatus writes a state unless a final one stands in the store.
+func (g *Gateway) writeStatus(ctx context.Context, written map[string]*steering, d rollout.Decision, now time.Time) {
+	w := written[d.Order.Service]
+	if w == nil || w.revision != d.Order.Revision {
+		w = &steering{revision: d.Order.Revision}
+		written[d.Order.Service] = w
+	}
+	if w.settled || w.state == d.State && now.Sub(w.at) < rewriteAfter {
+		return
+	}
+	w.state, w.at = d.State, now
+	s, err := g.putStatus(ctx, d)
+	if err != nil {
+		event.MoveRetried.Log(g.cfg.Log, slog.String("service", d.Order.Service), slog.Any("error", err))
+		return
+	}
+	if s == rollout.Running {
+		return
+	}
+	w.settled = true
+	g.rollouts.Settle(d.Order.Service, d.Order.Revision, s, d.Why)
+	ended := event.MoveDone
+	if s == rollout.TakenBack {
+		ended = event.MoveTakenBack
+	}
+	ended.Log(g.cfg.Log, slog.String("service", d.Order.Service), slog.String("target", d.Order.Target), slog.String("why", d.Why))
+	g.kick()
+}
+
+// putStatus writes the state with compare-and-swap and returns the one that stands.
+// A final state of the same order is left alone, so that a version that one host has
+// taken back is not reported as done by another.
+func (g *Gateway) putStatus(ctx context.Context, d rollout.Decision) (rollout.State, error) {
+	l := g.cfg.Rollouts
+	key := l.StatusPrefix + d.Order.Service
+	e, err := g.cfg.RolloutStore.Get(ctx, key)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return rollout.Running, err
+	}
+	if err == nil && e.Revision > d.Order.Revision {
+		target, s, err := l.ReadStatus(e.Value)
+		if err == nil && target == d.Order.Target && (s != rollout.Running || s == d.State) {
+			return s, nil
+		}
+	}
+	value, err := l.Status(d.Order, d.State)
+	if err != nil {
+		return rollout.Running, err
+	}
+	if _, err := g.cfg.RolloutStore.CompareAndSwap(ctx, key, value, e.Revision, platform.NoLease); err != nil {
+		return rollout.Running, err
+	}
+	return d.State, nil
+}
--- a/gateway/settings/settings.go
+++ b/gateway/settings/settings.go
@@ -59,6 +59,11 @@
 		Over          float64 `yaml:"over"`
 		Slack         float64 `yaml:"slack"`
 	} `yaml:"quota"`
+	// Rollout bounds what a bad version may get.
+	Rollout struct {
+		// ExposeShare is the part of a service's requests that it may get.
+		ExposeShare float64 `yaml:"expose_share"`
+	} `yaml:"rollout"`
 }
 
 // Load reads and checks a file.
@@ -75,6 +80,7 @@
 	var s Settings
 	s.Stop.GraceSeconds = 8
 	s.RetryBudget.Ratio, s.RetryBudget.Slack, s.RetryBudget.WindowSeconds = 0.2, 50, 10
+	s.Rollout.ExposeShare = 0.1
 	if err := yaml.Unmarshal(text, &s); err != nil {
 		return s, fmt.Errorf("settings: %s: %w", file, err)
 	}
@@ -107,6 +113,7 @@
 	c.Want(s.Quota.WindowSeconds >= 0, "quota.window_s", "%v is negative", s.Quota.WindowSeconds)
 	c.Want(s.Quota.Over >= 0, "quota.over", "%v is negative", s.Quota.Over)
 	c.Want(s.Quota.Slack >= 0, "quota.slack", "%v is negative", s.Quota.Slack)
+	c.Want(s.Rollout.ExposeShare > 0 && s.Rollout.ExposeShare <= 1, "rollout.expose_share", "%v is not in (0, 1]", s.Rollout.ExposeShare)
 	return c
 }
 
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -31,6 +31,8 @@
 	Name string
 	// Local says that the target is in the host's availability zone.
 	Local bool
+	// Version is the version of the target's software.
+	Version string
 	// Slots is the number of requests that run at once.
 	Slots int
 	// Leaving targets get nothing new.
@@ -48,6 +50,11 @@
 	// the fresh requests of its tier.
 	FreshUntil time.Time
 
+	// Version, if it is not empty, is the version that a rollout moves to: the
+	// request uses only targets of it, or none of it where Old is set.
+	Version string
+	Old     bool
+
 	item     flow.Item
 	excluded []string // targets that this request must not try again
 	queued   bool
@@ -258,6 +265,11 @@
 	p.waiters[w.Request.ID] = w
 }
 
+// allows reports whether a rollout lets the request use a version.
+func (w *Waiter) allows(version string) bool {
+	return w.Version == "" || (version == w.Version) != w.Old
+}
+
 func (w *Waiter) queueItem() flow.Item {
 	return flow.Item{
 		Request: w.Request, Cost: float64(w.Request.Tokens()), FreshUntil: w.FreshUntil,
@@ -323,6 +335,11 @@
 		}
 		w := p.waiters[it.Request.ID]
 		t := p.choose(w, l, slow, now)
+		if t == nil && w.Version != "" && !w.Old {
+			// No room at the new version must not hold up what waits behind.
+			w.Old = true
+			t = p.choose(w, l, slow, now)
+		}
 		if t == nil {
 			return grants
 		}
@@ -372,7 +389,7 @@
 	held := p.held(l, now)
 	tried := p.triedAll(w)
 	for _, t := range p.order {
-		if !p.open(t, now, distrust) || !tried && w.excludes(t.Name) {
+		if !p.open(t, now, distrust) || !w.allows(t.Version) || !tried && w.excludes(t.Name) {
 			continue
 		}
 		if isSlow := slow > 0 && t.gap > slow; isSlow && lanes[l].fastOnly || !isSlow && held {
@@ -393,7 +410,7 @@
 		return false
 	}
 	for _, t := range p.order {
-		if !t.Leaving && !w.excludes(t.Name) {
+		if !t.Leaving && w.allows(t.Version) && !w.excludes(t.Name) {
 			return false
 		}
 	}
--- a/sched/reserve/reserve_test.go
+++ b/sched/reserve/reserve_test.go
@@ -205,6 +205,35 @@
 	}
 }
 
+// Guards against a version that gets more than its share, and against a full new
+// version that holds up the requests behind.
+func TestRolloutRestrictsVersions(t *testing.T) {
+	p := reserve.New(reserve.Config{Reservations: true})
+	list := engines(2, 1)
+	list[1].Version = "v2"
+	p.SetTargets(list)
+	target := func(id string, old bool) string {
+		w := waiter(id, request.Urgent, "o", start)
+		w.Version, w.Old = "v2", old
+		submit(t, p, w, start)
+		grants, _ := p.Next(start)
+		if len(grants) == 0 {
+			return ""
+		}
+		return grants[0].Target
+	}
+	if got := target("new", false); got != "e1" {
+		t.Errorf("a request for the new version goes to %q", got)
+	}
+	if got := target("overflow", false); got != "e0" {
+		t.Errorf("a request that finds no room at the new version goes to %q", got)
+	}
+	p.End("e1", reserve.Served, reserve.Sample{}, start)
+	if got := target("old", true); got != "" {
+		t.Errorf("a request that must not use the new version goes to %q", got)
+	}
+}
+
 // Guards against leaving targets, and ones that the request must not try again,
 // getting work.
 func TestClosedTargets(t *testing.T) {
