Extend a wait only after a target has failed the request

Change: the wait is extended after a send only. Quota refusals tell callers to come back one after the other instead of all after the time for the next units.

--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -76,7 +76,7 @@
 	s.mu.Lock()
 	now := time.Now()
 	if again {
-		s.pool.Resubmit(w, now)
+		s.pool.Resubmit(w)
 	} else if f := s.pool.Submit(w, now); f != nil {
 		s.mu.Unlock()
 		return directory.Target{}, f
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -214,6 +214,7 @@
 			return f
 		}
 		w.Exclude(target.Key())
+		w.Extend(time.Now())
 		w.Old = w.Old || x.cfg.Rollouts.Split(x.service, time.Now()).Share < 1 // a repeat goes to the proven version
 		x.cfg.Metrics.Retry(retryReason(t.reason))
 		event.RequestRetried.Log(x.cfg.Log, slog.String("id", x.call.ID), slog.String("target", target.ID), slog.String("reason", t.reason.String()))
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -59,6 +59,9 @@
 	limit Limit
 	level float64
 	at    time.Time
+	// refused is what was refused lately, less what the rate has granted since. Those
+	// who come back find it ahead of them.
+	refused float64
 	// used is what this host has used since its start.
 	used float64
 }
@@ -119,6 +122,7 @@
 func (b *bucket) refill(now time.Time) {
 	if d := now.Sub(b.at).Seconds(); d > 0 {
 		b.level = min(b.limit.Burst, b.level+d*b.limit.Rate)
+		b.refused = max(0, b.refused-d*b.limit.Rate)
 		b.at = now
 	}
 }
@@ -127,7 +131,8 @@
 func (b *bucket) use(units float64) { b.level = min(b.limit.Burst, b.level-units) }
 
 // Take uses units of an organisation's quota. It returns 0 if they are granted,
-// else how long until they would be.
+// else how long until they would be, behind those that
+// were refused before.
 func (m *Meter) Take(name string, units float64, now time.Time) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -137,24 +142,16 @@
 	}
 	m.extrapolate(now)
 	b.refill(now)
-	if wait := until(b.level, units, b.limit); wait > 0 {
-		return wait
+	if missing := min(units, b.limit.Burst) - b.level; missing > 0 {
+		wait := time.Duration((missing + b.refused) / b.limit.Rate * float64(time.Second))
+		b.refused += units
+		return max(time.Millisecond, wait)
 	}
 	b.use(units)
 	b.used += units
 	return 0
 }
 
-// until returns how long it takes until a bucket can grant units, or 0. More than a
-// burst is granted by a full bucket.
-func until(level, units float64, l Limit) time.Duration {
-	missing := min(units, l.Burst) - level
-	if missing <= 0 {
-		return 0
-	}
-	return max(time.Millisecond, time.Duration(missing/l.Rate*float64(time.Second)))
-}
-
 // Return gives back units that were taken for a request that did not run.
 func (m *Meter) Return(name string, units float64) {
 	m.mu.Lock()
--- a/gateway/quota/quota_test.go
+++ b/gateway/quota/quota_test.go
@@ -159,6 +159,21 @@
 	}
 }
 
+// Guards against callers that are all told to come back at the same moment, when only
+// one of them finds units.
+func TestRefusedCallersComeBackOneAfterTheOther(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := quota.New(quota.Tolerance{})
+	m.SetLimits(map[string]quota.Limit{"org": {Rate: 100, Burst: 100}}, now)
+	m.Take("org", 100, now)
+	for i := range 5 {
+		want := time.Duration(i+1) * 500 * time.Millisecond
+		if got := m.Take("org", 50, now); got < want-time.Millisecond || got > want+time.Millisecond {
+			t.Errorf("caller %d is told %s, want %s", i, got, want)
+		}
+	}
+}
+
 // Guards against a bucket whose grants within a window exceed the promise for some
 // pattern of requests, on one host.
 func TestNoPatternExceedsTheTolerance(t *testing.T) {
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -56,7 +56,8 @@
 	Old     bool
 
 	item     flow.Item
-	excluded []string // targets that this request must not try again
+	excluded []string  // targets that this request must not try again
+	extended time.Time // end of the wait after a target has failed the request
 	queued   bool
 	queuedAt time.Time
 }
@@ -144,8 +145,8 @@
 	// hopelessPart is the wait of the requests ahead, as a part of the patience, from
 	// which a new one is refused at once.
 	hopelessPart = 0.4
-	// resubmitTime is how long a request may wait for its next target.
-	resubmitTime = 700 * time.Millisecond
+	// extendedWait is how long a request that a target has failed may wait for another.
+	extendedWait = 700 * time.Millisecond
 	// defaultWaiting bounds the queue of a tier.
 	defaultWaiting = 2048
 	// wakeEvery bounds the time between looks at the queue while requests wait.
@@ -253,28 +254,29 @@
 }
 
 // Resubmit queues a request again, ahead of its organisation's other requests, after
-// a grant that did not end it. It may wait a little beyond its usual time: its caller
-// has been kept waiting by a target, or already has a part of its answer.
-func (p *Pool) Resubmit(w *Waiter, now time.Time) {
+// a grant that did not end it.
+func (p *Pool) Resubmit(w *Waiter) {
 	w.item = w.queueItem()
-	if extended := now.Add(resubmitTime); extended.After(w.item.LatestStart) {
-		w.item.LatestStart = extended
-	}
 	p.queue.PushFront(&w.item)
 	w.queued = true
 	p.waiters[w.Request.ID] = w
 }
 
+// Extend lets a request that a target has failed wait a little beyond its usual time:
+// its caller has been kept waiting by the target, or already has a part of its answer.
+func (w *Waiter) Extend(now time.Time) { w.extended = now.Add(extendedWait) }
+
 // allows reports whether a rollout lets the request use a version.
 func (w *Waiter) allows(version string) bool {
 	return w.Version == "" || (version == w.Version) != w.Old
 }
 
 func (w *Waiter) queueItem() flow.Item {
-	return flow.Item{
-		Request: w.Request, Cost: float64(w.Request.Tokens()), FreshUntil: w.FreshUntil,
-		LatestStart: w.Request.Arrived.Add(time.Duration(waitedPart * float64(w.Patience))),
+	latest := w.Request.Arrived.Add(time.Duration(waitedPart * float64(w.Patience)))
+	if w.extended.After(latest) {
+		latest = w.extended
 	}
+	return flow.Item{Request: w.Request, Cost: float64(w.Request.Tokens()), FreshUntil: w.FreshUntil, LatestStart: latest}
 }
 
 // hopeless refuses a request at once if another one of its organisation and tier
--- a/sched/reserve/reserve_test.go
+++ b/sched/reserve/reserve_test.go
@@ -125,7 +125,7 @@
 	submit(t, p, w, start)
 	expect(t, next(p, start), "first", "a")
 	p.Full("e0", start)
-	p.Resubmit(w, start)
+	p.Resubmit(w)
 	expect(t, next(p, start.Add(ms)))
 	if wake := p.Wake(start); wake.Sub(start) < 10*ms || wake.Sub(start) > 50*ms {
 		t.Errorf("tries again after %s", wake.Sub(start))
@@ -187,7 +187,7 @@
 
 // Guards against a stream that breaks late and is given up as overload, though its
 // caller waits for the next event.
-func TestResubmittedRequestMayWaitALittle(t *testing.T) {
+func TestFailedRequestMayWaitALittle(t *testing.T) {
 	p := reserve.New(reserve.Config{Reservations: true})
 	p.SetTargets(engines(1, 1))
 	w := waiter("a", request.Urgent, "o", start)
@@ -196,7 +196,8 @@
 	now := start.Add(3500 * ms)
 	p.End("e0", reserve.Silent, reserve.Sample{}, now)
 	p.SetTargets(nil)
-	p.Resubmit(w, now)
+	w.Extend(now)
+	p.Resubmit(w)
 	if _, expired := p.Next(now.Add(600 * ms)); len(expired) != 0 {
 		t.Error("expired within the time of a resubmitted request")
 	}
@@ -205,6 +206,26 @@
 	}
 }
 
+// Guards against a request that is held until its caller leaves, because each refused
+// reservation lets it wait a little longer.
+func TestRefusedReservationsDoNotExtendTheWait(t *testing.T) {
+	p := reserve.New(reserve.Config{Reservations: true})
+	p.SetTargets(engines(1, 1))
+	w := waiter("a", request.Urgent, "o", start)
+	submit(t, p, w, start)
+	for now := start; now.Before(start.Add(4 * time.Second)); now = now.Add(10 * ms) {
+		grants, expired := p.Next(now)
+		if len(expired) == 1 {
+			return
+		}
+		for range grants {
+			p.Full("e0", now)
+			p.Resubmit(w)
+		}
+	}
+	t.Error("still waiting after its caller has left")
+}
+
 // Guards against a version that gets more than its share, and against a full new
 // version that holds up the requests behind.
 func TestRolloutRestrictsVersions(t *testing.T) {
