--- a/cmd/sardinefront/entry.go
+++ b/cmd/sardinefront/entry.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"sardinefront.dev/core/event"
 	"sardinefront.dev/core/logs"
@@ -60,14 +62,45 @@
 		fmt.Fprintln(os.Stderr, "sardinefront:", err)
 		return exitStart
 	}
-	for sig := range signals {
-		if sig != syscall.SIGHUP {
-			break
-		}
-		event.SettingsReread.Log(log, slog.String("file", file))
-	}
+	serveUntilStopped(g, file, signals, log)
 	if err := g.Stop(); err != nil {
 		return exitCut
 	}
 	return exitOK
 }
+
+// reloadEvery is how often the settings file is looked at: it may change without a
+// signal.
+const reloadEvery = 2 * time.Second
+
+// serveUntilStopped follows the settings file until a signal to stop.
+func serveUntilStopped(g *gateway.Gateway, file string, signals <-chan os.Signal, log *slog.Logger) {
+	t := time.NewTicker(reloadEvery)
+	defer t.Stop()
+	text, _ := os.ReadFile(file) // it was readable at the start
+	for {
+		select {
+		case sig := <-signals:
+			if sig != syscall.SIGHUP {
+				return
+			}
+		case <-t.C:
+		}
+		now, err := os.ReadFile(file)
+		if err != nil || bytes.Equal(now, text) {
+			continue
+		}
+		text = now
+		reload(g, file, text, log)
+	}
+}
+
+// reload takes changed settings, or reports their findings and keeps the old ones.
+func reload(g *gateway.Gateway, file string, text []byte, log *slog.Logger) {
+	s, err := settings.Parse(file, text)
+	if err != nil {
+		event.SettingsRejected.Log(log, slog.String("file", file), slog.Any("error", err))
+		return
+	}
+	event.SettingsReread.Log(log, slog.String("file", file), slog.Bool("needsRestart", g.Reload(s)))
+}
--- a/core/event/table.go
+++ b/core/event/table.go
@@ -10,9 +10,9 @@
 	ShutdownBegun    = Event{Number: 103, Name: "shutdown begun", Level: slog.LevelInfo, Meaning: "Readiness is down; requests in progress are being finished."}
 	ShutdownDone     = Event{Number: 104, Name: "shutdown done", Level: slog.LevelInfo, Meaning: "All requests in progress have ended."}
 	ShutdownCut      = Event{Number: 105, Name: "shutdown cut", Level: slog.LevelError, Meaning: "The drain deadline or a second signal ended the process with requests in progress."}
-	SettingsRejected = Event{Number: 106, Name: "settings rejected", Level: slog.LevelError, Meaning: "The settings file has findings; nothing was started."}
+	SettingsRejected = Event{Number: 106, Name: "settings rejected", Level: slog.LevelError, Meaning: "The settings file has findings; nothing was started, or the settings in force stay."}
 	LinesLeftOut     = Event{Number: 108, Name: "log lines left out", Level: slog.LevelWarn, Meaning: "Lines were left out to keep the log within its rate."}
-	SettingsReread   = Event{Number: 107, Name: "settings reread", Level: slog.LevelInfo, Meaning: "The settings file was read again."}
+	SettingsReread   = Event{Number: 107, Name: "settings reread", Level: slog.LevelInfo, Meaning: "The settings file changed and is in force, but for what needs a restart."}
 
 	RequestRefused  = Event{Number: 201, Name: "request refused", Level: slog.LevelInfo, Meaning: "A caller received a typed refusal."}
 	RequestRetried  = Event{Number: 202, Name: "request retried", Level: slog.LevelInfo, Meaning: "No byte had gone out, so the request was tried at another target."}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -88,6 +88,7 @@
 	mesh     *peers.Mesh
 	ingress  *ingress.Server
 	rollouts *rollout.Tracker
+	settings atomic.Pointer[settings.Settings] // in force, after Reload
 	speeds   speedTable
 
 	callers, ready, internal, metrics *http.Server
@@ -103,11 +104,9 @@
 		cfg:      cfg,
 		quota:    quota.New(s.QuotaTolerance()),
 		upstream: upstream.New(cfg.Codec, dialTimeout, cfg.Metrics),
-		budget: retry.New(retry.Limits{
-			Ratio: s.RetryBudget.Ratio, Slack: s.RetryBudget.Slack,
-			Window: time.Duration(s.RetryBudget.WindowSeconds * float64(time.Second)),
-		}),
+		budget:   retry.New(s.RetryLimits()),
 	}
+	g.settings.Store(&s)
 	g.services = dispatch.NewServices(s.Host.Zone, cfg.Log, g.kick)
 	g.dir = directory.New(directory.Config{
 		Name: s.Host.Name, Store: cfg.Store, Layout: cfg.Layout, Current: &g.current, Log: cfg.Log, Changed: g.update,
@@ -297,11 +296,26 @@
 	}
 }
 
+// Reload takes changed settings: budgets, tolerances and the grace time. It reports
+// whether others changed, which count from the next start only.
+func (g *Gateway) Reload(s settings.Settings) (needsRestart bool) {
+	old := g.settings.Swap(&s)
+	needsRestart = old.Host != s.Host || !slices.Equal(old.Listen.InternalPorts, s.Listen.InternalPorts) ||
+		old.Listen.Callers != s.Listen.Callers || old.Listen.Ready != s.Listen.Ready || old.Listen.Metrics != s.Listen.Metrics ||
+		old.Store != s.Store
+	g.budget.SetLimits(s.RetryLimits())
+	g.quota.SetTolerance(s.QuotaTolerance())
+	g.rollouts.SetLimits(rollout.Limits{Share: s.Rollout.ExposeShare})
+	g.mesh.Learn(s.PeerSeeds())
+	g.update()
+	return needsRestart
+}
+
 // Stop shuts down gracefully: the balancer is told first, then idle connections
 // are closed, and requests in progress end within the grace time. It returns an
 // error if some did not.
 func (g *Gateway) Stop() error {
-	end := time.Now().Add(g.cfg.Settings.Grace() - stopMargin)
+	end := time.Now().Add(g.settings.Load().Grace() - stopMargin)
 	event.ShutdownBegun.Log(g.cfg.Log)
 	g.stopping.Store(true)
 	g.ingress.Stop()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -31,6 +31,8 @@
 	callers string
 	ready   string
 	nextID  int
+	// settings are those that the host was started with.
+	settings settings.Settings
 }
 
 // Paths of the routes of the test configuration.
@@ -158,6 +160,7 @@
 	if err := w.host.Start(); err != nil {
 		w.t.Fatal(err)
 	}
+	w.settings = s
 	w.callers, w.ready = s.Listen.Callers, s.Listen.Ready
 	w.until("the host is ready", w.isReady)
 }
@@ -588,6 +591,33 @@
 	}
 }
 
+// Guards against a change of the settings that is ignored, and against one that a
+// running process cannot follow and does not report.
+func TestReload(t *testing.T) {
+	w := newWorld(t)
+	w.add(plainName, slotengine.Config{}).Always(slotengine.Fail)
+	w.add(plainName, slotengine.Config{}).Always(slotengine.Fail)
+	w.start()
+	runs := func() int { return len(w.servers[0].Runs()) + len(w.servers[1].Runs()) }
+	w.call("GET", pathSafe, "")
+	if n := runs(); n != 2 {
+		t.Fatalf("%d runs with a retry budget, want 2", n)
+	}
+	changed := w.settings
+	changed.RetryBudget.Ratio, changed.RetryBudget.Slack = 0, 0
+	if w.host.Reload(changed) {
+		t.Error("a retry budget needs a restart")
+	}
+	w.call("GET", pathSafe, "")
+	if n := runs(); n != 3 {
+		t.Errorf("%d runs after the retry budget was taken away, want 3", n)
+	}
+	changed.Listen.Callers = "127.0.0.1:1"
+	if !w.host.Reload(changed) {
+		t.Error("a new address needs no restart")
+	}
+}
+
 // Guards against a stop that cuts a request in progress, or that goes on saying that
 // the host is ready.
 func TestStopFinishesStreams(t *testing.T) {
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -96,6 +96,13 @@
 	return &Meter{tolerance: t, buckets: map[string]*bucket{}, peers: map[string]*peer{}}
 }
 
+// SetTolerance replaces the tolerance; it counts from the next SetLimits.
+func (m *Meter) SetTolerance(t Tolerance) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.tolerance = t
+}
+
 // SetLimits replaces the limits. A bucket that stays keeps its level, cut to the
 // new burst.
 func (m *Meter) SetLimits(limits map[string]Limit, now time.Time) {
--- a/gateway/retry/retry.go
+++ b/gateway/retry/retry.go
@@ -46,6 +46,14 @@
 	return &Budget{limits: l, counts: map[string]*counter{}, hosts: 1}
 }
 
+// SetLimits replaces the budget. The window keeps its length.
+func (b *Budget) SetLimits(l Limits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l.Window = b.limits.Window
+	b.limits = l
+}
+
 // SetHosts sets the number of hosts that share the fixed allowance.
 func (b *Budget) SetHosts(n int) {
 	b.mu.Lock()
--- a/gateway/rollout/rollout.go
+++ b/gateway/rollout/rollout.go
@@ -89,6 +89,13 @@
 	return &Tracker{host: host, limits: l, moves: map[string]*move{}}
 }
 
+// SetLimits replaces the limits, also for orders that run.
+func (t *Tracker) SetLimits(l Limits) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limits = l
+}
+
 // Begin takes an order; elapsed is how long it has been known already. An order that
 // is known or older changes nothing.
 func (t *Tracker) Begin(o Order, elapsed time.Duration, now time.Time) {
--- a/gateway/settings/settings.go
+++ b/gateway/settings/settings.go
@@ -12,6 +12,7 @@
 
 	"sardinefront.dev/core/findings"
 	"sardinefront.dev/gateway/quota"
+	"sardinefront.dev/gateway/retry"
 )
 
 // Settings configure one entry host.
@@ -145,3 +146,11 @@
 func (s *Settings) QuotaTolerance() quota.Tolerance {
 	return quota.Tolerance{Window: time.Duration(s.Quota.WindowSeconds * float64(time.Second)), Ratio: s.Quota.Over, Slack: s.Quota.Slack}
 }
+
+// RetryLimits is the fleet-wide budget for repeats.
+func (s *Settings) RetryLimits() retry.Limits {
+	return retry.Limits{
+		Ratio: s.RetryBudget.Ratio, Slack: s.RetryBudget.Slack,
+		Window: time.Duration(s.RetryBudget.WindowSeconds * float64(time.Second)),
+	}
+}
