--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -73,8 +73,6 @@
 	// defaultPatience is the time given to a request that states none on a route
 	// without a timeout.
 	defaultPatience = 30 * time.Second
-	// maxDiscard bounds what is read of a body that is refused unread.
-	maxDiscard = 256 << 10
 	// notReadyRetry is told to callers that come before the configuration.
 	notReadyRetry = 300 * time.Millisecond
 )
--- a/gateway/speeds.go
+++ b/gateway/speeds.go
@@ -19,10 +19,9 @@
 
 // speedTable decides which learned speeds of targets go into a heartbeat.
 type speedTable struct {
-	mu     sync.Mutex
-	told   map[uint32]uint32
-	allAt  time.Time
-	repeat bool
+	mu    sync.Mutex
+	told  map[uint32]uint32
+	allAt time.Time
 }
 
 // shortName stands for a target in heartbeats; hosts agree on it without a
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -56,7 +56,6 @@
 	Length int64
 	Body   io.Reader
 	resp   *http.Response
-	ended  bool
 }
 
 // Bind cuts every wait on the connection when ctx ends. Call it once for each use.
