Space tries at full engines, and beat seldom between zones of large fleets

Change: after four refusals in a row tries are spaced by the number of hosts; each host prefers engines of its own draw; hosts of other zones get every sixth heartbeat at 61 hosts.

--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -182,14 +182,15 @@
 	return now.Sub(d.freshAt) >= readEvery+time.Duration(min(rank, maxRank))*rankStep
 }
 
-// rank counts the live peers that come before this host.
+// rank counts the live peers that come before this host, among those that tell it of
+// every change at once.
 func (d *Directory) rank(now time.Time) int {
 	if d.fleet == nil {
 		return 0
 	}
 	n := 0
 	for _, p := range d.fleet.Alive(now) {
-		if p.Name < d.cfg.Name {
+		if p.Name < d.cfg.Name && p.Every <= peers.Interval {
 			n++
 		}
 	}
--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -270,6 +270,17 @@
 	return out
 }
 
+// SetHosts sets the number of hosts that share the targets, this one included.
+func (s *Services) SetHosts(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, service := range s.all {
+		service.mu.Lock()
+		service.pool.SetHosts(n)
+		service.mu.Unlock()
+	}
+}
+
 // Ejected returns the targets that this host has ejected.
 func (s *Services) Ejected() []string {
 	s.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -90,6 +90,7 @@
 	rollouts *rollout.Tracker
 	settings atomic.Pointer[settings.Settings] // in force, after Reload
 	speeds   speedTable
+	names    shortNames
 
 	callers, ready, internal, metrics *http.Server
 	stopping                          atomic.Bool
@@ -107,7 +108,7 @@
 		budget:   retry.New(s.RetryLimits()),
 	}
 	g.settings.Store(&s)
-	g.services = dispatch.NewServices(s.Host.Zone, cfg.Log, g.kick)
+	g.services = dispatch.NewServices(s.Host.Zone, cfg.Log, g.kickNear)
 	g.dir = directory.New(directory.Config{
 		Name: s.Host.Name, Store: cfg.Store, Layout: cfg.Layout, Current: &g.current, Log: cfg.Log, Changed: g.update,
 		Ordered: g.ordered,
@@ -214,16 +215,24 @@
 		keys[targets[i].Key()] = true
 	}
 	g.upstream.Retain(keys)
+	g.names.set(keys)
 	g.services.Update(table, targets)
 }
 
-// kick sends a heartbeat at once.
+// kick sends a heartbeat at once to all peers.
 func (g *Gateway) kick() {
 	if g.mesh != nil {
 		g.mesh.Kick()
 	}
 }
 
+// kickNear sends a heartbeat at once to the peers that get all of them.
+func (g *Gateway) kickNear() {
+	if g.mesh != nil {
+		g.mesh.KickNear()
+	}
+}
+
 // Fill implements peers.State.
 func (g *Gateway) Fill(h *peers.Heartbeat, now time.Time) {
 	g.dir.Fill(h, now)
@@ -242,7 +251,7 @@
 	g.dir.Heard(h, now)
 	g.services.Heard(h.Floors)
 	if len(h.Speeds) > 0 {
-		g.services.Seed(resolve(h.Speeds, g.targetKeys()))
+		g.services.Seed(g.names.resolve(h.Speeds))
 	}
 	if len(h.Ejected) > 0 {
 		g.services.Doubt(g.trusted(h.Ejected))
@@ -250,7 +259,7 @@
 	if err := g.rollouts.Heard(h.Name, h.Rollouts, now); err != nil {
 		event.PeerRejected.Log(g.cfg.Log, slog.Any("error", err))
 	}
-	g.quota.Report(h.Name, h.Incarnation, h.Use, h.Levels, now)
+	g.quota.Report(h.Name, h.Incarnation, h.Use, h.Levels, time.Duration(h.EveryMs)*time.Millisecond, now)
 }
 
 // mostEjected is the part of all targets from which a peer that has ejected them is
@@ -259,27 +268,10 @@
 
 // trusted returns the targets that a peer has ejected, none if they are too many.
 func (g *Gateway) trusted(ejected []uint32) []string {
-	keys := g.targetKeys()
-	if float64(len(ejected)) > max(2, mostEjected*float64(len(keys))) {
+	if float64(len(ejected)) > max(2, mostEjected*float64(len(g.dir.Targets()))) {
 		return nil
 	}
-	var out []string
-	for _, key := range keys {
-		if slices.Contains(ejected, shortName(key)) {
-			out = append(out, key)
-		}
-	}
-	return out
-}
-
-// targetKeys returns the names of all targets as the schedulers know them.
-func (g *Gateway) targetKeys() []string {
-	targets := g.dir.Targets()
-	out := make([]string, len(targets))
-	for i := range targets {
-		out[i] = targets[i].Key()
-	}
-	return out
+	return g.names.lookup(ejected)
 }
 
 func (g *Gateway) sweep(ctx context.Context) {
@@ -291,7 +283,9 @@
 			return
 		case now := <-t.C:
 			g.upstream.Sweep(now)
-			g.budget.SetHosts(1 + len(g.mesh.Alive(now)))
+			hosts := 1 + len(g.mesh.Alive(now))
+			g.budget.SetHosts(hosts)
+			g.services.SetHosts(hosts)
 		}
 	}
 }
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -25,6 +25,8 @@
 	Address string // IP:port of the peer socket
 	// Incarnation differs between the processes of one host.
 	Incarnation int64
+	// EveryMs is how often the receiver gets a heartbeat, in milliseconds.
+	EveryMs int64
 	// ConfigVersion is the version of the configuration in force, 0 for none.
 	ConfigVersion int64
 	// ListDigest is a hash over the list of targets; hosts with the same one hold
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -18,8 +18,14 @@
 const (
 	// Interval is the time between heartbeats to each peer.
 	Interval = 250 * time.Millisecond
-	// lostAfter is the silence after which a peer counts as gone.
+	// lostAfter is the silence after which a peer counts as gone, unless it beats so
+	// seldom that lostBeats beats take longer.
 	lostAfter = 1200 * time.Millisecond
+	lostBeats = 3
+	// fullRateHosts is the number of hosts up to which all beat at full rate. With more
+	// of them, hosts in other zones get a heartbeat the less often the more there are,
+	// so that the traffic between zones grows with the number of hosts, not its square.
+	fullRateHosts = 12
 	// forgetAfter is the silence after which its address is no longer tried.
 	forgetAfter = 60 * time.Second
 	// retryLost is how often addresses that do not answer are tried.
@@ -55,11 +61,16 @@
 type Peer struct {
 	Name, Zone, Address string
 	Incarnation         int64
-	// Heard is when the last heartbeat came.
+	// Heard is when the last heartbeat came, Every how often the peer beats.
 	Heard    time.Time
+	Every    time.Duration
 	Stopping bool
 }
 
+func (p *Peer) lost(now time.Time) bool {
+	return now.Sub(p.Heard) >= max(lostAfter, lostBeats*p.Every)
+}
+
 // Mesh exchanges heartbeats. Its methods are safe for concurrent use.
 type Mesh struct {
 	cfg         Config
@@ -72,7 +83,9 @@
 	tried    map[string]time.Time // addresses without an answer: last try
 	added    map[string]time.Time // those addresses: when they were learned
 	stopping bool
+	beats    int
 	kick     chan struct{}
+	kickNear chan struct{}
 }
 
 // New binds the socket.
@@ -88,7 +101,7 @@
 	m := &Mesh{
 		cfg: cfg, state: state, conn: conn, incarnation: rand.Int64(),
 		peers: map[string]*Peer{}, tried: map[string]time.Time{}, added: map[string]time.Time{},
-		kick: make(chan struct{}, 1),
+		kick: make(chan struct{}, 1), kickNear: make(chan struct{}, 1),
 	}
 	m.Learn(cfg.Seeds)
 	return m, nil
@@ -131,6 +144,15 @@
 	}
 }
 
+// KickNear sends a heartbeat at once to the peers that get all of them: what it tells
+// is of no use later.
+func (m *Mesh) KickNear() {
+	select {
+	case m.kickNear <- struct{}{}:
+	default:
+	}
+}
+
 // Stop marks this host as stopping.
 func (m *Mesh) Stop() {
 	m.mu.Lock()
@@ -145,7 +167,7 @@
 	defer m.mu.Unlock()
 	out := make([]Peer, 0, len(m.peers))
 	for _, p := range m.peers {
-		if now.Sub(p.Heard) < lostAfter {
+		if !p.lost(now) {
 			out = append(out, *p)
 		}
 	}
@@ -161,37 +183,52 @@
 func (m *Mesh) send(ctx context.Context) {
 	t := time.NewTicker(Interval)
 	defer t.Stop()
+	m.beat(everybody)
 	for {
-		m.beat()
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
+			m.beat(inTurn)
 		case <-m.kick:
+			m.beat(everybody)
+		case <-m.kickNear:
+			m.beat(near)
 		}
 	}
 }
 
-// beat sends one heartbeat to every peer and to addresses that are due for a try.
-func (m *Mesh) beat() {
+// reach says who gets a heartbeat.
+type reach uint8
+
+const (
+	inTurn reach = iota // those whose turn it is
+	near                // those that get every heartbeat
+	everybody
+)
+
+// beat sends heartbeats, and tries addresses that are due.
+func (m *Mesh) beat(r reach) {
 	now := time.Now()
-	to, known := m.recipients(now)
-	if len(to) == 0 {
-		return
-	}
-	b, err := m.heartbeat(known, now)
-	if err != nil {
-		m.cfg.Log.Error("encode heartbeat", "error", err)
-		return
-	}
-	for _, a := range to {
-		// A lost datagram is made good by the next one.
-		_, _ = m.conn.WriteToUDPAddrPort(b, a)
+	to := m.recipients(r, now)
+	for every, addresses := range to.byRate {
+		b, err := m.heartbeat(to.known, every, now)
+		if err != nil {
+			m.cfg.Log.Error("encode heartbeat", "error", err)
+			return
+		}
+		for _, a := range addresses {
+			// A lost datagram is made good by the next one.
+			_, _ = m.conn.WriteToUDPAddrPort(b, a)
+		}
 	}
 }
 
-func (m *Mesh) heartbeat(known []string, now time.Time) ([]byte, error) {
-	h := &Heartbeat{Name: m.cfg.Name, Zone: m.cfg.Zone, Address: m.cfg.Address, Incarnation: m.incarnation, Known: known}
+func (m *Mesh) heartbeat(known []string, every time.Duration, now time.Time) ([]byte, error) {
+	h := &Heartbeat{
+		Name: m.cfg.Name, Zone: m.cfg.Zone, Address: m.cfg.Address, Incarnation: m.incarnation, Known: known,
+		EveryMs: every.Milliseconds(),
+	}
 	m.mu.Lock()
 	h.Stopping = m.stopping
 	m.mu.Unlock()
@@ -199,36 +236,54 @@
 	return Encode(h)
 }
 
-func (m *Mesh) recipients(now time.Time) (to []netip.AddrPort, known []string) {
+// recipients are the addresses of one round, by how often they get a heartbeat.
+type recipients struct {
+	byRate map[time.Duration][]netip.AddrPort
+	known  []string
+}
+
+func (m *Mesh) recipients(r reach, now time.Time) recipients {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.dropSilent(now)
-	for a := range m.peers {
-		to = append(to, netip.MustParseAddrPort(a))
-		if len(known) < knownSent { // the order of a map is random
-			known = append(known, a)
+	if r == inTurn {
+		m.beats++
+	}
+	stride := 1 + len(m.peers)/fullRateHosts
+	out := recipients{byRate: map[time.Duration][]netip.AddrPort{}}
+	for a, p := range m.peers {
+		n := stride
+		if p.Zone == m.cfg.Zone {
+			n = 1
+		}
+		every := time.Duration(n) * Interval
+		if r == everybody || n == 1 || r == inTurn && (m.beats+int(p.Incarnation&0xff))%n == 0 {
+			out.byRate[every] = append(out.byRate[every], netip.MustParseAddrPort(a))
+		}
+		if len(out.known) < knownSent { // the order of a map is random
+			out.known = append(out.known, a)
 		}
 	}
 	for a, last := range m.tried {
 		if now.Sub(last) >= retryLost {
 			m.tried[a] = now
-			to = append(to, netip.MustParseAddrPort(a))
+			out.byRate[Interval] = append(out.byRate[Interval], netip.MustParseAddrPort(a))
 		}
 	}
-	return to, known
+	return out
 }
 
 // dropSilent moves silent peers to the addresses that are tried now and then.
 func (m *Mesh) dropSilent(now time.Time) {
 	for a, p := range m.peers {
-		if now.Sub(p.Heard) >= lostAfter {
+		if p.lost(now) {
 			delete(m.peers, a)
 			m.tried[a], m.added[a] = now, now
 			event.MemberDead.Log(m.cfg.Log, slog.String("peer", p.Name), slog.Duration("silent", now.Sub(p.Heard)))
 		}
 	}
 	for a, at := range m.added {
-		if now.Sub(at) >= forgetAfter {
+		if now.Sub(at) >= forgetAfter && !slices.Contains(m.cfg.Seeds, a) {
 			delete(m.tried, a)
 			delete(m.added, a)
 		}
@@ -267,7 +322,7 @@
 		delete(m.tried, h.Address)
 		delete(m.added, h.Address)
 	}
-	*p = Peer{Name: h.Name, Zone: h.Zone, Address: h.Address, Incarnation: h.Incarnation, Heard: now, Stopping: h.Stopping}
+	*p = Peer{Name: h.Name, Zone: h.Zone, Address: h.Address, Incarnation: h.Incarnation, Heard: now, Every: time.Duration(h.EveryMs) * time.Millisecond, Stopping: h.Stopping}
 	m.mu.Unlock()
 	m.Learn(h.Known)
 	m.state.Heard(h, now)
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -46,9 +46,13 @@
 	return Limit{Rate: max(l.Rate, (grantedPart*most-burst)/w), Burst: burst}
 }
 
-// silentAfter is the age of a peer's last report from which its use is extrapolated.
-// Reports come four times a second, and a wrong guess is put right by the next one.
-const silentAfter = 600 * time.Millisecond
+const (
+	// silentAfter is the age of a peer's last report from which its use is
+	// extrapolated, or silentReports reports if they come seldom. A wrong guess is put
+	// right by the next report.
+	silentAfter   = 600 * time.Millisecond
+	silentReports = 2.4
+)
 
 // forgetPeer is how long a silent peer is taken to go on using the quota.
 const forgetPeer = 15 * time.Second
@@ -77,7 +81,8 @@
 type peer struct {
 	incarnation int64
 	at          time.Time
-	charged     time.Time // end of the extrapolation so far
+	every       time.Duration // between reports
+	charged     time.Time     // end of the extrapolation so far
 	silent      bool
 	use         map[string]*report
 }
@@ -199,7 +204,7 @@
 // Report records a peer's use since its start. The first report of a peer only
 // sets the base line; levels lowers this host's levels to the peer's, so that a
 // process that has just started does not grant a full burst once more.
-func (m *Meter) Report(from string, incarnation int64, use, levels map[string]float64, now time.Time) {
+func (m *Meter) Report(from string, incarnation int64, use, levels map[string]float64, every time.Duration, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p := m.peers[from]
@@ -225,7 +230,7 @@
 			r.used = used
 		}
 	}
-	p.at, p.charged, p.silent = now, now, false
+	p.at, p.charged, p.silent, p.every = now, now, false, every
 }
 
 // settle gives back what was charged while a peer was silent; its report tells what
@@ -264,7 +269,7 @@
 			delete(m.peers, name)
 			continue
 		}
-		if age < silentAfter {
+		if age < max(silentAfter, time.Duration(silentReports*float64(p.every))) {
 			continue
 		}
 		hosts := float64(1 + len(m.peers))
--- a/gateway/quota/quota_test.go
+++ b/gateway/quota/quota_test.go
@@ -64,7 +64,7 @@
 	for i, from := range f.hosts {
 		for j, to := range f.hosts {
 			if i != j && !f.cut(i, j) {
-				to.Report(f.names[i], int64(i+1), from.Use(), from.Levels(f.now), f.now)
+				to.Report(f.names[i], int64(i+1), from.Use(), from.Levels(f.now), report, f.now)
 			}
 		}
 	}
@@ -135,7 +135,7 @@
 	}
 	fresh := quota.New(tolerance)
 	fresh.SetLimits(map[string]quota.Limit{"org": limit}, f.now)
-	fresh.Report("a", 1, f.hosts[0].Use(), f.hosts[0].Levels(f.now), f.now)
+	fresh.Report("a", 1, f.hosts[0].Use(), f.hosts[0].Levels(f.now), report, f.now)
 	if fresh.Take("org", 500, f.now) == 0 {
 		t.Error("a restarted host grants a burst that its peers have used up")
 	}
--- a/gateway/speeds.go
+++ b/gateway/speeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,7 +13,7 @@
 const (
 	// speedsEvery is how often all learned speeds are told again, for hosts that are
 	// new or missed them.
-	speedsEvery = 2 * time.Second
+	speedsEvery = 8 * time.Second
 	// speedNews is the change of a speed that is told at once.
 	speedNews = 0.3
 )
@@ -58,14 +59,44 @@
 	return max(d, -d)
 }
 
-// resolve turns short names back into targets.
-func resolve(told map[uint32]uint32, names []string) []reserve.Speed {
-	if len(told) == 0 {
+// shortNames finds targets by their short names.
+type shortNames struct {
+	current atomic.Pointer[map[uint32]string]
+}
+
+// set replaces the targets.
+func (s *shortNames) set(targets map[string]bool) {
+	m := make(map[uint32]string, len(targets))
+	for name := range targets {
+		m[shortName(name)] = name
+	}
+	s.current.Store(&m)
+}
+
+// lookup returns the targets with the short names; unknown ones are left out.
+func (s *shortNames) lookup(short []uint32) []string {
+	m := s.current.Load()
+	if m == nil {
+		return nil
+	}
+	var out []string
+	for _, n := range short {
+		if name, ok := (*m)[n]; ok {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// resolve turns a heartbeat's speeds back.
+func (s *shortNames) resolve(told map[uint32]uint32) []reserve.Speed {
+	m := s.current.Load()
+	if m == nil {
 		return nil
 	}
 	var out []reserve.Speed
-	for _, name := range names {
-		if gap, ok := told[shortName(name)]; ok {
+	for n, gap := range told {
+		if name, ok := (*m)[n]; ok {
 			out = append(out, reserve.Speed{Target: name, Gap: time.Duration(gap) * time.Microsecond})
 		}
 	}
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -117,6 +117,12 @@
 	// further refusal up to maxFullBackoff.
 	fullBackoff    = 20 * time.Millisecond
 	maxFullBackoff = 80 * time.Millisecond
+	// freeRefusals is the number of refusals in a row after which tries are spaced: by
+	// tryPause for each host that shares the targets, so that the tries of all hosts
+	// together don't grow with their number, doubled twice with further refusals.
+	freeRefusals    = 4
+	tryPause        = 250 * time.Microsecond
+	tryPauseDoubles = 2
 	// remotePenalty is added to the cost of targets in other zones.
 	remotePenalty = 3 * time.Millisecond
 	// typicalEvents weighs the pause between events against fixed costs.
@@ -126,6 +132,10 @@
 	firstLatency = 25 * time.Millisecond
 	// smoothing is the weight of a new sample.
 	smoothing = 0.2
+	// preferenceSpread and costNoise order targets of about equal cost: by the host's
+	// own preference, and by chance.
+	preferenceSpread = 0.2
+	costNoise        = 0.05
 	// coldFactor multiplies the cost of targets that have just started.
 	coldFactor = 2
 	// doubtWeight makes a target that failed lately cost more than one that is four
@@ -180,13 +190,18 @@
 	health health.Tracker
 	// doubtedUntil is how long another host's ejection counts.
 	doubtedUntil time.Time
-	inflight     int
-	fullUntil    time.Time
-	refusals     int // reservations refused in a row
-	gap          time.Duration
-	latency      time.Duration
-	load         float64 // running and waiting requests per slot, as last reported
-	loadAt       time.Time
+	// preference is this host's own draw, 0..1, lower is better. Hosts that prefer
+	// different ones of equal targets meet less often at the same one, and keep
+	// connections to fewer.
+	preference float64
+	inflight   int
+	fullUntil  time.Time
+	freed      bool // a request of this host has ended there since its last try
+	refusals   int  // reservations refused in a row
+	gap        time.Duration
+	latency    time.Duration
+	load       float64 // running and waiting requests per slot, as last reported
+	loadAt     time.Time
 }
 
 // Pool is the scheduler of one service on one host. It is not safe for concurrent
@@ -199,8 +214,14 @@
 	targets map[string]*target
 	order   []*target
 	ejected int
-	floors  [LaneCount]time.Time // end of the floor of each lane
-	gaps    []time.Duration      // scratch space of slowGap
+	hosts   int // that share the targets, this one included
+	// refusedInRow counts refused reservations since the last granted one, over all
+	// targets. From freeRefusals on, targets where no slot of this host's own has come
+	// free are tried no sooner than nextTry.
+	refusedInRow int
+	nextTry      time.Time
+	floors       [LaneCount]time.Time // end of the floor of each lane
+	gaps         []time.Duration      // scratch space of slowGap
 }
 
 // New returns a pool without targets.
@@ -229,7 +250,7 @@
 	for _, info := range list {
 		t := p.targets[info.Name]
 		if t == nil {
-			t = &target{}
+			t = &target{preference: p.rnd.Float64()}
 		}
 		t.Target = info
 		next[info.Name] = t
@@ -238,6 +259,9 @@
 	p.targets = next
 }
 
+// SetHosts sets the number of hosts that share the targets, this one included.
+func (p *Pool) SetHosts(n int) { p.hosts = n }
+
 // Submit queues a request. It returns a refusal if the request would wait for
 // longer than its caller does, or if the queue of its tier is full.
 func (p *Pool) Submit(w *Waiter, now time.Time) *refusal.Refusal {
@@ -348,6 +372,10 @@
 		p.queue.Take(it)
 		p.dequeue(w)
 		t.inflight++
+		if !t.freed {
+			p.holdBack(now) // the tries that follow wait for the outcome of this one
+		}
+		t.freed = false
 		grants = append(grants, Grant{w, t.Name})
 	}
 }
@@ -362,14 +390,24 @@
 	if at := p.queue.NextExpiry(); !at.IsZero() && at.Before(wake) {
 		wake = at
 	}
+	if p.nextTry.After(now) {
+		return earlier(wake, p.nextTry)
+	}
 	for _, t := range p.order {
-		if t.fullUntil.After(now) && t.fullUntil.Before(wake) {
-			wake = t.fullUntil
+		if t.fullUntil.After(now) {
+			wake = earlier(wake, t.fullUntil)
 		}
 	}
 	return wake
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // advance starts the trials of targets whose ejection has ended.
 func (p *Pool) advance(now time.Time) {
 	p.ejected = 0
@@ -397,7 +435,7 @@
 		if isSlow := slow > 0 && t.gap > slow; isSlow && lanes[l].fastOnly || !isSlow && held {
 			continue
 		}
-		c := p.cost(t, now) * (1 + 0.1*p.rnd.Float64())
+		c := p.cost(t, now) * (1 + preferenceSpread*t.preference + costNoise*p.rnd.Float64())
 		if best == nil || c < bestCost {
 			best, bestCost = t, c
 		}
@@ -421,7 +459,7 @@
 
 // open reports whether a target is believed to have room.
 func (p *Pool) open(t *target, now time.Time, distrust bool) bool {
-	if t.Leaving || t.fullUntil.After(now) {
+	if t.Leaving || t.fullUntil.After(now) || !t.freed && now.Before(p.nextTry) {
 		return false
 	}
 	switch t.health.State() {
@@ -497,13 +535,29 @@
 		return
 	}
 	t.inflight = max(0, t.inflight-1)
+	p.refusedInRow++
+	p.holdBack(now)
 	d := min(maxFullBackoff, fullBackoff<<min(t.refusals, 8))
 	t.refusals++
 	t.fullUntil = now.Add(time.Duration((0.75 + 0.5*p.rnd.Float64()) * float64(d)))
 }
 
+// holdBack sets the time of the next try at a target that is probably full. When all
+// engines are full, each try costs the host and the engine a call, and most slots that
+// come free are taken by the host whose request ended there.
+func (p *Pool) holdBack(now time.Time) {
+	over := p.refusedInRow - freeRefusals
+	if over < 0 {
+		return
+	}
+	pause := time.Duration(max(1, p.hosts)) * tryPause << min(over, tryPauseDoubles)
+	p.nextTry = now.Add(time.Duration((0.75 + 0.5*p.rnd.Float64()) * float64(pause)))
+}
+
 // Reserved records that a target granted a reservation.
 func (p *Pool) Reserved(name string) {
+	p.refusedInRow = 0
+	p.nextTry = time.Time{}
 	if t := p.targets[name]; t != nil {
 		t.refusals = 0
 	}
@@ -524,6 +578,7 @@
 		return ""
 	}
 	t.inflight = max(0, t.inflight-1)
+	t.freed = true
 	t.fullUntil = time.Time{}
 	t.refusals = 0
 	t.gap = smooth(t.gap, s.Gap)
--- a/sched/reserve/reserve_test.go
+++ b/sched/reserve/reserve_test.go
@@ -226,6 +226,34 @@
 	t.Error("still waiting after its caller has left")
 }
 
+// Guards against a host that asks every full engine again and again: with all engines
+// full, tries are spaced, and a slot of the host's own that comes free is tried at once.
+func TestFullFleetIsNotPolled(t *testing.T) {
+	p := reserve.New(reserve.Config{Reservations: true})
+	p.SetTargets(engines(90, 5))
+	p.SetHosts(60)
+	for i := range 20 {
+		submit(t, p, waiter(fmt.Sprint(i), request.Urgent, "o", start), start)
+	}
+	tries := 0
+	for now := start; now.Before(start.Add(time.Second)); now = now.Add(ms) {
+		grants, _ := p.Next(now)
+		for _, g := range grants {
+			tries++
+			p.Full(g.Target, now)
+			p.Resubmit(g.Waiter)
+		}
+	}
+	if tries < 10 || tries > 60 {
+		t.Errorf("%d tries in a second", tries)
+	}
+	now := start.Add(time.Second)
+	p.End("e7", reserve.Served, reserve.Sample{}, now)
+	if grants, _ := p.Next(now); len(grants) == 0 || grants[0].Target != "e7" {
+		t.Errorf("grants %v after a slot came free at e7", grants)
+	}
+}
+
 // Guards against a version that gets more than its share, and against a full new
 // version that holds up the requests behind.
 func TestRolloutRestrictsVersions(t *testing.T) {
