Eject for error answers only where they are the rule, and raise floors in overload only

Cause looked for: on the grown site plain targets were ejected by three errors in a row, which one request in seven shows everywhere, and one host's short wait held back all others.

--- a/sched/health/health.go
+++ b/sched/health/health.go
@@ -17,6 +17,9 @@
 	Failure
 	// Silence is a request without bytes in the time allowed.
 	Silence
+	// Erred is an error answer of a target that is alive. Requests fail for reasons of
+	// their own, so errors eject only where they are the rule.
+	Erred
 )
 
 // State is the state of a target.
@@ -41,6 +44,9 @@
 	failureRate = 0.5
 	// minEvidence keeps the rate of a few requests from ejecting a target.
 	minEvidence = 5
+	// errorRate and minErrors are the same for error answers.
+	errorRate = 0.7
+	minErrors = 8
 	// decay forgets evidence; it halves about every 10 observations.
 	decay = 0.93
 	// slowFactor and slowFor eject a target that stays far above its own
@@ -88,6 +94,9 @@
 	}
 	t.bad++
 	t.lastBad = now
+	if e == Erred {
+		return t.erred(now)
+	}
 	t.failures++
 	if e == Silence {
 		t.silences++
@@ -95,6 +104,16 @@
 	return t.judge(now)
 }
 
+// erred handles an error answer. In a trial it shows that the target is back.
+func (t *Tracker) erred(now time.Time) string {
+	t.failures, t.silences = 0, 0
+	t.succeed(now)
+	if t.state == Healthy && t.all >= minErrors && t.bad/t.all >= errorRate {
+		return t.eject("error rate", now)
+	}
+	return ""
+}
+
 func (t *Tracker) succeed(now time.Time) {
 	if t.state != Trial {
 		return
--- a/sched/health/health_test.go
+++ b/sched/health/health_test.go
@@ -105,3 +105,29 @@
 		t.Error("panic mode starts above half of at least two targets")
 	}
 }
+
+// Guards against a target that is ejected for requests that fail everywhere, and
+// against one that answers nothing but errors and stays.
+func TestErrorAnswersEjectOnlyWhereTheyAreTheRule(t *testing.T) {
+	var sometimes, always Tracker
+	now := time.Unix(1000, 0)
+	ejected := ""
+	for i := range 100 {
+		e := Success
+		if i%5 < 3 && i%2 == 0 { // up to three in a row, under half
+			e = Erred
+		}
+		if why := sometimes.Observe(e, now); why != "" {
+			t.Fatalf("ejected after %d answers: %s", i, why)
+		}
+		if why := always.Observe(Erred, now); why != "" && ejected == "" {
+			ejected = why
+		}
+	}
+	if ejected == "" {
+		t.Error("a target that only errs stays")
+	}
+	if sometimes.Doubt(now) == 0 || sometimes.Doubt(now.Add(time.Minute)) != 0 {
+		t.Error("errors should make a target doubted for a while")
+	}
+}
--- a/sched/reserve/lanes.go
+++ b/sched/reserve/lanes.go
@@ -6,9 +6,11 @@
 )
 
 const (
-	// starvedAfter is how long a request waits before its host asks the others to
-	// start nothing of a lower lane. A try at an engine takes a few milliseconds.
-	starvedAfter = 15 * time.Millisecond
+	// starvedAfter and starvedRefusals are how long a request waits, and how many
+	// reservations in a row are refused, before its host asks the others to start
+	// nothing of a lower lane. A few tries that meet full engines are no overload.
+	starvedAfter    = 15 * time.Millisecond
+	starvedRefusals = 6
 	// slowFactor marks a target as slow whose events come that much slower than
 	// those of a fast one.
 	slowFactor = 2.2
@@ -62,6 +64,9 @@
 // LaneCount if there is none.
 func (p *Pool) Starved(now time.Time) Lane {
 	best := LaneCount
+	if p.cfg.Reservations && p.refusedInRow < starvedRefusals {
+		return best
+	}
 	for _, w := range p.waiters {
 		if now.Sub(w.queuedAt) < starvedAfter {
 			continue
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -93,8 +93,10 @@
 const (
 	// Served is a whole answer without a fault of the target.
 	Served Outcome = iota
-	// Failed is an error or a cut answer of the target.
+	// Failed is a cut, crossed or missing answer of the target.
 	Failed
+	// Erred is an error answer.
+	Erred
 	// Silent is a target that did not answer in time.
 	Silent
 	// Unreachable is a target that no connection could be made to.
@@ -120,7 +122,7 @@
 	// freeRefusals is the number of refusals in a row after which tries are spaced: by
 	// tryPause for each host that shares the targets, so that the tries of all hosts
 	// together don't grow with their number, doubled twice with further refusals.
-	freeRefusals    = 4
+	freeRefusals    = 6
 	tryPause        = 250 * time.Microsecond
 	tryPauseDoubles = 2
 	// remotePenalty is added to the cost of targets in other zones.
@@ -588,6 +590,8 @@
 		return t.health.Observe(health.Success, now)
 	case Failed:
 		return t.health.Observe(health.Failure, now)
+	case Erred:
+		return t.health.Observe(health.Erred, now)
 	case Silent:
 		return t.health.Observe(health.Silence, now)
 	case Unreachable:
