Space tries at fast and slow engines apart

Cause: on the grown site, refused tries of patient requests at slow engines counted as overload of the fast ones, so hosts held one another's interactive requests back: these waited 343 ms in the median without one try. Change: each kind of engine has its own count and spacing.

--- a/sched/reserve/lanes.go
+++ b/sched/reserve/lanes.go
@@ -13,7 +13,7 @@
 	starvedRefusals = 6
 	// slowFactor marks a target as slow whose events come that much slower than
 	// those of a fast one.
-	slowFactor = 2.2
+	slowFactor = 2.6
 	// fastRank is the part of the targets, fastest first, whose slowest member stands
 	// for a fast target.
 	fastRank = 0.25
@@ -22,6 +22,14 @@
 	leastKnown = 3
 )
 
+// markSlow tells slow targets from fast ones.
+func (p *Pool) markSlow() {
+	slow := p.slowGap()
+	for _, t := range p.order {
+		t.slow = slow > 0 && t.gap > slow
+	}
+}
+
 // slowGap returns the pause between events above which a target is slow, or 0 if
 // too little is known.
 func (p *Pool) slowGap() time.Duration {
@@ -64,7 +72,7 @@
 // LaneCount if there is none.
 func (p *Pool) Starved(now time.Time) Lane {
 	best := LaneCount
-	if p.cfg.Reservations && p.refusedInRow < starvedRefusals {
+	if p.cfg.Reservations && p.tries[0].refused < starvedRefusals {
 		return best
 	}
 	for _, w := range p.waiters {
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -200,6 +200,7 @@
 	fullUntil  time.Time
 	freed      bool // a request of this host has ended there since its last try
 	refusals   int  // reservations refused in a row
+	slow       bool // as of the last look at the queue
 	gap        time.Duration
 	latency    time.Duration
 	load       float64 // running and waiting requests per slot, as last reported
@@ -217,11 +218,9 @@
 	order   []*target
 	ejected int
 	hosts   int // that share the targets, this one included
-	// refusedInRow counts refused reservations since the last granted one, over all
-	// targets. From freeRefusals on, targets where no slot of this host's own has come
-	// free are tried no sooner than nextTry.
-	refusedInRow int
-	nextTry      time.Time
+	// tries spaces the tries of fast and of slow targets. They are kept apart, since
+	// slow ones are full for longer and say nothing about the room at fast ones.
+	tries [2]spacing
 	floors       [LaneCount]time.Time // end of the floor of each lane
 	gaps         []time.Duration      // scratch space of slowGap
 }
@@ -347,26 +346,26 @@
 	if len(p.waiters) == 0 {
 		return nil, expired
 	}
-	slow := p.slowGap()
+	p.markSlow()
 	for l := range lanes {
-		grants = p.serveLane(Lane(l), slow, grants, now)
+		grants = p.serveLane(Lane(l), grants, now)
 	}
 	return grants, expired
 }
 
 // serveLane starts the requests of one lane until no target takes the next one.
-func (p *Pool) serveLane(l Lane, slow time.Duration, grants []Grant, now time.Time) []Grant {
+func (p *Pool) serveLane(l Lane, grants []Grant, now time.Time) []Grant {
 	for {
 		it := p.queue.Lane(lanes[l].tier, lanes[l].late, now)
 		if it == nil {
 			return grants
 		}
 		w := p.waiters[it.Request.ID]
-		t := p.choose(w, l, slow, now)
+		t := p.choose(w, l, now)
 		if t == nil && w.Version != "" && !w.Old {
 			// No room at the new version must not hold up what waits behind.
 			w.Old = true
-			t = p.choose(w, l, slow, now)
+			t = p.choose(w, l, now)
 		}
 		if t == nil {
 			return grants
@@ -375,7 +374,7 @@
 		p.dequeue(w)
 		t.inflight++
 		if !t.freed {
-			p.holdBack(now) // the tries that follow wait for the outcome of this one
+			p.holdBack(p.spacing(t), now) // the tries that follow wait for the outcome of this one
 		}
 		t.freed = false
 		grants = append(grants, Grant{w, t.Name})
@@ -392,12 +391,13 @@
 	if at := p.queue.NextExpiry(); !at.IsZero() && at.Before(wake) {
 		wake = at
 	}
-	if p.nextTry.After(now) {
-		return earlier(wake, p.nextTry)
-	}
 	for _, t := range p.order {
-		if t.fullUntil.After(now) {
-			wake = earlier(wake, t.fullUntil)
+		next := p.spacing(t).next
+		if t.fullUntil.After(next) {
+			next = t.fullUntil
+		}
+		if next.After(now) {
+			wake = earlier(wake, next)
 		}
 	}
 	return wake
@@ -422,9 +422,9 @@
 }
 
 // choose returns the cheapest target that may take a request of the lane, or nil.
-// Targets slower than the given pause between events serve only lanes that cannot
-// be in time there anyway: a fresh request does better to wait for a fast one.
-func (p *Pool) choose(w *Waiter, l Lane, slow time.Duration, now time.Time) *target {
+// Slow targets serve only lanes that cannot be in time there anyway: a fresh request
+// does better to wait for a fast one.
+func (p *Pool) choose(w *Waiter, l Lane, now time.Time) *target {
 	var best *target
 	bestCost := 0.0
 	distrust := health.Panic(p.ejected, len(p.order))
@@ -434,7 +434,7 @@
 		if !p.open(t, now, distrust) || !w.allows(t.Version) || !tried && w.excludes(t.Name) {
 			continue
 		}
-		if isSlow := slow > 0 && t.gap > slow; isSlow && lanes[l].fastOnly || !isSlow && held {
+		if t.slow && lanes[l].fastOnly || !t.slow && held {
 			continue
 		}
 		c := p.cost(t, now) * (1 + preferenceSpread*t.preference + costNoise*p.rnd.Float64())
@@ -461,7 +461,7 @@
 
 // open reports whether a target is believed to have room.
 func (p *Pool) open(t *target, now time.Time, distrust bool) bool {
-	if t.Leaving || t.fullUntil.After(now) || !t.freed && now.Before(p.nextTry) {
+	if t.Leaving || t.fullUntil.After(now) || !t.freed && now.Before(p.spacing(t).next) {
 		return false
 	}
 	switch t.health.State() {
@@ -537,31 +537,48 @@
 		return
 	}
 	t.inflight = max(0, t.inflight-1)
-	p.refusedInRow++
-	p.holdBack(now)
+	s := p.spacing(t)
+	s.refused++
+	p.holdBack(s, now)
 	d := min(maxFullBackoff, fullBackoff<<min(t.refusals, 8))
 	t.refusals++
 	t.fullUntil = now.Add(time.Duration((0.75 + 0.5*p.rnd.Float64()) * float64(d)))
 }
 
+// spacing holds back tries at targets that are probably full.
+type spacing struct {
+	// refused counts refused reservations since the last granted one. From
+	// freeRefusals on, targets where no slot of this host's own has come free are tried
+	// no sooner than next.
+	refused int
+	next    time.Time
+}
+
+// spacing returns that of a target's kind.
+func (p *Pool) spacing(t *target) *spacing {
+	if t.slow {
+		return &p.tries[1]
+	}
+	return &p.tries[0]
+}
+
 // holdBack sets the time of the next try at a target that is probably full. When all
 // engines are full, each try costs the host and the engine a call, and most slots that
 // come free are taken by the host whose request ended there.
-func (p *Pool) holdBack(now time.Time) {
-	over := p.refusedInRow - freeRefusals
+func (p *Pool) holdBack(s *spacing, now time.Time) {
+	over := s.refused - freeRefusals
 	if over < 0 {
 		return
 	}
 	pause := time.Duration(max(1, p.hosts)) * tryPause << min(over, tryPauseDoubles)
-	p.nextTry = now.Add(time.Duration((0.75 + 0.5*p.rnd.Float64()) * float64(pause)))
+	s.next = now.Add(time.Duration((0.75 + 0.5*p.rnd.Float64()) * float64(pause)))
 }
 
 // Reserved records that a target granted a reservation.
 func (p *Pool) Reserved(name string) {
-	p.refusedInRow = 0
-	p.nextTry = time.Time{}
 	if t := p.targets[name]; t != nil {
 		t.refusals = 0
+		*p.spacing(t) = spacing{}
 	}
 }
 
