--- a/cmd/sardinefront/entry.go
+++ b/cmd/sardinefront/entry.go
@@ -14,7 +14,6 @@
 	"sardinefront.dev/core/logs"
 	"sardinefront.dev/core/telemetry"
 	"sardinefront.dev/gateway"
-	"sardinefront.dev/gateway/directory"
 	"sardinefront.dev/gateway/settings"
 	"sardinefront.dev/platform/store"
 	"sardinefront.dev/platform/wire"
@@ -48,15 +47,9 @@
 	kv := store.New(store.Config{Address: s.Store.Address, Counter: metrics})
 	g := gateway.New(gateway.Config{
 		Settings: s, Store: kv, RolloutStore: kv,
-		Rollouts: gateway.RolloutLayout{
-			StatusPrefix: wire.PrefixRolloutStatus, StartPrefix: wire.PrefixRolloutStart,
-			Order: wire.RolloutOrder, Status: wire.RolloutStatus, ReadStatus: wire.ReadRolloutStatus,
-		},
-		Layout: directory.Layout{
-			ConfigKey: wire.KeyConfig, TargetPrefix: wire.PrefixTargets, RolloutPrefix: wire.PrefixRollout,
-			Target: wire.Target, Config: wire.Config,
-		},
-		Codec: wire.Codec{}, ReadyPath: wire.ReadyPath, Metrics: metrics, MetricsPage: metrics.Handler(), Log: log,
+		Rollouts: wire.RolloutLayout(),
+		Layout:   wire.Layout(),
+		Codec:    wire.Codec{}, ReadyPath: wire.ReadyPath, Metrics: metrics, MetricsPage: metrics.Handler(), Log: log,
 	})
 	if err := g.Start(); err != nil {
 		fmt.Fprintln(os.Stderr, "sardinefront:", err)
--- /dev/null
+++ b/gateway/directory/exchange.go
@@ -0,0 +1,134 @@
+package directory
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"time"
+
+	"sardinefront.dev/core/event"
+	"sardinefront.dev/gateway/peers"
+	"sardinefront.dev/platform"
+)
+
+// Fill adds the directory's part to a heartbeat.
+func (d *Directory) Fill(h *peers.Heartbeat, now time.Time) {
+	h.ConfigVersion = d.cfg.Current.Version()
+	h.ListDigest = d.list.Digest()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h.ListAge = -1
+	if !d.freshAt.IsZero() {
+		h.ListAge = now.Sub(d.freshAt).Milliseconds()
+	}
+	d.recent = slices.DeleteFunc(d.recent, func(p passedOn) bool { return now.Sub(p.at) > passOnFor })
+	size := 0
+	for i := len(d.recent) - 1; i >= 0; i-- {
+		c := d.recent[i].change
+		if size += len(c.Key) + len(c.Value); size > maxPassOn {
+			break
+		}
+		h.Changes = append(h.Changes, peers.Change{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted})
+	}
+}
+
+// Heard takes what a peer knows.
+func (d *Directory) Heard(h *peers.Heartbeat, now time.Time) {
+	for _, c := range h.Changes {
+		d.take([]platform.Entry{{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted}}, false, now)
+	}
+	digest := d.list.Digest()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if h.ConfigVersion > d.cfg.Current.Version() && h.ConfigVersion > d.wanted {
+		d.wanted, d.wantedFrom = h.ConfigVersion, h.Address
+	}
+	if h.ListAge < 0 || d.freshAt.IsZero() {
+		return
+	}
+	at := now.Add(-time.Duration(h.ListAge) * time.Millisecond)
+	switch {
+	case !at.After(d.freshAt):
+	case h.ListDigest == digest:
+		d.freshAt, d.mismatch = at, time.Time{}
+	case d.mismatch.IsZero():
+		d.mismatch = now
+	}
+}
+
+func (d *Directory) wantedConfig() (int64, string) {
+	version := d.cfg.Current.Version()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.wanted <= version {
+		return 0, ""
+	}
+	return d.wanted, d.wantedFrom
+}
+
+// fetchConfig reads a newer configuration from the store or from the peer that
+// has it.
+func (d *Directory) fetchConfig(ctx context.Context, from string) {
+	e, err := d.cfg.Store.Get(ctx, d.cfg.Layout.ConfigKey)
+	if err == nil {
+		d.adopt(e.Value)
+	}
+	if v, _ := d.wantedConfig(); v > 0 {
+		d.fetchBulk(ctx, from)
+	}
+	d.mu.Lock()
+	d.wanted = 0
+	d.mu.Unlock()
+}
+
+// fetchFromPeer starts a host that cannot reach the store with what a peer holds.
+func (d *Directory) fetchFromPeer(ctx context.Context) {
+	if d.fleet == nil {
+		return
+	}
+	for _, p := range d.fleet.Alive(time.Now()) {
+		if d.fetchBulk(ctx, p.Address) {
+			return
+		}
+	}
+}
+
+func (d *Directory) fetchBulk(ctx context.Context, address string) bool {
+	b, err := d.fleet.Fetch(ctx, address)
+	if err != nil {
+		event.PeerFetchFailed.Log(d.cfg.Log, slog.String("peer", address), slog.Any("error", err))
+		return false
+	}
+	now := time.Now()
+	if len(b.Config) > 0 {
+		d.adopt(b.Config)
+	}
+	entries := make([]platform.Entry, 0, len(b.Targets))
+	for _, c := range b.Targets {
+		entries = append(entries, platform.Entry{Key: c.Key, Value: c.Value, Revision: c.Revision})
+	}
+	d.take(entries, false, now)
+	if b.ListAge >= 0 {
+		d.mu.Lock()
+		if at := now.Add(-time.Duration(b.ListAge) * time.Millisecond); at.After(d.freshAt) {
+			d.freshAt = at
+		}
+		d.mu.Unlock()
+	}
+	return len(b.Config) > 0 && b.ListAge >= 0
+}
+
+// Bulk returns what this host holds, for peers that cannot reach the store.
+func (d *Directory) Bulk() *peers.Bulk {
+	b := &peers.Bulk{ListAge: -1}
+	for _, e := range d.list.Entries() {
+		b.Targets = append(b.Targets, peers.Change{Key: e.Key, Value: e.Value, Revision: e.Revision})
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b.Config = d.config
+	if !d.freshAt.IsZero() {
+		b.ListAge = time.Since(d.freshAt).Milliseconds()
+	}
+	return b
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -14,7 +14,6 @@
 
 	"sardinefront.dev/core/telemetry"
 	"sardinefront.dev/gateway"
-	"sardinefront.dev/gateway/directory"
 	"sardinefront.dev/gateway/settings"
 	"sardinefront.dev/platform/store"
 	"sardinefront.dev/platform/wire"
@@ -147,15 +146,9 @@
 	kv := store.New(store.Config{Address: s.Store.Address})
 	w.host = gateway.New(gateway.Config{
 		Settings: s, Store: kv, RolloutStore: kv,
-		Rollouts: gateway.RolloutLayout{
-			StatusPrefix: wire.PrefixRolloutStatus, StartPrefix: wire.PrefixRolloutStart,
-			Order: wire.RolloutOrder, Status: wire.RolloutStatus, ReadStatus: wire.ReadRolloutStatus,
-		},
-		Layout: directory.Layout{
-			ConfigKey: wire.KeyConfig, TargetPrefix: wire.PrefixTargets, RolloutPrefix: wire.PrefixRollout,
-			Target: wire.Target, Config: wire.Config,
-		},
-		Codec: wire.Codec{}, ReadyPath: wire.ReadyPath, Metrics: metrics, Log: slog.New(slog.DiscardHandler),
+		Rollouts: wire.RolloutLayout(),
+		Layout:   wire.Layout(),
+		Codec:    wire.Codec{}, ReadyPath: wire.ReadyPath, Metrics: metrics, Log: slog.New(slog.DiscardHandler),
 	})
 	if err := w.host.Start(); err != nil {
 		w.t.Fatal(err)
--- a/sched/reserve/lanes.go
+++ b/sched/reserve/lanes.go
@@ -3,8 +3,31 @@
 import (
 	"slices"
 	"time"
+
+	"sardinefront.dev/core/request"
 )
 
+// Lane is a group of waiting requests; a lower one is served first.
+type Lane uint8
+
+// lanes lists the lanes in the order of service. Fresh requests of a middle tier
+// precede late ones of the highest, whose answers have lost most of their value.
+var lanes = [...]struct {
+	tier     request.Tier
+	late     bool
+	fastOnly bool
+}{
+	{request.Urgent, false, true},
+	{request.Interactive, false, true},
+	{request.Urgent, true, false},
+	{request.Interactive, true, false},
+	{request.Patient, false, false},
+	{request.Patient, true, false},
+}
+
+// LaneCount is the number of lanes.
+const LaneCount = Lane(len(lanes))
+
 const (
 	// starvedAfter and starvedRefusals are how long a request waits, and how many
 	// reservations in a row are refused, before its host asks the others to start
--- /dev/null
+++ b/sched/reserve/target.go
@@ -0,0 +1,241 @@
+package reserve
+
+import (
+	"time"
+
+	"sardinefront.dev/sched/health"
+)
+
+const (
+	// fullBackoff is how long a target that refused a reservation is left alone,
+	// unless a slot of this host's own comes free there. It doubles with each
+	// further refusal up to maxFullBackoff.
+	fullBackoff    = 20 * time.Millisecond
+	maxFullBackoff = 80 * time.Millisecond
+	// freeRefusals is the number of refusals in a row after which tries are spaced: by
+	// tryPause for each host that shares the targets, so that the tries of all hosts
+	// together don't grow with their number, doubled twice with further refusals.
+	freeRefusals    = 6
+	tryPause        = 250 * time.Microsecond
+	tryPauseDoubles = 2
+	// smoothing is the weight of a new sample.
+	smoothing = 0.2
+	// hearsayDoubt is the doubt about a target that another host has ejected. It is
+	// avoided, not closed: the other host may be the one that is cut off.
+	hearsayDoubt = 0.4
+	// hearsayLife is how long that counts unless it is told again.
+	hearsayLife = 600 * time.Millisecond
+)
+
+// Target is one target as the directory lists it.
+type Target struct {
+	// Name is the incarnation's unique name.
+	Name string
+	// Local says that the target is in the host's availability zone.
+	Local bool
+	// Version is the version of the target's software.
+	Version string
+	// Slots is the number of requests that run at once.
+	Slots int
+	// Leaving targets get nothing new.
+	Leaving bool
+	// ColdUntil is the end of the slow time after a target's start.
+	ColdUntil time.Time
+}
+
+// Outcome says how a grant ended.
+type Outcome uint8
+
+// The outcomes of a grant.
+const (
+	// Served is a whole answer without a fault of the target.
+	Served Outcome = iota
+	// Failed is a cut, crossed or missing answer of the target.
+	Failed
+	// Erred is an error answer.
+	Erred
+	// Silent is a target that did not answer in time.
+	Silent
+	// Unreachable is a target that no connection could be made to.
+	Unreachable
+	// Abandoned says nothing about the target, for example because the caller left.
+	Abandoned
+)
+
+// Sample is what a served request says about its target's speed.
+type Sample struct {
+	// Latency is the time to the whole answer of a plain service.
+	Latency time.Duration
+	// Gap is the mean time between the events of a stream; 0 if unknown.
+	Gap time.Duration
+}
+
+// target is the state of one target.
+type target struct {
+	Target
+	health health.Tracker
+	// doubtedUntil is how long another host's ejection counts.
+	doubtedUntil time.Time
+	// preference is this host's own draw, 0..1, lower is better. Hosts that prefer
+	// different ones of equal targets meet less often at the same one, and keep
+	// connections to fewer.
+	preference float64
+	inflight   int
+	fullUntil  time.Time
+	freed      bool // a request of this host has ended there since its last try
+	refusals   int  // reservations refused in a row
+	slow       bool // as of the last look at the queue
+	gap        time.Duration
+	latency    time.Duration
+	load       float64 // running and waiting requests per slot, as last reported
+	loadAt     time.Time
+}
+
+// doubt returns how far a target is to be avoided, 0..1: by its own failures, or
+// because another host has ejected it.
+func (t *target) doubt(now time.Time) float64 {
+	d := t.health.Doubt(now)
+	if now.Before(t.doubtedUntil) {
+		d = max(d, hearsayDoubt)
+	}
+	return d
+}
+
+func (t *target) use() float64 { return float64(t.inflight) / float64(max(1, t.Slots)) }
+
+// loadLife is how long a load report counts.
+const loadLife = 300 * time.Millisecond
+
+func (t *target) reported(now time.Time) float64 {
+	age := now.Sub(t.loadAt)
+	if age > loadLife {
+		return 0
+	}
+	return t.load * (1 - float64(age)/float64(loadLife))
+}
+
+func orDefault(d, fallback time.Duration) time.Duration {
+	if d == 0 {
+		return fallback
+	}
+	return d
+}
+
+// Full records that a target refused a reservation or a request for lack of room,
+// and ends the grant.
+func (p *Pool) Full(name string, now time.Time) {
+	t := p.targets[name]
+	if t == nil {
+		return
+	}
+	t.inflight = max(0, t.inflight-1)
+	s := p.spacing(t)
+	s.refused++
+	p.holdBack(s, now)
+	d := min(maxFullBackoff, fullBackoff<<min(t.refusals, 8))
+	t.refusals++
+	t.fullUntil = now.Add(time.Duration((0.75 + 0.5*p.rnd.Float64()) * float64(d)))
+}
+
+// spacing holds back tries at targets that are probably full.
+type spacing struct {
+	// refused counts refused reservations since the last granted one. From
+	// freeRefusals on, targets where no slot of this host's own has come free are tried
+	// no sooner than next.
+	refused int
+	next    time.Time
+}
+
+// spacing returns that of a target's kind.
+func (p *Pool) spacing(t *target) *spacing {
+	if t.slow {
+		return &p.tries[1]
+	}
+	return &p.tries[0]
+}
+
+// holdBack sets the time of the next try at a target that is probably full. When all
+// engines are full, each try costs the host and the engine a call, and most slots that
+// come free are taken by the host whose request ended there.
+func (p *Pool) holdBack(s *spacing, now time.Time) {
+	over := s.refused - freeRefusals
+	if over < 0 {
+		return
+	}
+	pause := time.Duration(max(1, p.hosts)) * tryPause << min(over, tryPauseDoubles)
+	s.next = now.Add(time.Duration((0.75 + 0.5*p.rnd.Float64()) * float64(pause)))
+}
+
+// Reserved records that a target granted a reservation.
+func (p *Pool) Reserved(name string) {
+	if t := p.targets[name]; t != nil {
+		t.refusals = 0
+		*p.spacing(t) = spacing{}
+	}
+}
+
+// Load records what a target says of its load.
+func (p *Pool) Load(name string, running, waiting, slots int, now time.Time) {
+	if t := p.targets[name]; t != nil && slots > 0 {
+		t.load = float64(running+waiting) / float64(slots)
+		t.loadAt = now
+	}
+}
+
+// End ends a grant. It returns the reason if the outcome ejects the target.
+func (p *Pool) End(name string, o Outcome, s Sample, now time.Time) string {
+	t := p.targets[name]
+	if t == nil {
+		return ""
+	}
+	t.inflight = max(0, t.inflight-1)
+	t.freed = true
+	t.fullUntil = time.Time{}
+	t.refusals = 0
+	t.gap = smooth(t.gap, s.Gap)
+	t.latency = smooth(t.latency, s.Latency)
+	switch o {
+	case Served:
+		return t.health.Observe(health.Success, now)
+	case Failed:
+		return t.health.Observe(health.Failure, now)
+	case Erred:
+		return t.health.Observe(health.Erred, now)
+	case Silent:
+		return t.health.Observe(health.Silence, now)
+	case Unreachable:
+		// A refused connection costs little, and a target that cannot be reached
+		// is asked again soon: the backoff spreads the tries of a host.
+		t.fullUntil = now.Add(maxFullBackoff)
+		return t.health.Observe(health.Failure, now)
+	}
+	return ""
+}
+
+func smooth(old, sample time.Duration) time.Duration {
+	if sample <= 0 {
+		return old
+	}
+	if old == 0 {
+		return sample
+	}
+	return old + time.Duration(smoothing*float64(sample-old))
+}
+
+// Ejected returns the targets that this host has ejected.
+func (p *Pool) Ejected() []string {
+	var out []string
+	for _, t := range p.order {
+		if t.health.State() == health.Ejected {
+			out = append(out, t.Name)
+		}
+	}
+	return out
+}
+
+// Doubt records that another host has ejected a target.
+func (p *Pool) Doubt(name string, now time.Time) {
+	if t := p.targets[name]; t != nil {
+		t.doubtedUntil = now.Add(hearsayLife)
+	}
+}
