Pass a target's own failure on where the retry budget is used up

Cause, found by reading: the answer was discarded for a repeat that the budget then refused, so the caller got 502 in its place. TestReload failed with that and passes. A service that the request's configuration lacks is answered 503 instead of a crash.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -601,10 +601,13 @@
 	if w.host.Reload(changed) {
 		t.Error("a retry budget needs a restart")
 	}
-	w.call("GET", pathSafe, "")
+	a := w.call("GET", pathSafe, "")
 	if n := runs(); n != 3 {
 		t.Errorf("%d runs after the retry budget was taken away, want 3", n)
 	}
+	if a.status != 500 || a.header.Get("Server-Stamp") == "" || a.body != "failed" {
+		t.Errorf("the target's own failure is replaced: %+v", a)
+	}
 	changed.Listen.Callers = "127.0.0.1:1"
 	if !w.host.Reload(changed) {
 		t.Error("a new address needs no restart")
--- a/gateway/ingress/answer.go
+++ b/gateway/ingress/answer.go
@@ -86,9 +86,10 @@
 	return max(leastSafePatience, safePatienceGoals*x.route.Goal)
 }
 
-// retryStatus reports whether a failure of the target is worth another try.
+// retryStatus reports whether a failure of the target is worth another try. The answer
+// is passed on where no other try is allowed.
 func (x *exchange) retryStatus(status int) bool {
-	return status >= 500 && x.route.Idempotent() && !x.started && x.sends < x.route.MaxAttempts
+	return status >= 500 && x.route.Idempotent() && !x.started && x.sends < x.route.MaxAttempts && x.budgetAllows()
 }
 
 // fail returns the try of a request that may have run.
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -121,6 +121,8 @@
 	tries int
 	// sends counts the targets that the request was sent to.
 	sends int
+	// granted is the number of sends after which the retry budget allowed another one.
+	granted int
 	// started says that the head of an answer has gone to the caller.
 	started bool
 	// lastEvent is the id of the last event that has gone to the caller.
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -78,8 +78,8 @@
 func (x *exchange) run(ctx context.Context) {
 	x.cfg.Budget.Request(x.service, x.arrived)
 	service := x.cfg.Services.Get(x.service)
-	if service == nil {
-		x.refuse(refusal.New(refusal.UnknownPool, "service %s is not configured", x.service))
+	if service == nil || x.table.Service(x.service) == nil {
+		x.refuse(refusal.New(refusal.NoTarget, "service %s is not configured", x.service))
 		return
 	}
 	w := x.waiter()
@@ -105,9 +105,7 @@
 func (x *exchange) giveUp(err error) {
 	var f *refusal.Refusal
 	switch {
-	case errors.As(err, &f) && f.Reason == refusal.DeadlinePassed:
-		f = x.overloaded("%s", f.Detail)
-	case errors.As(err, &f) && f.Reason == refusal.Overloaded:
+	case errors.As(err, &f) && (f.Reason == refusal.DeadlinePassed || f.Reason == refusal.Overloaded):
 		f = x.overloaded("%s", f.Detail)
 	case errors.As(err, &f):
 	case x.callerLeft():
@@ -199,27 +197,44 @@
 	if x.mayHaveRun && !x.route.Idempotent() {
 		return refusal.New(t.reason, "target %s: %v", target.ID, t.err)
 	}
-	if t.sent {
-		if x.sends >= x.route.MaxAttempts {
-			if x.mayHaveRun {
-				return refusal.New(t.reason, "target %s: %v", target.ID, t.err)
-			}
-			return refusal.New(refusal.TargetFull, "target %s", target.ID)
-		}
+	if !t.sent {
+		return nil
+	}
+	if f := x.mayRepeat(target, t); f != nil {
+		return f
+	}
+	w.Exclude(target.Key())
+	w.Extend(time.Now())
+	w.Old = w.Old || x.cfg.Rollouts.Split(x.service, time.Now()).Share < 1 // a repeat goes to the proven version
+	x.cfg.Metrics.Retry(retryReason(t.reason))
+	event.RequestRetried.Log(x.cfg.Log, slog.String("id", x.call.ID), slog.String("target", target.ID), slog.String("reason", t.reason.String()))
+	return nil
+}
+
+// mayRepeat returns a refusal unless the route and the retry budget allow another send.
+func (x *exchange) mayRepeat(target directory.Target, t try) *refusal.Refusal {
+	reason, left := refusal.TargetFull, x.sends < x.route.MaxAttempts
+	if left && x.budgetAllows() {
+		return nil
+	}
+	if left {
+		reason = refusal.RetryBudget
+	}
+	if x.mayHaveRun {
+		reason = t.reason
+	}
+	return refusal.New(reason, "target %s: %v; %d sends, retry budget used up: %t", target.ID, t.err, x.sends, left)
+}
+
+// budgetAllows draws on the retry budget, once for each further send.
+func (x *exchange) budgetAllows() bool {
+	if x.granted < x.sends {
 		if !x.cfg.Budget.Repeat(x.service, time.Now()) {
-			f := refusal.New(refusal.RetryBudget, "target %s: %v", target.ID, t.err)
-			if x.mayHaveRun {
-				f = refusal.New(t.reason, "target %s: %v, and the retry budget is used up", target.ID, t.err)
-			}
-			return f
+			return false
 		}
-		w.Exclude(target.Key())
-		w.Extend(time.Now())
-		w.Old = w.Old || x.cfg.Rollouts.Split(x.service, time.Now()).Share < 1 // a repeat goes to the proven version
-		x.cfg.Metrics.Retry(retryReason(t.reason))
-		event.RequestRetried.Log(x.cfg.Log, slog.String("id", x.call.ID), slog.String("target", target.ID), slog.String("reason", t.reason.String()))
+		x.granted = x.sends
 	}
-	return nil
+	return true
 }
 
 // attemptAt tries one target.
