--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -52,7 +52,7 @@
 	return s
 }
 
-// SetTargets replaces the list of targets.
+// setTargets replaces the list of targets.
 func (s *Service) setTargets(list []directory.Target, zone string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/ingress/answer.go
+++ b/gateway/ingress/answer.go
@@ -203,7 +203,6 @@
 
 // done notes that the caller has its whole answer.
 func (x *exchange) done(details ...slog.Attr) {
-	x.answered = true
 	x.cfg.Metrics.Answer(x.request.Tier, x.service)
 	event.RequestAnswered.Log(x.cfg.Log, x.story(details...)...)
 }
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -26,6 +26,7 @@
 	"sardinefront.dev/gateway/rollout"
 	"sardinefront.dev/gateway/routing"
 	"sardinefront.dev/gateway/upstream"
+	"sardinefront.dev/sched/reserve"
 )
 
 // Metrics counts what happens to requests.
@@ -129,7 +130,6 @@
 	lastEvent string
 	// mayHaveRun says that a target may have begun to work on the request.
 	mayHaveRun bool
-	answered   bool
 }
 
 // admit checks the request and reads its body.
@@ -268,7 +268,6 @@
 
 // refuse answers with a refusal. It must be the first thing that is written.
 func (x *exchange) refuse(f *refusal.Refusal) {
-	x.answered = true
 	x.returnQuota()
 	tier := request.Patient
 	if x.request != nil {
@@ -313,7 +312,7 @@
 }
 
 // waiter returns the request's entry for the queue of its service.
-func (x *exchange) waiter() *reserveWaiter {
+func (x *exchange) waiter() *reserve.Waiter {
 	w := newWaiter(x.request, x.route)
 	if split := x.cfg.Rollouts.Split(x.service, x.arrived); split.Target != "" {
 		w.Version, w.Old = split.Target, rand.Float64() >= split.Share
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -21,8 +21,6 @@
 	"sardinefront.dev/sched/reserve"
 )
 
-type reserveWaiter = reserve.Waiter
-
 const (
 	// A caller leaves a stream whose first event does not come within the longest of
 	// these: a fixed time, a number of goals, and a number of longest pauses.
@@ -36,6 +34,7 @@
 	prefillPerToken = 25 * time.Microsecond
 )
 
+// newWaiter returns the entry of a request for the queue of its service.
 func newWaiter(r *request.Request, route *routing.Route) *reserve.Waiter {
 	w := &reserve.Waiter{Request: r, Patience: r.Deadline.Sub(r.Arrived)}
 	if route.Kind == routing.Stream {
@@ -143,6 +142,7 @@
 	x.refuse(f)
 }
 
+// finishTry tells the scheduler and the log how a try ended.
 func (x *exchange) finishTry(service *dispatch.Service, target directory.Target, t try) {
 	if t.full {
 		service.Full(target.Key())
@@ -256,6 +256,7 @@
 	return x.exchangeOn(ctx, service, conn, target, reservation)
 }
 
+// unreachable returns the try of a request whose target took no connection.
 func (x *exchange) unreachable(ctx context.Context, err error) try {
 	t := try{verdict: unsent, outcome: reserve.Unreachable, reason: refusal.TargetUnreachable, err: err}
 	if ctx.Err() != nil {
@@ -299,6 +300,8 @@
 	return "", t
 }
 
+// askReservation performs the exchange of a reservation; the id is empty if the target
+// is full.
 func (x *exchange) askReservation(conn *upstream.Conn, m protocol.Message) (string, *upstream.Answer, error) {
 	if err := conn.Send(m); err != nil {
 		return "", nil, err
