Measure a handshake until one is free of retransmissions

Alone all take 6,697 to 6,788 bytes. Beside 24 busy processes, 30 handshakes took from 6,695 to 10,067 bytes: an Initial packet is sent again while the process waits for the processor. The bound is about the handshake, not about the machine, and stays at 7,200 bytes; the cheapest of up to 40 counts instead of the cheapest of 5, so a larger handshake still fails every time.

--- a/fleet/peer/cost_test.go
+++ b/fleet/peer/cost_test.go
@@ -26,8 +26,9 @@
 	b, fromA := echo(t, "127.0.0.1:0", k["b"], quiet)
 	var a *Transport
 	var fromB chan string
+	const bound, tries = 2 * 3600, 40
 	cheapest := uint64(1 << 30)
-	for range 5 {
+	for i := 0; i < tries && cheapest > bound; i++ {
 		a, fromB = echo(t, "127.0.0.1:0", k["a"], quiet)
 		a.Send(b.Address(), "g", nil)
 		<-fromA
@@ -36,8 +37,8 @@
 		t.Logf("handshake: %d bytes out, %d in, %d packets", out, in, packets)
 		cheapest = min(cheapest, out+in)
 	}
-	if cheapest > 2*3600 {
-		t.Errorf("handshake: %d bytes", cheapest)
+	if cheapest > bound {
+		t.Errorf("handshake: %d bytes, the cheapest of %d", cheapest, tries)
 	}
 	const exchanges, body = 15, 600
 	var each []int
