Remove dead state and repeated locking from the gateway

The count of open connections of a target was kept and never read, and Seed returned a result that nobody used. Seven loops over the schedulers locked them alike; they now share one. No change in behaviour.

--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -222,16 +222,12 @@
 // Floors returns the lowest lane that waits for long, by service. The last lane
 // holds back nothing and is left out.
 func (s *Services) Floors() map[string]uint8 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	out := map[string]uint8{}
-	for name, service := range s.all {
-		service.mu.Lock()
+	s.each(func(name string, service *Service) {
 		if service.starved < reserve.LaneCount-1 {
 			out[name] = uint8(service.starved)
 		}
-		service.mu.Unlock()
-	}
+	})
 	return out
 }
 
@@ -246,79 +242,55 @@
 
 // Stats returns the counts of the schedulers by service.
 func (s *Services) Stats() map[string]reserve.Stats {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := make(map[string]reserve.Stats, len(s.all))
-	for name, service := range s.all {
-		service.mu.Lock()
+	out := map[string]reserve.Stats{}
+	s.each(func(name string, service *Service) {
 		out[name] = service.pool.Stats()
-		service.mu.Unlock()
-	}
+	})
 	return out
 }
 
 // Speeds returns the pauses between events of all targets.
 func (s *Services) Speeds() []reserve.Speed {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	var out []reserve.Speed
-	for _, service := range s.all {
-		service.mu.Lock()
+	s.each(func(_ string, service *Service) {
 		out = append(out, service.pool.Speeds()...)
-		service.mu.Unlock()
-	}
+	})
 	return out
 }
 
 // SetHosts sets the number of hosts that share the targets, this one included.
 func (s *Services) SetHosts(n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, service := range s.all {
-		service.mu.Lock()
+	s.each(func(_ string, service *Service) {
 		service.pool.SetHosts(n)
-		service.mu.Unlock()
-	}
+	})
 }
 
 // Ejected returns the targets that this host has ejected.
 func (s *Services) Ejected() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	var out []string
-	for _, service := range s.all {
-		service.mu.Lock()
+	s.each(func(_ string, service *Service) {
 		out = append(out, service.pool.Ejected()...)
-		service.mu.Unlock()
-	}
+	})
 	return out
 }
 
 // Doubt takes the targets that a peer has ejected.
 func (s *Services) Doubt(targets []string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	now := time.Now()
-	for _, service := range s.all {
-		service.mu.Lock()
+	s.each(func(_ string, service *Service) {
 		for _, name := range targets {
 			service.pool.Doubt(name, now)
 		}
-		service.mu.Unlock()
-	}
+	})
 }
 
 // Seed takes what a peer has learned of targets that this host does not know.
 func (s *Services) Seed(speeds []reserve.Speed) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, service := range s.all {
-		service.mu.Lock()
+	s.each(func(_ string, service *Service) {
 		for _, v := range speeds {
 			service.pool.Seed(v.Target, v.Gap)
 		}
-		service.mu.Unlock()
-	}
+	})
 }
 
 // Get returns the scheduler of a service, or nil.
@@ -328,6 +300,17 @@
 	return s.all[name]
 }
 
+// each calls a function for every scheduler while that is locked.
+func (s *Services) each(f func(name string, service *Service)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, service := range s.all {
+		service.mu.Lock()
+		f(name, service)
+		service.mu.Unlock()
+	}
+}
+
 // Update follows the configuration and the list of targets. Services that are
 // gone keep their scheduler without targets, for requests that still wait.
 func (s *Services) Update(table *routing.Table, targets []directory.Target) {
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -158,7 +158,6 @@
 	}
 	if !whole || !stopped || c.spoiled || a == nil || a.resp.Close || c.br.Buffered() > 0 || !c.bodySent() || c.idleFor <= 0 {
 		c.net.Close()
-		c.pool.closed()
 		return
 	}
 	c.net.SetDeadline(time.Time{})
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -57,7 +57,6 @@
 type hostPool struct {
 	mu   sync.Mutex
 	idle []*Conn
-	open int
 }
 
 // New returns a pool without connections. The dial timeout bounds each connect.
@@ -113,9 +112,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to target %s: %w", key, err)
 	}
-	h.mu.Lock()
-	h.open++
-	h.mu.Unlock()
 	return &Conn{
 		net: nc, br: bufio.NewReaderSize(nc, readBuffer), bw: bufio.NewWriterSize(nc, writeBuffer),
 		codec: p.codec, pool: h, idleFor: defaultIdle,
@@ -154,7 +150,6 @@
 			return c
 		}
 		c.net.Close()
-		h.open--
 	}
 	return nil
 }
@@ -164,19 +159,12 @@
 	defer h.mu.Unlock()
 	if len(h.idle) >= maxIdle {
 		c.net.Close()
-		h.open--
 		return
 	}
 	c.idleAt = time.Now()
 	h.idle = append(h.idle, c)
 }
 
-func (h *hostPool) closed() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.open--
-}
-
 func (h *hostPool) sweep(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -187,7 +175,6 @@
 			continue
 		}
 		c.net.Close()
-		h.open--
 	}
 	h.idle = kept
 }
@@ -197,7 +184,6 @@
 	defer h.mu.Unlock()
 	for _, c := range h.idle {
 		c.net.Close()
-		h.open--
 	}
 	h.idle = nil
 }
--- a/sched/reserve/lanes.go
+++ b/sched/reserve/lanes.go
@@ -126,14 +126,11 @@
 }
 
 // Seed records what another host has learned of a target that this host knows
-// nothing of, and reports whether it was news.
-func (p *Pool) Seed(name string, gap time.Duration) bool {
-	t := p.targets[name]
-	if t == nil || t.gap > 0 || gap <= 0 {
-		return false
+// nothing of.
+func (p *Pool) Seed(name string, gap time.Duration) {
+	if t := p.targets[name]; t != nil && t.gap == 0 && gap > 0 {
+		t.gap = gap
 	}
-	t.gap = gap
-	return true
 }
 
 // Speed is the pause between the events of one target.
