Judge the order of shedding by when hosts decided

Cause: the scenario crossed-cut-and-failing-answers-at-once failed once beside load. Its checker took the time at which a target ran a request for the time of the dispatch, and two floors with a gap between two looks for one. Traced on 16 copies beside 6 busy processes: question-29 was decided 251 ms before the floor and ran 460 ms later.

Change: hosts tell when a floor began, and the checker asks them when they decided on a dispatch that looks out of order. A decision they no longer know counts as before. Failed scenarios print the decisions on every request that breaks an invariant.

--- a/host/operators.go
+++ b/host/operators.go
@@ -53,6 +53,8 @@
 	Targets int                    `json:"targets"`
 	Ejected int                    `json:"ejected"`
 	Floor   string                 `json:"floor,omitempty"`
+	// FloorSince is the start of the floor; renewals without a gap keep it.
+	FloorSince time.Time `json:"floorSince,omitzero"`
 }
 
 func (h *Host) startOperators() error {
@@ -158,7 +160,7 @@
 		Targets: st.Targets, Ejected: st.Ejected,
 	}
 	if st.FloorUntil.After(now) {
-		p.Floor = st.Floor.String()
+		p.Floor, p.FloorSince = st.Floor.String(), st.FloorSince
 	}
 	return p
 }
--- a/proof/invariant/event.go
+++ b/proof/invariant/event.go
@@ -78,7 +78,10 @@
 type Event struct {
 	At   time.Time
 	Kind Kind
-	Host string
+	// Decided is when a host decided on a dispatch, if it is known. A target that
+	// starts late was not sent work late.
+	Decided time.Time
+	Host    string
 	// Request is unique among organisations: organisation~id.
 	Request string
 	Tier    request.Tier
--- a/proof/invariant/invariant_test.go
+++ b/proof/invariant/invariant_test.go
@@ -28,6 +28,12 @@
 	return e
 }
 
+// decided says when a host decided on a dispatch.
+func decided(ms int, e Event) Event {
+	e.Decided = at(ms, Event{}).At
+	return e
+}
+
 func run(ms int, id, target, version string) Event {
 	return at(ms, Event{Kind: Dispatched, Request: id, Target: target, Version: version})
 }
@@ -85,6 +91,9 @@
 		{"lower tier starts under a floor", I2,
 			[]Event{floor, submitted(0, "l", request.Interactive), run(1000, "l", "t", "")}, "of tier interactive started",
 			[]Event{floor, submitted(0, "l", request.Interactive), run(100, "l", "t", ""), submitted(0, "m", request.Interactive), run(2100, "m", "t", "")}},
+		{"lower tier is sent under a floor to a target that starts late", I2,
+			[]Event{floor, submitted(0, "l", request.Interactive), decided(300, run(1000, "l", "t", ""))}, "of tier interactive started",
+			[]Event{floor, submitted(0, "l", request.Interactive), decided(-100, run(1000, "l", "t", ""))}},
 		{"bad version gets too much", I3, many(20, 100), "got 20 of 100", many(7, 100)},
 		{"bad version gets work after its fault is visible", I3,
 			append(many(0, 1), at(2100, Event{Kind: Dispatched, Request: "r", Pool: "p", Version: "2"})), "after its fault was visible",
--- a/proof/invariant/recorder.go
+++ b/proof/invariant/recorder.go
@@ -34,6 +34,17 @@
 	r.events = append(r.events, e)
 }
 
+// Decide notes when a host decided on a recorded dispatch.
+func (r *Recorder) Decide(dispatch Event, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, e := range r.events {
+		if e.Kind == Dispatched && e.Request == dispatch.Request && e.Target == dispatch.Target && e.At.Equal(dispatch.At) {
+			r.events[i].Decided = at
+		}
+	}
+}
+
 // Events returns a copy of the events in order of time; events of the same time
 // keep the order in which they were recorded.
 func (r *Recorder) Events() []Event {
--- a/proof/invariant/traffic.go
+++ b/proof/invariant/traffic.go
@@ -54,7 +54,11 @@
 func (h *history) lowerStarts(cause Event, from, until time.Time, sameHost bool) []Violation {
 	var found []Violation
 	for _, d := range of(h.events, Dispatched) {
-		if !d.At.After(from) || !d.At.Before(until) || h.poolOf(d) != cause.Pool {
+		at := d.At
+		if !d.Decided.IsZero() && d.Decided.Before(at) {
+			at = d.Decided
+		}
+		if !at.After(from) || !at.Before(until) || h.poolOf(d) != cause.Pool {
 			continue
 		}
 		tier, ok := h.tierOf(d)
--- a/proof/scenario/commands.go
+++ b/proof/scenario/commands.go
@@ -188,14 +188,19 @@
 	}
 	w.targets.observe(w.rec, time.Now())
 	found := w.rec.Check(ids...)
+	if w.noteDecisions(found) {
+		found = w.rec.Check(ids...)
+	}
 	if len(found) == 0 {
 		return nil
 	}
 	var b strings.Builder
 	for _, v := range found {
 		fmt.Fprintf(&b, "\n%s", v)
-		if v.Invariant == invariant.I10 && len(v.Events) > 0 {
-			b.WriteString(w.explain(v.Events[0].Request))
+		for _, e := range v.Events {
+			if e.Request != "" {
+				b.WriteString(w.explain(e.Request))
+			}
 		}
 	}
 	return fmt.Errorf("%d violations%s", len(found), b.String())
--- a/proof/scenario/explain.go
+++ b/proof/scenario/explain.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,6 +13,8 @@
 	"time"
 
 	"sardinefront.dev/host"
+	"sardinefront.dev/proof/invariant"
+	"sardinefront.dev/sched/pool"
 )
 
 // explainTimeout bounds one question to a host's operator interface.
@@ -59,6 +62,51 @@
 	return fmt.Sprintf("%s %.500s", resp.Status, body)
 }
 
+// noteDecisions records when hosts decided on the dispatches that break the order of
+// shedding, and reports whether it found any: on a busy machine, a target may start
+// work much later than it was sent. A decision that the hosts no longer know leaves
+// the violation as it is.
+func (w *world) noteDecisions(found []invariant.Violation) bool {
+	noted := false
+	for _, v := range found {
+		if v.Invariant != invariant.I2 {
+			continue
+		}
+		for _, e := range v.Events {
+			if e.Kind != invariant.Dispatched {
+				continue
+			}
+			if at := w.decidedAt(e); !at.IsZero() {
+				w.rec.Decide(e, at)
+				noted = true
+			}
+		}
+	}
+	return noted
+}
+
+// decidedAt returns when a live host last decided to send the request to the target,
+// zero if none knows of it.
+func (w *world) decidedAt(dispatch invariant.Event) time.Time {
+	organisation, id, _ := strings.Cut(dispatch.Request, "~")
+	var last time.Time
+	w.hosts.each(func(p *hostProcess) {
+		if !p.up() {
+			return
+		}
+		var x host.Explanation
+		if err := json.Unmarshal([]byte(p.decisions(organisation, id)), &x); err != nil {
+			return
+		}
+		for _, d := range x.Decisions {
+			if d.Kind == pool.Dispatch && d.Target == dispatch.Target && d.At.After(last) {
+				last = d.At
+			}
+		}
+	})
+	return last
+}
+
 // decisions asks the host's operator interface about a request.
 func (p *hostProcess) decisions(organisation, id string) string {
 	client, scheme, err := p.operatorClient()
--- a/proof/scenario/hostprocess.go
+++ b/proof/scenario/hostprocess.go
@@ -85,18 +85,20 @@
 	})
 }
 
-// floorSeen is a tier floor that has been in force since a time.
+// floorSeen is a tier floor that was seen between two times.
 type floorSeen struct {
 	tier        string
+	began       time.Time // as the host tells it
 	since, last time.Time
 }
 
 // observeFloors records each tier floor once it has ended, with the times
-// between which it was seen. p.mu must be held.
+// between which it was seen. Two floors of a tier are told apart by their start:
+// the gap between them may fall between two looks. p.mu must be held.
 func (p *hostProcess) observeFloors(rec *invariant.Recorder, s host.Status, now time.Time) {
 	for _, pool := range s.Pools {
 		f := p.floors[pool.Name]
-		if f.tier == pool.Floor && f.tier != "" {
+		if f.tier == pool.Floor && f.began.Equal(pool.FloorSince) && f.tier != "" {
 			f.last = now
 			p.floors[pool.Name] = f
 			continue
@@ -106,7 +108,7 @@
 				At: f.since, Until: f.last, Kind: invariant.Floor, Host: p.name, Pool: pool.Name, Tier: tier,
 			})
 		}
-		p.floors[pool.Name] = floorSeen{tier: pool.Floor, since: now, last: now}
+		p.floors[pool.Name] = floorSeen{tier: pool.Floor, began: pool.FloorSince, since: now, last: now}
 	}
 }
 
--- a/sched/pool/api.go
+++ b/sched/pool/api.go
@@ -229,9 +229,9 @@
 	// Panic says that most targets look unhealthy and ejection is suspended.
 	Panic bool
 	// Floor is the tier below which nothing is started, valid while FloorUntil
-	// lies ahead.
-	Floor      request.Tier
-	FloorUntil time.Time
+	// lies ahead. FloorSince is its start; renewals without a gap keep it.
+	Floor                  request.Tier
+	FloorSince, FloorUntil time.Time
 }
 
 // Digest is this host's in-progress work and what it knows about targets, in
--- a/sched/pool/floors.go
+++ b/sched/pool/floors.go
@@ -36,6 +36,8 @@
 	raised   int
 	pausedAt time.Time
 	since    time.Time // start of the floors that are active without a gap
+	// began is the start of each tier's newest floor, with its renewals.
+	began [request.TierCount]time.Time
 }
 
 // block records that the first request of a tier finds no room. The floor is
@@ -75,7 +77,7 @@
 		*length = min(2**length, p.cfg.Limits.Floor)
 	}
 	until := now.Add(*length)
-	p.queue.SetFloor(tier, until)
+	p.setFloor(tier, until, now)
 	p.floors.known[tier] = until
 	why := fmt.Sprintf("%d %s requests wait without room", p.queue.Len(tier), tier)
 	p.ring.add("", Decision{At: now, Kind: RaiseFloor, Why: why})
@@ -130,11 +132,19 @@
 		until = latest
 	}
 	if until.After(p.queue.FloorUntil(t)) {
-		p.queue.SetFloor(t, until)
+		p.setFloor(t, until, now)
 		p.ring.add("", Decision{At: now, Kind: RaiseFloor, Why: t.String() + " floor from " + from})
 	}
 }
 
+// setFloor starts or renews the floor of a tier.
+func (p *Pool) setFloor(t request.Tier, until, now time.Time) {
+	if !p.queue.FloorUntil(t).After(now) {
+		p.floors.began[t] = now
+	}
+	p.queue.SetFloor(t, until)
+}
+
 // pauseStep pauses one running patient request, the newest, while floors last.
 // Work at a leaving target goes on: nothing else may start there.
 func (p *Pool) pauseStep(out []Action, now time.Time) []Action {
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -197,7 +197,7 @@
 		}
 	}
 	s.Floor, _ = p.queue.Floor(now)
-	s.FloorUntil = p.queue.FloorUntil(s.Floor)
+	s.FloorSince, s.FloorUntil = p.floors.began[s.Floor], p.queue.FloorUntil(s.Floor)
 	return s
 }
 
--- a/sched/pool/pool_test.go
+++ b/sched/pool/pool_test.go
@@ -133,6 +133,21 @@
 	}
 }
 
+// Guards against two floors with a gap between them that look like one.
+func TestFloorSince(t *testing.T) {
+	p := small(Engine, "1")
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	p.Floor(request.Urgent, at(200), "peer", at(0))
+	p.Floor(request.Urgent, at(400), "peer", at(150))
+	if s := p.Stats(at(300)); !s.FloorSince.Equal(at(0)) {
+		t.Errorf("a renewed floor began %s, want %s", s.FloorSince, at(0))
+	}
+	p.Floor(request.Urgent, at(700), "peer", at(500))
+	if s := p.Stats(at(600)); !s.FloorSince.Equal(at(500)) {
+		t.Errorf("a floor after a gap began %s, want %s", s.FloorSince, at(500))
+	}
+}
+
 // Guards against prefill for a request that cannot end in time, and against
 // taking in more than the bound.
 func TestRefusalsBeforeDispatch(t *testing.T) {
