Keep urgent requests off engines of which nothing is known

An engine without a sample counted as faster than any known one, so urgent requests found out which engines are slow.

Change: for lanes that need a fast engine, an unknown one costs as much as the slowest fast one, once speeds are told apart. Patient requests find out.

--- a/sched/reserve/choose.go
+++ b/sched/reserve/choose.go
@@ -55,7 +55,7 @@
 		if t.slow && lanes[l].fastOnly || !t.slow && held {
 			continue
 		}
-		c := p.cost(t, now) * (1 + preferenceSpread*t.preference + costNoise*p.rnd.Float64())
+		c := p.cost(t, l, now) * (1 + preferenceSpread*t.preference + costNoise*p.rnd.Float64())
 		if best == nil || c < bestCost {
 			best, bestCost = t, c
 		}
@@ -99,11 +99,21 @@
 	return float64(t.inflight) < room
 }
 
+// unknownGap stands in for the pause of a target without a sample. Requests that need
+// a fast target take it for a slow one of the known, once some are known to be fast:
+// those that can wait find out.
+func (p *Pool) unknownGap(l Lane) time.Duration {
+	if lanes[l].fastOnly && p.slowFrom > 0 {
+		return p.slowFrom
+	}
+	return firstGap
+}
+
 // cost estimates the time of a request at a target, in seconds.
-func (p *Pool) cost(t *target, now time.Time) float64 {
+func (p *Pool) cost(t *target, l Lane, now time.Time) float64 {
 	c := 0.0
 	if p.cfg.Reservations {
-		c = orDefault(t.gap, firstGap).Seconds() * typicalEvents
+		c = orDefault(t.gap, p.unknownGap(l)).Seconds() * typicalEvents
 	} else {
 		c = orDefault(t.latency, firstLatency).Seconds() * (1 + max(t.use(), t.reported(now)))
 	}
--- a/sched/reserve/lanes.go
+++ b/sched/reserve/lanes.go
@@ -47,9 +47,9 @@
 
 // markSlow tells slow targets from fast ones.
 func (p *Pool) markSlow() {
-	slow := p.slowGap()
+	p.slowFrom = p.slowGap()
 	for _, t := range p.order {
-		t.slow = slow > 0 && t.gap > slow
+		t.slow = p.slowFrom > 0 && t.gap > p.slowFrom
 	}
 }
 
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -47,6 +47,9 @@
 	tries  [2]spacing
 	floors [LaneCount]time.Time // end of the floor of each lane
 	gaps   []time.Duration      // scratch space of slowGap
+	// slowFrom is the pause between events from which a target is slow, as of the last
+	// look at the queue; 0 if too little is known.
+	slowFrom time.Duration
 }
 
 // New returns a pool without targets.
--- a/sched/reserve/reserve_test.go
+++ b/sched/reserve/reserve_test.go
@@ -55,6 +55,29 @@
 	}
 }
 
+// Guards against a start at which urgent requests find out which engines are slow:
+// those that can wait do, and urgent ones keep to engines known to be fast.
+func TestUnknownEnginesAreTriedByPatientRequests(t *testing.T) {
+	p := reserve.New(reserve.Config{Reservations: true})
+	p.SetTargets(engines(6, 8))
+	for i := range 4 {
+		p.Observe(fmt.Sprintf("e%d", i), 15*ms)
+	}
+	for i := range 8 {
+		id := fmt.Sprintf("storm-%d", i)
+		submit(t, p, waiter(id, request.Urgent, "o", start), start)
+		for _, g := range first(p.Next(start)) {
+			if g.Target == "e4" || g.Target == "e5" {
+				t.Errorf("%s went to %s, of which nothing is known", id, g.Target)
+			}
+		}
+	}
+	submit(t, p, waiter("tip", request.Patient, "o", start), start)
+	if g := first(p.Next(start)); len(g) != 1 || g[0].Target != "e4" && g[0].Target != "e5" {
+		t.Errorf("the patient request got %v, want an unknown engine", g)
+	}
+}
+
 // Guards against a burst in which late storm calls keep fresh reviews from being in
 // time, or batch work goes before either.
 func TestLanesUnderABurst(t *testing.T) {
