Limit quotas over a sliding window and keep what is spent in the store

Change: each host counts what all hosts use in 32 slots of the window and grants while 0.9 of the window has room; a bucket only evens out use. What is spent, in four parts of the window, and the learned speeds go into one record of the store, written by the first host when an organisation could exceed its window if all hosts lost power; hosts read it when they start. Hosts that have just started keep the parts of peers that they have not heard. Heartbeats tell how long a process has run, so that the use of young peers counts in full.

--- a/cmd/sardinefront/entry.go
+++ b/cmd/sardinefront/entry.go
@@ -54,10 +54,10 @@
 	}
 	kv := store.New(store.Config{Address: s.Store.Address, Counter: metrics})
 	g := gateway.New(gateway.Config{
-		Settings: s, Store: kv, RolloutStore: kv,
-		Rollouts: wire.RolloutLayout(),
-		Layout:   wire.Layout(),
-		Codec:    wire.Codec{}, ReadyPath: wire.ReadyPath, Metrics: metrics, MetricsPage: metrics.Handler(), Log: log,
+		Settings: s, Store: kv, Records: kv,
+		Rollouts: wire.RolloutLayout(), CheckpointKey: wire.KeyCheckpoint,
+		Layout: wire.Layout(),
+		Codec:  wire.Codec{}, ReadyPath: wire.ReadyPath, Metrics: metrics, MetricsPage: metrics.Handler(), Log: log,
 	})
 	if err := g.Start(); err != nil {
 		fmt.Fprintln(os.Stderr, "sardinefront:", err)
--- a/core/event/table.go
+++ b/core/event/table.go
@@ -46,6 +46,9 @@
 	StoreCutOff    = Event{Number: 603, Name: "store unreachable", Level: slog.LevelWarn, Meaning: "The store does not answer; the last configuration stays in force."}
 	StoreBack      = Event{Number: 604, Name: "store reachable", Level: slog.LevelInfo, Meaning: "The store answers again."}
 
+	CheckpointRestored = Event{Number: 605, Name: "checkpoint restored", Level: slog.LevelInfo, Meaning: "This host has read from the store what the hosts knew before it started."}
+	CheckpointRejected = Event{Number: 606, Name: "checkpoint rejected", Level: slog.LevelWarn, Meaning: "The record of what the hosts knew before could not be read or written."}
+
 	MoveStarted   = Event{Number: 701, Name: "move started", Level: slog.LevelInfo, Meaning: "A version move began."}
 	MoveStepped   = Event{Number: 702, Name: "move stepped", Level: slog.LevelInfo, Meaning: "The share of the new version grew."}
 	MoveDone      = Event{Number: 703, Name: "move done", Level: slog.LevelInfo, Meaning: "All traffic is on the new version."}
@@ -63,7 +66,7 @@
 		TargetEjected, TargetRestored, TargetLeaving, TargetListStale, TargetListed, TargetDoubted,
 		WriterElected, WriterLost, AppendUnknown, OutcomeUnknown, TakenOver,
 		MemberSuspected, MemberDead, MemberAlive, PeerRejected, PeerFetchFailed,
-		ConfigAdopted, ConfigRejected, StoreCutOff, StoreBack,
+		ConfigAdopted, ConfigRejected, StoreCutOff, StoreBack, CheckpointRestored, CheckpointRejected,
 		MoveStarted, MoveStepped, MoveDone, MoveTakenBack, MoveLate, VersionHalted, MoveRetried,
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,9 +48,11 @@
 	// ReadyPath is the path of the readiness question.
 	ReadyPath string
 	Metrics   Metrics
-	// RolloutStore and Rollouts are for rollouts of versions.
-	RolloutStore RolloutStore
-	Rollouts     RolloutLayout
+	// Records keeps the states of rollouts and the checkpoint.
+	Records  RecordStore
+	Rollouts RolloutLayout
+	// CheckpointKey is the key of what hosts know only in memory.
+	CheckpointKey string
 	// MetricsPage serves the metrics; nil serves none.
 	MetricsPage http.Handler
 	Log         *slog.Logger
@@ -91,6 +93,7 @@
 	settings atomic.Pointer[settings.Settings] // in force, after Reload
 	speeds   speedTable
 	names    shortNames
+	restored atomic.Pointer[map[uint32]uint32] // speeds from the checkpoint
 
 	callers, ready, internal, metrics *http.Server
 	stopping                          atomic.Bool
@@ -132,6 +135,7 @@
 	}
 	g.mesh = mesh
 	g.dir.SetFleet(mesh)
+	g.quota.Expect(mesh.Expected(), time.Now())
 	if err := g.observe(); err != nil {
 		return err
 	}
@@ -151,6 +155,7 @@
 	g.wg.Go(func() { g.dir.Run(ctx) })
 	g.wg.Go(func() { g.sweep(ctx) })
 	g.wg.Go(func() { g.steer(ctx) })
+	g.wg.Go(func() { g.keepCheckpoint(ctx) })
 	event.Started.Log(g.cfg.Log, slog.String("host", s.Host.Name), slog.String("callers", s.Listen.Callers))
 	return nil
 }
@@ -217,6 +222,7 @@
 	g.upstream.Retain(keys)
 	g.names.set(keys)
 	g.services.Update(table, targets)
+	g.seedRestored()
 }
 
 // kick sends a heartbeat at once to all peers.
@@ -243,7 +249,7 @@
 		h.Ejected = append(h.Ejected, shortName(name))
 	}
 	h.Rollouts = g.rollouts.Report(now)
-	h.Levels = g.quota.Levels(now)
+	h.Spent = g.quota.Spent(now)
 }
 
 // Heard implements peers.State.
@@ -259,7 +265,7 @@
 	if err := g.rollouts.Heard(h.Name, h.Rollouts, now); err != nil {
 		event.PeerRejected.Log(g.cfg.Log, slog.Any("error", err))
 	}
-	g.quota.Report(h.Name, h.Incarnation, h.Use, h.Levels, time.Duration(h.EveryMs)*time.Millisecond, now)
+	g.quota.Report(h.Name, h.Incarnation, h.Use, h.Spent, time.Duration(h.EveryMs)*time.Millisecond, time.Duration(h.UpMs)*time.Millisecond, now)
 }
 
 // mostEjected is the part of all targets from which a peer that has ejected them is
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -32,6 +33,25 @@
 	nextID  int
 	// settings are those that the host was started with.
 	settings settings.Settings
+	log      logBuffer
+}
+
+// logBuffer collects the lines that hosts write.
+type logBuffer struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logBuffer) contains(s string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.b.String(), s)
 }
 
 // Paths of the routes of the test configuration.
@@ -145,10 +165,10 @@
 	}
 	kv := store.New(store.Config{Address: s.Store.Address})
 	w.host = gateway.New(gateway.Config{
-		Settings: s, Store: kv, RolloutStore: kv,
-		Rollouts: wire.RolloutLayout(),
-		Layout:   wire.Layout(),
-		Codec:    wire.Codec{}, ReadyPath: wire.ReadyPath, Metrics: metrics, Log: slog.New(slog.DiscardHandler),
+		Settings: s, Store: kv, Records: kv,
+		Rollouts: wire.RolloutLayout(), CheckpointKey: wire.KeyCheckpoint,
+		Layout: wire.Layout(),
+		Codec:  wire.Codec{}, ReadyPath: wire.ReadyPath, Metrics: metrics, Log: slog.New(slog.NewJSONHandler(&w.log, nil)),
 	})
 	if err := w.host.Start(); err != nil {
 		w.t.Fatal(err)
@@ -505,6 +525,23 @@
 	}
 }
 
+// Guards against hosts that all stop and know nothing of the engines' speeds when they
+// start again.
+func TestSpeedsOutliveAFullStop(t *testing.T) {
+	w := newWorld(t)
+	w.add(engineName, slotengine.Config{Events: 8, Pause: oneEvent})
+	w.start()
+	if a := w.call("POST", pathStream, "prompt"); a.status != http.StatusOK {
+		t.Fatalf("status %d", a.status)
+	}
+	w.until("a checkpoint is in the store", func() bool { return w.store.Value(wire.KeyCheckpoint) != nil })
+	if err := w.host.Stop(); err != nil {
+		t.Fatal(err)
+	}
+	w.start()
+	w.until("the checkpoint is restored", func() bool { return w.log.contains(`"organisations":0,"speeds":1`) })
+}
+
 // Guards against work for a target that leaves or is gone, and against requests that
 // fail because of it.
 func TestLeavingTargetGetsNoWork(t *testing.T) {
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -261,7 +261,7 @@
 // returnQuota gives the units back for a request that did not run.
 func (x *exchange) returnQuota() {
 	if x.units > 0 && x.sends == 0 {
-		x.cfg.Quota.Return(x.org.Name, x.units)
+		x.cfg.Quota.Return(x.org.Name, x.units, time.Now())
 		x.units = 0
 	}
 }
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -14,7 +14,7 @@
 
 // formatVersion is the first field of every message. Hosts drop messages of other
 // versions.
-const formatVersion = 1
+const formatVersion = 2
 
 // Heartbeat is the state of one host.
 type Heartbeat struct {
@@ -25,6 +25,8 @@
 	Address string // IP:port of the peer socket
 	// Incarnation differs between the processes of one host.
 	Incarnation int64
+	// UpMs is how long the process has run, in milliseconds.
+	UpMs int64
 	// EveryMs is how often the receiver gets a heartbeat, in milliseconds.
 	EveryMs int64
 	// ConfigVersion is the version of the configuration in force, 0 for none.
@@ -39,8 +41,8 @@
 	Stopping bool
 	// Use is what the host has used of quotas since its start, by organisation.
 	Use map[string]float64
-	// Levels are the levels of the quotas that are not full, by organisation.
-	Levels map[string]float64
+	// Spent is what all hosts have used lately of quotas, by organisation.
+	Spent map[string]float64
 	// Floors are the lowest lanes that have waited for long, by service.
 	Floors map[string]uint8
 	// Speeds are pauses between events in microseconds, by the short name of the
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -76,6 +76,7 @@
 	cfg         Config
 	state       State
 	incarnation int64
+	started     time.Time
 	conn        *net.UDPConn
 
 	mu       sync.Mutex
@@ -99,7 +100,7 @@
 		return nil, err
 	}
 	m := &Mesh{
-		cfg: cfg, state: state, conn: conn, incarnation: rand.Int64(),
+		cfg: cfg, state: state, conn: conn, incarnation: rand.Int64(), started: time.Now(),
 		peers: map[string]*Peer{}, tried: map[string]time.Time{}, added: map[string]time.Time{},
 		kick: make(chan struct{}, 1), kickNear: make(chan struct{}, 1),
 	}
@@ -136,6 +137,17 @@
 	}
 }
 
+// Expected returns the number of other hosts that the settings name.
+func (m *Mesh) Expected() int {
+	n := 0
+	for _, a := range m.cfg.Seeds {
+		if a != m.cfg.Address {
+			n++
+		}
+	}
+	return n
+}
+
 // Kick sends a heartbeat to all peers at once.
 func (m *Mesh) Kick() {
 	select {
@@ -227,7 +239,7 @@
 func (m *Mesh) heartbeat(known []string, every time.Duration, now time.Time) ([]byte, error) {
 	h := &Heartbeat{
 		Name: m.cfg.Name, Zone: m.cfg.Zone, Address: m.cfg.Address, Incarnation: m.incarnation, Known: known,
-		EveryMs: every.Milliseconds(),
+		UpMs: now.Sub(m.started).Milliseconds(), EveryMs: every.Milliseconds(),
 	}
 	m.mu.Lock()
 	h.Stopping = m.stopping
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -1,6 +1,6 @@
 // Package quota limits what each organisation may use over all hosts. Each host
-// keeps a replica of every token bucket: it subtracts its own use at once and the
-// use of its peers as they report it. The package does no I/O and reads no clock.
+// keeps a replica of what all have used: it counts its own use at once and the use of
+// its peers as they report it. The package does no I/O and reads no clock.
 package quota
 
 import (
@@ -29,21 +29,32 @@
 	// grantedPart of what a window may hold is granted; the rest covers the time
 	// that reports of use take between hosts, and a full bucket after a restart.
 	grantedPart = 0.9
-	// slackBurst is the part of the slack that may be used at once.
-	slackBurst = 0.3
+	// burstPart of that may be used at once. The rest follows at an even rate, so that
+	// an organisation that sends too much does not fill the window in a second and
+	// then gets nothing until it has passed.
+	burstPart = 0.6
+	// pressedPart is the part of a window that may be forgotten when all hosts lose power
+	// together: a host starts with a bucket that holds only the limit's own burst.
+	pressedPart = 0.35
 )
 
-// widen returns the bucket that grants no more than the granted part in any
-// window. Its burst stays near the limit's, so that an organisation that sends too
-// much is held back evenly.
-func (t Tolerance) widen(l Limit) Limit {
+// granted returns how much of a limit is granted in any window, 0 where the tolerance
+// names no window.
+func (t Tolerance) granted(l Limit) float64 {
 	w := t.Window.Seconds()
 	if l.Rate <= 0 || w <= 0 {
+		return 0
+	}
+	return grantedPart * ((l.Rate*w+l.Burst)*(1+t.Ratio) + t.Slack)
+}
+
+// widen returns the bucket that evens out use within the window.
+func (t Tolerance) widen(l Limit) Limit {
+	most := t.granted(l)
+	if most == 0 {
 		return l
 	}
-	most := (l.Rate*w+l.Burst)*(1+t.Ratio) + t.Slack
-	burst := l.Burst + slackBurst*t.Slack
-	return Limit{Rate: max(l.Rate, (grantedPart*most-burst)/w), Burst: burst}
+	return Limit{Rate: max(l.Rate, most/t.Window.Seconds()), Burst: max(l.Burst, burstPart*most)}
 }
 
 const (
@@ -61,8 +72,14 @@
 type bucket struct {
 	// limit is the limit with the granted part of the tolerance.
 	limit Limit
-	level float64
-	at    time.Time
+	// most is what may be used within a window, 0 for no such bound.
+	most float64
+	// window is what all hosts have used in the last window; nil where most is 0.
+	window *usage
+	// guessed is what silent peers may have used of it.
+	guessed float64
+	level   float64
+	at      time.Time
 	// refused is what was refused lately, less what the rate has granted since. Those
 	// who come back find it ahead of them.
 	refused float64
@@ -94,6 +111,13 @@
 	mu      sync.Mutex
 	buckets map[string]*bucket
 	peers   map[string]*peer
+	// expected is the number of peers that should report until expectedUntil.
+	expected      int
+	expectedUntil time.Time
+	// restored is what a checkpoint says was spent, for limits that come later.
+	restored   map[string]History
+	restoredAt time.Time
+	unseen     time.Duration
 }
 
 // New returns a meter without limits.
@@ -119,15 +143,20 @@
 		}
 	}
 	for name, l := range limits {
+		most := m.tolerance.granted(l)
 		l = m.tolerance.widen(l)
 		b := m.buckets[name]
 		if b == nil {
-			m.buckets[name] = &bucket{limit: l, level: l.Burst, at: now}
-			continue
+			b = &bucket{limit: l, level: min(limits[name].Burst, l.Burst), at: now}
+			m.buckets[name] = b
 		}
 		b.refill(now)
-		b.limit = l
+		b.limit, b.most = l, most
 		b.level = min(b.level, l.Burst)
+		if most > 0 && b.window == nil {
+			b.window = newUsage(m.tolerance.Window)
+			m.raise(name, now)
+		}
 	}
 }
 
@@ -140,7 +169,39 @@
 }
 
 // use subtracts units; negative ones are given back.
-func (b *bucket) use(units float64) { b.level = min(b.limit.Burst, b.level-units) }
+func (b *bucket) use(units float64, now time.Time) {
+	b.level = min(b.limit.Burst, b.level-units)
+	if b.window != nil {
+		b.window.add(units, now)
+	}
+}
+
+// wait returns how long it takes until the units can be used, behind those that were
+// refused before; 0 if they can be used now.
+func (b *bucket) wait(units float64, now time.Time) time.Duration {
+	var wait time.Duration
+	if missing := min(units, b.limit.Burst) - b.level; missing > 0 {
+		wait = time.Duration((missing + b.refused) / b.limit.Rate * float64(time.Second))
+	}
+	if b.most > 0 {
+		b.window.advance(now)
+		if missing := min(units, b.most) - (b.most - b.window.total - b.guessed); missing > 0 {
+			wait = max(wait, b.window.freeAfter(missing+b.refused, now))
+		}
+	}
+	return wait
+}
+
+// spent returns what has been used of the window and of the bucket, whichever is more.
+func (b *bucket) spent(now time.Time) float64 {
+	b.refill(now)
+	spent := b.limit.Burst - b.level
+	if b.window != nil {
+		b.window.advance(now)
+		spent = max(spent, b.window.total)
+	}
+	return spent
+}
 
 // Take uses units of an organisation's quota. It returns 0 if they are granted,
 // else how long until they would be, behind those that
@@ -154,22 +215,21 @@
 	}
 	m.extrapolate(now)
 	b.refill(now)
-	if missing := min(units, b.limit.Burst) - b.level; missing > 0 {
-		wait := time.Duration((missing + b.refused) / b.limit.Rate * float64(time.Second))
+	if wait := b.wait(units, now); wait > 0 {
 		b.refused += units
 		return max(time.Millisecond, wait)
 	}
-	b.use(units)
+	b.use(units, now)
 	b.used += units
 	return 0
 }
 
 // Return gives back units that were taken for a request that did not run.
-func (m *Meter) Return(name string, units float64) {
+func (m *Meter) Return(name string, units float64, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if b := m.buckets[name]; b != nil && b.limit.Rate > 0 {
-		b.use(-units)
+		b.use(-units, now)
 		b.used -= units
 	}
 }
@@ -187,24 +247,27 @@
 	return out
 }
 
-// Levels returns the levels of the buckets that are not full.
-func (m *Meter) Levels(now time.Time) map[string]float64 {
+// Spent returns what all hosts have used lately of the quotas, by organisation.
+func (m *Meter) Spent(now time.Time) map[string]float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := map[string]float64{}
 	for name, b := range m.buckets {
-		b.refill(now)
-		if b.limit.Rate > 0 && b.level < b.limit.Burst {
-			out[name] = b.level
+		if b.limit.Rate <= 0 {
+			continue
+		}
+		if spent := b.spent(now); spent > 0 {
+			out[name] = spent
 		}
 	}
 	return out
 }
 
-// Report records a peer's use since its start. The first report of a peer only
-// sets the base line; levels lowers this host's levels to the peer's, so that a
-// process that has just started does not grant a full burst once more.
-func (m *Meter) Report(from string, incarnation int64, use, levels map[string]float64, every time.Duration, now time.Time) {
+// Report records a peer's use since its start, which was the given time ago. The first
+// report of a peer that has been up for long only sets the base line. This host then
+// takes as spent what the peer does, so that a process that has just started does not
+// grant a full burst once more.
+func (m *Meter) Report(from string, incarnation int64, use, spent map[string]float64, every, up time.Duration, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p := m.peers[from]
@@ -214,14 +277,14 @@
 		m.peers[from] = p
 		for name, used := range use {
 			p.report(name).used = used
-			if old != nil {
+			if old != nil || up < m.tolerance.Window {
 				m.charge(name, used, now)
 			}
 		}
 		if old != nil {
 			m.settle(old, now)
 		}
-		m.lower(levels, now)
+		m.adopt(spent, now)
 	} else {
 		m.settle(p, now)
 		for name, used := range use {
@@ -237,25 +300,86 @@
 // it has used.
 func (m *Meter) settle(p *peer, now time.Time) {
 	for name, r := range p.use {
-		if r.extrapolated != 0 {
-			m.charge(name, -r.extrapolated, now)
-			r.extrapolated = 0
+		if r.extrapolated == 0 {
+			continue
+		}
+		if b := m.buckets[name]; b != nil && b.limit.Rate > 0 {
+			b.refill(now)
+			b.level = min(b.limit.Burst, b.level+r.extrapolated)
 		}
+		r.extrapolated = 0
 	}
 }
 
 func (m *Meter) charge(name string, units float64, now time.Time) {
 	if b := m.buckets[name]; b != nil && b.limit.Rate > 0 {
 		b.refill(now)
-		b.use(units)
+		b.use(units, now)
 	}
 }
 
-func (m *Meter) lower(levels map[string]float64, now time.Time) {
-	for name, level := range levels {
-		if b := m.buckets[name]; b != nil {
-			b.refill(now)
-			b.level = min(b.level, level)
+// Histories returns what all hosts have used lately, by organisation.
+func (m *Meter) Histories(now time.Time) map[string]History {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := map[string]History{}
+	for name, b := range m.buckets {
+		if b.window != nil && b.spent(now) > 0 {
+			out[name] = b.window.history(now)
+		}
+	}
+	return out
+}
+
+// Restore takes histories of the given age from a checkpoint. Use may have gone on
+// unseen for a while after it.
+func (m *Meter) Restore(histories map[string]History, age, unseen time.Duration, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.restored, m.restoredAt, m.unseen = histories, now.Add(-max(0, age)), unseen
+	for name := range m.buckets {
+		m.raise(name, now)
+	}
+}
+
+// raise puts the restored history of an organisation into its window.
+func (m *Meter) raise(name string, now time.Time) {
+	h, ok := m.restored[name]
+	age := now.Sub(m.restoredAt)
+	if b := m.buckets[name]; ok && b.window != nil && age <= m.tolerance.Window {
+		b.window.raise(h, age, m.unseen, now)
+	}
+}
+
+// Pressed reports whether an organisation has used so much of a window that hosts
+// which have forgotten it could exceed the window.
+func (m *Meter) Pressed(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, b := range m.buckets {
+		if b.window == nil {
+			continue
+		}
+		b.window.advance(now)
+		if b.window.total > pressedPart*b.most {
+			return true
+		}
+	}
+	return false
+}
+
+// adopt raises what is known to be spent to what a peer knows.
+func (m *Meter) adopt(spent map[string]float64, now time.Time) {
+	for name, units := range spent {
+		b := m.buckets[name]
+		if b == nil {
+			continue
+		}
+		b.refill(now)
+		b.level = min(b.level, b.limit.Burst-units)
+		if b.window != nil {
+			b.window.advance(now)
+			b.window.add(max(0, units-b.window.total), now)
 		}
 	}
 }
@@ -263,32 +387,70 @@
 // extrapolate charges silent peers with their part of every quota: a host that is
 // cut off from them cannot tell whether they are gone or go on using it.
 func (m *Meter) extrapolate(now time.Time) {
+	for _, b := range m.buckets {
+		b.guessed = 0
+	}
 	for name, p := range m.peers {
 		age := now.Sub(p.at)
 		if age > forgetPeer {
 			delete(m.peers, name)
 			continue
 		}
-		if age < max(silentAfter, time.Duration(silentReports*float64(p.every))) {
+		if age >= max(silentAfter, time.Duration(silentReports*float64(p.every))) {
+			m.guess(p, now)
+		}
+	}
+	m.guessUnheard(now)
+}
+
+// expectFor is how long a host that has just started waits for its peers' reports.
+const expectFor = 1200 * time.Millisecond
+
+// Expect names the number of peers that should report soon: until they do, they are
+// taken to use their part of every quota. Hosts that all start together would else
+// each grant what is left before they hear of each other.
+func (m *Meter) Expect(peers int, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expected, m.expectedUntil = peers, now.Add(expectFor)
+}
+
+// guessUnheard reserves the parts of the peers that are still to be heard.
+func (m *Meter) guessUnheard(now time.Time) {
+	unheard := m.expected - len(m.peers)
+	if unheard <= 0 || !now.Before(m.expectedUntil) {
+		return
+	}
+	part := float64(unheard) / float64(m.expected+1)
+	for _, b := range m.buckets {
+		if b.window != nil {
+			b.window.advance(now)
+			b.guessed += part * max(0, b.most-(b.window.total-b.used)) // of what this host found
+		}
+	}
+}
+
+// guess charges a silent peer's part of every quota: of what was left when it fell
+// silent, and of the rate since then.
+func (m *Meter) guess(p *peer, now time.Time) {
+	hosts := float64(1 + len(m.peers))
+	d := now.Sub(p.charged).Seconds()
+	p.charged = now
+	for org, b := range m.buckets {
+		if b.limit.Rate <= 0 {
 			continue
 		}
-		hosts := float64(1 + len(m.peers))
-		d := now.Sub(p.charged).Seconds()
-		p.charged = now
-		for org, b := range m.buckets {
-			if b.limit.Rate <= 0 {
-				continue
-			}
-			r := p.report(org)
-			part := d * b.limit.Rate / hosts
-			if !p.silent {
-				part += max(0, b.level) / hosts
-			}
-			m.charge(org, part, now)
-			r.extrapolated += part
+		r := p.report(org)
+		part := d * b.limit.Rate / hosts
+		if !p.silent {
+			part += max(0, b.level) / hosts
 		}
-		p.silent = true
+		b.refill(now)
+		b.level -= part
+		r.extrapolated += part
+		b.guessed += min(r.extrapolated, b.most/hosts)
 	}
+	p.silent = true
 }
 
 // report returns the report on an organisation, which is empty at first.
--- a/gateway/quota/quota_test.go
+++ b/gateway/quota/quota_test.go
@@ -14,6 +14,10 @@
 const (
 	window = 8 * time.Second
 	report = 250 * time.Millisecond
+	// checkpointEvery is the pause between checkpoints.
+	checkpointEvery = time.Second
+	// downFor is how long all hosts are down; they start just after an exchange.
+	downFor = 1510 * time.Millisecond
 )
 
 var tolerance = quota.Tolerance{Window: window, Ratio: 0.1, Slack: 190000}
@@ -44,12 +48,13 @@
 	hosts  []*quota.Meter
 	names  []string
 	now    time.Time
+	start  time.Time // of the hosts
 	grants []grant
 	cut    func(from, to int) bool
 }
 
 func newFleet(n int, limit quota.Limit) *fleet {
-	f := &fleet{now: time.Unix(1000, 0), cut: func(int, int) bool { return false }}
+	f := &fleet{now: time.Unix(1000, 0), start: time.Unix(1000, 0), cut: func(int, int) bool { return false }}
 	for i := range n {
 		m := quota.New(tolerance)
 		m.SetLimits(map[string]quota.Limit{"org": limit}, f.now)
@@ -64,7 +69,7 @@
 	for i, from := range f.hosts {
 		for j, to := range f.hosts {
 			if i != j && !f.cut(i, j) {
-				to.Report(f.names[i], int64(i+1), from.Use(), from.Levels(f.now), report, f.now)
+				to.Report(f.names[i], f.start.UnixNano()+int64(i), from.Use(), from.Spent(f.now), report, f.now.Sub(f.start), f.now)
 			}
 		}
 	}
@@ -127,15 +132,76 @@
 	}
 }
 
+// Guards against a bucket that refuses a burst after a busy time although the window
+// has room: 350,000 units in two bursts, of 392,000 that a window grants.
+func TestBurstsWithinTheWindowAreGranted(t *testing.T) {
+	limit := quota.Limit{Rate: 20000, Burst: 60000}
+	f := newFleet(5, limit)
+	f.run(8*time.Second, 0) // the time before the first requests of a day
+	for burst, d := range []time.Duration{2 * time.Second, time.Second} {
+		before := len(f.grants)
+		f.run(d, 200)
+		if asked := int(d/(10*time.Millisecond)) * 5; len(f.grants)-before < asked*9/10 {
+			t.Errorf("burst %d: %d of %d requests granted", burst, len(f.grants)-before, asked)
+		}
+		f.run(2*time.Second, 20)
+	}
+}
+
+// restart replaces all hosts by ones that know only what a checkpoint tells, and of
+// each other nothing until the next exchange.
+func (f *fleet) restart(limit quota.Limit, used map[string]quota.History, age time.Duration) {
+	for i := range f.hosts {
+		m := quota.New(tolerance)
+		m.Expect(len(f.hosts)-1, f.now)
+		m.Restore(used, age, checkpointEvery, f.now)
+		m.SetLimits(map[string]quota.Limit{"org": limit}, f.now)
+		f.hosts[i] = m
+	}
+	f.start = f.now
+}
+
+// Guards against hosts that all lose power together and grant a window once more, with
+// a checkpoint of use near the limit and, for little use, without one.
+func TestAllRestartedStayWithinTheWindow(t *testing.T) {
+	limit := quota.Limit{Rate: 146000, Burst: 146000}
+	f := newFleet(9, limit)
+	f.run(8*time.Second, 0)
+	f.run(3*time.Second, 800)
+	if !f.hosts[0].Pressed(f.now) {
+		t.Fatal("no checkpoint is due near the limit")
+	}
+	used := f.hosts[0].Histories(f.now)
+	f.run(checkpointEvery, 800) // the record is as old as it gets when all stop
+	f.now = f.now.Add(downFor)
+	f.restart(limit, used, checkpointEvery+downFor)
+	f.run(10*time.Second, 800)
+	if got := most(f.grants); got > allowed(limit) {
+		t.Errorf("%.0f units in a window after a restart with a checkpoint, allowed %.0f", got, allowed(limit))
+	}
+
+	f = newFleet(9, limit)
+	f.run(8*time.Second, 0)
+	for !f.hosts[0].Pressed(f.now) {
+		f.run(50*time.Millisecond, 300)
+	}
+	f.now = f.now.Add(downFor)
+	f.restart(limit, nil, 0)
+	f.run(10*time.Second, 800)
+	if got := most(f.grants); got > allowed(limit) {
+		t.Errorf("%.0f units in a window after a restart without a checkpoint, allowed %.0f", got, allowed(limit))
+	}
+}
+
 // Guards against a restart that grants a full burst once more.
-func TestRestartedHostLearnsLevels(t *testing.T) {
+func TestRestartedHostLearnsWhatIsSpent(t *testing.T) {
 	limit := quota.Limit{Rate: 1000, Burst: 1000}
 	f := newFleet(2, limit)
 	for f.hosts[0].Take("org", 500, f.now) == 0 {
 	}
 	fresh := quota.New(tolerance)
 	fresh.SetLimits(map[string]quota.Limit{"org": limit}, f.now)
-	fresh.Report("a", 1, f.hosts[0].Use(), f.hosts[0].Levels(f.now), report, f.now)
+	fresh.Report("a", 1, f.hosts[0].Use(), f.hosts[0].Spent(f.now), report, time.Hour, f.now)
 	if fresh.Take("org", 500, f.now) == 0 {
 		t.Error("a restarted host grants a burst that its peers have used up")
 	}
@@ -150,7 +216,7 @@
 	if m.Take("org", 100, now) != 0 || m.Take("org", 1, now) == 0 {
 		t.Fatal("the burst is not the limit")
 	}
-	m.Return("org", 100)
+	m.Return("org", 100, now)
 	if m.Take("org", 500, now) != 0 {
 		t.Error("a request above the burst is refused by a full bucket")
 	}
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -12,8 +12,8 @@
 	"sardinefront.dev/platform"
 )
 
-// RolloutStore is what rollouts need of the store.
-type RolloutStore interface {
+// RecordStore is what rollouts and checkpoints need of the store.
+type RecordStore interface {
 	Get(ctx context.Context, key string) (platform.Entry, error)
 	CompareAndSwap(ctx context.Context, key string, value []byte, prev int64, lease platform.LeaseID) (int64, error)
 }
@@ -64,12 +64,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	l := g.cfg.Rollouts
-	if e, err := g.cfg.RolloutStore.Get(ctx, l.StatusPrefix+o.Service); err == nil && e.Revision > o.Revision {
+	if e, err := g.cfg.Records.Get(ctx, l.StatusPrefix+o.Service); err == nil && e.Revision > o.Revision {
 		if target, s, err := l.ReadStatus(e.Value); err == nil && target == o.Target {
 			g.rollouts.Settle(o.Service, o.Revision, s, "as the store says")
 		}
 	}
-	e, err := g.cfg.RolloutStore.Get(ctx, l.StartPrefix+o.Service)
+	e, err := g.cfg.Records.Get(ctx, l.StartPrefix+o.Service)
 	if err == nil && e.Revision > o.Revision {
 		if ms, err := strconv.ParseInt(string(e.Value), 10, 64); err == nil {
 			g.rollouts.Age(o.Service, o.Revision, time.Since(time.UnixMilli(ms)), time.Now())
@@ -79,7 +79,7 @@
 	if errors.Is(err, platform.ErrNotFound) || err == nil {
 		now := strconv.FormatInt(time.Now().UnixMilli(), 10)
 		// Another host may have written it first; both times are right enough.
-		_, _ = g.cfg.RolloutStore.CompareAndSwap(ctx, l.StartPrefix+o.Service, []byte(now), e.Revision, platform.NoLease)
+		_, _ = g.cfg.Records.CompareAndSwap(ctx, l.StartPrefix+o.Service, []byte(now), e.Revision, platform.NoLease)
 	}
 }
 
@@ -156,7 +156,7 @@
 func (g *Gateway) putStatus(ctx context.Context, d rollout.Decision) (rollout.State, error) {
 	l := g.cfg.Rollouts
 	key := l.StatusPrefix + d.Order.Service
-	e, err := g.cfg.RolloutStore.Get(ctx, key)
+	e, err := g.cfg.Records.Get(ctx, key)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return rollout.Running, err
 	}
@@ -170,7 +170,7 @@
 	if err != nil {
 		return rollout.Running, err
 	}
-	if _, err := g.cfg.RolloutStore.CompareAndSwap(ctx, key, value, e.Revision, platform.NoLease); err != nil {
+	if _, err := g.cfg.Records.CompareAndSwap(ctx, key, value, e.Revision, platform.NoLease); err != nil {
 		return rollout.Running, err
 	}
 	return d.State, nil
--- a/gateway/speeds.go
+++ b/gateway/speeds.go
@@ -50,6 +50,15 @@
 	return out
 }
 
+// shortSpeeds returns the speeds by the short names of their targets.
+func shortSpeeds(all []reserve.Speed) map[uint32]uint32 {
+	out := make(map[uint32]uint32, len(all))
+	for _, v := range all {
+		out[shortName(v.Target)] = uint32(v.Gap.Microseconds())
+	}
+	return out
+}
+
 // differ returns the difference of two values relative to the first.
 func differ(a, b uint32) float64 {
 	if a == 0 {
