Check that the log names the cause of every request that was not served

Cause: nothing showed that on-call engineers find each cause, and an error answer that was passed on had a sampled line without its status.

Events for an answer that was passed on as an error, a restored target, a leaving one and the reader of the store. The answer to a request with earlier trouble is never sampled away. log.level in the settings.

--- a/cmd/internal/ctl/ctl.go
+++ b/cmd/internal/ctl/ctl.go
@@ -109,6 +109,7 @@
 		rulesCommand(),
 		statusCommand(),
 		explainCommand(),
+		causesCommand(),
 		movesCommand(),
 		drainCommand(),
 		keysCommand(),
--- a/cmd/internal/ctl/operator.go
+++ b/cmd/internal/ctl/operator.go
@@ -148,6 +148,50 @@
 	}}
 }
 
+func causesCommand() command {
+	var files, ids []string
+	sub := flaggy.NewSubcommand("causes")
+	sub.Description = "Counts from logs how requests that were not served ended; fails if no line names the cause of one."
+	sub.StringSlice(&files, "l", "logs", "log file of one or more hosts, may be repeated; standard input if not given")
+	sub.StringSlice(&ids, "i", "id", "only this request, may be repeated")
+	return command{sub: sub, run: func(e *env) error {
+		log, err := readLogs(files)
+		if err != nil {
+			return err
+		}
+		unexplained, all := log.WriteCauses(e.out, ids)
+		fmt.Fprintf(e.out, "%d of %d requests have a line that names their cause\n", all-unexplained, all)
+		if unexplained > 0 {
+			return fmt.Errorf("%d requests without a cause", unexplained)
+		}
+		return nil
+	}}
+}
+
+func readLogs(files []string) (*story.Log, error) {
+	log := story.NewLog()
+	if len(files) == 0 {
+		if err := log.Add(os.Stdin); err != nil {
+			return nil, fmt.Errorf("standard input: %w", err)
+		}
+	}
+	for _, name := range files {
+		if err := addLog(log, name); err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return log, nil
+}
+
+func addLog(log *story.Log, name string) error {
+	f, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return log.Add(f)
+}
+
 // explainFromLogs tells the request's story from log files or standard input.
 func explainFromLogs(out io.Writer, id string, files []string) error {
 	var lines []story.Line
--- a/cmd/sardinefront/entry.go
+++ b/cmd/sardinefront/entry.go
@@ -42,6 +42,7 @@
 		event.SettingsRejected.Log(log, slog.String("file", file), slog.Any("error", err))
 		return exitSettings
 	}
+	handler.SetLevel(s.LogLevel())
 	if mb := s.Limits.MemoryMB; mb > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(mb) * (1 << 20)))
 	}
@@ -63,7 +64,7 @@
 		fmt.Fprintln(os.Stderr, "sardinefront:", err)
 		return exitStart
 	}
-	serveUntilStopped(g, file, signals, log)
+	serveUntilStopped(g, file, signals, log, handler.SetLevel)
 	if err := g.Stop(); err != nil {
 		return exitCut
 	}
@@ -75,7 +76,7 @@
 const reloadEvery = 2 * time.Second
 
 // serveUntilStopped follows the settings file until a signal to stop.
-func serveUntilStopped(g *gateway.Gateway, file string, signals <-chan os.Signal, log *slog.Logger) {
+func serveUntilStopped(g *gateway.Gateway, file string, signals <-chan os.Signal, log *slog.Logger, setLevel func(slog.Level)) {
 	t := time.NewTicker(reloadEvery)
 	defer t.Stop()
 	text, _ := os.ReadFile(file) // it was readable at the start
@@ -92,16 +93,17 @@
 			continue
 		}
 		text = now
-		reload(g, file, text, log)
+		reload(g, file, text, log, setLevel)
 	}
 }
 
 // reload takes changed settings, or reports their findings and keeps the old ones.
-func reload(g *gateway.Gateway, file string, text []byte, log *slog.Logger) {
+func reload(g *gateway.Gateway, file string, text []byte, log *slog.Logger, setLevel func(slog.Level)) {
 	s, err := settings.Parse(file, text)
 	if err != nil {
 		event.SettingsRejected.Log(log, slog.String("file", file), slog.Any("error", err))
 		return
 	}
+	setLevel(s.LogLevel())
 	event.SettingsReread.Log(log, slog.String("file", file), slog.Bool("needsRestart", g.Reload(s)))
 }
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -22,6 +22,9 @@
 
 // Log writes the event with its number and the given attributes.
 func (e Event) Log(l *slog.Logger, attrs ...slog.Attr) {
+	if !l.Enabled(context.Background(), e.Level) {
+		return
+	}
 	if e.Sampled {
 		if s, ok := l.Handler().(sampler); ok && !s.Sample() {
 			return
--- a/core/event/table.go
+++ b/core/event/table.go
@@ -20,6 +20,7 @@
 	RequestSent     = Event{Number: 206, Name: "request sent", Level: slog.LevelInfo, Meaning: "A request was sent to a target.", Sampled: true}
 	RequestAnswered = Event{Number: 205, Name: "request answered", Level: slog.LevelInfo, Meaning: "A caller has its whole answer.", Sampled: true}
 	AnswerBroken    = Event{Number: 204, Name: "answer broken", Level: slog.LevelWarn, Meaning: "An answer that had begun could not be completed; the caller's connection was closed."}
+	FailurePassedOn = Event{Number: 207, Name: "failure passed on", Level: slog.LevelInfo, Meaning: "A caller received a target's own error answer, which could not be asked for again elsewhere."}
 
 	TargetEjected   = Event{Number: 301, Name: "target ejected", Level: slog.LevelWarn, Meaning: "Failures, slowness or silence removed a target from picking."}
 	TargetRestored  = Event{Number: 302, Name: "target restored", Level: slog.LevelInfo, Meaning: "A target passed its trial requests and is picked again."}
@@ -46,6 +47,7 @@
 	StoreCutOff    = Event{Number: 603, Name: "store unreachable", Level: slog.LevelWarn, Meaning: "The store does not answer; the last configuration stays in force."}
 	StoreBack      = Event{Number: 604, Name: "store reachable", Level: slog.LevelInfo, Meaning: "The store answers again."}
 
+	StoreReader        = Event{Number: 607, Name: "reads the store", Level: slog.LevelInfo, Meaning: "No other host has told this one lately what the store holds, so it reads for itself and tells the others."}
 	CheckpointRestored = Event{Number: 605, Name: "checkpoint restored", Level: slog.LevelInfo, Meaning: "This host has read from the store what the hosts knew before it started."}
 	CheckpointRejected = Event{Number: 606, Name: "checkpoint rejected", Level: slog.LevelWarn, Meaning: "The record of what the hosts knew before could not be read or written."}
 
@@ -62,11 +64,11 @@
 func All() []Event {
 	return []Event{
 		Started, EmbeddedStore, ShutdownBegun, ShutdownDone, ShutdownCut, SettingsRejected, SettingsReread, LinesLeftOut,
-		RequestRefused, RequestRetried, CallerLeft, AnswerBroken, RequestAnswered, RequestSent,
+		RequestRefused, RequestRetried, CallerLeft, AnswerBroken, RequestAnswered, RequestSent, FailurePassedOn,
 		TargetEjected, TargetRestored, TargetLeaving, TargetListStale, TargetListed, TargetDoubted,
 		WriterElected, WriterLost, AppendUnknown, OutcomeUnknown, TakenOver,
 		MemberSuspected, MemberDead, MemberAlive, PeerRejected, PeerFetchFailed,
-		ConfigAdopted, ConfigRejected, StoreCutOff, StoreBack, CheckpointRestored, CheckpointRejected,
+		ConfigAdopted, ConfigRejected, StoreCutOff, StoreBack, CheckpointRestored, CheckpointRejected, StoreReader,
 		MoveStarted, MoveStepped, MoveDone, MoveTakenBack, MoveLate, VersionHalted, MoveRetried,
 	}
 }
--- a/core/logs/logs.go
+++ b/core/logs/logs.go
@@ -92,15 +92,19 @@
 type limits struct {
 	sampled, all rate
 	left         atomic.Int64
+	level        slog.LevelVar
 }
 
 // NewHandler returns a handler that writes JSON lines to the sink.
 func NewHandler(s *Sink) *Handler {
 	l := &limits{}
 	l.sampled.most, l.all.most = sampledPerSecond, linesPerSecond
-	return &Handler{Handler: slog.NewJSONHandler(s, nil), limits: l}
+	return &Handler{Handler: slog.NewJSONHandler(s, &slog.HandlerOptions{Level: &l.level}), limits: l}
 }
 
+// SetLevel sets the least level of lines that are written.
+func (h *Handler) SetLevel(level slog.Level) { h.limits.level.Set(level) }
+
 // Sample reports whether a line about something that went well is written.
 func (h *Handler) Sample() bool {
 	if h.limits.sampled.allow(time.Now()) {
--- a/core/logs/logs_test.go
+++ b/core/logs/logs_test.go
@@ -48,3 +48,19 @@
 		}
 	}
 }
+
+// Guards against lines below the level that is set, and against a level that holds
+// errors back.
+func TestLevel(t *testing.T) {
+	var out bytes.Buffer
+	sink := logs.NewSink(&out)
+	h := logs.NewHandler(sink)
+	log := slog.New(h)
+	h.SetLevel(slog.LevelError)
+	event.Started.Log(log)
+	event.ShutdownCut.Log(log)
+	sink.Flush()
+	if got := out.String(); strings.Contains(got, event.Started.Name) || !strings.Contains(got, event.ShutdownCut.Name) {
+		t.Errorf("lines at level error:\n%s", got)
+	}
+}
--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -94,6 +94,7 @@
 	// freshAt is when the list was last known to be current.
 	freshAt time.Time
 	failed  bool // the last read failed
+	reading bool // this host reads because no other does in time
 	nextTry time.Time
 	// mismatch is since when a peer with a fresher list differs.
 	mismatch time.Time
@@ -201,8 +202,13 @@
 func (d *Directory) read(ctx context.Context, now time.Time) {
 	d.mu.Lock()
 	after, readAt := d.asOf, d.readAt
+	began := !d.reading
+	d.reading = true
 	doubtful := d.failed || !d.freshAt.IsZero() && now.Sub(d.freshAt) > doubtAfter
 	d.mu.Unlock()
+	if began {
+		event.StoreReader.Log(d.cfg.Log, slog.Duration("lastRead", now.Sub(readAt)))
+	}
 	var err error
 	if after > 0 && now.Sub(readAt) < historyKept {
 		err = d.readChanges(ctx, after, doubtful, now)
--- a/gateway/directory/exchange.go
+++ b/gateway/directory/exchange.go
@@ -32,6 +32,10 @@
 	}
 }
 
+// echoMargin is how much newer than this host's own read a peer's may look that only
+// repeats it: ages are in whole milliseconds and do not count the way.
+const echoMargin = 100 * time.Millisecond
+
 // Heard takes what a peer knows.
 func (d *Directory) Heard(h *peers.Heartbeat, now time.Time) {
 	for _, c := range h.Changes {
@@ -51,6 +55,7 @@
 	case !at.After(d.freshAt):
 	case h.ListDigest == digest:
 		d.freshAt, d.mismatch = at, time.Time{}
+		d.reading = d.reading && at.Sub(d.readAt) < echoMargin
 	case d.mismatch.IsZero():
 		d.mismatch = now
 	}
--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -56,10 +56,14 @@
 func (s *Service) setTargets(list []directory.Target, zone string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	clear(s.targets)
+	old := s.targets
+	s.targets = make(map[string]directory.Target, len(list))
 	infos := make([]reserve.Target, 0, len(list))
 	for _, t := range list {
 		key := t.Key()
+		if t.Leaving && !old[key].Leaving {
+			event.TargetLeaving.Log(s.log, slog.String("service", s.name), slog.String("target", key))
+		}
 		s.targets[key] = t
 		infos = append(infos, reserve.Target{
 			Name: key, Local: t.Zone == zone, Version: t.Version, Slots: t.Slots, Leaving: t.Leaving, ColdUntil: t.ColdUntil,
@@ -180,9 +184,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	if why := s.pool.End(target, o, sample, now); why != "" {
+	change := s.pool.End(target, o, sample, now)
+	if change.Ejected != "" {
 		s.tell()
-		event.TargetEjected.Log(s.log, slog.String("service", s.name), slog.String("target", target), slog.String("why", why))
+		event.TargetEjected.Log(s.log, slog.String("service", s.name), slog.String("target", target), slog.String("why", change.Ejected))
+	}
+	if change.Restored {
+		event.TargetRestored.Log(s.log, slog.String("service", s.name), slog.String("target", target))
 	}
 	s.pump(now)
 }
--- a/gateway/ingress/answer.go
+++ b/gateway/ingress/answer.go
@@ -148,10 +148,12 @@
 	if werr != nil {
 		x.broken(werr)
 	}
-	x.done()
 	o := reserve.Served
-	if a.Status >= 500 {
+	if a.Status >= http.StatusInternalServerError {
 		o = reserve.Erred
+		event.FailurePassedOn.Log(x.cfg.Log, x.story(slog.Int("status", a.Status))...)
+	} else {
+		x.done()
 	}
 	return try{verdict: answered, sent: true, outcome: o, sample: x.sample(began), first: time.Since(began)}
 }
@@ -201,8 +203,11 @@
 	x.w.WriteHeader(a.Status)
 }
 
-// done notes that the caller has its whole answer.
+// done notes that the caller has its whole answer. The line is not left out where
+// earlier ones tell of trouble.
 func (x *exchange) done(details ...slog.Attr) {
 	x.cfg.Metrics.Answer(x.request.Tier, x.service)
-	event.RequestAnswered.Log(x.cfg.Log, x.story(details...)...)
+	line := event.RequestAnswered
+	line.Sampled = x.sends <= 1 && !x.troubled
+	line.Log(x.cfg.Log, x.story(details...)...)
 }
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -128,6 +128,8 @@
 	started bool
 	// lastEvent is the id of the last event that has gone to the caller.
 	lastEvent string
+	// troubled says that the log names a target that failed the request.
+	troubled bool
 	// mayHaveRun says that a target may have begun to work on the request.
 	mayHaveRun bool
 }
--- a/gateway/ingress/run.go
+++ b/gateway/ingress/run.go
@@ -162,6 +162,7 @@
 	if t.full && !t.sent {
 		return // the metrics count refused reservations; a busy host sees hundreds a second
 	}
+	x.troubled = true
 	event.TargetDoubted.Log(x.cfg.Log, slog.String("id", x.call.ID), slog.String("target", target.ID),
 		slog.String("service", x.service), slog.Bool("sent", t.sent), slog.String("reason", t.reason.String()), slog.Any("error", t.err))
 }
--- a/gateway/settings/settings.go
+++ b/gateway/settings/settings.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"net/netip"
 	"os"
 	"time"
@@ -60,6 +61,10 @@
 		Over          float64 `yaml:"over"`
 		Slack         float64 `yaml:"slack"`
 	} `yaml:"quota"`
+	Log struct {
+		// Level is the least level of lines that are written: info, warn or error.
+		Level string `yaml:"level"`
+	} `yaml:"log"`
 	// Rollout bounds what a bad version may get.
 	Rollout struct {
 		// ExposeShare is the part of a service's requests that it may get.
@@ -82,6 +87,7 @@
 	s.Stop.GraceSeconds = 8
 	s.RetryBudget.Ratio, s.RetryBudget.Slack, s.RetryBudget.WindowSeconds = 0.2, 50, 10
 	s.Rollout.ExposeShare = 0.1
+	s.Log.Level = "info"
 	if err := yaml.Unmarshal(text, &s); err != nil {
 		return s, fmt.Errorf("settings: %s: %w", file, err)
 	}
@@ -115,9 +121,16 @@
 	c.Want(s.Quota.Over >= 0, "quota.over", "%v is negative", s.Quota.Over)
 	c.Want(s.Quota.Slack >= 0, "quota.slack", "%v is negative", s.Quota.Slack)
 	c.Want(s.Rollout.ExposeShare > 0 && s.Rollout.ExposeShare <= 1, "rollout.expose_share", "%v is not in (0, 1]", s.Rollout.ExposeShare)
+	_, known := levels[s.Log.Level]
+	c.Want(known, "log.level", "%q is not info, warn or error", s.Log.Level)
 	return c
 }
 
+var levels = map[string]slog.Level{"info": slog.LevelInfo, "warn": slog.LevelWarn, "error": slog.LevelError}
+
+// LogLevel is the least level of lines that are written.
+func (s *Settings) LogLevel() slog.Level { return levels[s.Log.Level] }
+
 // PeerAddress is where the host is reached by its peers.
 func (s *Settings) PeerAddress() string {
 	return netip.AddrPortFrom(netip.MustParseAddr(s.Host.Address), s.Listen.InternalPorts[0]).String()
--- a/gateway/story/story_test.go
+++ b/gateway/story/story_test.go
@@ -56,3 +56,32 @@
 		story.Tell(&strings.Builder{}, "r1", lines)
 	})
 }
+
+const trouble = `1.0 a {"time":"2026-01-02T03:04:05.100Z","msg":"request refused","event":201,"id":"refused","reason":"quota-exceeded"}
+1.0 a {"time":"2026-01-02T03:04:05.100Z","msg":"failure passed on","event":207,"id":"failed","status":500}
+1.0 a {"time":"2026-01-02T03:04:05.100Z","msg":"target doubted","event":306,"id":"served"}
+1.1 a {"time":"2026-01-02T03:04:05.200Z","msg":"request answered","event":205,"id":"served"}
+1.1 a {"time":"2026-01-02T03:04:05.200Z","msg":"request sent","event":206,"id":"sampled"}
+1.1 b {"time":"2026-01-02T03:04:05.200Z","msg":"target doubted","event":306,"id":"killed"}
+2.1 b {"time":"2026-01-02T03:04:06.200Z","msg":"started","event":101}
+1.1 a {"time":"2026-01-02T03:04:05.200Z","msg":"target doubted","event":306,"id":"lost"}
+`
+
+// Guards against a request without a known cause that is counted as explained, and
+// against a count that a served request changes.
+func TestCauses(t *testing.T) {
+	log := story.NewLog()
+	if err := log.Add(strings.NewReader(trouble)); err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	if unexplained, all := log.WriteCauses(&out, nil); unexplained != 1 || all != 4 {
+		t.Errorf("%d of %d unexplained, want 1 of 4:\n%s", unexplained, all, out.String())
+	}
+	if !strings.Contains(out.String(), "no cause: lost\n") {
+		t.Errorf("causes:\n%s", out.String())
+	}
+	if unexplained, all := log.WriteCauses(&out, []string{"refused", "unseen"}); unexplained != 1 || all != 2 {
+		t.Errorf("%d of %d given requests unexplained, want 1 of 2", unexplained, all)
+	}
+}
--- a/sched/reserve/target.go
+++ b/sched/reserve/target.go
@@ -182,12 +182,26 @@
 	}
 }
 
-// End ends a grant. It returns the reason if the outcome ejects the target.
-func (p *Pool) End(name string, o Outcome, s Sample, now time.Time) string {
+// Change is a change of trust in a target.
+type Change struct {
+	// Ejected is the reason for which the target is out of use, empty if it is not new.
+	Ejected string
+	// Restored says that the target has passed its trial and is used as before.
+	Restored bool
+}
+
+// End ends a grant and returns what it changes about the target.
+func (p *Pool) End(name string, o Outcome, s Sample, now time.Time) Change {
 	t := p.targets[name]
 	if t == nil {
-		return ""
+		return Change{}
 	}
+	before := t.health.State()
+	why := p.end(t, o, s, now)
+	return Change{Ejected: why, Restored: before == health.Trial && t.health.State() == health.Healthy}
+}
+
+func (p *Pool) end(t *target, o Outcome, s Sample, now time.Time) string {
 	t.inflight = max(0, t.inflight-1)
 	t.freed = true
 	t.fullUntil = time.Time{}
