Do not let requests that failed at a target hold up others

A request that a silent server had kept for a second went back into the queue with that second as its wait, so its host refused all others of the organisation as hopeless although engines were free. One that had failed at the only free engine stayed at the head of its lane and kept those behind it from using the engine.

Change: waiting counts from the return to the queue. A request that waits only for want of an engine that has not failed it keeps its place and is passed over.

--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -7,6 +7,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"sardinefront.dev/core/refusal"
@@ -147,8 +148,16 @@
 	return grants, expired
 }
 
-// serveLane starts the requests of one lane until no target takes the next one.
+// serveLane starts the requests of one lane until no target takes the next one. A
+// request that waits for want of a target that has not failed it yet keeps its place,
+// but does not hold up those behind it.
 func (p *Pool) serveLane(l Lane, grants []Grant, now time.Time) []Grant {
+	var passed []*Waiter
+	defer func() {
+		for _, w := range slices.Backward(passed) {
+			p.queue.PushFront(&w.item)
+		}
+	}()
 	for {
 		it := p.queue.Lane(lanes[l].tier, lanes[l].late, now)
 		if it == nil {
@@ -161,6 +170,11 @@
 			w.Old = true
 			t = p.choose(w, l, now)
 		}
+		if t == nil && len(w.excluded) > 0 {
+			p.queue.Remove(it.Request.ID)
+			passed = append(passed, w)
+			continue
+		}
 		if t == nil {
 			return grants
 		}
--- a/sched/reserve/reserve_test.go
+++ b/sched/reserve/reserve_test.go
@@ -55,6 +55,46 @@
 	}
 }
 
+// Guards against refusals while targets are free: a request that a silent target has
+// kept for a second says nothing about the queue.
+func TestTimeAtAFailedTargetIsNoWait(t *testing.T) {
+	p := reserve.New(reserve.Config{Reservations: true})
+	p.SetTargets(engines(2, 4))
+	retried := waiter("retried", request.Urgent, "o", start)
+	submit(t, p, retried, start)
+	g := first(p.Next(start))
+	now := start.Add(2 * time.Second)
+	p.End(g[0].Target, reserve.Silent, reserve.Sample{}, now)
+	retried.Exclude("e0")
+	retried.Exclude("e1")
+	retried.Extend(now)
+	p.Resubmit(retried)
+	submit(t, p, waiter("new", request.Urgent, "o", now), now)
+}
+
+// Guards against a request that has failed at the only free target and keeps those
+// behind it from using that target.
+func TestExcludedRequestDoesNotHoldUpOthers(t *testing.T) {
+	p := reserve.New(reserve.Config{Reservations: true})
+	p.SetTargets(engines(2, 1))
+	submit(t, p, waiter("a", request.Urgent, "o", start), start)
+	submit(t, p, waiter("b", request.Urgent, "o", start), start)
+	grants := first(p.Next(start))
+	if len(grants) != 2 {
+		t.Fatalf("%d grants, want 2", len(grants))
+	}
+	failed := grants[0]
+	now := start.Add(100 * ms)
+	p.End(failed.Target, reserve.Erred, reserve.Sample{}, now)
+	failed.Waiter.Exclude(failed.Target)
+	failed.Waiter.Extend(now)
+	p.Resubmit(failed.Waiter)
+	submit(t, p, waiter("c", request.Urgent, "o", now), now)
+	expect(t, next(p, now), "c")
+	p.End(grants[1].Target, reserve.Served, reserve.Sample{}, now)
+	expect(t, next(p, now), failed.Waiter.Request.ID)
+}
+
 // Guards against a start at which urgent requests find out which engines are slow:
 // those that can wait do, and urgent ones keep to engines known to be fast.
 func TestUnknownEnginesAreTriedByPatientRequests(t *testing.T) {
--- a/sched/reserve/waiter.go
+++ b/sched/reserve/waiter.go
@@ -66,7 +66,11 @@
 
 // Extend lets a request that a target has failed wait a little beyond its usual time:
 // its caller has been kept waiting by the target, or already has a part of its answer.
-func (w *Waiter) Extend(now time.Time) { w.extended = now.Add(extendedWait) }
+// Its time at the target says nothing about the queue.
+func (w *Waiter) Extend(now time.Time) {
+	w.extended = now.Add(extendedWait)
+	w.queuedAt = now
+}
 
 // allows reports whether a rollout lets the request use a version.
 func (w *Waiter) allows(version string) bool {
@@ -90,8 +94,8 @@
 		if other.Request.Tier != w.Request.Tier || other.Request.Organisation != w.Request.Organisation {
 			continue
 		}
-		if age := now.Sub(other.Request.Arrived); age > most {
-			return refusal.New(refusal.Overloaded, "a request before it has waited for %s, this one has %s", age.Round(time.Millisecond), w.Patience)
+		if waited := now.Sub(other.queuedAt); waited > most {
+			return refusal.New(refusal.Overloaded, "a request before it has waited for %s, this one has %s", waited.Round(time.Millisecond), w.Patience)
 		}
 	}
 	return nil
