Count the use of young peers once and that before a full stop with care

Change: a total is taken over from peers that have run for a window only. Use after the checkpoint may have gone on at twice the rate. A checkpoint is due from 0.3 of a window.

--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -35,7 +35,7 @@
 	burstPart = 0.6
 	// pressedPart is the part of a window that may be forgotten when all hosts lose power
 	// together: a host starts with a bucket that holds only the limit's own burst.
-	pressedPart = 0.35
+	pressedPart = 0.3
 )
 
 // granted returns how much of a limit is granted in any window, 0 where the tolerance
@@ -284,7 +284,9 @@
 		if old != nil {
 			m.settle(old, now)
 		}
-		m.adopt(spent, now)
+		if up >= m.tolerance.Window {
+			m.adopt(spent, now) // a young peer knows no more than its own use and that of those that report here too
+		}
 	} else {
 		m.settle(p, now)
 		for name, used := range use {
--- a/gateway/quota/window.go
+++ b/gateway/quota/window.go
@@ -66,9 +66,12 @@
 	return h
 }
 
+// unseenGrowth is how many times as fast as in the newest part of a history use may
+// have gone on after it: a burst may have begun.
+const unseenGrowth = 2
+
 // raise makes the window hold at least a history of the given age. Each part counts as
-// used at its end. Use is taken to have gone on at the rate of the newest part for the
-// unseen time after the history.
+// used at its end. Use is taken to have gone on for the unseen time after the history.
 func (u *usage) raise(h History, age, unseen time.Duration, now time.Time) {
 	u.advance(now)
 	part := u.slot * windowSlots / HistoryParts
@@ -84,7 +87,7 @@
 		u.put(number, units-have)
 	}
 	went := min(age, unseen)
-	u.put(u.number(now.Add(went-age)), h[0]*float64(went)/float64(part))
+	u.put(u.number(now.Add(went-age)), unseenGrowth*h[0]*float64(went)/float64(part))
 }
 
 // put adds units to a slot of the window, if there are any.
