Add a fault soak that disturbs real processes from outside

Entry hosts run as processes between loopback proxies that delay, refuse, cut one way and silence connections; they are stopped, paused, killed and restarted by signals, alone, in series and all together. The store is down, silent, slow, loses answers and forgets; its checkpoint comes from wrong clocks or is damaged. Servers crash, leave, are replaced and answer wrongly. What callers and servers see is held against the promises: runs at most once, true refusals, own and whole answers, ends in time, planned stops without cuts, leaving servers, recovery and configuration after the last fault, memory.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 GO := go
 
-.PHONY: docs build test race lint fmt tidy demo bench slopes scenarios explore loc clean
+.PHONY: docs build test race lint fmt tidy demo bench slopes scenarios explore soak loc clean
 
 build:
 	$(GO) build -o bin/ ./cmd/sardinefront ./cmd/sardinectl
@@ -13,7 +13,7 @@
 test: build
 	$(GO) test $(filter-out ./proof/...,$(PACKAGES))
 	$(GO) test ./proof/bench ./proof/invariant ./proof/slopes
-	$(GO) test -count=1 ./proof/scenario
+	$(GO) test -count=1 ./proof/scenario ./proof/soak
 
 # The virtual-time measurements use one goroutine per run and are left out.
 race:
@@ -55,6 +55,12 @@
 explore: build
 	bin/sardinectl explore
 
+# Injects faults into real processes. SEEDS is the number of seeds, FIRST the first one.
+SEEDS := 10
+FIRST := 0
+soak: build
+	bin/sardinectl soak --seeds $(SEEDS) --first $(FIRST)
+
 scenarios: build
 	bin/sardinectl scenarios scenarios
 
--- a/cmd/internal/ctl/ctl.go
+++ b/cmd/internal/ctl/ctl.go
@@ -118,6 +118,7 @@
 		exploreCommand(),
 		slopesCommand(),
 		scenariosCommand(),
+		soakCommand(),
 		standinCommand(),
 	}
 }
--- a/cmd/internal/ctl/proof.go
+++ b/cmd/internal/ctl/proof.go
@@ -9,12 +9,15 @@
 
 	"github.com/integrii/flaggy"
 
+	"math/rand/v2"
 	"sardinefront.dev/fleet/simulate"
 	"sardinefront.dev/journal/explore"
 	"sardinefront.dev/moves/trial"
 	"sardinefront.dev/proof/bench"
 	"sardinefront.dev/proof/scenario"
 	"sardinefront.dev/proof/slopes"
+	"sardinefront.dev/proof/soak"
+	"time"
 )
 
 func benchCommand() command {
@@ -96,3 +99,24 @@
 	sub.Description = "Measures how each cost grows and works out its value at the target size."
 	return command{sub: sub, run: func(e *env) error { return slopes.Run(e.out) }}
 }
+
+func soakCommand() command {
+	cfg := soak.Config{Program: "bin/sardinefront", Hosts: 4, Callers: 12, Faults: 12 * time.Second, Parallel: 2}
+	seeds, first := 50, 0
+	sub := flaggy.NewSubcommand("soak")
+	sub.Description = "Runs entry hosts as processes under faults injected from outside and checks the promises; a line for each seed."
+	sub.Int(&seeds, "", "seeds", "how many seeds to play")
+	sub.Int(&first, "", "first", "the first seed; 0 draws one")
+	sub.Int(&cfg.Hosts, "", "hosts", "entry hosts of a run")
+	sub.Int(&cfg.Callers, "", "callers", "callers of a run")
+	sub.Int(&cfg.Parallel, "", "parallel", "runs at once")
+	sub.Duration(&cfg.Faults, "", "faults", "how long faults are injected")
+	sub.String(&cfg.Logs, "l", "logs", "directory for the hosts' logs of failed seeds")
+	sub.String(&cfg.Program, "", "program", "path of the entry program")
+	return command{sub: sub, run: func(e *env) error {
+		if first == 0 {
+			first = rand.IntN(1 << 30)
+		}
+		return soak.RunSeeds(cfg, uint64(first), seeds, e.out)
+	}}
+}
--- /dev/null
+++ b/proof/soak/check_test.go
@@ -0,0 +1,117 @@
+package soak
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"sardinefront.dev/standin/fleetuser"
+	"sardinefront.dev/standin/slotengine"
+)
+
+var start = time.Unix(1000, 0)
+
+func stream(n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		b.WriteString("id: " + string(rune('0'+i)) + "\ndata: piece-" + string(rune('0'+i)) + "\n\n")
+	}
+	return b.String()
+}
+
+// Guards against checks that cannot fail: each exchange breaks one promise.
+func TestChecksFindBrokenPromises(t *testing.T) {
+	run := slotengine.Run{ID: "r"}
+	ok := fleetuser.Answer{Status: http.StatusOK, ID: "r", Body: "plain from i-1", Whole: true}
+	cases := []struct {
+		promise string
+		path    string
+		answer  fleetuser.Answer
+		runs    []slotengine.Run
+	}{
+		{"runs at most once", fleetuser.PathUnsafe, ok, []slotengine.Run{run, run}},
+		{"runs at most once", fleetuser.PathSafe, ok, []slotengine.Run{run, run, run}},
+		{"not run", fleetuser.PathUnsafe, fleetuser.Answer{Status: http.StatusServiceUnavailable, Whole: true}, []slotengine.Run{run}},
+		{"own answer", fleetuser.PathSafe, ok, nil},
+		{"own answer", fleetuser.PathSafe, fleetuser.Answer{Status: http.StatusOK, ID: "other", Whole: true}, []slotengine.Run{run}},
+		{"own answer", fleetuser.PathSafe, fleetuser.Answer{Status: http.StatusOK, ID: "r", Body: "not yours", Whole: true}, []slotengine.Run{run}},
+		{"whole events", fleetuser.PathStream, fleetuser.Answer{Status: http.StatusOK, ID: "r", Body: stream(2) + "id: 3\nda"}, []slotengine.Run{run}},
+		{"each event once", fleetuser.PathStream, fleetuser.Answer{Status: http.StatusOK, ID: "r", Body: stream(2) + stream(1)}, []slotengine.Run{run}},
+		{"cut answers look cut", fleetuser.PathStream, fleetuser.Answer{Status: http.StatusOK, ID: "r", Body: stream(3), Whole: true}, []slotengine.Run{run}},
+	}
+	for _, c := range cases {
+		x := &exchange{call: fleetuser.Call{ID: "r", Path: c.path + "x"}, answer: c.answer}
+		found := append(checkRuns(x, c.runs), checkAnswer(x)...)
+		if len(found) != 1 || found[0].Promise != c.promise {
+			t.Errorf("%s: found %v", c.promise, found)
+		}
+	}
+	x := &exchange{call: fleetuser.Call{ID: "r", Path: fleetuser.PathSafe}, answer: ok}
+	if found := append(checkRuns(x, []slotengine.Run{run, run}), checkAnswer(x)...); len(found) != 0 {
+		t.Errorf("a good exchange: %v", found)
+	}
+}
+
+// Guards against ends that are excused without a disturbance, and against blame for
+// what a disturbance did.
+func TestEndsAreExcusedByDisturbancesOnly(t *testing.T) {
+	w, h := &world{}, &entryHost{name: "a"}
+	x := &exchange{
+		host: h, dialled: start, sent: start, ended: start.Add(4 * time.Second),
+		call: fleetuser.Call{ID: "r", Patience: time.Second}, err: errors.New("unexpected EOF"),
+	}
+	if found := w.checkEnd(x); len(found) != 2 {
+		t.Errorf("a late and cut exchange: %v", found)
+	}
+	h.disturbed.list = []span{{start.Add(-3 * time.Second), start.Add(-2 * time.Second)}}
+	if found := w.checkEnd(x); len(found) != 2 {
+		t.Errorf("an old disturbance excuses: %v", found)
+	}
+	h.disturbed.list = []span{{start.Add(time.Second), start.Add(2 * time.Second)}}
+	if found := w.checkEnd(x); len(found) != 0 {
+		t.Errorf("in a disturbance: %v", found)
+	}
+}
+
+// Guards against a server that gets new work long after its notice without being seen.
+func TestLateWorkAtALeavingServerIsFound(t *testing.T) {
+	e, err := slotengine.Start(slotengine.Config{ID: "i-1", Slots: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Close()
+	c, err := fleetuser.Dial(e.Address(), time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := c.Do(fleetuser.Call{ID: "r", Method: http.MethodGet, Path: "/", Patience: time.Second}, 0); err != nil {
+		t.Fatal(err)
+	}
+	s := &server{id: "i-1", Server: e, drainingAt: time.Now().Add(-leaveTime - time.Second)}
+	h := &entryHost{name: "a"}
+	w := &world{servers: []*server{s}}
+	seen := evidence{exchanges: []exchange{{host: h, call: fleetuser.Call{ID: "r"}}}}
+	if found := w.checkLeaving(seen); len(found) != 1 {
+		t.Errorf("late work: %v", found)
+	}
+	h.storeTrouble.list = []span{{from: time.Now().Add(-time.Second)}}
+	if found := w.checkLeaving(seen); len(found) != 0 {
+		t.Errorf("a host that the store does not answer: %v", found)
+	}
+}
+
+// Guards against a seed that names another schedule on the next run.
+func TestSeedNamesASchedule(t *testing.T) {
+	a, b := plan(7, 4, 10*time.Second), plan(7, 4, 10*time.Second)
+	if len(a) == 0 || len(a) != len(b) {
+		t.Fatalf("%d and %d actions", len(a), len(b))
+	}
+	for i := range a {
+		if a[i].at != b[i].at || a[i].what != b[i].what {
+			t.Errorf("action %d: %s at %s, then %s at %s", i, a[i].what, a[i].at, b[i].what, b[i].at)
+		}
+	}
+}
--- /dev/null
+++ b/proof/soak/process.go
@@ -0,0 +1,138 @@
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// process is one run of the entry program. Signals go to its own id only.
+type process struct {
+	cmd     *exec.Cmd
+	out     tail
+	started time.Time
+	ended   chan struct{} // closed when it has ended
+
+	mu       sync.Mutex
+	asked    time.Time // first SIGTERM
+	killed   bool
+	paused   bool
+	endedAt  time.Time
+	exitCode int
+}
+
+func startProcess(program, settings string) (*process, error) {
+	p := &process{cmd: exec.Command(program, "entry", "--settings", settings), ended: make(chan struct{}), started: time.Now()}
+	p.cmd.Stdout, p.cmd.Stderr = &p.out, &p.out
+	if err := p.cmd.Start(); err != nil {
+		return nil, fmt.Errorf("start %s: %w", program, err)
+	}
+	go func() {
+		_ = p.cmd.Wait() // the state says how it ended
+		p.mu.Lock()
+		p.endedAt, p.exitCode = time.Now(), p.cmd.ProcessState.ExitCode()
+		p.mu.Unlock()
+		close(p.ended)
+	}()
+	return p, nil
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch s {
+	case syscall.SIGTERM:
+		if p.asked.IsZero() {
+			p.asked = time.Now()
+		}
+	case syscall.SIGKILL:
+		p.killed = true
+	case syscall.SIGSTOP:
+		p.paused = true
+	case syscall.SIGCONT:
+		p.paused = false
+	}
+	_ = p.cmd.Process.Signal(s) // it may have ended
+}
+
+func (p *process) running() bool {
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// fate is how a process was asked to end and did.
+type fate struct {
+	asked, ended time.Time
+	killed       bool
+	exitCode     int
+}
+
+func (p *process) fate() fate {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return fate{p.asked, p.endedAt, p.killed, p.exitCode}
+}
+
+// peakMemory returns the most memory that the process has held, in bytes; 0 if it has
+// ended.
+func (p *process) peakMemory() int64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.SplitSeq(string(text), "\n") {
+		if fields := strings.Fields(line); len(fields) == 3 && fields[0] == "VmHWM:" {
+			kb, err := strconv.ParseInt(fields[1], 10, 64)
+			if err != nil {
+				return 0
+			}
+			return kb << 10
+		}
+	}
+	return 0
+}
+
+// tailBytes bounds what is kept of a process's output.
+const tailBytes = 1 << 20
+
+// tail keeps the last part of what is written.
+type tail struct {
+	mu  sync.Mutex
+	buf []byte
+}
+
+var _ io.Writer = (*tail)(nil)
+
+func (t *tail) Write(p []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.buf = append(t.buf, p...)
+	if over := len(t.buf) - tailBytes; over > 0 {
+		t.buf = append(t.buf[:0], t.buf[over:]...)
+	}
+	return len(p), nil
+}
+
+// lines returns the kept lines that contain the text.
+func (t *tail) lines(text string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for line := range bytes.SplitSeq(t.buf, []byte("\n")) {
+		if bytes.Contains(line, []byte(text)) {
+			out = append(out, string(line))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/proof/soak/relay.go
@@ -0,0 +1,178 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// linkFault is what a relay does to the bytes that pass it.
+type linkFault uint8
+
+const (
+	linkPasses  linkFault = iota
+	linkSlow              // each piece waits
+	linkRefuses           // new connections are closed at once, open ones reset
+	linkCutUp             // nothing passes from the client to the server
+	linkCutDown           // nothing passes from the server to the client
+	linkSilent            // nothing passes
+)
+
+var linkFaultNames = [...]string{"passes", "slow", "refuses", "cut up", "cut down", "silent"}
+
+// String returns the name for logs.
+func (f linkFault) String() string { return linkFaultNames[f] }
+
+// slowBy is the wait of each piece on a slow link.
+const slowBy = 120 * time.Millisecond
+
+// relay forwards TCP connections and disturbs them from outside. Bytes that a cut holds
+// back pass when it ends, as they do after lost packets are sent again.
+type relay struct {
+	upstream string
+	listener net.Listener
+
+	mu      sync.Mutex
+	fault   linkFault
+	changed chan struct{} // closed at each change of the fault
+	conns   map[*net.TCPConn]bool
+	closed  bool
+}
+
+func newRelay(upstream string) (*relay, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &relay{upstream: upstream, listener: l, changed: make(chan struct{}), conns: map[*net.TCPConn]bool{}}
+	go r.accept()
+	return r, nil
+}
+
+func (r *relay) address() string { return r.listener.Addr().String() }
+
+// set changes the fault.
+func (r *relay) set(f linkFault) {
+	r.mu.Lock()
+	r.fault = f
+	close(r.changed)
+	r.changed = make(chan struct{})
+	r.mu.Unlock()
+	if f == linkRefuses {
+		r.reset()
+	}
+}
+
+// reset ends the open connections with a reset.
+func (r *relay) reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		_ = c.SetLinger(0) // the connection may have ended already
+		_ = c.Close()
+	}
+}
+
+func (r *relay) close() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	r.set(linkPasses) // frees what waits
+	r.reset()
+}
+
+func (r *relay) accept() {
+	for {
+		c, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.forward(c.(*net.TCPConn))
+	}
+}
+
+func (r *relay) forward(client *net.TCPConn) {
+	defer client.Close()
+	r.mu.Lock()
+	refuses := r.fault == linkRefuses || r.closed
+	r.mu.Unlock()
+	if refuses {
+		return
+	}
+	c, err := net.DialTimeout("tcp4", r.upstream, time.Second)
+	if err != nil {
+		return
+	}
+	server := c.(*net.TCPConn)
+	defer server.Close()
+	if !r.add(client, server) {
+		return
+	}
+	defer r.remove(client, server)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.copy(server, client, linkCutUp)
+	}()
+	r.copy(client, server, linkCutDown)
+	<-done
+}
+
+func (r *relay) add(conns ...*net.TCPConn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range conns {
+		r.conns[c] = true
+	}
+	return !r.closed
+}
+
+func (r *relay) remove(conns ...*net.TCPConn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range conns {
+		delete(r.conns, c)
+	}
+}
+
+// copy forwards one direction, which one kind of fault cuts. Its end ends the other
+// direction too.
+func (r *relay) copy(to, from *net.TCPConn, cut linkFault) {
+	defer to.Close()
+	defer from.Close()
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buf)
+		r.pass(cut)
+		if n > 0 {
+			if _, werr := to.Write(buf[:n]); werr != nil {
+				return
+			}
+		}
+		if err != nil {
+			if err != io.EOF {
+				_ = to.SetLinger(0) // a reset is passed on as one
+			}
+			return
+		}
+	}
+}
+
+// pass waits while the link is cut in one direction.
+func (r *relay) pass(cut linkFault) {
+	for {
+		r.mu.Lock()
+		f, changed, closed := r.fault, r.changed, r.closed
+		r.mu.Unlock()
+		switch {
+		case closed || f != cut && f != linkSilent && f != linkSlow:
+			return
+		case f == linkSlow:
+			time.Sleep(slowBy)
+			return
+		}
+		<-changed
+	}
+}
--- a/standin/slotengine/slotengine.go
+++ b/standin/slotengine/slotengine.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -44,6 +45,7 @@
 	ID, Method, URI, Organisation, After, Reservation string
 	Body                                              []byte
 	Header                                            http.Header
+	At                                                time.Time
 }
 
 // Config describes a server.
@@ -52,6 +54,8 @@
 	ID string
 	// Slots is the number of reservations and runs at once.
 	Slots int
+	// Queue is the number of requests that wait for a slot; others are rejected.
+	Queue int
 	// Events is the number of events of a stream; 0 makes a plain service.
 	Events int
 	// Pause is the time between events, or of a plain answer.
@@ -69,8 +73,9 @@
 	faults   []Fault
 	sticky   Fault
 	runs     []Run
-	holds    map[string]bool
+	holds    map[string]time.Time // ends of reservations
 	busy     int
+	queued   int
 	most     int
 	accepted int
 	conns    map[net.Conn]bool
@@ -86,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{cfg: cfg, listener: l, holds: map[string]bool{}, conns: map[net.Conn]bool{}}
+	s := &Server{cfg: cfg, listener: l, holds: map[string]time.Time{}, conns: map[net.Conn]bool{}}
 	go s.accept()
 	return s, nil
 }
@@ -192,7 +197,7 @@
 		return write(c, 421, "Instance-Id: "+s.cfg.ID+"\r\n", nil)
 	}
 	if r.URL.Path == "/-/hold-take" {
-		return s.reserve(c)
+		return s.reserve(c, body)
 	}
 	if id, ok := strings.CutPrefix(r.URL.Path, "/-/hold-drop/"); ok {
 		s.mu.Lock()
@@ -203,12 +208,20 @@
 	return s.run(c, br, r, body)
 }
 
-func (s *Server) reserve(c net.Conn) bool {
+func (s *Server) reserve(c net.Conn, body []byte) bool {
+	var ask struct {
+		TTLMs int64 `json:"ttlMs"`
+	}
+	if err := json.Unmarshal(body, &ask); err != nil {
+		return write(c, 400, "", nil)
+	}
+	now := time.Now()
 	s.mu.Lock()
+	maps.DeleteFunc(s.holds, func(_ string, end time.Time) bool { return now.After(end) })
 	full := s.busy+len(s.holds) >= s.cfg.Slots
-	id := fmt.Sprintf("%s-%d", s.cfg.ID, time.Now().UnixNano())
+	id := fmt.Sprintf("%s-%d", s.cfg.ID, now.UnixNano())
 	if !full {
-		s.holds[id] = true
+		s.holds[id] = now.Add(time.Duration(ask.TTLMs) * time.Millisecond)
 	}
 	s.mu.Unlock()
 	if full {
@@ -227,20 +240,44 @@
 		f, s.faults = s.faults[0], s.faults[1:]
 	}
 	hold := r.Header.Get("Hold")
-	reserved := s.holds[hold]
+	_, reserved := s.holds[hold]
 	delete(s.holds, hold)
-	if f == Shed || !reserved && s.busy+len(s.holds) >= s.cfg.Slots {
+	if f == Shed || !reserved && !s.awaitSlot() {
 		return Shed, false
 	}
 	s.busy++
 	s.most = max(s.most, s.busy)
 	s.runs = append(s.runs, Run{
 		ID: r.Header.Get("Request-Id"), Method: r.Method, URI: r.RequestURI, Organisation: r.Header.Get("Tenant"),
-		After: r.Header.Get("Last-Event-Id"), Reservation: hold, Body: body, Header: r.Header,
+		After: r.Header.Get("Last-Event-Id"), Reservation: hold, Body: body, Header: r.Header, At: time.Now(),
 	})
 	return f, true
 }
 
+// slotPoll is how often a queued request looks for a slot.
+const slotPoll = time.Millisecond
+
+// awaitSlot waits in the queue for a free slot, and reports whether it got one. The
+// caller holds the lock, which is given up meanwhile.
+func (s *Server) awaitSlot() bool {
+	full := func() bool {
+		now := time.Now()
+		maps.DeleteFunc(s.holds, func(_ string, end time.Time) bool { return now.After(end) })
+		return s.busy+len(s.holds) >= s.cfg.Slots
+	}
+	if full() && s.queued >= s.cfg.Queue {
+		return false
+	}
+	s.queued++
+	for full() && !s.closed {
+		s.mu.Unlock()
+		time.Sleep(slotPoll)
+		s.mu.Lock()
+	}
+	s.queued--
+	return !s.closed
+}
+
 func (s *Server) done() {
 	s.mu.Lock()
 	s.busy--
@@ -266,7 +303,7 @@
 	case Crossed:
 		write(c, 200, "Request-Id: other\r\nServer-Stamp: stamp-other\r\n", []byte("not yours"))
 	case Unframed:
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\nplain from %s", head, s.cfg.ID)
+		s.unframed(c, r, head)
 		return false
 	}
 	if s.cfg.Events > 0 {
@@ -300,6 +337,19 @@
 	return err == nil
 }
 
+// unframed sends a whole answer without a length, which ends with the connection.
+func (s *Server) unframed(c net.Conn, r *http.Request, head string) {
+	if s.cfg.Events == 0 {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\nplain from %s", head, s.cfg.ID)
+		return
+	}
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n\r\n", head)
+	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // none begins at the start
+	for i := first + 1; i <= s.cfg.Events; i++ {
+		fmt.Fprintf(c, "id: %d\ndata: piece-%d\n\n", i, i)
+	}
+}
+
 func write(c net.Conn, status int, head string, body []byte) bool {
 	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), head, len(body), body)
 	return err == nil
