Search more often for urgent requests where the fleet is large

In a fleet of 61 hosts six refused reservations in a row are common while engines are free, so some host always asked the others to hold back; the hosts that searched tried one engine in 61 ms.

Change: with many targets a request starves once half of the fast ones have refused, or after 100 ms. Spacing doubles for lanes that need no fast target only; its unit is 0.3 ms a host, was 0.25.

--- a/sched/reserve/choose.go
+++ b/sched/reserve/choose.go
@@ -49,7 +49,7 @@
 	held := p.held(l, now)
 	tried := p.triedAll(w)
 	for _, t := range p.order {
-		if !p.open(t, now, distrust) || !w.allows(t.Version) || !tried && w.excludes(t.Name) {
+		if !p.open(t, l, now, distrust) || !w.allows(t.Version) || !tried && w.excludes(t.Name) {
 			continue
 		}
 		if t.slow && lanes[l].fastOnly || !t.slow && held {
@@ -78,8 +78,8 @@
 }
 
 // open reports whether a target is believed to have room.
-func (p *Pool) open(t *target, now time.Time, distrust bool) bool {
-	if t.Leaving || t.fullUntil.After(now) || !t.freed && now.Before(p.spacing(t).next) {
+func (p *Pool) open(t *target, l Lane, now time.Time, distrust bool) bool {
+	if t.Leaving || t.fullUntil.After(now) || !t.freed && now.Before(p.spacing(t).from(l)) {
 		return false
 	}
 	switch t.health.State() {
--- a/sched/reserve/lanes.go
+++ b/sched/reserve/lanes.go
@@ -34,6 +34,11 @@
 	// nothing of a lower lane. A few tries that meet full engines are no overload.
 	starvedAfter    = 15 * time.Millisecond
 	starvedRefusals = 6
+	// starvedPart and starvedLong apply where there are many targets: six refusals are
+	// common there while other targets are free. A request starves once the refusals
+	// in a row are that part of the fast targets, or it has waited for that long.
+	starvedPart = 0.5
+	starvedLong = 100 * time.Millisecond
 	// slowFactor marks a target as slow whose events come that much slower than
 	// those of a fast one.
 	slowFactor = 2.6
@@ -98,8 +103,12 @@
 	if p.cfg.Reservations && p.tries[0].refused < starvedRefusals {
 		return best
 	}
+	after := starvedAfter
+	if p.cfg.Reservations && float64(p.tries[0].refused) < starvedPart*float64(p.fastTargets()) {
+		after = starvedLong
+	}
 	for _, w := range p.waiters {
-		if now.Sub(w.queuedAt) < starvedAfter {
+		if now.Sub(w.queuedAt) < after {
 			continue
 		}
 		best = min(best, laneOf(w, now))
@@ -107,6 +116,17 @@
 	return best
 }
 
+// fastTargets returns the number of targets that are not known to be slow.
+func (p *Pool) fastTargets() int {
+	n := 0
+	for _, t := range p.order {
+		if !t.slow && !t.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
 // laneOf returns the lane of a waiting request.
 func laneOf(w *Waiter, now time.Time) Lane {
 	late := !w.FreshUntil.IsZero() && !now.Before(w.FreshUntil)
--- a/sched/reserve/reserve_test.go
+++ b/sched/reserve/reserve_test.go
@@ -398,3 +398,51 @@
 	p.SetTargets(engines(1, 4))
 	expect(t, next(p, start))
 }
+
+// Guards against a large fleet in which some host always asks the others to hold back,
+// because six of many engines were full, and against one that never asks.
+func TestFewFullEnginesOfManyAreNoShortage(t *testing.T) {
+	starved := func(targets, refusals int, waited time.Duration) bool {
+		p := reserve.New(reserve.Config{Reservations: true})
+		p.SetTargets(engines(targets, 1))
+		submit(t, p, waiter("a", request.Urgent, "o", start), start)
+		now := start
+		for n := 0; n < refusals; now = now.Add(ms) {
+			for _, g := range first(p.Next(now)) {
+				p.Full(g.Target, now)
+				p.Resubmit(g.Waiter)
+				n++
+			}
+		}
+		return p.Starved(start.Add(waited)) == 0
+	}
+	if starved(60, 8, 80*ms) {
+		t.Error("8 of 60 full engines count as a shortage after 80 ms")
+	}
+	if !starved(60, 8, 120*ms) || !starved(60, 30, 80*ms) || !starved(12, 6, 20*ms) {
+		t.Error("a request that waits long, or finds half of the engines full, is no shortage")
+	}
+}
+
+// Guards against urgent requests that search for a free engine as seldom as patient
+// ones when the fleet is full.
+func TestUrgentRequestsSearchMoreOften(t *testing.T) {
+	tries := func(tier request.Tier) int {
+		p := reserve.New(reserve.Config{Reservations: true})
+		p.SetTargets(engines(90, 5))
+		p.SetHosts(60)
+		submit(t, p, waiter("a", tier, "o", start), start)
+		n := 0
+		for now := start; now.Before(start.Add(400 * ms)); now = now.Add(ms) {
+			for _, g := range first(p.Next(now)) {
+				n++
+				p.Full(g.Target, now)
+				p.Resubmit(g.Waiter)
+			}
+		}
+		return n
+	}
+	if urgent, patient := tries(request.Urgent), tries(request.Patient); urgent < 2*patient {
+		t.Errorf("%d urgent and %d patient tries", urgent, patient)
+	}
+}
--- a/sched/reserve/target.go
+++ b/sched/reserve/target.go
@@ -16,7 +16,7 @@
 	// tryPause for each host that shares the targets, so that the tries of all hosts
 	// together don't grow with their number, doubled twice with further refusals.
 	freeRefusals    = 6
-	tryPause        = 250 * time.Microsecond
+	tryPause        = 300 * time.Microsecond
 	tryPauseDoubles = 2
 	// smoothing is the weight of a new sample.
 	smoothing = 0.2
@@ -144,6 +144,16 @@
 	// no sooner than next.
 	refused int
 	next    time.Time
+	// nextPatient takes the place of next for lanes that need no fast target.
+	nextPatient time.Time
+}
+
+// from returns when a lane may try again.
+func (s *spacing) from(l Lane) time.Time {
+	if lanes[l].fastOnly {
+		return s.next
+	}
+	return s.nextPatient
 }
 
 // spacing returns that of a target's kind.
@@ -162,8 +172,9 @@
 	if over < 0 {
 		return
 	}
-	pause := time.Duration(max(1, p.hosts)) * tryPause << min(over, tryPauseDoubles)
-	s.next = now.Add(time.Duration((0.75 + 0.5*p.rnd.Float64()) * float64(pause)))
+	pause := time.Duration((0.75 + 0.5*p.rnd.Float64()) * float64(tryPause) * float64(max(1, p.hosts)))
+	s.next = now.Add(pause)
+	s.nextPatient = now.Add(pause << min(over, tryPauseDoubles))
 }
 
 // Reserved records that a target granted a reservation.
