Count the use that peers have not reported yet

Change: a host takes its peers to use a quota as fast as it does itself, for the time since their last reports.

--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -4,6 +4,7 @@
 package quota
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -85,6 +86,21 @@
 	refused float64
 	// used is what this host has used since its start.
 	used float64
+	// lately is what this host has used, each unit fading over lateTime, as of latelyAt.
+	lately   float64
+	latelyAt time.Time
+}
+
+// lateTime is the time over which this host's own rate is averaged.
+const lateTime = 500 * time.Millisecond
+
+// rate returns the rate at which this host uses the quota, in units a second.
+func (b *bucket) rate(now time.Time) float64 {
+	if d := now.Sub(b.latelyAt); d > 0 {
+		b.lately *= math.Exp(-d.Seconds() / lateTime.Seconds())
+		b.latelyAt = now
+	}
+	return b.lately / lateTime.Seconds()
 }
 
 // report is the last known use of one organisation by one peer.
@@ -101,6 +117,7 @@
 	every       time.Duration // between reports
 	charged     time.Time     // end of the extrapolation so far
 	silent      bool
+	counted     float64 // time of the last report in reportedAt, 0 if it is not in it
 	use         map[string]*report
 }
 
@@ -114,6 +131,11 @@
 	// expected is the number of peers that should report until expectedUntil.
 	expected      int
 	expectedUntil time.Time
+	// reporting counts the peers that are not silent; reportedAt is the sum of the times
+	// of their last reports, in seconds after epoch.
+	reporting  int
+	reportedAt float64
+	epoch      time.Time
 	// restored is what a checkpoint says was spent, for limits that come later.
 	restored   map[string]History
 	restoredAt time.Time
@@ -177,15 +199,18 @@
 }
 
 // wait returns how long it takes until the units can be used, behind those that were
-// refused before; 0 if they can be used now.
-func (b *bucket) wait(units float64, now time.Time) time.Duration {
+// refused before; 0 if they can be used now. Peers are taken to have used as much as this
+// host in the time that they have not reported, which is given in seconds, summed over
+// them.
+func (b *bucket) wait(units, unreported float64, now time.Time) time.Duration {
 	var wait time.Duration
 	if missing := min(units, b.limit.Burst) - b.level; missing > 0 {
 		wait = time.Duration((missing + b.refused) / b.limit.Rate * float64(time.Second))
 	}
 	if b.most > 0 {
 		b.window.advance(now)
-		if missing := min(units, b.most) - (b.most - b.window.total - b.guessed); missing > 0 {
+		free := b.most - b.window.total - b.guessed - b.rate(now)*unreported
+		if missing := min(units, b.most) - free; missing > 0 {
 			wait = max(wait, b.window.freeAfter(missing+b.refused, now))
 		}
 	}
@@ -215,12 +240,14 @@
 	}
 	m.extrapolate(now)
 	b.refill(now)
-	if wait := b.wait(units, now); wait > 0 {
+	if wait := b.wait(units, m.unreported(now), now); wait > 0 {
 		b.refused += units
 		return max(time.Millisecond, wait)
 	}
 	b.use(units, now)
 	b.used += units
+	b.rate(now) // brings lately up to now
+	b.lately += units
 	return 0
 }
 
@@ -273,6 +300,9 @@
 	p := m.peers[from]
 	if p == nil || p.incarnation != incarnation {
 		old := p
+		if old != nil {
+			m.discount(old)
+		}
 		p = &peer{incarnation: incarnation, use: map[string]*report{}}
 		m.peers[from] = p
 		for name, used := range use {
@@ -296,6 +326,35 @@
 		}
 	}
 	p.at, p.charged, p.silent, p.every = now, now, false, every
+	m.count(p, now)
+}
+
+// count adds a peer's report to the sum of their times.
+func (m *Meter) count(p *peer, now time.Time) {
+	m.discount(p)
+	if m.epoch.IsZero() {
+		m.epoch = now.Add(-time.Second)
+	}
+	p.counted = now.Sub(m.epoch).Seconds()
+	m.reporting++
+	m.reportedAt += p.counted
+}
+
+// discount takes a peer out of the sum: its use is guessed otherwise, or it is gone.
+func (m *Meter) discount(p *peer) {
+	if p.counted != 0 {
+		m.reporting--
+		m.reportedAt -= p.counted
+		p.counted = 0
+	}
+}
+
+// unreported returns the time since the last reports, summed over the peers, in seconds.
+func (m *Meter) unreported(now time.Time) float64 {
+	if m.reporting == 0 {
+		return 0
+	}
+	return max(0, float64(m.reporting)*now.Sub(m.epoch).Seconds()-m.reportedAt)
 }
 
 // settle gives back what was charged while a peer was silent; its report tells what
@@ -395,6 +454,7 @@
 	for name, p := range m.peers {
 		age := now.Sub(p.at)
 		if age > forgetPeer {
+			m.discount(p)
 			delete(m.peers, name)
 			continue
 		}
@@ -435,6 +495,7 @@
 // guess charges a silent peer's part of every quota: of what was left when it fell
 // silent, and of the rate since then.
 func (m *Meter) guess(p *peer, now time.Time) {
+	m.discount(p)
 	hosts := float64(1 + len(m.peers))
 	d := now.Sub(p.charged).Seconds()
 	p.charged = now
--- a/gateway/quota/quota_test.go
+++ b/gateway/quota/quota_test.go
@@ -14,6 +14,8 @@
 const (
 	window = 8 * time.Second
 	report = 250 * time.Millisecond
+	// slowReport is the pause between reports to other zones in a large fleet.
+	slowReport = 1500 * time.Millisecond
 	// checkpointEvery is the pause between checkpoints.
 	checkpointEvery = time.Second
 	// downFor is how long all hosts are down; they start just after an exchange.
@@ -51,10 +53,11 @@
 	start  time.Time // of the hosts
 	grants []grant
 	cut    func(from, to int) bool
+	every  time.Duration // between reports
 }
 
 func newFleet(n int, limit quota.Limit) *fleet {
-	f := &fleet{now: time.Unix(1000, 0), start: time.Unix(1000, 0), cut: func(int, int) bool { return false }}
+	f := &fleet{now: time.Unix(1000, 0), start: time.Unix(1000, 0), cut: func(int, int) bool { return false }, every: report}
 	for i := range n {
 		m := quota.New(tolerance)
 		m.SetLimits(map[string]quota.Limit{"org": limit}, f.now)
@@ -69,7 +72,7 @@
 	for i, from := range f.hosts {
 		for j, to := range f.hosts {
 			if i != j && !f.cut(i, j) {
-				to.Report(f.names[i], f.start.UnixNano()+int64(i), from.Use(), from.Spent(f.now), report, f.now.Sub(f.start), f.now)
+				to.Report(f.names[i], f.start.UnixNano()+int64(i), from.Use(), from.Spent(f.now), f.every, f.now.Sub(f.start), f.now)
 			}
 		}
 	}
@@ -84,7 +87,7 @@
 				f.grants = append(f.grants, grant{f.now, units})
 			}
 		}
-		if f.now.Sub(time.Unix(1000, 0))%report == 0 {
+		if f.now.Sub(time.Unix(1000, 0))%f.every == 0 {
 			f.exchange()
 		}
 	}
@@ -105,6 +108,19 @@
 	}
 }
 
+// Guards against a large fleet in which reports take so long that an organisation which
+// begins to send many times its usual exceeds the window before they come.
+func TestSeldomReportsDoNotExceedTheWindow(t *testing.T) {
+	limit := quota.Limit{Rate: 500000, Burst: 500000}
+	f := newFleet(24, limit)
+	f.every = slowReport
+	f.run(9*time.Second, 160)
+	f.run(9*time.Second, 1000)
+	if got := most(f.grants); got > allowed(limit) || got < limit.Rate*window.Seconds() {
+		t.Errorf("%.0f units in a window, allowed %.0f, owed %.0f", got, allowed(limit), limit.Rate*window.Seconds())
+	}
+}
+
 // Guards against a host that grants the whole quota once it no longer hears its
 // peers: they go on using their part of it.
 func TestCutHostSharesTheQuota(t *testing.T) {
