Take a new configuration from any peer that has it

A host that the store does not answer waited for it before it asked a peer, and all such hosts asked the one peer that had told them first, for a large configuration.

Change: a host whose last read failed asks a peer at once, one of those that have the version; the transfer is compressed and may take 1.5 s.

--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -98,9 +98,9 @@
 	nextTry time.Time
 	// mismatch is since when a peer with a fresher list differs.
 	mismatch time.Time
-	// wanted is a newer configuration version that a peer has.
+	// wanted is a newer configuration version, wantedFrom the peers that have it.
 	wanted     int64
-	wantedFrom string
+	wantedFrom []string
 	recent     []passedOn
 	config     []byte
 	orders     map[string]int64 // revision of the newest order by key
@@ -161,8 +161,8 @@
 	if gone := d.list.Expire(now); len(gone) > 0 {
 		d.changed(gone, now)
 	}
-	if v, from := d.wantedConfig(); v > 0 {
-		d.fetchConfig(ctx, from)
+	if v, _ := d.wantedConfig(); v > 0 {
+		d.fetchConfig(ctx)
 	}
 	if d.due(now) {
 		d.read(ctx, now)
--- a/gateway/directory/exchange.go
+++ b/gateway/directory/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -44,8 +45,8 @@
 	digest := d.list.Digest()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if h.ConfigVersion > d.cfg.Current.Version() && h.ConfigVersion > d.wanted {
-		d.wanted, d.wantedFrom = h.ConfigVersion, h.Address
+	if h.ConfigVersion > d.cfg.Current.Version() {
+		d.want(h.ConfigVersion, h.Address)
 	}
 	if h.ListAge < 0 || d.freshAt.IsZero() {
 		return
@@ -61,29 +62,50 @@
 	}
 }
 
-func (d *Directory) wantedConfig() (int64, string) {
-	version := d.cfg.Current.Version()
+// want notes that a peer has a newer configuration.
+func (d *Directory) want(version int64, from string) {
+	if version > d.wanted {
+		d.wanted, d.wantedFrom = version, nil
+	}
+	if version == d.wanted && !slices.Contains(d.wantedFrom, from) {
+		d.wantedFrom = append(d.wantedFrom, from)
+	}
+}
+
+// wantedConfig returns a newer version that a peer has, 0 if there is none, and one of
+// the peers that have it. Hosts that ask different ones do not wait for one link.
+func (d *Directory) wantedConfig() (version int64, from string) {
+	current := d.cfg.Current.Version()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.wanted <= version {
+	if d.wanted <= current || len(d.wantedFrom) == 0 {
 		return 0, ""
 	}
-	return d.wanted, d.wantedFrom
+	return d.wanted, d.wantedFrom[rand.IntN(len(d.wantedFrom))]
 }
 
-// fetchConfig reads a newer configuration from the store or from the peer that
-// has it.
-func (d *Directory) fetchConfig(ctx context.Context, from string) {
-	e, err := d.cfg.Store.Get(ctx, d.cfg.Layout.ConfigKey)
-	if err == nil {
-		d.adopt(e.Value)
+// fetchConfig reads a newer configuration from the store, or from a peer that has it: at
+// once if the store did not answer the last read, since a call that waits for it would
+// use up the time in which a configuration must be in force.
+func (d *Directory) fetchConfig(ctx context.Context) {
+	d.mu.Lock()
+	failed := d.failed
+	d.mu.Unlock()
+	if !failed {
+		if e, err := d.cfg.Store.Get(ctx, d.cfg.Layout.ConfigKey); err == nil {
+			d.adopt(e.Value)
+		}
 	}
-	if v, _ := d.wantedConfig(); v > 0 {
-		d.fetchBulk(ctx, from)
+	if v, from := d.wantedConfig(); v > 0 && !d.fetchBulk(ctx, from) {
+		d.drop(from)
 	}
+}
+
+// drop forgets that a peer has the wanted version; its next heartbeat tells it again.
+func (d *Directory) drop(from string) {
 	d.mu.Lock()
-	d.wanted = 0
-	d.mu.Unlock()
+	defer d.mu.Unlock()
+	d.wantedFrom = slices.DeleteFunc(d.wantedFrom, func(a string) bool { return a == from })
 }
 
 // fetchFromPeer starts a host that cannot reach the store with what a peer holds.
--- a/gateway/peers/bulk.go
+++ b/gateway/peers/bulk.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
+
+	"github.com/klauspost/compress/gzip"
 )
 
 // Bulk is what a host passes on to one that cannot reach the store.
@@ -19,8 +22,9 @@
 }
 
 const (
-	bulkPath    = "/v1/state"
-	bulkTimeout = 800 * time.Millisecond
+	bulkPath = "/v1/state"
+	// bulkTimeout covers a large configuration over a slow link.
+	bulkTimeout = 1500 * time.Millisecond
 	// maxBulk bounds what is read: a configuration of at most 1 MiB and the list.
 	maxBulk = 4 << 20
 )
@@ -28,14 +32,21 @@
 // BulkHandler serves what this host holds.
 func BulkHandler(state func() *Bulk) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+bulkPath, func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET "+bulkPath, func(w http.ResponseWriter, r *http.Request) {
 		b, err := encoder.Marshal(state())
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
 		}
 		w.Header().Set("Content-Type", "application/cbor")
-		_, _ = w.Write(b) // the peer asks again if it is cut
+		if !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+			_, _ = w.Write(b) // the peer asks again if it is cut
+			return
+		}
+		w.Header().Set("Content-Encoding", "gzip")
+		z := gzip.NewWriter(w)
+		_, _ = z.Write(b) // as above
+		_ = z.Close()
 	})
 	return mux
 }
