--- a/gateway/quota/quota_test.go
+++ b/gateway/quota/quota_test.go
@@ -149,7 +149,7 @@
 }
 
 // Guards against a bucket that refuses a burst after a busy time although the window
-// has room: 350,000 units in two bursts, of 392,000 that a window grants.
+// has room: 330,000 units in two bursts, of 388,800 that a window grants.
 func TestBurstsWithinTheWindowAreGranted(t *testing.T) {
 	limit := quota.Limit{Rate: 20000, Burst: 60000}
 	f := newFleet(5, limit)
