Derive what silent peers may have used for the quota that is asked for

Each request reset and summed the guess of every organisation, also while no peer was silent. It is now worked out for the one organisation of the request, and the state of it is gone. No change of what is granted, but for a peer that is forgotten within the same look.

--- a/gateway/quota/peers.go
+++ b/gateway/quota/peers.go
@@ -140,9 +140,6 @@
 // extrapolate charges silent peers with their part of every quota: a host that is
 // cut off from them cannot tell whether they are gone or go on using it.
 func (m *Meter) extrapolate(now time.Time) {
-	for _, b := range m.buckets {
-		b.guessed = 0
-	}
 	for name, p := range m.peers {
 		age := now.Sub(p.at)
 		if age > forgetPeer {
@@ -154,7 +151,6 @@
 			m.guess(p, now)
 		}
 	}
-	m.guessUnheard(now)
 }
 
 // expectFor is how long a host that has just started waits for its peers' reports.
@@ -169,19 +165,24 @@
 	m.expected, m.expectedUntil = peers, now.Add(expectFor)
 }
 
-// guessUnheard reserves the parts of the peers that are still to be heard.
-func (m *Meter) guessUnheard(now time.Time) {
-	unheard := m.expected - len(m.peers)
-	if unheard <= 0 || !now.Before(m.expectedUntil) {
-		return
+// guessed returns what peers may have used of a window without a word: those that are
+// silent, and those that are still to be heard, of what this host found at its start.
+func (m *Meter) guessed(org string, b *bucket, now time.Time) float64 {
+	if b.window == nil {
+		return 0
 	}
-	part := float64(unheard) / float64(m.expected+1)
-	for _, b := range m.buckets {
-		if b.window != nil {
-			b.window.advance(now)
-			b.guessed += part * max(0, b.most-(b.window.total-b.used)) // of what this host found
+	sum := 0.0
+	share := b.most / float64(1+len(m.peers))
+	for _, p := range m.peers {
+		if r := p.use[org]; p.silent && r != nil {
+			sum += min(r.extrapolated, share)
 		}
 	}
+	if unheard := m.expected - len(m.peers); unheard > 0 && now.Before(m.expectedUntil) {
+		b.window.advance(now)
+		sum += float64(unheard) / float64(m.expected+1) * max(0, b.most-(b.window.total-b.used))
+	}
+	return sum
 }
 
 // guess charges a silent peer's part of every quota: of what was left when it fell
@@ -203,7 +204,6 @@
 		b.refill(now)
 		b.level -= part
 		r.extrapolated += part
-		b.guessed += min(r.extrapolated, b.most/hosts)
 	}
 	p.silent = true
 }
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -66,10 +66,8 @@
 	most float64
 	// window is what all hosts have used in the last window; nil where most is 0.
 	window *usage
-	// guessed is what silent peers may have used of it.
-	guessed float64
-	level   float64
-	at      time.Time
+	level  float64
+	at     time.Time
 	// refused is what was refused lately, less what the rate has granted since. Those
 	// who come back find it ahead of them.
 	refused float64
@@ -170,17 +168,17 @@
 }
 
 // wait returns how long it takes until the units can be used, behind those that were
-// refused before; 0 if they can be used now. Peers are taken to have used as much as this
-// host in the time that they have not reported, which is given in seconds, summed over
-// them.
-func (b *bucket) wait(units, unreported float64, now time.Time) time.Duration {
+// refused before; 0 if they can be used now. Guessed is what peers may have used of the
+// window. Peers are also taken to have used as much as this host in the time that they
+// have not reported, which is given in seconds, summed over them.
+func (b *bucket) wait(units, guessed, unreported float64, now time.Time) time.Duration {
 	var wait time.Duration
 	if missing := min(units, b.limit.Burst) - b.level; missing > 0 {
 		wait = time.Duration((missing + b.refused) / b.limit.Rate * float64(time.Second))
 	}
 	if b.most > 0 {
 		b.window.advance(now)
-		free := b.most - b.window.total - b.guessed - b.rate(now)*unreported
+		free := b.most - b.window.total - guessed - b.rate(now)*unreported
 		if missing := min(units, b.most) - free; missing > 0 {
 			wait = max(wait, b.window.freeAfter(missing+b.refused, now))
 		}
@@ -211,7 +209,7 @@
 	}
 	m.extrapolate(now)
 	b.refill(now)
-	if wait := b.wait(units, m.unreported(now), now); wait > 0 {
+	if wait := b.wait(units, m.guessed(name, b, now), m.unreported(now), now); wait > 0 {
 		b.refused += units
 		return max(time.Millisecond, wait)
 	}
