Use one set of the operator's texts and one look for free slots in the stand-ins

The gateway tests wrote the configuration and entries of servers again that standin/fleetuser has; slotengine looked for free slots and wrote events in two places each. The tests keep their assertions.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -18,6 +18,7 @@
 	"sardinefront.dev/gateway/settings"
 	"sardinefront.dev/platform/store"
 	"sardinefront.dev/platform/wire"
+	"sardinefront.dev/standin/fleetuser"
 	"sardinefront.dev/standin/kvstore"
 	"sardinefront.dev/standin/slotengine"
 )
@@ -56,46 +57,22 @@
 
 // Paths of the routes of the test configuration.
 const (
-	pathStream = "/stream/x" // resumable, two attempts
-	pathOnce   = "/once/x"   // stream that is not resumable
-	pathUnsafe = "/unsafe/x" // one attempt
-	pathSafe   = "/safe/x"   // two attempts
-	testHost   = "h.example" // host of all routes
-	testKey    = "key-1"     // key of the organisation
-	engineName = "llm"       // service of engines
-	plainName  = "plain"     // plain service
-	orgName    = "org"       // the organisation
-	timeoutMs  = 2000        // of all routes
-	longBody   = 64 << 10    // bytes, more than the socket buffers of a write
+	pathStream = "/stream/x"       // resumable, two attempts
+	pathOnce   = "/once/x"         // stream that is not resumable
+	pathUnsafe = "/unsafe/x"       // one attempt
+	pathSafe   = "/safe/x"         // two attempts
+	testHost   = fleetuser.Host    // host of all routes
+	testKey    = fleetuser.Key     // key of the organisation
+	engineName = fleetuser.Engines // service of engines
+	plainName  = fleetuser.Plain   // plain service
+	orgName    = fleetuser.Tenant  // the organisation
+	timeoutMs  = 2000              // of all routes
+	longBody   = 64 << 10          // bytes, more than the socket buffers of a write
 	oneEvent   = time.Millisecond
 )
 
 func configuration(version, rate int) []byte {
-	route := func(name, prefix, kind, service string, attempts int, resumable bool) map[string]any {
-		return map[string]any{
-			"name": name, "host": testHost, "prefix": prefix, "kind": kind, "service": service, "timeoutMs": timeoutMs,
-			"goalMs": 300, "gapAimMs": 200, "maxAttempts": attempts, "resumable": resumable, "priority": 0,
-		}
-	}
-	b, err := json.Marshal(map[string]any{
-		"version": version,
-		"routes": []any{
-			route("stream", "/stream/", "streaming", engineName, 2, true),
-			route("once", "/once/", "streaming", engineName, 1, false),
-			route("unsafe", "/unsafe/", "unsafe", plainName, 1, false),
-			route("safe", "/safe/", "safe", plainName, 2, false),
-		},
-		"services": []any{
-			map[string]any{"name": engineName, "engine": map[string]any{"slots": 2, "kvCapacity": 100000, "stride": 4, "holdMs": 2000}},
-			map[string]any{"name": plainName},
-		},
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": orgName, "apiKeys": []string{testKey}, "unit": "tokens", "plainTokens": 1, "ratePerS": rate, "burst": rate}},
-	})
-	if err != nil {
-		panic(err)
-	}
-	return b
+	return fleetuser.Configuration(version, timeoutMs, rate, 2)
 }
 
 func freePort(t *testing.T) uint16 {
@@ -140,11 +117,10 @@
 }
 
 func (w *world) list(service, id, address, state string) {
-	b, err := json.Marshal(map[string]any{"service": service, "address": address, "zone": "z", "version": "v1", "slots": 2, "state": state})
-	if err != nil {
-		w.t.Fatal(err)
-	}
-	w.store.Put(wire.PrefixTargets+id, b)
+	w.t.Helper()
+	w.store.Put(wire.PrefixTargets+id, fleetuser.Server{
+		Service: service, Address: address, Zone: "z", Slots: 2, Draining: state == "draining",
+	}.Entry())
 }
 
 // start starts the entry host and waits until it is ready.
--- a/proof/soak/world.go
+++ b/proof/soak/world.go
@@ -268,7 +268,7 @@
 	return out
 }
 
-// remove ends a server and its entry. A replacement keeps the service going.
+// remove ends a server, and its entry a while later.
 func (w *world) remove(s *server, unlistAfter time.Duration) {
 	s.Server.Close()
 	s.link.close()
--- a/standin/slotengine/slotengine.go
+++ b/standin/slotengine/slotengine.go
@@ -217,8 +217,7 @@
 	}
 	now := time.Now()
 	s.mu.Lock()
-	maps.DeleteFunc(s.holds, func(_ string, end time.Time) bool { return now.After(end) })
-	full := s.busy+len(s.holds) >= s.cfg.Slots
+	full := s.full(now)
 	id := fmt.Sprintf("%s-%d", s.cfg.ID, now.UnixNano())
 	if !full {
 		s.holds[id] = now.Add(time.Duration(ask.TTLMs) * time.Millisecond)
@@ -254,22 +253,24 @@
 	return f, true
 }
 
+// full drops the reservations that have ended and reports whether no slot is left. The
+// caller holds the lock.
+func (s *Server) full(now time.Time) bool {
+	maps.DeleteFunc(s.holds, func(_ string, end time.Time) bool { return now.After(end) })
+	return s.busy+len(s.holds) >= s.cfg.Slots
+}
+
 // slotPoll is how often a queued request looks for a slot.
 const slotPoll = time.Millisecond
 
 // awaitSlot waits in the queue for a free slot, and reports whether it got one. The
 // caller holds the lock, which is given up meanwhile.
 func (s *Server) awaitSlot() bool {
-	full := func() bool {
-		now := time.Now()
-		maps.DeleteFunc(s.holds, func(_ string, end time.Time) bool { return now.After(end) })
-		return s.busy+len(s.holds) >= s.cfg.Slots
-	}
-	if full() && s.queued >= s.cfg.Queue {
+	if s.full(time.Now()) && s.queued >= s.cfg.Queue {
 		return false
 	}
 	s.queued++
-	for full() && !s.closed {
+	for s.full(time.Now()) && !s.closed {
 		s.mu.Unlock()
 		time.Sleep(slotPoll)
 		s.mu.Lock()
@@ -321,10 +322,9 @@
 	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", head); err != nil {
 		return false
 	}
-	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // none begins at the start
-	for i := first + 1; i <= s.cfg.Events; i++ {
+	for i := next(r); i <= s.cfg.Events; i++ {
 		time.Sleep(s.cfg.Pause)
-		event := fmt.Sprintf("id: %d\ndata: piece-%d\n\n", i, i)
+		event := eventText(i)
 		if f == CutStream && i == s.cfg.Events/2 {
 			fmt.Fprintf(c, "%x\r\n%s", len(event), event[:len(event)/2])
 			return false
@@ -344,12 +344,19 @@
 		return
 	}
 	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n\r\n", head)
-	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // none begins at the start
-	for i := first + 1; i <= s.cfg.Events; i++ {
-		fmt.Fprintf(c, "id: %d\ndata: piece-%d\n\n", i, i)
+	for i := next(r); i <= s.cfg.Events; i++ {
+		_, _ = io.WriteString(c, eventText(i)) // the caller sees a cut answer
 	}
 }
 
+// next returns the number of the first event that the caller does not have.
+func next(r *http.Request) int {
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // none begins at the start
+	return last + 1
+}
+
+func eventText(i int) string { return fmt.Sprintf("id: %d\ndata: piece-%d\n\n", i, i) }
+
 func write(c net.Conn, status int, head string, body []byte) bool {
 	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), head, len(body), body)
 	return err == nil
