Greet new hosts once and tell peers only what is news

Cause: on the grown sites each host that heard a new peer sent a heartbeat to all others, and each host that heard a change of the target list passed it on to all others. Learned speeds went to whichever group of receivers was encoded first.

Change: a new address gets one greeting, with more addresses and all speeds. Changes and configurations are passed on by the host that read them in the store, to its zone at once. A speed is told if it differs by half from what any host has told. A host that cannot read the store and hears of another list asks that peer, at most once a second, and gets the configuration only if it is newer and removals too. New gauges count datagrams and bytes.

--- a/core/telemetry/telemetry.go
+++ b/core/telemetry/telemetry.go
@@ -48,6 +48,8 @@
 	{"sardinefront_config_version", "gauge", "", nil, "Version of the configuration in force."},
 	{"sardinefront_target_list_age", "gauge", "s", nil, "Time since the list of targets was last known to be current."},
 	{"sardinefront_peers", "gauge", "{host}", nil, "Other hosts heard lately."},
+	{"sardinefront_peer_sent_datagrams", "gauge", "{datagram}", nil, "Datagrams sent to other hosts since the start."},
+	{"sardinefront_peer_sent_bytes", "gauge", "By", nil, "Bytes of those datagrams."},
 	{"sardinefront_peer_bytes", "counter", "By", []string{"direction"}, "Bytes of control traffic with peers."},
 }
 
--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -28,8 +28,12 @@
 	// mismatchTime is how long a peer's list may differ before this host reads for
 	// itself: a change on its way takes one or two heartbeats.
 	mismatchTime = 400 * time.Millisecond
-	// passOnFor is how long a change is repeated in heartbeats.
-	passOnFor = 2 * peers.Interval
+	// fetchPause is kept between fetches of the list from peers.
+	fetchPause = time.Second
+	// passOnBeats is how many heartbeats to the same peer repeat a change.
+	passOnBeats = 2
+	// passOnMost bounds the time for which it is repeated.
+	passOnMost = 4 * time.Second
 	// maxPassOn bounds the bytes of changes in one heartbeat. Hosts that miss a
 	// change notice it by the digest.
 	maxPassOn = 1000
@@ -64,9 +68,11 @@
 // Fleet is what the directory needs of the peers.
 type Fleet interface {
 	Alive(now time.Time) []peers.Peer
-	Kick()
+	// KickNear tells the hosts of the zone at once; other zones have readers of their own.
+	KickNear()
 	// Fetch gets what a peer holds, for a host that cannot reach the store.
-	Fetch(ctx context.Context, address string) (*peers.Bulk, error)
+	// Version is the configuration that this host has, 0 for none.
+	Fetch(ctx context.Context, address string, version int64) (*peers.Bulk, error)
 }
 
 // Config connects a directory.
@@ -98,8 +104,11 @@
 	failed  bool // the last read failed
 	reading bool // this host reads because no other does in time
 	nextTry time.Time
-	// mismatch is since when a peer with a fresher list differs.
+	// mismatch is since when a peer with a fresher list differs, and fresher that peer.
 	mismatch time.Time
+	fresher  string
+	// fetchedAt is when this host last asked a peer for a list that differs.
+	fetchedAt time.Time
 	// wanted is a newer configuration version, wantedFrom the peers that have it and
 	// failedFrom those of them that did not answer, which are asked last.
 	wanted     int64
@@ -110,6 +119,16 @@
 	orders     map[string]int64 // revision of the newest order by key
 }
 
+// source says where this host learned something.
+type source uint8
+
+const (
+	fromPeer source = iota
+	// fromStore is what this host tells its peers: if each passed on what it hears, a
+	// change would cost a message for each pair of hosts.
+	fromStore
+)
+
 // passedOn is a change that heartbeats repeat.
 type passedOn struct {
 	change platform.Entry
@@ -171,7 +190,7 @@
 func (d *Directory) followStore(ctx context.Context) {
 	now := time.Now()
 	if gone := d.list.Expire(now); len(gone) > 0 {
-		d.changed(gone, now)
+		d.changed(gone, fromPeer, now) // each host notices it by itself
 	}
 	if d.due(now) {
 		d.read(ctx, now)
@@ -235,7 +254,7 @@
 	if err != nil {
 		return err
 	}
-	d.take(changes, doubtful, now)
+	d.take(changes, fromStore, doubtful, now)
 	d.mu.Lock()
 	d.asOf = asOf
 	d.mu.Unlock()
@@ -244,6 +263,9 @@
 
 func (d *Directory) readAll(ctx context.Context, doubtful bool, now time.Time) error {
 	l := d.cfg.Layout
+	d.mu.Lock()
+	first := d.freshAt.IsZero()
+	d.mu.Unlock()
 	targets, asOf, err := d.cfg.Store.Snapshot(ctx, l.TargetPrefix)
 	if err != nil {
 		return err
@@ -253,14 +275,18 @@
 		return err
 	}
 	if err == nil {
-		d.take([]platform.Entry{c}, false, now)
+		d.take([]platform.Entry{c}, fromStore, false, now)
 	}
 	orders, _, err := d.cfg.Store.Snapshot(ctx, l.RolloutPrefix)
 	if err != nil {
 		return err
 	}
-	d.take(orders, false, now)
-	d.changed(d.list.Replace(targets, asOf, doubtful, now), now)
+	d.take(orders, fromStore, false, now)
+	news := fromStore
+	if first {
+		news = fromPeer // the whole list is not news
+	}
+	d.changed(d.list.Replace(targets, asOf, doubtful, now), news, now)
 	d.mu.Lock()
 	d.asOf = asOf
 	d.mu.Unlock()
@@ -276,7 +302,10 @@
 	} else {
 		d.nextTry = time.Now().Add(retryRead)
 	}
-	never := d.freshAt.IsZero()
+	never, fresher := d.freshAt.IsZero(), ""
+	if err != nil && !d.mismatch.IsZero() && began.Sub(d.fetchedAt) >= fetchPause {
+		fresher, d.fetchedAt = d.fresher, began
+	}
 	d.mu.Unlock()
 	switch {
 	case err != nil && !was:
@@ -284,78 +313,93 @@
 	case err == nil && was:
 		event.StoreBack.Log(d.cfg.Log)
 	}
-	if err != nil && never {
+	switch {
+	case err != nil && never:
 		d.fetchFromPeer(ctx)
+	case fresher != "":
+		d.fetchBulk(ctx, fresher)
 	}
 }
 
 // take sorts changes by what they are about.
-func (d *Directory) take(changes []platform.Entry, doubtful bool, now time.Time) {
+func (d *Directory) take(changes []platform.Entry, from source, doubtful bool, now time.Time) {
 	l := d.cfg.Layout
 	var targets []platform.Entry
 	for _, c := range changes {
 		switch {
 		case c.Key == l.ConfigKey && !c.Deleted:
-			d.adopt(c.Value)
+			if d.adopt(c.Value) && from == fromStore {
+				d.kick()
+			}
 		case strings.HasPrefix(c.Key, l.TargetPrefix):
 			targets = append(targets, c)
 		case strings.HasPrefix(c.Key, l.RolloutPrefix):
-			d.order(c, now)
+			d.order(c, from, now)
 		}
 	}
-	d.changed(d.list.Apply(targets, doubtful, now), now)
+	d.changed(d.list.Apply(targets, doubtful, now), from, now)
 }
 
-func (d *Directory) order(c platform.Entry, now time.Time) {
+func (d *Directory) order(c platform.Entry, from source, now time.Time) {
 	d.mu.Lock()
 	known := d.orders[c.Key] >= c.Revision
 	if !known {
 		d.orders[c.Key] = c.Revision
-		d.recent = append(d.recent, passedOn{c, now})
+		if from == fromStore {
+			d.recent = append(d.recent, passedOn{c, now})
+		}
 	}
 	d.mu.Unlock()
-	if !known && d.cfg.Ordered != nil {
-		d.cfg.Ordered(strings.TrimPrefix(c.Key, d.cfg.Layout.RolloutPrefix), c)
+	if known || d.cfg.Ordered == nil {
+		return
+	}
+	d.cfg.Ordered(strings.TrimPrefix(c.Key, d.cfg.Layout.RolloutPrefix), c)
+	if from == fromStore {
 		d.kick()
 	}
 }
 
-// adopt puts a configuration in force if it is newer.
-func (d *Directory) adopt(value []byte) {
+// adopt puts a configuration in force if it is newer, and reports whether it was.
+func (d *Directory) adopt(value []byte) bool {
 	c, err := d.cfg.Layout.Config(value)
 	if err != nil {
 		event.ConfigRejected.Log(d.cfg.Log, slog.Any("error", err))
-		return
+		return false
 	}
 	if !d.cfg.Current.Adopt(routing.Compile(c)) {
-		return
+		return false
 	}
 	d.mu.Lock()
 	d.config = slices.Clone(value)
 	d.mu.Unlock()
 	event.ConfigAdopted.Log(d.cfg.Log, slog.Int64("version", c.Version), slog.Int("routes", len(c.Routes)))
 	d.cfg.Changed()
-	d.kick()
+	return true
 }
 
-func (d *Directory) changed(changes []platform.Entry, now time.Time) {
+// changed follows a change of the list, and tells the peers if the store told this host.
+func (d *Directory) changed(changes []platform.Entry, from source, now time.Time) {
 	if len(changes) == 0 {
 		return
 	}
-	d.mu.Lock()
-	for _, c := range changes {
-		d.recent = append(d.recent, passedOn{c, now})
+	if from == fromStore {
+		d.mu.Lock()
+		for _, c := range changes {
+			d.recent = append(d.recent, passedOn{c, now})
+		}
+		d.mu.Unlock()
 	}
-	d.mu.Unlock()
 	for _, c := range changes {
 		event.TargetListed.Log(d.cfg.Log, slog.String("key", c.Key), slog.Int64("revision", c.Revision), slog.Bool("removed", c.Deleted))
 	}
 	d.cfg.Changed()
-	d.kick()
+	if from == fromStore {
+		d.kick()
+	}
 }
 
 func (d *Directory) kick() {
 	if d.fleet != nil {
-		d.fleet.Kick()
+		d.fleet.KickNear()
 	}
 }
--- a/gateway/directory/directory_test.go
+++ b/gateway/directory/directory_test.go
@@ -42,9 +42,9 @@
 }
 
 func (f *fleet) Alive(time.Time) []peers.Peer { return nil }
-func (f *fleet) Kick()                        {}
+func (f *fleet) KickNear()                    {}
 
-func (f *fleet) Fetch(_ context.Context, address string) (*peers.Bulk, error) {
+func (f *fleet) Fetch(_ context.Context, address string, _ int64) (*peers.Bulk, error) {
 	f.mu.Lock()
 	f.fetched = append(f.fetched, address)
 	f.mu.Unlock()
--- a/gateway/directory/exchange.go
+++ b/gateway/directory/exchange.go
@@ -22,10 +22,14 @@
 	if !d.freshAt.IsZero() {
 		h.ListAge = now.Sub(d.freshAt).Milliseconds()
 	}
-	d.recent = slices.DeleteFunc(d.recent, func(p passedOn) bool { return now.Sub(p.at) > passOnFor })
+	d.recent = slices.DeleteFunc(d.recent, func(p passedOn) bool { return now.Sub(p.at) > passOnMost })
+	repeat := passOnBeats * time.Duration(h.EveryMs) * time.Millisecond
 	size := 0
 	for i := len(d.recent) - 1; i >= 0; i-- {
 		c := d.recent[i].change
+		if now.Sub(d.recent[i].at) > repeat {
+			break
+		}
 		if size += len(c.Key) + len(c.Value); size > maxPassOn {
 			break
 		}
@@ -40,7 +44,7 @@
 // Heard takes what a peer knows.
 func (d *Directory) Heard(h *peers.Heartbeat, now time.Time) {
 	for _, c := range h.Changes {
-		d.take([]platform.Entry{{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted}}, false, now)
+		d.take([]platform.Entry{{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted}}, fromPeer, false, now)
 	}
 	digest := d.list.Digest()
 	d.mu.Lock()
@@ -58,7 +62,7 @@
 		d.freshAt, d.mismatch = at, time.Time{}
 		d.reading = d.reading && at.Sub(d.readAt) < echoMargin
 	case d.mismatch.IsZero():
-		d.mismatch = now
+		d.mismatch, d.fresher = now, h.Address
 	}
 }
 
@@ -106,7 +110,12 @@
 			d.adopt(e.Value)
 		}
 	}
-	if v, from := d.wantedConfig(); v > 0 && !d.fetchBulk(ctx, from) {
+	v, from := d.wantedConfig()
+	if v == 0 {
+		return
+	}
+	d.fetchBulk(ctx, from)
+	if d.cfg.Current.Version() < v {
 		d.putLast(from)
 	}
 }
@@ -136,7 +145,7 @@
 }
 
 func (d *Directory) fetchBulk(ctx context.Context, address string) bool {
-	b, err := d.fleet.Fetch(ctx, address)
+	b, err := d.fleet.Fetch(ctx, address, d.cfg.Current.Version())
 	if err != nil {
 		event.PeerFetchFailed.Log(d.cfg.Log, slog.String("peer", address), slog.Any("error", err))
 		return false
@@ -147,9 +156,9 @@
 	}
 	entries := make([]platform.Entry, 0, len(b.Targets))
 	for _, c := range b.Targets {
-		entries = append(entries, platform.Entry{Key: c.Key, Value: c.Value, Revision: c.Revision})
+		entries = append(entries, platform.Entry{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted})
 	}
-	d.take(entries, false, now)
+	d.take(entries, fromPeer, false, now)
 	if b.ListAge >= 0 {
 		d.mu.Lock()
 		if at := now.Add(-time.Duration(b.ListAge) * time.Millisecond); at.After(d.freshAt) {
@@ -157,18 +166,21 @@
 		}
 		d.mu.Unlock()
 	}
-	return len(b.Config) > 0 && b.ListAge >= 0
+	return d.cfg.Current.Load() != nil && b.ListAge >= 0
 }
 
-// Bulk returns what this host holds, for peers that cannot reach the store.
-func (d *Directory) Bulk() *peers.Bulk {
+// Bulk returns what this host holds, for peers that cannot reach the store; the
+// configuration only if it is newer than the version that the peer has.
+func (d *Directory) Bulk(version int64) *peers.Bulk {
 	b := &peers.Bulk{ListAge: -1}
 	for _, e := range d.list.Entries() {
-		b.Targets = append(b.Targets, peers.Change{Key: e.Key, Value: e.Value, Revision: e.Revision})
+		b.Targets = append(b.Targets, peers.Change{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	b.Config = d.config
+	if d.cfg.Current.Version() > version {
+		b.Config = d.config
+	}
 	if !d.freshAt.IsZero() {
 		b.ListAge = time.Since(d.freshAt).Milliseconds()
 	}
--- a/gateway/directory/list.go
+++ b/gateway/directory/list.go
@@ -183,14 +183,18 @@
 	return out
 }
 
-// Entries returns what the list holds, for a host that cannot reach the store.
+// Entries returns what the list holds and which entries are gone, for a host that cannot
+// reach the store.
 func (l *List) Entries() []platform.Entry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := make([]platform.Entry, 0, len(l.entries))
 	for key, e := range l.entries {
-		if e.target != nil {
+		switch {
+		case e.target != nil:
 			out = append(out, platform.Entry{Key: key, Value: e.value, Revision: e.revision})
+		case !e.deleted.IsZero():
+			out = append(out, platform.Entry{Key: key, Revision: e.revision, Deleted: true})
 		}
 	}
 	return out
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -225,13 +225,6 @@
 	g.seedRestored()
 }
 
-// kick sends a heartbeat at once to all peers.
-func (g *Gateway) kick() {
-	if g.mesh != nil {
-		g.mesh.Kick()
-	}
-}
-
 // kickNear sends a heartbeat at once to the peers that get all of them.
 func (g *Gateway) kickNear() {
 	if g.mesh != nil {
@@ -240,11 +233,15 @@
 }
 
 // Fill implements peers.State.
-func (g *Gateway) Fill(h *peers.Heartbeat, now time.Time) {
+func (g *Gateway) Fill(h *peers.Heartbeat, greeting bool, now time.Time) {
 	g.dir.Fill(h, now)
 	h.Use = g.quota.Use()
 	h.Floors = g.services.Floors()
-	h.Speeds = g.speeds.news(g.services.Speeds(), now)
+	speeds := g.services.Speeds()
+	h.Speeds = g.speeds.news(speeds, time.Duration(h.EveryMs)*time.Millisecond, now)
+	if greeting {
+		h.Speeds = shortSpeeds(speeds)
+	}
 	for _, name := range g.services.Ejected() {
 		h.Ejected = append(h.Ejected, shortName(name))
 	}
@@ -257,6 +254,7 @@
 	g.dir.Heard(h, now)
 	g.services.Heard(h.Floors)
 	if len(h.Speeds) > 0 {
+		g.speeds.heard(h.Speeds, now)
 		g.services.Seed(g.names.resolve(h.Speeds))
 	}
 	if len(h.Ejected) > 0 {
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -15,7 +15,15 @@
 		"sardinefront_target_list_age": func() []telemetry.Sample {
 			return one(g.dir.Age(time.Now()).Seconds())
 		},
-		"sardinefront_peers":   func() []telemetry.Sample { return one(float64(len(g.mesh.Alive(time.Now())))) },
+		"sardinefront_peers": func() []telemetry.Sample { return one(float64(len(g.mesh.Alive(time.Now())))) },
+		"sardinefront_peer_sent_datagrams": func() []telemetry.Sample {
+			datagrams, _ := g.mesh.Traffic()
+			return one(float64(datagrams))
+		},
+		"sardinefront_peer_sent_bytes": func() []telemetry.Sample {
+			_, bytes := g.mesh.Traffic()
+			return one(float64(bytes))
+		},
 		"sardinefront_waiting": g.waitingSamples,
 		"sardinefront_targets": g.targetSamples,
 	}
--- a/gateway/peers/bulk.go
+++ b/gateway/peers/bulk.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -14,7 +15,8 @@
 // Bulk is what a host passes on to one that cannot reach the store.
 type Bulk struct {
 	_ struct{} `cbor:",toarray"`
-	// Config is the configuration as the store holds it; empty for none.
+	// Config is the configuration as the store holds it; empty for none newer than the
+	// one that was asked for.
 	Config  []byte
 	Targets []Change
 	// ListAge is as in Heartbeat.
@@ -23,17 +25,25 @@
 
 const (
 	bulkPath = "/v1/state"
+	// bulkVersion is the query's field of the version that the peer has.
+	bulkVersion = "version"
 	// bulkTimeout covers a large configuration over a slow link.
 	bulkTimeout = 1500 * time.Millisecond
 	// maxBulk bounds what is read: a configuration of at most 1 MiB and the list.
 	maxBulk = 4 << 20
 )
 
-// BulkHandler serves what this host holds.
-func BulkHandler(state func() *Bulk) http.Handler {
+// BulkHandler serves what this host holds to a peer that has a version of the
+// configuration, 0 for none.
+func BulkHandler(state func(version int64) *Bulk) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+bulkPath, func(w http.ResponseWriter, r *http.Request) {
-		b, err := encoder.Marshal(state())
+		version, err := strconv.ParseInt(r.URL.Query().Get(bulkVersion), 10, 64)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		b, err := encoder.Marshal(state(version))
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
@@ -54,9 +64,11 @@
 // bulkClient keeps no connections: fetches are rare.
 var bulkClient = &http.Client{Timeout: bulkTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 
-// Fetch gets what the peer at the address holds.
-func (m *Mesh) Fetch(ctx context.Context, address string) (*Bulk, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+bulkPath, nil)
+// Fetch gets what the peer at the address holds; the configuration only if it is newer
+// than the version.
+func (m *Mesh) Fetch(ctx context.Context, address string, version int64) (*Bulk, error) {
+	url := fmt.Sprintf("http://%s%s?%s=%d", address, bulkPath, bulkVersion, version)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -30,8 +31,10 @@
 	forgetAfter = 60 * time.Second
 	// retryLost is how often addresses that do not answer are tried.
 	retryLost = time.Second
-	// knownSent is how many addresses a heartbeat passes on.
-	knownSent = 3
+	// knownSent is how many addresses a heartbeat passes on, knownGreeting how many the
+	// first one to a host does, which may know nobody else.
+	knownSent     = 3
+	knownGreeting = 64
 	// maxPeers bounds the addresses that are remembered.
 	maxPeers = 1024
 	// maxDatagram bounds what is read; senders stay under the size of a packet where
@@ -41,8 +44,9 @@
 
 // State supplies what this host tells its peers and takes what they tell.
 type State interface {
-	// Fill sets the fields of the heartbeat beyond those that name the host.
-	Fill(h *Heartbeat, now time.Time)
+	// Fill sets the fields of the heartbeat beyond those that name the host, for
+	// receivers that get one every h.EveryMs. A greeting is the first one that they get.
+	Fill(h *Heartbeat, greeting bool, now time.Time)
 	// Heard takes a peer's heartbeat.
 	Heard(h *Heartbeat, now time.Time)
 }
@@ -79,14 +83,16 @@
 	started     time.Time
 	conn        *net.UDPConn
 
+	sent, sentBytes atomic.Uint64
+
 	mu       sync.Mutex
 	peers    map[string]*Peer     // by address
 	tried    map[string]time.Time // addresses without an answer: last try
 	added    map[string]time.Time // those addresses: when they were learned
+	greet    map[string]bool      // addresses to greet
 	stopping bool
 	beats    int
-	kick     chan struct{}
-	kickNear chan struct{}
+	kicks    [reachCount]chan struct{}
 }
 
 // New binds the socket.
@@ -101,8 +107,10 @@
 	}
 	m := &Mesh{
 		cfg: cfg, state: state, conn: conn, incarnation: rand.Int64(), started: time.Now(),
-		peers: map[string]*Peer{}, tried: map[string]time.Time{}, added: map[string]time.Time{},
-		kick: make(chan struct{}, 1), kickNear: make(chan struct{}, 1),
+		peers: map[string]*Peer{}, tried: map[string]time.Time{}, added: map[string]time.Time{}, greet: map[string]bool{},
+	}
+	for i := range m.kicks {
+		m.kicks[i] = make(chan struct{}, 1)
 	}
 	m.Learn(cfg.Seeds)
 	return m, nil
@@ -120,6 +128,13 @@
 
 // Learn adds addresses to try.
 func (m *Mesh) Learn(addresses []string) {
+	if m.learn(addresses) {
+		m.wake(toGreet)
+	}
+}
+
+// learn adds addresses to greet and reports whether there were new ones.
+func (m *Mesh) learn(addresses []string) (added bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
@@ -131,10 +146,12 @@
 			continue
 		}
 		if _, ok := m.tried[a]; !ok {
-			m.tried[a] = time.Time{}
-			m.added[a] = now
+			// One that has not started yet is tried again after one interval.
+			m.tried[a], m.added[a], m.greet[a] = now.Add(Interval-retryLost), now, true
+			added = true
 		}
 	}
+	return added
 }
 
 // Expected returns the number of other hosts that the settings name.
@@ -149,22 +166,22 @@
 }
 
 // Kick sends a heartbeat to all peers at once.
-func (m *Mesh) Kick() {
-	select {
-	case m.kick <- struct{}{}:
-	default:
-	}
-}
+func (m *Mesh) Kick() { m.wake(everybody) }
 
 // KickNear sends a heartbeat at once to the peers that get all of them: what it tells
 // is of no use later.
-func (m *Mesh) KickNear() {
+func (m *Mesh) KickNear() { m.wake(near) }
+
+func (m *Mesh) wake(r reach) {
 	select {
-	case m.kickNear <- struct{}{}:
+	case m.kicks[r] <- struct{}{}:
 	default:
 	}
 }
 
+// Traffic returns how many datagrams this host has sent to its peers, and their bytes.
+func (m *Mesh) Traffic() (datagrams, bytes uint64) { return m.sent.Load(), m.sentBytes.Load() }
+
 // Stop marks this host as stopping.
 func (m *Mesh) Stop() {
 	m.mu.Lock()
@@ -202,10 +219,12 @@
 			return
 		case <-t.C:
 			m.beat(inTurn)
-		case <-m.kick:
+		case <-m.kicks[everybody]:
 			m.beat(everybody)
-		case <-m.kickNear:
+		case <-m.kicks[near]:
 			m.beat(near)
+		case <-m.kicks[toGreet]:
+			m.beat(toGreet)
 		}
 	}
 }
@@ -214,17 +233,24 @@
 type reach uint8
 
 const (
-	inTurn reach = iota // those whose turn it is
-	near                // those that get every heartbeat
+	inTurn  reach = iota // those whose turn it is
+	toGreet              // those that are new
+	near                 // those that get every heartbeat
 	everybody
+	reachCount
 )
 
-// beat sends heartbeats, and tries addresses that are due.
+// round is a group of receivers of the same heartbeat.
+type round struct {
+	every    time.Duration // how often they get one
+	greeting bool
+}
+
+// beat sends heartbeats.
 func (m *Mesh) beat(r reach) {
 	now := time.Now()
-	to := m.recipients(r, now)
-	for every, addresses := range to.byRate {
-		b, err := m.heartbeat(to.known, every, now)
+	for group, addresses := range m.recipients(r, now) {
+		b, err := m.heartbeat(group, now)
 		if err != nil {
 			m.cfg.Log.Error("encode heartbeat", "error", err)
 			return
@@ -233,56 +259,82 @@
 			// A lost datagram is made good by the next one.
 			_, _ = m.conn.WriteToUDPAddrPort(b, a)
 		}
+		m.sent.Add(uint64(len(addresses)))
+		m.sentBytes.Add(uint64(len(addresses) * len(b)))
 	}
 }
 
-func (m *Mesh) heartbeat(known []string, every time.Duration, now time.Time) ([]byte, error) {
+func (m *Mesh) heartbeat(group round, now time.Time) ([]byte, error) {
 	h := &Heartbeat{
-		Name: m.cfg.Name, Zone: m.cfg.Zone, Address: m.cfg.Address, Incarnation: m.incarnation, Known: known,
-		UpMs: now.Sub(m.started).Milliseconds(), EveryMs: every.Milliseconds(),
+		Name: m.cfg.Name, Zone: m.cfg.Zone, Address: m.cfg.Address, Incarnation: m.incarnation,
+		UpMs: now.Sub(m.started).Milliseconds(), EveryMs: group.every.Milliseconds(),
+	}
+	known := knownSent
+	if group.greeting {
+		known = knownGreeting
 	}
 	m.mu.Lock()
 	h.Stopping = m.stopping
+	for a := range m.peers { // the order of a map is random
+		if len(h.Known) == known {
+			break
+		}
+		h.Known = append(h.Known, a)
+	}
 	m.mu.Unlock()
-	m.state.Fill(h, now)
+	m.state.Fill(h, group.greeting, now)
 	return Encode(h)
 }
 
-// recipients are the addresses of one round, by how often they get a heartbeat.
-type recipients struct {
-	byRate map[time.Duration][]netip.AddrPort
-	known  []string
-}
-
-func (m *Mesh) recipients(r reach, now time.Time) recipients {
+// recipients returns the addresses that get a heartbeat now, and those to greet.
+func (m *Mesh) recipients(r reach, now time.Time) map[round][]netip.AddrPort {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.dropSilent(now)
+	out := map[round][]netip.AddrPort{}
+	add := func(address string, every time.Duration, greeting bool) {
+		group := round{every, greeting}
+		out[group] = append(out[group], netip.MustParseAddrPort(address))
+	}
+	for a := range m.greet {
+		add(a, m.every(m.peers[a]), true)
+	}
+	greeted := m.greet
+	m.greet = map[string]bool{}
+	if r == toGreet {
+		return out
+	}
 	if r == inTurn {
 		m.beats++
+		m.addLost(add, now)
 	}
-	stride := 1 + len(m.peers)/fullRateHosts
-	out := recipients{byRate: map[time.Duration][]netip.AddrPort{}}
 	for a, p := range m.peers {
-		n := stride
-		if p.Zone == m.cfg.Zone {
-			n = 1
-		}
-		every := time.Duration(n) * Interval
-		if r == everybody || n == 1 || r == inTurn && (m.beats+int(p.Incarnation&0xff))%n == 0 {
-			out.byRate[every] = append(out.byRate[every], netip.MustParseAddrPort(a))
-		}
-		if len(out.known) < knownSent { // the order of a map is random
-			out.known = append(out.known, a)
+		every := m.every(p)
+		n := int(every / Interval)
+		turn := r == inTurn && (m.beats+int(p.Incarnation&0xff))%n == 0
+		if !greeted[a] && (r == everybody || n == 1 || turn) {
+			add(a, every, false)
 		}
 	}
+	return out
+}
+
+// every returns how often a peer gets a heartbeat; nil is an address without an answer.
+func (m *Mesh) every(p *Peer) time.Duration {
+	if p == nil || p.Zone == m.cfg.Zone {
+		return Interval
+	}
+	return time.Duration(1+len(m.peers)/fullRateHosts) * Interval
+}
+
+// addLost adds the addresses without an answer that are due for another try.
+func (m *Mesh) addLost(add func(address string, every time.Duration, greeting bool), now time.Time) {
 	for a, last := range m.tried {
 		if now.Sub(last) >= retryLost {
 			m.tried[a] = now
-			out.byRate[Interval] = append(out.byRate[Interval], netip.MustParseAddrPort(a))
+			add(a, Interval, false)
 		}
 	}
-	return out
 }
 
 // dropSilent moves silent peers to the addresses that are tried now and then.
@@ -334,12 +386,17 @@
 		delete(m.tried, h.Address)
 		delete(m.added, h.Address)
 	}
+	if fresh {
+		m.greet[h.Address] = true
+	}
 	*p = Peer{Name: h.Name, Zone: h.Zone, Address: h.Address, Incarnation: h.Incarnation, Heard: now, Every: time.Duration(h.EveryMs) * time.Millisecond, Stopping: h.Stopping}
 	m.mu.Unlock()
-	m.Learn(h.Known)
+	added := m.learn(h.Known)
 	m.state.Heard(h, now)
 	if fresh {
 		event.MemberAlive.Log(m.cfg.Log, slog.String("peer", h.Name), slog.String("address", h.Address))
-		m.Kick()
+	}
+	if fresh || added {
+		m.wake(toGreet)
 	}
 }
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -19,7 +19,7 @@
 	heard   map[string]int64
 }
 
-func (r *recorder) Fill(h *peers.Heartbeat, _ time.Time) { h.ConfigVersion = r.version }
+func (r *recorder) Fill(h *peers.Heartbeat, _ bool, _ time.Time) { h.ConfigVersion = r.version }
 
 func (r *recorder) Heard(h *peers.Heartbeat, _ time.Time) {
 	r.mu.Lock()
@@ -90,3 +90,64 @@
 		t.Errorf("%d live peers, want %d", got, n-1)
 	}
 }
+
+// Guards against a fleet in which each host that starts makes all others send to all
+// others: at 66 hosts that fills a link of 10 Mbit/s for seconds.
+func TestNewHostIsGreetedOnce(t *testing.T) {
+	const n = 12
+	var states []*recorder
+	var meshes []*peers.Mesh
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	start := func(name, seed string) {
+		s := &recorder{version: 1, heard: map[string]int64{}}
+		cfg := peers.Config{Name: name, Zone: name, Address: freePort(t), Log: slog.New(slog.DiscardHandler)}
+		if seed != "" {
+			cfg.Seeds = []string{seed}
+		}
+		m, err := peers.New(cfg, s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		wg.Go(func() { m.Run(ctx) })
+		states, meshes = append(states, s), append(meshes, m)
+	}
+	sent := func() (total uint64) {
+		for _, m := range meshes {
+			datagrams, _ := m.Traffic()
+			total += datagrams
+		}
+		return total
+	}
+	seed := freePort(t)
+	{
+		s := &recorder{version: 1, heard: map[string]int64{}}
+		m, err := peers.New(peers.Config{Name: "seed", Zone: "z", Address: seed, Log: slog.New(slog.DiscardHandler)}, s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		wg.Go(func() { m.Run(ctx) })
+		states, meshes = append(states, s), append(meshes, m)
+	}
+	for i := range n - 1 {
+		start(fmt.Sprintf("host-%d", i), seed)
+	}
+	waitFor(t, "all hosts hear of all", func() bool {
+		for _, m := range meshes {
+			if len(m.Alive(time.Now())) != n-1 {
+				return false
+			}
+		}
+		return true
+	})
+	began, before := time.Now(), sent()
+	start("late", seed)
+	waitFor(t, "the late host hears of all", func() bool { return len(meshes[n].Alive(time.Now())) == n })
+	rounds := 1 + uint64(time.Since(began)/peers.Interval)
+	// Beside the regular heartbeats, the late host and each other one greet each other,
+	// twice if a greeting crosses another.
+	if got, most := sent()-before, rounds*n*(n+1)+4*n; got > most {
+		t.Errorf("%d datagrams in %d rounds, want at most %d", got, rounds, most)
+	}
+}
--- a/gateway/speeds.go
+++ b/gateway/speeds.go
@@ -11,41 +11,76 @@
 )
 
 const (
-	// speedsEvery is how often all learned speeds are told again, for hosts that are
-	// new or missed them.
-	speedsEvery = 8 * time.Second
-	// speedNews is the change of a speed that is told at once.
-	speedNews = 0.3
+	// speedNews is the relative difference from what the hosts were told from which a
+	// speed is told again. It is beyond what the other requests at a target change.
+	speedNews = 0.5
+	// speedLife is how long what was told counts; then the next measurement is told.
+	speedLife = 30 * time.Second
+	// speedBeats is how many heartbeats to the same peer repeat a speed.
+	speedBeats = 2
 )
 
-// speedTable decides which learned speeds of targets go into a heartbeat.
+// speedTable decides which speeds of targets go into a heartbeat: those that differ from
+// what any host has told.
 type speedTable struct {
-	mu    sync.Mutex
-	told  map[uint32]uint32
-	allAt time.Time
+	mu   sync.Mutex
+	told map[uint32]toldSpeed
+}
+
+// toldSpeed is what a host has told last of a target.
+type toldSpeed struct {
+	gap uint32 // microseconds
+	at  time.Time
+	own bool // it was this host
 }
 
 // shortName stands for a target in heartbeats; hosts agree on it without a
 // registry. A collision of two targets only mixes up two estimates.
 func shortName(target string) uint32 { return uint32(xxhash.Sum64String(target)) }
 
-// news returns the speeds to tell now.
-func (s *speedTable) news(all []reserve.Speed, now time.Time) map[uint32]uint32 {
+// heard notes what a peer has told.
+func (s *speedTable) heard(told map[uint32]uint32, now time.Time) {
+	if len(told) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, gap := range told {
+		s.note(name, toldSpeed{gap: gap, at: now})
+	}
+}
+
+// note keeps what was told. The caller holds the lock.
+func (s *speedTable) note(name uint32, v toldSpeed) {
+	if s.told == nil {
+		s.told = map[uint32]toldSpeed{}
+	}
+	s.told[name] = v
+}
+
+// news returns the speeds to tell peers that get a heartbeat in the given interval.
+func (s *speedTable) news(all []reserve.Speed, every time.Duration, now time.Time) map[uint32]uint32 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	everything := now.Sub(s.allAt) >= speedsEvery
-	if everything {
-		s.allAt = now
-		s.told = map[uint32]uint32{}
+	for name, v := range s.told {
+		if now.Sub(v.at) >= speedLife {
+			delete(s.told, name)
+		}
 	}
 	out := map[uint32]uint32{}
 	for _, v := range all {
-		name, gap := shortName(v.Target), uint32(v.Gap.Microseconds())
-		if old, ok := s.told[name]; ok && differ(old, gap) < speedNews {
+		if !v.Measured {
 			continue
 		}
-		s.told[name] = gap
-		out[name] = gap
+		name, gap := shortName(v.Target), uint32(v.Gap.Microseconds())
+		told, ok := s.told[name]
+		if !ok || differ(told.gap, gap) >= speedNews {
+			told = toldSpeed{gap, now, true}
+			s.note(name, told)
+		}
+		if told.own && now.Sub(told.at) < speedBeats*every {
+			out[name] = told.gap
+		}
 	}
 	return out
 }
--- a/sched/reserve/lanes.go
+++ b/sched/reserve/lanes.go
@@ -142,6 +142,7 @@
 func (p *Pool) Observe(name string, gap time.Duration) {
 	if t := p.targets[name]; t != nil {
 		t.gap = smooth(t.gap, gap)
+		t.measured = true
 	}
 }
 
@@ -157,6 +158,8 @@
 type Speed struct {
 	Target string
 	Gap    time.Duration
+	// Measured says that this host has seen it itself.
+	Measured bool
 }
 
 // Speeds returns what is known of the targets' speeds.
@@ -164,7 +167,7 @@
 	var out []Speed
 	for _, t := range p.order {
 		if t.gap > 0 {
-			out = append(out, Speed{t.Name, t.gap})
+			out = append(out, Speed{t.Name, t.gap, t.measured})
 		}
 	}
 	return out
--- a/sched/reserve/target.go
+++ b/sched/reserve/target.go
@@ -86,6 +86,7 @@
 	refusals   int  // reservations refused in a row
 	slow       bool // as of the last look at the queue
 	gap        time.Duration
+	measured   bool // this host has seen the gap itself
 	latency    time.Duration
 	load       float64 // running and waiting requests per slot, as last reported
 	loadAt     time.Time
@@ -218,6 +219,7 @@
 	t.fullUntil = time.Time{}
 	t.refusals = 0
 	t.gap = smooth(t.gap, s.Gap)
+	t.measured = t.measured || s.Gap > 0
 	t.latency = smooth(t.latency, s.Latency)
 	switch o {
 	case Served:
