Take the newest measurement of a target's speed, and try slow targets again

Change: the longest pause of a stream does not count for its target's speed; what a peer has measured replaces an older estimate; a speed is confirmed each 5 s, and a target that nobody has measured for 5 to 10 s is tried by a request that can wait.

--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -209,7 +209,7 @@
 func (s *Service) Observe(target string, gap time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pool.Observe(target, gap)
+	s.pool.Observe(target, gap, time.Now())
 }
 
 // Services holds the schedulers of all services.
@@ -292,11 +292,12 @@
 	})
 }
 
-// Seed takes what a peer has learned of targets that this host does not know.
+// Seed takes what a peer has measured of targets.
 func (s *Services) Seed(speeds []reserve.Speed) {
+	now := time.Now()
 	s.each(func(_ string, service *Service) {
 		for _, v := range speeds {
-			service.pool.Seed(v.Target, v.Gap)
+			service.pool.Seed(v.Target, v.Gap, now)
 		}
 	})
 }
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -127,8 +127,11 @@
 	return reserve.Sample{Gap: t.gap()}
 }
 
-// gap returns the mean pause between the events so far.
-func (t streamTiming) gap() time.Duration { return t.last.Sub(t.first) / time.Duration(t.events-1) }
+// gap returns the mean pause between the events so far without the longest one, which a
+// cut, a lost packet or another request's prompt may have made.
+func (t streamTiming) gap() time.Duration {
+	return (t.last.Sub(t.first) - t.longest) / time.Duration(t.events-2)
+}
 
 func (x *exchange) streamEnded(ctx context.Context, conn *upstream.Conn, a *upstream.Answer, err error, timing streamTiming) try {
 	if errors.Is(err, io.EOF) {
--- a/gateway/speeds.go
+++ b/gateway/speeds.go
@@ -14,14 +14,13 @@
 	// speedNews is the relative difference from what the hosts were told from which a
 	// speed is told again. It is beyond what the other requests at a target change.
 	speedNews = 0.5
-	// speedLife is how long what was told counts; then the next measurement is told.
-	speedLife = 30 * time.Second
 	// speedBeats is how many heartbeats to the same peer repeat a speed.
 	speedBeats = 2
 )
 
 // speedTable decides which speeds of targets go into a heartbeat: those that differ from
-// what any host has told.
+// what any host has told lately. One that did not change is told again when that has
+// grown old.
 type speedTable struct {
 	mu   sync.Mutex
 	told map[uint32]toldSpeed
@@ -63,13 +62,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for name, v := range s.told {
-		if now.Sub(v.at) >= speedLife {
+		if now.Sub(v.at) >= reserve.SpeedLife {
 			delete(s.told, name)
 		}
 	}
 	out := map[uint32]uint32{}
 	for _, v := range all {
-		if !v.Measured {
+		if now.Sub(v.MeasuredAt) >= reserve.SpeedLife {
 			continue
 		}
 		name, gap := shortName(v.Target), uint32(v.Gap.Microseconds())
--- /dev/null
+++ b/gateway/speeds_test.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"sardinefront.dev/sched/reserve"
+)
+
+// Guards against speeds that reach only one group of the receivers, that every host tells
+// again, or that no host confirms.
+func TestSpeedsAreToldOnceByOneHost(t *testing.T) {
+	const near, far = 250 * time.Millisecond, 1500 * time.Millisecond
+	now := time.Unix(1000, 0)
+	measured := func(gap time.Duration) []reserve.Speed {
+		return []reserve.Speed{{Target: "t", Gap: gap, MeasuredAt: now}}
+	}
+	var s, peer speedTable
+	news := s.news(measured(20*time.Millisecond), near, now)
+	if len(news) != 1 || len(s.news(measured(20*time.Millisecond), far, now)) != 1 {
+		t.Error("a new speed is not told to all")
+	}
+	peer.heard(news, now)
+	if got := peer.news(measured(22*time.Millisecond), near, now); len(got) != 0 {
+		t.Errorf("a speed that another host has told is told again: %v", got)
+	}
+	if got := peer.news(measured(60*time.Millisecond), near, now); len(got) != 1 {
+		t.Error("a speed that has changed is not told")
+	}
+	now = now.Add(2 * far)
+	if got := s.news(measured(20*time.Millisecond), far, now); len(got) != 0 {
+		t.Errorf("told for ever: %v", got)
+	}
+	now = now.Add(reserve.SpeedLife)
+	if got := s.news(measured(20*time.Millisecond), near, now); len(got) != 1 {
+		t.Error("an old speed is not confirmed")
+	}
+	told := []reserve.Speed{{Target: "u", Gap: time.Second}}
+	if got := s.news(told, near, now); len(got) != 0 {
+		t.Errorf("a speed that this host was told is told on: %v", got)
+	}
+}
--- a/sched/reserve/choose.go
+++ b/sched/reserve/choose.go
@@ -109,11 +109,20 @@
 	return firstGap
 }
 
+// expectedGap returns the pause between events that a request of the lane expects. Those
+// that can wait find out about a target that nobody has measured for long, one at a time.
+func (p *Pool) expectedGap(t *target, l Lane, now time.Time) time.Duration {
+	if t.stale(now) && t.inflight == 0 && !lanes[l].fastOnly {
+		return firstGap
+	}
+	return orDefault(t.gap, p.unknownGap(l))
+}
+
 // cost estimates the time of a request at a target, in seconds.
 func (p *Pool) cost(t *target, l Lane, now time.Time) float64 {
 	c := 0.0
 	if p.cfg.Reservations {
-		c = orDefault(t.gap, p.unknownGap(l)).Seconds() * typicalEvents
+		c = p.expectedGap(t, l, now).Seconds() * typicalEvents
 	} else {
 		c = orDefault(t.latency, firstLatency).Seconds() * (1 + max(t.use(), t.reported(now)))
 	}
--- a/sched/reserve/lanes.go
+++ b/sched/reserve/lanes.go
@@ -51,10 +51,10 @@
 )
 
 // markSlow tells slow targets from fast ones.
-func (p *Pool) markSlow() {
+func (p *Pool) markSlow(now time.Time) {
 	p.slowFrom = p.slowGap()
 	for _, t := range p.order {
-		t.slow = p.slowFrom > 0 && t.gap > p.slowFrom
+		t.slow = p.slowFrom > 0 && t.gap > p.slowFrom && !t.stale(now)
 	}
 }
 
@@ -139,27 +139,27 @@
 }
 
 // Observe records the pause between events that a target shows while it answers.
-func (p *Pool) Observe(name string, gap time.Duration) {
+func (p *Pool) Observe(name string, gap time.Duration, now time.Time) {
 	if t := p.targets[name]; t != nil {
-		t.gap = smooth(t.gap, gap)
-		t.measured = true
+		t.measure(gap, now)
 	}
 }
 
-// Seed records what another host has learned of a target that this host knows
-// nothing of.
-func (p *Pool) Seed(name string, gap time.Duration) {
-	if t := p.targets[name]; t != nil && t.gap == 0 && gap > 0 {
-		t.gap = gap
+// Seed records what another host has measured lately of a target.
+func (p *Pool) Seed(name string, gap time.Duration, now time.Time) {
+	t := p.targets[name]
+	if t == nil || gap <= 0 || now.Sub(t.measuredAt) < ownMeasurement {
+		return
 	}
+	t.gap, t.gapAt, t.measuredAt = gap, now, time.Time{}
 }
 
 // Speed is the pause between the events of one target.
 type Speed struct {
 	Target string
 	Gap    time.Duration
-	// Measured says that this host has seen it itself.
-	Measured bool
+	// MeasuredAt is when this host has last seen it itself, zero if it was told.
+	MeasuredAt time.Time
 }
 
 // Speeds returns what is known of the targets' speeds.
@@ -167,7 +167,7 @@
 	var out []Speed
 	for _, t := range p.order {
 		if t.gap > 0 {
-			out = append(out, Speed{t.Name, t.gap, t.measured})
+			out = append(out, Speed{t.Name, t.gap, t.measuredAt})
 		}
 	}
 	return out
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -141,7 +141,7 @@
 	if len(p.waiters) == 0 {
 		return nil, expired
 	}
-	p.markSlow()
+	p.markSlow(now)
 	for l := range lanes {
 		grants = p.serveLane(Lane(l), grants, now)
 	}
--- a/sched/reserve/reserve_test.go
+++ b/sched/reserve/reserve_test.go
@@ -101,7 +101,7 @@
 	p := reserve.New(reserve.Config{Reservations: true})
 	p.SetTargets(engines(6, 8))
 	for i := range 4 {
-		p.Observe(fmt.Sprintf("e%d", i), 15*ms)
+		p.Observe(fmt.Sprintf("e%d", i), 15*ms, start)
 	}
 	for i := range 8 {
 		id := fmt.Sprintf("storm-%d", i)
@@ -146,7 +146,7 @@
 		if i == 3 {
 			gap = 45 * ms
 		}
-		p.Observe(fmt.Sprintf("e%d", i), gap)
+		p.Observe(fmt.Sprintf("e%d", i), gap, start)
 	}
 	for i := range 4 {
 		submit(t, p, waiter(fmt.Sprintf("storm-%d", i), request.Urgent, "o", start), start)
@@ -231,7 +231,7 @@
 	p := reserve.New(reserve.Config{Reservations: true})
 	p.SetTargets(engines(3, 4))
 	for i := range 3 {
-		p.Observe(fmt.Sprintf("e%d", i), 10*ms)
+		p.Observe(fmt.Sprintf("e%d", i), 10*ms, start)
 	}
 	p.End("e1", reserve.Failed, reserve.Sample{}, start)
 	for i := range 8 {
@@ -446,3 +446,63 @@
 		t.Errorf("%d urgent and %d patient tries", urgent, patient)
 	}
 }
+
+// Guards against a target that a stall has made look slow and that gets no work from then
+// on, by which it would show that it is fast.
+func TestTargetThatLookedSlowIsTriedAgain(t *testing.T) {
+	p := reserve.New(reserve.Config{Reservations: true})
+	p.SetTargets(engines(4, 4))
+	for i := range 4 {
+		gap := 10 * ms
+		if i == 3 {
+			gap = 500 * ms
+		}
+		p.Observe(fmt.Sprintf("e%d", i), gap, start)
+	}
+	tried := func(tier request.Tier, now time.Time) bool {
+		for i := range 3 {
+			p.Seed(fmt.Sprintf("e%d", i), 10*ms, now)
+		}
+		submit(t, p, waiter(fmt.Sprintf("%d-%s", tier, now), tier, "o", now), now)
+		g := first(p.Next(now))
+		if len(g) != 1 {
+			t.Fatalf("%d grants, want 1", len(g))
+		}
+		p.End(g[0].Target, reserve.Served, reserve.Sample{Gap: 10 * ms}, now)
+		return g[0].Target == "e3"
+	}
+	if now := start.Add(reserve.SpeedLife / 2); tried(request.Patient, now) {
+		t.Error("a slow target is tried while others are free")
+	}
+	now := start.Add(2 * reserve.SpeedLife)
+	if tried(request.Urgent, now) {
+		t.Error("an urgent request finds out")
+	}
+	if !tried(request.Patient, now) {
+		t.Error("no patient request finds out")
+	}
+	for i := range 16 {
+		submit(t, p, waiter(fmt.Sprint(i), request.Urgent, "o", now), now)
+	}
+	if g := first(p.Next(now)); len(g) != 16 {
+		t.Errorf("%d urgent requests started, want 16: the target has shown to be fast", len(g))
+	}
+}
+
+// Guards against a wrong speed that another host has told once and that stays.
+func TestNewerSpeedsReplaceOlderOnes(t *testing.T) {
+	p := reserve.New(reserve.Config{Reservations: true})
+	p.SetTargets(engines(1, 1))
+	expectGap := func(want time.Duration) {
+		t.Helper()
+		if s := p.Speeds(); len(s) != 1 || s[0].Gap != want {
+			t.Errorf("speeds %v, want %s", s, want)
+		}
+	}
+	p.Seed("e0", 400*ms, start)
+	p.Seed("e0", 10*ms, start.Add(ms))
+	expectGap(10 * ms)
+	p.Observe("e0", 20*ms, start.Add(2*ms))
+	p.Seed("e0", 400*ms, start.Add(3*ms))
+	expectGap(20 * ms)
+}
--- a/sched/reserve/target.go
+++ b/sched/reserve/target.go
@@ -20,6 +20,11 @@
 	tryPauseDoubles = 2
 	// smoothing is the weight of a new sample.
 	smoothing = 0.2
+	// SpeedLife is how long a measured speed counts. A cut or a stall makes a target look
+	// slow, and one that gets no work for it would stay so.
+	SpeedLife = 5 * time.Second
+	// ownMeasurement is how long this host's own measurement goes before another's.
+	ownMeasurement = time.Second
 	// hearsayDoubt is the doubt about a target that another host has ejected. It is
 	// avoided, not closed: the other host may be the one that is cut off.
 	hearsayDoubt = 0.4
@@ -86,12 +91,32 @@
 	refusals   int  // reservations refused in a row
 	slow       bool // as of the last look at the queue
 	gap        time.Duration
-	measured   bool // this host has seen the gap itself
+	gapAt      time.Time // of the newest measurement, by any host
+	measuredAt time.Time // of this host's newest one; zero if another's came since
 	latency    time.Duration
 	load       float64 // running and waiting requests per slot, as last reported
 	loadAt     time.Time
 }
 
+// measure takes a sample of the pause between events; 0 is none.
+func (t *target) measure(gap time.Duration, now time.Time) {
+	switch {
+	case gap <= 0:
+		return
+	case t.measuredAt.IsZero() || t.stale(now):
+		t.gap = gap
+	default:
+		t.gap = smooth(t.gap, gap)
+	}
+	t.gapAt, t.measuredAt = now, now
+}
+
+// stale reports whether nobody has measured the target for long, so that it may have
+// become faster. Hosts differ in when they find so: the first one tells the others.
+func (t *target) stale(now time.Time) bool {
+	return t.gap > 0 && now.Sub(t.gapAt) >= SpeedLife+time.Duration(t.preference*float64(SpeedLife))
+}
+
 // doubt returns how far a target is to be avoided, 0..1: by its own failures, or
 // because another host has ejected it.
 func (t *target) doubt(now time.Time) float64 {
@@ -218,8 +243,7 @@
 	t.freed = true
 	t.fullUntil = time.Time{}
 	t.refusals = 0
-	t.gap = smooth(t.gap, s.Gap)
-	t.measured = t.measured || s.Gap > 0
+	t.measure(s.Gap, now)
 	t.latency = smooth(t.latency, s.Latency)
 	switch o {
 	case Served:
