Offer a slot that comes free to the host whose requests wait

Cause: with 61 hosts before 90 engines a free slot is found by trying one engine after another.

Change: a host at whose request a slot comes free, and that has no request for it, tells the host of its zone with the lowest lane waiting, in a datagram of some 10 bytes.

--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -31,7 +31,15 @@
 	// starved is the lowest lane that waits for long, LaneCount if none does.
 	starved  reserve.Lane
 	raisedAt time.Time
-	tell     func() // sends a heartbeat
+	peers    Peers
+}
+
+// Peers tells the other hosts what concerns them. Its methods must not block.
+type Peers interface {
+	// Tell sends them this host's state at once.
+	Tell()
+	// Offer tells a host that a slot has come free at a target.
+	Offer(host, target string)
 }
 
 // outcome is what a waiting request gets.
@@ -40,9 +48,9 @@
 	refusal *refusal.Refusal
 }
 
-func newService(name string, reservations bool, log *slog.Logger, tell func()) *Service {
+func newService(name string, reservations bool, log *slog.Logger, peers Peers) *Service {
 	s := &Service{
-		name: name, log: log, starved: reserve.LaneCount, tell: tell,
+		name: name, log: log, starved: reserve.LaneCount, peers: peers,
 		pool:    reserve.New(reserve.Config{Reservations: reservations, Seed: rand.Uint64()}),
 		targets: map[string]directory.Target{},
 		waiting: map[*reserve.Waiter]chan outcome{},
@@ -138,7 +146,7 @@
 	s.starved = s.pool.Starved(now)
 	if s.starved < was || s.starved < reserve.LaneCount && now.Sub(s.raisedAt) > floorLife/2 {
 		s.raisedAt = now
-		s.tell()
+		s.peers.Tell()
 	}
 }
 
@@ -186,23 +194,32 @@
 	now := time.Now()
 	change := s.pool.End(target, o, sample, now)
 	if change.Ejected != "" {
-		s.tell()
+		s.peers.Tell()
 		event.TargetEjected.Log(s.log, slog.String("service", s.name), slog.String("target", target), slog.String("why", change.Ejected))
 	}
 	if change.Restored {
 		event.TargetRestored.Log(s.log, slog.String("service", s.name), slog.String("target", target))
 	}
 	s.pump(now)
+	if host := s.pool.Offer(target, now); host != "" {
+		s.peers.Offer(host, target)
+	}
+}
+
+// freed tries a target at which another host has seen a slot come free.
+func (s *Service) freed(target string) {
+	s.pool.Freed(target)
+	s.pump(time.Now())
 }
 
 // floorLife is how long a floor holds unless it is renewed by a heartbeat.
 const floorLife = 300 * time.Millisecond
 
 // setFloor holds back what comes after a lane for a while.
-func (s *Service) setFloor(l reserve.Lane) {
+func (s *Service) setFloor(host string, l reserve.Lane) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pool.SetFloor(l, time.Now().Add(floorLife))
+	s.pool.SetFloor(host, l, time.Now().Add(floorLife))
 }
 
 // Observe notes the pause between events that a target shows.
@@ -214,25 +231,24 @@
 
 // Services holds the schedulers of all services.
 type Services struct {
-	zone string
-	log  *slog.Logger
-	tell func()
-	mu   sync.Mutex
-	all  map[string]*Service
+	zone  string
+	log   *slog.Logger
+	peers Peers
+	mu    sync.Mutex
+	all   map[string]*Service
 }
 
-// NewServices returns an empty set for a host in the zone. The function is called,
-// and must not block, when the other hosts should hear of waiting requests.
-func NewServices(zone string, log *slog.Logger, tell func()) *Services {
-	return &Services{zone: zone, log: log, tell: tell, all: map[string]*Service{}}
+// NewServices returns an empty set for a host in the zone.
+func NewServices(zone string, log *slog.Logger, peers Peers) *Services {
+	return &Services{zone: zone, log: log, peers: peers, all: map[string]*Service{}}
 }
 
-// Floors returns the lowest lane that waits for long, by service. The last lane
-// holds back nothing and is left out.
+// Floors returns the lowest lane that waits for long, by service. The last lane holds
+// back nothing, but a free slot may be offered to it.
 func (s *Services) Floors() map[string]uint8 {
 	out := map[string]uint8{}
 	s.each(func(name string, service *Service) {
-		if service.starved < reserve.LaneCount-1 {
+		if service.starved < reserve.LaneCount {
 			out[name] = uint8(service.starved)
 		}
 	})
@@ -240,10 +256,10 @@
 }
 
 // Heard holds back what comes after the lanes that wait on a peer.
-func (s *Services) Heard(floors map[string]uint8) {
+func (s *Services) Heard(host string, floors map[string]uint8) {
 	for name, lane := range floors {
 		if service := s.Get(name); service != nil {
-			service.setFloor(reserve.Lane(lane))
+			service.setFloor(host, reserve.Lane(lane))
 		}
 	}
 }
@@ -292,6 +308,15 @@
 	})
 }
 
+// Freed takes a peer's word that a slot has come free at a target.
+func (s *Services) Freed(target string) {
+	s.each(func(_ string, service *Service) {
+		if _, ok := service.targets[target]; ok {
+			service.freed(target)
+		}
+	})
+}
+
 // Seed takes what a peer has measured of targets.
 func (s *Services) Seed(speeds []reserve.Speed) {
 	now := time.Now()
@@ -332,7 +357,7 @@
 	for i := range table.Services {
 		info := &table.Services[i]
 		if s.all[info.Name] == nil {
-			s.all[info.Name] = newService(info.Name, info.Engine != nil && info.Engine.MaxHold > 0, s.log, s.tell)
+			s.all[info.Name] = newService(info.Name, info.Engine != nil && info.Engine.MaxHold > 0, s.log, s.peers)
 		}
 	}
 	for name, service := range s.all {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,7 +111,7 @@
 		budget:   retry.New(s.RetryLimits()),
 	}
 	g.settings.Store(&s)
-	g.services = dispatch.NewServices(s.Host.Zone, cfg.Log, g.kickNear)
+	g.services = dispatch.NewServices(s.Host.Zone, cfg.Log, g)
 	g.dir = directory.New(directory.Config{
 		Name: s.Host.Name, Store: cfg.Store, Layout: cfg.Layout, Current: &g.current, Log: cfg.Log, Changed: g.update,
 		Ordered: g.ordered,
@@ -225,13 +225,24 @@
 	g.seedRestored()
 }
 
-// kickNear sends a heartbeat at once to the peers that get all of them.
-func (g *Gateway) kickNear() {
+// Tell implements dispatch.Peers: it sends a heartbeat at once to the peers that get all
+// of them.
+func (g *Gateway) Tell() {
 	if g.mesh != nil {
 		g.mesh.KickNear()
 	}
 }
 
+// Offer implements dispatch.Peers.
+func (g *Gateway) Offer(host, target string) { g.mesh.Offer(host, shortName(target)) }
+
+// Offered implements peers.State.
+func (g *Gateway) Offered(target uint32) {
+	for _, name := range g.names.lookup([]uint32{target}) {
+		g.services.Freed(name)
+	}
+}
+
 // Fill implements peers.State.
 func (g *Gateway) Fill(h *peers.Heartbeat, greeting bool, now time.Time) {
 	g.dir.Fill(h, now)
@@ -252,7 +263,7 @@
 // Heard implements peers.State.
 func (g *Gateway) Heard(h *peers.Heartbeat, now time.Time) {
 	g.dir.Heard(h, now)
-	g.services.Heard(h.Floors)
+	g.services.Heard(h.Address, h.Floors)
 	if len(h.Speeds) > 0 {
 		g.speeds.heard(h.Speeds, now)
 		g.services.Seed(g.names.resolve(h.Speeds))
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -88,6 +88,35 @@
 	Deleted  bool
 }
 
+// offer says that a slot has come free at a target.
+type offer struct {
+	_      struct{} `cbor:",toarray"`
+	Format uint8
+	// Target is a short name.
+	Target uint32
+}
+
+const (
+	// offerFormat is the first field of an offer.
+	offerFormat = 128
+	// maxOffer is the size of the longest offer in bytes.
+	maxOffer = 16
+)
+
+func encodeOffer(target uint32) ([]byte, error) {
+	return encoder.Marshal(offer{Format: offerFormat, Target: target})
+}
+
+// decodeOffer reads an offer and reports whether the bytes are one.
+func decodeOffer(b []byte) (target uint32, ok bool) {
+	if len(b) > maxOffer {
+		return 0, false
+	}
+	var o offer
+	err := decoder.Unmarshal(b, &o)
+	return o.Target, err == nil && o.Format == offerFormat
+}
+
 var (
 	encoder = mustEncoder()
 	decoder = mustDecoder()
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -49,6 +49,8 @@
 	Fill(h *Heartbeat, greeting bool, now time.Time)
 	// Heard takes a peer's heartbeat.
 	Heard(h *Heartbeat, now time.Time)
+	// Offered takes a peer's offer of a free slot at a target, by its short name.
+	Offered(target uint32)
 }
 
 // Config describes this host.
@@ -179,6 +181,28 @@
 	}
 }
 
+// Offer tells a peer that a slot has come free at a target, by its short name. A lost
+// datagram leaves the slot to those that look for one.
+func (m *Mesh) Offer(address string, target uint32) {
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return
+	}
+	b, err := encodeOffer(target)
+	if err != nil {
+		m.cfg.Log.Error("encode offer", "error", err)
+		return
+	}
+	_, _ = m.conn.WriteToUDPAddrPort(b, to) // see above
+	m.count(1, len(b))
+}
+
+// count adds datagrams of the given size to the traffic.
+func (m *Mesh) count(datagrams, size int) {
+	m.sent.Add(uint64(datagrams))
+	m.sentBytes.Add(uint64(datagrams * size))
+}
+
 // Traffic returns how many datagrams this host has sent to its peers, and their bytes.
 func (m *Mesh) Traffic() (datagrams, bytes uint64) { return m.sent.Load(), m.sentBytes.Load() }
 
@@ -259,8 +283,7 @@
 			// A lost datagram is made good by the next one.
 			_, _ = m.conn.WriteToUDPAddrPort(b, a)
 		}
-		m.sent.Add(uint64(len(addresses)))
-		m.sentBytes.Add(uint64(len(addresses) * len(b)))
+		m.count(len(addresses), len(b))
 	}
 }
 
@@ -361,6 +384,10 @@
 		if err != nil {
 			continue
 		}
+		if target, ok := decodeOffer(buf[:n]); ok {
+			m.state.Offered(target)
+			continue
+		}
 		h, err := Decode(buf[:n])
 		if err != nil {
 			event.PeerRejected.Log(m.cfg.Log, slog.Any("error", err))
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -17,6 +17,13 @@
 	mu      sync.Mutex
 	version int64
 	heard   map[string]int64
+	offered uint32
+}
+
+func (r *recorder) Offered(target uint32) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.offered = target
 }
 
 func (r *recorder) Fill(h *peers.Heartbeat, _ bool, _ time.Time) { h.ConfigVersion = r.version }
@@ -151,3 +158,30 @@
 		t.Errorf("%d datagrams in %d rounds, want at most %d", got, rounds, most)
 	}
 }
+
+// Guards against an offer that is taken for a heartbeat, or does not arrive.
+func TestOfferReachesThePeer(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	to := &recorder{version: 1, heard: map[string]int64{}}
+	address := freePort(t)
+	for _, c := range []struct {
+		name, address string
+		state         *recorder
+	}{{"to", address, to}, {"from", freePort(t), &recorder{version: 1, heard: map[string]int64{}}}} {
+		m, err := peers.New(peers.Config{Name: c.name, Address: c.address, Log: slog.New(slog.DiscardHandler)}, c.state)
+		if err != nil {
+			t.Fatal(err)
+		}
+		wg.Go(func() { m.Run(ctx) })
+		if c.name == "from" {
+			m.Offer(address, 0xfedcba98)
+		}
+	}
+	waitFor(t, "the offer arrives", func() bool {
+		to.mu.Lock()
+		defer to.mu.Unlock()
+		return to.offered == 0xfedcba98
+	})
+}
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -147,7 +147,7 @@
 		ended = event.MoveTakenBack
 	}
 	ended.Log(g.cfg.Log, slog.String("service", d.Order.Service), slog.String("target", d.Order.Target), slog.String("why", d.Why))
-	g.kickNear()
+	g.Tell()
 }
 
 // putStatus writes the state with compare-and-swap and returns the one that stands.
--- a/sched/reserve/lanes.go
+++ b/sched/reserve/lanes.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sardinefront.dev/core/request"
+	"sardinefront.dev/sched/health"
 )
 
 // Lane is a group of waiting requests; a lower one is served first.
@@ -90,12 +91,61 @@
 
 // SetFloor starts nothing above a lane at fast targets until the given time: a host
 // has requests of that lane waiting.
-func (p *Pool) SetFloor(l Lane, until time.Time) {
-	if l < LaneCount && until.After(p.floors[l]) {
+func (p *Pool) SetFloor(host string, l Lane, until time.Time) {
+	if l >= LaneCount {
+		return
+	}
+	p.starving[host] = floor{l, until}
+	if until.After(p.floors[l]) {
 		p.floors[l] = until
 	}
 }
 
+// floor is the lowest lane in which a host has requests waiting for long.
+type floor struct {
+	lane  Lane
+	until time.Time
+}
+
+// Offer returns the host to tell that a slot has come free at a target, empty if there is
+// none or a request of this host has taken the slot: the one with the lowest lane waiting,
+// any of those that are equal. At slow targets, lanes that need a fast one come last.
+func (p *Pool) Offer(target string, now time.Time) (host string) {
+	t := p.targets[target]
+	if t == nil || !p.cfg.Reservations || !t.freed || t.Leaving || t.health.State() == health.Ejected {
+		return ""
+	}
+	best, equal := 2*LaneCount, 0
+	for name, f := range p.starving {
+		if !now.Before(f.until) {
+			delete(p.starving, name)
+			continue
+		}
+		l := f.lane
+		if t.slow && lanes[l].fastOnly {
+			l += LaneCount
+		}
+		switch {
+		case l < best:
+			host, best, equal = name, l, 1
+		case l == best:
+			equal++
+			if p.rnd.IntN(equal) == 0 {
+				host = name
+			}
+		}
+	}
+	return host
+}
+
+// Freed records that a slot has come free at a target, as another host says.
+func (p *Pool) Freed(target string) {
+	if t := p.targets[target]; t != nil {
+		t.freed = true
+		t.fullUntil = time.Time{}
+	}
+}
+
 // Starved returns the lowest lane in which a request has waited for long,
 // LaneCount if there is none.
 func (p *Pool) Starved(now time.Time) Lane {
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -47,7 +47,9 @@
 	// slow ones are full for longer and say nothing about the room at fast ones.
 	tries  [2]spacing
 	floors [LaneCount]time.Time // end of the floor of each lane
-	gaps   []time.Duration      // scratch space of slowGap
+	// starving are the hosts that have requests waiting for long.
+	starving map[string]floor
+	gaps     []time.Duration // scratch space of slowGap
 	// slowFrom is the pause between events from which a target is slow, as of the last
 	// look at the queue; 0 if too little is known.
 	slowFrom time.Duration
@@ -67,7 +69,7 @@
 		rnd:     rand.New(rand.NewPCG(c.Seed, c.Seed^0x9e3779b97f4a7c15)),
 		queue:   flow.New(flow.Config{Waiting: bounds}),
 		waiters: map[string]*Waiter{},
-		targets: map[string]*target{},
+		targets: map[string]*target{}, starving: map[string]floor{},
 	}
 }
 
--- a/sched/reserve/reserve_test.go
+++ b/sched/reserve/reserve_test.go
@@ -181,7 +181,7 @@
 			a.Resubmit(g.Waiter)
 		}
 	}
-	b.SetFloor(a.Starved(now), now.Add(300*ms))
+	b.SetFloor("a", a.Starved(now), now.Add(300*ms))
 	submit(t, b, waiter("tip", request.Patient, "o", now), now)
 	expect(t, next(b, now))
 	submit(t, b, waiter("storm-b", request.Urgent, "o", now), now)
@@ -506,3 +506,71 @@
 	p.Seed("e0", 400*ms, start.Add(3*ms))
 	expectGap(20 * ms)
 }
+
+// Guards against a slot that stays idle while hosts search for one among many engines: it
+// is offered to the host whose requests are most urgent, unless a request of this host
+// takes it.
+func TestFreedSlotIsOffered(t *testing.T) {
+	p := reserve.New(reserve.Config{Reservations: true})
+	p.SetTargets(engines(4, 1))
+	for i := range 4 {
+		gap := 10 * ms
+		if i == 3 {
+			gap = 100 * ms
+		}
+		p.Observe(fmt.Sprintf("e%d", i), gap, start)
+	}
+	p.Next(start)
+	run := func(tier request.Tier) string {
+		submit(t, p, waiter("a", tier, "o", start), start)
+		g := first(p.Next(start))
+		p.End(g[0].Target, reserve.Served, reserve.Sample{}, start)
+		return g[0].Target
+	}
+	target := run(request.Urgent)
+	if host := p.Offer(target, start); host != "" {
+		t.Errorf("offered to %s, which does not wait", host)
+	}
+	p.SetFloor("patient", 4, start.Add(300*ms))
+	p.SetFloor("urgent", 0, start.Add(300*ms))
+	if host := p.Offer(target, start); host != "urgent" {
+		t.Errorf("offered to %q", host)
+	}
+	if host := p.Offer("e3", start); host != "" {
+		t.Errorf("offered to %q a target at which no slot has come free", host)
+	}
+	p.Freed("e3")
+	submit(t, p, waiter("x", request.Patient, "o", start), start)
+	if host := p.Offer("e3", start); host != "patient" {
+		t.Errorf("a slow target is offered to %q", host)
+	}
+	if g := first(p.Next(start)); len(g) != 1 || g[0].Target != "e3" {
+		t.Fatalf("grants %v, want e3: fast targets are held for the urgent host", g)
+	}
+	if host := p.Offer("e3", start); host != "" {
+		t.Errorf("offered to %q what a request of this host has taken", host)
+	}
+	if host := p.Offer(target, start.Add(time.Second)); host != "" {
+		t.Errorf("offered to %q, which has not said for long that it waits", host)
+	}
+}
+
+// Guards against a host that does not try a full engine when it is told of a free slot.
+func TestFreedSlotIsTriedAtOnce(t *testing.T) {
+	p := reserve.New(reserve.Config{Reservations: true})
+	p.SetTargets(engines(3, 1))
+	w := waiter("a", request.Urgent, "o", start)
+	submit(t, p, w, start)
+	for now := start; ; now = now.Add(ms) {
+		g := first(p.Next(now))
+		if len(g) == 0 {
+			p.Freed("e2")
+			if g := first(p.Next(now)); len(g) != 1 || g[0].Target != "e2" {
+				t.Errorf("grants %v", g)
+			}
+			return
+		}
+		p.Full(g[0].Target, now)
+		p.Resubmit(w)
+	}
+}
