Use new engines under overload

Urgent requests try the cheapest open engine, which is always a known one, at the spaced times; patient ones were held back from engines of unknown speed as from fast ones.

Change: engines of unknown speed have a spacing of their own, floors hold the known fast ones only, and the first measurement of an engine is told to the zone at once.

--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -226,7 +226,9 @@
 func (s *Service) Observe(target string, gap time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pool.Observe(target, gap, time.Now())
+	if s.pool.Observe(target, gap, time.Now()) {
+		s.peers.Tell()
+	}
 }
 
 // Services holds the schedulers of all services.
--- a/sched/reserve/choose.go
+++ b/sched/reserve/choose.go
@@ -41,7 +41,8 @@
 
 // choose returns the cheapest target that may take a request of the lane, or nil.
 // Slow targets serve only lanes that cannot be in time there anyway: a fresh request
-// does better to wait for a fast one.
+// does better to wait for a fast one. Floors hold fast targets only: somebody has to find
+// out about new ones.
 func (p *Pool) choose(w *Waiter, l Lane, now time.Time) *target {
 	var best *target
 	bestCost := 0.0
@@ -52,7 +53,7 @@
 		if !p.open(t, l, now, distrust) || !w.allows(t.Version) || !tried && w.excludes(t.Name) {
 			continue
 		}
-		if t.slow && lanes[l].fastOnly || !t.slow && held {
+		if c := p.class(t); c == slow && lanes[l].fastOnly || c == fast && held {
 			continue
 		}
 		c := p.cost(t, l, now) * (1 + preferenceSpread*t.preference + costNoise*p.rnd.Float64())
--- a/sched/reserve/lanes.go
+++ b/sched/reserve/lanes.go
@@ -75,8 +75,8 @@
 		return 0
 	}
 	slices.Sort(p.gaps)
-	fast := p.gaps[int(fastRank*float64(len(p.gaps)-1))]
-	return time.Duration(slowFactor * float64(fast))
+	quick := p.gaps[int(fastRank*float64(len(p.gaps)-1))]
+	return time.Duration(slowFactor * float64(quick))
 }
 
 // held reports whether another host has requests of a lower lane waiting.
@@ -150,11 +150,11 @@
 // LaneCount if there is none.
 func (p *Pool) Starved(now time.Time) Lane {
 	best := LaneCount
-	if p.cfg.Reservations && p.tries[0].refused < starvedRefusals {
+	if p.cfg.Reservations && p.tries[fast].refused < starvedRefusals {
 		return best
 	}
 	after := starvedAfter
-	if p.cfg.Reservations && float64(p.tries[0].refused) < starvedPart*float64(p.fastTargets()) {
+	if p.cfg.Reservations && float64(p.tries[fast].refused) < starvedPart*float64(p.fastTargets()) {
 		after = starvedLong
 	}
 	for _, w := range p.waiters {
@@ -188,11 +188,16 @@
 	return LaneCount - 1
 }
 
-// Observe records the pause between events that a target shows while it answers.
-func (p *Pool) Observe(name string, gap time.Duration, now time.Time) {
-	if t := p.targets[name]; t != nil {
-		t.measure(gap, now)
+// Observe records the pause between events that a target shows while it answers, and
+// reports whether nothing was known of it.
+func (p *Pool) Observe(name string, gap time.Duration, now time.Time) (first bool) {
+	t := p.targets[name]
+	if t == nil {
+		return false
 	}
+	first = t.gap == 0
+	t.measure(gap, now)
+	return first
 }
 
 // Seed records what another host has measured lately of a target.
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -43,9 +43,9 @@
 	order   []*target
 	ejected int
 	hosts   int // that share the targets, this one included
-	// tries spaces the tries of fast and of slow targets. They are kept apart, since
-	// slow ones are full for longer and say nothing about the room at fast ones.
-	tries  [2]spacing
+	// tries spaces the tries by the class of the target. They are kept apart: slow ones
+	// are full for longer, and neither say anything about the room at new ones.
+	tries  [speedClasses]spacing
 	floors [LaneCount]time.Time // end of the floor of each lane
 	// starving are the hosts that have requests waiting for long.
 	starving map[string]floor
--- a/sched/reserve/reserve_test.go
+++ b/sched/reserve/reserve_test.go
@@ -574,3 +574,34 @@
 		p.Resubmit(w)
 	}
 }
+
+// Guards against an overload that lasts because engines that have started meanwhile get
+// nothing: urgent requests try the fast ones that are known, and patient ones hold back.
+func TestNewEnginesAreUsedUnderOverload(t *testing.T) {
+	p := reserve.New(reserve.Config{Reservations: true})
+	p.SetHosts(60)
+	p.SetTargets(engines(40, 4))
+	for i := range 38 {
+		p.Observe(fmt.Sprintf("e%d", i), 10*ms, start)
+	}
+	p.SetFloor("other", 0, start.Add(time.Second))
+	submit(t, p, waiter("tip", request.Patient, "o", start), start)
+	if g := first(p.Next(start)); len(g) != 1 || g[0].Target != "e38" && g[0].Target != "e39" {
+		t.Errorf("the patient request got %v, want one of the new engines", g)
+	}
+	for i := range 4 {
+		submit(t, p, waiter(fmt.Sprintf("storm-%d", i), request.Urgent, "o", start), start)
+	}
+	tries := 0
+	for now := start; now.Before(start.Add(100 * ms)); now = now.Add(ms) {
+		for _, g := range first(p.Next(now)) {
+			if g.Target == "e38" || g.Target == "e39" {
+				return
+			}
+			tries++
+			p.Full(g.Target, now)
+			p.Resubmit(g.Waiter)
+		}
+	}
+	t.Errorf("%d tries at full engines within 100 ms, none at a new one", tries)
+}
--- a/sched/reserve/target.go
+++ b/sched/reserve/target.go
@@ -182,14 +182,31 @@
 	return s.nextPatient
 }
 
-// spacing returns that of a target's kind.
-func (p *Pool) spacing(t *target) *spacing {
-	if t.slow {
-		return &p.tries[1]
+// speedClass groups targets by what is known of their speed.
+type speedClass uint8
+
+const (
+	fast speedClass = iota
+	slow
+	// unknown targets have served nothing yet, while others are known.
+	unknown
+	speedClasses
+)
+
+// class returns a target's, as of the last look at the queue.
+func (p *Pool) class(t *target) speedClass {
+	switch {
+	case p.slowFrom > 0 && t.gap == 0:
+		return unknown
+	case t.slow:
+		return slow
 	}
-	return &p.tries[0]
+	return fast
 }
 
+// spacing returns that of a target's class.
+func (p *Pool) spacing(t *target) *spacing { return &p.tries[p.class(t)] }
+
 // holdBack sets the time of the next try at a target that is probably full. When all
 // engines are full, each try costs the host and the engine a call, and most slots that
 // come free are taken by the host whose request ended there.
