Get configurations from peers first

Cause: each host read each configuration in the store, so that the calls grew with hosts times changes.

Change: a host asks the peer that tells of a newer configuration, and the store once that has failed or taken 0.25 s. The serving host compresses a configuration once.

--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -28,6 +28,9 @@
 	// mismatchTime is how long a peer's list may differ before this host reads for
 	// itself: a change on its way takes one or two heartbeats.
 	mismatchTime = 400 * time.Millisecond
+	// peerHeadStart is how long a peer may take to pass on a configuration before the
+	// store is asked, so that its calls don't grow with the number of hosts.
+	peerHeadStart = 250 * time.Millisecond
 	// fetchPause is kept between fetches of the list from peers.
 	fetchPause = time.Second
 	// passOnBeats is how many heartbeats to the same peer repeat a change.
@@ -73,6 +76,8 @@
 	// Fetch gets what a peer holds, for a host that cannot reach the store.
 	// Version is the configuration that this host has, 0 for none.
 	Fetch(ctx context.Context, address string, version int64) (*peers.Bulk, error)
+	// FetchConfig gets a peer's configuration, empty if it is no newer than the version.
+	FetchConfig(ctx context.Context, address string, version int64) ([]byte, error)
 }
 
 // Config connects a directory.
--- a/gateway/directory/directory_test.go
+++ b/gateway/directory/directory_test.go
@@ -1,12 +1,14 @@
 package directory_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,6 +39,7 @@
 
 // fleet is a peer that is busy and one that has the configuration.
 type fleet struct {
+	version int // of the configuration at the good peer, 2 if it is 0
 	mu      sync.Mutex
 	fetched []string
 }
@@ -45,6 +48,11 @@
 func (f *fleet) KickNear()                    {}
 
 func (f *fleet) Fetch(_ context.Context, address string, _ int64) (*peers.Bulk, error) {
+	config, err := f.FetchConfig(context.Background(), address, 0)
+	return &peers.Bulk{Config: config, ListAge: 0}, err
+}
+
+func (f *fleet) FetchConfig(_ context.Context, address string, _ int64) ([]byte, error) {
 	f.mu.Lock()
 	f.fetched = append(f.fetched, address)
 	f.mu.Unlock()
@@ -52,7 +60,7 @@
 		time.Sleep(500 * time.Millisecond)
 		return nil, errors.New("timeout")
 	}
-	return &peers.Bulk{Config: []byte("2"), ListAge: 0}, nil
+	return []byte(strconv.Itoa(cmp.Or(f.version, 2))), nil
 }
 
 func (f *fleet) asked(address string) bool {
@@ -104,3 +112,65 @@
 		<-done
 	})
 }
+
+// readyStore answers at once and counts the reads of the configuration.
+type readyStore struct {
+	silentStore
+	version, reads atomic.Int32
+}
+
+func (s *readyStore) Get(context.Context, string) (platform.Entry, error) {
+	s.reads.Add(1)
+	return platform.Entry{Key: "config", Value: []byte(strconv.Itoa(int(s.version.Load()))), Revision: 2}, nil
+}
+
+func (s *readyStore) Snapshot(context.Context, string) ([]platform.Entry, int64, error) {
+	return nil, 1, nil
+}
+
+func (s *readyStore) Changes(_ context.Context, _ string, after int64, _ time.Duration) ([]platform.Entry, int64, error) {
+	return nil, after, nil
+}
+
+// Guards against a read of the store by each host for each configuration, and against a
+// host that waits for a peer that does not answer.
+func TestConfigurationIsReadFromPeersFirst(t *testing.T) {
+	for _, c := range []struct {
+		peer  string
+		reads int32
+		most  time.Duration
+	}{{"good", 0, 100 * time.Millisecond}, {"busy", 1, 350 * time.Millisecond}} {
+		synctest.Test(t, func(t *testing.T) {
+			var current routing.Current
+			store := &readyStore{}
+			store.version.Store(1)
+			d := directory.New(directory.Config{
+				Name: "a", Store: store, Current: &current, Log: slog.New(slog.DiscardHandler), Changed: func() {},
+				Layout: directory.Layout{ConfigKey: "config", TargetPrefix: "t/", RolloutPrefix: "r/", Config: func(b []byte) (routing.Config, error) {
+					v, err := strconv.ParseInt(string(b), 10, 64)
+					return routing.Config{Version: v}, err
+				}},
+			})
+			d.SetFleet(&fleet{version: 3})
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				d.Run(ctx)
+			}()
+			synctest.Wait() // the first read is done
+			before := store.reads.Load()
+			store.version.Store(3)
+			d.Heard(&peers.Heartbeat{Name: c.peer, Address: c.peer, ConfigVersion: 3, ListAge: -1}, time.Now())
+			time.Sleep(c.most)
+			if current.Version() != 3 {
+				t.Errorf("%s peer: version %d after %s", c.peer, current.Version(), c.most)
+			}
+			if n := store.reads.Load() - before; n != c.reads {
+				t.Errorf("%s peer: %d reads of the store, want %d", c.peer, n, c.reads)
+			}
+			cancel()
+			<-done
+		})
+	}
+}
--- a/gateway/directory/exchange.go
+++ b/gateway/directory/exchange.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"sardinefront.dev/core/event"
 	"sardinefront.dev/gateway/peers"
 	"sardinefront.dev/platform"
@@ -98,26 +100,68 @@
 	})
 }
 
-// fetchConfig reads a newer configuration from the store, or from a peer that has it: at
-// once if the store did not answer the last read, since a call that waits for it would
-// use up the time in which a configuration must be in force.
+// fetchConfig gets a newer configuration from a peer that has it, and after a short wait
+// from the store, unless that did not answer the last read.
 func (d *Directory) fetchConfig(ctx context.Context) {
+	version, from := d.wantedConfig()
+	if version == 0 {
+		return
+	}
 	d.mu.Lock()
 	failed := d.failed
 	d.mu.Unlock()
+	ctx, done := context.WithCancel(ctx)
+	defer done()
+	peerFailed := make(chan struct{})
+	var wg conc.WaitGroup
 	if !failed {
-		if e, err := d.cfg.Store.Get(ctx, d.cfg.Layout.ConfigKey); err == nil {
-			d.adopt(e.Value)
-		}
+		wg.Go(func() { d.readConfigAfter(ctx, peerFailed, done) })
+	}
+	if d.fetchConfigFrom(ctx, from); d.cfg.Current.Version() < version {
+		d.putLast(from)
+		close(peerFailed)
+	} else {
+		done()
 	}
-	v, from := d.wantedConfig()
-	if v == 0 {
+	wg.Wait()
+}
+
+// readConfigAfter reads the configuration in the store once the peer has failed or taken
+// too long, and calls done if that succeeds.
+func (d *Directory) readConfigAfter(ctx context.Context, peerFailed <-chan struct{}, done func()) {
+	select {
+	case <-ctx.Done():
 		return
+	case <-peerFailed:
+	case <-time.After(peerHeadStart):
 	}
-	d.fetchBulk(ctx, from)
-	if d.cfg.Current.Version() < v {
-		d.putLast(from)
+	if e, err := d.cfg.Store.Get(ctx, d.cfg.Layout.ConfigKey); err == nil {
+		d.adopt(e.Value)
+		done()
+	}
+}
+
+// fetchConfigFrom gets the configuration of a peer.
+func (d *Directory) fetchConfigFrom(ctx context.Context, address string) {
+	value, err := d.fleet.FetchConfig(ctx, address, d.cfg.Current.Version())
+	switch {
+	case ctx.Err() != nil: // the store was faster
+	case err != nil:
+		event.PeerFetchFailed.Log(d.cfg.Log, slog.String("peer", address), slog.Any("error", err))
+	case len(value) > 0:
+		d.adopt(value)
+	}
+}
+
+// NewerConfig returns the configuration as the store holds it if it is newer than the
+// version, and its version.
+func (d *Directory) NewerConfig(version int64) (value []byte, current int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if current = d.cfg.Current.Version(); current > version {
+		value = d.config
 	}
+	return value, current
 }
 
 // putLast keeps a peer that did not answer from being asked again before every other one
@@ -176,11 +220,9 @@
 	for _, e := range d.list.Entries() {
 		b.Targets = append(b.Targets, peers.Change{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
 	}
+	b.Config, _ = d.NewerConfig(version)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.cfg.Current.Version() > version {
-		b.Config = d.config
-	}
 	if !d.freshAt.IsZero() {
 		b.ListAge = time.Since(d.freshAt).Milliseconds()
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -145,7 +145,7 @@
 	}
 	g.ready = &http.Server{Handler: http.HandlerFunc(g.serveReady)}
 	g.metrics = &http.Server{Handler: g.cfg.MetricsPage}
-	g.internal = &http.Server{Handler: peers.BulkHandler(g.dir.Bulk)}
+	g.internal = &http.Server{Handler: peers.BulkHandler(g.dir)}
 	if err := g.listenAll(); err != nil {
 		return err
 	}
--- a/gateway/peers/bulk.go
+++ b/gateway/peers/bulk.go
@@ -1,12 +1,13 @@
 package peers
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
+	"sync"
 	"time"
 
 	"github.com/klauspost/compress/gzip"
@@ -25,6 +26,8 @@
 
 const (
 	bulkPath = "/v1/state"
+	// configPath serves the configuration alone, compressed.
+	configPath = "/v1/config"
 	// bulkVersion is the query's field of the version that the peer has.
 	bulkVersion = "version"
 	// bulkTimeout covers a large configuration over a slow link.
@@ -33,41 +36,101 @@
 	maxBulk = 4 << 20
 )
 
-// BulkHandler serves what this host holds to a peer that has a version of the
-// configuration, 0 for none.
-func BulkHandler(state func(version int64) *Bulk) http.Handler {
+// Holdings is what a host can pass on. Both take the version of the configuration that
+// the peer has, 0 for none.
+type Holdings interface {
+	Bulk(version int64) *Bulk
+	// NewerConfig returns a configuration that is newer, or nothing, and the version in force.
+	NewerConfig(version int64) (value []byte, current int64)
+}
+
+// BulkHandler serves what this host holds.
+func BulkHandler(h Holdings) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+bulkPath, func(w http.ResponseWriter, r *http.Request) {
-		version, err := strconv.ParseInt(r.URL.Query().Get(bulkVersion), 10, 64)
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		b, err := encoder.Marshal(state(version))
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusInternalServerError)
-			return
-		}
-		w.Header().Set("Content-Type", "application/cbor")
-		if !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
-			_, _ = w.Write(b) // the peer asks again if it is cut
-			return
-		}
-		w.Header().Set("Content-Encoding", "gzip")
-		z := gzip.NewWriter(w)
-		_, _ = z.Write(b) // as above
-		_ = z.Close()
+		serveVersioned(w, r, func(version int64) ([]byte, error) { return encoder.Marshal(h.Bulk(version)) })
+	})
+	var packed packedConfig
+	mux.HandleFunc("GET "+configPath, func(w http.ResponseWriter, r *http.Request) {
+		serveVersioned(w, r, func(version int64) ([]byte, error) { return packed.get(h.NewerConfig(version)) })
 	})
 	return mux
 }
 
+// serveVersioned answers with the body for the version that the peer has.
+func serveVersioned(w http.ResponseWriter, r *http.Request, body func(version int64) ([]byte, error)) {
+	version, err := strconv.ParseInt(r.URL.Query().Get(bulkVersion), 10, 64)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	b, err := body(version)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(b) // the peer asks again if it is cut
+}
+
+// packedConfig keeps the compressed form of the newest configuration: all hosts of a zone
+// ask for it at the same time.
+type packedConfig struct {
+	mu      sync.Mutex
+	version int64
+	packed  []byte
+}
+
+// get returns the compressed form of a configuration, nothing for an empty one.
+func (c *packedConfig) get(value []byte, version int64) ([]byte, error) {
+	if len(value) == 0 {
+		return nil, nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.version == version {
+		return c.packed, nil
+	}
+	var b bytes.Buffer
+	z := gzip.NewWriter(&b)
+	if _, err := z.Write(value); err != nil {
+		return nil, err
+	}
+	if err := z.Close(); err != nil {
+		return nil, err
+	}
+	c.version, c.packed = version, b.Bytes()
+	return c.packed, nil
+}
+
 // bulkClient keeps no connections: fetches are rare.
 var bulkClient = &http.Client{Timeout: bulkTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 
 // Fetch gets what the peer at the address holds; the configuration only if it is newer
 // than the version.
 func (m *Mesh) Fetch(ctx context.Context, address string, version int64) (*Bulk, error) {
-	url := fmt.Sprintf("http://%s%s?%s=%d", address, bulkPath, bulkVersion, version)
+	b, err := fetch(ctx, address, bulkPath, version)
+	if err != nil {
+		return nil, err
+	}
+	return DecodeBulk(b)
+}
+
+// FetchConfig gets the configuration of the peer at the address, empty if it is no newer
+// than the version.
+func (m *Mesh) FetchConfig(ctx context.Context, address string, version int64) ([]byte, error) {
+	b, err := fetch(ctx, address, configPath, version)
+	if err != nil || len(b) == 0 {
+		return nil, err
+	}
+	z, err := gzip.NewReader(bytes.NewReader(b))
+	if err != nil {
+		return nil, fmt.Errorf("peer configuration: %w", err)
+	}
+	return io.ReadAll(io.LimitReader(z, maxBulk))
+}
+
+func fetch(ctx context.Context, address, path string, version int64) ([]byte, error) {
+	url := fmt.Sprintf("http://%s%s?%s=%d", address, path, bulkVersion, version)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
@@ -80,11 +143,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("peer state: status %d", resp.StatusCode)
 	}
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxBulk))
-	if err != nil {
-		return nil, err
-	}
-	return DecodeBulk(b)
+	return io.ReadAll(io.LimitReader(resp.Body, maxBulk))
 }
 
 // DecodeBulk reads the wire form of a Bulk.
