--- a/gateway/directory/directory_test.go
+++ b/gateway/directory/directory_test.go
@@ -115,7 +115,6 @@
 
 // readyStore answers at once and counts the reads of the configuration.
 type readyStore struct {
-	silentStore
 	version, reads atomic.Int32
 }
 
