--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -102,23 +102,19 @@
 // others: at 66 hosts that fills a link of 10 Mbit/s for seconds.
 func TestNewHostIsGreetedOnce(t *testing.T) {
 	const n = 12
-	var states []*recorder
 	var meshes []*peers.Mesh
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	t.Cleanup(func() { cancel(); wg.Wait() })
-	start := func(name, seed string) {
+	seed := freePort(t)
+	start := func(name, address string) {
 		s := &recorder{version: 1, heard: map[string]int64{}}
-		cfg := peers.Config{Name: name, Zone: name, Address: freePort(t), Log: slog.New(slog.DiscardHandler)}
-		if seed != "" {
-			cfg.Seeds = []string{seed}
-		}
-		m, err := peers.New(cfg, s)
+		m, err := peers.New(peers.Config{Name: name, Zone: name, Address: address, Seeds: []string{seed}, Log: slog.New(slog.DiscardHandler)}, s)
 		if err != nil {
 			t.Fatal(err)
 		}
 		wg.Go(func() { m.Run(ctx) })
-		states, meshes = append(states, s), append(meshes, m)
+		meshes = append(meshes, m)
 	}
 	sent := func() (total uint64) {
 		for _, m := range meshes {
@@ -127,18 +123,9 @@
 		}
 		return total
 	}
-	seed := freePort(t)
-	{
-		s := &recorder{version: 1, heard: map[string]int64{}}
-		m, err := peers.New(peers.Config{Name: "seed", Zone: "z", Address: seed, Log: slog.New(slog.DiscardHandler)}, s)
-		if err != nil {
-			t.Fatal(err)
-		}
-		wg.Go(func() { m.Run(ctx) })
-		states, meshes = append(states, s), append(meshes, m)
-	}
+	start("seed", seed)
 	for i := range n - 1 {
-		start(fmt.Sprintf("host-%d", i), seed)
+		start(fmt.Sprintf("host-%d", i), freePort(t))
 	}
 	waitFor(t, "all hosts hear of all", func() bool {
 		for _, m := range meshes {
@@ -149,7 +136,7 @@
 		return true
 	})
 	began, before := time.Now(), sent()
-	start("late", seed)
+	start("late", freePort(t))
 	waitFor(t, "the late host hears of all", func() bool { return len(meshes[n].Alive(time.Now())) == n })
 	rounds := 1 + uint64(time.Since(began)/peers.Interval)
 	// Beside the regular heartbeats, the late host and each other one greet each other,
