Log when silent peers are charged with their part of the quotas

Cause: a refusal by quota while peers are silent had no line that says that this host grants only its part. Change: event 506 with the number of silent peers, when that changes.

--- a/core/event/table.go
+++ b/core/event/table.go
@@ -41,6 +41,7 @@
 	MemberAlive     = Event{Number: 503, Name: "member alive", Level: slog.LevelInfo, Meaning: "A host joined or came back."}
 	PeerRejected    = Event{Number: 504, Name: "peer rejected", Level: slog.LevelWarn, Meaning: "A connection without a valid peer certificate was closed."}
 	PeerFetchFailed = Event{Number: 505, Name: "peer state not fetched", Level: slog.LevelWarn, Meaning: "A peer did not hand over its configuration and list of targets."}
+	PeersCharged    = Event{Number: 506, Name: "quota charged for silent peers", Level: slog.LevelWarn, Meaning: "This host grants only its part of what is left of each quota, since other hosts may use theirs without a word; 0 silent peers end that."}
 
 	ConfigAdopted  = Event{Number: 601, Name: "configuration adopted", Level: slog.LevelInfo, Meaning: "A newer rules file is in force on this host."}
 	ConfigRejected = Event{Number: 602, Name: "configuration rejected", Level: slog.LevelError, Meaning: "A rules file with findings or an older number was refused."}
@@ -67,7 +68,7 @@
 		RequestRefused, RequestRetried, CallerLeft, AnswerBroken, RequestAnswered, RequestSent, FailurePassedOn,
 		TargetEjected, TargetRestored, TargetLeaving, TargetListStale, TargetListed, TargetDoubted,
 		WriterElected, WriterLost, AppendUnknown, OutcomeUnknown, TakenOver,
-		MemberSuspected, MemberDead, MemberAlive, PeerRejected, PeerFetchFailed,
+		MemberSuspected, MemberDead, MemberAlive, PeerRejected, PeerFetchFailed, PeersCharged,
 		ConfigAdopted, ConfigRejected, StoreCutOff, StoreBack, CheckpointRestored, CheckpointRejected, StoreReader,
 		MoveStarted, MoveStepped, MoveDone, MoveTakenBack, MoveLate, VersionHalted, MoveRetried,
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -292,12 +292,17 @@
 func (g *Gateway) sweep(ctx context.Context) {
 	t := time.NewTicker(sweepEvery)
 	defer t.Stop()
+	charged := 0
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-t.C:
 			g.upstream.Sweep(now)
+			if silent, peers := g.quota.Silent(now); silent != charged {
+				charged = silent
+				event.PeersCharged.Log(g.cfg.Log, slog.Int("silent", silent), slog.Int("peers", peers))
+			}
 			hosts := 1 + len(g.mesh.Alive(now))
 			g.budget.SetHosts(hosts)
 			g.services.SetHosts(hosts)
--- a/gateway/quota/peers.go
+++ b/gateway/quota/peers.go
@@ -153,6 +153,20 @@
 	}
 }
 
+// Silent returns the number of peers that are charged with their part of every quota, and
+// of all that count.
+func (m *Meter) Silent(now time.Time) (silent, peers int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.extrapolate(now)
+	for _, p := range m.peers {
+		if p.silent {
+			silent++
+		}
+	}
+	return silent, len(m.peers)
+}
+
 // expectFor is how long a host that has just started waits for its peers' reports.
 const expectFor = 1200 * time.Millisecond
 
--- a/gateway/quota/quota_test.go
+++ b/gateway/quota/quota_test.go
@@ -278,3 +278,26 @@
 	}, gen.SliceOfN(200, gen.IntRange(0, 120)), gen.SliceOfN(200, gen.IntRange(1, 1500))))
 	properties.TestingRun(t)
 }
+
+// Guards against a host that refuses requests for the quota of peers that it does not hear
+// and does not say so, or says so for ever.
+func TestSilentPeersAreCounted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := quota.New(tolerance)
+	expect := func(silent, peers int) {
+		t.Helper()
+		if s, p := m.Silent(now); s != silent || p != peers {
+			t.Errorf("%d of %d peers are silent, want %d of %d", s, p, silent, peers)
+		}
+	}
+	hear := func(name string) { m.Report(name, 1, nil, nil, report, time.Minute, now) }
+	hear("a")
+	hear("b")
+	expect(0, 2)
+	now = now.Add(time.Second)
+	hear("a")
+	expect(1, 2)
+	now = now.Add(time.Minute)
+	hear("a")
+	expect(0, 1)
+}
