Keep old speeds from replacing newer ones

Cause, found by reading the diff: since a peer's measurement replaces an older one, a host that came back from a cut told what it had believed before, and the speeds of the checkpoint were taken again at each change of the list.

--- a/gateway/checkpoints.go
+++ b/gateway/checkpoints.go
@@ -72,7 +72,7 @@
 // listed targets and keep what they have learned themselves.
 func (g *Gateway) seedRestored() {
 	if speeds := g.restored.Load(); speeds != nil {
-		g.services.Seed(g.names.resolve(*speeds))
+		g.services.Restore(g.names.resolve(*speeds))
 	}
 }
 
--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -329,6 +329,17 @@
 	})
 }
 
+// Restore takes speeds that were known before this host started, of targets of which it
+// knows nothing.
+func (s *Services) Restore(speeds []reserve.Speed) {
+	now := time.Now()
+	s.each(func(_ string, service *Service) {
+		for _, v := range speeds {
+			service.pool.Restore(v.Target, v.Gap, now)
+		}
+	})
+}
+
 // Get returns the scheduler of a service, or nil.
 func (s *Services) Get(name string) *Service {
 	s.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -251,7 +251,7 @@
 	speeds := g.services.Speeds()
 	h.Speeds = g.speeds.news(speeds, time.Duration(h.EveryMs)*time.Millisecond, now)
 	if greeting {
-		h.Speeds = shortSpeeds(speeds)
+		h.Speeds = shortSpeeds(recent(speeds, now))
 	}
 	for _, name := range g.services.Ejected() {
 		h.Ejected = append(h.Ejected, shortName(name))
--- a/gateway/speeds.go
+++ b/gateway/speeds.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -84,6 +85,12 @@
 	return out
 }
 
+// recent returns the speeds that count for others: what a host believed before it was cut
+// off must not replace what they have measured since.
+func recent(all []reserve.Speed, now time.Time) []reserve.Speed {
+	return slices.DeleteFunc(slices.Clone(all), func(v reserve.Speed) bool { return now.Sub(v.At) >= reserve.SpeedLife })
+}
+
 // shortSpeeds returns the speeds by the short names of their targets.
 func shortSpeeds(all []reserve.Speed) map[uint32]uint32 {
 	out := make(map[uint32]uint32, len(all))
--- a/gateway/speeds_test.go
+++ b/gateway/speeds_test.go
@@ -40,3 +40,19 @@
 		t.Errorf("a speed that this host was told is told on: %v", got)
 	}
 }
+
+// Guards against a host that comes back from a cut and replaces what the others have
+// measured meanwhile.
+func TestGreetingHasRecentSpeedsOnly(t *testing.T) {
+	now := time.Unix(1000, 0)
+	all := []reserve.Speed{
+		{Target: "old", Gap: time.Second, At: now.Add(-reserve.SpeedLife)},
+		{Target: "new", Gap: time.Millisecond, At: now},
+	}
+	if got := recent(all, now); len(got) != 1 || got[0].Target != "new" {
+		t.Errorf("%v", got)
+	}
+	if len(all) != 2 || all[0].Target != "old" {
+		t.Errorf("the given speeds have changed: %v", all)
+	}
+}
--- a/sched/reserve/lanes.go
+++ b/sched/reserve/lanes.go
@@ -209,10 +209,20 @@
 	t.gap, t.gapAt, t.measuredAt = gap, now, time.Time{}
 }
 
+// Restore records what was known of a target at a time that is past, if nothing is known
+// now.
+func (p *Pool) Restore(name string, gap time.Duration, now time.Time) {
+	if t := p.targets[name]; t != nil && t.gap == 0 && gap > 0 {
+		t.gap, t.gapAt = gap, now
+	}
+}
+
 // Speed is the pause between the events of one target.
 type Speed struct {
 	Target string
 	Gap    time.Duration
+	// At is when this host has measured it or heard of it last.
+	At time.Time
 	// MeasuredAt is when this host has last seen it itself, zero if it was told.
 	MeasuredAt time.Time
 }
@@ -222,7 +232,7 @@
 	var out []Speed
 	for _, t := range p.order {
 		if t.gap > 0 {
-			out = append(out, Speed{t.Name, t.gap, t.measuredAt})
+			out = append(out, Speed{t.Name, t.gap, t.gapAt, t.measuredAt})
 		}
 	}
 	return out
--- a/sched/reserve/reserve_test.go
+++ b/sched/reserve/reserve_test.go
@@ -605,3 +605,23 @@
 	}
 	t.Errorf("%d tries at full engines within 100 ms, none at a new one", tries)
 }
+
+// Guards against speeds from before a full stop that replace newer ones at each change of
+// the list.
+func TestRestoredSpeedsReplaceNothing(t *testing.T) {
+	p := reserve.New(reserve.Config{Reservations: true})
+	p.SetTargets(engines(1, 1))
+	for _, c := range []struct {
+		learn func()
+		want  time.Duration
+	}{
+		{func() { p.Restore("e0", 400*ms, start) }, 400 * ms},
+		{func() { p.Seed("e0", 10*ms, start) }, 10 * ms},
+		{func() { p.Restore("e0", 400*ms, start) }, 10 * ms},
+	} {
+		c.learn()
+		if s := p.Speeds(); len(s) != 1 || s[0].Gap != c.want {
+			t.Errorf("speeds %v, want %s", s, c.want)
+		}
+	}
+}
