Keep a configuration's bytes with their version, and compress what peers fetch

Found by reading the diff: two loops may adopt configurations at the same time, and a peer that asked between the change of the version and that of the bytes made the host keep the old bytes, compressed, under the new version; the peer then fell back to the store. The version now stands with the bytes. The answer to a host without the store had lost its compression; one pair of functions now serves both paths.

--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -121,7 +121,9 @@
 	failedFrom []string
 	recent     []passedOn
 	config     []byte
-	orders     map[string]int64 // revision of the newest order by key
+	// configVersion is that of config, which follows the one in force.
+	configVersion int64
+	orders        map[string]int64 // revision of the newest order by key
 }
 
 // source says where this host learned something.
@@ -375,7 +377,9 @@
 		return false
 	}
 	d.mu.Lock()
-	d.config = slices.Clone(value)
+	if c.Version > d.configVersion { // two loops may adopt at the same time
+		d.config, d.configVersion = slices.Clone(value), c.Version
+	}
 	d.mu.Unlock()
 	event.ConfigAdopted.Log(d.cfg.Log, slog.Int64("version", c.Version), slog.Int("routes", len(c.Routes)))
 	d.cfg.Changed()
--- a/gateway/directory/exchange.go
+++ b/gateway/directory/exchange.go
@@ -158,10 +158,10 @@
 func (d *Directory) NewerConfig(version int64) (value []byte, current int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if current = d.cfg.Current.Version(); current > version {
+	if d.configVersion > version {
 		value = d.config
 	}
-	return value, current
+	return value, d.configVersion
 }
 
 // putLast keeps a peer that did not answer from being asked again before every other one
--- a/gateway/peers/bulk.go
+++ b/gateway/peers/bulk.go
@@ -48,7 +48,13 @@
 func BulkHandler(h Holdings) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+bulkPath, func(w http.ResponseWriter, r *http.Request) {
-		serveVersioned(w, r, func(version int64) ([]byte, error) { return encoder.Marshal(h.Bulk(version)) })
+		serveVersioned(w, r, func(version int64) ([]byte, error) {
+			b, err := encoder.Marshal(h.Bulk(version))
+			if err != nil {
+				return nil, err
+			}
+			return compress(b)
+		})
 	})
 	var packed packedConfig
 	mux.HandleFunc("GET "+configPath, func(w http.ResponseWriter, r *http.Request) {
@@ -90,16 +96,24 @@
 	if c.version == version {
 		return c.packed, nil
 	}
-	var b bytes.Buffer
-	z := gzip.NewWriter(&b)
-	if _, err := z.Write(value); err != nil {
+	packed, err := compress(value)
+	if err != nil {
+		return nil, err
+	}
+	c.version, c.packed = version, packed
+	return packed, nil
+}
+
+func compress(b []byte) ([]byte, error) {
+	var out bytes.Buffer
+	z := gzip.NewWriter(&out)
+	if _, err := z.Write(b); err != nil {
 		return nil, err
 	}
 	if err := z.Close(); err != nil {
 		return nil, err
 	}
-	c.version, c.packed = version, b.Bytes()
-	return c.packed, nil
+	return out.Bytes(), nil
 }
 
 // bulkClient keeps no connections: fetches are rare.
@@ -118,17 +132,10 @@
 // FetchConfig gets the configuration of the peer at the address, empty if it is no newer
 // than the version.
 func (m *Mesh) FetchConfig(ctx context.Context, address string, version int64) ([]byte, error) {
-	b, err := fetch(ctx, address, configPath, version)
-	if err != nil || len(b) == 0 {
-		return nil, err
-	}
-	z, err := gzip.NewReader(bytes.NewReader(b))
-	if err != nil {
-		return nil, fmt.Errorf("peer configuration: %w", err)
-	}
-	return io.ReadAll(io.LimitReader(z, maxBulk))
+	return fetch(ctx, address, configPath, version)
 }
 
+// fetch returns the body without its compression, nothing for an empty one.
 func fetch(ctx context.Context, address, path string, version int64) ([]byte, error) {
 	url := fmt.Sprintf("http://%s%s?%s=%d", address, path, bulkVersion, version)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
@@ -143,7 +150,15 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("peer state: status %d", resp.StatusCode)
 	}
-	return io.ReadAll(io.LimitReader(resp.Body, maxBulk))
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxBulk))
+	if err != nil || len(b) == 0 {
+		return nil, err
+	}
+	z, err := gzip.NewReader(bytes.NewReader(b))
+	if err != nil {
+		return nil, fmt.Errorf("peer state: %w", err)
+	}
+	return io.ReadAll(io.LimitReader(z, maxBulk))
 }
 
 // DecodeBulk reads the wire form of a Bulk.
