Bound what a target can send before its response, and close half-read connections

Status line, headers, interim and skipped responses now share 64 KB, bodies of skipped responses another 64 KB. - Release kept a connection whose body had been read through a limit while the rest was still to come, so the next request could get that rest. The body now records its own end, and Release goes by that. - A call without an id (a reservation) took any response, also a late copy of the response to the request before it. It now takes only one without an id.

--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -25,16 +25,27 @@
 	maxInterimResponses = 8
 	// maxStaleResponses bounds the skipped responses to earlier requests.
 	maxStaleResponses = 3
+	// maxHeadBytes bounds the bytes up to the end of the final response's headers, interim
+	// and skipped responses included. A target in trouble may send bytes without end.
+	maxHeadBytes = 64 << 10
+	// maxSkippedBodyBytes bounds the bodies of skipped responses.
+	maxSkippedBodyBytes = 64 << 10
 )
 
-// ErrMismatched is returned if the connection carried a response to another request.
-var ErrMismatched = errors.New("response to another request")
+var (
+	// ErrMismatched is returned if the connection carried a response to another request.
+	ErrMismatched = errors.New("response to another request")
+	// ErrHeadTooLong is returned if the target sends more than maxHeadBytes before the body
+	// of the response.
+	ErrHeadTooLong = fmt.Errorf("no response headers within %d bytes", maxHeadBytes)
+)
 
 // Conn is one connection to a target. It carries one request at a time and must not be used
 // concurrently.
 type Conn struct {
 	net   net.Conn
-	br    *bufio.Reader
+	in    *limitedReader
+	br    *bufio.Reader // reads from in
 	bw    *bufio.Writer
 	codec protocol.Codec
 	pool  *targetPool
@@ -61,9 +72,54 @@
 	// Length is the length of the body in bytes, -1 if it is not known.
 	Length       int64
 	Body         io.Reader
+	body         *bodyReader // the same as Body
 	httpResponse *http.Response
 }
 
+// bodyComplete reports whether the whole body was read, or there is none.
+func (r *Response) bodyComplete() bool { return r.body.complete || r.httpResponse.Body == http.NoBody }
+
+// bodyReader reads a response body and records whether all of it was read.
+type bodyReader struct {
+	io.Reader
+	complete bool
+}
+
+func (b *bodyReader) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	b.complete = b.complete || err == io.EOF
+	return n, err
+}
+
+// limitedReader reads from a connection. While limited is set, it fails with ErrHeadTooLong
+// once remaining bytes have been read.
+type limitedReader struct {
+	io.Reader
+	limited   bool
+	remaining int
+}
+
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.Reader.Read(p)
+	}
+	if l.remaining <= 0 {
+		return 0, ErrHeadTooLong
+	}
+	n, err := l.Reader.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
+// newConn returns a Conn on a new network connection.
+func newConn(nc net.Conn, codec protocol.Codec, tp *targetPool) *Conn {
+	in := &limitedReader{Reader: nc}
+	return &Conn{
+		net: nc, in: in, br: bufio.NewReaderSize(in, readBufferBytes), bw: bufio.NewWriterSize(nc, writeBufferBytes),
+		codec: codec, pool: tp, idleTimeout: defaultIdleTimeout,
+	}
+}
+
 // BindContext makes reads and writes fail once ctx ends. Call it once after each Get.
 func (c *Conn) BindContext(ctx context.Context) {
 	c.unbindContext = context.AfterFunc(ctx, func() { c.net.SetDeadline(time.Unix(1, 0)) })
@@ -110,41 +166,60 @@
 	}
 }
 
-// Receive reads the status line and headers of the response to a request, within
-// timeout if that is positive. Responses with another request id are skipped, and the connection is
-// then not reused. An empty id accepts any response.
+// Receive reads the status line and headers of the response to a request, within timeout if
+// that is positive. Responses with another request id are skipped, and the connection is then
+// not reused. An empty id is for requests to which the target responds without an id.
 func (c *Conn) Receive(method, id string, timeout time.Duration) (*Response, error) {
 	if timeout > 0 {
 		c.net.SetReadDeadline(time.Now().Add(timeout))
 		defer c.net.SetReadDeadline(time.Time{})
 	}
-	interim, stale := 0, 0
-	for {
-		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
+	c.in.limited, c.in.remaining = true, maxHeadBytes
+	defer func() { c.in.limited = false }()
+	for range 1 + maxStaleResponses {
+		resp, err := c.readFinalResponse(method)
 		if err != nil {
 			c.unusable = true
 			return nil, err
 		}
-		if resp.StatusCode < 200 {
-			if interim++; interim > maxInterimResponses || resp.StatusCode == http.StatusSwitchingProtocols {
-				c.unusable = true
-				return nil, fmt.Errorf("unexpected interim response with status %d", resp.StatusCode)
-			}
-			continue
-		}
 		info := c.codec.ResponseInfo(resp.StatusCode, resp.Header)
-		if id != "" && info.ID != id && (info.ID != "" || !info.NotRun && !info.Misdirected) {
-			c.unusable = true
-			if stale++; stale > maxStaleResponses || info.ID == "" {
-				return nil, ErrMismatched
-			}
-			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-				return nil, fmt.Errorf("%w: %w", ErrMismatched, err)
-			}
-			continue
+		// A target that rejects a request may leave out its id.
+		if info.ID == id || info.ID == "" && (info.NotRun || info.Misdirected) {
+			body := &bodyReader{Reader: resp.Body}
+			return &Response{Status: resp.StatusCode, Header: resp.Header, Info: info, Length: resp.ContentLength, Body: body, body: body, httpResponse: resp}, nil
+		}
+		c.unusable = true
+		if info.ID == "" {
+			return nil, ErrMismatched
+		}
+		if err := c.skipBody(resp); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrMismatched, err)
+		}
+	}
+	return nil, ErrMismatched
+}
+
+// readFinalResponse reads the next response that is not an interim one.
+func (c *Conn) readFinalResponse(method string) (*http.Response, error) {
+	for range 1 + maxInterimResponses {
+		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			break
 		}
-		return &Response{Status: resp.StatusCode, Header: resp.Header, Info: info, Length: resp.ContentLength, Body: resp.Body, httpResponse: resp}, nil
 	}
+	return nil, errors.New("unexpected interim response")
+}
+
+// skipBody reads and drops the body of a response to another request.
+func (c *Conn) skipBody(resp *http.Response) error {
+	headBytesLeft := c.in.remaining
+	c.in.remaining = maxSkippedBodyBytes
+	_, err := io.Copy(io.Discard, resp.Body)
+	c.in.remaining = headBytesLeft
+	return err
 }
 
 // SetReadTimeout sets the deadline for further reads of a body to d from now; 0 removes it.
@@ -156,16 +231,17 @@
 	c.net.SetReadDeadline(time.Now().Add(d))
 }
 
-// Release returns the connection to the pool if the exchange was clean: bodyRead reports
-// that the whole response body was read, both sides keep the connection open, no bytes are
-// left over and the bound context is still active. Otherwise it closes the connection.
-// The response is nil if none was read.
-func (c *Conn) Release(resp *Response, bodyRead bool) {
+// Release returns the connection to the pool if the exchange was clean: ok is true, the whole
+// body was read, both sides keep the connection open, no bytes are left over and the bound
+// context is still active. Otherwise it closes the connection. The response is nil if none
+// was read.
+func (c *Conn) Release(resp *Response, ok bool) {
 	ctxActive := c.unbindContext == nil || c.unbindContext()
 	if resp != nil {
 		c.updateIdleTimeout(resp.Header)
 	}
-	if !bodyRead || !ctxActive || c.unusable || resp == nil || resp.httpResponse.Close || c.br.Buffered() > 0 || !c.bodySent() || c.idleTimeout <= 0 {
+	reusable := ok && ctxActive && !c.unusable && resp != nil && resp.bodyComplete() && !resp.httpResponse.Close
+	if !reusable || c.br.Buffered() > 0 || !c.bodySent() || c.idleTimeout <= 0 {
 		c.net.Close()
 		return
 	}
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -4,7 +4,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -112,10 +111,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to target %s: %w", key, err)
 	}
-	return &Conn{
-		net: nc, br: bufio.NewReaderSize(nc, readBufferBytes), bw: bufio.NewWriterSize(nc, writeBufferBytes),
-		codec: p.codec, pool: tp, idleTimeout: defaultIdleTimeout,
-	}, nil
+	return newConn(nc, p.codec, tp), nil
 }
 
 // Retain closes the idle connections of targets that are not in the set.
