End stalled callers, stalled streams and panicking requests within bounds

Comments are forwarded, but only events count as progress. A stream whose events have no ids is no longer resumed, which would have repeated them. - A panic in a handler left slot and connection in use and no line in the log.

TestStopFinishesStreams counted the events until the route's timeout by the clock and failed beside load. Its route now allows 8 s, and the whole stream of 4 s must arrive, which is stricter.

--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -69,6 +69,7 @@
 	TargetFull
 	TargetAddressReused
 	RetryBudgetExhausted
+	InternalError
 	reasonCount
 )
 
@@ -116,6 +117,7 @@
 	TargetFull:           {"target-full", http.StatusServiceUnavailable, NotRun, 200 * time.Millisecond},
 	TargetAddressReused:  {"target-moved", http.StatusServiceUnavailable, NotRun, 200 * time.Millisecond},
 	RetryBudgetExhausted: {"retry-budget", http.StatusServiceUnavailable, NotRun, 500 * time.Millisecond},
+	InternalError:        {"internal-error", http.StatusInternalServerError, RunUnknown, 0},
 }
 
 // Reasons returns all reasons in table order.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -15,6 +15,7 @@
 
 	"sardinefront.dev/core/telemetry"
 	"sardinefront.dev/gateway"
+	"sardinefront.dev/gateway/protocol"
 	"sardinefront.dev/gateway/settings"
 	"sardinefront.dev/platform/store"
 	"sardinefront.dev/platform/wire"
@@ -34,6 +35,7 @@
 	nextID  int
 	// settings are the settings that the host was started with.
 	settings settings.Settings
+	codec    protocol.Codec
 	log      logBuffer
 }
 
@@ -92,7 +94,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(s.Close)
-	fx := &fixture{t: t, store: s}
+	fx := &fixture{t: t, store: s, codec: wire.Codec{}}
 	s.Put(wire.KeyConfig, configuration(1, 0))
 	return fx
 }
@@ -144,7 +146,7 @@
 		Settings: s, Store: kv, Records: kv,
 		Rollouts: wire.RolloutLayout(), CheckpointKey: wire.KeyCheckpoint,
 		Layout: wire.DirectoryLayout(),
-		Codec:  wire.Codec{}, ReadyPath: wire.ReadyPath, Metrics: metrics, Log: slog.New(slog.NewJSONHandler(&fx.log, nil)),
+		Codec:  fx.codec, ReadyPath: wire.ReadyPath, Metrics: metrics, Log: slog.New(slog.NewJSONHandler(&fx.log, nil)),
 	})
 	if err := fx.host.Start(); err != nil {
 		fx.t.Fatal(err)
@@ -631,8 +633,10 @@
 // Guards against a stop that aborts requests in progress, and against a stopping host that
 // still answers readiness probes with 200.
 func TestStopFinishesStreams(t *testing.T) {
+	const events, streamTimeoutMs = 40, 8000 // longer than the stream
 	fx := newFixture(t)
-	fx.addServer(engineName, slotengine.Config{StreamEvents: 40, ResponseDelay: 100 * time.Millisecond})
+	fx.store.Put(wire.KeyConfig, fleetuser.Configuration(1, streamTimeoutMs, 0, 2))
+	fx.addServer(engineName, slotengine.Config{StreamEvents: events, ResponseDelay: 100 * time.Millisecond})
 	fx.startHost()
 	c := fx.dial()
 	fx.send(c, "POST", pathStream, "prompt", "Request-Deadline: 8000")
@@ -641,7 +645,7 @@
 	go func() { stopped <- fx.host.Stop() }()
 	fx.eventually("the host is not ready", func() bool { return !fx.isReady() })
 	resp := fx.read(c)
-	if resp.err != nil && resp.body != streamEvents(1, 19) || resp.status != 200 {
+	if resp.err != nil || resp.status != 200 || resp.body != streamEvents(1, events) {
 		t.Errorf("status %d, %v, %d bytes", resp.status, resp.err, len(resp.body))
 	}
 	if err := <-stopped; err != nil {
--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -91,8 +91,7 @@
 			x.endUndispatched(err)
 			return
 		}
-		att := x.attemptTarget(ctx, scheduler, target)
-		x.finishAttempt(scheduler, target, att)
+		att := x.runAttempt(ctx, scheduler, target)
 		if att.status == answered {
 			return
 		}
@@ -103,6 +102,20 @@
 	}
 }
 
+// runAttempt makes one attempt and ends its grant, also if the attempt panics.
+func (x *exchange) runAttempt(ctx context.Context, scheduler *dispatch.Scheduler, target directory.Target) attempt {
+	ended := false
+	defer func() {
+		if !ended {
+			scheduler.EndGrant(target.Key(), reserve.Abandoned, reserve.Sample{})
+		}
+	}()
+	att := x.attemptTarget(ctx, scheduler, target)
+	ended = true
+	x.finishAttempt(scheduler, target, att)
+	return att
+}
+
 // endUndispatched ends a request for which Acquire failed.
 func (x *exchange) endUndispatched(err error) {
 	var ref *refusal.Refusal
@@ -200,7 +213,7 @@
 		}
 		return x.overloaded("not run within %s", time.Since(x.arrived).Round(time.Millisecond))
 	}
-	if x.mayHaveRun && !x.route.Idempotent() {
+	if x.mayHaveRun && (!x.route.Idempotent() || x.notResumable) {
 		return refusal.New(att.reason, "target %s: %v", target.ID, att.err)
 	}
 	if !att.sent {
@@ -253,6 +266,7 @@
 		return x.unreachable(ctx, err)
 	}
 	conn.BindContext(ctx)
+	defer conn.CloseOnPanic()
 	engine := x.table.Service(x.service).Engine
 	reservation := ""
 	if engine != nil && engine.MaxReservationLifetime > 0 {
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -6,10 +6,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -75,6 +77,9 @@
 	defaultTimeout = 30 * time.Second
 	// notReadyRetryAfter is the Retry-After sent before the first configuration is loaded.
 	notReadyRetryAfter = 300 * time.Millisecond
+	// writeDeadlineMargin is the time after a request's deadline within which its last bytes
+	// must be written. A caller that stops reading does not hold its request any longer.
+	writeDeadlineMargin = time.Second
 )
 
 // ServeHTTP implements http.Handler.
@@ -84,6 +89,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{Server: s, w: w, r: r, arrived: arrived, info: s.cfg.Codec.RequestInfo(r.Header)}
+	x.setWriteDeadline(arrived.Add(defaultTimeout))
+	defer x.recoverPanic()
 	if ref := x.admit(); ref != nil {
 		x.refuse(ref)
 		return
@@ -128,6 +135,9 @@
 	headSent bool
 	// lastEventID is the id of the last event that was sent to the caller.
 	lastEventID string
+	// notResumable is true if the caller has received bytes after which no other target can
+	// continue: a part of a response that is not an event stream, or an event without an id.
+	notResumable bool
 	// failureLogged is true if a failed attempt was logged; the final log line is then exempt
 	// from sampling.
 	failureLogged bool
@@ -154,6 +164,7 @@
 	if x.info.ID == "" {
 		return refusal.New(refusal.BadRequest, "the request has no id header")
 	}
+	x.setDeadline()
 	if ref := x.readBody(); ref != nil {
 		return ref
 	}
@@ -194,7 +205,14 @@
 	if x.r.Body == nil || x.r.Body == http.NoBody {
 		return nil
 	}
+	// A caller that stops in the middle of its body does not hold its connection for good.
+	connection := http.NewResponseController(x.w)
+	_ = connection.SetReadDeadline(x.deadline) // an error means a connection without deadlines
 	body, err := readAll(x.r, limit+1)
+	if err == nil {
+		// After an error the deadline stays, because net/http then reads the rest of the body.
+		_ = connection.SetReadDeadline(time.Time{})
+	}
 	switch {
 	case int64(len(body)) > limit:
 		return refusal.New(refusal.BodyTooLarge, "body exceeds the limit of %d bytes", limit)
@@ -216,8 +234,8 @@
 	return io.ReadAll(io.LimitReader(r.Body, limit))
 }
 
-// buildRequest sets the deadline, picks the service and builds the scheduling request.
-func (x *exchange) buildRequest() {
+// setDeadline sets the request's deadline from the caller's and the route's timeout.
+func (x *exchange) setDeadline() {
 	timeout := x.info.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
@@ -226,6 +244,16 @@
 		timeout = min(timeout, t)
 	}
 	x.deadline = x.arrived.Add(timeout)
+	x.setWriteDeadline(x.deadline)
+}
+
+// setWriteDeadline bounds the writes of the response to shortly after the given time.
+func (x *exchange) setWriteDeadline(t time.Time) {
+	_ = http.NewResponseController(x.w).SetWriteDeadline(t.Add(writeDeadlineMargin)) // fails only without a connection
+}
+
+// buildRequest picks the service and builds the scheduling request.
+func (x *exchange) buildRequest() {
 	x.service = x.route.PickService(rand.Float64())
 	effect := request.NonIdempotent
 	if x.route.Idempotent() {
@@ -281,7 +309,8 @@
 	event.RequestRefused.Log(x.cfg.Log, x.logAttrs(
 		slog.String("reason", ref.Reason.String()), slog.String("detail", ref.Detail), slog.String("ran", ref.RunState.String()),
 		slog.Duration("retryAfter", ref.RetryAfter))...)
-	if x.r.Context().Err() != nil {
+	// A timeout while the body is read also cancels the request's context.
+	if x.r.Context().Err() != nil && ref.Reason != refusal.CallerTimeout {
 		panic(http.ErrAbortHandler)
 	}
 	h := x.w.Header()
@@ -294,6 +323,27 @@
 	x.w.WriteHeader(ref.Reason.Status())
 }
 
+// recoverPanic ends a request whose handler panicked with a status, or closes the connection
+// if the response has begun. It is called by defer.
+func (x *exchange) recoverPanic() {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if p == http.ErrAbortHandler {
+		panic(p)
+	}
+	event.RequestPanicked.Log(x.cfg.Log, slog.String("id", x.info.ID), slog.String("panic", fmt.Sprint(p)), slog.String("stack", string(debug.Stack())))
+	if x.headSent {
+		panic(http.ErrAbortHandler)
+	}
+	ref := refusal.New(refusal.InternalError, "the handler of the request panicked")
+	if x.sends == 0 {
+		ref.RunState = refusal.NotRun
+	}
+	x.refuse(ref)
+}
+
 // abortResponse closes the connection of a caller whose response has begun, so that the
 // truncated response does not look complete. It does not return.
 func (x *exchange) abortResponse(why error) {
--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -142,13 +142,14 @@
 		return x.failedAttempt(ctx, reserve.BrokenResponse, refusal.ResponseTruncated, err)
 	}
 	x.writeHead(resp, int64(len(body)), complete)
+	x.notResumable = true
 	_, werr := x.w.Write(body)
 	if !complete && werr == nil {
 		_, werr = io.Copy(x.w, resp.Body)
 	}
 	conn.Release(resp, werr == nil)
 	if werr != nil {
-		x.abortResponse(werr)
+		return x.failedAttempt(ctx, reserve.BrokenResponse, refusal.ResponseTruncated, werr)
 	}
 	o := reserve.OK
 	if resp.Status >= http.StatusInternalServerError {
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -42,8 +42,8 @@
 	s := newEventReader(resp.Body)
 	timing := streamTiming{sentAt: sentAt}
 	flusher := http.NewResponseController(x.w)
+	conn.SetReadTimeout(x.eventTimeout(0))
 	for {
-		conn.SetReadTimeout(x.eventTimeout(timing.events))
 		event, err := s.next()
 		if err != nil {
 			return x.finishStream(ctx, conn, resp, err, timing)
@@ -61,10 +61,16 @@
 			conn.Release(resp, false)
 			return x.failedAttempt(ctx, reserve.Abandoned, refusal.CallerDisconnected, err)
 		}
-		if event.id != "" {
+		if event.comment {
+			continue
+		}
+		if event.id == "" {
+			x.notResumable = true
+		} else {
 			x.lastEventID = event.id
 		}
 		timing.recordEvent(time.Now())
+		conn.SetReadTimeout(x.eventTimeout(timing.events))
 		if timing.events == minSampleEvents {
 			scheduler.RecordSpeed(x.targetKey, timing.meanGap())
 		}
@@ -157,6 +163,9 @@
 type streamEvent struct {
 	raw []byte // with the closing blank line
 	id  string
+	// comment is true for a block of comments. It is forwarded, but is no progress: a target
+	// may send comments while its stream stalls.
+	comment bool
 }
 
 // eventReader splits a stream into server-sent events.
@@ -171,14 +180,17 @@
 // events. The raw bytes are valid until the next call.
 func (s *eventReader) next() (streamEvent, error) {
 	s.buf.Reset()
-	id := ""
+	event := streamEvent{comment: true}
+	lineBegins := true
 	for {
 		line, err := s.br.ReadSlice('\n')
 		s.buf.Write(line)
 		if s.buf.Len() > maxEventBytes {
 			return streamEvent{}, errEventTooLong
 		}
-		if errors.Is(err, bufio.ErrBufferFull) {
+		event.comment = event.comment && (!lineBegins || isComment(line))
+		lineBegins = !errors.Is(err, bufio.ErrBufferFull)
+		if !lineBegins {
 			continue
 		}
 		if err != nil {
@@ -189,10 +201,16 @@
 		}
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 && s.buf.Len() > 0 {
-			return streamEvent{s.buf.Bytes(), id}, nil
+			event.raw = s.buf.Bytes()
+			return event, nil
 		}
 		if v, ok := bytes.CutPrefix(text, []byte("id:")); ok {
-			id = strings.TrimSpace(string(v))
+			event.id = strings.TrimSpace(string(v))
 		}
 	}
 }
+
+// isComment reports whether a line of a stream is a comment or blank.
+func isComment(line []byte) bool {
+	return bytes.HasPrefix(line, []byte(":")) || len(bytes.TrimRight(line, "\r\n")) == 0
+}
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -249,6 +249,14 @@
 	c.pool.put(c)
 }
 
+// CloseOnPanic closes the connection if its user panics. It is called by defer.
+func (c *Conn) CloseOnPanic() {
+	if p := recover(); p != nil {
+		c.net.Close()
+		panic(p)
+	}
+}
+
 // updateIdleTimeout reads the idle timeout from the Keep-Alive header, if there is one.
 func (c *Conn) updateIdleTimeout(h http.Header) {
 	v := h.Get("Keep-Alive")
