Recover panics of the directory's loops and of the dispatch timer

The directory waited for both of its loops, so a panic of one was never seen. Each loop now recovers by itself. A panic in a timer ended the process; it is logged, and the next request or grant arms the timer again.

--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -30,12 +30,16 @@
 
 // runRecovered runs f once and reports whether it panicked.
 func runRecovered(ctx context.Context, log *slog.Logger, name string, f func(context.Context)) (panicked bool) {
-	defer func() {
-		if p := recover(); p != nil {
-			panicked = true
-			event.LoopPanicked.Log(log, slog.String("loop", name), slog.String("panic", fmt.Sprint(p)), slog.String("stack", string(debug.Stack())))
-		}
-	}()
+	defer Recover(log, name)
+	panicked = true // unless f returns
 	f(ctx)
 	return false
 }
+
+// Recover ends a panic of the calling function and logs it with its stack. It must be called
+// by defer, after the locks that the function holds are released.
+func Recover(log *slog.Logger, name string) {
+	if p := recover(); p != nil {
+		event.LoopPanicked.Log(log, slog.String("loop", name), slog.String("panic", fmt.Sprint(p)), slog.String("stack", string(debug.Stack())))
+	}
+}
--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"sardinefront.dev/core/event"
+	"sardinefront.dev/core/supervise"
 	"sardinefront.dev/gateway/peers"
 	"sardinefront.dev/gateway/routing"
 	"sardinefront.dev/platform"
@@ -180,11 +181,15 @@
 // Run follows the store and the peers until ctx ends.
 func (d *Directory) Run(ctx context.Context) {
 	var wg conc.WaitGroup
-	wg.Go(func() { runEvery(ctx, pollInterval, func() { d.pollStore(ctx) }) })
-	wg.Go(func() { d.fetchConfigLoop(ctx) })
+	wg.Go(func() { supervise.Loop(ctx, d.cfg.Log, "store reads", d.pollStoreLoop) })
+	wg.Go(func() { supervise.Loop(ctx, d.cfg.Log, "configuration fetches", d.fetchConfigLoop) })
 	wg.Wait()
 }
 
+func (d *Directory) pollStoreLoop(ctx context.Context) {
+	runEvery(ctx, pollInterval, func() { d.pollStore(ctx) })
+}
+
 // runEvery calls step immediately and then once in each period until ctx ends.
 func runEvery(ctx context.Context, period time.Duration, step func()) {
 	t := time.NewTicker(period)
--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 
 	"sardinefront.dev/core/event"
 	"sardinefront.dev/core/refusal"
+	"sardinefront.dev/core/supervise"
 	"sardinefront.dev/gateway/directory"
 	"sardinefront.dev/gateway/protocol"
 	"sardinefront.dev/gateway/routing"
@@ -163,6 +164,7 @@
 }
 
 func (s *Scheduler) onTimer() {
+	defer supervise.Recover(s.log, "dispatch timer")
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.dispatch(time.Now())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -156,7 +156,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
 	g.wg.Go(func() { mesh.Run(ctx) })
-	g.runLoop(ctx, "directory", g.dir.Run)
+	g.wg.Go(func() { g.dir.Run(ctx) })
 	g.runLoop(ctx, "maintenance", g.runMaintenance)
 	g.runLoop(ctx, "rollouts", g.runRollouts)
 	g.runLoop(ctx, "checkpoints", g.runCheckpoints)
