Reject heartbeats with values that corrupt the receiver's state

A use of NaN made a quota's level NaN, and every comparison with it false: the organisation was not limited any more. An interval of years kept a dead peer alive. Decode now rejects both; TestImplausibleHeartbeatIsRejected failed for each of its five cases before. The heartbeat of the round-trip test has an interval now, as real ones have.

--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -160,5 +161,28 @@
 	if h.Format != formatVersion || h.Name == "" || h.Address == "" {
 		return nil, fmt.Errorf("peer message: format %d, want %d, from host %q at %q", h.Format, formatVersion, h.Name, h.Address)
 	}
+	if err := h.validate(); err != nil {
+		return nil, fmt.Errorf("peer message from host %q: %w", h.Name, err)
+	}
 	return &h, nil
 }
+
+// maxIntervalMs bounds the interval of heartbeats. A peer with a longer one would count as
+// alive long after its end.
+const maxIntervalMs = 60_000
+
+// validate returns an error for values that would corrupt the receiver's own state: quotas
+// are not limited any more once a NaN has been added to their use.
+func (h *Heartbeat) validate() error {
+	if h.IntervalMs <= 0 || h.IntervalMs > maxIntervalMs || h.UptimeMs < 0 {
+		return fmt.Errorf("interval of %d ms, uptime of %d ms", h.IntervalMs, h.UptimeMs)
+	}
+	for _, usage := range []map[string]float64{h.OwnUsage, h.FleetUsage} {
+		for organisation, units := range usage {
+			if math.IsNaN(units) || math.IsInf(units, 0) {
+				return fmt.Errorf("organisation %q has used %v units", organisation, units)
+			}
+		}
+	}
+	return nil
+}
--- a/gateway/peers/message_test.go
+++ b/gateway/peers/message_test.go
@@ -1,6 +1,7 @@
 package peers_test
 
 import (
+	"math"
 	"reflect"
 	"testing"
 
@@ -9,7 +10,7 @@
 
 func heartbeat() *peers.Heartbeat {
 	return &peers.Heartbeat{
-		Name: "host-1", Zone: "zone-1", Address: "127.0.0.1:7000", Incarnation: 7, ConfigVersion: 3, ListDigest: 99, ListAgeMs: 120,
+		Name: "host-1", Zone: "zone-1", Address: "127.0.0.1:7000", Incarnation: 7, IntervalMs: 250, ConfigVersion: 3, ListDigest: 99, ListAgeMs: 120,
 		OwnUsage: map[string]float64{"org": 12.5}, FleetUsage: map[string]float64{"org": 3}, Floors: map[string]uint8{"s": 1},
 		EventGapsUs: map[uint32]uint32{1: 8000}, KnownAddresses: []string{"127.0.0.1:7001"},
 		Changes: []peers.Change{{Key: "k", Value: []byte("v"), Revision: 4}},
@@ -56,3 +57,26 @@
 		}
 	})
 }
+
+// Guards against a malformed heartbeat that corrupts the receiver's state: a quota with a use
+// of NaN is never exhausted, and a peer with an interval of years never expires.
+func TestImplausibleHeartbeatIsRejected(t *testing.T) {
+	cases := map[string]func(*peers.Heartbeat){
+		"NaN":             func(h *peers.Heartbeat) { h.OwnUsage = map[string]float64{"org": math.NaN()} },
+		"infinite":        func(h *peers.Heartbeat) { h.FleetUsage = map[string]float64{"org": math.Inf(1)} },
+		"long interval":   func(h *peers.Heartbeat) { h.IntervalMs = math.MaxInt64 },
+		"no interval":     func(h *peers.Heartbeat) { h.IntervalMs = 0 },
+		"negative uptime": func(h *peers.Heartbeat) { h.UptimeMs = -1 },
+	}
+	for name, corrupt := range cases {
+		h := &peers.Heartbeat{Name: "a", Address: "127.0.0.1:1", IntervalMs: 250}
+		corrupt(h)
+		b, err := peers.Encode(h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := peers.Decode(b); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+}
