Estimate unreported quota use from reported rates; a cut zone keeps its share

With 95 hosts, reports between zones come each 2 s. One or two requests of 6,000 units made an organisation at a third of its window look exhausted; every organisation lost requests. - A zone that was cut off refused nearly all: silent peers were charged their whole share beside what they had already reported, and the bucket was driven to -0.2 of a window. Unreported use now follows the rate that each peer has reported, or the mean rate of the hosts heard within 0.4 s, whichever is more. Reported use counts towards a silent peer's share, and the bucket is not charged below zero.

--- a/gateway/quota/peers.go
+++ b/gateway/quota/peers.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// reportTimeout is the age of a peer's last report from which its use is extrapolated. It is
@@ -8,6 +11,9 @@
 	// corrects a wrong extrapolation.
 	reportTimeout          = 600 * time.Millisecond
 	reportTimeoutIntervals = 2.4
+	// recentReportAge is the age up to which a report shows a burst that goes on. Hosts of a
+	// zone report several times within it.
+	recentReportAge = 400 * time.Millisecond
 )
 
 // peerTTL is how long the use of an unresponsive peer is extrapolated. After that, the peer is
@@ -17,8 +23,19 @@
 // peerUsage is the use of one organisation's quota by one peer.
 type peerUsage struct {
 	used float64 // units since the peer's start, as of its last report
-	// extrapolated is the number of units charged since the last report in place of a new one.
-	extrapolated float64
+	rate float64 // smoothed rate of use in units per second, as of the last report
+	// extrapolated is the number of units that the peer may have used since it became
+	// unresponsive; charged is the part of it that was taken from the bucket.
+	extrapolated, charged float64
+}
+
+// recordRate updates the smoothed rate by the units used since the last report, elapsed before.
+func (u *peerUsage) recordRate(units float64, elapsed time.Duration) {
+	if elapsed <= 0 {
+		return
+	}
+	weight := 1 - math.Exp(-elapsed.Seconds()/rateTimeConstant.Seconds())
+	u.rate += (units/elapsed.Seconds() - u.rate) * weight
 }
 
 // peer is the state of one peer as of its last report.
@@ -28,7 +45,6 @@
 	reportInterval    time.Duration
 	extrapolatedUntil time.Time
 	unresponsive      bool
-	reportTime        float64               // part of Meter.reportTimeSum, 0 if not in it
 	usage             map[string]*peerUsage // by organisation
 }
 
@@ -43,9 +59,6 @@
 	p := m.peers[from]
 	if p == nil || p.incarnation != incarnation {
 		old := p
-		if old != nil {
-			m.removeReportTime(old)
-		}
 		p = &peer{incarnation: incarnation, usage: map[string]*peerUsage{}}
 		m.peers[from] = p
 		for name, used := range ownUsage {
@@ -66,54 +79,48 @@
 		for name, used := range ownUsage {
 			usage := p.usageOf(name)
 			m.charge(name, used-usage.used, now)
+			usage.recordRate(used-usage.used, now.Sub(p.lastReport))
 			usage.used = used
 		}
 	}
 	p.lastReport, p.extrapolatedUntil, p.unresponsive, p.reportInterval = now, now, false, interval
-	m.addReportTime(p, now)
-}
-
-// addReportTime sets the time of a peer's last report in reportTimeSum.
-func (m *Meter) addReportTime(p *peer, now time.Time) {
-	m.removeReportTime(p)
-	if m.epoch.IsZero() {
-		m.epoch = now.Add(-time.Second)
-	}
-	p.reportTime = now.Sub(m.epoch).Seconds()
-	m.reportingPeers++
-	m.reportTimeSum += p.reportTime
-}
-
-// removeReportTime removes a peer from reportTimeSum: its use is extrapolated, or the peer is
-// removed.
-func (m *Meter) removeReportTime(p *peer) {
-	if p.reportTime != 0 {
-		m.reportingPeers--
-		m.reportTimeSum -= p.reportTime
-		p.reportTime = 0
-	}
 }
 
-// unreportedSeconds returns the time since the last report in seconds, summed over the peers.
-func (m *Meter) unreportedSeconds(now time.Time) float64 {
-	if m.reportingPeers == 0 {
-		return 0
+// unreportedUse estimates the units of an organisation that responsive peers have used since
+// their last reports: by the rate that each has reported, or by the mean rate of the hosts with
+// recent reports, whichever is more. The mean shows a sudden burst before the reports of the
+// other hosts arrive.
+func (m *Meter) unreportedUse(org string, b *bucket, now time.Time) float64 {
+	reported, silence := 0.0, 0.0
+	meanRate, hosts := b.ownRate(now), 1.0
+	for _, p := range m.peers {
+		if p.unresponsive {
+			continue
+		}
+		age := now.Sub(p.lastReport).Seconds()
+		silence += age
+		rate := 0.0
+		if usage := p.usage[org]; usage != nil {
+			rate = usage.rate
+		}
+		reported += rate * age
+		if now.Sub(p.lastReport) <= recentReportAge {
+			meanRate += rate
+			hosts++
+		}
 	}
-	return max(0, float64(m.reportingPeers)*now.Sub(m.epoch).Seconds()-m.reportTimeSum)
+	return max(reported, meanRate/hosts*silence)
 }
 
-// refundExtrapolated returns the units that were extrapolated for a peer to the buckets. The
+// refundExtrapolated returns the units that were charged for an unresponsive peer to the buckets. The
 // peer's new report contains its real use.
 func (m *Meter) refundExtrapolated(p *peer, now time.Time) {
 	for name, usage := range p.usage {
-		if usage.extrapolated == 0 {
-			continue
-		}
-		if b := m.buckets[name]; b != nil && b.limit.Rate > 0 {
+		if b := m.buckets[name]; b != nil && usage.charged > 0 {
 			b.refill(now)
-			b.level = min(b.limit.Burst, b.level+usage.extrapolated)
+			b.level = min(b.limit.Burst, b.level+usage.charged)
 		}
-		usage.extrapolated = 0
+		usage.extrapolated, usage.charged = 0, 0
 	}
 }
 
@@ -146,7 +153,6 @@
 	for name, p := range m.peers {
 		age := now.Sub(p.lastReport)
 		if age > peerTTL {
-			m.removeReportTime(p)
 			delete(m.peers, name)
 			continue
 		}
@@ -183,8 +189,8 @@
 }
 
 // estimatedPeerUse returns the units of the window that peers may have used without a report.
-// Unresponsive peers count with their extrapolated use, up to an equal share of the window. After
-// a start, each expected peer that has not reported counts with an equal share of the units that
+// Unresponsive peers count with an equal share of the window, or with their extrapolated use if
+// that is less, and without what they have reported, which the window contains. After a start, each expected peer that has not reported counts with an equal share of the units that
 // this host found unused.
 func (m *Meter) estimatedPeerUse(org string, b *bucket, now time.Time) float64 {
 	if b.window == nil {
@@ -194,7 +200,8 @@
 	share := b.windowLimit / float64(1+len(m.peers))
 	for _, p := range m.peers {
 		if usage := p.usage[org]; p.unresponsive && usage != nil {
-			estimate += min(usage.extrapolated, share)
+			reported := usage.rate * max(0, (m.tolerance.Window-now.Sub(p.lastReport)).Seconds())
+			estimate += max(0, min(usage.extrapolated, share)-reported)
 		}
 	}
 	if unreported := m.expected - len(m.peers); unreported > 0 && now.Before(m.expectedUntil) {
@@ -204,25 +211,28 @@
 	return estimate
 }
 
-// extrapolatePeer charges the share of an unresponsive peer in every quota: of the units left
-// when it became unresponsive, and of the rate since then.
+// extrapolatePeer counts the share of an unresponsive peer in every quota: of the units left
+// when it became unresponsive, and of the rate since its last report. The bucket is charged with
+// at most reportTimeout of that rate at a time, since longer silence is normal for a peer that
+// reports rarely, and not below zero, so that this host keeps its own share.
 func (m *Meter) extrapolatePeer(p *peer, now time.Time) {
-	m.removeReportTime(p)
 	hosts := float64(1 + len(m.peers))
-	elapsedSeconds := now.Sub(p.extrapolatedUntil).Seconds()
+	elapsed := now.Sub(p.extrapolatedUntil)
 	p.extrapolatedUntil = now
 	for org, b := range m.buckets {
 		if b.limit.Rate <= 0 {
 			continue
 		}
-		usage := p.usageOf(org)
-		units := elapsedSeconds * b.limit.Rate / hosts
+		b.refill(now)
+		rateShare, levelShare := b.limit.Rate/hosts, 0.0
 		if !p.unresponsive {
-			units += max(0, b.level) / hosts
+			levelShare = max(0, b.level) / hosts
 		}
-		b.refill(now)
-		b.level -= units
-		usage.extrapolated += units
+		usage := p.usageOf(org)
+		usage.extrapolated += levelShare + rateShare*elapsed.Seconds()
+		charged := min(levelShare+rateShare*min(elapsed, reportTimeout).Seconds(), max(0, b.level))
+		usage.charged += charged
+		b.level -= charged
 	}
 	p.unresponsive = true
 }
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -99,11 +99,6 @@
 	// expected is the number of peers that should report until expectedUntil.
 	expected      int
 	expectedUntil time.Time
-	// reportingPeers is the number of peers that are not extrapolated; reportTimeSum is the sum of
-	// the times of their last reports, in seconds after epoch.
-	reportingPeers int
-	reportTimeSum  float64
-	epoch          time.Time
 	// restored is the use in a checkpoint, kept for limits that are set later.
 	restored   map[string]History
 	restoredAt time.Time
@@ -166,17 +161,16 @@
 }
 
 // wait returns the time until the units can be used, after the units that were refused before;
-// 0 if they can be used now. estimatedPeerUse is the units of the window that peers may have
-// used without a report. Peers are also assumed to use the quota at the rate of this host for
-// the time that they have not reported, which is unreportedSeconds summed over them.
-func (b *bucket) wait(units, estimatedPeerUse, unreportedSeconds float64, now time.Time) time.Duration {
+// 0 if they can be used now. peerUse is the units of the window that peers may have used without
+// a report.
+func (b *bucket) wait(units, peerUse float64, now time.Time) time.Duration {
 	var wait time.Duration
 	if missing := min(units, b.limit.Burst) - b.level; missing > 0 {
 		wait = time.Duration((missing + b.refusedUnits) / b.limit.Rate * float64(time.Second))
 	}
 	if b.windowLimit > 0 {
 		b.window.advance(now)
-		free := b.windowLimit - b.window.total - estimatedPeerUse - b.ownRate(now)*unreportedSeconds
+		free := b.windowLimit - b.window.total - peerUse
 		if missing := min(units, b.windowLimit) - free; missing > 0 {
 			wait = max(wait, b.window.timeUntilFree(missing+b.refusedUnits, now))
 		}
@@ -206,7 +200,8 @@
 	}
 	m.extrapolate(now)
 	b.refill(now)
-	if wait := b.wait(units, m.estimatedPeerUse(name, b, now), m.unreportedSeconds(now), now); wait > 0 {
+	peerUse := m.estimatedPeerUse(name, b, now) + m.unreportedUse(name, b, now)
+	if wait := b.wait(units, peerUse, now); wait > 0 {
 		b.refusedUnits += units
 		return max(time.Millisecond, wait)
 	}
