--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -267,7 +267,11 @@
 		h.Ejected = append(h.Ejected, targetHash(name))
 	}
 	h.Rollouts = g.rollouts.Reports(now)
-	h.FleetUsage = g.quota.FleetUsage(now)
+	// Only a host that has just started adopts the fleet's use, from its initial heartbeat or
+	// from one of its zone.
+	if initial || h.IntervalMs == peers.HeartbeatInterval.Milliseconds() {
+		h.FleetUsage = g.quota.FleetUsage(now)
+	}
 }
 
 // HandleHeartbeat implements peers.Delegate.
