--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -67,8 +67,10 @@
 	ConfigKey     string
 	TargetPrefix  string
 	RolloutPrefix string
-	DecodeTarget  Decode
-	DecodeConfig  func(value []byte) (routing.Config, error)
+	// OperatorPrefix is the prefix of ConfigKey and RolloutPrefix. Both are read in one call.
+	OperatorPrefix string
+	DecodeTarget   Decode
+	DecodeConfig   func(value []byte) (routing.Config, error)
 }
 
 // Fleet is the part of the peer mesh that the directory uses.
@@ -289,18 +291,11 @@
 	if err != nil {
 		return err
 	}
-	c, err := d.cfg.Store.Get(ctx, l.ConfigKey)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		return err
-	}
-	if err == nil {
-		d.applyChanges([]platform.Entry{c}, fromStore, false, now)
-	}
-	orders, _, err := d.cfg.Store.Snapshot(ctx, l.RolloutPrefix)
+	operator, _, err := d.cfg.Store.Snapshot(ctx, l.OperatorPrefix)
 	if err != nil {
 		return err
 	}
-	d.applyChanges(orders, fromStore, false, now)
+	d.applyChanges(operator, fromStore, false, now)
 	from := fromStore
 	if first {
 		from = fromPeer // the initial list is not sent to peers
--- a/gateway/directory/directory_test.go
+++ b/gateway/directory/directory_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -85,10 +86,7 @@
 		f := &fakePeers{}
 		d := directory.New(directory.Config{
 			Name: "a", Store: unresponsiveStore{}, ActiveTable: &current, Log: slog.New(slog.DiscardHandler), OnChange: func() {},
-			Layout: directory.Layout{ConfigKey: "config", TargetPrefix: "t/", RolloutPrefix: "r/", DecodeConfig: func(b []byte) (routing.Config, error) {
-				v, err := strconv.ParseInt(string(b), 10, 64)
-				return routing.Config{Version: v}, err
-			}},
+			Layout: testLayout,
 		})
 		d.SetFleet(f)
 		ctx, cancel := context.WithCancel(t.Context())
@@ -113,24 +111,64 @@
 	})
 }
 
-// countingStore responds immediately and counts the reads of the configuration.
+// countingStore responds immediately and counts all calls and the reads of the configuration.
 type countingStore struct {
-	version, reads atomic.Int32
+	version, calls, reads atomic.Int32
 }
 
 func (s *countingStore) Get(context.Context, string) (platform.Entry, error) {
+	s.calls.Add(1)
 	s.reads.Add(1)
-	return platform.Entry{Key: "config", Value: []byte(strconv.Itoa(int(s.version.Load()))), Revision: 2}, nil
+	return platform.Entry{Key: "o/config", Value: []byte(strconv.Itoa(int(s.version.Load()))), Revision: 2}, nil
 }
 
-func (s *countingStore) Snapshot(context.Context, string) ([]platform.Entry, int64, error) {
-	return nil, 1, nil
+func (s *countingStore) Snapshot(ctx context.Context, prefix string) ([]platform.Entry, int64, error) {
+	if !strings.HasPrefix("o/config", prefix) {
+		s.calls.Add(1)
+		return nil, 1, nil
+	}
+	e, err := s.Get(ctx, "o/config")
+	return []platform.Entry{e}, 1, err
 }
 
 func (s *countingStore) Changes(_ context.Context, _ string, after int64, _ time.Duration) ([]platform.Entry, int64, error) {
+	s.calls.Add(1)
 	return nil, after, nil
 }
 
+// Guards against a start of many hosts that costs more calls of the store than one for the
+// targets and one for the operator's keys each.
+func TestFirstReadTakesTwoCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var current routing.ActiveTable
+		store := &countingStore{}
+		store.version.Store(1)
+		d := directory.New(directory.Config{
+			Name: "a", Store: store, ActiveTable: &current, Log: slog.New(slog.DiscardHandler), OnChange: func() {}, Layout: testLayout,
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			d.Run(ctx)
+		}()
+		synctest.Wait()
+		if n := store.calls.Load(); n != 2 || current.Version() != 1 {
+			t.Errorf("%d calls, configuration %d", n, current.Version())
+		}
+		cancel()
+		<-done
+	})
+}
+
+var testLayout = directory.Layout{
+	ConfigKey: "o/config", TargetPrefix: "t/", RolloutPrefix: "o/r/", OperatorPrefix: "o/",
+	DecodeConfig: func(b []byte) (routing.Config, error) {
+		v, err := strconv.ParseInt(string(b), 10, 64)
+		return routing.Config{Version: v}, err
+	},
+}
+
 // Guards against hosts that each read every new configuration from the store, and against a host
 // that waits for a peer that does not respond.
 func TestConfigurationIsReadFromPeersFirst(t *testing.T) {
@@ -145,10 +183,7 @@
 			store.version.Store(1)
 			d := directory.New(directory.Config{
 				Name: "a", Store: store, ActiveTable: &current, Log: slog.New(slog.DiscardHandler), OnChange: func() {},
-				Layout: directory.Layout{ConfigKey: "config", TargetPrefix: "t/", RolloutPrefix: "r/", DecodeConfig: func(b []byte) (routing.Config, error) {
-					v, err := strconv.ParseInt(string(b), 10, 64)
-					return routing.Config{Version: v}, err
-				}},
+				Layout: testLayout,
 			})
 			d.SetFleet(&fakePeers{version: 3})
 			ctx, cancel := context.WithCancel(t.Context())
