Let short fresh requests use slow engines

A slow engine reads a short prompt well within the goal. Fresh requests now use one if their prompt takes less than a quarter of the goal there.

TestShortRequestsAreInTimeAtSlowEngines failed first.

--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -37,12 +37,15 @@
 
 // newWaiter returns the queue entry of a request.
 func newWaiter(r *request.Request, route *routing.Route) *reserve.Waiter {
-	w := &reserve.Waiter{Request: r, FirstByteTimeout: r.Deadline.Sub(r.Arrived)}
+	w := &reserve.Waiter{
+		Request: r, FirstByteTimeout: r.Deadline.Sub(r.Arrived), LatencyGoal: route.LatencyGoal,
+		PrefillTime: time.Duration(r.PromptTokens) * prefillPerToken,
+	}
 	if route.Kind == routing.Stream {
 		w.FirstByteTimeout = min(w.FirstByteTimeout, max(minCallerWait, callerWaitGoals*route.LatencyGoal, callerWaitGaps*route.MaxEventGap))
 	}
 	if route.LatencyGoal > 0 {
-		first := firstEventLatency + time.Duration(r.PromptTokens)*prefillPerToken
+		first := firstEventLatency + w.PrefillTime
 		w.FreshUntil = r.Arrived.Add(max(route.LatencyGoal/2, route.LatencyGoal-first))
 	}
 	return w
--- a/sched/reserve/choose.go
+++ b/sched/reserve/choose.go
@@ -27,6 +27,10 @@
 	// serviceOvercommit multiplies the slots of a plain service. A short queue at the
 	// service costs less than waiting on the host while other hosts are idle.
 	serviceOvercommit = 1.5
+	// maxSlowPrefillFraction is the fraction of its goal that a fresh request's prompt may
+	// take to be read at a slow target. The rest is left for the prompts of other requests
+	// there.
+	maxSlowPrefillFraction = 0.25
 )
 
 // startTrials starts the trials of targets whose ejection has ended, and counts those that
@@ -42,8 +46,8 @@
 }
 
 // chooseTarget returns the cheapest target that may take a request of the lane, or nil.
-// Slow targets serve only lanes without fastOnly: a fresh request would miss its goal there
-// and waits for a fast target instead. Floors apply to fast targets only, so that
+// Of the lanes with fastOnly, slow targets serve only short requests: others would miss their
+// goal there and wait for a fast target instead. Floors apply to fast targets only, so that
 // unmeasured targets still get requests by which their speed is measured.
 func (p *Pool) chooseTarget(w *Waiter, l Lane, now time.Time) *target {
 	var best *target
@@ -55,8 +59,15 @@
 		if !p.available(t, l, now, panicMode) || !w.allowsVersion(t.Version) || !ignoreExcluded && w.excludes(t.Name) {
 			continue
 		}
-		if c := p.class(t); c == slow && lanes[l].fastOnly || c == fast && blocked {
-			continue
+		switch p.class(t) {
+		case slow:
+			if lanes[l].fastOnly && !p.meetsGoalAtSlow(w, t) {
+				continue
+			}
+		case fast:
+			if blocked {
+				continue
+			}
 		}
 		c := p.cost(t, l, now) * (1 + preferenceWeight*t.preference + costJitter*p.rnd.Float64())
 		if best == nil || c < bestCost {
@@ -66,6 +77,14 @@
 	return best
 }
 
+// meetsGoalAtSlow reports whether a fresh request probably meets its goal at a slow target:
+// its prompt must be short. Under overload, fast targets are taken by urgent requests with
+// long prompts, and short requests would otherwise all be late.
+func (p *Pool) meetsGoalAtSlow(w *Waiter, t *target) bool {
+	slowdown := slowGapFactor * float64(t.gap) / float64(p.slowThreshold)
+	return slowdown*float64(w.PrefillTime) < maxSlowPrefillFraction*float64(w.LatencyGoal)
+}
+
 // allExcluded reports whether the request has excluded every target it could use. In that
 // case its exclusions are ignored, because a second attempt at one of them is better than
 // none.
--- a/sched/reserve/lanes.go
+++ b/sched/reserve/lanes.go
@@ -13,8 +13,8 @@
 type Lane uint8
 
 // lanes lists the lanes in the order of service. Fresh interactive requests precede late
-// urgent ones, whose responses have lost most of their value. Lanes with fastOnly don't use
-// slow targets.
+// urgent ones, whose responses have lost most of their value. Lanes with fastOnly use slow
+// targets only for short requests.
 var lanes = [...]struct {
 	tier     request.Tier
 	late     bool
--- a/sched/reserve/reserve_test.go
+++ b/sched/reserve/reserve_test.go
@@ -160,6 +160,35 @@
 	expectIDs(t, dispatchedIDs(p, start.Add(501*ms)), "urgent-3")
 }
 
+// Guards against an overload of urgent requests with long prompts in which every short request
+// is late: the fast engines are taken, and slow ones were kept from fresh requests although they
+// read a short prompt in time.
+func TestShortRequestsAreInTimeAtSlowEngines(t *testing.T) {
+	const goal = 500 * ms
+	withPrompt := func(id string, tier request.Tier, prefill time.Duration) *reserve.Waiter {
+		w := waiter(id, tier, "o", start)
+		w.LatencyGoal, w.PrefillTime = goal, prefill
+		return w
+	}
+	p := reserve.New(reserve.Config{Reservations: true})
+	p.SetTargets(engines(4, 1))
+	for i := range 4 {
+		gap := 10 * ms
+		if i == 3 {
+			gap = 40 * ms // reads prompts four times slower
+		}
+		p.RecordSpeed(fmt.Sprintf("e%d", i), gap, start)
+	}
+	for i := range 4 {
+		submit(t, p, withPrompt(fmt.Sprintf("long-%d", i), request.Urgent, 150*ms), start)
+	}
+	submit(t, p, withPrompt("short", request.Interactive, 15*ms), start)
+	expectIDs(t, dispatchedIDs(p, start), "long-0", "long-1", "long-2", "short")
+	p.EndGrant("e3", reserve.OK, reserve.Sample{}, start)
+	submit(t, p, withPrompt("too-long", request.Interactive, 40*ms), start)
+	expectIDs(t, dispatchedIDs(p, start))
+}
+
 // Guards against patient requests that take the slots for which urgent requests wait on another
 // host.
 func TestFloorOfAnotherHost(t *testing.T) {
--- a/sched/reserve/waiter.go
+++ b/sched/reserve/waiter.go
@@ -28,6 +28,9 @@
 	// FreshUntil is when the request misses its goal; from then on it waits behind
 	// the fresh requests of its tier.
 	FreshUntil time.Time
+	// LatencyGoal is the goal for the first event, 0 for none. PrefillTime is the expected time
+	// to read the prompt at a fast target.
+	LatencyGoal, PrefillTime time.Duration
 
 	// RolloutVersion, if not empty, is the version that a rollout moves to. The request
 	// uses only targets of that version, or only targets of other versions if
