Serve fresh patient requests before late interactive ones

A request that can still be in time now goes first; late urgent requests stay before all patient ones.

The lane's number is sent in heartbeats: while hosts are updated, floors of hosts with the other build hold two lanes exchanged.

TestFreshRequestsPrecedeTheBacklogOfLateOnes failed before.

--- a/sched/reserve/lanes.go
+++ b/sched/reserve/lanes.go
@@ -13,7 +13,8 @@
 type Lane uint8
 
 // lanes lists the lanes in the order of service. Fresh interactive requests precede late
-// urgent ones, whose responses have lost most of their value. Lanes with fastOnly use slow
+// urgent ones, whose responses have lost most of their value, and fresh patient requests precede
+// late interactive ones, which would otherwise keep all others late after a burst. Lanes with fastOnly use slow
 // targets only for short requests.
 var lanes = [...]struct {
 	tier     request.Tier
@@ -23,8 +24,8 @@
 	{request.Urgent, false, true},
 	{request.Interactive, false, true},
 	{request.Urgent, true, false},
-	{request.Interactive, true, false},
 	{request.Patient, false, false},
+	{request.Interactive, true, false},
 	{request.Patient, true, false},
 }
 
--- a/sched/reserve/reserve_test.go
+++ b/sched/reserve/reserve_test.go
@@ -189,6 +189,22 @@
 	expectIDs(t, dispatchedIDs(p, start))
 }
 
+// Guards against a backlog after a burst that makes all further requests late: late interactive
+// requests must not precede patient ones that can still be in time. Urgent requests come first,
+// late or not.
+func TestFreshRequestsPrecedeTheBacklogOfLateOnes(t *testing.T) {
+	p := reserve.New(reserve.Config{Reservations: true})
+	now := start.Add(600 * ms) // after FreshUntil of the early requests
+	submit(t, p, waiter("late-patient", request.Patient, "o", start), start)
+	submit(t, p, waiter("late-interactive", request.Interactive, "o", start), start)
+	submit(t, p, waiter("late-urgent", request.Urgent, "o", start), start)
+	submit(t, p, waiter("patient", request.Patient, "o", now), now)
+	submit(t, p, waiter("interactive", request.Interactive, "o", now), now)
+	submit(t, p, waiter("urgent", request.Urgent, "o", now), now)
+	p.SetTargets(engines(6, 1))
+	expectIDs(t, dispatchedIDs(p, now), "urgent", "interactive", "late-urgent", "patient", "late-interactive", "late-patient")
+}
+
 // Guards against patient requests that take the slots for which urgent requests wait on another
 // host.
 func TestFloorOfAnotherHost(t *testing.T) {
