Keep heartbeats small where there are many organisations and targets

Those at the full rate now hold what changed in the last four, and all of it every 2 s. A report without the fleet's use is not complete and gives a host that does not know its sender no base; quota.Report says so.

TestHeartbeatsHoldChangedUsage, TestInitialHeartbeatFitsIntoADatagram and TestMeasuredSpeedsAreThoseOfThisHost guard them without a network.

--- a/gateway/checkpoints.go
+++ b/gateway/checkpoints.go
@@ -33,8 +33,11 @@
 		case <-ctx.Done():
 			return
 		case now := <-t.C:
+			if !g.isLeader(now) {
+				continue
+			}
 			speeds := speedsByHash(g.schedulers.Speeds())
-			if g.isLeader(now) && schedule.Due(g.quota.CheckpointNeeded(now), len(speeds), now) {
+			if schedule.Due(g.quota.CheckpointNeeded(now), len(speeds), now) {
 				revision = g.writeCheckpoint(ctx, checkpoint.New(g.quota.Histories(now), speeds, now), revision)
 			}
 		}
--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -296,6 +296,16 @@
 	return out
 }
 
+// MeasuredSpeeds returns the gaps between events that this host has measured itself since the
+// given time.
+func (s *Schedulers) MeasuredSpeeds(since time.Time) []reserve.Speed {
+	var out []reserve.Speed
+	s.each(func(_ string, scheduler *Scheduler) {
+		out = append(out, scheduler.pool.MeasuredSpeeds(since)...)
+	})
+	return out
+}
+
 // SetHostCount sets the number of hosts that share the targets, this one included.
 func (s *Schedulers) SetHostCount(n int) {
 	s.each(func(_ string, scheduler *Scheduler) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"sardinefront.dev/gateway/routing"
 	"sardinefront.dev/gateway/settings"
 	"sardinefront.dev/gateway/upstream"
+	"sardinefront.dev/sched/reserve"
 )
 
 // Metrics records the counters and gauges of the process.
@@ -94,7 +95,9 @@
 	rollouts    *rollout.Tracker
 	settings    atomic.Pointer[settings.Settings] // current settings, replaced by Reload
 	speeds      speedTable
-	targetIndex targetIndex
+	// usageReports is used only by the loop that sends heartbeats.
+	usageReports usageReports
+	targetIndex  targetIndex
 	// restoredSpeeds holds the gaps between events from the checkpoint, in microseconds by
 	// target hash.
 	restoredSpeeds atomic.Pointer[map[uint32]uint32]
@@ -256,22 +259,18 @@
 // FillHeartbeat implements peers.Delegate.
 func (g *Gateway) FillHeartbeat(h *peers.Heartbeat, initial bool, now time.Time) {
 	g.dir.FillHeartbeat(h, now)
-	h.OwnUsage = g.quota.OwnUsage()
+	g.usageReports.fill(h, g.quota, initial, now)
 	h.Floors = g.schedulers.Floors()
-	speeds := g.schedulers.Speeds()
-	h.EventGapsUs = g.speeds.toAnnounce(speeds, time.Duration(h.IntervalMs)*time.Millisecond, now)
 	if initial {
-		h.EventGapsUs = speedsByHash(recentSpeeds(speeds, now))
+		h.EventGapsUs = speedsByHash(sampleSpeeds(recentSpeeds(g.schedulers.Speeds(), now), maxInitialSpeeds))
+	} else {
+		measured := g.schedulers.MeasuredSpeeds(now.Add(-reserve.SpeedTTL))
+		h.EventGapsUs = g.speeds.toAnnounce(measured, time.Duration(h.IntervalMs)*time.Millisecond, now)
 	}
 	for _, name := range g.schedulers.Ejected() {
 		h.Ejected = append(h.Ejected, targetHash(name))
 	}
 	h.Rollouts = g.rollouts.Reports(now)
-	// Only a host that has just started adopts the fleet's use, from its initial heartbeat or
-	// from one of its zone.
-	if initial || h.IntervalMs == peers.HeartbeatInterval.Milliseconds() {
-		h.FleetUsage = g.quota.FleetUsage(now)
-	}
 }
 
 // HandleHeartbeat implements peers.Delegate.
@@ -288,7 +287,7 @@
 	if err := g.rollouts.MergeReports(h.Name, h.Rollouts, now); err != nil {
 		event.PeerRejected.Log(g.cfg.Log, slog.Any("error", err))
 	}
-	g.quota.RecordPeerUsage(h.Name, h.Incarnation, h.OwnUsage, h.FleetUsage, time.Duration(h.IntervalMs)*time.Millisecond, time.Duration(h.UptimeMs)*time.Millisecond, now)
+	g.quota.RecordPeerUsage(usageReport(h), now)
 }
 
 // maxPeerEjectedShare is the share of all targets above which a peer's ejections are
--- a/gateway/quota/peers.go
+++ b/gateway/quota/peers.go
@@ -48,42 +48,75 @@
 	usage             map[string]*peerUsage // by organisation
 }
 
-// RecordPeerUsage records a peer's report: its own use since its start, which was uptime ago,
-// and the recent use of all hosts as the peer counts it, by organisation. The first report of
-// a peer that has been up for a whole window only sets the base for the next ones. This host
-// then adopts the fleet's use from the peer, so that a process that has just started does not
-// grant a full burst once more.
-func (m *Meter) RecordPeerUsage(from string, incarnation int64, ownUsage, fleetUsage map[string]float64, interval, uptime time.Duration, now time.Time) {
+// Report is a peer's report of its use of quotas.
+type Report struct {
+	From        string
+	Incarnation int64
+	// Own is the peer's own use since its start, by organisation. Organisations that are
+	// missing have used none, if Complete is set, or as much as in the report before.
+	Own map[string]float64
+	// Fleet is the recent use of all hosts as the peer counts it, by organisation.
+	Fleet    map[string]float64
+	Complete bool
+	// Interval is the time between the peer's reports, Uptime the time since its start.
+	Interval, Uptime time.Duration
+}
+
+// RecordPeerUsage records a peer's report. The first complete report of a peer that has been
+// up for a whole window only sets the base for the next ones. This host then adopts the
+// fleet's use from the peer, so that a process that has just started does not grant a full
+// burst once more. Other reports of a new process are ignored until then.
+func (m *Meter) RecordPeerUsage(r Report, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	p := m.peers[from]
-	if p == nil || p.incarnation != incarnation {
-		old := p
-		p = &peer{incarnation: incarnation, usage: map[string]*peerUsage{}}
-		m.peers[from] = p
-		for name, used := range ownUsage {
-			p.usageOf(name).used = used
-			if old != nil || uptime < m.tolerance.Window {
-				m.charge(name, used, now)
-			}
-		}
-		if old != nil {
-			m.refundExtrapolated(old, now)
-		}
-		// The fleet use in the report of a new process comes from hosts that also report to this one.
-		if uptime >= m.tolerance.Window {
-			m.mergeFleetUsage(fleetUsage, now)
-		}
-	} else {
+	p := m.peers[r.From]
+	switch {
+	case p != nil && p.incarnation == r.Incarnation:
 		m.refundExtrapolated(p, now)
-		for name, used := range ownUsage {
-			usage := p.usageOf(name)
-			m.charge(name, used-usage.used, now)
-			usage.recordRate(used-usage.used, now.Sub(p.lastReport))
-			usage.used = used
+		m.chargeReport(p, r.Own, now)
+	case r.Complete:
+		p = m.addPeer(r, now)
+	default:
+		return
+	}
+	p.lastReport, p.extrapolatedUntil, p.unresponsive, p.reportInterval = now, now, false, r.Interval
+}
+
+// chargeReport charges what a known peer has used since its last report.
+func (m *Meter) chargeReport(p *peer, own map[string]float64, now time.Time) {
+	elapsed := now.Sub(p.lastReport)
+	for name, usage := range p.usage {
+		if _, ok := own[name]; !ok {
+			usage.recordRate(0, elapsed)
+		}
+	}
+	for name, used := range own {
+		usage := p.usageOf(name)
+		m.charge(name, used-usage.used, now)
+		usage.recordRate(used-usage.used, elapsed)
+		usage.used = used
+	}
+}
+
+// addPeer adds a peer, or replaces it if it has restarted, on its first complete report.
+func (m *Meter) addPeer(r Report, now time.Time) *peer {
+	old := m.peers[r.From]
+	p := &peer{incarnation: r.Incarnation, usage: map[string]*peerUsage{}}
+	m.peers[r.From] = p
+	for name, used := range r.Own {
+		p.usageOf(name).used = used
+		if old != nil || r.Uptime < m.tolerance.Window {
+			m.charge(name, used, now)
 		}
 	}
-	p.lastReport, p.extrapolatedUntil, p.unresponsive, p.reportInterval = now, now, false, interval
+	if old != nil {
+		m.refundExtrapolated(old, now)
+	}
+	// The fleet use in the report of a new process comes from hosts that also report to this one.
+	if r.Uptime >= m.tolerance.Window {
+		m.mergeFleetUsage(r.Fleet, now)
+	}
+	return p
 }
 
 // unreportedUse estimates the units of an organisation that responsive peers have used since
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -69,8 +69,9 @@
 	// refusedUnits are the units refused recently, less those that the rate has provided since.
 	// New requests have to wait behind the callers that retry for these units.
 	refusedUnits float64
-	// ownUsed is the units that this host has used since its start.
-	ownUsed float64
+	// ownUsed is the units that this host has used since its start, as of ownChangedAt.
+	ownUsed      float64
+	ownChangedAt time.Time
 	// decayedUse is the units that this host has used, with exponential decay over
 	// rateTimeConstant, as of decayedAt.
 	decayedUse float64
@@ -207,6 +208,7 @@
 	}
 	b.consume(units, now)
 	b.ownUsed += units
+	b.ownChangedAt = now
 	b.ownRate(now) // decays decayedUse up to now
 	b.decayedUse += units
 	return 0
@@ -219,16 +221,18 @@
 	if b := m.buckets[name]; b != nil && b.limit.Rate > 0 {
 		b.consume(-units, now)
 		b.ownUsed -= units
+		b.ownChangedAt = now
 	}
 }
 
-// OwnUsage returns the units that this host has used since its start, by organisation.
-func (m *Meter) OwnUsage() map[string]float64 {
+// OwnUsage returns the units that this host has used since its start, by organisation, of
+// those organisations whose use has changed since the given time.
+func (m *Meter) OwnUsage(since time.Time) map[string]float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := make(map[string]float64, len(m.buckets))
+	out := map[string]float64{}
 	for name, b := range m.buckets {
-		if b.ownUsed != 0 {
+		if b.ownUsed != 0 && !b.ownChangedAt.Before(since) {
 			out[name] = b.ownUsed
 		}
 	}
--- a/gateway/quota/quota_test.go
+++ b/gateway/quota/quota_test.go
@@ -72,7 +72,10 @@
 	for i, from := range f.hosts {
 		for j, to := range f.hosts {
 			if i != j && !f.partitioned(i, j) {
-				to.RecordPeerUsage(f.names[i], f.start.UnixNano()+int64(i), from.OwnUsage(), from.FleetUsage(f.now), f.reportInterval, f.now.Sub(f.start), f.now)
+				to.RecordPeerUsage(quota.Report{
+					From: f.names[i], Incarnation: f.start.UnixNano() + int64(i), Own: from.OwnUsage(time.Time{}), Fleet: from.FleetUsage(f.now),
+					Complete: true, Interval: f.reportInterval, Uptime: f.now.Sub(f.start),
+				}, f.now)
 			}
 		}
 	}
@@ -218,7 +221,10 @@
 	}
 	fresh := quota.New(tolerance)
 	fresh.SetLimits(map[string]quota.Limit{"org": limit}, f.now)
-	fresh.RecordPeerUsage("a", 1, f.hosts[0].OwnUsage(), f.hosts[0].FleetUsage(f.now), reportInterval, time.Hour, f.now)
+	fresh.RecordPeerUsage(quota.Report{
+		From: "a", Incarnation: 1, Own: f.hosts[0].OwnUsage(time.Time{}), Fleet: f.hosts[0].FleetUsage(f.now),
+		Complete: true, Interval: reportInterval, Uptime: time.Hour,
+	}, f.now)
 	if fresh.Acquire("org", 500, f.now) == 0 {
 		t.Error("a restarted host granted a burst that its peers have reported as used")
 	}
@@ -291,7 +297,9 @@
 			t.Errorf("%d of %d peers are unresponsive, want %d of %d", s, p, wantUnresponsive, wantPeers)
 		}
 	}
-	report := func(name string) { m.RecordPeerUsage(name, 1, nil, nil, reportInterval, time.Minute, now) }
+	report := func(name string) {
+		m.RecordPeerUsage(quota.Report{From: name, Incarnation: 1, Complete: true, Interval: reportInterval, Uptime: time.Minute}, now)
+	}
 	report("a")
 	report("b")
 	expect(0, 2)
--- a/gateway/quota/zones_test.go
+++ b/gateway/quota/zones_test.go
@@ -43,7 +43,7 @@
 // report delivers the reports between all pairs of hosts for which due returns true.
 func (z *zoneFleet) report(due func(from, to int) bool) {
 	for i, from := range z.hosts {
-		use, fleetUse := from.OwnUsage(), from.FleetUsage(z.now)
+		use, fleetUse := from.OwnUsage(time.Time{}), from.FleetUsage(z.now)
 		for j, to := range z.hosts {
 			if i == j || z.partitioned(i, j) || !due(i, j) {
 				continue
@@ -52,7 +52,10 @@
 			if z.zone(i) != z.zone(j) {
 				interval *= crossZoneTicks
 			}
-			to.RecordPeerUsage(z.names[i], z.start.UnixNano()+int64(i), use, fleetUse, interval, z.now.Sub(z.start), z.now)
+			to.RecordPeerUsage(quota.Report{
+				From: z.names[i], Incarnation: z.start.UnixNano() + int64(i), Own: use, Fleet: fleetUse,
+				Complete: true, Interval: interval, Uptime: z.now.Sub(z.start),
+			}, z.now)
 		}
 	}
 }
--- a/gateway/speeds.go
+++ b/gateway/speeds.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -18,6 +19,9 @@
 	// speedHeartbeats is how many heartbeats to the same peer repeat a speed, since
 	// datagrams may be lost.
 	speedHeartbeats = 2
+	// maxInitialSpeeds bounds the speeds in an initial heartbeat, which must fit into a
+	// datagram. A new host gets another sample from each of its peers.
+	maxInitialSpeeds = 100
 )
 
 // speedTable selects the speeds of targets that go into a heartbeat. A speed is the mean gap
@@ -93,6 +97,15 @@
 	return slices.DeleteFunc(slices.Clone(all), func(v reserve.Speed) bool { return now.Sub(v.UpdatedAt) >= reserve.SpeedTTL })
 }
 
+// sampleSpeeds returns at most n of the speeds, chosen at random. It reorders all.
+func sampleSpeeds(all []reserve.Speed, n int) []reserve.Speed {
+	if len(all) <= n {
+		return all
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:n]
+}
+
 // speedsByHash returns the speeds, in microseconds, by the hashes of their targets.
 func speedsByHash(all []reserve.Speed) map[uint32]uint32 {
 	out := make(map[uint32]uint32, len(all))
--- a/gateway/speeds_test.go
+++ b/gateway/speeds_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"sardinefront.dev/gateway/peers"
 	"sardinefront.dev/sched/reserve"
 )
 
@@ -57,3 +59,22 @@
 		t.Errorf("recentSpeeds modified its argument: %v", all)
 	}
 }
+
+// Guards against a greeting that is larger than a datagram, so that no peer reads it: a host
+// knows the speeds of thousands of targets.
+func TestInitialHeartbeatFitsIntoADatagram(t *testing.T) {
+	const maxBytes = 4 << 10
+	now := time.Unix(1000, 0)
+	var all []reserve.Speed
+	for i := range 3000 {
+		all = append(all, reserve.Speed{Target: fmt.Sprintf("i-%d@1", i), Gap: 20 * time.Millisecond, UpdatedAt: now})
+	}
+	h := &peers.Heartbeat{Name: "a", EventGapsUs: speedsByHash(sampleSpeeds(recentSpeeds(all, now), maxInitialSpeeds))}
+	b, err := peers.Encode(h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(b) > maxBytes || len(h.EventGapsUs) != maxInitialSpeeds {
+		t.Errorf("%d speeds in %d bytes", len(h.EventGapsUs), len(b))
+	}
+}
--- a/sched/reserve/lanes.go
+++ b/sched/reserve/lanes.go
@@ -235,9 +235,19 @@
 
 // Speeds returns the speeds of all measured targets.
 func (p *Pool) Speeds() []Speed {
+	return p.speeds(func(t *target) bool { return t.gap > 0 })
+}
+
+// MeasuredSpeeds returns the speeds that this host has measured itself since the given time.
+// Unlike Speeds, it is cheap enough for each heartbeat where there are thousands of targets.
+func (p *Pool) MeasuredSpeeds(since time.Time) []Speed {
+	return p.speeds(func(t *target) bool { return t.gap > 0 && t.localMeasuredAt.After(since) })
+}
+
+func (p *Pool) speeds(include func(*target) bool) []Speed {
 	var out []Speed
 	for _, t := range p.order {
-		if t.gap > 0 {
+		if include(t) {
 			out = append(out, Speed{t.Name, t.gap, t.gapUpdatedAt, t.localMeasuredAt})
 		}
 	}
--- a/sched/reserve/reserve_test.go
+++ b/sched/reserve/reserve_test.go
@@ -670,3 +670,23 @@
 		}
 	}
 }
+
+// Guards against a heartbeat that takes time and memory for each of thousands of targets: only
+// the few that this host has measured lately are listed.
+func TestMeasuredSpeedsAreThoseOfThisHost(t *testing.T) {
+	p := reserve.New(reserve.Config{Reservations: true})
+	p.SetTargets(engines(3000, 1))
+	now := start.Add(10 * time.Second)
+	for i := range 2999 {
+		p.RecordPeerSpeed(fmt.Sprintf("e%d", i), 20*ms, now)
+	}
+	p.RecordSpeed("e2998", 20*ms, start)
+	p.RecordSpeed("e2999", 20*ms, now)
+	since := now.Add(-time.Second)
+	if got := p.MeasuredSpeeds(since); len(got) != 1 || got[0].Target != "e2999" {
+		t.Errorf("%d speeds: %v", len(got), got[:min(3, len(got))])
+	}
+	if n := testing.AllocsPerRun(10, func() { p.MeasuredSpeeds(since) }); n > 2 {
+		t.Errorf("%.0f allocations", n)
+	}
+}
