Count silent peers with their last rate, and don't excuse them what they reported

Reading the diff showed that the use which a silent peer had reported was taken off its share by its last rate over a whole window: a burst that had just begun counted as used long ago. With three partitions 100 ms to 1 s after a burst began, 1.87 to 2.34 million units were granted in a window that allows 1.64 million.

TestCutZoneGrantsItsShare still passes.

--- a/gateway/quota/peers.go
+++ b/gateway/quota/peers.go
@@ -145,8 +145,8 @@
 	return max(reported, meanRate/hosts*silence)
 }
 
-// refundExtrapolated returns the units that were charged for an unresponsive peer to the buckets. The
-// peer's new report contains its real use.
+// refundExtrapolated returns the units that were charged for an unresponsive peer to the
+// buckets. The peer's new report contains its real use.
 func (m *Meter) refundExtrapolated(p *peer, now time.Time) {
 	for name, usage := range p.usage {
 		if b := m.buckets[name]; b != nil && usage.charged > 0 {
@@ -222,9 +222,9 @@
 }
 
 // estimatedPeerUse returns the units of the window that peers may have used without a report.
-// Unresponsive peers count with an equal share of the window, or with their extrapolated use if
-// that is less, and without what they have reported, which the window contains. After a start, each expected peer that has not reported counts with an equal share of the units that
-// this host found unused.
+// Unresponsive peers count with their extrapolated use, or that at their last rate if it is more,
+// up to an equal share of the window. After a start, each expected peer that has not reported
+// counts with an equal share of the units that this host found unused.
 func (m *Meter) estimatedPeerUse(org string, b *bucket, now time.Time) float64 {
 	if b.window == nil {
 		return 0
@@ -233,8 +233,8 @@
 	share := b.windowLimit / float64(1+len(m.peers))
 	for _, p := range m.peers {
 		if usage := p.usage[org]; p.unresponsive && usage != nil {
-			reported := usage.rate * max(0, (m.tolerance.Window-now.Sub(p.lastReport)).Seconds())
-			estimate += max(0, min(usage.extrapolated, share)-reported)
+			continued := usage.rate * now.Sub(p.lastReport).Seconds()
+			estimate += min(max(usage.extrapolated, continued), share)
 		}
 	}
 	if unreported := m.expected - len(m.peers); unreported > 0 && now.Before(m.expectedUntil) {
@@ -247,7 +247,7 @@
 // extrapolatePeer counts the share of an unresponsive peer in every quota: of the units left
 // when it became unresponsive, and of the rate since its last report. The bucket is charged with
 // at most reportTimeout of that rate at a time, since longer silence is normal for a peer that
-// reports rarely, and not below zero, so that this host keeps its own share.
+// reports rarely: the sum over a zone that is cut off would leave this host nothing.
 func (m *Meter) extrapolatePeer(p *peer, now time.Time) {
 	hosts := float64(1 + len(m.peers))
 	elapsed := now.Sub(p.extrapolatedUntil)
@@ -263,7 +263,7 @@
 		}
 		usage := p.usageOf(org)
 		usage.extrapolated += levelShare + rateShare*elapsed.Seconds()
-		charged := min(levelShare+rateShare*min(elapsed, reportTimeout).Seconds(), max(0, b.level))
+		charged := levelShare + rateShare*min(elapsed, reportTimeout).Seconds()
 		usage.charged += charged
 		b.level -= charged
 	}
--- a/gateway/quota/quota_test.go
+++ b/gateway/quota/quota_test.go
@@ -152,6 +152,24 @@
 	}
 }
 
+// Guards against taking a burst that began just before a partition for what the peers have used
+// all the time: the window has room then, and each side would grant all of it.
+func TestPartitionAfterTheBurstBeganSharesTheBurst(t *testing.T) {
+	limit := quota.Limit{Rate: 146000, Burst: 146000}
+	for _, lead := range []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond, time.Second} {
+		t.Run(lead.String(), func(t *testing.T) {
+			f := newFleet(6, limit)
+			f.run(2*time.Second, 0)
+			f.run(lead, 800)
+			f.partitioned = func(i, j int) bool { return i%3 != j%3 }
+			f.run(10*time.Second, 800)
+			if got := maxWindowUse(f.grants); got > maxAllowedUse(limit) {
+				t.Errorf("%.0f units in a window with three partitions, allowed %.0f", got, maxAllowedUse(limit))
+			}
+		})
+	}
+}
+
 // Guards against a bucket that refuses a burst after high load although the window has capacity:
 // 330,000 units in two bursts, of the 388,800 that a window grants.
 func TestBurstsWithinTheWindowAreGranted(t *testing.T) {
