Take returned quota units off the oldest use in the window

The log of grants shows 845,709 net units of ours in that window: requests that waited up to 2.6 s and were refused gave their units back in a later slot than they had taken them from. When the first slot left the window, the second still lowered its total, so the units were returned twice.

Returned units now come off the oldest slots that hold any, which never lowers the use of a later window; peers do not know when they were acquired. TestReturnedUnitsDoNotLowerLaterUse failed first, with 1,704,000 units of 1,180,000 allowed.

--- a/gateway/quota/quota_test.go
+++ b/gateway/quota/quota_test.go
@@ -266,6 +266,24 @@
 	}
 }
 
+// Guards against units that are returned twice: once when their request is refused, and again
+// when the time at which they were acquired leaves the window.
+func TestReturnedUnitsDoNotLowerLaterUse(t *testing.T) {
+	limit := quota.Limit{Rate: 100000, Burst: 100000}
+	f := newFleet(2, limit)
+	f.run(8*time.Second, 0)
+	waiting := 0.0
+	for f.hosts[0].Acquire("org", 1000, f.now) == 0 {
+		waiting += 1000
+	}
+	f.run(2*time.Second, 0)
+	f.hosts[0].Release("org", waiting, f.now)
+	f.run(14*time.Second, 4000)
+	if got := maxWindowUse(f.grants); got > maxAllowedUse(limit) {
+		t.Errorf("%.0f units in a window after %.0f were returned, allowed %.0f", got, waiting, maxAllowedUse(limit))
+	}
+}
+
 // Guards against refused callers that all get the same wait time, after which only one of them
 // would be granted its units.
 func TestWaitTimesOfRefusedCallersAreStaggered(t *testing.T) {
--- a/gateway/quota/window.go
+++ b/gateway/quota/window.go
@@ -45,10 +45,27 @@
 // add counts units as used now. Negative units are returned ones.
 func (u *windowUsage) add(units float64, now time.Time) {
 	u.advance(now)
+	if units < 0 {
+		u.giveBack(-units)
+		return
+	}
 	*u.slotAt(u.newest) += units
 	u.total += units
 }
 
+// giveBack takes returned units off the oldest slots that hold any. The time at which they were
+// acquired is not known for peers. Taken off a newer slot, they would still lower the use of
+// the window after the slot in which they were acquired has left it.
+func (u *windowUsage) giveBack(units float64) {
+	for number := u.newest - windowSlots; number <= u.newest && units > 0; number++ {
+		slot := u.slotAt(number)
+		taken := min(units, max(0, *slot))
+		*slot -= taken
+		u.total -= taken
+		units -= taken
+	}
+}
+
 // HistoryParts is the number of equal parts into which a History divides a window.
 const HistoryParts = 4
 
