--- a/gateway/quota/peers.go
+++ b/gateway/quota/peers.go
@@ -122,10 +122,12 @@
 // unreportedUse estimates the units of an organisation that responsive peers have used since
 // their last reports: by the rate that each has reported, or by the mean rate of the hosts with
 // recent reports, whichever is more. The mean shows a sudden burst before the reports of the
-// other hosts arrive.
+// other hosts arrive. An organisation that was refused waits at all hosts, and units that come
+// free are used by all at once: its peers are assumed to use them at the rate of this host.
 func (m *Meter) unreportedUse(org string, b *bucket, now time.Time) float64 {
 	reported, silence := 0.0, 0.0
-	meanRate, hosts := b.ownRate(now), 1.0
+	ownRate := b.ownRate(now)
+	recentRates, recentHosts := ownRate, 1.0
 	for _, p := range m.peers {
 		if p.unresponsive {
 			continue
@@ -138,11 +140,15 @@
 		}
 		reported += rate * age
 		if now.Sub(p.lastReport) <= recentReportAge {
-			meanRate += rate
-			hosts++
+			recentRates += rate
+			recentHosts++
 		}
 	}
-	return max(reported, meanRate/hosts*silence)
+	meanRate := recentRates / recentHosts
+	if b.refusedUnits > 0 {
+		meanRate = max(meanRate, ownRate)
+	}
+	return max(reported, meanRate*silence)
 }
 
 // refundExtrapolated returns the units that were charged for an unresponsive peer to the
