--- a/sched/reserve/lanes.go
+++ b/sched/reserve/lanes.go
@@ -14,8 +14,8 @@
 
 // lanes lists the lanes in the order of service. Fresh interactive requests precede late
 // urgent ones, whose responses have lost most of their value, and fresh patient requests precede
-// late interactive ones, which would otherwise keep all others late after a burst. Lanes with fastOnly use slow
-// targets only for short requests.
+// late interactive ones, which would otherwise keep all others late after a burst. Lanes with
+// fastOnly use slow targets only for short requests.
 var lanes = [...]struct {
 	tier     request.Tier
 	late     bool
