Keep a silent target until another one is ready to take over

Callers saw their connection closed in the middle of an answer, mostly where all engines were slower than usual. After 0.5 to 0.6 s without an event a resumable stream was given up: its connection was closed, the target ended its run, and only then was another target sought, for 0.7 s. Where none had capacity the answer was broken off although the first target was sound. The same held for the first byte of idempotent requests, which ended with 502.

The attempt now goes on while another target is sought, up to the request's deadline. Its reads are interrupted only once the other one is connected, has granted a reservation and the retry budget allows it. If the silent target goes on first, the reservation is cancelled, and an ejection for silence ends in a trial. The wait of such a request is no sign of overload and neither refuses new requests nor sets floors.

The four tests of silence_test.go failed before.

--- a/core/event/table.go
+++ b/core/event/table.go
@@ -30,6 +30,8 @@
 	TargetListStale = Event{Number: 304, Name: "target list stale", Level: slog.LevelWarn, Meaning: "The platform's host list could not be read; the last list stays in use."}
 
 	TargetListChanged = Event{Number: 305, Name: "target list changed", Level: slog.LevelInfo, Meaning: "An entry of the target list was added, changed or removed."}
+	TargetSilent      = Event{Number: 307, Name: "target silent", Level: slog.LevelInfo, Meaning: "A target has not answered, or not gone on with its stream, for longer than expected. The request stays there while another target is sought."}
+	TargetResponsive  = Event{Number: 308, Name: "target responsive", Level: slog.LevelInfo, Meaning: "A silent target went on with the request before another target took it over. found tells whether one had been found."}
 	TargetFailure     = Event{Number: 306, Name: "target failure", Level: slog.LevelInfo, Meaning: "A request to a target failed or its connection was refused."}
 
 	WriterElected         = Event{Number: 401, Name: "journal writer elected", Level: slog.LevelInfo, Meaning: "This host became the writer of a journal partition."}
@@ -68,7 +70,7 @@
 	return []Event{
 		Started, EmbeddedStore, ShutdownStarted, ShutdownCompleted, ShutdownForced, SettingsRejected, SettingsReloaded, LogLinesDropped, LoopPanicked,
 		RequestRefused, RequestRetried, CallerDisconnected, ResponseAborted, RequestAnswered, RequestSent, TargetErrorForwarded, RequestPanicked,
-		TargetEjected, TargetRestored, TargetDraining, TargetListStale, TargetListChanged, TargetFailure,
+		TargetEjected, TargetRestored, TargetDraining, TargetListStale, TargetListChanged, TargetFailure, TargetSilent, TargetResponsive,
 		WriterElected, WriterRoleLost, AppendOutcomeUnknown, RequestOutcomeUnknown, RequestTakenOver,
 		MemberSuspected, MemberDead, MemberAlive, PeerRejected, PeerFetchFailed, QuotaReservedForPeers,
 		ConfigApplied, ConfigRejected, StoreUnreachable, StoreReachable, CheckpointRestored, CheckpointFailed, BecameStoreReader,
--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -203,10 +203,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	change := s.pool.EndGrant(target, o, sample, now)
-	if change.EjectionReason != "" {
-		s.peers.SendHeartbeat()
-		event.TargetEjected.Log(s.log, slog.String("service", s.name), slog.String("target", target), slog.String("why", change.EjectionReason))
-	}
+	s.announceEjection(target, change.EjectionReason)
 	if change.Restored {
 		event.TargetRestored.Log(s.log, slog.String("service", s.name), slog.String("target", target))
 	}
@@ -216,6 +213,33 @@
 	}
 }
 
+// announceEjection logs the ejection of a target and tells the peers, unless the reason is empty.
+func (s *Scheduler) announceEjection(target, reason string) {
+	if reason == "" {
+		return
+	}
+	s.peers.SendHeartbeat()
+	event.TargetEjected.Log(s.log, slog.String("service", s.name), slog.String("target", target), slog.String("why", reason))
+}
+
+// RecordSilent records that a target has been silent for too long during a request that is still
+// running there.
+func (s *Scheduler) RecordSilent(target string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.announceEjection(target, s.pool.RecordSilent(target, time.Now()))
+}
+
+// RecordResponsive records that a target has gone on after RecordSilent.
+func (s *Scheduler) RecordResponsive(target string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if s.pool.RecordResponsive(target, now) {
+		s.dispatch(now)
+	}
+}
+
 // handleSlotOffer handles a peer's offer of a free slot at a target. The caller holds s.mu.
 func (s *Scheduler) handleSlotOffer(target string) {
 	s.pool.SlotFreed(target)
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -18,6 +18,13 @@
 // addRawServer lists a target of a service that passes each request on each of its
 // connections to respond, until that returns false.
 func (fx *fixture) addRawServer(service, id string, respond func(net.Conn, *http.Request) bool) {
+	fx.t.Helper()
+	fx.addRawEngine(service, id, func() bool { return true }, respond)
+}
+
+// addRawEngine is addRawServer for a target that grants a reservation only if reserve returns
+// true.
+func (fx *fixture) addRawEngine(service, id string, reserve func() bool, respond func(net.Conn, *http.Request) bool) {
 	fx.t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -30,13 +37,13 @@
 			if err != nil {
 				return
 			}
-			go serveRaw(c, respond)
+			go serveRaw(c, reserve, respond)
 		}
 	}()
 	fx.listServer(service, id, l.Addr().String(), "ready")
 }
 
-func serveRaw(c net.Conn, respond func(net.Conn, *http.Request) bool) {
+func serveRaw(c net.Conn, reserve func() bool, respond func(net.Conn, *http.Request) bool) {
 	defer c.Close()
 	br := bufio.NewReader(c)
 	for {
@@ -45,6 +52,10 @@
 			return
 		}
 		io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/-/hold-take" && !reserve() {
+			fmt.Fprint(c, "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
 		if r.URL.Path == "/-/hold-take" {
 			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n{\"hold\":\"h\"}")
 			continue
--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -76,6 +76,8 @@
 	sent       bool // the request was sent to the target
 	reason     refusal.Reason
 	err        error
+	// replacement is a target that is ready to take over from a silent one; nil if there is none.
+	replacement *placement
 }
 
 // serve dispatches the request to one target after the other until the caller has the response
@@ -87,35 +89,50 @@
 		x.refuse(refusal.New(refusal.NoTarget, "service %s is not configured", x.service))
 		return
 	}
-	w := x.waiter()
+	d := &dispatcher{scheduler: scheduler, waiter: x.waiter()}
+	var next *placement
 	for resubmit := false; ; resubmit = true {
-		target, err := scheduler.Acquire(ctx, w, resubmit)
-		if err != nil {
-			x.endUndispatched(err)
-			return
+		p := next
+		if p == nil {
+			target, err := scheduler.Acquire(ctx, d.waiter, resubmit)
+			if err != nil {
+				x.endUndispatched(err)
+				return
+			}
+			p = &placement{target: target}
 		}
-		att := x.runAttempt(ctx, scheduler, target)
+		att := x.runAttempt(ctx, d, p)
 		if att.status == answered {
 			return
 		}
-		if ref := x.prepareRetry(ctx, w, target, att); ref != nil {
+		if ref := x.prepareRetry(ctx, d.waiter, p.target, att); ref != nil {
+			if att.replacement != nil {
+				x.release(scheduler, att.replacement)
+			}
 			x.refuseOrAbort(ref, att)
 			return
 		}
+		next = att.replacement
 	}
 }
 
+// dispatcher is the scheduler of a request's service and the request's entry in its queue.
+type dispatcher struct {
+	scheduler *dispatch.Scheduler
+	waiter    *reserve.Waiter
+}
+
 // runAttempt makes one attempt and ends its grant, also if the attempt panics.
-func (x *exchange) runAttempt(ctx context.Context, scheduler *dispatch.Scheduler, target directory.Target) attempt {
+func (x *exchange) runAttempt(ctx context.Context, d *dispatcher, p *placement) attempt {
 	ended := false
 	defer func() {
 		if !ended {
-			scheduler.EndGrant(target.Key(), reserve.Abandoned, reserve.Sample{})
+			d.scheduler.EndGrant(p.target.Key(), reserve.Abandoned, reserve.Sample{})
 		}
 	}()
-	att := x.attemptTarget(ctx, scheduler, target)
+	att := x.attemptTarget(ctx, d, p)
 	ended = true
-	x.finishAttempt(scheduler, target, att)
+	x.finishAttempt(d.scheduler, p.target, att)
 	return att
 }
 
@@ -164,11 +181,7 @@
 
 // finishAttempt reports the result of an attempt to the scheduler, the rollout and the log.
 func (x *exchange) finishAttempt(scheduler *dispatch.Scheduler, target directory.Target, att attempt) {
-	if att.targetFull {
-		scheduler.RecordFull(target.Key())
-	} else {
-		scheduler.EndGrant(target.Key(), att.outcome, att.sample)
-	}
+	endGrant(scheduler, target, att)
 	x.recordForRollout(target, att)
 	if att.status == answered {
 		return
@@ -188,6 +201,15 @@
 		slog.String("service", x.service), slog.Bool("sent", att.sent), slog.String("reason", att.reason.String()), slog.Any("error", att.err))
 }
 
+// endGrant ends the grant of an attempt with its outcome.
+func endGrant(scheduler *dispatch.Scheduler, target directory.Target, att attempt) {
+	if att.targetFull {
+		scheduler.RecordFull(target.Key())
+		return
+	}
+	scheduler.EndGrant(target.Key(), att.outcome, att.sample)
+}
+
 // recordForRollout records the attempt as a sample for a rollout of the service.
 func (x *exchange) recordForRollout(target directory.Target, att attempt) {
 	if !att.sent || att.outcome == reserve.Abandoned {
@@ -227,13 +249,17 @@
 	}
 	w.Exclude(target.Key())
 	w.ExtendWait(time.Now())
-	// During a rollout, retries use the old version.
-	w.AvoidRolloutVersion = w.AvoidRolloutVersion || x.cfg.Rollouts.Split(x.service, time.Now()).Share < 1
+	x.avoidUnprovenVersion(w)
 	x.cfg.Metrics.CountRetry(retryReason(att.reason))
 	event.RequestRetried.Log(x.cfg.Log, slog.String("id", x.info.ID), slog.String("target", target.ID), slog.String("reason", att.reason.String()))
 	return nil
 }
 
+// avoidUnprovenVersion makes retries use the old version during a rollout.
+func (x *exchange) avoidUnprovenVersion(w *reserve.Waiter) {
+	w.AvoidRolloutVersion = w.AvoidRolloutVersion || x.cfg.Rollouts.Split(x.service, time.Now()).Share < 1
+}
+
 // checkResend returns a refusal unless the route and the retry budget allow another send.
 func (x *exchange) checkResend(target directory.Target, att attempt) *refusal.Refusal {
 	reason, attemptsLeft := refusal.TargetFull, x.sends < x.route.MaxAttempts
@@ -261,25 +287,17 @@
 	return true
 }
 
-// attemptTarget connects to the target, reserves capacity if the engine supports it, and
-// sends the request.
-func (x *exchange) attemptTarget(ctx context.Context, scheduler *dispatch.Scheduler, target directory.Target) attempt {
-	conn, err := x.cfg.Upstream.Get(ctx, target.Key(), target.Address)
-	if err != nil {
-		return x.unreachable(ctx, err)
-	}
-	conn.BindContext(ctx)
-	defer conn.CloseOnPanic()
-	engine := x.table.Service(x.service).Engine
-	reservation := ""
-	if engine != nil && engine.MaxReservationLifetime > 0 {
+// attemptTarget sends the request to a target, after connecting to it and reserving capacity
+// if that was not done yet.
+func (x *exchange) attemptTarget(ctx context.Context, d *dispatcher, p *placement) attempt {
+	if p.conn == nil {
 		var att *attempt
-		if reservation, att = x.reserve(ctx, conn, target, engine); att != nil {
+		if p, att = x.place(ctx, d.scheduler, p.target); att != nil {
 			return *att
 		}
-		scheduler.RecordReserved(target.Key())
 	}
-	return x.roundTrip(ctx, scheduler, conn, target, reservation)
+	defer p.conn.CloseOnPanic()
+	return x.roundTrip(ctx, d, p)
 }
 
 // unreachable returns the attempt for a failed connect.
--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -14,8 +14,6 @@
 
 	"sardinefront.dev/core/event"
 	"sardinefront.dev/core/refusal"
-	"sardinefront.dev/gateway/directory"
-	"sardinefront.dev/gateway/dispatch"
 	"sardinefront.dev/gateway/protocol"
 	"sardinefront.dev/gateway/routing"
 	"sardinefront.dev/gateway/upstream"
@@ -26,19 +24,20 @@
 	// maxBufferedResponseBytes is the size below which a response is read completely before
 	// it is forwarded, so that a truncated one can still be retried at another target.
 	maxBufferedResponseBytes = 64 << 10
-	// idempotentTimeoutGoals is the first-byte timeout of an idempotent request, as a
-	// multiple of its route's goal, while it can still be retried at another target.
+	// idempotentTimeoutGoals is the time without a response after which another target is
+	// sought for an idempotent request, as a multiple of its route's goal.
 	idempotentTimeoutGoals = 3
 	// minIdempotentTimeout is the lower bound of that timeout.
 	minIdempotentTimeout = 200 * time.Millisecond
 )
 
-// roundTrip sends the request on conn and forwards the response to the caller.
-func (x *exchange) roundTrip(ctx context.Context, scheduler *dispatch.Scheduler, conn *upstream.Conn, target directory.Target, reservation string) attempt {
+// roundTrip sends the request to a target and forwards the response to the caller.
+func (x *exchange) roundTrip(ctx context.Context, d *dispatcher, p *placement) attempt {
+	conn, target := p.conn, p.target
 	sentAt := time.Now()
 	m := protocol.Request{
 		Method: x.r.Method, URI: x.uri, Host: x.r.Host, Body: x.body,
-		Header: x.cfg.Codec.RequestHeader(x.r.Header, x.attemptHeader(target, reservation)),
+		Header: x.cfg.Codec.RequestHeader(x.r.Header, x.attemptHeader(target, p.reservation)),
 	}
 	x.sends++
 	x.targetID, x.targetKey, x.queueWait = target.ID, target.Key(), sentAt.Sub(x.arrived)
@@ -49,12 +48,17 @@
 		conn.Release(nil, false)
 		return x.failedAttempt(ctx, reserve.BrokenResponse, refusal.TargetFailed, err)
 	}
-	resp, err := conn.Receive(m.Method, x.info.ID, x.firstByteTimeout())
+	watch := x.watchSilence(ctx, d, p)
+	defer watch.stop()
+	watch.reset(x.firstByteTimeout())
+	resp, err := conn.Receive(m.Method, x.info.ID, 0)
 	if err != nil {
+		found := watch.end()
 		conn.Release(nil, false)
-		return x.readFailed(ctx, err)
+		return watch.settle(found, x.readFailed(ctx, err))
 	}
-	scheduler.RecordLoad(target.Key(), resp.Info.Load)
+	watch.stop()
+	d.scheduler.RecordLoad(target.Key(), resp.Info.Load)
 	if resp.Info.NotRun {
 		return x.handleNotRun(conn, resp)
 	}
@@ -64,7 +68,7 @@
 		return x.failedAttempt(ctx, reserve.ErrorResponse, refusal.TargetFailed, fmt.Errorf("status %d", resp.Status))
 	}
 	if isEventStream(resp.Header) && resp.Status == http.StatusOK {
-		return x.forwardStream(ctx, scheduler, conn, resp, sentAt)
+		return x.forwardStream(ctx, d.scheduler, watch, conn, resp, sentAt)
 	}
 	if x.headSent {
 		// The caller has received events, so only an event stream can continue the response.
@@ -74,8 +78,8 @@
 	return x.forwardResponse(ctx, conn, resp, sentAt)
 }
 
-// firstByteTimeout returns the time to wait for the response headers before the request is
-// retried at another target; 0 means until the deadline.
+// firstByteTimeout returns the time to wait for the response headers before another target is
+// sought; 0 means until the deadline.
 func (x *exchange) firstByteTimeout() time.Duration {
 	if !x.route.Idempotent() || x.sends >= x.route.MaxAttempts || x.route.LatencyGoal <= 0 {
 		return 0
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -22,8 +22,8 @@
 const (
 	// maxEventBytes bounds one event of a stream.
 	maxEventBytes = 1 << 20
-	// eventTimeoutGaps is the time without an event after which a resumable stream is
-	// resumed at another target, as a multiple of the route's longest tolerated gap.
+	// eventTimeoutGaps is the time without an event after which another target is sought
+	// for a resumable stream, as a multiple of the route's longest tolerated gap.
 	eventTimeoutGaps = 2
 	// minEventTimeout is the lower bound of that time.
 	minEventTimeout = 500 * time.Millisecond
@@ -38,15 +38,16 @@
 
 // forwardStream forwards events as they arrive. Only complete events are written, so that
 // another target can resume the stream after the last one.
-func (x *exchange) forwardStream(ctx context.Context, scheduler *dispatch.Scheduler, conn *upstream.Conn, resp *upstream.Response, sentAt time.Time) attempt {
+func (x *exchange) forwardStream(ctx context.Context, scheduler *dispatch.Scheduler, watch *silenceWatch, conn *upstream.Conn, resp *upstream.Response, sentAt time.Time) attempt {
 	s := newEventReader(resp.Body)
 	timing := streamTiming{sentAt: sentAt}
 	flusher := http.NewResponseController(x.w)
-	conn.SetReadTimeout(x.eventTimeout(0))
+	watch.reset(x.eventTimeout(0))
 	for {
 		event, err := s.next()
 		if err != nil {
-			return x.finishStream(ctx, conn, resp, err, timing)
+			found := watch.end()
+			return watch.settle(found, x.finishStream(ctx, conn, resp, err, timing))
 		}
 		if !followsEvent(event.id, x.lastEventID) {
 			conn.Release(resp, false)
@@ -70,7 +71,7 @@
 			x.lastEventID = event.id
 		}
 		timing.recordEvent(time.Now())
-		conn.SetReadTimeout(x.eventTimeout(timing.events))
+		watch.reset(x.eventTimeout(timing.events))
 		if timing.events == minSampleEvents {
 			scheduler.RecordSpeed(x.targetKey, timing.meanGap())
 		}
@@ -84,8 +85,8 @@
 	return err1 != nil || err2 != nil || a > b
 }
 
-// eventTimeout returns the time to wait for the next event before the stream is resumed at
-// another target; 0 means until the deadline. events is the number received so far in this
+// eventTimeout returns the time to wait for the next event before another target is sought to
+// resume the stream; 0 means until the deadline. events is the number received so far in this
 // attempt.
 func (x *exchange) eventTimeout(events int) time.Duration {
 	if !x.route.Resumable || x.sends >= x.route.MaxAttempts {
--- /dev/null
+++ b/gateway/silence_test.go
@@ -0,0 +1,165 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+const (
+	// targetPause is a pause of a sound target. It is longer than the time after which another
+	// target is sought and than the time that a failed request may wait for one.
+	targetPause = 1500 * time.Millisecond
+	// endlessPause exceeds the timeout of all routes.
+	endlessPause = 5 * time.Second
+)
+
+// pausingTarget is a target that pauses during each response. It grants one reservation.
+type pausingTarget struct {
+	pause time.Duration
+	// beforeHead moves the pause from after the second event to before the response.
+	beforeHead bool
+	granted    atomic.Int32
+	runs       atomic.Int32
+	// cut is set when the host closes the connection of a stream.
+	cut atomic.Bool
+}
+
+func (p *pausingTarget) reserve() bool { return p.granted.Add(1) == 1 }
+
+func (p *pausingTarget) respond(c net.Conn, r *http.Request) bool {
+	p.runs.Add(1)
+	if p.beforeHead {
+		time.Sleep(p.pause)
+	}
+	writeHead(c, r, "Content-Type: text/event-stream", "Connection: close")
+	fmt.Fprint(c, streamEvents(1, 2))
+	if !p.beforeHead && !p.sleepConnected(c) {
+		return false
+	}
+	fmt.Fprint(c, streamEvents(3, 5))
+	return false
+}
+
+// sleepConnected pauses and reports whether the host kept the connection open.
+func (p *pausingTarget) sleepConnected(c net.Conn) bool {
+	c.SetReadDeadline(time.Now().Add(p.pause))
+	_, err := c.Read(make([]byte, 1))
+	timeout, ok := err.(net.Error)
+	p.cut.Store(!ok || !timeout.Timeout())
+	return !p.cut.Load()
+}
+
+// Guards against a stream that is cut while its target is silent but sound: the connection was
+// closed after 0.5 s, before another target was known to have capacity, and none had.
+func TestSilentStreamIsKeptUntilAnotherTargetIsReady(t *testing.T) {
+	for name, beforeHead := range map[string]bool{"between events": false, "before the response": true} {
+		t.Run(name, func(t *testing.T) {
+			fx := newFixture(t)
+			silent := &pausingTarget{pause: targetPause, beforeHead: beforeHead}
+			fx.addRawEngine(engineName, "i-silent", silent.reserve, silent.respond)
+			fx.startHost()
+			resp := fx.call("POST", pathStream, "prompt")
+			if resp.err != nil || resp.status != http.StatusOK || resp.body != streamEvents(1, 5) {
+				t.Errorf("response %+v", resp)
+			}
+			if n := silent.runs.Load(); n != 1 {
+				t.Errorf("%d runs", n)
+			}
+			if !fx.log.contains("target silent") || !fx.log.contains("target responsive") {
+				t.Error("the silence is not logged")
+			}
+		})
+	}
+}
+
+// Guards against a silent target that is given up before its successor has granted a
+// reservation, and against a stream that stays at a target which is silent for good.
+func TestSilentStreamMovesOnceAnotherTargetIsReady(t *testing.T) {
+	fx := newFixture(t)
+	silent := &pausingTarget{pause: endlessPause}
+	fx.addRawEngine(engineName, "i-silent", silent.reserve, silent.respond)
+	fx.startHost()
+	c := fx.dial()
+	fx.send(c, "POST", pathStream, "prompt")
+	fx.eventually("the stream runs", func() bool { return silent.runs.Load() == 1 })
+
+	var refused atomic.Int32
+	var cutBefore atomic.Bool
+	fx.addRawEngine(engineName, "i-next", func() bool {
+		cutBefore.Store(silent.cut.Load())
+		return refused.Add(1) > 3
+	}, func(c net.Conn, r *http.Request) bool {
+		writeHead(c, r, "Content-Type: text/event-stream", "Connection: close")
+		if r.Header.Get("Last-Event-Id") == "2" {
+			fmt.Fprint(c, streamEvents(3, 5))
+		}
+		return false
+	})
+	resp := fx.read(c)
+	if resp.err != nil || resp.body != streamEvents(1, 5) {
+		t.Errorf("response %+v", resp)
+	}
+	if cutBefore.Load() {
+		t.Error("the silent target was given up before another one had granted a reservation")
+	}
+	fx.eventually("the silent target is given up", silent.cut.Load)
+}
+
+// Guards against a search for another target that leaves its reservation or its slot behind
+// when the silent target goes on.
+func TestUnusedReplacementIsReturned(t *testing.T) {
+	fx := newFixture(t)
+	silent := &pausingTarget{pause: 600 * time.Millisecond}
+	fx.addRawEngine(engineName, "i-silent", silent.reserve, silent.respond)
+	fx.startHost()
+	c := fx.dial()
+	fx.send(c, "POST", pathStream, "prompt")
+	fx.eventually("the stream runs", func() bool { return silent.runs.Load() == 1 })
+	var slowGrants, runs atomic.Int32
+	fx.addRawEngine(engineName, "i-slow", func() bool {
+		slowGrants.Add(1)
+		time.Sleep(150 * time.Millisecond) // until the silent target has gone on
+		return true
+	}, func(c net.Conn, r *http.Request) bool {
+		runs.Add(1)
+		writeHead(c, r, "Content-Type: text/event-stream", "Connection: close")
+		fmt.Fprint(c, streamEvents(1, 5))
+		return false
+	})
+	if resp := fx.read(c); resp.err != nil || resp.body != streamEvents(1, 5) {
+		t.Errorf("response %+v", resp)
+	}
+	if slowGrants.Load() == 0 || runs.Load() != 0 {
+		t.Errorf("%d reservations asked for, %d runs at the other target", slowGrants.Load(), runs.Load())
+	}
+	for range 4 { // more than the target's slots
+		if resp := fx.call("POST", pathStream, "prompt"); resp.err != nil || resp.status != http.StatusOK {
+			t.Errorf("response %+v after the search", resp)
+		}
+	}
+}
+
+// Guards against an idempotent request that is sent a second time to the only target of its
+// service because that was silent.
+func TestSilentIdempotentRequestStaysAtItsOnlyTarget(t *testing.T) {
+	fx := newFixture(t)
+	var runs atomic.Int32
+	fx.addRawServer(plainName, "i-plain", func(c net.Conn, r *http.Request) bool {
+		runs.Add(1)
+		time.Sleep(targetPause)
+		writeHead(c, r, "Content-Length: 2")
+		fmt.Fprint(c, "ok")
+		return true
+	})
+	fx.startHost()
+	if resp := fx.call("GET", pathIdempotent, ""); resp.status != http.StatusOK || resp.body != "ok" {
+		t.Errorf("response %+v", resp)
+	}
+	if n := runs.Load(); n != 1 {
+		t.Errorf("%d runs", n)
+	}
+}
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -60,7 +60,9 @@
 	// nil if the body was written inline.
 	bodyWritten chan struct{}
 	writeErr    error
-	// unbindContext undoes BindContext and reports whether ctx was still active.
+	// ctx is the bound context; unbindContext undoes BindContext and reports whether ctx was
+	// still active.
+	ctx           context.Context
 	unbindContext func() bool
 }
 
@@ -120,9 +122,39 @@
 	}
 }
 
+// pastDeadline makes reads and writes fail at once.
+var pastDeadline = time.Unix(1, 0)
+
 // BindContext makes reads and writes fail once ctx ends. Call it once after each Get.
 func (c *Conn) BindContext(ctx context.Context) {
-	c.unbindContext = context.AfterFunc(ctx, func() { c.net.SetDeadline(time.Unix(1, 0)) })
+	c.ctx = ctx
+	c.unbindContext = context.AfterFunc(ctx, func() { c.net.SetDeadline(pastDeadline) })
+}
+
+// RebindContext replaces the bound context. It reports false if that has ended; the connection
+// cannot be used any more then.
+func (c *Conn) RebindContext(ctx context.Context) bool {
+	if !c.unbindContext() {
+		return false
+	}
+	c.BindContext(ctx)
+	return true
+}
+
+// InterruptRead makes a read that waits for data, and each later one, fail with a timeout
+// until ResumeRead. It may be called concurrently with a read.
+func (c *Conn) InterruptRead() { c.net.SetReadDeadline(pastDeadline) }
+
+// ResumeRead undoes InterruptRead. The bound context keeps its effect. It does nothing after
+// Release.
+func (c *Conn) ResumeRead() {
+	if c.ctx == nil {
+		return
+	}
+	c.net.SetReadDeadline(time.Time{})
+	if c.ctx.Err() != nil {
+		c.net.SetDeadline(pastDeadline)
+	}
 }
 
 // Send writes a request. It may return while a long body is still being written, so that
@@ -222,21 +254,13 @@
 	return err
 }
 
-// SetReadTimeout sets the deadline for further reads of a body to d from now; 0 removes it.
-func (c *Conn) SetReadTimeout(d time.Duration) {
-	if d <= 0 {
-		c.net.SetReadDeadline(time.Time{})
-		return
-	}
-	c.net.SetReadDeadline(time.Now().Add(d))
-}
-
 // Release returns the connection to the pool if the exchange was clean: ok is true, the whole
 // body was read, both sides keep the connection open, no bytes are left over and the bound
 // context is still active. Otherwise it closes the connection. The response is nil if none
 // was read.
 func (c *Conn) Release(resp *Response, ok bool) {
 	ctxActive := c.unbindContext == nil || c.unbindContext()
+	c.ctx, c.unbindContext = nil, nil
 	if resp != nil {
 		c.updateIdleTimeout(resp.Header)
 	}
--- a/sched/health/health.go
+++ b/sched/health/health.go
@@ -82,6 +82,7 @@
 	lastFailure               time.Time
 	slowSince                 time.Time
 	ejectedUntil              time.Time
+	ejectedSilent             bool // the reason of the ejection was silence
 	rampStart                 time.Time
 	ejections                 int
 	lastEjected               time.Time
@@ -143,7 +144,9 @@
 	case t.state == Trial:
 		return t.eject("failed its trial", now)
 	case t.consecutiveTimeouts >= timeoutThreshold:
-		return t.eject("silent", now)
+		reason := t.eject("silent", now)
+		t.ejectedSilent = true
+		return reason
 	case t.consecutiveFailures >= failureThreshold:
 		return t.eject("failures in a row", now)
 	case t.totalWeight >= minRateObservations-1 && t.failedWeight/t.totalWeight >= failureRateThreshold:
@@ -170,6 +173,18 @@
 	return max(0, remaining) * t.failedWeight / (t.totalWeight + failureScorePrior)
 }
 
+// ObserveResponsive records that the target has gone on with a request after a timeout was
+// observed for it. It reports whether that ends an ejection for silence: the target then starts
+// its trial.
+func (t *Tracker) ObserveResponsive(now time.Time) bool {
+	t.consecutiveTimeouts = 0
+	if t.state != Ejected || !t.ejectedSilent {
+		return false
+	}
+	t.ejectedUntil = now
+	return t.Advance(now)
+}
+
 // RecordSlowdown records by what factor the target is slower than it should be: its latency
 // relative to its goal, which depends on its unloaded latency. It returns the reason if that
 // ejects the target now, else an empty string.
@@ -197,6 +212,7 @@
 	t.ejections++
 	t.lastEjected = now
 	t.state = Ejected
+	t.ejectedSilent = false
 	t.consecutiveFailures, t.consecutiveTimeouts, t.trialSuccesses = 0, 0, 0
 	t.slowSince = time.Time{}
 	return reason
--- a/sched/reserve/lanes.go
+++ b/sched/reserve/lanes.go
@@ -163,7 +163,7 @@
 		after = starvedMaxWait
 	}
 	for _, w := range p.waiters {
-		if now.Sub(w.queuedAt) < after {
+		if w.standby || now.Sub(w.queuedAt) < after {
 			continue
 		}
 		best = min(best, laneOf(w, now))
--- a/sched/reserve/reserve_test.go
+++ b/sched/reserve/reserve_test.go
@@ -690,3 +690,26 @@
 		t.Errorf("%.0f allocations", n)
 	}
 }
+
+// Guards against refusing new requests, and against floors at the other hosts, because a request
+// that still runs at a silent target waits for another one.
+func TestStandbyRequestIsNoSignOfOverload(t *testing.T) {
+	p := reserve.New(reserve.Config{})
+	p.SetTargets(engines(1, 1))
+	running := waiter("running", request.Urgent, "o", start)
+	submit(t, p, running, start)
+	if n := len(grantsOnly(p.Dispatch(start))); n != 1 {
+		t.Fatalf("%d grants, want 1", n)
+	}
+	running.Exclude("e0")
+	running.StandBy(running.Request.Deadline)
+	p.Resubmit(running)
+	now := start.Add(3 * time.Second)
+	if _, expired := p.Dispatch(now); len(expired) > 0 {
+		t.Errorf("expired before its deadline: %v", expired[0].Refusal)
+	}
+	if l := p.StarvedLane(now); l != reserve.LaneCount {
+		t.Errorf("lane %d is starved", l)
+	}
+	submit(t, p, waiter("new", request.Urgent, "o", now), now)
+}
--- a/sched/reserve/target.go
+++ b/sched/reserve/target.go
@@ -64,6 +64,8 @@
 	ErrorResponse
 	// TimedOut is a target that did not respond in time.
 	TimedOut
+	// Silent is a target that did not respond in time, after RecordSilent.
+	Silent
 	// Unreachable is a target to which no connection could be made.
 	Unreachable
 	// Abandoned is an attempt that does not affect the target's health, for example because
@@ -286,6 +288,23 @@
 	return ""
 }
 
+// RecordSilent records that a target has been silent for too long during a request that is still
+// running, and returns the reason if that ejects the target.
+func (p *Pool) RecordSilent(name string, now time.Time) string {
+	t := p.targets[name]
+	if t == nil {
+		return ""
+	}
+	return t.health.Observe(health.Timeout, now)
+}
+
+// RecordResponsive records that a target has gone on after RecordSilent, and reports whether
+// that ends its ejection.
+func (p *Pool) RecordResponsive(name string, now time.Time) bool {
+	t := p.targets[name]
+	return t != nil && t.health.ObserveResponsive(now)
+}
+
 // smooth adds a sample to an exponential moving average; samples up to 0 are ignored.
 func smooth(old, sample time.Duration) time.Duration {
 	if sample <= 0 {
--- a/sched/reserve/waiter.go
+++ b/sched/reserve/waiter.go
@@ -41,12 +41,17 @@
 	item          flow.Item
 	excluded      []string  // names of targets that this request must not try again
 	extendedUntil time.Time // end of the wait after a failed attempt
+	standby       bool      // the request is still running at a silent target
 	queued        bool
 	queuedAt      time.Time
 }
 
 // Exclude keeps the request from being dispatched to a target again.
-func (w *Waiter) Exclude(target string) { w.excluded = append(w.excluded, target) }
+func (w *Waiter) Exclude(target string) {
+	if !w.excludes(target) {
+		w.excluded = append(w.excluded, target)
+	}
+}
 
 func (w *Waiter) excludes(target string) bool {
 	for _, name := range w.excluded {
@@ -75,6 +80,14 @@
 func (w *Waiter) ExtendWait(now time.Time) {
 	w.extendedUntil = now.Add(extendedWaitTime)
 	w.queuedAt = now
+	w.standby = false
+}
+
+// StandBy lets a request that is still running at a silent target wait for another one until the
+// given time. Its wait does not indicate overload, since the silent target may go on.
+func (w *Waiter) StandBy(until time.Time) {
+	w.extendedUntil = until
+	w.standby = true
 }
 
 // allowsVersion reports whether the request may use targets of a version.
@@ -96,7 +109,7 @@
 func (p *Pool) checkQueueDelay(w *Waiter, now time.Time) *refusal.Refusal {
 	maxDelay := time.Duration(refuseWaitFraction * float64(w.FirstByteTimeout))
 	for _, other := range p.waiters {
-		if other.Request.Tier != w.Request.Tier || other.Request.Organisation != w.Request.Organisation {
+		if other.standby || other.Request.Tier != w.Request.Tier || other.Request.Organisation != w.Request.Organisation {
 			continue
 		}
 		if waited := now.Sub(other.queuedAt); waited > maxDelay {
