Don't cut a silent stream that no other target could go on with

A stream on a resumable route whose events carry no id was cut after 0.5 s of silence, and its caller's connection was closed, since another target cannot know where to go on. Such a stream now stays at its target until the deadline. The test failed before.

--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -89,7 +89,7 @@
 // resume the stream; 0 means until the deadline. events is the number received so far in this
 // attempt.
 func (x *exchange) eventTimeout(events int) time.Duration {
-	if !x.route.Resumable || x.sends >= x.route.MaxAttempts {
+	if !x.route.Resumable || x.notResumable || x.sends >= x.route.MaxAttempts {
 		return 0
 	}
 	if events == 0 && !x.headSent {
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -163,3 +163,25 @@
 		t.Errorf("%d runs", n)
 	}
 }
+
+// Guards against a stream whose events have no id and which is cut because its target was silent:
+// no other target could go on with it.
+func TestSilentStreamWithoutIDsStaysAtItsTarget(t *testing.T) {
+	fx := newFixture(t)
+	const first, second = "data: a\n\n", "data: b\n\n"
+	silent := &pausingTarget{pause: targetPause}
+	serve := func(c net.Conn, r *http.Request) bool {
+		writeHead(c, r, "Content-Type: text/event-stream", "Connection: close")
+		fmt.Fprint(c, first)
+		if silent.sleepConnected(c) {
+			fmt.Fprint(c, second)
+		}
+		return false
+	}
+	fx.addRawServer(engineName, "i-1", serve)
+	fx.addRawServer(engineName, "i-2", serve)
+	fx.startHost()
+	if resp := fx.call("POST", pathStream, "prompt"); resp.err != nil || resp.body != first+second {
+		t.Errorf("response %+v", resp)
+	}
+}
