Log the prompt parts and the progress of failed attempts

Engines that crash by themselves, by one request or by a part of the prompt could not be told apart: event 306 named neither the shared parts of the prompt nor whether the response had begun.

--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -185,7 +185,8 @@
 	}
 	x.failureLogged = true
 	event.TargetFailure.Log(x.cfg.Log, slog.String("id", x.info.ID), slog.String("target", target.ID),
-		slog.String("service", x.service), slog.Bool("sent", att.sent), slog.String("reason", att.reason.String()), slog.Any("error", att.err))
+		slog.String("service", x.service), slog.Bool("sent", att.sent), slog.Bool("began", x.began),
+		slog.Any("parts", x.sharedParts()), slog.String("reason", att.reason.String()), slog.Any("error", att.err))
 }
 
 // recordForRollout records the attempt as a sample for a rollout of the service.
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -141,6 +141,8 @@
 	// failureLogged is true if a failed attempt was logged; the final log line is then exempt
 	// from sampling.
 	failureLogged bool
+	// began is true if the last send got an answer beyond its beginning.
+	began bool
 	// mayHaveRun is true if a target may have started to run the request.
 	mayHaveRun bool
 }
--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -41,6 +41,7 @@
 		Header: x.cfg.Codec.RequestHeader(x.r.Header, x.attemptHeader(target, reservation)),
 	}
 	x.sends++
+	x.began = false
 	x.targetID, x.targetKey, x.queueWait = target.ID, target.Key(), sentAt.Sub(x.arrived)
 	x.cfg.Metrics.RecordQueueWait(x.request.Tier, x.queueWait.Seconds())
 	event.RequestSent.Log(x.cfg.Log, slog.String("id", x.info.ID), slog.String("target", x.targetID), slog.Int("send", x.sends),
@@ -141,6 +142,7 @@
 		conn.Release(resp, false)
 		return x.failedAttempt(ctx, reserve.BrokenResponse, refusal.ResponseTruncated, err)
 	}
+	x.recordBegun(resp.Status)
 	x.writeHead(resp, int64(len(body)), complete)
 	x.notResumable = true
 	_, werr := x.w.Write(body)
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -70,6 +70,7 @@
 			x.lastEventID = event.id
 		}
 		timing.recordEvent(time.Now())
+		x.recordBegun(resp.Status)
 		conn.SetReadTimeout(x.eventTimeout(timing.events))
 		if timing.events == minSampleEvents {
 			scheduler.RecordSpeed(x.targetKey, timing.meanGap())
