--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -101,6 +101,11 @@
 			}
 			p = &placement{target: target}
 		}
+		if ref := x.checkParts(); ref != nil {
+			x.release(scheduler, p)
+			x.refuseOrAbort(ref, attempt{})
+			return
+		}
 		att := x.runAttempt(ctx, d, p)
 		if att.status == answered {
 			return
@@ -183,6 +188,7 @@
 func (x *exchange) finishAttempt(scheduler *dispatch.Scheduler, target directory.Target, att attempt) {
 	endGrant(scheduler, target, att)
 	x.recordForRollout(target, att)
+	x.recordCrash(target, att)
 	if att.status == answered {
 		return
 	}
@@ -198,7 +204,8 @@
 	}
 	x.failureLogged = true
 	event.TargetFailure.Log(x.cfg.Log, slog.String("id", x.info.ID), slog.String("target", target.ID),
-		slog.String("service", x.service), slog.Bool("sent", att.sent), slog.String("reason", att.reason.String()), slog.Any("error", att.err))
+		slog.String("service", x.service), slog.Bool("sent", att.sent), slog.Bool("began", x.began),
+		slog.Any("parts", x.sharedParts()), slog.String("reason", att.reason.String()), slog.Any("error", att.err))
 }
 
 // endGrant ends the grant of an attempt with its outcome.
--- a/gateway/ingress/silence.go
+++ b/gateway/ingress/silence.go
@@ -47,10 +47,13 @@
 	return p, nil
 }
 
-// release returns a placement that is not used, with its reservation.
+// release returns a placement that is not used, with its connection and its reservation if it
+// has them.
 func (x *exchange) release(scheduler *dispatch.Scheduler, p *placement) {
 	if p.reservation == "" {
-		p.conn.Release(nil, false)
+		if p.conn != nil {
+			p.conn.Release(nil, false)
+		}
 		scheduler.EndGrant(p.target.Key(), reserve.Abandoned, reserve.Sample{})
 		return
 	}
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -71,6 +71,7 @@
 			x.lastEventID = event.id
 		}
 		timing.recordEvent(time.Now())
+		x.recordBegun(resp.Status)
 		watch.reset(x.eventTimeout(timing.events))
 		if timing.events == minSampleEvents {
 			scheduler.RecordSpeed(x.targetKey, timing.meanGap())
