Believe only responses that carry the id of the request

A faulty target can write an earlier refusal once more on a kept connection, where the next response is due. Callers were told that their request had not run although the target ran it.

A response without an id that stated "not run" was taken for the response to whatever request was current: a copy of an earlier refusal, or of a refused reservation, which never has an id. And a request that came again with its id after a refusal could be sent on the connection of that refusal, where a copy of it bears the right id.

Only a response with the request's id is now taken. One without an id is skipped if the connection carried a call without id, else the connection is closed and the request counts as possibly run. A request is not sent on a connection on which it got a failure. The stand-in engine left the id out of refusals and now repeats it, as the protocol says.

--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -264,7 +264,7 @@
 // attemptTarget connects to the target, reserves capacity if the engine supports it, and
 // sends the request.
 func (x *exchange) attemptTarget(ctx context.Context, scheduler *dispatch.Scheduler, target directory.Target) attempt {
-	conn, err := x.cfg.Upstream.Get(ctx, target.Key(), target.Address)
+	conn, err := x.cfg.Upstream.Get(ctx, target.Key(), target.Address, x.info.ID)
 	if err != nil {
 		return x.unreachable(ctx, err)
 	}
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -30,6 +30,9 @@
 	maxHeadBytes = 64 << 10
 	// maxSkippedBodyBytes bounds the bodies of skipped responses.
 	maxSkippedBodyBytes = 64 << 10
+	// maxFailedIDs bounds the ids that a connection remembers. It is closed after that many
+	// failed requests.
+	maxFailedIDs = 8
 )
 
 var (
@@ -56,6 +59,12 @@
 	// unusable is set after a read error or an unexpected response; the connection is then
 	// closed instead of reused.
 	unusable bool
+	// failedIDs lists the requests to which the target responded with a failure on this
+	// connection. They may be sent again, but not here: a second copy of the first response
+	// could not be told from the second response.
+	failedIDs []string
+	// calledWithoutID is true after a response without an id, of which there may be a copy.
+	calledWithoutID bool
 	// bodyWritten is closed when a long body has been written or has failed with writeErr;
 	// nil if the body was written inline.
 	bodyWritten chan struct{}
@@ -167,8 +176,10 @@
 }
 
 // Receive reads the status line and headers of the response to a request, within timeout if
-// that is positive. Responses with another request id are skipped, and the connection is then
-// not reused. An empty id is for requests to which the target responds without an id.
+// that is positive. Only a response with the request's id is taken for the response: a target
+// may write an earlier one, without an id too, once more. Responses to earlier requests are
+// skipped, and the connection is then not reused. An empty id is for requests to which the
+// target responds without an id.
 func (c *Conn) Receive(method, id string, timeout time.Duration) (*Response, error) {
 	if timeout > 0 {
 		c.net.SetReadDeadline(time.Now().Add(timeout))
@@ -183,13 +194,13 @@
 			return nil, err
 		}
 		info := c.codec.ResponseInfo(resp.StatusCode, resp.Header)
-		// A target that rejects a request may leave out its id.
-		if info.ID == id || info.ID == "" && (info.NotRun || info.Misdirected) {
+		if info.ID == id {
+			c.recordResponse(id, resp.StatusCode)
 			body := &bodyReader{Reader: resp.Body}
 			return &Response{Status: resp.StatusCode, Header: resp.Header, Info: info, Length: resp.ContentLength, Body: body, body: body, httpResponse: resp}, nil
 		}
 		c.unusable = true
-		if info.ID == "" {
+		if info.ID == "" && !c.calledWithoutID {
 			return nil, ErrMismatched
 		}
 		if err := c.skipBody(resp); err != nil {
@@ -199,6 +210,16 @@
 	return nil, ErrMismatched
 }
 
+// recordResponse records a response for the check of later ones on the connection.
+func (c *Conn) recordResponse(id string, status int) {
+	switch {
+	case id == "":
+		c.calledWithoutID = true
+	case status >= http.StatusBadRequest:
+		c.failedIDs = append(c.failedIDs, id)
+	}
+}
+
 // readFinalResponse reads the next response that is not an interim one.
 func (c *Conn) readFinalResponse(method string) (*http.Response, error) {
 	for range 1 + maxInterimResponses {
@@ -241,7 +262,7 @@
 		c.updateIdleTimeout(resp.Header)
 	}
 	reusable := ok && ctxActive && !c.unusable && resp != nil && resp.bodyComplete() && !resp.httpResponse.Close
-	if !reusable || c.br.Buffered() > 0 || !c.bodySent() || c.idleTimeout <= 0 {
+	if !reusable || c.br.Buffered() > 0 || !c.bodySent() || c.idleTimeout <= 0 || len(c.failedIDs) >= maxFailedIDs {
 		c.net.Close()
 		return
 	}
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -96,12 +97,13 @@
 	return tp
 }
 
-// Get returns an idle connection to the target or dials a new one. The key identifies the
-// incarnation, so that connections to an earlier owner of the address are not reused. If
-// Get fails, no byte of a request was sent.
-func (p *Pool) Get(ctx context.Context, key, address string) (*Conn, error) {
+// Get returns a connection to the target for the request with the given id: an idle one on
+// which the request has not failed before, or a new one. The key identifies the incarnation,
+// so that connections to an earlier owner of the address are not reused. If Get fails, no
+// byte of a request was sent.
+func (p *Pool) Get(ctx context.Context, key, address, id string) (*Conn, error) {
 	tp := p.target(key)
-	if c := tp.get(time.Now()); c != nil {
+	if c := tp.get(time.Now(), id); c != nil {
 		return c, nil
 	}
 	nc, err := p.dialer.DialContext(ctx, "tcp", address)
@@ -135,13 +137,17 @@
 	}
 }
 
-// get returns the most recently used idle connection, nil if there is none.
-func (tp *targetPool) get(now time.Time) *Conn {
+// get returns the most recently used idle connection on which the request with the given id
+// has not failed before, nil if there is none.
+func (tp *targetPool) get(now time.Time, id string) *Conn {
 	tp.mu.Lock()
 	defer tp.mu.Unlock()
-	for len(tp.idle) > 0 {
-		c := tp.idle[len(tp.idle)-1]
-		tp.idle = tp.idle[:len(tp.idle)-1]
+	for i := len(tp.idle) - 1; i >= 0; i-- {
+		c := tp.idle[i]
+		if slices.Contains(c.failedIDs, id) {
+			continue
+		}
+		tp.idle = slices.Delete(tp.idle, i, i+1)
 		if now.Sub(c.idleSince) < c.idleTimeout && sockets.Reusable(c.net) {
 			return c
 		}
--- a/standin/slotengine/slotengine.go
+++ b/standin/slotengine/slotengine.go
@@ -201,7 +201,7 @@
 // handleRequest serves one request and reports whether the connection stays open.
 func (s *Server) handleRequest(c net.Conn, br *bufio.Reader, r *http.Request, body []byte) bool {
 	if want := r.Header.Get("Expect-Instance"); want != "" && want != s.cfg.ID {
-		return writeResponse(c, 421, "Instance-Id: "+s.cfg.ID+"\r\n", nil)
+		return writeResponse(c, 421, requestID(r)+"Not-Executed: 1\r\nInstance-Id: "+s.cfg.ID+"\r\n", nil)
 	}
 	if r.URL.Path == "/-/hold-take" {
 		return s.reserve(c, body)
@@ -215,6 +215,15 @@
 	return s.executeRequest(c, br, r, body)
 }
 
+// requestID returns the header line that repeats the id of the request, empty if it has none.
+func requestID(r *http.Request) string {
+	id := r.Header.Get("Request-Id")
+	if id == "" {
+		return ""
+	}
+	return "Request-Id: " + id + "\r\n"
+}
+
 func (s *Server) reserve(c net.Conn, body []byte) bool {
 	var in struct {
 		TTLMs int64 `json:"ttlMs"`
@@ -296,10 +305,10 @@
 func (s *Server) executeRequest(c net.Conn, br *bufio.Reader, r *http.Request, body []byte) bool {
 	f, ran := s.beginRun(r, body)
 	if !ran {
-		return writeResponse(c, 503, "Not-Executed: 1\r\n", nil)
+		return writeResponse(c, 503, requestID(r)+"Not-Executed: 1\r\n", nil)
 	}
 	defer s.endRun()
-	header := "Request-Id: " + r.Header.Get("Request-Id") + "\r\nServer-Stamp: stamp-" + s.cfg.ID + "\r\nServer-Load: 1,0," + strconv.Itoa(s.cfg.Slots) + "\r\n"
+	header := requestID(r) + "Server-Stamp: stamp-" + s.cfg.ID + "\r\nServer-Load: 1,0," + strconv.Itoa(s.cfg.Slots) + "\r\n"
 	switch f {
 	case Fail:
 		time.Sleep(s.cfg.ResponseDelay)
