Forward no status that guarantees "not run" without the target's statement

A target that ran a request and answered it with 408, 429 or 503 had its status forwarded as it was. Callers take these statuses as a guarantee that the request did not run and never will, and a faulty target may write them for requests it has run.

Such a response now counts as a failed attempt that may have run: requests that may be repeated are retried within the budget, others get 502.

TestStatusWithoutStatementIsNoGuarantee failed before for each status.

--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -142,8 +142,12 @@
 
 // StatusImpliesNotRun reports whether callers take the reason's HTTP status as a guarantee that
 // the request has not run and never will.
-func (r Reason) StatusImpliesNotRun() bool {
-	switch r.Status() {
+func (r Reason) StatusImpliesNotRun() bool { return StatusImpliesNotRun(r.Status()) }
+
+// StatusImpliesNotRun reports whether callers take the HTTP status as a guarantee that the
+// request has not run and never will.
+func StatusImpliesNotRun(status int) bool {
+	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return true
 	}
--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -58,7 +58,9 @@
 	if resp.Info.NotRun {
 		return x.handleNotRun(conn, resp)
 	}
-	if x.shouldRetryStatus(resp.Status) {
+	// The target did not state that it had not run the request, so its caller must not be
+	// told so by the status.
+	if refusal.StatusImpliesNotRun(resp.Status) || x.shouldRetryStatus(resp.Status) {
 		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedResponseBytes))
 		conn.Release(resp, err == nil)
 		return x.failedAttempt(ctx, reserve.ErrorResponse, refusal.TargetFailed, fmt.Errorf("status %d", resp.Status))
--- a/gateway/repeats_test.go
+++ b/gateway/repeats_test.go
@@ -94,3 +94,27 @@
 		}
 	}
 }
+
+// Guards against a status that callers take as a guarantee, forwarded from a target that did
+// not state that it had not run the request, and against a success that is dropped, and the
+// request run again, because it carries the header of a refusal.
+func TestStatusWithoutStatementIsNoGuarantee(t *testing.T) {
+	for _, status := range []int{408, 429, 503, 200} {
+		fx := newFixture(t)
+		extra := "Sound: 1"
+		if status == 200 {
+			extra = "Not-Executed: 1"
+		}
+		var runs atomic.Int32
+		fx.addRawServer(plainName, "i-0", func(c net.Conn, r *http.Request) bool {
+			runs.Add(1)
+			_, err := fmt.Fprintf(c, "HTTP/1.1 %d Status\r\nRequest-Id: %s\r\n%s\r\nContent-Length: 3\r\n\r\nran", status, r.Header.Get("Request-Id"), extra)
+			return err == nil
+		})
+		fx.startHost()
+		resp := fx.call("POST", pathNonIdempotent, "order")
+		if statesNotRun(resp.status) || runs.Load() != 1 || status == 200 && resp.status != 200 {
+			t.Errorf("target's status %d: caller got %d after %d runs", status, resp.status, runs.Load())
+		}
+	}
+}
