Verify the id of each response on a kept connection to a target

On the product's own path a response without an id was taken for the response to whatever request was current, and a request that came again with its id, or a command for it, could go to the connection that had carried a response to that id. A copy of an earlier refusal was returned to callers whose requests ran, and a copy of the response to a cancel was returned as the resumed stream.

A connection is kept only if its response, or an event of it, had the request's id; later responses on it need one. Connections remember the ids of their requests, at most 128, and carry no second request with the same id. A resumed stream must be an event stream. A plain service that does not repeat ids gets a new connection for each request.

--- a/target/client.go
+++ b/target/client.go
@@ -69,7 +69,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, c.sendError(false, ReasonCancelled, err)
 	}
-	cn, err := c.pool.get(ctx)
+	cn, err := c.pool.get(ctx, req.ID)
 	if err != nil {
 		return nil, c.sendError(false, cancelledOr(ctx, ReasonDial), err)
 	}
@@ -106,7 +106,7 @@
 		Version:     string(h.Peek(HeaderVersion)),
 	}
 	resp.IsEventStream = c.isEngine && resp.Status < 300 && isEventStream(resp.ContentType)
-	if err := c.verifyResponseID(resp, req); err != nil {
+	if err := ex.verifyResponseID(resp, req); err != nil {
 		return nil, ReasonMismatch, err
 	}
 	reader := newBodyReader(ex, req.Method)
@@ -132,8 +132,9 @@
 
 // verifyResponseID compares the request id in the response header with that of the
 // request. A successful response of an engine must have one, except for an event
-// stream, whose events are verified one by one.
-func (c *client) verifyResponseID(resp *Response, req *Request) error {
+// stream, whose events are verified one by one. On a connection that is in use again each
+// response must have one, because the target may write an earlier response once more.
+func (x *exchange) verifyResponseID(resp *Response, req *Request) error {
 	if req.ID == "" {
 		return nil
 	}
@@ -143,9 +144,12 @@
 			return &MismatchError{Want: req.ID, Got: id}
 		}
 	}
-	if len(got) == 0 && c.isEngine && resp.Status < 300 && !resp.IsEventStream {
+	required := len(x.conn.answered) > 0 || x.client.isEngine && resp.Status < 300
+	if len(got) == 0 && required && !resp.IsEventStream {
 		return &MismatchError{Want: req.ID}
 	}
+	x.identified = len(got) > 0
+	x.conn.answered[req.ID] = true
 	return nil
 }
 
@@ -173,16 +177,18 @@
 	header          fasthttp.ResponseHeader
 	stopCancelWatch func() bool
 	finished        atomic.Bool
+	// identified is true once the response, or an event of it, had the request's id.
+	identified bool
 }
 
 // finish releases the connection; later calls have no effect. The connection is
-// reused only if the response was read to its verified end.
+// reused only if the response had the request's id and was read to its verified end.
 func (x *exchange) finish(complete bool) {
 	if !x.finished.CompareAndSwap(false, true) {
 		return
 	}
 	contextActive := x.stopCancelWatch()
-	if !complete || !contextActive || x.header.ConnectionClose() || x.conn.br.Buffered() > 0 {
+	if !complete || !x.identified || !contextActive || x.header.ConnectionClose() || x.conn.br.Buffered() > 0 {
 		x.conn.Conn.Close()
 		return
 	}
--- a/target/engine.go
+++ b/target/engine.go
@@ -79,6 +79,10 @@
 	if resp.Status != http.StatusOK {
 		return nil, e.refusedError(resp, ErrUnknownStream)
 	}
+	if !resp.IsEventStream {
+		_ = resp.Body.Close()
+		return nil, e.sendError(true, ReasonMalformed, fmt.Errorf("%w: a resumed stream has the content type %q", ErrMalformed, resp.ContentType))
+	}
 	return resp, nil
 }
 
--- a/target/eventbody.go
+++ b/target/eventbody.go
@@ -41,6 +41,7 @@
 		b.err = err
 		return nil, err
 	}
+	b.exchange.identified = b.exchange.identified || b.requestID != ""
 	b.offset++
 	return event.Raw, nil
 }
--- a/target/pool.go
+++ b/target/pool.go
@@ -4,13 +4,18 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"sardinefront.dev/core/sockets"
 )
 
-const readBufferBytes = 16 << 10 // also bounds the header of a response
+const (
+	readBufferBytes = 16 << 10 // also bounds the header of a response
+	// maxRequestsPerConn bounds the request ids that a connection remembers.
+	maxRequestsPerConn = 128
+)
 
 // conn is a connection that carries one request at a time.
 type conn struct {
@@ -22,6 +27,10 @@
 	created   time.Time
 	sentAt    time.Time // start of the current request
 	idleSince time.Time // end of the last response
+	// answered holds the ids of the requests to which this connection carried a response.
+	// Such a request, or a command for it, is not sent here again: a second copy of the first
+	// response could not be told from the second response.
+	answered map[string]bool
 }
 
 // Write implements io.Writer and counts the bytes that the kernel accepts. If it
@@ -48,10 +57,11 @@
 	return &pool{cfg: cfg, dial: d.DialContext}
 }
 
-// get returns the most recently used connection that is still usable, or dials.
-func (p *pool) get(ctx context.Context) (*conn, error) {
+// get returns the most recently used connection that can carry the request with the given
+// id, or dials.
+func (p *pool) get(ctx context.Context, id string) (*conn, error) {
 	for {
-		c := p.popIdle()
+		c := p.popIdle(id)
 		if c == nil {
 			return p.connect(ctx)
 		}
@@ -62,15 +72,18 @@
 	}
 }
 
-func (p *pool) popIdle() *conn {
+// popIdle returns the most recently used idle connection that has not carried a response to
+// the request with the given id, nil if there is none.
+func (p *pool) popIdle(id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle) == 0 {
-		return nil
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; !c.answered[id] {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[len(p.idle)-1]
-	p.idle = p.idle[:len(p.idle)-1]
-	return c
+	return nil
 }
 
 func (p *pool) usable(c *conn, now time.Time) bool {
@@ -82,7 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc, created: time.Now()}
+	c := &conn{Conn: nc, created: time.Now(), answered: map[string]bool{}}
 	c.br = bufio.NewReaderSize(nc, readBufferBytes)
 	c.bw = bufio.NewWriter(c)
 	return c, nil
@@ -96,7 +109,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	old := now.Sub(c.created) >= p.cfg.MaxConnAge
-	if p.closed || old || len(p.idle) >= p.cfg.MaxIdleConns {
+	if p.closed || old || len(p.idle) >= p.cfg.MaxIdleConns || len(c.answered) >= maxRequestsPerConn {
 		c.Close()
 		return
 	}
--- a/target/target.go
+++ b/target/target.go
@@ -33,7 +33,7 @@
 // not sent.
 type Request struct {
 	// ID is sent as X-Request-Id. A response with another id is an error. If ID is
-	// empty, ids are not compared.
+	// empty, ids are not compared, and the connection is not reused.
 	ID     string
 	Method string
 	// Path is the request target in origin form, with the query.
