Ignore implausible start times of rollouts

The start time of a rollout is read from the store. One of the distant past, as "0", and one of the distant future, whose age overflows when it is negated, made a rollout count as nearly ended: the new version got all traffic at once instead of 5%.

TestNegativeElapsedDoesNotEndRollout failed before (share 1 instead of 0.05).

--- a/gateway/rollout/rollout.go
+++ b/gateway/rollout/rollout.go
@@ -140,7 +140,7 @@
 
 // recordElapsed moves the start back, never forward and by at most the order's duration.
 func (st *rolloutState) recordElapsed(elapsed time.Duration, now time.Time) {
-	if startedAt := now.Add(-min(elapsed, st.order.Duration)); startedAt.Before(st.startedAt) {
+	if startedAt := now.Add(-min(max(0, elapsed), st.order.Duration)); startedAt.Before(st.startedAt) {
 		st.startedAt = startedAt
 	}
 }
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"strconv"
 	"time"
 
 	"sardinefront.dev/core/event"
@@ -74,16 +73,16 @@
 		}
 	}
 	e, err := g.cfg.Records.Get(ctx, l.StartPrefix+o.Service)
+	now := time.Now()
 	if err == nil && e.Revision > o.Revision {
-		if ms, err := strconv.ParseInt(string(e.Value), 10, 64); err == nil {
-			g.rollouts.RecordElapsed(o.Service, o.Revision, time.Since(time.UnixMilli(ms)), time.Now())
+		if elapsed, ok := rollout.ParseStart(e.Value, now); ok {
+			g.rollouts.RecordElapsed(o.Service, o.Revision, elapsed, now)
+			return
 		}
-		return
 	}
 	if errors.Is(err, platform.ErrNotFound) || err == nil {
-		now := strconv.FormatInt(time.Now().UnixMilli(), 10)
 		// Another host may have written it first; either time is accurate enough.
-		_, _ = g.cfg.Records.CompareAndSwap(ctx, l.StartPrefix+o.Service, []byte(now), e.Revision, platform.NoLease)
+		_, _ = g.cfg.Records.CompareAndSwap(ctx, l.StartPrefix+o.Service, rollout.FormatStart(now), e.Revision, platform.NoLease)
 	}
 }
 
