Reject checkpoints with implausible use of quotas

The checkpoint is read from the store, where another writer may have replaced it. Infinite or negative use of a quota was restored: the use of one organisation then filled its window, or lowered it, for the window's length after a start. Read in the code for the effect; the test shows that such a record was accepted.

--- a/gateway/checkpoint/checkpoint.go
+++ b/gateway/checkpoint/checkpoint.go
@@ -36,8 +36,11 @@
 // Encode returns the record in its stored encoding.
 func (r *Record) Encode() ([]byte, error) { return cbor.Marshal(r) }
 
-// Decode decodes a record. It returns an error for malformed bytes and for other format
-// versions.
+// maxUsageUnits bounds the use of a quota in a part of its window.
+const maxUsageUnits = 1e15
+
+// Decode decodes a record. It returns an error for malformed bytes, for other format versions
+// and for implausible use of quotas.
 func Decode(b []byte) (*Record, error) {
 	var r Record
 	if err := cbor.Unmarshal(b, &r); err != nil {
@@ -46,6 +49,13 @@
 	if r.Format != formatVersion {
 		return nil, fmt.Errorf("checkpoint: format %d, want %d", r.Format, formatVersion)
 	}
+	for name, h := range r.FleetUsage {
+		for _, units := range h {
+			if !(units >= 0 && units <= maxUsageUnits) { // also rejects NaN
+				return nil, fmt.Errorf("checkpoint: %v units used by organisation %.100q", units, name)
+			}
+		}
+	}
 	return &r, nil
 }
 
--- a/gateway/checkpoint/checkpoint_test.go
+++ b/gateway/checkpoint/checkpoint_test.go
@@ -1,6 +1,7 @@
 package checkpoint_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -65,3 +66,17 @@
 		}
 	})
 }
+
+// Guards against quota use that no host can have had: with infinite use, all requests of the
+// organisation are refused for the length of the window after a start.
+func TestImplausibleUsageIsRejected(t *testing.T) {
+	for _, v := range []float64{math.Inf(1), math.Inf(-1), math.NaN(), -1, 1e300} {
+		b, err := checkpoint.New(map[string]quota.History{"org": {12, v}}, nil, start).Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r, err := checkpoint.Decode(b); err == nil {
+			t.Errorf("use of %v units is read back as %+v", v, r.FleetUsage)
+		}
+	}
+}
