Report unreadable target entries once, and pass them on as removals

An entry that could not be decoded took its target out of use without a log line, and went to the other hosts with its value, which may have 1 MB. In a heartbeat such a value, or an older change behind it, did not fit. The state that a host without the store fetches from a peer left the entry out, so that the old target stayed in use there.

Such an entry now counts as the removal of its target towards other hosts, its value is not kept, and event 608 is logged when an entry becomes unreadable, not for its further versions. A configuration or rollout order that cannot be read is rejected as before, and the last readable one stays in force: without an order the targets of its version would get all traffic.

--- a/core/event/table.go
+++ b/core/event/table.go
@@ -50,9 +50,10 @@
 	StoreUnreachable = Event{Number: 603, Name: "store unreachable", Level: slog.LevelWarn, Meaning: "The store does not respond; the last configuration stays active."}
 	StoreReachable   = Event{Number: 604, Name: "store reachable", Level: slog.LevelInfo, Meaning: "The store responds again."}
 
-	BecameStoreReader  = Event{Number: 607, Name: "became store reader", Level: slog.LevelInfo, Meaning: "No other host sent store updates in time, so this host reads the store and sends the updates to the others."}
-	CheckpointRestored = Event{Number: 605, Name: "checkpoint restored", Level: slog.LevelInfo, Meaning: "This host restored the checkpoint that the hosts had saved in the store before it started."}
-	CheckpointFailed   = Event{Number: 606, Name: "checkpoint failed", Level: slog.LevelWarn, Meaning: "A checkpoint could not be read or written."}
+	BecameStoreReader     = Event{Number: 607, Name: "became store reader", Level: slog.LevelInfo, Meaning: "No other host sent store updates in time, so this host reads the store and sends the updates to the others."}
+	TargetEntryUnreadable = Event{Number: 608, Name: "target entry unreadable", Level: slog.LevelWarn, Meaning: "An entry of the list of targets has been replaced by one that cannot be decoded or is implausible. Its target gets no requests until the entry is repaired."}
+	CheckpointRestored    = Event{Number: 605, Name: "checkpoint restored", Level: slog.LevelInfo, Meaning: "This host restored the checkpoint that the hosts had saved in the store before it started."}
+	CheckpointFailed      = Event{Number: 606, Name: "checkpoint failed", Level: slog.LevelWarn, Meaning: "A checkpoint could not be read or written."}
 
 	MoveStarted     = Event{Number: 701, Name: "move started", Level: slog.LevelInfo, Meaning: "A version move started, or the deadline of a running move changed."}
 	MoveAdvanced    = Event{Number: 702, Name: "move advanced", Level: slog.LevelInfo, Meaning: "The traffic share of the new version was raised by one step."}
@@ -71,7 +72,7 @@
 		TargetEjected, TargetRestored, TargetDraining, TargetListStale, TargetListChanged, TargetFailure,
 		WriterElected, WriterRoleLost, AppendOutcomeUnknown, RequestOutcomeUnknown, RequestTakenOver,
 		MemberSuspected, MemberDead, MemberAlive, PeerRejected, PeerFetchFailed, QuotaReservedForPeers,
-		ConfigApplied, ConfigRejected, StoreUnreachable, StoreReachable, CheckpointRestored, CheckpointFailed, BecameStoreReader,
+		ConfigApplied, ConfigRejected, StoreUnreachable, StoreReachable, CheckpointRestored, CheckpointFailed, BecameStoreReader, TargetEntryUnreadable,
 		MoveStarted, MoveAdvanced, MoveCompleted, MoveRolledBack, MoveLate, VersionHalted, MoveStepRetried,
 	}
 }
--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -154,7 +154,11 @@
 
 // New returns a directory without targets and configuration.
 func New(cfg Config) *Directory {
-	return &Directory{cfg: cfg, list: NewList(cfg.Layout.DecodeTarget), orderRevisions: map[string]int64{}}
+	d := &Directory{cfg: cfg, list: NewList(cfg.Layout.DecodeTarget), orderRevisions: map[string]int64{}}
+	d.list.OnUnreadable(func(key string, revision int64, err error) {
+		event.TargetEntryUnreadable.Log(cfg.Log, slog.String("key", key), slog.Int64("revision", revision), slog.Any("error", err))
+	})
+	return d
 }
 
 // SetFleet sets the peer mesh. It must be called before Run.
--- a/gateway/directory/list.go
+++ b/gateway/directory/list.go
@@ -63,15 +63,20 @@
 type entry struct {
 	revision int64
 	value    []byte
-	target   *Target   // nil if removed or not decodable
+	target   *Target   // nil if removed or unreadable
 	deleted  time.Time // zero if not removed
+	// unreadable is set if the value could not be decoded. It is then not kept, and other
+	// hosts get the entry as a removal.
+	unreadable bool
 	// removeAt is when an unconfirmed removal takes effect; zero for none.
 	removeAt time.Time
 }
 
 // List is the target list. Its methods are safe for concurrent use.
 type List struct {
-	decode  Decode
+	decode       Decode
+	onUnreadable func(key string, revision int64, err error)
+
 	mu      sync.Mutex
 	entries map[string]*entry
 	digest  uint64
@@ -80,11 +85,15 @@
 
 // NewList returns an empty list.
 func NewList(d Decode) *List {
-	l := &List{decode: d, entries: map[string]*entry{}}
+	l := &List{decode: d, onUnreadable: func(string, int64, error) {}, entries: map[string]*entry{}}
 	l.targets.Store(&[]Target{})
 	return l
 }
 
+// OnUnreadable sets a function that is called when an entry becomes unreadable, but not for its
+// further versions that are unreadable too. It must be called before the list is used.
+func (l *List) OnUnreadable(f func(key string, revision int64, err error)) { l.onUnreadable = f }
+
 // Targets returns the targets in use, sorted by ID. The slice must not be modified.
 func (l *List) Targets() []Target { return *l.targets.Load() }
 
@@ -103,9 +112,13 @@
 	defer l.mu.Unlock()
 	var out []platform.Entry
 	for _, c := range changes {
-		if l.apply(c, unconfirmed, now) {
-			out = append(out, c)
+		if !l.apply(c, unconfirmed, now) {
+			continue
 		}
+		if l.entries[c.Key].unreadable {
+			c = platform.Entry{Key: c.Key, Revision: c.Revision, Deleted: true}
+		}
+		out = append(out, c)
 	}
 	if len(out) > 0 {
 		l.publish()
@@ -152,13 +165,15 @@
 		*e = entry{revision: c.Revision, deleted: now}
 		return old != nil
 	}
-	e.value, e.deleted, e.removeAt = c.Value, time.Time{}, time.Time{}
 	t, err := l.decode(c.Key, c.Value, now)
 	if err != nil {
-		e.target = nil
+		if !e.unreadable {
+			l.onUnreadable(c.Key, c.Revision, err)
+		}
+		*e = entry{revision: c.Revision, unreadable: true}
 		return old != nil
 	}
-	e.target = &t
+	*e = entry{revision: c.Revision, value: c.Value, target: &t}
 	return old == nil || old.hash() != t.hash()
 }
 
@@ -192,7 +207,7 @@
 		switch {
 		case e.target != nil:
 			out = append(out, platform.Entry{Key: key, Value: e.value, Revision: e.revision})
-		case !e.deleted.IsZero():
+		case !e.deleted.IsZero() || e.unreadable:
 			out = append(out, platform.Entry{Key: key, Revision: e.revision, Deleted: true})
 		}
 	}
--- a/gateway/directory/list_test.go
+++ b/gateway/directory/list_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -100,6 +101,46 @@
 	}
 }
 
+// Guards against an entry that can't be decoded and that a host passes on to others with its
+// value, which may be of any size, or leaves out, so that they keep the old target in use.
+func TestUnreadableEntryIsPassedOnAsRemoval(t *testing.T) {
+	l, other := directory.NewList(decode), directory.NewList(decode)
+	for _, list := range []*directory.List{l, other} {
+		list.Apply([]platform.Entry{put("a", "ready 1", 1), put("b", "ready 1", 2)}, false, start)
+	}
+	garbage := strings.Repeat("x", 1<<20)
+	changes := l.Apply([]platform.Entry{put("a", garbage, 3), put("c", garbage, 4)}, false, start)
+	if want := []platform.Entry{removed("a", 3)}; !reflect.DeepEqual(changes, want) {
+		t.Errorf("changes %.200v, want %v", changes, want)
+	}
+	other.Apply(l.Entries(), false, start)
+	if ids(other) != "b" || other.Digest() != l.Digest() {
+		t.Errorf("targets %q at a host that gets all entries", ids(other))
+	}
+	l.Apply([]platform.Entry{put("a", "ready 1", 5)}, false, start)
+	if ids(l) != "a b" {
+		t.Errorf("targets %q after the entry was repaired", ids(l))
+	}
+}
+
+// Guards against a log line for each renewal of an entry that stays unreadable.
+func TestUnreadableEntryIsReportedOnce(t *testing.T) {
+	l := directory.NewList(decode)
+	var reported []string
+	l.OnUnreadable(func(key string, _ int64, _ error) { reported = append(reported, key) })
+	for i := range int64(100) {
+		l.Apply([]platform.Entry{put("a", "garbage", 1+i)}, false, start)
+		l.Replace([]platform.Entry{put("a", "garbage", 1+i)}, 1+i, false, start)
+	}
+	if len(reported) != 1 {
+		t.Errorf("reported %v", reported)
+	}
+	l.Apply([]platform.Entry{put("a", "ready 1", 200), put("a", "garbage", 201)}, false, start)
+	if len(reported) != 2 {
+		t.Errorf("reported %v after the entry was readable in between", reported)
+	}
+}
+
 // Guards against equal lists with different digests and different lists with equal digests.
 func TestDigestDoesNotDependOnOrder(t *testing.T) {
 	a, b := directory.NewList(decode), directory.NewList(decode)
