Log the first read of the store as such

A host that had never read the store logged the time since its last read as, the longest duration. It now logs "never".

TestFirstReadIsLoggedAsSuch failed before.

--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -260,7 +260,7 @@
 	unconfirmed := d.readFailed || !d.freshAt.IsZero() && now.Sub(d.freshAt) > storeOutageTimeout
 	d.mu.Unlock()
 	if becameReader {
-		event.BecameStoreReader.Log(d.cfg.Log, slog.Duration("lastRead", now.Sub(readAt)))
+		event.BecameStoreReader.Log(d.cfg.Log, sinceLastRead(readAt, now))
 	}
 	var err error
 	if after > 0 && now.Sub(readAt) < historyRetention {
@@ -274,6 +274,14 @@
 	d.finishRead(ctx, err, now)
 }
 
+// sinceLastRead returns the log attribute for the time since the last read, if there was one.
+func sinceLastRead(readAt, now time.Time) slog.Attr {
+	if readAt.IsZero() {
+		return slog.String("lastRead", "never")
+	}
+	return slog.Duration("lastRead", now.Sub(readAt))
+}
+
 func (d *Directory) readChanges(ctx context.Context, after int64, unconfirmed bool, now time.Time) error {
 	changes, asOf, err := d.cfg.Store.Changes(ctx, "", after, 0)
 	if err != nil {
--- a/gateway/directory/directory_test.go
+++ b/gateway/directory/directory_test.go
@@ -1,6 +1,7 @@
 package directory_test
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -208,3 +209,28 @@
 		})
 	}
 }
+
+// Guards against a first read that is logged as one after the longest possible time.
+func TestFirstReadIsLoggedAsSuch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var current routing.ActiveTable
+		var log bytes.Buffer
+		store := &countingStore{}
+		store.version.Store(1)
+		d := directory.New(directory.Config{
+			Name: "a", Store: store, ActiveTable: &current, Log: slog.New(slog.NewJSONHandler(&log, nil)), OnChange: func() {}, Layout: testLayout,
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			d.Run(ctx)
+		}()
+		synctest.Wait()
+		cancel()
+		<-done
+		if !strings.Contains(log.String(), `"msg":"became store reader","event":607,"lastRead":"never"`) {
+			t.Errorf("log %s", log.String())
+		}
+	})
+}
