Log an unreadable rules file once

A file that another writer replaced by bytes that cannot be decoded was logged as rejected at each of these reads, as an error, on each watching host. It is now logged once for each revision. The last readable file stays in force, as before.

TestUnreadableRulesFileIsLoggedOnce failed before.

--- a/fleet/store.go
+++ b/fleet/store.go
@@ -25,6 +25,8 @@
 	unreachable    bool
 	backoff        time.Duration
 	reportedNumber int64 // last number logged as older than this host's rules file
+	// unreadableRevision is the revision of the last rules file that was logged as unreadable.
+	unreadableRevision int64
 }
 
 // followStore reads the store once and then watches it while this host is one
@@ -123,7 +125,10 @@
 func (n *Node) handleStoreEntry(e platform.Entry) {
 	v, err := config.DecodeRulesFile(e.Value)
 	if err != nil {
-		event.ConfigRejected.Log(n.cfg.Logger, slog.Any("error", err))
+		if n.store.unreadableRevision != e.Revision {
+			n.store.unreadableRevision = e.Revision
+			event.ConfigRejected.Log(n.cfg.Logger, slog.Any("error", err))
+		}
 		return
 	}
 	n.handleStoreValue(v)
--- a/fleet/store_test.go
+++ b/fleet/store_test.go
@@ -128,3 +128,48 @@
 		t.Errorf("store number %d after the restore", s.StoreNumber)
 	}
 }
+
+// Guards against a rules file that cannot be read and that is logged at each read of the store,
+// and against a host that stops following the store because of it.
+func TestUnreadableRulesFileIsLoggedOnce(t *testing.T) {
+	files, err := peer.WriteDevKeys(t.TempDir(), time.Hour, "h0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	kv := memkv.New(time.Now)
+	var log lockedBuffer
+	n, err := New(Config{
+		Name: "h0", Zone: "z0", Address: "127.0.0.1:0", Incarnation: 1, KV: kv, HostList: &hostList{},
+		TLS: files["h0"], WatchTimeout: 20 * time.Millisecond, Logger: slog.New(slog.NewTextHandler(&log, nil)),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	revision := int64(0)
+	put := func(value string) {
+		t.Helper()
+		if revision, err = kv.CompareAndSwap(t.Context(), config.RulesKey, []byte(value), revision, platform.NoLease); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put("\xff\xff")
+	if err := n.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = n.Stop() })
+	c := &cluster{nodes: []*Node{n}}
+	c.eventually(t, "first unreadable file logged", func(int) bool { return log.count(602) == 1 })
+	put(strings.Repeat("\x81", 20000))
+	c.eventually(t, "second unreadable file logged", func(int) bool { return log.count(602) >= 2 })
+	time.Sleep(200 * time.Millisecond) // about ten more reads
+	if n := log.count(602); n != 2 {
+		t.Errorf("%d log lines about two unreadable files", n)
+	}
+	if err := kv.Delete(t.Context(), config.RulesKey, revision); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := config.Push(t.Context(), kv, []byte("serve lyn-llm version 7 # Kari\n"), "Kari", "change", 0); err != nil {
+		t.Fatal(err)
+	}
+	c.eventually(t, "a readable file is active", func(int) bool { return n.ConfigStatus().ActiveNumber == 1 })
+}
