--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -154,7 +154,11 @@
 
 // New returns a directory without targets and configuration.
 func New(cfg Config) *Directory {
-	return &Directory{cfg: cfg, list: NewList(cfg.Layout.DecodeTarget), orderRevisions: map[string]int64{}}
+	d := &Directory{cfg: cfg, list: NewList(cfg.Layout.DecodeTarget), orderRevisions: map[string]int64{}}
+	d.list.OnUnreadable(func(key string, revision int64, err error) {
+		event.TargetEntryUnreadable.Log(cfg.Log, slog.String("key", key), slog.Int64("revision", revision), slog.Any("error", err))
+	})
+	return d
 }
 
 // SetFleet sets the peer mesh. It must be called before Run.
@@ -256,7 +260,7 @@
 	unconfirmed := d.readFailed || !d.freshAt.IsZero() && now.Sub(d.freshAt) > storeOutageTimeout
 	d.mu.Unlock()
 	if becameReader {
-		event.BecameStoreReader.Log(d.cfg.Log, slog.Duration("lastRead", now.Sub(readAt)))
+		event.BecameStoreReader.Log(d.cfg.Log, sinceLastRead(readAt, now))
 	}
 	var err error
 	if after > 0 && now.Sub(readAt) < historyRetention {
@@ -270,6 +274,14 @@
 	d.finishRead(ctx, err, now)
 }
 
+// sinceLastRead returns the log attribute for the time since the last read, if there was one.
+func sinceLastRead(readAt, now time.Time) slog.Attr {
+	if readAt.IsZero() {
+		return slog.String("lastRead", "never")
+	}
+	return slog.Duration("lastRead", now.Sub(readAt))
+}
+
 func (d *Directory) readChanges(ctx context.Context, after int64, unconfirmed bool, now time.Time) error {
 	changes, asOf, err := d.cfg.Store.Changes(ctx, "", after, 0)
 	if err != nil {
--- a/gateway/ingress/silence.go
+++ b/gateway/ingress/silence.go
@@ -27,7 +27,7 @@
 // place connects to the target and reserves capacity if the engine supports it. If that fails,
 // it returns the attempt. Unlike most methods of exchange, it may run beside an attempt.
 func (x *exchange) place(ctx context.Context, scheduler *dispatch.Scheduler, target directory.Target) (*placement, *attempt) {
-	conn, err := x.cfg.Upstream.Get(ctx, target.Key(), target.Address)
+	conn, err := x.cfg.Upstream.Get(ctx, target.Key(), target.Address, x.info.ID)
 	if err != nil {
 		att := x.unreachable(ctx, err)
 		return nil, &att
