Treat an unknown start time as the same incarnation

The host's own target list names no start times, but responses can. An entry without a start time therefore discarded, at each reading, what a response with one had said about the target. Two reports with equal ids are now about the same incarnation unless both name a start time and these differ; the start time is kept once it is known.

TestUnknownStartTimeIsTheSameIncarnation failed before (closure open, want leaving).

--- a/sched/drain/drain.go
+++ b/sched/drain/drain.go
@@ -110,7 +110,8 @@
 // adopt reports whether i is the incarnation to which the state applies. It discards the state
 // of an earlier one.
 func (s *State) adopt(i Incarnation, src Source) bool {
-	if s.known && i == s.incarnation {
+	if s.known && i.same(s.incarnation) {
+		s.incarnation.StartedUnixMs = max(s.incarnation.StartedUnixMs, i.StartedUnixMs)
 		return true
 	}
 	if s.known && !i.replaces(s.incarnation, src) {
@@ -120,6 +121,12 @@
 	return true
 }
 
+// same reports whether i and other cannot be told apart. A list without start times and a
+// response with one are about the same incarnation if the ids are equal.
+func (i Incarnation) same(other Incarnation) bool {
+	return i.ID == other.ID && (i.StartedUnixMs == other.StartedUnixMs || i.StartedUnixMs == 0 || other.StartedUnixMs == 0)
+}
+
 // replaces reports whether i is the later one of two incarnations at an address. Where start
 // times do not tell, only the list does.
 func (i Incarnation) replaces(old Incarnation, src Source) bool {
@@ -159,5 +166,8 @@
 	return s.leavingSrc, s.leavingAt, s.leaving
 }
 
+// Incarnation returns the incarnation to which the state applies.
+func (s *State) Incarnation() Incarnation { return s.incarnation }
+
 // BackOffUntil returns the end of the back-off, zero if there was none.
 func (s *State) BackOffUntil() time.Time { return s.backOffUntil }
--- a/sched/drain/drain_test.go
+++ b/sched/drain/drain_test.go
@@ -92,6 +92,18 @@
 	expectClosure(t, s, at(40), Open)
 }
 
+// Guards against a list that doesn't know start times and, each time it is read, discards what
+// a response has said, and against a successor that only responses tell apart.
+func TestUnknownStartTimeIsTheSameIncarnation(t *testing.T) {
+	unknown := Incarnation{ID: first.ID}
+	s := observe(listEntry(unknown, false, 0, 0), response(first, true, 10), listEntry(unknown, false, 0, 20))
+	expectClosure(t, s, at(30), Leaving)
+	s.Observe(response(later, false, 40))
+	expectClosure(t, s, at(40), Open)
+	s.Observe(response(first, true, 50))
+	expectClosure(t, s, at(50), Open)
+}
+
 // Guards against a back-off that ends early because a response that was under way asked for a
 // shorter one, and against one that never ends.
 func TestBackOffLastsUntilTheLatestEnd(t *testing.T) {
