Read what targets say about leaving and back-offs

A target's Server-Leaving and Retry-After headers were forwarded to the caller but read nowhere. ResponseInfo now carries both, and the date that a Retry-After date is relative to. The stand-in of package gateway can be set to be leaving, or to push back for a time in either form of Retry-After, and records the requests that reach it meanwhile.

--- a/gateway/protocol/protocol.go
+++ b/gateway/protocol/protocol.go
@@ -66,6 +66,13 @@
 	Misdirected bool
 	// Load is nil if the response reports none.
 	Load *LoadReport
+	// Leaving is true if the target states that it is about to shut down. It finishes what it
+	// runs and wants no further requests.
+	Leaving bool
+	// RetryAfter is the unparsed value of the header of that name; empty if there is none.
+	RetryAfter string
+	// Date is when the target sent the response, by its own clock; zero if it did not say.
+	Date time.Time
 }
 
 // Request is one HTTP request to a target.
--- a/standin/slotengine/slotengine.go
+++ b/standin/slotengine/slotengine.go
@@ -86,6 +86,9 @@
 	acceptedConns   int
 	conns           map[net.Conn]bool
 	closed          bool
+	leaving         bool
+	pushBack        pushBack
+	arrivals        []Arrival
 }
 
 // Start listens on the configured address and serves in the background until Close.
@@ -201,7 +204,10 @@
 // handleRequest serves one request and reports whether the connection stays open.
 func (s *Server) handleRequest(c net.Conn, br *bufio.Reader, r *http.Request, body []byte) bool {
 	if want := r.Header.Get("Expect-Instance"); want != "" && want != s.cfg.ID {
-		return writeResponse(c, 421, "Instance-Id: "+s.cfg.ID+"\r\n", nil)
+		return writeResponse(c, 421, s.statusHeader()+"Instance-Id: "+s.cfg.ID+"\r\n", nil)
+	}
+	if value, ok := s.recordArrival(r, time.Now()); ok {
+		return writeResponse(c, 503, s.statusHeader()+"Not-Executed: 1\r\nRetry-After: "+value+"\r\n", nil)
 	}
 	if r.URL.Path == "/-/hold-take" {
 		return s.reserve(c, body)
@@ -210,7 +216,7 @@
 		s.mu.Lock()
 		delete(s.reservations, id)
 		s.mu.Unlock()
-		return writeResponse(c, 200, "", nil)
+		return writeResponse(c, 200, s.statusHeader(), nil)
 	}
 	return s.executeRequest(c, br, r, body)
 }
@@ -220,7 +226,7 @@
 		TTLMs int64 `json:"ttlMs"`
 	}
 	if err := json.Unmarshal(body, &in); err != nil {
-		return writeResponse(c, 400, "", nil)
+		return writeResponse(c, 400, s.statusHeader(), nil)
 	}
 	now := time.Now()
 	s.mu.Lock()
@@ -231,10 +237,10 @@
 	}
 	s.mu.Unlock()
 	if exhausted {
-		return writeResponse(c, 503, "", nil)
+		return writeResponse(c, 503, s.statusHeader(), nil)
 	}
 	b, err := json.Marshal(map[string]string{"hold": id})
-	return err == nil && writeResponse(c, 200, "", b)
+	return err == nil && writeResponse(c, 200, s.statusHeader(), b)
 }
 
 // beginRun acquires a slot and records the run. It returns the fault to apply, and reports
@@ -296,10 +302,10 @@
 func (s *Server) executeRequest(c net.Conn, br *bufio.Reader, r *http.Request, body []byte) bool {
 	f, ran := s.beginRun(r, body)
 	if !ran {
-		return writeResponse(c, 503, "Not-Executed: 1\r\n", nil)
+		return writeResponse(c, 503, s.statusHeader()+"Not-Executed: 1\r\n", nil)
 	}
 	defer s.endRun()
-	header := "Request-Id: " + r.Header.Get("Request-Id") + "\r\nServer-Stamp: stamp-" + s.cfg.ID + "\r\nServer-Load: 1,0," + strconv.Itoa(s.cfg.Slots) + "\r\n"
+	header := s.statusHeader() + "Request-Id: " + r.Header.Get("Request-Id") + "\r\nServer-Stamp: stamp-" + s.cfg.ID + "\r\nServer-Load: 1,0," + strconv.Itoa(s.cfg.Slots) + "\r\n"
 	switch f {
 	case Fail:
 		time.Sleep(s.cfg.ResponseDelay)
