Close targets to a host at once when their responses say so

Cause: only the target list took a target out of the choice. A response that stated the target's leaving, and a 503 with Retry-After, changed nothing: requests, repeats, resumptions and reservations still went there.

Change: the connection pool reports the head of each response, of whatever status, before its reader sees it. The scheduler merges it with the list and the peers' reports (sched/drain) and asks it again before each reservation and each send, so that a request that was granted a target meanwhile closed is picked again; its reservation expires unused. Neither panic mode nor exhausted exclusions reopen a closed target. The closure outlasts a removal from the list by an outage of the store. After a back-off, a host returns a little later than the end, its own time after it, and with one request at a time until one is accepted. While no target is open, requests wait in the order of their lanes, or get a not-run refusal whose Retry-After is the end of the first back-off plus up to a second. Refusals by closed targets no longer pace attempts at the others, and a host without open targets announces no floor.

Heartbeats have a new field at their end (format 3): the targets that a host has read to be leaving, with ages; they are sent at once, repeated four times, never passed on. Back-offs are not sent. No store call was added.

FuzzDecode names the format version; it is 3 now.

--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -35,6 +35,7 @@
 	// announcedAt is when the peers were last notified of starvedLane.
 	announcedAt time.Time
 	peers       Peers
+	metrics     Metrics
 }
 
 // Peers notifies the other hosts. Its methods are called with locks held and must not
@@ -52,9 +53,9 @@
 	refusal *refusal.Refusal
 }
 
-func newScheduler(name string, reservations bool, log *slog.Logger, peers Peers) *Scheduler {
+func newScheduler(name string, reservations bool, log *slog.Logger, peers Peers, metrics Metrics) *Scheduler {
 	s := &Scheduler{
-		name: name, log: log, starvedLane: reserve.LaneCount, peers: peers,
+		name: name, log: log, starvedLane: reserve.LaneCount, peers: peers, metrics: metrics,
 		pool:    reserve.New(reserve.Config{Reservations: reservations, Seed: rand.Uint64()}),
 		targets: map[string]directory.Target{},
 		waiters: map[*reserve.Waiter]chan acquireResult{},
@@ -68,6 +69,7 @@
 func (s *Scheduler) setTargets(list []directory.Target, zone string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
 	old := s.targets
 	s.targets = make(map[string]directory.Target, len(list))
 	infos := make([]reserve.Target, 0, len(list))
@@ -78,11 +80,13 @@
 		}
 		s.targets[key] = t
 		infos = append(infos, reserve.Target{
-			Name: key, Local: t.Zone == zone, Version: t.Version, Slots: t.Slots, Draining: t.Draining, WarmUpUntil: t.WarmUpUntil,
+			Name: key, Local: t.Zone == zone, Version: t.Version, Slots: t.Slots, Draining: t.Draining, ListedAt: now, WarmUpUntil: t.WarmUpUntil,
 		})
 	}
-	s.pool.SetTargets(infos)
-	s.dispatch(time.Now())
+	for _, c := range s.pool.SetTargets(infos) {
+		s.recordClosure(c, now)
+	}
+	s.dispatch(now)
 }
 
 // Acquire blocks until the request is granted a target, is refused, or ctx ends. resubmit
@@ -248,13 +252,15 @@
 	zone       string
 	log        *slog.Logger
 	peers      Peers
+	metrics    Metrics
 	mu         sync.Mutex
 	schedulers map[string]*Scheduler
+	byTarget   map[string]*Scheduler // by the key of the target's incarnation
 }
 
 // NewSchedulers returns an empty set for a host in the zone.
-func NewSchedulers(zone string, log *slog.Logger, peers Peers) *Schedulers {
-	return &Schedulers{zone: zone, log: log, peers: peers, schedulers: map[string]*Scheduler{}}
+func NewSchedulers(zone string, log *slog.Logger, peers Peers, metrics Metrics) *Schedulers {
+	return &Schedulers{zone: zone, log: log, peers: peers, metrics: metrics, schedulers: map[string]*Scheduler{}}
 }
 
 // Floors returns the most urgent starved lane of each service that has one. A floor at the
@@ -281,8 +287,9 @@
 // Stats returns the counts of the schedulers by service.
 func (s *Schedulers) Stats() map[string]reserve.Stats {
 	out := map[string]reserve.Stats{}
+	now := time.Now()
 	s.each(func(name string, scheduler *Scheduler) {
-		out[name] = scheduler.pool.Stats()
+		out[name] = scheduler.pool.Stats(now)
 	})
 	return out
 }
@@ -392,10 +399,14 @@
 	for i := range table.Services {
 		info := &table.Services[i]
 		if s.schedulers[info.Name] == nil {
-			s.schedulers[info.Name] = newScheduler(info.Name, info.Engine != nil && info.Engine.MaxReservationLifetime > 0, s.log, s.peers)
+			s.schedulers[info.Name] = newScheduler(info.Name, info.Engine != nil && info.Engine.MaxReservationLifetime > 0, s.log, s.peers, s.metrics)
 		}
 	}
+	s.byTarget = make(map[string]*Scheduler, len(targets))
 	for name, scheduler := range s.schedulers {
+		for _, t := range byService[name] {
+			s.byTarget[t.Key()] = scheduler
+		}
 		scheduler.setTargets(byService[name], s.zone)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,7 @@
 type Metrics interface {
 	ingress.Metrics
 	upstream.DialCounter
+	dispatch.Metrics
 	// RegisterGauge registers read as the source of a gauge.
 	RegisterGauge(name string, read func() []telemetry.GaugeValue) error
 }
@@ -118,7 +119,8 @@
 		retryBudget: retry.New(s.RetryLimits()),
 	}
 	g.settings.Store(&s)
-	g.schedulers = dispatch.NewSchedulers(s.Host.Zone, cfg.Log, g)
+	g.schedulers = dispatch.NewSchedulers(s.Host.Zone, cfg.Log, g, cfg.Metrics)
+	g.upstream.SetObserver(g.schedulers.RecordResponse)
 	g.dir = directory.New(directory.Config{
 		Name: s.Host.Name, Store: cfg.Store, Layout: cfg.Layout, ActiveTable: &g.routing, Log: cfg.Log, OnChange: g.onDirectoryChange,
 		OnRolloutOrder: g.handleRolloutOrder,
@@ -271,6 +273,7 @@
 		h.Ejected = append(h.Ejected, targetHash(name))
 	}
 	h.Rollouts = g.rollouts.Reports(now)
+	h.LeavingAgesMs = g.leavingAges(time.Duration(h.IntervalMs)*time.Millisecond, initial, now)
 }
 
 // HandleHeartbeat implements peers.Delegate.
@@ -284,6 +287,9 @@
 	if len(h.Ejected) > 0 {
 		g.schedulers.RecordPeerEjections(g.plausibleEjections(h.Ejected))
 	}
+	if len(h.LeavingAgesMs) > 0 {
+		g.recordLeavingAges(h.LeavingAgesMs, now)
+	}
 	if err := g.rollouts.MergeReports(h.Name, h.Rollouts, now); err != nil {
 		event.PeerRejected.Log(g.cfg.Log, slog.Any("error", err))
 	}
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -50,7 +50,9 @@
 	for name, s := range g.schedulers.Stats() {
 		out = append(out,
 			telemetry.GaugeValue{Labels: []string{name, "used"}, Value: float64(s.Targets)},
-			telemetry.GaugeValue{Labels: []string{name, "ejected"}, Value: float64(s.Ejected)})
+			telemetry.GaugeValue{Labels: []string{name, "ejected"}, Value: float64(s.Ejected)},
+			telemetry.GaugeValue{Labels: []string{name, "leaving"}, Value: float64(s.Leaving)},
+			telemetry.GaugeValue{Labels: []string{name, "backed-off"}, Value: float64(s.BackedOff)})
 	}
 	return out
 }
--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -73,9 +73,11 @@
 	// firstByte is the time from the send to the first byte, 0 if there was none.
 	firstByte  time.Duration
 	targetFull bool // the target had no free capacity
-	sent       bool // the request was sent to the target
-	reason     refusal.Reason
-	err        error
+	// targetClosed is true if the target was closed to this host between grant and send.
+	targetClosed bool
+	sent         bool // the request was sent to the target
+	reason       refusal.Reason
+	err          error
 }
 
 // serve dispatches the request to one target after the other until the caller has the response
@@ -179,8 +181,9 @@
 	if !att.sent {
 		x.unsentAttempts++
 	}
-	if att.targetFull && !att.sent {
-		// A busy host sees hundreds of refused reservations a second. Metrics count them.
+	if (att.targetFull || att.targetClosed) && !att.sent {
+		// A busy host sees hundreds of refused reservations a second. Metrics count them, and
+		// the closing of a target has a line of its own.
 		return
 	}
 	x.failureLogged = true
@@ -270,6 +273,9 @@
 	}
 	conn.BindContext(ctx)
 	defer conn.CloseOnPanic()
+	if !scheduler.MaySend(target.Key()) {
+		return closedAttempt(conn)
+	}
 	engine := x.table.Service(x.service).Engine
 	reservation := ""
 	if engine != nil && engine.MaxReservationLifetime > 0 {
@@ -278,10 +284,22 @@
 			return *att
 		}
 		scheduler.RecordReserved(target.Key())
+		if !scheduler.MaySend(target.Key()) {
+			return closedAttempt(conn) // the reservation expires
+		}
 	}
 	return x.roundTrip(ctx, scheduler, conn, target, reservation)
 }
 
+// closedAttempt closes the unused connection to a target that was closed to this host after
+// the grant, and returns the attempt.
+func closedAttempt(conn *upstream.Conn) attempt {
+	conn.Release(nil, false)
+	return attempt{status: unsent, outcome: reserve.Abandoned, targetClosed: true, reason: refusal.TargetFull, err: errTargetClosed}
+}
+
+var errTargetClosed = errors.New("the target is leaving or has asked for a back-off")
+
 // unreachable returns the attempt for a failed connect.
 func (x *exchange) unreachable(ctx context.Context, err error) attempt {
 	att := attempt{status: unsent, outcome: reserve.Unreachable, reason: refusal.TargetUnreachable, err: err}
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -15,7 +15,7 @@
 
 // formatVersion is the first field of every heartbeat. Hosts drop heartbeats of other
 // versions.
-const formatVersion = 2
+const formatVersion = 3
 
 // Heartbeat is the state of one host. It is encoded as an array in the order of its fields.
 type Heartbeat struct {
@@ -57,6 +57,9 @@
 	Changes []Change
 	// Rollouts is the state of rollouts on this host, by service.
 	Rollouts map[string]Rollout
+	// LeavingAgesMs are the times since the host has read in a response that a target is
+	// leaving, in milliseconds, by the name of the target.
+	LeavingAgesMs map[string]uint32
 }
 
 // Rollout is the state of the rollout of a service on one host.
@@ -171,12 +174,27 @@
 // alive long after its end.
 const maxIntervalMs = 60_000
 
+const (
+	// MaxLeaving bounds the leaving targets in a heartbeat.
+	MaxLeaving = 64
+	// maxTargetNameBytes bounds the name of a target.
+	maxTargetNameBytes = 256
+)
+
 // validate returns an error for values that would corrupt the receiver's own state: quotas
 // are not limited any more once a NaN has been added to their use.
 func (h *Heartbeat) validate() error {
 	if h.IntervalMs <= 0 || h.IntervalMs > maxIntervalMs || h.UptimeMs < 0 {
 		return fmt.Errorf("interval of %d ms, uptime of %d ms", h.IntervalMs, h.UptimeMs)
 	}
+	if len(h.LeavingAgesMs) > MaxLeaving {
+		return fmt.Errorf("%d leaving targets, at most %d are allowed", len(h.LeavingAgesMs), MaxLeaving)
+	}
+	for name := range h.LeavingAgesMs {
+		if name == "" || len(name) > maxTargetNameBytes {
+			return fmt.Errorf("leaving target with a name of %d bytes", len(name))
+		}
+	}
 	for _, usage := range []map[string]float64{h.OwnUsage, h.FleetUsage} {
 		for organisation, units := range usage {
 			if math.IsNaN(units) || math.IsInf(units, 0) {
--- a/gateway/peers/message_test.go
+++ b/gateway/peers/message_test.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"reflect"
+	"strconv"
+	"strings"
 	"testing"
 
 	"sardinefront.dev/gateway/peers"
@@ -13,7 +15,8 @@
 		Name: "host-1", Zone: "zone-1", Address: "127.0.0.1:7000", Incarnation: 7, IntervalMs: 250, ConfigVersion: 3, ListDigest: 99, ListAgeMs: 120,
 		OwnUsage: map[string]float64{"org": 12.5}, FleetUsage: map[string]float64{"org": 3}, Floors: map[string]uint8{"s": 1},
 		EventGapsUs: map[uint32]uint32{1: 8000}, KnownAddresses: []string{"127.0.0.1:7001"},
-		Changes: []peers.Change{{Key: "k", Value: []byte("v"), Revision: 4}},
+		Changes:       []peers.Change{{Key: "k", Value: []byte("v"), Revision: 4}},
+		LeavingAgesMs: map[string]uint32{"e1@5": 30},
 	}
 }
 
@@ -49,7 +52,7 @@
 	f.Add([]byte{0x9f, 0xff})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		h, err := peers.Decode(b)
-		if err == nil && (h.Name == "" || h.Address == "" || h.Format != 2) {
+		if err == nil && (h.Name == "" || h.Address == "" || h.Format != 3) {
 			t.Errorf("accepted %+v", h)
 		}
 		if bulk, err := peers.DecodeSnapshot(b); err == nil && bulk == nil {
@@ -61,11 +64,20 @@
 // Guards against a malformed heartbeat that corrupts the receiver's state: a quota with a use
 // of NaN is never exhausted, and a peer with an interval of years never expires.
 func TestImplausibleHeartbeatIsRejected(t *testing.T) {
+	tooManyLeaving := map[string]uint32{}
+	for i := range peers.MaxLeaving + 1 {
+		tooManyLeaving[strconv.Itoa(i)] = 0
+	}
 	cases := map[string]func(*peers.Heartbeat){
 		"NaN":             func(h *peers.Heartbeat) { h.OwnUsage = map[string]float64{"org": math.NaN()} },
 		"infinite":        func(h *peers.Heartbeat) { h.FleetUsage = map[string]float64{"org": math.Inf(1)} },
 		"long interval":   func(h *peers.Heartbeat) { h.IntervalMs = math.MaxInt64 },
 		"no interval":     func(h *peers.Heartbeat) { h.IntervalMs = 0 },
+		"many leaving":    func(h *peers.Heartbeat) { h.LeavingAgesMs = tooManyLeaving },
+		"nameless target": func(h *peers.Heartbeat) { h.LeavingAgesMs = map[string]uint32{"": 1} },
+		"long target name": func(h *peers.Heartbeat) {
+			h.LeavingAgesMs = map[string]uint32{strings.Repeat("x", 1000): 1}
+		},
 		"negative uptime": func(h *peers.Heartbeat) { h.UptimeMs = -1 },
 	}
 	for name, corrupt := range cases {
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -60,6 +60,8 @@
 	// nil if the body was written inline.
 	bodyWritten chan struct{}
 	writeErr    error
+	// sentAt is when the last request was sent.
+	sentAt time.Time
 	// unbindContext undoes BindContext and reports whether ctx was still active.
 	unbindContext func() bool
 }
@@ -128,7 +130,7 @@
 // Send writes a request. It may return while a long body is still being written, so that
 // the response can be read meanwhile.
 func (c *Conn) Send(m protocol.Request) error {
-	c.bodyWritten = nil
+	c.bodyWritten, c.sentAt = nil, time.Now()
 	fmt.Fprintf(c.bw, "%s %s HTTP/1.1\r\nHost: %s\r\n", m.Method, m.URI, m.Host)
 	if len(m.Body) > 0 || m.Method == http.MethodPost || m.Method == http.MethodPut || m.Method == http.MethodPatch {
 		c.bw.WriteString("Content-Length: ")
@@ -183,6 +185,7 @@
 			return nil, err
 		}
 		info := c.codec.ResponseInfo(resp.StatusCode, resp.Header)
+		c.observe(resp.StatusCode, info, id)
 		// A target that rejects a request may leave out its id.
 		if info.ID == id || info.ID == "" && (info.NotRun || info.Misdirected) {
 			body := &bodyReader{Reader: resp.Body}
@@ -199,6 +202,18 @@
 	return nil, ErrMismatched
 }
 
+// observe reports a response to the observer of the pool. A skipped one has no known send time.
+func (c *Conn) observe(status int, info protocol.ResponseInfo, id string) {
+	if c.pool.observer == nil {
+		return
+	}
+	o := Observation{Target: c.pool.key, Status: status, Info: info, ReceivedAt: time.Now()}
+	if info.ID == id {
+		o.SentAt = c.sentAt
+	}
+	c.pool.observer(o)
+}
+
 // readFinalResponse reads the next response that is not an interim one.
 func (c *Conn) readFinalResponse(method string) (*http.Response, error) {
 	for range 1 + maxInterimResponses {
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -42,11 +42,24 @@
 	CountDial(ok bool)
 }
 
+// Observation is the head of a response as it was read from a target.
+type Observation struct {
+	// Target is the key of the target's incarnation.
+	Target string
+	Status int
+	Info   protocol.ResponseInfo
+	// SentAt is when the request was sent; zero for a response to an unknown request.
+	SentAt     time.Time
+	ReceivedAt time.Time
+}
+
 // Pool holds the connections to all targets. It is safe for concurrent use.
 type Pool struct {
 	codec   protocol.Codec
 	counter DialCounter
 	dialer  net.Dialer
+	// observer, if not nil, is called for each response before its reader sees it.
+	observer func(Observation)
 
 	mu      sync.Mutex
 	targets map[string]*targetPool
@@ -54,6 +67,9 @@
 
 // targetPool holds the idle connections to one target.
 type targetPool struct {
+	key      string
+	observer func(Observation)
+
 	mu   sync.Mutex
 	idle []*Conn
 }
@@ -74,6 +90,10 @@
 	}
 }
 
+// SetObserver sets the function that is called for each response of a target, of whatever status.
+// It must be called before Get and must not block.
+func (p *Pool) SetObserver(observer func(Observation)) { p.observer = observer }
+
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var setErr error
 	err := raw.Control(func(fd uintptr) {
@@ -90,7 +110,7 @@
 	defer p.mu.Unlock()
 	tp := p.targets[key]
 	if tp == nil {
-		tp = &targetPool{}
+		tp = &targetPool{key: key, observer: p.observer}
 		p.targets[key] = tp
 	}
 	return tp
--- a/sched/reserve/choose.go
+++ b/sched/reserve/choose.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sardinefront.dev/sched/drain"
 	"sardinefront.dev/sched/health"
 )
 
@@ -33,12 +34,16 @@
 	maxSlowPrefillFraction = 0.25
 )
 
-// startTrials starts the trials of targets whose ejection has ended, and counts those that
-// are still ejected.
+// startTrials starts the trials of targets whose ejection has ended, and counts the open targets
+// and those of them that are still ejected.
 func (p *Pool) startTrials(now time.Time) {
-	p.ejectedCount = 0
+	p.openCount, p.ejectedCount = 0, 0
 	for _, t := range p.order {
 		t.health.Advance(now)
+		if t.drain.Closure(now) != drain.Open {
+			continue
+		}
+		p.openCount++
 		if t.health.State() == health.Ejected {
 			p.ejectedCount++
 		}
@@ -52,9 +57,9 @@
 func (p *Pool) chooseTarget(w *Waiter, l Lane, now time.Time) *target {
 	var best *target
 	bestCost := 0.0
-	panicMode := health.PanicMode(p.ejectedCount, len(p.order))
+	panicMode := health.PanicMode(p.ejectedCount, p.openCount)
 	blocked := p.blockedByFloor(l, now)
-	ignoreExcluded := p.allExcluded(w)
+	ignoreExcluded := p.allExcluded(w, now)
 	for _, t := range p.order {
 		if !p.available(t, l, now, panicMode) || !w.allowsVersion(t.Version) || !ignoreExcluded && w.excludes(t.Name) {
 			continue
@@ -85,15 +90,15 @@
 	return slowdown*float64(w.PrefillTime) < maxSlowPrefillFraction*float64(w.LatencyGoal)
 }
 
-// allExcluded reports whether the request has excluded every target it could use. In that
+// allExcluded reports whether the request has excluded every open target it could use. In that
 // case its exclusions are ignored, because a second attempt at one of them is better than
 // none.
-func (p *Pool) allExcluded(w *Waiter) bool {
+func (p *Pool) allExcluded(w *Waiter, now time.Time) bool {
 	if len(w.excluded) == 0 {
 		return false
 	}
 	for _, t := range p.order {
-		if !t.Draining && w.allowsVersion(t.Version) && !w.excludes(t.Name) {
+		if t.drain.Closure(now) == drain.Open && w.allowsVersion(t.Version) && !w.excludes(t.Name) {
 			return false
 		}
 	}
@@ -101,9 +106,10 @@
 }
 
 // available reports whether a target probably has a free slot for a request of the lane.
-// In panic mode, ejected targets count as available.
+// In panic mode, ejected targets count as available, but never those that are leaving or in a
+// back-off.
 func (p *Pool) available(t *target, l Lane, now time.Time, panicMode bool) bool {
-	if t.Draining || t.fullUntil.After(now) || !t.slotFreed && now.Before(p.pacer(t).allowedAt(l)) {
+	if t.drain.Closure(now) != drain.Open || t.reopeningBusy || t.fullUntil.After(now) || !t.slotFreed && now.Before(p.pacer(t).allowedAt(l)) {
 		return false
 	}
 	switch t.health.State() {
--- a/sched/reserve/lanes.go
+++ b/sched/reserve/lanes.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sardinefront.dev/core/request"
+	"sardinefront.dev/sched/drain"
 	"sardinefront.dev/sched/health"
 )
 
@@ -69,7 +70,7 @@
 	}
 	p.gapScratch = p.gapScratch[:0]
 	for _, t := range p.order {
-		if t.gap > 0 && !t.Draining {
+		if _, _, leaving := t.drain.LeavingReport(); t.gap > 0 && !leaving {
 			p.gapScratch = append(p.gapScratch, t.gap)
 		}
 	}
@@ -116,7 +117,7 @@
 // starved requests or a request of this host has taken the slot.
 func (p *Pool) SelectSlotRecipient(target string, now time.Time) (host string) {
 	t := p.targets[target]
-	if t == nil || !p.cfg.Reservations || !t.slotFreed || t.Draining || t.health.State() == health.Ejected {
+	if t == nil || !p.cfg.Reservations || !t.slotFreed || t.drain.Closure(now) == drain.Leaving || t.health.State() == health.Ejected {
 		return ""
 	}
 	best, equal := 2*LaneCount, 0
@@ -155,11 +156,11 @@
 // is none.
 func (p *Pool) StarvedLane(now time.Time) Lane {
 	best := LaneCount
-	if p.cfg.Reservations && p.pacers[fast].consecutiveRefusals < starvedMinRefusals {
+	if p.openTargets(now) == 0 || p.cfg.Reservations && p.pacers[fast].consecutiveRefusals < starvedMinRefusals {
 		return best
 	}
 	after := starvedAfter
-	if p.cfg.Reservations && float64(p.pacers[fast].consecutiveRefusals) < starvedRefusalFraction*float64(p.fastTargets()) {
+	if p.cfg.Reservations && float64(p.pacers[fast].consecutiveRefusals) < starvedRefusalFraction*float64(p.fastTargets(now)) {
 		after = starvedMaxWait
 	}
 	for _, w := range p.waiters {
@@ -171,11 +172,11 @@
 	return best
 }
 
-// fastTargets returns the number of targets that are neither slow nor draining.
-func (p *Pool) fastTargets() int {
+// fastTargets returns the number of open targets that are not slow.
+func (p *Pool) fastTargets(now time.Time) int {
 	n := 0
 	for _, t := range p.order {
-		if !t.slow && !t.Draining {
+		if !t.slow && t.drain.Closure(now) == drain.Open {
 			n++
 		}
 	}
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -12,6 +12,7 @@
 
 	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/core/request"
+	"sardinefront.dev/sched/drain"
 	"sardinefront.dev/sched/flow"
 )
 
@@ -35,14 +36,16 @@
 // Pool is the scheduler of one service on one host. It is not safe for concurrent
 // use.
 type Pool struct {
-	cfg          Config
-	rnd          *rand.Rand
-	queue        *flow.Queue
-	waiters      map[string]*Waiter
-	targets      map[string]*target
-	order        []*target
-	ejectedCount int
-	hostCount    int // hosts that share the targets, including this one
+	cfg     Config
+	rnd     *rand.Rand
+	queue   *flow.Queue
+	waiters map[string]*Waiter
+	targets map[string]*target
+	order   []*target
+	// openCount and ejectedCount count the targets that are open, and those of them that are
+	// ejected, as of the last Dispatch.
+	openCount, ejectedCount int
+	hostCount               int // hosts that share the targets, including this one
 	// pacers delay attempts, one pacer per speed class. Classes are paced separately:
 	// slow targets stay full for longer, and refusals of fast or slow targets do not indicate
 	// that unmeasured ones are full.
@@ -53,6 +56,10 @@
 	// starvingHosts holds the hosts that have starved requests.
 	starvingHosts map[string]floor
 	gapScratch    []time.Duration // buffer of computeSlowThreshold
+	// departed holds the closures of targets that were removed from the list, in the order of
+	// departedOrder.
+	departed      map[string]*drain.State
+	departedOrder []string
 	// slowThreshold is the gap between events above which a target is slow, as of the last
 	// Dispatch with waiting requests; 0 if too few targets are measured.
 	slowThreshold time.Duration
@@ -72,24 +79,30 @@
 		rnd:     rand.New(rand.NewPCG(c.Seed, c.Seed^0x9e3779b97f4a7c15)),
 		queue:   flow.New(flow.Config{MaxWaiting: bounds}),
 		waiters: map[string]*Waiter{},
-		targets: map[string]*target{}, starvingHosts: map[string]floor{},
+		targets: map[string]*target{}, starvingHosts: map[string]floor{}, departed: map[string]*drain.State{},
 	}
 }
 
-// SetTargets replaces the list of targets. The state of targets that stay is kept.
-func (p *Pool) SetTargets(list []Target) {
+// SetTargets replaces the list of targets and returns the targets that it closes or opens. The
+// state of targets that stay is kept.
+func (p *Pool) SetTargets(list []Target) (changes []ClosureChange) {
 	next := make(map[string]*target, len(list))
-	p.order = p.order[:0]
+	order := make([]*target, 0, len(list))
 	for _, info := range list {
 		t := p.targets[info.Name]
 		if t == nil {
-			t = &target{preference: p.rnd.Float64()}
+			t = &target{preference: p.rnd.Float64(), drain: p.restoreDeparted(info.Name)}
 		}
 		t.Target = info
+		if c, changed := t.observeList(); changed {
+			changes = append(changes, c)
+		}
 		next[info.Name] = t
-		p.order = append(p.order, t)
+		order = append(order, t)
 	}
-	p.targets = next
+	p.keepDeparted(next)
+	p.targets, p.order = next, order
+	return changes
 }
 
 // SetHostCount sets the number of hosts that share the targets, this one included.
@@ -102,6 +115,9 @@
 		return ref
 	}
 	w.item = w.queueItem()
+	if ref := p.refuseUntilReopened(w.item.LatestStart, now); ref != nil {
+		return ref
+	}
 	if ref := p.queue.Push(&w.item, now); ref != nil {
 		return ref
 	}
@@ -141,6 +157,9 @@
 	for _, x := range p.queue.Expire(now) {
 		w := p.waiters[x.Item.Request.ID]
 		p.dequeue(w)
+		if ref := p.refuseUntilReopened(now, now); ref != nil {
+			x.Refusal = ref
+		}
 		expired = append(expired, Expired{w, x.Refusal})
 	}
 	if len(p.waiters) == 0 {
@@ -186,6 +205,7 @@
 		p.queue.Dequeue(it)
 		p.dequeue(w)
 		t.inflight++
+		t.reopeningBusy = t.reopening
 		if !t.slotFreed {
 			p.delayNext(p.pacer(t), now) // the next attempts wait for the outcome of this one
 		}
@@ -209,6 +229,9 @@
 		if t.fullUntil.After(next) {
 			next = t.fullUntil
 		}
+		if until := t.drain.BackOffUntil(); until.After(next) {
+			next = until
+		}
 		if next.After(now) {
 			wake = earlier(wake, next)
 		}
@@ -229,16 +252,24 @@
 	Inflight int
 	Targets  int
 	Ejected  int
+	// Leaving and BackedOff count the targets that get nothing from this host for that reason.
+	Leaving, BackedOff int
 }
 
 // Stats returns the current counts.
-func (p *Pool) Stats() Stats {
+func (p *Pool) Stats(now time.Time) Stats {
 	s := Stats{Targets: len(p.order), Ejected: p.ejectedCount}
 	for t := range s.Waiting {
 		s.Waiting[t] = p.queue.Len(request.Tier(t))
 	}
 	for _, t := range p.order {
 		s.Inflight += t.inflight
+		switch t.drain.Closure(now) {
+		case drain.Leaving:
+			s.Leaving++
+		case drain.BackedOff:
+			s.BackedOff++
+		}
 	}
 	return s
 }
--- a/sched/reserve/target.go
+++ b/sched/reserve/target.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sardinefront.dev/sched/drain"
 	"sardinefront.dev/sched/health"
 )
 
@@ -45,8 +46,10 @@
 	Version string
 	// Slots is the number of requests that the target runs at once.
 	Slots int
-	// Draining targets get no new requests.
+	// Draining is true if the list states that the target is leaving. ListedAt is when this
+	// host read that.
 	Draining bool
+	ListedAt time.Time
 	// WarmUpUntil is when the target has warmed up after its start.
 	WarmUpUntil time.Time
 }
@@ -83,6 +86,11 @@
 type target struct {
 	Target
 	health health.Tracker
+	// drain holds why the target gets no requests: it is leaving, or has asked for a back-off.
+	drain drain.State
+	// reopening is set from the start of a back-off until the target has accepted a request
+	// after it. Meanwhile reopeningBusy is set while one is at the target.
+	reopening, reopeningBusy bool
 	// peerEjectedUntil is when another host's ejection stops counting.
 	peerEjectedUntil time.Time
 	// preference is a random number in 0..1 drawn by this host; lower is better. Hosts
@@ -161,6 +169,10 @@
 		return
 	}
 	t.inflight = max(0, t.inflight-1)
+	t.reopeningBusy = false
+	if t.drain.Closure(now) != drain.Open {
+		return // says nothing about the free slots of other targets
+	}
 	pc := p.pacer(t)
 	pc.consecutiveRefusals++
 	p.delayNext(pc, now)
@@ -229,6 +241,7 @@
 func (p *Pool) RecordReserved(name string) {
 	if t := p.targets[name]; t != nil {
 		t.consecutiveRefusals = 0
+		t.reopening, t.reopeningBusy = false, false
 		*p.pacer(t) = pacer{}
 	}
 }
@@ -266,6 +279,8 @@
 	t.slotFreed = true
 	t.fullUntil = time.Time{}
 	t.consecutiveRefusals = 0
+	t.reopeningBusy = false
+	t.reopening = t.reopening && o != OK
 	t.recordGap(s.Gap, now)
 	t.latency = smooth(t.latency, s.Latency)
 	switch o {
