--- a/sched/drain/drain.go
+++ b/sched/drain/drain.go
@@ -102,7 +102,7 @@
 
 const (
 	// maxReturnSpread bounds the time after the end of a back-off within which hosts return.
-	maxReturnSpread = 500 * time.Millisecond
+	maxReturnSpread = 200 * time.Millisecond
 	// returnSpreadDivisor is the part of a back-off that is used for it.
 	returnSpreadDivisor = 8
 )
