Read leaving, back-off and run state from every response of a target

Nothing on the host's own path read whether a target leaves or asks for a back-off. The client now passes a notice of each response, of whatever status and also of control commands and mismatched responses, to Config.OnNotice before it returns the response. Config.Admit is asked right before a request is sent, and again after a dial, so that a target that closed after the choice receives nothing; no byte was sent then.

--- a/target/client.go
+++ b/target/client.go
@@ -69,10 +69,18 @@
 	if err := ctx.Err(); err != nil {
 		return nil, c.sendError(false, ReasonCancelled, err)
 	}
+	if err := c.admit(&req); err != nil {
+		return nil, c.sendError(false, ReasonClosedTarget, err)
+	}
 	cn, err := c.pool.get(ctx)
 	if err != nil {
 		return nil, c.sendError(false, cancelledOr(ctx, ReasonDial), err)
 	}
+	// The target may have closed while the connection was established.
+	if err := c.admit(&req); err != nil {
+		c.pool.put(cn)
+		return nil, c.sendError(false, ReasonClosedTarget, err)
+	}
 	ex := &exchange{ctx: ctx, client: c, conn: cn}
 	ex.stopCancelWatch = context.AfterFunc(ctx, func() { cn.Conn.Close() })
 	resp, reason, err := c.roundTrip(ex, httpReq, &req, offset)
@@ -97,6 +105,7 @@
 	if reason, err := ex.readHeader(firstByteTimeout, c.cfg.StallTimeout); err != nil {
 		return nil, reason, err
 	}
+	ex.report()
 	h := &ex.header
 	h.SetNoDefaultContentType(true)
 	resp := &Response{
@@ -104,6 +113,7 @@
 		Header:      endToEndHeaders(h),
 		ContentType: string(h.ContentType()),
 		Version:     string(h.Peek(HeaderVersion)),
+		NotRun:      isSet(h.Peek(HeaderNotRun)),
 	}
 	resp.IsEventStream = c.isEngine && resp.Status < 300 && isEventStream(resp.ContentType)
 	if err := c.verifyResponseID(resp, req); err != nil {
--- a/target/engine.go
+++ b/target/engine.go
@@ -71,7 +71,7 @@
 
 // Resume continues the event stream of a request after the first offset events.
 func (e *Engine) Resume(ctx context.Context, id string, offset int64) (*Response, error) {
-	req := Request{ID: id, Method: http.MethodGet, Path: streamPath(id) + "?offset=" + strconv.FormatInt(offset, 10), Stream: true}
+	req := Request{ID: id, Method: http.MethodGet, Path: streamPath(id) + "?offset=" + strconv.FormatInt(offset, 10), Stream: true, control: true}
 	resp, err := e.send(ctx, req, offset)
 	if err != nil {
 		return nil, err
@@ -154,6 +154,7 @@
 		}
 		req.Header.Set("Authorization", "Bearer "+e.cfg.SenderToken)
 	}
+	req.control = true
 	resp, err := e.send(ctx, req, 0)
 	if err != nil {
 		return nil, err
--- a/target/errors.go
+++ b/target/errors.go
@@ -24,15 +24,17 @@
 
 // The reasons of a SendError.
 const (
-	ReasonInvalid   Reason = "invalid"    // the request is not valid in HTTP
-	ReasonDial      Reason = "dial"       // the connection could not be established
-	ReasonCancelled Reason = "cancelled"  // the context ended
-	ReasonWrite     Reason = "write"      // the request was not written completely
-	ReasonFirstByte Reason = "first-byte" // no response within the first-byte timeout
-	ReasonClosed    Reason = "closed"     // the target closed the connection before the response
-	ReasonMalformed Reason = "malformed"  // the response is not valid
-	ReasonMismatch  Reason = "mismatch"   // the response belongs to another request
-	ReasonRefused   Reason = "refused"    // the engine refused a control command
+	ReasonInvalid Reason = "invalid" // the request is not valid in HTTP
+	ReasonDial    Reason = "dial"    // the connection could not be established
+	// ReasonClosedTarget means that Config.Admit returned false.
+	ReasonClosedTarget Reason = "closed-target"
+	ReasonCancelled    Reason = "cancelled"  // the context ended
+	ReasonWrite        Reason = "write"      // the request was not written completely
+	ReasonFirstByte    Reason = "first-byte" // no response within the first-byte timeout
+	ReasonClosed       Reason = "closed"     // the target closed the connection before the response
+	ReasonMalformed    Reason = "malformed"  // the response is not valid
+	ReasonMismatch     Reason = "mismatch"   // the response belongs to another request
+	ReasonRefused      Reason = "refused"    // the engine refused a control command
 )
 
 // SendError is the error of Target.Do and of the methods of Engine.
--- a/target/target.go
+++ b/target/target.go
@@ -16,6 +16,12 @@
 	HeaderRequestID    = "X-Request-Id"
 	HeaderFencingToken = "X-Fencing-Number"
 	HeaderVersion      = "X-Version"
+	// HeaderLeaving is "1" in every response of a target that is about to stop.
+	HeaderLeaving = "X-Leaving"
+	// HeaderNotRun is "1" in the response to a request that the target did not run.
+	HeaderNotRun = "X-Not-Run"
+	// HeaderStarted is the start of the target's process in Unix milliseconds.
+	HeaderStarted = "X-Started"
 )
 
 // Target is a client of one back end. Methods are safe for concurrent use.
@@ -47,6 +53,9 @@
 	Stream bool
 	// FirstByte overrides the target's first-byte timeout if positive.
 	FirstByte time.Duration
+
+	// control marks requests that continue or manage earlier work.
+	control bool
 }
 
 // Response is the response to a request, after its header has arrived.
@@ -56,6 +65,8 @@
 	ContentType string
 	// Version is the value of X-Version, empty if the target sent none.
 	Version string
+	// NotRun is true if the target states that it did not run the request.
+	NotRun bool
 	// IsEventStream is true for a successful event stream of an engine, the only
 	// kind of response that can be resumed.
 	IsEventStream bool
@@ -103,6 +114,13 @@
 	// SenderToken is sent as a bearer token with an engine's control commands
 	// if it is not empty.
 	SenderToken string
+	// Admit, if set, is called before a request is sent. If it returns false, no byte is sent and
+	// the error is ErrClosed. newWork is false for requests that continue or manage earlier
+	// work: those of Resume, Cancel and the control commands.
+	Admit func(newWork bool) bool
+	// OnNotice, if set, is called with the notice of each response, of whatever status, before
+	// the response is returned.
+	OnNotice func(Notice)
 }
 
 func (c Config) withDefaults() Config {
