Let the simulated engine and service leave and push back

Neither simulated target could state that it is leaving, or turn requests away with a Retry-After. POST /standin/leaving makes all responses carry X-Leaving while the target goes on serving; POST /standin/push-back turns all requests away with status 503 and a Retry-After in seconds, as a date or with a given value, with or without the statement that the request did not run. The servers count what they turn away, and what arrives more than half a second after the first rejection.

--- a/proof/scenario/standins.go
+++ b/proof/scenario/standins.go
@@ -20,6 +20,9 @@
 	Close()
 	RunCounts() map[string]int
 	AddFault(f engine.Fault)
+	SetLeaving(leaving bool)
+	SetPushBack(p engine.PushBack)
+	Rejected() (all, late int)
 }
 
 // standin is one simulated target. A restart replaces its server.
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -21,6 +21,10 @@
 // Fault is an injected fault. POST /standin/fault accepts it as JSON.
 type Fault = fault.Fault
 
+// PushBack is a time in which the engine turns all requests away. POST /standin/push-back
+// accepts it as JSON.
+type PushBack = web.PushBack
+
 // The fault kinds of an engine.
 const (
 	FaultNone       = fault.None
@@ -103,6 +107,7 @@
 // Server is a simulated engine. Its methods are safe for concurrent use.
 type Server struct {
 	*web.Server
+	*web.Availability
 	cfg       Config
 	faults    fault.Set
 	runCounts web.RunCounter
@@ -121,13 +126,14 @@
 func New(cfg Config) *Server {
 	cfg = cfg.withDefaults()
 	s := &Server{
-		Server: web.New(),
-		cfg:    cfg,
-		faults: fault.Set{Salt: cfg.Name},
-		cache:  newCache(cfg),
-		batch:  newBatch(cfg.Slots),
-		model:  model{name: cfg.Model, version: cfg.Version, role: cfg.Role},
-		runs:   make(map[string]*run),
+		Server:       web.New(),
+		Availability: web.NewAvailability(),
+		cfg:          cfg,
+		faults:       fault.Set{Salt: cfg.Name},
+		cache:        newCache(cfg),
+		batch:        newBatch(cfg.Slots),
+		model:        model{name: cfg.Model, version: cfg.Version, role: cfg.Role},
+		runs:         make(map[string]*run),
 	}
 	initial := s.loadReport()
 	s.reports.visible, s.reports.latest = initial, initial
--- a/standin/engine/routes.go
+++ b/standin/engine/routes.go
@@ -16,6 +16,7 @@
 )
 
 func (s *Server) registerRoutes() {
+	s.Register(s.App)
 	s.App.Use(s.prepareResponse)
 	s.App.Post(pathCompletions, s.serveCompletion)
 	s.App.Post(pathChat, s.serveCompletion)
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -36,6 +36,7 @@
 // Server is a simulated service. Its methods are safe for concurrent use.
 type Server struct {
 	*web.Server
+	*web.Availability
 	cfg       Config
 	faults    fault.Set
 	runCounts web.RunCounter
@@ -48,10 +49,11 @@
 	if cfg.Version == "" {
 		cfg.Version = "1"
 	}
-	s := &Server{Server: web.New(), cfg: cfg, faults: fault.Set{Salt: cfg.Name}}
+	s := &Server{Server: web.New(), Availability: web.NewAvailability(), cfg: cfg, faults: fault.Set{Salt: cfg.Name}}
 	if cfg.Slots > 0 {
 		s.slots = make(chan struct{}, cfg.Slots)
 	}
+	s.Register(s.App)
 	s.App.Post("/standin/fault", s.faults.Handle)
 	s.App.Get("/standin/runs", s.runCounts.Handle)
 	s.App.Use(s.serve)
