Take targets that leave or ask for a back-off out of the choice at once

On the host's own path a target was closed only once the platform's list said that it leaves, and a 503 with Retry-After counted as a failure: the target received further requests, was ejected, and its requests failed.

Each response's notice is now merged with the list and with peers' digests per run of the target (sched/drain). A leaving target receives no new requests; one in its back-off receives nothing at all, not even load reports, cancels or resumptions of streams, which wait for the end. Panic mode and the fallback for unreachable targets do not override it. A request that was picked and not sent, or whose target states that it did not run it, is picked again without the retry budget. A 503 without that statement is never repeated. Streams that run or are paused at a closed target finish there. While all targets are in a back-off, callers wait in the order of their tiers, or are refused with the new reason targets-backed-off and a Retry-After after the earliest end, spread at random. A back-off is no failure of the target or of its version.

Digests carry leaving reports in format 2, which is used only while there are any, so that hosts of earlier versions can read the others.

--- a/cmd/internal/ctl/operator.go
+++ b/cmd/internal/ctl/operator.go
@@ -125,6 +125,7 @@
 			fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%s\t%d\t%d\n", p.Name, p.Targets, p.Ejected, p.Floor, t, p.Waiting[t], p.Running[t])
 		}
 	}
+	writeClosedTargets(w, s.Pools)
 	if len(s.Members) > 0 {
 		fmt.Fprintf(w, "\nmember\tzone\tstate\tleaving\n")
 	}
@@ -133,6 +134,25 @@
 	}
 }
 
+// writeClosedTargets writes the targets that receive no new requests, and why.
+func writeClosedTargets(w io.Writer, pools []host.PoolStatus) {
+	header := "\npool\tclosed target\treason\tsource\tsince\tuntil\n"
+	for _, p := range pools {
+		for _, c := range p.Closed {
+			fmt.Fprintf(w, "%s%s\t%s\t%s\t%s\t%s\t%s\n", header, p.Name, c.Target, c.Reason, c.Source, formatTime(c.Since), formatTime(c.Until))
+			header = ""
+		}
+	}
+}
+
+// formatTime returns an empty string for the zero time.
+func formatTime(t time.Time) string {
+	if t.IsZero() {
+		return ""
+	}
+	return t.Format(time.RFC3339)
+}
+
 func explainCommand() command {
 	id, organisation := "", ""
 	var files []string
--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -69,6 +69,7 @@
 	TargetFull
 	TargetAddressReused
 	RetryBudgetExhausted
+	TargetsBackedOff
 	InternalError
 	reasonCount
 )
@@ -117,6 +118,7 @@
 	TargetFull:           {"target-full", http.StatusServiceUnavailable, NotRun, 200 * time.Millisecond},
 	TargetAddressReused:  {"target-moved", http.StatusServiceUnavailable, NotRun, 200 * time.Millisecond},
 	RetryBudgetExhausted: {"retry-budget", http.StatusServiceUnavailable, NotRun, 500 * time.Millisecond},
+	TargetsBackedOff:     {"targets-backed-off", http.StatusServiceUnavailable, NotRun, time.Second},
 	InternalError:        {"internal-error", http.StatusInternalServerError, RunUnknown, 0},
 }
 
--- a/core/refusal/retry.go
+++ b/core/refusal/retry.go
@@ -16,10 +16,11 @@
 	RetryTargetTimedOut
 	RetryResponseTruncated
 	RetryResponseMismatched
+	RetryTargetClosed
 	retryReasonCount
 )
 
-var retryReasonNames = [retryReasonCount]string{"dial-failed", "target-left", "version-halted", "target-full", "target-failed", "target-silent", "answer-cut", "answer-mismatched"}
+var retryReasonNames = [retryReasonCount]string{"dial-failed", "target-left", "version-halted", "target-full", "target-failed", "target-silent", "answer-cut", "answer-mismatched", "target-closed"}
 
 // String returns the metric label.
 func (r RetryReason) String() string {
--- a/core/telemetry/telemetry.go
+++ b/core/telemetry/telemetry.go
@@ -45,7 +45,9 @@
 	{"sardinefront_event_pause", "histogram", "s", []string{"tier"}, "Longest pause between two events of a completed response stream."},
 	{"sardinefront_target_connections", "counter", "{connection}", []string{"result"}, "Attempts to open a connection to a target, by result."},
 	{"sardinefront_waiting", "gauge", "{request}", []string{"tier", "service"}, "Requests waiting for a target."},
-	{"sardinefront_targets", "gauge", "{target}", []string{"service", "state"}, "Targets by state: all in use (used), and those of them that are ejected (ejected)."},
+	{"sardinefront_targets", "gauge", "{target}", []string{"service", "state"}, "Targets by state: all in use (used), and those of them that are ejected (ejected), leaving (leaving) or in a back-off that they asked for (backed-off)."},
+	{"sardinefront_targets_closed", "counter", "{target}", []string{"service", "reason"}, "Targets that this host stopped sending requests to, because they were leaving (leaving) or asked for a back-off (backed-off)."},
+	{"sardinefront_retry_after_rejected", "counter", "{response}", []string{"service"}, "Retry-After values of targets that were unreadable, negative or too long."},
 	{"sardinefront_config_version", "gauge", "", nil, "Version of the active configuration."},
 	{"sardinefront_target_list_age", "gauge", "s", nil, "Time since the target list was last confirmed to be current."},
 	{"sardinefront_peers", "gauge", "{host}", nil, "Other hosts that are alive."},
@@ -185,6 +187,17 @@
 	m.add("sardinefront_reservations", 1, attribute.String("service", service), attribute.String("result", result))
 }
 
+// CountTargetClosed counts a target that gets no requests any more; reason is leaving or
+// backed-off.
+func (m *Metrics) CountTargetClosed(service, reason string) {
+	m.add("sardinefront_targets_closed", 1, attribute.String("service", service), attribute.String("reason", reason))
+}
+
+// CountRetryAfterRejected counts a Retry-After value of a target that was ignored.
+func (m *Metrics) CountRetryAfterRejected(service string) {
+	m.add("sardinefront_retry_after_rejected", 1, attribute.String("service", service))
+}
+
 // CountDial counts an attempt to open a connection to a target; ok reports its success.
 func (m *Metrics) CountDial(ok bool) {
 	result := "made"
--- a/host/attempt.go
+++ b/host/attempt.go
@@ -35,6 +35,10 @@
 	if a.Resume && x.dispatched {
 		return x.resumeStream(ctx, attemptCtx)
 	}
+	if !x.runner.admits(a.Target, true) {
+		x.recordDeclined()
+		return nil
+	}
 	if x.beforeSend != nil {
 		if ref := x.beforeSend(ctx, a.Target); ref != nil {
 			x.runner.recordResult(x.pending, pool.Cancelled)
@@ -51,7 +55,9 @@
 	x.sentAt = time.Now()
 	resp, err := b.Do(attemptCtx, x.callWithTimeout())
 	if err == nil {
-		x.acceptHead(resp)
+		if !x.handleNotRun(resp) {
+			x.acceptHead(resp)
+		}
 		return nil
 	}
 	var sendErr *target.SendError
@@ -91,6 +97,10 @@
 		x.awaitCancelSent(ctx)
 		return nil
 	}
+	if sendErr.Reason == target.ReasonClosedTarget {
+		x.recordDeclined()
+		return nil
+	}
 	x.recordNotSent(refusal.RetryDialFailed)
 	return nil
 }
@@ -127,7 +137,7 @@
 		return false
 	}
 	x.reconnects++
-	resp, err := e.Resume(x.attemptContext(ctx), x.call.ID, offset)
+	resp, err := x.resumeAt(ctx, e, offset)
 	if err != nil {
 		return false
 	}
@@ -188,6 +198,11 @@
 		return refusal.New(refusal.ResponseTruncated, "target %s cannot resume a stream, it is not an engine", x.target)
 	}
 	resp, err := e.Resume(attemptCtx, x.call.ID, x.offset)
+	if errors.Is(err, target.ErrClosed) {
+		// The pool resumes the stream after the back-off.
+		x.runner.recordResult(x.pending, pool.Declined)
+		return nil
+	}
 	if err != nil {
 		return x.handleInterrupted(ctx, err)
 	}
--- a/host/digest.go
+++ b/host/digest.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"sardinefront.dev/fleet"
+	"sardinefront.dev/sched/pool"
 )
 
 // hostDigest is the state that a host attaches to its probes of peers.
@@ -77,13 +78,15 @@
 	if err := cbor.Unmarshal(body, &d); err != nil {
 		return
 	}
-	now := time.Now()
 	for _, m := range d.Moves {
 		h.fetchMoveState(from, m.Pool, m.Seq)
 	}
 	for _, p := range d.Pools {
 		if runner, ok := (*h.pools.Load())[p.Pool]; ok {
-			_ = runner.scheduler.ApplyPeerDigest(from, p.Body, now)
+			runner.decide(func(now time.Time) []pool.Action {
+				actions, _ := runner.scheduler.ApplyPeerDigest(from, p.Body, now) // a malformed digest changes nothing
+				return actions
+			})
 		}
 	}
 }
--- a/host/observe.go
+++ b/host/observe.go
@@ -83,7 +83,7 @@
 	targets := make([]control.Target, 0, len(infos))
 	for _, info := range infos {
 		targets = append(targets, control.Target{
-			Name: info.Name, Zone: info.Zone, Version: p.currentVersion(info.Name, info.Version), Leaving: info.Leaving,
+			Name: info.Name, Zone: info.Zone, Version: p.currentVersion(info.Name, info.Version), Leaving: info.Leaving || p.scheduler.Leaving(info.Name),
 		})
 	}
 	sort.Slice(targets, func(a, b int) bool { return targets[a].Name < targets[b].Name })
--- a/host/operators.go
+++ b/host/operators.go
@@ -58,6 +58,20 @@
 	Floor   string                 `json:"floor,omitempty"`
 	// FloorSince is when the floor was first raised. Renewals without a gap do not change it.
 	FloorSince time.Time `json:"floorSince,omitzero"`
+	// Closed lists the targets that receive no new requests although they are not ejected.
+	Closed []ClosedTargetStatus `json:"closed,omitempty"`
+}
+
+// ClosedTargetStatus states why a target receives no new requests.
+type ClosedTargetStatus struct {
+	Target string `json:"target"`
+	// Reason is leaving or backed-off. Source is where this host learned it: list, response or
+	// peer.
+	Reason string `json:"reason"`
+	Source string `json:"source"`
+	// Since is when the target stated that it is leaving, Until the end of its back-off.
+	Since time.Time `json:"since,omitzero"`
+	Until time.Time `json:"until,omitzero"`
 }
 
 func (h *Host) startOperatorServer() error {
@@ -136,7 +150,9 @@
 	}
 	now := time.Now()
 	for name, runner := range *h.pools.Load() {
-		s.Pools = append(s.Pools, poolStatus(name, runner.scheduler.Stats(now), now))
+		status := poolStatus(name, runner.scheduler.Stats(now), now)
+		status.Closed = closedTargetStatus(runner.scheduler.ClosedTargets(now))
+		s.Pools = append(s.Pools, status)
 	}
 	for i := range h.settings.Journal.Partitions {
 		if h.journal.IsWriter(i) {
@@ -168,6 +184,14 @@
 	return p
 }
 
+func closedTargetStatus(closed []pool.ClosedTarget) []ClosedTargetStatus {
+	rows := make([]ClosedTargetStatus, len(closed))
+	for i, c := range closed {
+		rows[i] = ClosedTargetStatus{Target: c.Name, Reason: c.Closure.String(), Source: c.Source.String(), Since: c.Since, Until: c.Until}
+	}
+	return rows
+}
+
 // Explanation holds one host's recent decisions about a request and the request's record in the
 // journal.
 type Explanation struct {
--- a/host/pool.go
+++ b/host/pool.go
@@ -66,8 +66,10 @@
 	// versionShares are the shares that were last passed to the scheduler.
 	versionShares map[string]float64
 
-	onHealthChange func(pool string, a pool.Action)
-	onProbe        func(target string, b backend)
+	onHealthChange       func(pool string, a pool.Action)
+	onClosureChange      func(pool string, a pool.Action)
+	onRetryAfterRejected func(pool, target, value string, err error)
+	onProbe              func(target string, b backend)
 }
 
 // floorBroadcaster sends a tier floor to the other hosts of the zone.
@@ -178,6 +180,8 @@
 			p.floors.broadcastFloor(p.name, a.Tier, a.Until)
 		case pool.Eject, pool.Restore:
 			p.onHealthChange(p.name, a)
+		case pool.Close, pool.Reopen:
+			p.onClosureChange(p.name, a)
 		case pool.Probe:
 			if b, ok := p.backend(a.Target); ok {
 				p.onProbe(a.Target, b)
--- a/host/poolset.go
+++ b/host/poolset.go
@@ -9,6 +9,7 @@
 	"sardinefront.dev/host/settings"
 	"sardinefront.dev/platform"
 	"sardinefront.dev/rules"
+	"sardinefront.dev/sched/drain"
 	"sardinefront.dev/sched/pool"
 	"sardinefront.dev/target"
 )
@@ -22,13 +23,14 @@
 	for _, info := range infos {
 		b, ok := old[info.Name]
 		if !ok || p.addresses[info.Name] != info.Address {
-			b = newBackend(p.kind, info, s)
+			b = p.newBackend(info, s)
 			p.addresses[info.Name] = info.Address
 		}
 		next[info.Name] = b
 		targets = append(targets, pool.Target{
 			Name: info.Name, Zone: info.Zone, Version: p.currentVersion(info.Name, info.Version),
 			Local: info.Zone == "" || info.Zone == s.Host.Zone, Draining: info.Leaving,
+			Incarnation: drain.Incarnation{ID: info.Address},
 		})
 	}
 	p.backends.Store(&next)
@@ -43,15 +45,17 @@
 	}
 }
 
-func newBackend(kind pool.Kind, info platform.Endpoint, s settings.Settings) backend {
+func (p *poolRunner) newBackend(info platform.Endpoint, s settings.Settings) backend {
 	c := target.Config{
 		Name:             info.Name,
 		Address:          info.Address,
 		DialTimeout:      s.Limits.DialTimeout,
 		FirstByteTimeout: s.Limits.FirstByteTimeout,
 		SenderToken:      s.Commands.SenderToken,
+		Admit:            func(newWork bool) bool { return p.admits(info.Name, newWork) },
+		OnNotice:         func(n target.Notice) { p.recordNotice(info.Name, info.Address, n) },
 	}
-	if kind == pool.Engine {
+	if p.kind == pool.Engine {
 		return target.NewEngine(c)
 	}
 	return target.NewService(c)
@@ -125,6 +129,8 @@
 		Limits: pool.Limits{MaxDigestBytes: maxPoolDigestBytes},
 	}, h)
 	runner.onHealthChange = h.logHealthChange
+	runner.onClosureChange = h.logClosureChange
+	runner.onRetryAfterRejected = h.logRetryAfterRejected
 	runner.onProbe = func(name string, b backend) { h.probe(runner, name, b) }
 	h.tasks.Go(func() { runner.run(h.ctx) })
 	if kind == pool.Engine {
--- a/host/response.go
+++ b/host/response.go
@@ -89,14 +89,14 @@
 )
 
 // cancelGeneration sends cancels until the engine knows the request, at most
-// maxCancelAttempts.
+// maxCancelAttempts. None is sent during the engine's back-off.
 func cancelGeneration(e engineBackend, id string) {
 	wait := cancelBackoff
 	for range maxCancelAttempts {
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		err := e.Cancel(ctx, id)
 		cancel()
-		if !errors.Is(err, target.ErrUnknownStream) {
+		if !errors.Is(err, target.ErrUnknownStream) && !errors.Is(err, target.ErrClosed) {
 			return
 		}
 		time.Sleep(wait)
@@ -107,7 +107,10 @@
 // complete records that the whole response was received, and ends the exchange.
 func (x *exchange) complete() {
 	result := pool.OK
-	if x.response.Status >= http.StatusInternalServerError {
+	switch {
+	case x.isBackOff():
+		result = pool.Cancelled
+	case x.response.Status >= http.StatusInternalServerError:
 		result = pool.Failed
 	}
 	x.runner.recordResult(x.pending, result)
--- a/proof/bench/poolscheduler.go
+++ b/proof/bench/poolscheduler.go
@@ -188,7 +188,7 @@
 		d := p.EncodeDigest(w.clk.wallTime())
 		w.meter.addPeerBytes(h.id, len(d))
 		w.clk.after(h.peerDelay(peer), func() {
-			if err := peer.pools[i].ApplyPeerDigest(h.name, d, w.clk.wallTime()); err != nil {
+			if _, err := peer.pools[i].ApplyPeerDigest(h.name, d, w.clk.wallTime()); err != nil {
 				panic(fmt.Sprintf("digest of %s rejected: %v", h.name, err))
 			}
 		})
--- a/sched/pool/api.go
+++ b/sched/pool/api.go
@@ -9,6 +9,7 @@
 
 	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/core/request"
+	"sardinefront.dev/sched/drain"
 )
 
 // Kind determines how the capacity of a pool's targets is limited.
@@ -108,8 +109,11 @@
 	// Local is true if the target is in this host's zone. Targets of other zones are used
 	// only when no local target has capacity.
 	Local bool
-	// Draining targets receive no new requests. Requests in progress there, and paused
-	// ones that can resume only there, are completed.
+	// Incarnation is the run of the target in the list.
+	Incarnation drain.Incarnation
+	// Draining is true if the list states that the target is leaving. Leaving targets receive
+	// no new requests. Requests in progress there, and paused ones that can resume only there,
+	// are completed.
 	Draining bool
 }
 
@@ -132,6 +136,10 @@
 	// NotSent guarantees that no byte of the request was sent. The pool retries the
 	// request at another target within the retry budget, or refuses it.
 	NotSent
+	// Declined means that the target did not run the request and Admits nothing now: either no
+	// byte was sent, or the target stated both. The pool queues the request again. This is no
+	// failure of the target and spends no retry budget.
+	Declined
 )
 
 // LoadReport is the load that a target reports, over all hosts.
@@ -177,9 +185,15 @@
 	Restore
 	// Probe requests a load report from Target. It may be ignored.
 	Probe
+	// Close reports that Target receives no new requests because of its Closure. Instance is
+	// the id of its run, Source where the host learned it and Age how long ago the target
+	// stated it. Until is the end of a back-off.
+	Close
+	// Reopen reports that Target is no longer closed.
+	Reopen
 )
 
-var actionNames = [...]string{"dispatch", "refuse", "pause", "cancel", "raise-floor", "eject", "restore", "probe"}
+var actionNames = [...]string{"dispatch", "refuse", "pause", "cancel", "raise-floor", "eject", "restore", "probe", "close", "reopen"}
 
 // String returns the name of the kind for logs.
 func (k ActionKind) String() string { return actionNames[k] }
@@ -200,6 +214,11 @@
 	Until   time.Time
 	// Why is the reason for the action, for logs.
 	Why string
+
+	Closure  drain.Closure
+	Source   drain.Source
+	Instance string
+	Age      time.Duration
 }
 
 // Alternative is a target that was considered, with its cost in milliseconds; lower is
--- a/sched/pool/digest.go
+++ b/sched/pool/digest.go
@@ -7,33 +7,42 @@
 	"time"
 
 	"sardinefront.dev/core/request"
+	"sardinefront.dev/sched/drain"
+	"sardinefront.dev/sched/prefix"
 	"sardinefront.dev/sched/share"
 )
 
 // A digest is a header and one entry per target that has something to report:
 //
-//	byte     format, 1
+//	byte     format: 2 if an entry reports a leaving target, else 1, which hosts of
+//	         earlier versions can read
 //	uvarint  running requests of the sender in this pool
 //	uvarint  waiting requests of the sender that count as demand; see demand
 //	byte     number of floors, then for each: tier, uvarint milliseconds left
 //	entries: 3 bytes hash of the target's name
 //	         byte: bits 0-3 own requests in progress, 15 means a uvarint follows;
 //	               bit 4 a load report follows, bit 5 a limit follows, bit 6 an
-//	               alarm limit follows
+//	               alarm limit follows, bit 7 a leaving report follows
 //	         report: uvarint total requests, byte age in 100 ms
 //	         limit: byte, 16 times the binary logarithm, rounded
 //	         alarm limit: byte as limit, of a target that far exceeds its latency goals;
 //	                byte age in 100 ms
+//	         leaving report: 3 bytes hash of the id of the target's run; uvarint its start
+//	                in Unix milliseconds, 0 if unknown; uvarint age in 100 ms
 //
 // A target without an entry has no requests of the sender in progress.
 const (
 	digestFormat = 1
-	ownMask      = 0x0f
-	hasReport    = 0x10
-	hasLimit     = 0x20
-	hasAlarm     = 0x40
+	// digestFormatLeaving is the format of digests with leaving reports.
+	digestFormatLeaving = 2
+
+	ownMask    = 0x0f
+	hasReport  = 0x10
+	hasLimit   = 0x20
+	hasAlarm   = 0x40
+	hasLeaving = 0x80
 	// maxEntryBytes is the size of the largest encoded entry.
-	maxEntryBytes = 3 + 1 + 5 + 5 + 1 + 1 + 2
+	maxEntryBytes = 3 + 1 + 5 + 5 + 1 + 1 + 2 + 3 + 9 + 5
 	// maxReportAge is the age up to which load reports are forwarded.
 	maxReportAge = 6 * time.Second
 	ageUnit      = 100 * time.Millisecond
@@ -48,6 +57,8 @@
 	// maxAlarmAge is the age up to which alarm limits are forwarded, also by hosts that
 	// received them from a peer.
 	maxAlarmAge = 3 * time.Second
+	// maxStartedUnixMs bounds the encoded start of a target's run to 8 bytes.
+	maxStartedUnixMs = 1<<56 - 1
 )
 
 var errMalformedDigest = errors.New("malformed digest")
@@ -76,8 +87,13 @@
 			p.digestCursor = i
 			break
 		}
-		if t := p.slots[i]; t != nil {
-			d = t.appendEntry(d, now)
+		t := p.slots[i]
+		if t == nil {
+			continue
+		}
+		d = t.appendEntry(d, now)
+		if t.leaving() {
+			d[0] = digestFormatLeaving
 		}
 	}
 	return d
@@ -111,6 +127,9 @@
 	if alarmAge < maxAlarmAge {
 		flags |= hasAlarm
 	}
+	if t.leaving() {
+		flags |= hasLeaving
+	}
 	if flags == 0 {
 		return d
 	}
@@ -131,9 +150,25 @@
 	if flags&hasAlarm != 0 {
 		d = append(d, encodeLimit(t.alarmLimit), byte(alarmAge/ageUnit)+1)
 	}
+	if flags&hasLeaving != 0 {
+		d = t.appendLeaving(d, now)
+	}
 	return d
 }
 
+func (t *target) appendLeaving(d []byte, now time.Time) []byte {
+	_, since, _ := t.drain.LeavingReport()
+	run := t.drain.Incarnation()
+	h := runHash(run.ID)
+	d = append(d, byte(h>>16), byte(h>>8), byte(h))
+	d = binary.AppendUvarint(d, uint64(min(max(0, run.StartedUnixMs), maxStartedUnixMs)))
+	// Rounding up keeps a forwarded report from appearing newer than the original.
+	return binary.AppendUvarint(d, uint64(min(now.Sub(since)/ageUnit+1, math.MaxInt32)))
+}
+
+// runHash returns the 24-bit hash that identifies a target's run in digests.
+func runHash(id string) uint32 { return shortHash(prefix.HashName(id)) }
+
 // encodeLimit encodes a limit as 16 times its binary logarithm.
 func encodeLimit(limit float64) byte {
 	return byte(min(255, math.Round(limitStepsPerDoubling*math.Log2(max(1, limit)))))
@@ -151,6 +186,10 @@
 	limit         float64 // 0 if absent
 	alarmLimit    float64 // 0 if absent
 	alarmAge      time.Duration
+	leaving       bool
+	runHash       uint32
+	startedUnixMs int64
+	leavingAge    time.Duration
 }
 
 // digestMessage is a decoded digest.
@@ -178,20 +217,28 @@
 }
 
 // readCount decodes a number below 2^31.
-func (r *digestReader) readCount() int {
+func (r *digestReader) readCount() int { return int(r.readNumber(math.MaxInt32)) }
+
+// readNumber decodes a number of at most maxValue.
+func (r *digestReader) readNumber(maxValue uint64) uint64 {
 	v, n := binary.Uvarint(r.b)
-	if n <= 0 || v > math.MaxInt32 {
+	if n <= 0 || v > maxValue {
 		r.malformed, r.b = true, nil
 		return 0
 	}
 	r.b = r.b[n:]
-	return int(v)
+	return v
+}
+
+// readHash decodes a 24-bit hash.
+func (r *digestReader) readHash() uint32 {
+	return uint32(r.readByte())<<16 | uint32(r.readByte())<<8 | uint32(r.readByte())
 }
 
 func decodeDigest(d Digest) (digestMessage, error) {
 	r := digestReader{b: d}
 	var m digestMessage
-	if r.readByte() != digestFormat {
+	if format := r.readByte(); format != digestFormat && format != digestFormatLeaving {
 		return m, errMalformedDigest
 	}
 	m.running, m.waiting = r.readCount(), r.readCount()
@@ -212,7 +259,7 @@
 }
 
 func (r *digestReader) readEntry() digestEntry {
-	e := digestEntry{hash: uint32(r.readByte())<<16 | uint32(r.readByte())<<8 | uint32(r.readByte())}
+	e := digestEntry{hash: r.readHash()}
 	flags := r.readByte()
 	e.ownRequests = int(flags & ownMask)
 	if e.ownRequests == ownMask {
@@ -227,17 +274,23 @@
 	if flags&hasAlarm != 0 {
 		e.alarmLimit, e.alarmAge = decodeLimit(r.readByte()), time.Duration(r.readByte())*ageUnit
 	}
+	if flags&hasLeaving != 0 {
+		e.leaving, e.runHash = true, r.readHash()
+		e.startedUnixMs = int64(r.readNumber(maxStartedUnixMs))
+		e.leavingAge = time.Duration(r.readCount()) * ageUnit
+	}
 	return e
 }
 
 // ApplyPeerDigest applies the digest of the host named from, which must be in this
 // host's zone and use the same targets. It returns an error and changes nothing if the
 // digest cannot be decoded.
-func (p *Pool) ApplyPeerDigest(from string, d Digest, now time.Time) error {
+func (p *Pool) ApplyPeerDigest(from string, d Digest, now time.Time) ([]Action, error) {
 	m, err := decodeDigest(d)
 	if err != nil {
-		return err
+		return nil, err
 	}
+	var out []Action
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.peers.record(from, m, now)
@@ -249,6 +302,7 @@
 		if t := p.byHash[it.hash]; t != nil {
 			counts[t] = it.ownRequests
 			p.applyDigestEntry(t, it, now)
+			out = p.updateClosure(out, t, now)
 		}
 	}
 	for _, t := range p.slots {
@@ -258,7 +312,7 @@
 		}
 	}
 	p.publishLoads(now)
-	return nil
+	return out, nil
 }
 
 // applyDigestEntry applies a peer's entry about a target.
@@ -278,4 +332,8 @@
 		t.alarmLimit, t.alarmAt = e.alarmLimit, at
 		t.limiter.CapLimit(e.alarmLimit)
 	}
+	if run := t.drain.Incarnation(); e.leaving && e.runHash == runHash(run.ID) {
+		run.StartedUnixMs = e.startedUnixMs
+		t.drain.Observe(drain.Report{Incarnation: run, Source: drain.FromPeer, Leaving: true, At: now.Add(-e.leavingAge)})
+	}
 }
--- a/sched/pool/dispatch.go
+++ b/sched/pool/dispatch.go
@@ -87,7 +87,11 @@
 		if tier != request.Patient {
 			out = p.raiseFloor(out, tier, now)
 		}
-		out = p.refuse(out, p.entries[x.Item.Request.ID], x.Refusal, now)
+		ref := x.Refusal
+		if backedOff := p.backOffRefusal(x.Item.Request, now, now); backedOff != nil {
+			ref = backedOff
+		}
+		out = p.refuse(out, p.entries[x.Item.Request.ID], ref, now)
 	}
 	return out
 }
@@ -223,7 +227,7 @@
 	}
 	snap := p.snapshot.Load()
 	for _, t := range p.slots {
-		if t == nil || len(t.suspended) == 0 || (t.ejected() && !p.panicMode) {
+		if t == nil || len(t.suspended) == 0 || (t.ejected() && !p.panicMode) || t.backedOff(now) {
 			continue
 		}
 		for len(t.suspended) > 0 && !p.atHostLimit(request.Patient) && snap.HasCapacity(t.slot, t.suspended[0].req) {
--- a/sched/pool/floors.go
+++ b/sched/pool/floors.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sardinefront.dev/core/request"
+	"sardinefront.dev/sched/drain"
 )
 
 const (
@@ -148,7 +149,7 @@
 }
 
 // pauseForFloor pauses the newest running patient request while floors are active.
-// Requests at a draining target continue, because nothing else may start there.
+// Requests at a closed target continue, because nothing else may start there.
 func (p *Pool) pauseForFloor(out []Action, now time.Time) []Action {
 	tier, active := p.queue.Floor(now)
 	if !active {
@@ -166,7 +167,7 @@
 	}
 	for i := len(p.pausable) - 1; i >= 0; i-- {
 		t := p.pausable[i].target
-		if !t.Draining && !t.removed && !t.load.PatientOnly.Load() {
+		if t.closure == drain.Open && !t.removed && !t.load.PatientOnly.Load() {
 			p.floors.lastPausedAt = now
 			return p.pause(out, p.pausable[i], "floor", now)
 		}
--- a/sched/pool/pool_test.go
+++ b/sched/pool/pool_test.go
@@ -9,6 +9,7 @@
 
 	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/core/request"
+	"sardinefront.dev/sched/drain"
 )
 
 var start = time.Date(2027, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -282,6 +283,7 @@
 	p.RecordLoadReport("t7", LoadReport{Running: 5, Queued: 300, MeasuredAt: start}, start.Add(250*time.Millisecond))
 	p.ApplyPeerFloor(request.Urgent, start.Add(2*time.Second), "x", start)
 	p.byName["t9"].alarmLimit, p.byName["t9"].alarmAt = 2, start
+	p.RecordNotice("t11", Notice{Incarnation: drain.Incarnation{StartedUnixMs: 1 << 40}, Leaving: true}, start)
 	d := p.EncodeDigest(start.Add(time.Second))
 	m, err := decodeDigest(d)
 	own := 0
@@ -293,6 +295,9 @@
 		if it.hash == shortHash(p.byName["t9"].hash) && (it.alarmLimit != 2 || it.alarmAge != 1100*time.Millisecond) {
 			t.Errorf("alarm limit in digest: %+v", it)
 		}
+		if it.leaving != (it.hash == shortHash(p.byName["t11"].hash)) || it.leaving && (it.startedUnixMs != 1<<40 || it.leavingAge != 1100*time.Millisecond) {
+			t.Errorf("leaving report in digest: %+v", it)
+		}
 	}
 	if err != nil || own != p.running[0] || m.floors[0] != time.Second {
 		t.Errorf("decoded %d own of %d, floors %v, %v", own, p.running[0], m.floors, err)
@@ -309,7 +314,7 @@
 				bad[rnd.Intn(len(bad))] = byte(rnd.Intn(256))
 			}
 		}
-		_ = q.ApplyPeerDigest("peer", bad, start)
+		_, _ = q.ApplyPeerDigest("peer", bad, start)
 	}
 }
 
@@ -345,7 +350,7 @@
 				p.RecordFirstByte(r.ID, start)
 				p.RecordProgress(r.ID, 5, start)
 				p.Snapshot().Targets()
-				_ = p.ApplyPeerDigest(fmt.Sprint(g), p.EncodeDigest(start), start)
+				_, _ = p.ApplyPeerDigest(fmt.Sprint(g), p.EncodeDigest(start), start)
 				p.RecordLoadReport("t1", LoadReport{Running: k % 5, MeasuredAt: start.Add(time.Duration(k))}, start)
 				p.Tick(start.Add(time.Duration(k) * time.Millisecond))
 				p.Explain(r.ID)
--- a/sched/pool/refresh.go
+++ b/sched/pool/refresh.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sardinefront.dev/core/request"
+	"sardinefront.dev/sched/drain"
 	"sardinefront.dev/sched/health"
 	"sardinefront.dev/sched/share"
 )
@@ -34,6 +35,7 @@
 		t.recordStalls(now)
 		t.estimator.RecordOwn(t.load.OwnRequests.Load(), now)
 		out = p.updateHealth(out, t, now)
+		out = p.updateClosure(out, t, now)
 	}
 	p.publishLoads(now)
 	p.refreshedAt = now
@@ -119,7 +121,7 @@
 // If none can, all tiers use all targets.
 func (p *Pool) updateAnyMeetsGoals(now time.Time) {
 	p.anyMeetsGoals = slices.ContainsFunc(p.slots, func(t *target) bool {
-		return t != nil && p.inZoneCapacity(t) && !t.Draining && !t.ejected() && t.limiter.CanMeetGoal(now)
+		return t != nil && p.inZoneCapacity(t) && t.closure == drain.Open && !t.ejected() && t.limiter.CanMeetGoal(now)
 	})
 }
 
@@ -246,7 +248,7 @@
 		}
 		p.probeCursor++
 		t := p.slots[(p.probeCursor+p.cfg.HostIndex*len(p.slots)/p.cfg.HostCount)%len(p.slots)]
-		if t == nil {
+		if t == nil || t.backedOff(now) {
 			continue
 		}
 		if _, at := t.estimator.LastReport(); now.Sub(at) >= probeReportAge {
--- a/sched/pool/requests.go
+++ b/sched/pool/requests.go
@@ -22,23 +22,28 @@
 	e.item = flow.Item{Request: r, Cost: float64(r.EstimatedTokens()), LatestStart: p.latestStart(r), FreshUntil: p.freshUntil(r)}
 	if !e.item.LatestStart.IsZero() && e.item.LatestStart.Before(now) {
 		ref := refusal.New(refusal.DeadlineExceeded, "the deadline is too short for the estimated run time")
-		var out []Action
-		if r.Tier != request.Patient {
-			out = p.raiseFloor(out, r.Tier, now)
-		}
-		return p.refuse(out, e, ref, now)
+		return p.refuseSubmitted(e, ref, now)
+	}
+	if ref := p.backOffRefusal(r, e.item.LatestStart, now); ref != nil {
+		return p.refuseSubmitted(e, ref, now)
 	}
 	if ref := p.queue.Push(&e.item, now); ref != nil {
-		var out []Action
-		if r.Tier != request.Patient {
-			out = p.raiseFloor(out, r.Tier, now)
-		}
-		return p.refuse(out, e, ref, now)
+		return p.refuseSubmitted(e, ref, now)
 	}
 	p.entries[r.ID] = e
 	return p.dispatchReady(nil, now)
 }
 
+// refuseSubmitted refuses a request that is not queued. It raises the floor first, so that
+// lower tiers stop before a higher one is refused.
+func (p *Pool) refuseSubmitted(e *entry, ref *refusal.Refusal, now time.Time) []Action {
+	var out []Action
+	if e.req.Tier != request.Patient {
+		out = p.raiseFloor(out, e.req.Tier, now)
+	}
+	return p.refuse(out, e, ref, now)
+}
+
 // latestStart returns when the request must start to meet its deadline, zero if it has
 // none. For patient requests it returns the deadline itself, so that none is refused
 // because of an estimate.
@@ -151,6 +156,9 @@
 	if obs, ok := res.observation(); ok {
 		out = p.recordObservation(out, t, obs, now)
 	}
+	if res == Declined {
+		return p.dispatchReady(p.requeue(out, e, now), now)
+	}
 	if res == NotSent {
 		return p.dispatchReady(p.retryOrRefuse(out, e, now), now)
 	}
@@ -164,6 +172,16 @@
 // retryOrRefuse queues a request again that did not reach its target, or refuses it if
 // the retry budget is exhausted. A pinned request waits for its own target again.
 func (p *Pool) retryOrRefuse(out []Action, e *entry, now time.Time) []Action {
+	// Patient requests are retried without budget, because they tolerate waiting.
+	if !e.pinned && e.req.Tier != request.Patient && !p.retryBudget.spend() {
+		return p.refuse(out, e, refusal.New(refusal.TargetUnreachable, "target %s is unreachable and the retry budget is exhausted", e.target.Name), now)
+	}
+	return p.requeue(out, e, now)
+}
+
+// requeue queues a request again that did not run at its target. A pinned request waits for
+// its own target again.
+func (p *Pool) requeue(out []Action, e *entry, now time.Time) []Action {
 	t := e.target
 	if e.pinned {
 		if t.removed {
@@ -172,10 +190,6 @@
 		p.suspend(e, t)
 		return out
 	}
-	// Patient requests are retried without budget, because they tolerate waiting.
-	if e.req.Tier != request.Patient && !p.retryBudget.spend() {
-		return p.refuse(out, e, refusal.New(refusal.TargetUnreachable, "target %s is unreachable and the retry budget is exhausted", t.Name), now)
-	}
 	e.phase, e.target, e.unreachable = waiting, nil, t
 	e.retries++
 	p.queue.PushFront(&e.item)
--- a/sched/pool/targets.go
+++ b/sched/pool/targets.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sardinefront.dev/core/refusal"
+	"sardinefront.dev/sched/drain"
 	"sardinefront.dev/sched/health"
 	"sardinefront.dev/sched/limit"
 	"sardinefront.dev/sched/pick"
@@ -23,6 +24,9 @@
 	limiter   *limit.Limiter
 	estimator share.Estimator
 	health    health.Tracker
+	drain     drain.State
+	// closure is the last published reason for which the target gets no new requests.
+	closure drain.Closure
 	// runs holds this host's requests in progress.
 	runs []*entry
 	// suspended holds paused or taken-over requests, which can resume only here.
@@ -61,13 +65,15 @@
 			out = p.removeTarget(out, i, now)
 		}
 	}
-	for _, t := range ts {
-		if old := p.byName[t.Name]; old != nil {
-			old.Target = t
-			old.version = p.versions.ensureIndex(t.Version)
-			continue
+	for _, spec := range ts {
+		t := p.byName[spec.Name]
+		if t == nil {
+			t = p.addTarget(spec)
 		}
-		p.addTarget(t)
+		t.Target = spec
+		t.version = p.versions.ensureIndex(spec.Version)
+		t.drain.Observe(drain.Report{Incarnation: spec.Incarnation, Source: drain.FromList, Leaving: spec.Draining, At: now})
+		out = p.updateClosure(out, t, now)
 	}
 	p.anyLocal = slices.ContainsFunc(ts, func(t Target) bool { return t.Local })
 	p.rebuildHashIndex()
@@ -77,7 +83,7 @@
 	return p.dispatchReady(out, now)
 }
 
-func (p *Pool) addTarget(spec Target) {
+func (p *Pool) addTarget(spec Target) *target {
 	t := &target{Target: spec, hash: prefix.HashName(spec.Name), slot: p.allocateSlot()}
 	t.version = p.versions.ensureIndex(spec.Version)
 	t.limiter = limit.New(limit.Config{
@@ -93,6 +99,7 @@
 	t.allowanceHash = hashFraction(t.hash, uint64(p.cfg.HostIndex))
 	p.slots[t.slot] = t
 	p.byName[t.Name] = t
+	return t
 }
 
 // hashFraction returns a uniform hash of its arguments in [0, 1).
@@ -175,7 +182,7 @@
 			continue
 		}
 		t.highTierOnly = false
-		if t.Local && !t.Draining && p.cfg.Kind == Engine {
+		if t.Local && !t.leaving() && p.cfg.Kind == Engine {
 			local = append(local, t)
 		}
 	}
@@ -205,7 +212,7 @@
 	p.panicMode = health.PanicMode(ejected, all)
 	for i, t := range p.slots {
 		if t != nil {
-			schedulable := !t.Draining && (p.panicMode || !t.ejected())
+			schedulable := t.closure == drain.Open && (p.panicMode || !t.ejected())
 			ts[i] = pick.Target{HighTierOnly: t.highTierOnly && p.highTierOnlyActive, Name: t.Name, Version: t.Version, Local: t.Local, Schedulable: schedulable, Load: t.load}
 		}
 	}
--- a/target/notice.go
+++ b/target/notice.go
@@ -17,6 +17,8 @@
 	Leaving bool
 	// RetryAfter is the value of Retry-After in a response with status 503, empty without one.
 	RetryAfter string
+	// Date is when the target sent the response, by its own clock; zero if it does not say.
+	Date time.Time
 	// NotRun is true if the target states that it did not run the request.
 	NotRun bool
 	// SentAt is when the request was sent, ReadAt when the header of the response was read.
@@ -41,6 +43,7 @@
 	}
 	if n.Status == http.StatusServiceUnavailable {
 		n.RetryAfter = string(h.Peek("Retry-After"))
+		n.Date, _ = http.ParseTime(string(h.Peek("Date"))) // zero if missing or malformed
 	}
 	return n
 }
