Play targets that leave or push back in scenarios

The scenario language could only list a target as leaving. leave also makes the target say so in its responses, with unlisted while the list stays stale; pushback makes it turn requests away; rejected bounds what reaches it meanwhile.

--- a/proof/scenario/commands.go
+++ b/proof/scenario/commands.go
@@ -42,6 +42,8 @@
 	"platform": doPlatform,
 	"fault":    doFault,
 	"leave":    doLeave,
+	"pushback": doPushBack,
+	"rejected": doRejected,
 	"unlist":   doUnlist,
 	"crash":    doCrash,
 	"restart":  doRestart,
--- a/proof/scenario/commands_faults.go
+++ b/proof/scenario/commands_faults.go
@@ -10,6 +10,7 @@
 	"sardinefront.dev/fleet/member"
 	"sardinefront.dev/host"
 	"sardinefront.dev/proof/invariant"
+	"sardinefront.dev/standin/engine"
 )
 
 // parseHostArgument parses the only argument of a command, the name of a host.
@@ -29,12 +30,58 @@
 	return w.findTarget(name)
 }
 
+// doLeave parses TARGET [unlisted]. The target states in its responses that it is leaving, and
+// so does the platform's list unless the target is unlisted.
 func doLeave(w *world, a *arguments) error {
+	unlisted := a.flag("unlisted")
 	s, err := w.parseTargetArgument(a)
 	if err != nil {
 		return err
 	}
-	w.markLeaving(s)
+	s.server.SetLeaving(true)
+	w.markLeaving(s, !unlisted)
+	return nil
+}
+
+// doPushBack parses TARGET DURATION [date] [unstated]. The target turns all requests away.
+func doPushBack(w *world, a *arguments) error {
+	push := engine.PushBack{AsDate: a.flag("date"), Unstated: a.flag("unstated")}
+	name := a.next("a target")
+	d, err := time.ParseDuration(a.next("a duration"))
+	if err != nil {
+		return err
+	}
+	if err := a.finish(); err != nil {
+		return err
+	}
+	s, err := w.findTarget(name)
+	if err != nil {
+		return err
+	}
+	push.DurationMS = int(d.Milliseconds())
+	s.server.SetPushBack(push)
+	return nil
+}
+
+// doRejected parses TARGET [late] BOUND and checks how many requests the target turned away; with
+// late, those more than half a second after the first one of a push-back.
+func doRejected(w *world, a *arguments) error {
+	lateOnly := a.flag("late")
+	name, word := a.next("a target"), a.next("a count")
+	if err := a.finish(); err != nil {
+		return err
+	}
+	s, err := w.findTarget(name)
+	if err != nil {
+		return err
+	}
+	n, late := s.server.Rejected()
+	if lateOnly {
+		n = late
+	}
+	if b, ok := parseCountBound(word, 0); !ok || !b.allows(n) {
+		return fmt.Errorf("%s turned %d requests away, expected %s", name, n, word)
+	}
 	return nil
 }
 
--- a/proof/scenario/standins.go
+++ b/proof/scenario/standins.go
@@ -130,10 +130,11 @@
 	return nil
 }
 
-// markLeaving marks the target as leaving in the platform's list.
-func (w *world) markLeaving(s *standin) {
+// markLeaving records that the target is leaving, and marks it so in the platform's list if
+// listed is set.
+func (w *world) markLeaving(s *standin, listed bool) {
 	s.mu.Lock()
-	s.endpoint.Leaving = true
+	s.endpoint.Leaving = listed
 	s.leavingSince = time.Now()
 	endpoint := s.endpoint
 	s.mu.Unlock()
