--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -73,9 +73,11 @@
 	// firstByte is the time from the send to the first byte, 0 if there was none.
 	firstByte  time.Duration
 	targetFull bool // the target had no free capacity
-	sent       bool // the request was sent to the target
-	reason     refusal.Reason
-	err        error
+	// targetClosed is true if the target was closed to this host between grant and send.
+	targetClosed bool
+	sent         bool // the request was sent to the target
+	reason       refusal.Reason
+	err          error
 	// replacement is a target that is ready to take over from a silent one; nil if there is none.
 	replacement *placement
 }
@@ -198,8 +200,9 @@
 	if !att.sent {
 		x.unsentAttempts++
 	}
-	if att.targetFull && !att.sent {
-		// A busy host sees hundreds of refused reservations a second. Metrics count them.
+	if (att.targetFull || att.targetClosed) && !att.sent {
+		// A busy host sees hundreds of refused reservations a second. Metrics count them, and
+		// the closing of a target has a line of its own.
 		return
 	}
 	x.failureLogged = true
@@ -304,9 +307,21 @@
 		}
 	}
 	defer p.conn.CloseOnPanic()
+	if !d.scheduler.MaySend(p.target.Key()) {
+		return *closedAttempt(p.conn) // a reservation expires
+	}
 	return x.roundTrip(ctx, d, p)
 }
 
+// closedAttempt closes the unused connection to a target that was closed to this host after
+// the grant, and returns the attempt.
+func closedAttempt(conn *upstream.Conn) *attempt {
+	conn.Release(nil, false)
+	return &attempt{status: unsent, outcome: reserve.Abandoned, targetClosed: true, reason: refusal.TargetFull, err: errTargetClosed}
+}
+
+var errTargetClosed = errors.New("the target is leaving or has asked for a back-off")
+
 // unreachable returns the attempt for a failed connect.
 func (x *exchange) unreachable(ctx context.Context, err error) attempt {
 	att := attempt{status: unsent, outcome: reserve.Unreachable, reason: refusal.TargetUnreachable, err: err}
--- a/gateway/ingress/silence.go
+++ b/gateway/ingress/silence.go
@@ -34,6 +34,9 @@
 	}
 	conn.BindContext(ctx)
 	defer conn.CloseOnPanic()
+	if !scheduler.MaySend(target.Key()) {
+		return nil, closedAttempt(conn)
+	}
 	p := &placement{target: target, conn: conn}
 	engine := x.table.Service(x.service).Engine
 	if engine == nil || engine.MaxReservationLifetime <= 0 {
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -60,6 +60,9 @@
 	Rollouts map[string]Rollout
 	// PromptParts is the evidence on parts of prompts that crash targets.
 	PromptParts []quarantine.Report
+	// LeavingAgesMs are the times since the host has read in a response that a target is
+	// leaving, in milliseconds, by the name of the target.
+	LeavingAgesMs map[string]uint32
 }
 
 // Rollout is the state of the rollout of a service on one host.
@@ -174,12 +177,27 @@
 // alive long after its end.
 const maxIntervalMs = 60_000
 
+const (
+	// MaxLeaving bounds the leaving targets in a heartbeat.
+	MaxLeaving = 64
+	// maxTargetNameBytes bounds the name of a target.
+	maxTargetNameBytes = 256
+)
+
 // validate returns an error for values that would corrupt the receiver's own state: quotas
 // are not limited any more once a NaN has been added to their use.
 func (h *Heartbeat) validate() error {
 	if h.IntervalMs <= 0 || h.IntervalMs > maxIntervalMs || h.UptimeMs < 0 {
 		return fmt.Errorf("interval of %d ms, uptime of %d ms", h.IntervalMs, h.UptimeMs)
 	}
+	if len(h.LeavingAgesMs) > MaxLeaving {
+		return fmt.Errorf("%d leaving targets, at most %d are allowed", len(h.LeavingAgesMs), MaxLeaving)
+	}
+	for name := range h.LeavingAgesMs {
+		if name == "" || len(name) > maxTargetNameBytes {
+			return fmt.Errorf("leaving target with a name of %d bytes", len(name))
+		}
+	}
 	for _, usage := range []map[string]float64{h.OwnUsage, h.FleetUsage} {
 		for organisation, units := range usage {
 			if math.IsNaN(units) || math.IsInf(units, 0) {
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -69,6 +69,8 @@
 	// nil if the body was written inline.
 	bodyWritten chan struct{}
 	writeErr    error
+	// sentAt is when the last request was sent.
+	sentAt time.Time
 	// ctx is the bound context; unbindContext undoes BindContext and reports whether ctx was
 	// still active.
 	ctx           context.Context
@@ -169,7 +171,7 @@
 // Send writes a request. It may return while a long body is still being written, so that
 // the response can be read meanwhile.
 func (c *Conn) Send(m protocol.Request) error {
-	c.bodyWritten = nil
+	c.bodyWritten, c.sentAt = nil, time.Now()
 	fmt.Fprintf(c.bw, "%s %s HTTP/1.1\r\nHost: %s\r\n", m.Method, m.URI, m.Host)
 	if len(m.Body) > 0 || m.Method == http.MethodPost || m.Method == http.MethodPut || m.Method == http.MethodPatch {
 		c.bw.WriteString("Content-Length: ")
@@ -226,6 +228,7 @@
 			return nil, err
 		}
 		info := c.codec.ResponseInfo(resp.StatusCode, resp.Header)
+		c.observe(resp.StatusCode, info, id)
 		if info.ID == id {
 			c.recordResponse(id, resp.StatusCode)
 			body := &bodyReader{Reader: resp.Body}
@@ -252,6 +255,18 @@
 	}
 }
 
+// observe reports a response to the observer of the pool. A skipped one has no known send time.
+func (c *Conn) observe(status int, info protocol.ResponseInfo, id string) {
+	if c.pool.observer == nil {
+		return
+	}
+	o := Observation{Target: c.pool.key, Status: status, Info: info, ReceivedAt: time.Now()}
+	if info.ID == id {
+		o.SentAt = c.sentAt
+	}
+	c.pool.observer(o)
+}
+
 // readFinalResponse reads the next response that is not an interim one.
 func (c *Conn) readFinalResponse(method string) (*http.Response, error) {
 	for range 1 + maxInterimResponses {
