Explain refusals by closed targets on the platform path

Requests that end because every target is leaving or in a back-off now have the reason targets-backed-off on both paths, with a sentence for sardinectl explain.

--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -176,7 +176,7 @@
 
 const (
 	// MaxLeaving bounds the leaving targets in a heartbeat.
-	MaxLeaving = 64
+	MaxLeaving = 32
 	// maxTargetNameBytes bounds the name of a target.
 	maxTargetNameBytes = 256
 )
--- a/gateway/requestlog/requestlog.go
+++ b/gateway/requestlog/requestlog.go
@@ -154,6 +154,7 @@
 	refusal.QuotaExceeded.String():        "Its organisation had used up its quota across all hosts; it was not run.",
 	refusal.Overloaded.String():           "No target could have started it before its caller would have given up; it was not run.",
 	refusal.TargetFull.String():           "The targets it was sent to had no free capacity and did not run it.",
+	refusal.TargetsBackedOff.String():     "All targets of its service were leaving or had asked this host for a back-off; it was not run.",
 	refusal.TargetAddressReused.String():  "Another server has the target's address; it was not run.",
 	refusal.InternalError.String():        "The handler of the request panicked; event 208 has the stack.",
 	refusal.RetryBudgetExhausted.String(): "The retry budget of its service was used up; it was not run.",
--- a/sched/reserve/closed.go
+++ b/sched/reserve/closed.go
@@ -162,7 +162,7 @@
 	if !ok || at.Before(latestStart) {
 		return nil
 	}
-	ref := refusal.New(refusal.NoTarget, "all %d targets are leaving or in a back-off, the first of which ends in %s", len(p.order), at.Sub(now).Round(time.Millisecond))
+	ref := refusal.New(refusal.TargetsBackedOff, "all %d targets are leaving or in a back-off, the first of which ends in %s", len(p.order), at.Sub(now).Round(time.Millisecond))
 	ref.RetryAfter = at.Sub(now) + time.Duration(p.rnd.Float64()*float64(callerReturnSpread))
 	return ref
 }
