--- a/gateway/requestlog/requestlog.go
+++ b/gateway/requestlog/requestlog.go
@@ -158,4 +158,5 @@
 	refusal.InternalError.String():         "The handler of the request panicked; event 208 has the stack.",
 	refusal.PromptPartQuarantined.String(): "Its prompt has a part that crashes targets; it was not sent.",
 	refusal.RetryBudgetExhausted.String():  "The retry budget of its service was used up; it was not run.",
+	refusal.TargetsBackedOff.String():      "All targets of its service were leaving or had asked this host for a back-off; it was not run.",
 }
