Play servers that leave and push back in the soak

The soak only listed servers as draining, and no server asked for a back-off. Checked from the servers' side: no request that a caller sent later than 2 s after a host had passed on the leaving reaches the server through this host unless it was restarted or frozen since; at most two requests and reservations reach a server from a host between half a second after its rejection and the end of the back-off, unless the host or the link was disturbed. Reservations name no request and are attributed by their connection.

--- a/proof/soak/schedule.go
+++ b/proof/soak/schedule.go
@@ -102,7 +102,7 @@
 	var resume func()
 	p.add(at, "SIGSTOP "+name, func(w *world) {
 		h := w.hosts[i]
-		end, process := h.disturbances.begin(), h.currentProcess()
+		end, process := h.beginOutage(), h.currentProcess()
 		process.signal(syscall.SIGSTOP)
 		resume = func() {
 			process.signal(syscall.SIGCONT)
@@ -185,14 +185,17 @@
 func (p *planner) planServerLinkFault(at time.Duration) {
 	number, f := p.rnd.IntN(100), p.pickLinkFault()
 	var s *server
+	var end func()
 	p.add(at, fmt.Sprintf("link of server %d: %s", number, f), func(w *world) {
 		if s = w.pickServer(number, ""); s != nil {
+			end = s.linkDisturbances.begin()
 			s.link.setFault(f)
 		}
 	})
 	p.add(at+p.durationBetween(100*time.Millisecond, 2*time.Second), fmt.Sprintf("link of server %d: healthy", number), func(*world) {
 		if s != nil {
 			s.link.setFault(linkHealthy)
+			end()
 		}
 	})
 }
@@ -263,19 +266,22 @@
 func (p *planner) planServerDrain(at time.Duration) {
 	number := p.rnd.IntN(100)
 	p.add(at, fmt.Sprintf("server %d drains", number), func(w *world) {
-		w.replaceServer(number, func(s *server) {
-			s.mu.Lock()
-			if s.drainingAt.IsZero() {
-				s.drainingAt = time.Now()
-			}
-			s.mu.Unlock()
-			w.publishEntry(s)
-			time.Sleep(drainTime)
-			w.removeServer(s, 0)
-		})
+		w.replaceServer(number, w.drainServer)
 	})
 }
 
+// drainServer lists a server as draining and stops it after drainTime.
+func (w *world) drainServer(s *server) {
+	s.mu.Lock()
+	if s.drainingAt.IsZero() {
+		s.drainingAt = time.Now()
+	}
+	s.mu.Unlock()
+	w.publishEntry(s)
+	time.Sleep(drainTime)
+	w.removeServer(s, 0)
+}
+
 var serverFaults = []slotengine.Fault{
 	slotengine.Shed, slotengine.Fail, slotengine.Disconnect, slotengine.TruncatedStream, slotengine.NoResponse, slotengine.ExtraResponse, slotengine.MismatchedResponse, slotengine.UnframedResponse,
 }
@@ -322,6 +328,7 @@
 	for _, s := range w.liveServers("") {
 		s.link.setFault(linkHealthy)
 		s.SetPersistentFault("")
+		s.PushBack(0, false)
 	}
 	for _, service := range []string{fleetuser.EngineService, fleetuser.PlainService} {
 		if len(w.liveServers(service)) == 0 {
--- a/proof/soak/soak.go
+++ b/proof/soak/soak.go
@@ -12,6 +12,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -27,6 +28,8 @@
 	HostCount, CallerCount int
 	// FaultDuration is how long faults are injected.
 	FaultDuration time.Duration
+	// TargetClosures makes servers leave and push back beside the faults.
+	TargetClosures bool
 	// MaxParallel is the number of concurrent runs; less than 1 means 1.
 	MaxParallel int
 	// LogDir is the directory for the logs of the hosts if a seed fails. If it is empty, no
@@ -75,7 +78,7 @@
 	for i := range cfg.CallerCount {
 		callers.Go(func() { w.runCaller(ctx, i) })
 	}
-	w.runActions(planFaults(seed, cfg.HostCount, cfg.FaultDuration))
+	w.runActions(plan(cfg, seed))
 	w.clearFaults()
 	w.logf("all faults have ended")
 	time.Sleep(settleTime)
@@ -100,6 +103,16 @@
 	return r
 }
 
+// plan returns the schedule of a seed.
+func plan(cfg Config, seed uint64) []action {
+	actions := planFaults(seed, cfg.HostCount, cfg.FaultDuration)
+	if cfg.TargetClosures {
+		actions = append(actions, planClosures(seed, cfg.FaultDuration)...)
+		slices.SortStableFunc(actions, func(a, b action) int { return int(a.offset - b.offset) })
+	}
+	return actions
+}
+
 // saveLogs writes the kept log of the latest process of each host.
 func (w *world) saveLogs(dir string) error {
 	if err := os.MkdirAll(dir, 0o750); err != nil {
--- a/proof/soak/soak_test.go
+++ b/proof/soak/soak_test.go
@@ -18,10 +18,11 @@
 	seed        uint64
 	hosts       int
 	faults      time.Duration
+	closures    bool
 	description string
 }{
-	{1, 3, 4 * time.Second, "a short run"},
-	{215, 4, 12 * time.Second, "the long duration of a request at an unresponsive server made its host refuse others because their deadlines seemed unreachable, and a request that had failed at the only free server blocked those queued behind it"},
+	{1, 3, 4 * time.Second, true, "a short run"},
+	{215, 4, 12 * time.Second, false, "the long duration of a request at an unresponsive server made its host refuse others because their deadlines seemed unreachable, and a request that had failed at the only free server blocked those queued behind it"},
 }
 
 func buildProgram(t *testing.T) string {
@@ -43,7 +44,7 @@
 		for _, r := range seedRuns {
 			t.Run(fmt.Sprint(r.seed), func(t *testing.T) {
 				t.Parallel()
-				result := soak.Run(soak.Config{Program: program, HostCount: r.hosts, CallerCount: 10, FaultDuration: r.faults}, r.seed)
+				result := soak.Run(soak.Config{Program: program, HostCount: r.hosts, CallerCount: 10, FaultDuration: r.faults, TargetClosures: r.closures}, r.seed)
 				if result.Err != nil || len(result.Violations) > 0 {
 					t.Errorf("%s: %v, %+v\n%s", r.description, result.Err, result.Violations, strings.Join(result.Log, "\n"))
 				}
--- a/proof/soak/world.go
+++ b/proof/soak/world.go
@@ -63,10 +63,15 @@
 // overlaps reports whether an interval, extended by effectDelay, overlaps the period
 // between two times.
 func (s *intervals) overlaps(from, to time.Time) bool {
+	return s.overlapsExactly(from.Add(-effectDelay), to)
+}
+
+// overlapsExactly is overlaps without effectDelay.
+func (s *intervals) overlapsExactly(from, to time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, x := range s.list {
-		if x.from.Before(to) && (x.to.IsZero() || x.to.Add(effectDelay).After(from)) {
+		if x.from.Before(to) && (x.to.IsZero() || x.to.After(from)) {
 			return true
 		}
 	}
@@ -75,11 +80,11 @@
 
 // entryHost is one host with the processes that have run on it. disturbances records the
 // faults that callers may notice, storeDisturbances those of the host's connection to the
-// store.
+// store, outages the times in which the process was down or frozen.
 type entryHost struct {
-	name, ip, settingsFile          string
-	storeLink, callerLink           *relay
-	disturbances, storeDisturbances intervals
+	name, ip, settingsFile                   string
+	storeLink, callerLink                    *relay
+	disturbances, storeDisturbances, outages intervals
 
 	mu        sync.Mutex
 	processes []*process
@@ -87,9 +92,15 @@
 	endOnUp []func()
 }
 
+// beginOutage starts an outage, which callers may notice, and returns the function that ends it.
+func (h *entryHost) beginOutage() (end func()) {
+	endDisturbance, endOutage := h.disturbances.begin(), h.outages.begin()
+	return func() { endDisturbance(); endOutage() }
+}
+
 // markDown starts a disturbance that lasts until the host runs again.
 func (h *entryHost) markDown() {
-	end := h.disturbances.begin()
+	end := h.beginOutage()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.endOnUp = append(h.endOnUp, end)
@@ -124,6 +135,8 @@
 	id, service string
 	*slotengine.Server
 	link *relay
+	// linkDisturbances records when the relay had faults.
+	linkDisturbances intervals
 
 	mu         sync.Mutex
 	drainingAt time.Time
--- a/standin/fleetuser/caller.go
+++ b/standin/fleetuser/caller.go
@@ -30,6 +30,12 @@
 	Complete bool
 	// Close is true if the host accepts no more requests on the connection.
 	Close bool
+	// Server is the instance id of the server that responded; empty if the host responded.
+	Server string
+	// Leaving is true if the response states that the server is leaving.
+	Leaving bool
+	// HeaderAt is when the header was received.
+	HeaderAt time.Time
 }
 
 // CallerConn is a persistent connection from a caller to a host. It serves one request
@@ -69,8 +75,12 @@
 	if err != nil {
 		return Response{}, err
 	}
+	headerAt := time.Now()
 	body, err := io.ReadAll(resp.Body)
-	return Response{Status: resp.StatusCode, ID: resp.Header.Get("Request-Id"), Body: string(body), Complete: err == nil, Close: resp.Close}, err
+	return Response{
+		Status: resp.StatusCode, ID: resp.Header.Get("Request-Id"), Body: string(body), Complete: err == nil, Close: resp.Close,
+		Server: strings.TrimPrefix(resp.Header.Get("Server-Stamp"), "stamp-"), Leaving: resp.Header.Get("Server-Leaving") == "1", HeaderAt: headerAt,
+	}, err
 }
 
 var eventPattern = regexp.MustCompile(`^id: (\d+)\ndata: piece-(\d+)$`)
--- a/standin/slotengine/pushback.go
+++ b/standin/slotengine/pushback.go
@@ -9,7 +9,9 @@
 // Arrival is a request that reached the server, whether it ran or not.
 type Arrival struct {
 	RequestID, Path string
-	At              time.Time
+	// Connection identifies the connection.
+	Connection string
+	At         time.Time
 	// Leaving is true if the server was leaving.
 	Leaving bool
 	// BackOffLeft is the rest of the back-off that the server had asked for; 0 if there was
@@ -60,7 +62,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	left := max(0, s.pushBack.until.Sub(now))
-	s.arrivals = append(s.arrivals, Arrival{RequestID: r.Header.Get("Request-Id"), Path: r.URL.Path, At: now, Leaving: s.leaving, BackOffLeft: left})
+	s.arrivals = append(s.arrivals, Arrival{RequestID: r.Header.Get("Request-Id"), Path: r.URL.Path, Connection: r.RemoteAddr, At: now, Leaving: s.leaving, BackOffLeft: left})
 	if left == 0 {
 		return "", false
 	}
--- a/standin/slotengine/slotengine.go
+++ b/standin/slotengine/slotengine.go
@@ -194,6 +194,7 @@
 		if err != nil {
 			return
 		}
+		r.RemoteAddr = c.RemoteAddr().String()
 		body, err := io.ReadAll(r.Body)
 		if err != nil || !s.handleRequest(c, br, r, body) {
 			return
