Measure urgent goodput while half of the engines push back

Six hosts in virtual time send to twelve engines, of which six turn requests away for 5 s in every 10 s. At most two requests per host, engine and back-off may reach an engine that pushes back.

--- a/sched/pool/overload_test.go
+++ b/sched/pool/overload_test.go
@@ -166,3 +166,32 @@
 		t.Errorf("%d bytes per second and host, want at most 4500", perHost)
 	}
 }
+
+// Guards against urgent requests that are refused or late while half of the engines ask for a
+// back-off of 5 s in every 10 s, and against requests that keep reaching these engines. The
+// urgent load fits into the other half, the load of all tiers does not.
+func TestUrgentGoodputWhileHalfOfTheEnginesPushBack(t *testing.T) {
+	const hosts, cycles = 6, 4
+	for seed := range uint64(3) {
+		z := newZone(seed+20, hosts, 12, Config{Name: "p"})
+		z.runLoad(1000, 5, 8, 8)
+		for range cycles {
+			for _, e := range z.engines[:6] {
+				e.pushBackUntil = z.now.Add(5 * time.Second)
+			}
+			z.runLoad(1000, 5, 8, 8)
+		}
+		offered := z.inTime[0] + z.refused[0]
+		for range 2500 {
+			z.step()
+		}
+		t.Logf("seed %d: in time %v, refused %v, %d requests turned away", seed+20, z.inTime, z.refused, z.rejected)
+		if z.refused[0]*100 > offered {
+			t.Errorf("seed %d: %d urgent requests were refused of %d", seed+20, z.refused[0], offered)
+		}
+		if bound := 2 * hosts * 6 * cycles; z.rejected > bound {
+			t.Errorf("seed %d: %d requests reached engines in their back-off, at most %d allowed", seed+20, z.rejected, bound)
+		}
+		z.check(t)
+	}
+}
--- a/sched/pool/sim_test.go
+++ b/sched/pool/sim_test.go
@@ -30,6 +30,7 @@
 
 	completed, inTime, refused [request.TierCount]int
 	paused, inversions         int
+	rejected                   int // requests that reached an engine in its back-off
 	prefillTokens              int // prompt tokens computed
 	dispatchesByEngine         map[string]int
 	tokensByOrganisation       map[string]float64
@@ -55,6 +56,8 @@
 	queue                         []*simRun // in arrival order; the first slots entries run
 	cache                         map[uint64]bool
 	cacheOrder                    []uint64
+	// pushBackUntil is the end of the back-off that the engine asks for.
+	pushBackUntil time.Time
 }
 
 type simRun struct {
@@ -139,11 +142,28 @@
 			return
 		}
 		e := z.engine(a.Target)
+		if left := e.pushBackUntil.Sub(z.now); left > 0 {
+			z.reject(host, a, left)
+			return
+		}
 		e.lookup(run, z)
 		e.queue = append(e.queue, run)
 	})
 }
 
+// reject turns a request away that reached an engine in its back-off.
+func (z *simZone) reject(host int, a Action, backOff time.Duration) {
+	z.rejected++
+	if !a.Resume {
+		z.dispatches[a.Request.ID]--
+	}
+	z.afterDelay(func() {
+		p := z.hosts[host]
+		z.perform(host, p.RecordNotice(a.Target, Notice{SentAt: z.now, BackOff: backOff}, z.now))
+		z.perform(host, p.Done(a.Request.ID, Declined, z.now))
+	})
+}
+
 func (z *simZone) engine(name string) *simEngine {
 	for _, e := range z.engines {
 		if e.name == name {
