Let the target list tell successors at the same address apart

A service whose successor starts at the same address got nothing: no request reaches a leaving service, so no response could tell that it is another process, and the list had no start times. Entries may now state the start of the target's process. Without it, a leaving engine's successor is recognised by its load reports only, and a service's when its entry is removed and listed again.

TestSuccessorAtTheSameAddressStartsAfresh covers both sources; it was not run without the comparison of start times.

--- a/host/poolset.go
+++ b/host/poolset.go
@@ -30,7 +30,7 @@
 		targets = append(targets, pool.Target{
 			Name: info.Name, Zone: info.Zone, Version: p.currentVersion(info.Name, info.Version),
 			Local: info.Zone == "" || info.Zone == s.Host.Zone, Draining: info.Leaving,
-			Incarnation: drain.Incarnation{ID: info.Address},
+			Incarnation: drain.Incarnation{ID: info.Address, StartedUnixMs: info.StartedUnixMs},
 		})
 	}
 	p.backends.Store(&next)
--- a/sched/pool/closure_test.go
+++ b/sched/pool/closure_test.go
@@ -99,6 +99,31 @@
 	}
 }
 
+// Guards against a successor at the same address that gets nothing, whether the list or its own
+// response tells it apart.
+func TestSuccessorAtTheSameAddressStartsAfresh(t *testing.T) {
+	first, later := drain.Incarnation{ID: run1, StartedUnixMs: 1000}, drain.Incarnation{ID: run1, StartedUnixMs: 2000}
+	told := map[string]func(p *Pool) []Action{
+		"response": func(p *Pool) []Action {
+			return p.RecordNotice("t0", Notice{Incarnation: later, SentAt: after(20)}, after(30))
+		},
+		"list": func(p *Pool) []Action {
+			return p.SetTargets([]Target{{Name: "t0", Local: true, Incarnation: later}}, after(30))
+		},
+	}
+	for source, tell := range told {
+		p := newListedPool(Service, 1)
+		p.RecordNotice("t0", Notice{Incarnation: first, Leaving: true, SentAt: start, BackOff: time.Minute}, after(10))
+		if out := p.SetTargets(listedTargets(1, run1), after(20)); len(out) != 0 {
+			t.Errorf("%s: a list without start times: %+v", source, out)
+		}
+		singleAction(t, tell(p), Reopen)
+		if n := dispatchedTo(p, 0, 3, after(40))["t0"]; n != 3 {
+			t.Errorf("%s: %d of 3 requests at the successor", source, n)
+		}
+	}
+}
+
 // Guards against a target that receives requests in its back-off, because it is the only one,
 // because all are ejected or because its load report is due; and against one that stays closed.
 func TestBackedOffTargetGetsNothingUntilTheEnd(t *testing.T) {
