Name both causes of a refusal without retry budget

A target that states that it did not run a request, without a Retry-After, is handled like one that was not reached, but the refusal called it unreachable.

--- a/sched/pool/requests.go
+++ b/sched/pool/requests.go
@@ -174,7 +174,7 @@
 func (p *Pool) retryOrRefuse(out []Action, e *entry, now time.Time) []Action {
 	// Patient requests are retried without budget, because they tolerate waiting.
 	if !e.pinned && e.req.Tier != request.Patient && !p.retryBudget.spend() {
-		return p.refuse(out, e, refusal.New(refusal.TargetUnreachable, "target %s is unreachable and the retry budget is exhausted", e.target.Name), now)
+		return p.refuse(out, e, refusal.New(refusal.TargetUnreachable, "target %s was not reached or did not run the request, and the retry budget is exhausted", e.target.Name), now)
 	}
 	return p.requeue(out, e, now)
 }
