Let servers leave and push back in the soak

Servers now state that they leave while the list has them as ready, and push back for one to four seconds, beside the faults so far. Checked from the servers' side, by the host of each request: none arrives at a server that its caller sent later than 2 s after the host had passed on that the server leaves, and at most two arrive in a back-off later than half a second after the first rejection. Disturbances of the host excuse it. Reservations carry no request id and are not attributed.

--- a/proof/soak/check.go
+++ b/proof/soak/check.go
@@ -62,6 +62,7 @@
 		found = append(found, w.checkCompletion(x)...)
 	}
 	found = append(found, w.checkDraining(seen)...)
+	found = append(found, w.checkNotices(seen)...)
 	for _, h := range w.hosts {
 		for _, p := range h.allProcesses() {
 			found = append(found, checkProcess(h, p)...)
--- a/proof/soak/schedule.go
+++ b/proof/soak/schedule.go
@@ -50,6 +50,7 @@
 			planFault(p, at)
 		}
 	}
+	p.actions = append(p.actions, planNotices(seed, length)...)
 	slices.SortStableFunc(p.actions, func(a, b action) int { return int(a.offset - b.offset) })
 	return p.actions
 }
@@ -322,6 +323,7 @@
 	for _, s := range w.liveServers("") {
 		s.link.setFault(linkHealthy)
 		s.SetPersistentFault("")
+		s.PushBack(0, false)
 	}
 	for _, service := range []string{fleetuser.EngineService, fleetuser.PlainService} {
 		if len(w.liveServers(service)) == 0 {
