Don't blame prompt parts for outages, and bound their trials and memory

A crash while no target of the service answers, as in an outage of the whole service, counted against the parts of the requests that waited there. The trial of a quarantined part could be sent a second time after its first send crashed a target. Ids of parts kept the memory of whole request headers alive.

TestOutagesDoNotQuarantine and TestIDsDoNotKeepHeadersAlive failed without the change.

--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -143,6 +143,8 @@
 	// failureLogged is true if a failed attempt was logged; the final log line is then exempt
 	// from sampling.
 	failureLogged bool
+	// partsTrial is true if the request is the trial of a quarantined prompt part.
+	partsTrial bool
 	// sentAt is the time of the last send.
 	sentAt time.Time
 	// began is true if the last send got an answer beyond its beginning.
--- a/gateway/ingress/parts.go
+++ b/gateway/ingress/parts.go
@@ -10,6 +10,7 @@
 
 	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/gateway/directory"
+	"sardinefront.dev/sched/quarantine"
 	"sardinefront.dev/sched/reserve"
 )
 
@@ -30,10 +31,15 @@
 	return out
 }
 
-// checkParts returns a refusal if the prompt has a part that crashes targets.
+// checkParts returns a refusal if the prompt has a part that crashes targets. A trial passes until
+// it has been sent once.
 func (x *exchange) checkParts() *refusal.Refusal {
-	id, blocked := x.cfg.Parts.Check(x.service, x.sharedParts(), time.Now())
-	if !blocked {
+	if x.partsTrial && x.sends == 0 {
+		return nil
+	}
+	id, verdict := x.cfg.Parts.Check(x.service, x.sharedParts(), time.Now())
+	x.partsTrial = verdict == quarantine.Trial && x.sends == 0
+	if verdict == quarantine.Allowed || x.partsTrial {
 		return nil
 	}
 	return refusal.New(refusal.PromptPartQuarantined, "requests with the prompt part %s crash targets of %s", id, x.service)
--- a/gateway/parts_test.go
+++ b/gateway/parts_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"strings"
 	"testing"
 
 	"sardinefront.dev/standin/slotengine"
@@ -15,6 +16,7 @@
 		fx.addServer(engineName, slotengine.Config{StreamEvents: 3, ResponseDelay: shortPause, CrashOnPart: "bad"})
 	}
 	fx.startHost()
+	fx.call("POST", pathStream, "prompt", "Prompt-Prefix: shared:800,good:410,other:250")
 	var last response
 	for range deadlyRequests {
 		last = fx.call("POST", pathStream, "prompt", "Prompt-Prefix: shared:800,bad:410,own:250")
@@ -22,7 +24,7 @@
 	crashed := 0
 	for _, s := range fx.servers {
 		for _, run := range s.Runs() {
-			if run.Header.Get("Prompt-Prefix") != "" {
+			if strings.Contains(run.Header.Get("Prompt-Prefix"), "bad:") {
 				crashed++
 			}
 		}
--- a/gateway/promptparts/promptparts.go
+++ b/gateway/promptparts/promptparts.go
@@ -48,24 +48,23 @@
 	return &Guard{peers: peers, metrics: metrics, log: log, table: quarantine.New()}
 }
 
-// Check returns the part for which a request must not be sent to a target.
-func (g *Guard) Check(service string, ids []string, now time.Time) (id string, blocked bool) {
+// Check states whether a request with these parts may be sent to a target, and the quarantined part
+// on which that depends.
+func (g *Guard) Check(service string, ids []string, now time.Time) (id string, verdict quarantine.Verdict) {
 	if len(ids) == 0 {
-		return "", false
+		return "", quarantine.Allowed
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	p, blocked := g.table.Check(parts(service, ids), g.peers.Hosts, now)
-	return p.ID, blocked
+	p, verdict := g.table.Check(parts(service, ids), g.peers.Hosts, now)
+	return p.ID, verdict
 }
 
 // RecordSuccess records that a response to a request with these parts got beyond its beginning.
 func (g *Guard) RecordSuccess(service string, ids []string, now time.Time) {
-	if len(ids) == 0 {
-		return
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.table.RecordServed(quarantine.NewPart(service, "").Service, now)
 	if g.table.RecordSuccess(parts(service, ids), now) {
 		g.publish()
 	}
--- a/gateway/promptparts/promptparts_test.go
+++ b/gateway/promptparts/promptparts_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sardinefront.dev/gateway/promptparts"
+	"sardinefront.dev/sched/quarantine"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -28,7 +29,9 @@
 func newGuard() (*promptparts.Guard, *recorder, *bytes.Buffer) {
 	var log bytes.Buffer
 	r := &recorder{}
-	return promptparts.New(r, r, slog.New(slog.NewJSONHandler(&log, nil))), r, &log
+	g := promptparts.New(r, r, slog.New(slog.NewJSONHandler(&log, nil)))
+	g.RecordSuccess("s", nil, start)
+	return g, r, &log
 }
 
 var ids = []string{"bad"}
@@ -50,10 +53,10 @@
 		}
 	}
 	for i, g := range guards {
-		if id, blocked := g.Check("s", ids, at(400)); !blocked || id != "bad" {
-			t.Errorf("host %d: blocked %t by %q", i, blocked, id)
+		if id, verdict := g.Check("s", ids, at(400)); verdict != quarantine.Blocked || id != "bad" {
+			t.Errorf("host %d: verdict %d by %q", i, verdict, id)
 		}
-		if _, blocked := g.Check("other", ids, at(400)); blocked {
+		if _, verdict := g.Check("other", ids, at(400)); verdict != quarantine.Allowed {
 			t.Errorf("host %d blocks the part at another service", i)
 		}
 	}
--- a/sched/quarantine/admit.go
+++ b/sched/quarantine/admit.go
@@ -11,11 +11,22 @@
 // Fleet returns this host's name and the names of all hosts that are alive.
 type Fleet func() (self string, hosts []string)
 
-// Check returns the quarantined part for which a request with these parts must not be sent.
-// A part whose crashes another quarantined part explains blocks only requests that have both,
+// Verdict states whether a request may be sent.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Allowed Verdict = iota
+	// Trial allows one send of the request, to find out whether the part still crashes targets.
+	Trial
+	Blocked
+)
+
+// Check states whether a request with these parts may be sent, and the quarantined part on which
+// that depends. A part whose crashes another quarantined part explains blocks only requests that have both,
 // because sound requests may share it. If a trial is due and it is this host's turn, the request
-// is the trial and is not blocked.
-func (t *Table) Check(parts []Part, fleet Fleet, now time.Time) (Part, bool) {
+// is the trial.
+func (t *Table) Check(parts []Part, fleet Fleet, now time.Time) (Part, Verdict) {
 	var blocked []*record
 	var first Part
 	for _, p := range parts {
@@ -29,17 +40,17 @@
 		blocked = append(blocked, r)
 	}
 	if len(blocked) == 0 {
-		return Part{}, false
+		return Part{}, Allowed
 	}
 	for _, r := range blocked {
 		if !r.trialDue(first, fleet, now) {
-			return first, true
+			return first, Blocked
 		}
 	}
 	for _, r := range blocked {
 		r.trial = now
 	}
-	return Part{}, false
+	return first, Trial
 }
 
 // explained reports whether the crashes of a part would not suffice for a quarantine without those
--- a/sched/quarantine/quarantine.go
+++ b/sched/quarantine/quarantine.go
@@ -9,6 +9,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 	"unicode/utf8"
 
@@ -25,6 +26,8 @@
 	// minCrashes is the number of crashes for which minConcurrentChain is sufficient.
 	minCrashes         = 5
 	minConcurrentChain = 2
+	// servedWindow is how long a response that began shows that the service is up.
+	servedWindow = 2 * time.Second
 	// evidenceTTL is how long a crash counts for a part that is not quarantined.
 	evidenceTTL = 10 * time.Minute
 	// quarantineTTL is how long a quarantine lasts after the last crash. It is longer than
@@ -57,6 +60,9 @@
 	return Part{Service: boundName(service, maxServiceBytes), ID: boundName(id, maxIDBytes)}
 }
 
+// clone returns a copy that does not keep the header alive from which the id was cut.
+func (p Part) clone() Part { return Part{Service: p.Service, ID: strings.Clone(p.ID)} }
+
 func boundName(name string, maxBytes int) string {
 	if name != "" && len(name) <= maxBytes && utf8.ValidString(name) {
 		return name
@@ -111,12 +117,19 @@
 	// successes and olderSuccesses are the times of the newest response with each part. When
 	// successes is full, it replaces olderSuccesses.
 	successes, olderSuccesses map[Part]time.Time
-	changes                   []Change
+	// services holds when responses of a service began and when its targets crashed.
+	services map[string]serviceTimes
+	changes  []Change
+}
+
+// serviceTimes are the newest times of a service at this host.
+type serviceTimes struct {
+	served, crashed time.Time
 }
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{records: map[Part]*record{}, successes: map[Part]time.Time{}}
+	return &Table{records: map[Part]*record{}, successes: map[Part]time.Time{}, services: map[string]serviceTimes{}}
 }
 
 // TakeChanges returns the changes since the last call.
@@ -144,6 +157,9 @@
 	if len(t.successes) >= maxSuccesses {
 		t.successes, t.olderSuccesses = map[Part]time.Time{}, t.successes
 	}
+	if _, ok := t.successes[p]; !ok {
+		p = p.clone()
+	}
 	t.successes[p] = now
 }
 
@@ -174,10 +190,34 @@
 	}
 }
 
+// RecordServed records that a response of the service got beyond its beginning, whatever its parts.
+func (t *Table) RecordServed(service string, now time.Time) {
+	times := t.services[service]
+	times.served = now
+	t.services[service] = times
+}
+
+// outage reports whether the service is down as a whole as far as this host knows: no response has
+// begun since its last crash, nor recently. Parts of prompts are then not to blame for crashes. It
+// records the crash at now.
+func (t *Table) outage(service string, now time.Time) bool {
+	times := t.services[service]
+	previous := times.crashed
+	times.crashed = now
+	t.services[service] = times
+	if times.served.IsZero() {
+		return true
+	}
+	return !times.served.After(previous) && now.Sub(times.served) > servedWindow
+}
+
 // RecordCrash records that a target crashed at now while a request with these parts, sent at
 // sent, waited for the beginning of its response there.
 func (t *Table) RecordCrash(parts []Part, target uint32, sent, now time.Time) {
 	t.expire(now)
+	if len(parts) == 0 || t.outage(parts[0].Service, now) {
+		return
+	}
 	for _, p := range parts {
 		t.addCrash(p, target, span{sent, now}, false, now)
 	}
@@ -212,6 +252,7 @@
 func (t *Table) recordOf(p Part) *record {
 	r := t.records[p]
 	if r == nil && len(t.records) < maxRecords {
+		p = p.clone()
 		r = &record{crashes: map[uint32]span{}, ownSuccess: t.lastSuccess(p)}
 		r.success = r.ownSuccess
 		t.records[p] = r
--- a/sched/quarantine/quarantine_test.go
+++ b/sched/quarantine/quarantine_test.go
@@ -1,7 +1,9 @@
 package quarantine_test
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -25,11 +27,18 @@
 	return out
 }
 
+// newTable returns a table of a host at which the service has just served a request.
+func newTable() *quarantine.Table {
+	t := quarantine.New()
+	t.RecordServed("s", start)
+	return t
+}
+
 func alone() (string, []string) { return "h", []string{"h"} }
 
 func blocked(t *quarantine.Table, ms int, ids ...string) bool {
-	_, b := t.Check(parts(ids...), alone, at(ms))
-	return b
+	_, verdict := t.Check(parts(ids...), alone, at(ms))
+	return verdict == quarantine.Blocked
 }
 
 // crashInTurn records n crashes in a row, one each 100 ms, under requests with the ids.
@@ -41,7 +50,7 @@
 
 // Guards against a part that goes on crashing targets.
 func TestCrashesInTurnQuarantine(t *testing.T) {
-	table := quarantine.New()
+	table := newTable()
 	crashInTurn(table, 2, "a")
 	if blocked(table, 300, "a") {
 		t.Error("quarantined after two crashes")
@@ -54,7 +63,7 @@
 
 // Guards against a quarantine of a part that many requests share when many targets crash at once.
 func TestSimultaneousCrashesDoNotQuarantine(t *testing.T) {
-	table := quarantine.New()
+	table := newTable()
 	for i := range 30 {
 		table.RecordCrash(parts("hot"), uint32(i), at(i), at(100+i%5))
 	}
@@ -63,9 +72,25 @@
 	}
 }
 
+// Guards against quarantines after outages of a whole service, in which each request crashes with
+// its target or waits.
+func TestOutagesDoNotQuarantine(t *testing.T) {
+	table := newTable()
+	for outage := range 4 {
+		begin := 4000 * outage
+		for i := range 10 {
+			table.RecordCrash(parts("a"), uint32(100*outage+i), at(begin), at(begin+100+i))
+		}
+	}
+	table.RecordServed("s", at(20_000))
+	if blocked(table, 20_001, "a") {
+		t.Error("a part was quarantined by outages of all targets")
+	}
+}
+
 // Guards against a quarantine of a part with which responses begin.
 func TestSuccessClearsCrashes(t *testing.T) {
-	table := quarantine.New()
+	table := newTable()
 	crashInTurn(table, 2, "a")
 	table.RecordSuccess(parts("a"), at(250))
 	table.RecordCrash(parts("a"), 3, at(260), at(300))
@@ -81,7 +106,7 @@
 
 // Guards against refusals of sound requests that share a part with all requests that crash targets.
 func TestSharedPartAloneIsServed(t *testing.T) {
-	table := quarantine.New()
+	table := newTable()
 	crashInTurn(table, 4, "shared", "bad")
 	if !blocked(table, 500, "shared", "bad") || blocked(table, 500, "shared") {
 		t.Error("requests with both parts are served, or those with the shared part alone are refused")
@@ -94,7 +119,7 @@
 
 // Guards against refusals of a shared part that was also under an unrelated crash.
 func TestUnrelatedCrashDoesNotConvictSharedPart(t *testing.T) {
-	table := quarantine.New()
+	table := newTable()
 	crashInTurn(table, 4, "shared", "bad")
 	table.RecordCrash(parts("bad"), 50, at(420), at(500))
 	table.RecordCrash(parts("shared"), 60, at(520), at(600))
@@ -108,14 +133,15 @@
 	hosts := strings.Split("a b c d e f g h i j k l m n o p q r s t", " ")
 	tables := map[string]*quarantine.Table{}
 	for _, h := range hosts {
-		tables[h] = quarantine.New()
+		tables[h] = newTable()
 		crashInTurn(tables[h], 3, "bad")
 	}
 	trials := 0
 	for s := 1; s <= 1200; s++ { // each host gets a request each second for 20 minutes
 		for i, h := range hosts {
+			tables[h].RecordServed("s", at(1000*s+i))
 			fleet := func() (string, []string) { return h, hosts }
-			if _, no := tables[h].Check(parts("bad"), fleet, at(1000*s+i)); no {
+			if _, verdict := tables[h].Check(parts("bad"), fleet, at(1000*s+i)); verdict == quarantine.Blocked {
 				continue
 			}
 			trials++
@@ -131,7 +157,7 @@
 
 // Guards against a part that stays refused after a trial succeeded at another host.
 func TestSuccessOfTrialReleasesEverywhere(t *testing.T) {
-	a, b := quarantine.New(), quarantine.New()
+	a, b := newTable(), newTable()
 	crashInTurn(a, 3, "bad")
 	b.Merge(a.Reports(at(400)), at(401))
 	if !blocked(b, 402, "bad") {
@@ -152,7 +178,7 @@
 // Guards against evidence of a peer that outweighs this host's newer success, and against peers
 // that don't learn of it.
 func TestOwnSuccessContradictsPeer(t *testing.T) {
-	a, b := quarantine.New(), quarantine.New()
+	a, b := newTable(), newTable()
 	crashInTurn(a, 3, "hot")
 	b.RecordSuccess(parts("hot"), at(350))
 	if !b.Merge(a.Reports(at(400)), at(401)) {
@@ -167,7 +193,7 @@
 // Guards against memory that grows with the number of parts that callers send, and against
 // heartbeats that peers reject because of a caller's odd id.
 func TestReportsStayBoundedAndValid(t *testing.T) {
-	table := quarantine.New()
+	table := newTable()
 	for i := range 5000 {
 		id := strings.Repeat("\xff", i%200) + string(rune('a'+i%26)) + time.Duration(i).String()
 		table.RecordCrash(parts(id, ""), uint32(i), at(i), at(i+1))
@@ -179,6 +205,27 @@
 	}
 }
 
+// Guards against the headers of thousands of requests kept in memory by the ids cut from them.
+func TestIDsDoNotKeepHeadersAlive(t *testing.T) {
+	const headers, headerBytes, allowedBytes = 1000, 64 << 10, 8 << 20
+	table := newTable()
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range headers {
+		header := strings.Repeat("x", headerBytes) + fmt.Sprint(i)
+		id := header[headerBytes-8:]
+		table.RecordCrash(parts(id), uint32(i), at(i), at(i+1))
+		table.RecordSuccess(parts(id), at(i))
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if grown := int64(after.HeapAlloc) - int64(before.HeapAlloc); grown > allowedBytes {
+		t.Errorf("%d bytes kept for %d ids", grown, headers)
+	}
+	runtime.KeepAlive(table)
+}
+
 // incident is a random history: crashes of distinct targets, seen by some hosts.
 func incident(rnd *rand.Rand, hosts []*quarantine.Table) {
 	for i := range 6 {
@@ -198,7 +245,7 @@
 			rnd := rand.New(rand.NewPCG(seed, 1))
 			hosts := make([]*quarantine.Table, 4)
 			for i := range hosts {
-				hosts[i] = quarantine.New()
+				hosts[i] = newTable()
 			}
 			for i := range crashes {
 				for range 1 + rnd.IntN(3) {
@@ -226,7 +273,7 @@
 	properties.Property("sound requests with the shared part are served", prop.ForAll(
 		func(seed uint64) bool {
 			rnd := rand.New(rand.NewPCG(seed, 2))
-			hosts := []*quarantine.Table{quarantine.New(), quarantine.New(), quarantine.New()}
+			hosts := []*quarantine.Table{newTable(), newTable(), newTable()}
 			incident(rnd, hosts)
 			for range 30 {
 				hosts[rnd.IntN(3)].Merge(hosts[rnd.IntN(3)].Reports(at(1000)), at(1001))
@@ -246,7 +293,7 @@
 	properties.Property("a part that is served after every second crash is not refused", prop.ForAll(
 		func(seed uint64) bool {
 			rnd := rand.New(rand.NewPCG(seed, 3))
-			table := quarantine.New()
+			table := newTable()
 			for i := range 50 {
 				table.RecordCrash(parts("a"), rnd.Uint32(), at(100*i+rnd.IntN(50)), at(100*i+60))
 				if i%2 == 1 {
