Select ports for fixtures outside of the ephemeral range

TestSpeedsSurviveFullRestart failed once with "listen on 127.0.0.1:41937: bind: address already in use". Fixtures that must know a port before they listen on it let the system assign one, closed that listener and listened later. The system may assign the same port again in between: to the next port of the same fixture, to another listener, or to a connection.

core/freeport selects ports below the ephemeral range, from blocks that a process locks until it ends, and returns none twice. The fixtures of gateway, gateway/peers, fleet and proof/scenario and the demo use it.

No check was changed: the fixtures only get their ports elsewhere.

--- a/cmd/internal/demo/hosts.go
+++ b/cmd/internal/demo/hosts.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -13,6 +12,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"sardinefront.dev/core/freeport"
 	"sardinefront.dev/core/telemetry"
 	"sardinefront.dev/fleet/config"
 	"sardinefront.dev/fleet/peer"
@@ -94,7 +94,8 @@
 
 func hostSettings(d *deployment, name string, i int, platformAddress string, keys peer.KeyFiles) (settings.Settings, error) {
 	s := settings.Defaults()
-	peers, err := freeUDPAddress()
+	// Hosts must be listed with their peer address before they start.
+	peers, err := freeport.LoopbackAddress()
 	if err != nil {
 		return s, err
 	}
@@ -107,17 +108,6 @@
 	return s, nil
 }
 
-// freeUDPAddress returns a currently unused loopback address. It is allocated in advance because
-// hosts must be listed with their peer address before they start.
-func freeUDPAddress() (string, error) {
-	c, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer c.Close()
-	return c.LocalAddr().String(), nil
-}
-
 // awaitReady waits until every host has received the rules and its targets.
 func (s *hostSet) awaitReady(ctx context.Context) error {
 	for {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -5,11 +5,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"sync"
 	"testing"
 	"time"
 
+	"sardinefront.dev/core/freeport"
 	"sardinefront.dev/fleet/config"
 	"sardinefront.dev/fleet/member"
 	"sardinefront.dev/fleet/peer"
@@ -29,15 +29,14 @@
 	return append([]platform.Endpoint(nil), l.rows...), nil
 }
 
-// freeAddress returns a loopback UDP address that was free when the function returned.
+// freeAddress returns a free loopback address.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	address, err := freeport.LoopbackAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer c.Close()
-	return c.LocalAddr().String()
+	return address
 }
 
 // callbackLog records the callbacks of one node.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"sardinefront.dev/core/freeport"
 	"sardinefront.dev/core/telemetry"
 	"sardinefront.dev/gateway"
 	"sardinefront.dev/gateway/protocol"
@@ -79,12 +80,11 @@
 
 func freePort(t *testing.T) uint16 {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	port, err := freeport.Loopback()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return uint16(l.Addr().(*net.TCPAddr).Port)
+	return port
 }
 
 func newFixture(t *testing.T) *fixture {
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -4,11 +4,11 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
 	"sync"
 	"testing"
 	"time"
 
+	"sardinefront.dev/core/freeport"
 	"sardinefront.dev/gateway/peers"
 )
 
@@ -49,12 +49,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	address, err := freeport.LoopbackAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer c.Close()
-	return c.LocalAddr().String()
+	return address
 }
 
 // waitFor polls until ok returns true.
--- a/proof/scenario/hostprocess.go
+++ b/proof/scenario/hostprocess.go
@@ -12,6 +12,7 @@
 
 	"github.com/goccy/go-yaml"
 
+	"sardinefront.dev/core/freeport"
 	"sardinefront.dev/core/request"
 	"sardinefront.dev/core/telemetry"
 	"sardinefront.dev/fleet/peer"
@@ -192,19 +193,19 @@
 	}
 	k := files[s.Host.Name]
 	s.KeyFiles = settings.KeyFiles{CA: k.CA, Cert: k.Cert, Key: k.Key}
-	s.Listen.Peers, err = freeUDPAddress(w.listenAddress)
+	s.Listen.Peers, err = peerAddress(w.listenAddress)
 	return err
 }
 
-// freeUDPAddress returns a UDP address with an unused port. Another process may take
-// the port before the caller listens on it.
-func freeUDPAddress(listen string) (string, error) {
-	c, err := net.ListenPacket("udp", listen)
+// peerAddress returns an address with a free port on the IP of a listen address. Other hosts
+// must know it before the host starts.
+func peerAddress(listen string) (string, error) {
+	ip, _, err := net.SplitHostPort(listen)
 	if err != nil {
 		return "", err
 	}
-	defer c.Close()
-	return c.LocalAddr().String(), nil
+	port, err := freeport.Loopback()
+	return fmt.Sprintf("%s:%d", ip, port), err
 }
 
 // startHost waits until the previous process of the host has ended and starts a new one.
