Make Flush of the log safe for concurrent calls

At the end of sardinefront entry the loop that flushes the log and a deferred call can flush at the same time. They shared a spare buffer: one wrote it while new lines were added to it.

A flush now holds a lock of its own; writers of lines do not wait for it.

TestConcurrentFlushesKeepLinesWhole failed before, with garbled lines.

--- a/core/logs/logs.go
+++ b/core/logs/logs.go
@@ -26,12 +26,14 @@
 	dropReportInterval = 5 * time.Second
 )
 
-// Sink buffers lines until Flush writes them. Write is safe for concurrent use, also with
-// Flush; only one goroutine may call Flush.
+// Sink buffers lines until Flush writes them. It is safe for concurrent use.
 type Sink struct {
 	out io.Writer
-	mu  sync.Mutex
-	buf []byte
+	// flushing is held during a Flush, so that the lines of concurrent calls stay in order and
+	// spare is used by one of them only.
+	flushing sync.Mutex
+	mu       sync.Mutex
+	buf      []byte
 	// spare is the buffer of the previous Flush, kept for reuse.
 	spare []byte
 	// dropped counts lines that found the buffer full.
@@ -54,9 +56,10 @@
 	return len(line), nil
 }
 
-// Flush writes the buffered lines to the output. Concurrent calls of Flush can corrupt lines,
-// because they share the spare buffer.
+// Flush writes the buffered lines to the output.
 func (s *Sink) Flush() {
+	s.flushing.Lock()
+	defer s.flushing.Unlock()
 	s.mu.Lock()
 	out := s.buf
 	s.buf = s.spare[:0]
--- a/core/logs/logs_test.go
+++ b/core/logs/logs_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"log/slog"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"sardinefront.dev/core/event"
 	"sardinefront.dev/core/logs"
@@ -64,3 +67,56 @@
 		t.Errorf("lines at level error:\n%s", got)
 	}
 }
+
+// slowWriter is an output that records the lines.
+type slowWriter struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (w *slowWriter) Write(p []byte) (int, error) {
+	time.Sleep(100 * time.Microsecond) // the buffer must not change meanwhile
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lines = append(w.lines, strings.Split(strings.TrimSuffix(string(p), "\n"), "\n")...)
+	return len(p), nil
+}
+
+// Guards against concurrent calls of Flush that share a buffer: lines were garbled, lost or
+// written twice at the end of a process.
+func TestConcurrentFlushesKeepLinesWhole(t *testing.T) {
+	const lines, flushers = 3000, 4
+	var out slowWriter
+	sink := logs.NewSink(&out)
+	var wg sync.WaitGroup
+	done := make(chan struct{})
+	for range flushers {
+		wg.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+					sink.Flush()
+				}
+			}
+		})
+	}
+	for i := range lines {
+		fmt.Fprintf(sink, "line %06d\n", i)
+		if i%50 == 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	close(done)
+	wg.Wait()
+	sink.Flush()
+	for i, line := range out.lines {
+		if line != fmt.Sprintf("line %06d", i) {
+			t.Fatalf("line %d is %q", i, line)
+		}
+	}
+	if len(out.lines) != lines {
+		t.Errorf("%d lines of %d", len(out.lines), lines)
+	}
+}
