Recover the loops and callbacks of the fleet from panics

A panic in a loop of the fleet, or in a callback, ended it without a log line: the host no longer followed the store, the list of hosts or its peers, and the process ended with that panic when it stopped. The lock of the member state is released by defer.

--- a/fleet/callbacks.go
+++ b/fleet/callbacks.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"sardinefront.dev/core/event"
+	"sardinefront.dev/core/supervise"
 	"sardinefront.dev/fleet/internal/core"
 	"sardinefront.dev/fleet/member"
 )
@@ -66,11 +67,17 @@
 			return
 		}
 		for _, f := range calls {
-			f()
+			n.runCallback(f)
 		}
 	}
 }
 
+// runCallback calls one callback. A panic in it does not keep the next ones from being called.
+func (n *Node) runCallback(f func()) {
+	defer supervise.Recover(n.cfg.Logger, "callback")
+	f()
+}
+
 // queueCallbacks queues the callbacks for the actions. The caller holds mu.
 func (n *Node) queueCallbacks(a core.Actions) {
 	for _, e := range a.Events {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -14,6 +14,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"sardinefront.dev/core/supervise"
 	"sardinefront.dev/fleet/config"
 	"sardinefront.dev/fleet/internal/core"
 	"sardinefront.dev/fleet/member"
@@ -169,13 +170,18 @@
 		return fmt.Errorf("fleet: %w", err)
 	}
 	n.wg.Go(n.runCallbacks)
-	n.wg.Go(n.tick)
-	n.wg.Go(n.pollHostList)
-	n.wg.Go(n.join)
-	n.wg.Go(n.followStore)
+	n.runLoop("member state", n.tick)
+	n.runLoop("host list", n.pollHostList)
+	n.runLoop("join", n.join)
+	n.runLoop("store reads", n.followStore)
 	return nil
 }
 
+// runLoop runs f in the background until it returns, again after a panic.
+func (n *Node) runLoop(name string, f func()) {
+	n.wg.Go(func() { supervise.Loop(n.ctx, n.cfg.Logger, name, func(context.Context) { f() }) })
+}
+
 // digest returns the host's digest, or nil if it is too long to send.
 func (n *Node) digest() []byte {
 	if n.cfg.Digest == nil {
@@ -211,16 +217,24 @@
 // step passes an input to the core and executes the resulting actions. Callbacks
 // are queued under the lock to keep them in order.
 func (n *Node) step(input func(c *core.Core, now time.Time) core.Actions) {
+	for _, p := range n.stepLocked(input) {
+		n.peers.Send(p.Address, kindGossip, p.Body)
+	}
+}
+
+// stepLocked is step without sending, and returns the packets to send.
+func (n *Node) stepLocked(input func(c *core.Core, now time.Time) core.Actions) []core.Packet {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	a := input(n.core, time.Now())
 	n.queueCallbacks(a)
 	if a.Pull != nil && n.ctx.Err() == nil {
-		n.wg.Go(func() { n.pull(*a.Pull) })
-	}
-	n.mu.Unlock()
-	for _, p := range a.Packets {
-		n.peers.Send(p.Address, kindGossip, p.Body)
+		n.wg.Go(func() {
+			defer supervise.Recover(n.cfg.Logger, "rules pull")
+			n.pull(*a.Pull)
+		})
 	}
+	return a.Packets
 }
 
 func (n *Node) tick() {
