Recover the background loops of the host from panics

They now run again, as those of gateway and fleet do. The tasks of pools and single requests are as before.

--- a/host/host.go
+++ b/host/host.go
@@ -16,6 +16,7 @@
 	"sardinefront.dev/core/event"
 	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/core/request"
+	"sardinefront.dev/core/supervise"
 	"sardinefront.dev/core/telemetry"
 	"sardinefront.dev/fleet"
 	"sardinefront.dev/host/internal/callerconn"
@@ -113,15 +114,15 @@
 		return fmt.Errorf("listen.peers: %s: %w", h.settings.Listen.Peers, err)
 	}
 	if h.fleet == nil {
-		h.tasks.Go(h.watchRules)
+		h.runLoop("rules", h.watchRules)
 	} else {
-		h.tasks.Go(h.runSampleSender)
+		h.runLoop("move samples", h.runSampleSender)
 	}
 	if err := h.startJournal(); err != nil {
 		return err
 	}
-	h.tasks.Go(h.runTargets)
-	h.tasks.Go(h.runMoves)
+	h.runLoop("targets", h.runTargets)
+	h.runLoop("moves", h.runMoves)
 	if err := h.startCallerServer(); err != nil {
 		return fmt.Errorf("listen.callers: %s: %w", h.settings.Listen.Callers, err)
 	}
@@ -137,6 +138,11 @@
 	return nil
 }
 
+// runLoop runs f in the background until it returns, again after a panic.
+func (h *Host) runLoop(name string, f func()) {
+	h.tasks.Go(func() { supervise.Loop(h.ctx, h.log, name, func(context.Context) { f() }) })
+}
+
 // Stop shuts down gracefully: it fails readiness checks, waits for the requests in progress and
 // then closes the listeners. It returns the number of requests that were cut off because ctx
 // ended first.
--- a/host/journal.go
+++ b/host/journal.go
@@ -40,7 +40,7 @@
 	}
 	h.journal = node
 	h.tasks.Go(func() { node.Run(h.ctx) })
-	h.tasks.Go(h.runTakeovers)
+	h.runLoop("takeovers", h.runTakeovers)
 	return nil
 }
 
