Log and exchange the speeds that a rollout is judged by

A slow version was completed and kept, and neither logs nor metrics told why: the evidence was only stated with a rollback. Hosts now exchange the smallest and the recent gap between the first events of streams, by target, and log the comparison of both versions once a second (event 708). The comparison decides nothing yet.

A heartbeat's report of a rollout has one field more, so hosts of the former format can't read it.

--- a/core/event/table.go
+++ b/core/event/table.go
@@ -60,6 +60,7 @@
 	MoveRolledBack  = Event{Number: 704, Name: "move rolled back", Level: slog.LevelError, Meaning: "A move ended and all traffic returned to the old version, because the new version was found to be bad or the rule of the move was removed. The move does not resume."}
 	MoveLate        = Event{Number: 705, Name: "move late", Level: slog.LevelWarn, Meaning: "A move cannot complete before its deadline, or was refused."}
 	MoveStepRetried = Event{Number: 707, Name: "move step retried", Level: slog.LevelWarn, Meaning: "A store call or control command of a move failed and is retried."}
+	MoveEvidence    = Event{Number: 708, Name: "move evidence", Level: slog.LevelInfo, Meaning: "The current comparison of the versions' speeds in a running move, once a second."}
 	VersionHalted   = Event{Number: 706, Name: "version halted", Level: slog.LevelError, Meaning: "This host stopped sending requests to a version, on its own measurements or on a peer's report."}
 )
 
@@ -72,6 +73,6 @@
 		WriterElected, WriterRoleLost, AppendOutcomeUnknown, RequestOutcomeUnknown, RequestTakenOver,
 		MemberSuspected, MemberDead, MemberAlive, PeerRejected, PeerFetchFailed, QuotaReservedForPeers,
 		ConfigApplied, ConfigRejected, StoreUnreachable, StoreReachable, CheckpointRestored, CheckpointFailed, BecameStoreReader,
-		MoveStarted, MoveAdvanced, MoveCompleted, MoveRolledBack, MoveLate, VersionHalted, MoveStepRetried,
+		MoveStarted, MoveAdvanced, MoveCompleted, MoveRolledBack, MoveLate, VersionHalted, MoveStepRetried, MoveEvidence,
 	}
 }
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -118,9 +118,10 @@
 	request      *request.Request
 	deadline     time.Time
 
-	// targetID and targetKey identify the target of the last send.
-	targetID  string
-	targetKey string
+	// targetID, targetKey and targetVersion describe the target of the last send.
+	targetID      string
+	targetKey     string
+	targetVersion string
 	// queueWait is the time from arrival until the last send.
 	queueWait time.Duration
 	// unsentAttempts counts attempts that ended before the request was sent: refused
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -73,6 +73,7 @@
 		conn.SetReadTimeout(x.eventTimeout(timing.events))
 		if timing.events == minSampleEvents {
 			scheduler.RecordSpeed(x.targetKey, timing.meanGap())
+			x.cfg.Rollouts.ObserveSpeed(x.service, x.targetVersion, x.targetID, timing.meanGap())
 		}
 	}
 }
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -71,6 +71,18 @@
 	Reason string
 	// Windows are the newest observations that the host itself has made.
 	Windows []RolloutWindow
+	// Speeds are those that the host itself has measured since the order.
+	Speeds []TargetSpeed
+}
+
+// TargetSpeed is what one host has measured of the speed of a target of a rollout.
+type TargetSpeed struct {
+	_          struct{} `cbor:",toarray"`
+	Target     uint32   // hash of the name
+	NewVersion bool
+	Count      uint64
+	// Floor and Recent are the smallest and an average logarithm of the gaps between events.
+	Floor, Recent int64
 }
 
 // RolloutWindow is what one host has observed in one time window of a rollout.
--- a/gateway/rollout/rollout.go
+++ b/gateway/rollout/rollout.go
@@ -74,6 +74,8 @@
 	state     State
 	reason    string
 	samples   *analysis.Samples
+	speeds    speeds
+	evidence  SpeedEvidence
 	groups    map[string]uint8 // by target
 }
 
@@ -106,7 +108,7 @@
 		return
 	}
 	t.rollouts[o.Service] = &rolloutState{
-		order: o, startedAt: now.Add(-elapsed), samples: analysis.NewSamples(), groups: map[string]uint8{},
+		order: o, startedAt: now.Add(-elapsed), samples: analysis.NewSamples(), speeds: speeds{}, groups: map[string]uint8{},
 	}
 }
 
@@ -207,6 +209,16 @@
 	st.samples.Observe(t.host, st.scaledTime(now), k, result, firstToken, gap)
 }
 
+// ObserveSpeed records the gap between the first events of a stream, which is known long before a
+// slow stream ends.
+func (t *Tracker) ObserveSpeed(service, version, target string, gap time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if st := t.rollouts[service]; st != nil && st.state == Running && gap > 0 {
+		st.speeds.observe(t.host, target, version == st.order.Version, gap)
+	}
+}
+
 // group returns the number of a target's group. Hosts need not agree on it: the groups of a peer
 // are only compared with one another, and only if the pool has few targets.
 func (st *rolloutState) group(target string) uint8 {
@@ -255,6 +267,7 @@
 
 func (t *Tracker) evaluate(st *rolloutState, targets int, now time.Time) {
 	at := st.scaledTime(now)
+	st.evidence = compareSpeeds(st.speeds.byVersion())
 	grouped := analysis.Evaluate(st.samples, at, analysis.Config{Targets: targets, Duration: evaluatedDuration})
 	ungrouped := analysis.Evaluate(st.samples, at, analysis.Config{Targets: targets, Duration: evaluatedDuration, Ungrouped: true})
 	// Without groups, a version whose targets have slower hardware would count as slow.
@@ -269,6 +282,20 @@
 	}
 }
 
+// Evidence returns the comparison of the speeds of both versions for each running order, by
+// service.
+func (t *Tracker) Evidence() map[string]SpeedEvidence {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := map[string]SpeedEvidence{}
+	for service, st := range t.rollouts {
+		if st.state == Running {
+			out[service] = st.evidence
+		}
+	}
+	return out
+}
+
 // Reports returns the states of this host's rollouts for heartbeats, by service.
 func (t *Tracker) Reports(now time.Time) map[string]peers.Rollout {
 	t.mu.Lock()
@@ -283,6 +310,7 @@
 				}
 				r.Windows = append(r.Windows, peers.RolloutWindow{Number: n, Routes: analysis.EncodeWindow(st.samples.OpenWindow(t.host, n))})
 			}
+			r.Speeds = st.speeds.report(t.host)
 		}
 		out[service] = r
 	}
@@ -303,6 +331,7 @@
 		if s := State(r.State); s == Done || s == RolledBack {
 			st.setOutcome(s, r.Reason)
 		}
+		st.speeds.mergeReport(from, r.Speeds)
 		for _, w := range r.Windows {
 			window, err := analysis.DecodeWindow(w.Routes)
 			if err != nil {
--- /dev/null
+++ b/gateway/rollout/speed.go
@@ -0,0 +1,262 @@
+package rollout
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sardinefront.dev/gateway/peers"
+)
+
+const (
+	// logGapReference is the gap that log gaps are relative to, in seconds, which keeps the
+	// reported numbers short.
+	logGapReference = 0.015
+	// logGapScale is the number of integer steps per unit of the natural logarithm.
+	logGapScale = 64
+	// maxLogGap bounds each log gap, so that a single outlier cannot decide.
+	maxLogGap = 5.0
+	// maxReportedSpeeds bounds the speeds in one heartbeat. If there are more, each heartbeat
+	// holds other ones.
+	maxReportedSpeeds = 40
+)
+
+// speedSum summarises the log gaps between events that were measured at one target.
+type speedSum struct {
+	newVersion bool
+	count      uint64
+	// floor is the smallest log gap, which is close to that of the idle target. recent is a
+	// moving average.
+	floor, recent float64
+}
+
+// recentWeight is the weight of a new log gap in speedSum.recent.
+const recentWeight = 0.2
+
+// add counts one gap.
+func (s *speedSum) add(gap time.Duration) {
+	x := max(-maxLogGap, min(maxLogGap, math.Log(gap.Seconds()/logGapReference)))
+	if s.count == 0 {
+		s.floor, s.recent = x, x
+	}
+	s.count++
+	s.floor = min(s.floor, x)
+	s.recent += recentWeight * (x - s.recent)
+}
+
+// merge adds what another host has measured.
+func (s *speedSum) merge(o speedSum) {
+	if s.count == 0 {
+		*s = o
+		return
+	}
+	s.floor = min(s.floor, o.floor)
+	s.recent = (float64(s.count)*s.recent + float64(o.count)*o.recent) / float64(s.count+o.count)
+	s.count += o.count
+}
+
+// speeds holds the sums of one order since its start, by host and target. The counts of a host only
+// grow, so a lost or repeated report does no harm.
+type speeds map[string]map[uint32]speedSum
+
+// observe counts a gap that the host has measured at a target.
+func (s speeds) observe(host, target string, newVersion bool, gap time.Duration) {
+	id := uint32(xxhash.Sum64String(target))
+	sum := s.of(host)[id]
+	sum.newVersion = newVersion
+	sum.add(gap)
+	s[host][id] = sum
+}
+
+func (s speeds) of(host string) map[uint32]speedSum {
+	if s[host] == nil {
+		s[host] = map[uint32]speedSum{}
+	}
+	return s[host]
+}
+
+// report returns the sums of the host for a heartbeat, at most maxReportedSpeeds.
+func (s speeds) report(host string) []peers.TargetSpeed {
+	var out []peers.TargetSpeed
+	for id, v := range s[host] {
+		if len(out) == maxReportedSpeeds {
+			break
+		}
+		out = append(out, peers.TargetSpeed{
+			Target: id, NewVersion: v.newVersion, Count: v.count,
+			Floor: int64(math.Round(v.floor * logGapScale)), Recent: int64(math.Round(v.recent * logGapScale)),
+		})
+	}
+	return out
+}
+
+// mergeReport replaces older sums of a peer.
+func (s speeds) mergeReport(from string, reported []peers.TargetSpeed) {
+	for _, r := range reported {
+		if r.Count > s.of(from)[r.Target].count {
+			s[from][r.Target] = speedSum{r.NewVersion, r.Count, float64(r.Floor) / logGapScale, float64(r.Recent) / logGapScale}
+		}
+	}
+}
+
+// byVersion returns the sums over all hosts of the targets of each version, ordered by target.
+func (s speeds) byVersion() (oldTargets, newTargets []speedSum) {
+	sums := map[uint32]speedSum{}
+	for _, byTarget := range s {
+		for id, v := range byTarget {
+			sum := sums[id]
+			sum.merge(v)
+			sums[id] = sum
+		}
+	}
+	ids := make([]uint32, 0, len(sums))
+	for id := range sums {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		if sums[id].newVersion {
+			newTargets = append(newTargets, sums[id])
+		} else {
+			oldTargets = append(oldTargets, sums[id])
+		}
+	}
+	return oldTargets, newTargets
+}
+
+const (
+	// hardwareStdDev is the standard deviation of the log gaps of idle targets of the same
+	// hardware.
+	hardwareStdDev = 0.08
+	// unseenHardwareStdDev is the standard deviation of the log gaps of hardware that no old
+	// target has. One old target is assumed to be of that kind.
+	unseenHardwareStdDev = 1.0
+	// minLoadDelay is the lower bound of the mean increase of a log gap by load.
+	minLoadDelay = 0.05
+	// The Beta prior (mean 1/3) of the probability that a target is slow independently of its
+	// version.
+	priorSlow, priorNotSlow = 0.5, 1.0
+	// unaffectedShare is the assumed share of the targets of a slow version that are as fast as
+	// those of the old one.
+	unaffectedShare = 0.05
+	// minOldTargets is the number of measured old targets from which versions are compared.
+	minOldTargets = 2
+)
+
+var (
+	// faultFactors are the slowdowns that are tested.
+	faultFactors = []float64{1.4, 1.7, 2, 2.5, 3.2, 4, 5, 6.5, 8, 12, 20}
+	// acceptedFactors are the slowdowns without a fault.
+	acceptedFactors = []float64{0.9, 0.95, 1, 1.05, 1.1}
+)
+
+// SpeedEvidence is the result of a comparison of the speeds of both versions.
+type SpeedEvidence struct {
+	// LogRatio is the natural logarithm of the likelihood ratio of "slower" to "not slower".
+	LogRatio float64
+	// Factor is the most likely slowdown of a slow version.
+	Factor float64
+	// OldTargets and NewTargets are the numbers of measured targets, OldSamples and NewSamples
+	// those of their samples.
+	OldTargets, NewTargets int
+	OldSamples, NewSamples uint64
+}
+
+// compareSpeeds compares each new target with the distribution of the old ones, since a pool may
+// mix hardware of very different speeds. Without a fault, the log gap of a new target is drawn
+// from the smoothed distribution of the old ones; with a fault, it is drawn from the same
+// distribution shifted by the logarithm of one factor, common to all new targets.
+func compareSpeeds(oldTargets, newTargets []speedSum) SpeedEvidence {
+	e := SpeedEvidence{OldTargets: len(oldTargets), NewTargets: len(newTargets), OldSamples: samples(oldTargets), NewSamples: samples(newTargets)}
+	if len(oldTargets) < minOldTargets || len(newTargets) == 0 {
+		return e
+	}
+	p := newSpeedPrior(oldTargets)
+	accepted := math.Inf(-1)
+	acceptedShift := 0.0
+	for _, factor := range acceptedFactors {
+		if l := p.logLikelihood(newTargets, math.Log(factor)); l > accepted {
+			accepted, acceptedShift = l, math.Log(factor)
+		}
+	}
+	best, sum := math.Inf(-1), 0.0
+	for _, factor := range faultFactors {
+		ratio := p.logRatio(newTargets, acceptedShift, math.Log(factor))
+		sum += math.Exp(min(300, ratio))
+		if ratio > best {
+			best, e.Factor = ratio, factor
+		}
+	}
+	e.LogRatio = math.Log(sum / float64(len(faultFactors)))
+	return e
+}
+
+func samples(targets []speedSum) uint64 {
+	var n uint64
+	for _, t := range targets {
+		n += t.count
+	}
+	return n
+}
+
+// speedPrior is the distribution of the log gaps of the old targets.
+type speedPrior struct {
+	old []speedSum
+	// mean is that of the floors, loadDelay the mean increase of a log gap by load.
+	mean, loadDelay float64
+}
+
+func newSpeedPrior(old []speedSum) speedPrior {
+	p := speedPrior{old: old}
+	for _, t := range old {
+		p.mean += t.floor / float64(len(old))
+		p.loadDelay += float64(t.count) * (t.recent - t.floor) / float64(samples(old))
+	}
+	p.loadDelay = max(minLoadDelay, p.loadDelay)
+	return p
+}
+
+// density returns the density of the target's smallest log gap in the distribution of the old
+// targets, shifted. A target with few samples may never have been measured idle.
+func (p speedPrior) density(t speedSum, shift float64) float64 {
+	x := t.floor - p.mean - shift
+	sum := math.Exp(-x*x/(2*unseenHardwareStdDev*unseenHardwareStdDev)) / (unseenHardwareStdDev * math.Sqrt(2*math.Pi))
+	for _, o := range p.old {
+		sum += delayedDensity(t.floor-o.floor-shift, hardwareStdDev, p.loadDelay)
+	}
+	return sum / float64(len(p.old)+1)
+}
+
+// delayedDensity returns the density at x of the sum of a normal variable with mean 0 and an
+// exponential one with the given mean.
+func delayedDensity(x, stdDev, mean float64) float64 {
+	ratio := stdDev / mean
+	return math.Exp(ratio*ratio/2-x/mean) * math.Erfc((ratio-x/stdDev)/math.Sqrt2) / (2 * mean)
+}
+
+func (p speedPrior) logLikelihood(targets []speedSum, shift float64) float64 {
+	var sum float64
+	for _, t := range targets {
+		sum += math.Log(p.density(t, shift))
+	}
+	return sum
+}
+
+// logRatio returns the log likelihood ratio of a fault to no fault. A target may also be slow
+// independently of its version; each target that is makes the next one more likely to be.
+func (p speedPrior) logRatio(targets []speedSum, acceptedShift, faultShift float64) float64 {
+	ratios := make([]float64, 0, len(targets))
+	for _, t := range targets {
+		ratios = append(ratios, p.density(t, faultShift)/p.density(t, acceptedShift))
+	}
+	slices.SortFunc(ratios, func(a, b float64) int { return cmp.Compare(b, a) })
+	var sum float64
+	for i, ratio := range ratios {
+		slow := (priorSlow + float64(i)) / (priorSlow + priorNotSlow + float64(len(p.old)+i))
+		sum += math.Log(((1-unaffectedShare)*ratio + unaffectedShare) / (1 - slow + slow*ratio))
+	}
+	return sum
+}
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -36,6 +36,8 @@
 	// statusRewriteInterval is how often an unchanged state is written again, in case the
 	// last write failed.
 	statusRewriteInterval = time.Second
+	// evidenceLogInterval is how often the evidence of running rollouts is logged.
+	evidenceLogInterval = time.Second
 )
 
 // writtenStatus is the last state that this host wrote for an order.
@@ -92,6 +94,7 @@
 	t := time.NewTicker(rolloutDecisionInterval)
 	defer t.Stop()
 	written := map[string]*writtenStatus{}
+	loggedAt := time.Time{}
 	for {
 		select {
 		case <-ctx.Done():
@@ -100,10 +103,22 @@
 			for _, d := range g.rollouts.Decide(g.isLeader(now), g.targetCount, now) {
 				g.recordDecision(ctx, written, d, now)
 			}
+			if now.Sub(loggedAt) >= evidenceLogInterval {
+				g.logEvidence()
+				loggedAt = now
+			}
 		}
 	}
 }
 
+// logEvidence logs the comparison of the versions' speeds for all running rollouts.
+func (g *Gateway) logEvidence() {
+	for service, e := range g.rollouts.Evidence() {
+		event.MoveEvidence.Log(g.cfg.Log, slog.String("service", service), slog.Float64("logRatio", e.LogRatio), slog.Float64("factor", e.Factor),
+			slog.Int("oldTargets", e.OldTargets), slog.Int("newTargets", e.NewTargets), slog.Uint64("oldSamples", e.OldSamples), slog.Uint64("newSamples", e.NewSamples))
+	}
+}
+
 // isLeader reports whether this host has the lowest name of all live hosts that are not
 // stopping. Two hosts may both be leader for a short time.
 func (g *Gateway) isLeader(now time.Time) bool {
