Compare each new target's speed with the distribution of the old ones

Callers waited several times longer at a new version that was completed and kept. The comparison assumed a log-normal spread of 0.35 around the pool's mean and used an unrelated old target of the same hash group as the reference of a new one, so a pool that mixes hardware of very different speeds hid the fault; and a sample counted only when its stream ended, which is late at a slow target.

Without a fault, each new target's smallest gap between first events is a draw from the smoothed distribution of the old targets' gaps; with a fault, from the same distribution shifted by one factor common to all new targets. The version is rolled back at a likelihood ratio of 1000, and at the end of the rollout at 3, since completing is a decision too.

--- a/gateway/rollout/rollout.go
+++ b/gateway/rollout/rollout.go
@@ -272,12 +272,17 @@
 	ungrouped := analysis.Evaluate(st.samples, at, analysis.Config{Targets: targets, Duration: evaluatedDuration, Ungrouped: true})
 	// Without groups, a version whose targets have slower hardware would count as slow.
 	ungroupedFailing := ungrouped.Bad && (ungrouped.Metric == analysis.Failures || ungrouped.Metric == analysis.Truncations)
+	due := now.Sub(st.startedAt) >= st.order.Duration-decisionLead
 	switch {
+	case st.evidence.sufficient():
+		st.setOutcome(RolledBack, st.evidence.reason())
 	case grouped.Bad:
 		st.setOutcome(RolledBack, grouped.Reason())
 	case ungroupedFailing:
 		st.setOutcome(RolledBack, ungrouped.Reason())
-	case grouped.Suspect && now.Sub(st.startedAt) >= st.order.Duration-decisionLead:
+	case due && st.evidence.suspect():
+		st.setOutcome(RolledBack, fmt.Sprintf("suspected fault at the end of the rollout: %s", st.evidence.reason()))
+	case due && grouped.Suspect:
 		st.setOutcome(RolledBack, fmt.Sprintf("suspected fault at the end of the rollout: %s", grouped.Reason()))
 	}
 }
--- a/gateway/rollout/rollout_test.go
+++ b/gateway/rollout/rollout_test.go
@@ -35,6 +35,8 @@
 	slowdown func(version string, elapsed time.Duration) float64
 	// requestsPerSecond is the rate of requests over all hosts.
 	requestsPerSecond float64
+	// streams makes the requests streams, if set.
+	streams *streamModel
 
 	all, exposed, failures int
 	lastExposed            time.Duration // of the newest request at the new version
@@ -66,6 +68,9 @@
 				s.request()
 			}
 		}
+		if s.streams != nil {
+			s.observePending()
+		}
 		if s.now.Sub(s.began)%heartbeatInterval == 0 {
 			s.exchange()
 		}
@@ -76,7 +81,8 @@
 }
 
 func (s *sim) request() {
-	tr := s.trackers[s.rng.IntN(hosts)]
+	host := s.rng.IntN(hosts)
+	tr := s.trackers[host]
 	elapsed := s.now.Sub(s.began)
 	version := "v1"
 	if split := tr.Split(service, s.now); s.rng.Float64() < split.Share {
@@ -85,6 +91,10 @@
 		s.lastExposed = elapsed
 	}
 	s.all++
+	if s.streams != nil {
+		s.stream(host, version)
+		return
+	}
 	n := s.rng.IntN(targets)
 	speed := []float64{0.68, 0.68, 3}[n%3] // hardware generations, the same in both versions
 	result := analysis.Answered
--- a/gateway/rollout/speed.go
+++ b/gateway/rollout/speed.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"sardinefront.dev/gateway/peers"
+	"sardinefront.dev/moves/analysis"
 )
 
 const (
@@ -165,6 +167,18 @@
 	OldSamples, NewSamples uint64
 }
 
+// sufficient returns whether the evidence shows a slow version.
+func (e SpeedEvidence) sufficient() bool { return e.LogRatio >= -math.Log(analysis.DefaultErrorRate) }
+
+// suspect returns whether a slow version is 3 times more likely than one that is as fast as the old
+// one. That suffices at the end of a rollout, where completing it is a decision too.
+func (e SpeedEvidence) suspect() bool { return e.LogRatio >= math.Log(3) }
+
+// reason describes the evidence.
+func (e SpeedEvidence) reason() string {
+	return fmt.Sprintf("time between events is %.1f times that of the old version (evidence e^%.1f, %d samples of %d targets)", e.Factor, e.LogRatio, e.NewSamples, e.NewTargets)
+}
+
 // compareSpeeds compares each new target with the distribution of the old ones, since a pool may
 // mix hardware of very different speeds. Without a fault, the log gap of a new target is drawn
 // from the smoothed distribution of the old ones; with a fault, it is drawn from the same
