Decide a rollout before its time limit though the order was read late

The outcome is now decided 0.65 s before the end and written again at once after a conflict. The time of full traffic before the decision stays 0.9 s at most.

--- a/gateway/rollout/rollout.go
+++ b/gateway/rollout/rollout.go
@@ -52,14 +52,15 @@
 	// The rest is for the time in which all requests go to the new version before the old
 	// targets stop.
 	canaryFraction = 0.5
-	// fullTrafficFraction is the part of the order's duration, at its end, in which all
-	// requests go to the new version, so that few are in progress at the old targets when they
-	// stop. maxFullTraffic and the rest of MaxShare also bound that time.
-	fullTrafficFraction = 0.1
-	maxFullTraffic      = 1300 * time.Millisecond
-	// decisionLead is the time before the end of the duration at which the outcome is written:
-	// a write may take a few attempts.
-	decisionLead = 400 * time.Millisecond
+	// fullTrafficFraction is the part of the order's duration, before its outcome is written, in
+	// which all requests go to the new version, so that few are in progress at the old targets
+	// when they stop. maxFullTraffic and the rest of MaxShare also bound that time.
+	fullTrafficFraction = 0.06
+	maxFullTraffic      = 900 * time.Millisecond
+	// decisionLead is the time before the end of the duration at which the outcome is written.
+	// The duration is measured from when the order was read, up to half a second after it was
+	// written, and a write may take a few attempts.
+	decisionLead = 650 * time.Millisecond
 	// evaluatedDuration is the duration of a rollout for which the windows and lookbacks of
 	// moves/analysis are sized. The time of an order is scaled to it.
 	evaluatedDuration = 10 * time.Minute
@@ -184,10 +185,11 @@
 	return canaryFraction * t.limits.MaxShare
 }
 
-// fullTrafficTime returns the length of the time in which all requests go to the new version.
+// fullTrafficTime returns the length of the time at the end of the duration in which all requests go
+// to the new version unless it is rolled back.
 func (st *rolloutState) fullTrafficTime(l Limits) time.Duration {
 	exposureTime := (1 - canaryFraction) * l.MaxShare * float64(st.order.Duration)
-	return min(time.Duration(fullTrafficFraction*float64(st.order.Duration)), time.Duration(exposureTime)+decisionLead, maxFullTraffic)
+	return decisionLead + min(time.Duration(fullTrafficFraction*float64(st.order.Duration)), time.Duration(exposureTime), maxFullTraffic)
 }
 
 // scaledTime converts now to the time scale for which the windows and lookbacks of
--- a/gateway/rollout/rollout_test.go
+++ b/gateway/rollout/rollout_test.go
@@ -250,3 +250,21 @@
 		t.Errorf("split %+v after the order was withdrawn", got)
 	}
 }
+
+// Guards against an outcome that is decided after the time limit: a host reads the order up to half
+// a second after it was written.
+func TestOutcomeIsDecidedInTimeAfterLateOrder(t *testing.T) {
+	const orderDelay, writeTime = 450 * time.Millisecond, 50 * time.Millisecond
+	written := time.Unix(5000, 0)
+	tr := rollout.New("host-0", rollout.Limits{MaxShare: 0.1})
+	tr.Start(order, 0, written.Add(orderDelay))
+	limit := written.Add(duration - writeTime)
+	for now := written.Add(orderDelay); !now.After(limit); now = now.Add(100 * time.Millisecond) {
+		for _, d := range tr.Decide(true, func(string) int { return 2 * targets }, now) {
+			if d.State != rollout.Running {
+				return
+			}
+		}
+	}
+	t.Errorf("no outcome %s before the time limit", writeTime)
+}
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -36,6 +36,9 @@
 	// statusRewriteInterval is how often an unchanged state is written again, in case the
 	// last write failed.
 	statusRewriteInterval = time.Second
+	// maxConflictRetries bounds the immediate retries of a write. A conflict means that another
+	// host has just written, usually the same state.
+	maxConflictRetries = 3
 	// evidenceLogInterval is how often the evidence of running rollouts is logged.
 	evidenceLogInterval = time.Second
 )
@@ -153,7 +156,7 @@
 		return
 	}
 	w.state, w.writtenAt = d.State, now
-	s, err := g.putStatus(ctx, d)
+	s, err := g.writeStatus(ctx, d)
 	if err != nil {
 		event.MoveStepRetried.Log(g.cfg.Log, slog.String("service", d.Order.Service), slog.Any("error", err))
 		return
@@ -171,6 +174,16 @@
 	g.SendHeartbeat()
 }
 
+// writeStatus calls putStatus again at once after a conflict: at the end of a rollout, no time is
+// left to wait for the next rewrite.
+func (g *Gateway) writeStatus(ctx context.Context, d rollout.Decision) (rollout.State, error) {
+	s, err := g.putStatus(ctx, d)
+	for i := 0; i < maxConflictRetries && errors.Is(err, platform.ErrConflict); i++ {
+		s, err = g.putStatus(ctx, d)
+	}
+	return s, err
+}
+
 // putStatus writes the state with compare-and-swap and returns the state in the store. It
 // never replaces a final state of the same order, so that a version that one host has
 // rolled back is not reported as done by another host.
