Send rollout orders to the peers before changes of targets

An order and the targets started for it were read together; a heartbeat carries at most 1000 bytes of changes, the newest first, so the order did not fit, and hosts have no digest of orders by which they notice.

Orders now come first, for as long as changes are kept. TestRolloutOrderIsSentBesideManyTargets failed before.

--- a/gateway/directory/exchange.go
+++ b/gateway/directory/exchange.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -26,17 +27,40 @@
 	}
 	d.recentChanges = slices.DeleteFunc(d.recentChanges, func(p recentChange) bool { return now.Sub(p.at) > maxChangeRepeatTime })
 	repeatTime := changeRepeats * time.Duration(h.IntervalMs) * time.Millisecond
+	h.Changes = d.changesToSend(repeatTime, now)
+}
+
+// changesToSend returns the changes of the last repeatTime that fit into a heartbeat. Rollout orders
+// come first, whatever their age: unlike the target list, they have no digest by which a host that
+// misses one would notice.
+func (d *Directory) changesToSend(repeatTime time.Duration, now time.Time) []peers.Change {
+	var out []peers.Change
 	size := 0
-	for i := len(d.recentChanges) - 1; i >= 0; i-- {
-		c := d.recentChanges[i].change
-		if now.Sub(d.recentChanges[i].at) > repeatTime {
+	add := func(c platform.Entry) bool {
+		if size += len(c.Key) + len(c.Value); size > maxChangeBytes {
+			return false
+		}
+		out = append(out, peers.Change{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted})
+		return true
+	}
+	for _, r := range slices.Backward(d.recentChanges) {
+		if d.isRolloutOrder(r.change.Key) && !add(r.change) {
+			return out
+		}
+	}
+	for _, r := range slices.Backward(d.recentChanges) {
+		if now.Sub(r.at) > repeatTime {
 			break
 		}
-		if size += len(c.Key) + len(c.Value); size > maxChangeBytes {
+		if !d.isRolloutOrder(r.change.Key) && !add(r.change) {
 			break
 		}
-		h.Changes = append(h.Changes, peers.Change{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted})
 	}
+	return out
+}
+
+func (d *Directory) isRolloutOrder(key string) bool {
+	return strings.HasPrefix(key, d.cfg.Layout.RolloutPrefix)
 }
 
 // relayedReadMargin is the difference up to which a peer's read that looks newer than this
