Count a rollout's duration from the last read before its order

The order can't be older than the last read of the store by any host, so its duration now starts there, at most 1 s before it was read.

TestRolloutOrderMayBeAsOldAsTheLastRead failed before.

--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -40,6 +40,9 @@
 	changeRepeats = 2
 	// maxChangeRepeatTime bounds the time for which a change is repeated.
 	maxChangeRepeatTime = 4 * time.Second
+	// maxUnreadTime bounds the assumed age of a rollout order that was just read. Usually the
+	// store is read more often.
+	maxUnreadTime = time.Second
 	// maxChangeBytes bounds the size of the changes in one heartbeat. Hosts that miss a change
 	// notice it by the digest of the list.
 	maxChangeBytes = 1000
@@ -97,8 +100,9 @@
 	Log         *slog.Logger
 	// OnChange is called after each change of the configuration or the target list.
 	OnChange func()
-	// OnRolloutOrder is called for each new rollout order and for the removal of an order.
-	OnRolloutOrder func(service string, e platform.Entry)
+	// OnRolloutOrder is called for each new rollout order and for the removal of an order. The
+	// order was written at most age ago.
+	OnRolloutOrder func(service string, e platform.Entry, age time.Duration)
 }
 
 // Directory follows the store and the peers. Its methods are safe for concurrent use.
@@ -356,6 +360,7 @@
 
 func (d *Directory) applyRolloutOrder(c platform.Entry, from source, now time.Time) {
 	d.mu.Lock()
+	age := d.maxOrderAge(from, now)
 	known := d.orderRevisions[c.Key] >= c.Revision
 	if !known {
 		d.orderRevisions[c.Key] = c.Revision
@@ -367,12 +372,22 @@
 	if known || d.cfg.OnRolloutOrder == nil {
 		return
 	}
-	d.cfg.OnRolloutOrder(strings.TrimPrefix(c.Key, d.cfg.Layout.RolloutPrefix), c)
+	d.cfg.OnRolloutOrder(strings.TrimPrefix(c.Key, d.cfg.Layout.RolloutPrefix), c, age)
 	if from == fromStore {
 		d.triggerHeartbeats()
 	}
 }
 
+// maxOrderAge returns how long ago an order that was just received may have been written: at most
+// since the last read of the store by any host. A peer reports the age of its orders itself. The
+// caller holds the lock.
+func (d *Directory) maxOrderAge(from source, now time.Time) time.Duration {
+	if from != fromStore || d.freshAt.IsZero() {
+		return 0
+	}
+	return min(now.Sub(d.freshAt), maxUnreadTime)
+}
+
 // applyConfig activates a configuration if it is newer, and reports whether it is.
 func (d *Directory) applyConfig(value []byte) bool {
 	c, err := d.cfg.Layout.DecodeConfig(value)
--- a/gateway/directory/exchange_test.go
+++ b/gateway/directory/exchange_test.go
@@ -36,36 +36,53 @@
 	return changes, after + 32, nil
 }
 
+// runUntilOrder runs a directory until it has read the store's order, and returns it with the age of
+// the order and the time since the read before.
+func runUntilOrder(t *testing.T) (d *directory.Directory, age, sinceRead time.Duration) {
+	var current routing.ActiveTable
+	store := &releaseStore{}
+	store.version.Store(1)
+	layout := testLayout
+	layout.DecodeTarget = decode
+	ages := make(chan time.Duration, 1)
+	d = directory.New(directory.Config{
+		Name: "a", Store: store, ActiveTable: &current, Log: slog.New(slog.DiscardHandler), OnChange: func() {}, Layout: layout,
+		OnRolloutOrder: func(_ string, _ platform.Entry, age time.Duration) { ages <- age },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	began := time.Now()
+	go func() {
+		defer close(done)
+		d.Run(ctx)
+	}()
+	age = <-ages
+	sinceRead = time.Since(began)
+	synctest.Wait()
+	cancel()
+	<-done
+	return d, age, sinceRead
+}
+
 // Guards against hosts that never get a rollout order, and send requests to a bad version without
 // any limit, because the targets started for it filled the heartbeats.
 func TestRolloutOrderIsSentBesideManyTargets(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var current routing.ActiveTable
-		store := &releaseStore{}
-		store.version.Store(1)
-		layout := testLayout
-		layout.DecodeTarget = decode
-		var ordered atomic.Bool
-		d := directory.New(directory.Config{
-			Name: "a", Store: store, ActiveTable: &current, Log: slog.New(slog.DiscardHandler), OnChange: func() {}, Layout: layout,
-			OnRolloutOrder: func(string, platform.Entry) { ordered.Store(true) },
-		})
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			d.Run(ctx)
-		}()
-		for i := 0; i < 100 && !store.served.Load(); i++ {
-			time.Sleep(50 * time.Millisecond)
-			synctest.Wait()
-		}
+		d, _, _ := runUntilOrder(t)
 		h := &peers.Heartbeat{IntervalMs: 250}
 		d.FillHeartbeat(h, time.Now())
-		if !ordered.Load() || !slices.ContainsFunc(h.Changes, func(c peers.Change) bool { return c.Key == orderKey }) {
-			t.Errorf("order read: %v; the heartbeat has %d changes without it", ordered.Load(), len(h.Changes))
+		if !slices.ContainsFunc(h.Changes, func(c peers.Change) bool { return c.Key == orderKey }) {
+			t.Errorf("the heartbeat has %d changes without the order", len(h.Changes))
+		}
+	})
+}
+
+// Guards against a rollout whose duration is counted from a late read of its order, so that it is
+// decided after its time limit.
+func TestRolloutOrderMayBeAsOldAsTheLastRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		if _, age, sinceRead := runUntilOrder(t); age != sinceRead || age == 0 {
+			t.Errorf("age %s, want %s", age, sinceRead)
 		}
-		cancel()
-		<-done
 	})
 }
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -51,8 +51,9 @@
 	final     bool // the state in the store is final
 }
 
-// handleRolloutOrder starts the rollout of a new order, or ends it if the order was removed.
-func (g *Gateway) handleRolloutOrder(service string, e platform.Entry) {
+// handleRolloutOrder starts the rollout of a new order, which was written at most age ago, or ends it
+// if the order was removed.
+func (g *Gateway) handleRolloutOrder(service string, e platform.Entry, age time.Duration) {
 	if e.Deleted {
 		g.rollouts.Remove(service, e.Revision)
 		return
@@ -62,7 +63,7 @@
 		event.ConfigRejected.Log(g.cfg.Log, slog.Any("error", err))
 		return
 	}
-	g.rollouts.Start(o, 0, time.Now())
+	g.rollouts.Start(o, age, time.Now())
 	event.MoveStarted.Log(g.cfg.Log, slog.String("service", service), slog.String("target", o.Version), slog.Duration("over", o.Duration))
 	g.wg.Go(func() { g.recoverRollout(o) })
 }
