Bound the cost of comparing speeds in large pools

A comparison took a density for each pair of an old and a new target, on every host ten times a second. At most 32 quantiles now represent the old targets, the speeds are compared four times a second, as often as peers report them, and densities far below the mean are skipped.

--- a/gateway/rollout/rollout.go
+++ b/gateway/rollout/rollout.go
@@ -64,6 +64,8 @@
 	// evaluatedDuration is the duration of a rollout for which the windows and lookbacks of
 	// moves/analysis are sized. The time of an order is scaled to it.
 	evaluatedDuration = 10 * time.Minute
+	// comparisonInterval is how often the speeds are compared: as often as peers report them.
+	comparisonInterval = 250 * time.Millisecond
 	// maxReportedWindows bounds the observation windows in one heartbeat.
 	maxReportedWindows = 2
 )
@@ -77,7 +79,9 @@
 	samples   *analysis.Samples
 	speeds    speeds
 	evidence  SpeedEvidence
-	groups    map[string]uint8 // by target
+	// comparedAt is the time of the comparison that evidence is from.
+	comparedAt time.Time
+	groups     map[string]uint8 // by target
 }
 
 // Tracker tracks the orders of all services. Its methods are safe for concurrent use.
@@ -269,7 +273,9 @@
 
 func (t *Tracker) evaluate(st *rolloutState, targets int, now time.Time) {
 	at := st.scaledTime(now)
-	st.evidence = compareSpeeds(st.speeds.byVersion())
+	if now.Sub(st.comparedAt) >= comparisonInterval {
+		st.evidence, st.comparedAt = compareSpeeds(st.speeds.byVersion()), now
+	}
 	grouped := analysis.Evaluate(st.samples, at, analysis.Config{Targets: targets, Duration: evaluatedDuration})
 	ungrouped := analysis.Evaluate(st.samples, at, analysis.Config{Targets: targets, Duration: evaluatedDuration, Ungrouped: true})
 	// Without groups, a version whose targets have slower hardware would count as slow.
--- a/gateway/rollout/speed.go
+++ b/gateway/rollout/speed.go
@@ -144,6 +144,9 @@
 	// unaffectedShare is the assumed share of the targets of a slow version that are as fast as
 	// those of the old one.
 	unaffectedShare = 0.05
+	// maxPriorTargets bounds the old targets that represent the distribution, and so the cost of a
+	// comparison in large pools.
+	maxPriorTargets = 32
 	// minOldTargets is the number of measured old targets from which versions are compared.
 	minOldTargets = 2
 )
@@ -224,15 +227,29 @@
 }
 
 func newSpeedPrior(old []speedSum) speedPrior {
-	p := speedPrior{old: old}
+	p := speedPrior{}
 	for _, t := range old {
 		p.mean += t.floor / float64(len(old))
 		p.loadDelay += float64(t.count) * (t.recent - t.floor) / float64(samples(old))
 	}
 	p.loadDelay = max(minLoadDelay, p.loadDelay)
+	p.old = quantiles(old, maxPriorTargets)
 	return p
 }
 
+// quantiles returns at most n of the targets, which represent the distribution of their floors.
+func quantiles(targets []speedSum, n int) []speedSum {
+	if len(targets) <= n {
+		return targets
+	}
+	sorted := slices.SortedFunc(slices.Values(targets), func(a, b speedSum) int { return cmp.Compare(a.floor, b.floor) })
+	out := make([]speedSum, n)
+	for i := range out {
+		out[i] = sorted[(2*i+1)*len(sorted)/(2*n)]
+	}
+	return out
+}
+
 // density returns the density of the target's smallest log gap in the distribution of the old
 // targets, shifted. A target with few samples may never have been measured idle.
 func (p speedPrior) density(t speedSum, shift float64) float64 {
@@ -244,9 +261,16 @@
 	return sum / float64(len(p.old)+1)
 }
 
+// negligibleDeviations is the number of standard deviations below the mean at which a density is
+// negligible.
+const negligibleDeviations = 6
+
 // delayedDensity returns the density at x of the sum of a normal variable with mean 0 and an
 // exponential one with the given mean.
 func delayedDensity(x, stdDev, mean float64) float64 {
+	if x < -negligibleDeviations*stdDev {
+		return 0
+	}
 	ratio := stdDev / mean
 	return math.Exp(ratio*ratio/2-x/mean) * math.Erfc((ratio-x/stdDev)/math.Sqrt2) / (2 * mean)
 }
