--- a/gateway/rollout/rollout.go
+++ b/gateway/rollout/rollout.go
@@ -52,17 +52,20 @@
 	// The rest is for the time in which all requests go to the new version before the old
 	// targets stop.
 	canaryFraction = 0.5
-	// fullTrafficFraction is the part of the order's duration, at its end, in which all
-	// requests go to the new version, so that few are in progress at the old targets when they
-	// stop. maxFullTraffic and the rest of MaxShare also bound that time.
-	fullTrafficFraction = 0.1
-	maxFullTraffic      = 1300 * time.Millisecond
-	// decisionLead is the time before the end of the duration at which the outcome is written:
-	// a write may take a few attempts.
-	decisionLead = 400 * time.Millisecond
+	// fullTrafficFraction is the part of the order's duration, before its outcome is written, in
+	// which all requests go to the new version, so that few are in progress at the old targets
+	// when they stop. maxFullTraffic and the rest of MaxShare also bound that time.
+	fullTrafficFraction = 0.06
+	maxFullTraffic      = 900 * time.Millisecond
+	// decisionLead is the time before the end of the duration at which the outcome is written.
+	// The duration is measured from when the order was read, up to half a second after it was
+	// written, and a write may take a few attempts.
+	decisionLead = 650 * time.Millisecond
 	// evaluatedDuration is the duration of a rollout for which the windows and lookbacks of
 	// moves/analysis are sized. The time of an order is scaled to it.
 	evaluatedDuration = 10 * time.Minute
+	// comparisonInterval is how often the speeds are compared: as often as peers report them.
+	comparisonInterval = 250 * time.Millisecond
 	// maxReportedWindows bounds the observation windows in one heartbeat.
 	maxReportedWindows = 2
 )
@@ -74,7 +77,11 @@
 	state     State
 	reason    string
 	samples   *analysis.Samples
-	groups    map[string]uint8 // by target
+	speeds    speeds
+	evidence  SpeedEvidence
+	// comparedAt is the time of the comparison that evidence is from.
+	comparedAt time.Time
+	groups     map[string]uint8 // by target
 }
 
 // Tracker tracks the orders of all services. Its methods are safe for concurrent use.
@@ -106,7 +113,7 @@
 		return
 	}
 	t.rollouts[o.Service] = &rolloutState{
-		order: o, startedAt: now.Add(-elapsed), samples: analysis.NewSamples(), groups: map[string]uint8{},
+		order: o, startedAt: now.Add(-elapsed), samples: analysis.NewSamples(), speeds: speeds{}, groups: map[string]uint8{},
 	}
 }
 
@@ -182,10 +189,11 @@
 	return canaryFraction * t.limits.MaxShare
 }
 
-// fullTrafficTime returns the length of the time in which all requests go to the new version.
+// fullTrafficTime returns the length of the time at the end of the duration in which all requests go
+// to the new version unless it is rolled back.
 func (st *rolloutState) fullTrafficTime(l Limits) time.Duration {
 	exposureTime := (1 - canaryFraction) * l.MaxShare * float64(st.order.Duration)
-	return min(time.Duration(fullTrafficFraction*float64(st.order.Duration)), time.Duration(exposureTime)+decisionLead, maxFullTraffic)
+	return decisionLead + min(time.Duration(fullTrafficFraction*float64(st.order.Duration)), time.Duration(exposureTime), maxFullTraffic)
 }
 
 // scaledTime converts now to the time scale for which the windows and lookbacks of
@@ -207,6 +215,16 @@
 	st.samples.Observe(t.host, st.scaledTime(now), k, result, firstToken, gap)
 }
 
+// ObserveSpeed records the gap between the first events of a stream, which is known long before a
+// slow stream ends.
+func (t *Tracker) ObserveSpeed(service, version, target string, gap time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if st := t.rollouts[service]; st != nil && st.state == Running && gap > 0 {
+		st.speeds.observe(t.host, target, version == st.order.Version, gap)
+	}
+}
+
 // group returns the number of a target's group. Hosts need not agree on it: the groups of a peer
 // are only compared with one another, and only if the pool has few targets.
 func (st *rolloutState) group(target string) uint8 {
@@ -255,20 +273,42 @@
 
 func (t *Tracker) evaluate(st *rolloutState, targets int, now time.Time) {
 	at := st.scaledTime(now)
+	if now.Sub(st.comparedAt) >= comparisonInterval {
+		st.evidence, st.comparedAt = compareSpeeds(st.speeds.byVersion()), now
+	}
 	grouped := analysis.Evaluate(st.samples, at, analysis.Config{Targets: targets, Duration: evaluatedDuration})
 	ungrouped := analysis.Evaluate(st.samples, at, analysis.Config{Targets: targets, Duration: evaluatedDuration, Ungrouped: true})
 	// Without groups, a version whose targets have slower hardware would count as slow.
 	ungroupedFailing := ungrouped.Bad && (ungrouped.Metric == analysis.Failures || ungrouped.Metric == analysis.Truncations)
+	due := now.Sub(st.startedAt) >= st.order.Duration-decisionLead
 	switch {
+	case st.evidence.sufficient():
+		st.setOutcome(RolledBack, st.evidence.reason())
 	case grouped.Bad:
 		st.setOutcome(RolledBack, grouped.Reason())
 	case ungroupedFailing:
 		st.setOutcome(RolledBack, ungrouped.Reason())
-	case grouped.Suspect && now.Sub(st.startedAt) >= st.order.Duration-decisionLead:
+	case due && st.evidence.suspect():
+		st.setOutcome(RolledBack, fmt.Sprintf("suspected fault at the end of the rollout: %s", st.evidence.reason()))
+	case due && grouped.Suspect:
 		st.setOutcome(RolledBack, fmt.Sprintf("suspected fault at the end of the rollout: %s", grouped.Reason()))
 	}
 }
 
+// Evidence returns the comparison of the speeds of both versions for each running order, by
+// service.
+func (t *Tracker) Evidence() map[string]SpeedEvidence {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := map[string]SpeedEvidence{}
+	for service, st := range t.rollouts {
+		if st.state == Running {
+			out[service] = st.evidence
+		}
+	}
+	return out
+}
+
 // Reports returns the states of this host's rollouts for heartbeats, by service.
 func (t *Tracker) Reports(now time.Time) map[string]peers.Rollout {
 	t.mu.Lock()
@@ -283,6 +323,7 @@
 				}
 				r.Windows = append(r.Windows, peers.RolloutWindow{Number: n, Routes: analysis.EncodeWindow(st.samples.OpenWindow(t.host, n))})
 			}
+			r.Speeds = st.speeds.report(t.host)
 		}
 		out[service] = r
 	}
@@ -303,6 +344,7 @@
 		if s := State(r.State); s == Done || s == RolledBack {
 			st.setOutcome(s, r.Reason)
 		}
+		st.speeds.mergeReport(from, r.Speeds)
 		for _, w := range r.Windows {
 			window, err := analysis.DecodeWindow(w.Routes)
 			if err != nil {
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -35,6 +35,11 @@
 	// statusRewriteInterval is how often an unchanged state is written again, in case the
 	// last write failed.
 	statusRewriteInterval = time.Second
+	// maxConflictRetries bounds the immediate retries of a write. A conflict means that another
+	// host has just written, usually the same state.
+	maxConflictRetries = 3
+	// evidenceLogInterval is how often the evidence of running rollouts is logged.
+	evidenceLogInterval = time.Second
 )
 
 // writtenStatus is the last state that this host wrote for an order.
@@ -45,8 +50,9 @@
 	final     bool // the state in the store is final
 }
 
-// handleRolloutOrder starts the rollout of a new order, or ends it if the order was removed.
-func (g *Gateway) handleRolloutOrder(service string, e platform.Entry) {
+// handleRolloutOrder starts the rollout of a new order, which was written at most age ago, or ends it
+// if the order was removed.
+func (g *Gateway) handleRolloutOrder(service string, e platform.Entry, age time.Duration) {
 	if e.Deleted {
 		g.rollouts.Remove(service, e.Revision)
 		return
@@ -56,7 +62,7 @@
 		event.ConfigRejected.Log(g.cfg.Log, slog.Any("error", err))
 		return
 	}
-	g.rollouts.Start(o, 0, time.Now())
+	g.rollouts.Start(o, age, time.Now())
 	event.MoveStarted.Log(g.cfg.Log, slog.String("service", service), slog.String("target", o.Version), slog.Duration("over", o.Duration))
 	g.wg.Go(func() { g.recoverRollout(o) })
 }
@@ -91,6 +97,7 @@
 	t := time.NewTicker(rolloutDecisionInterval)
 	defer t.Stop()
 	written := map[string]*writtenStatus{}
+	loggedAt := time.Time{}
 	for {
 		select {
 		case <-ctx.Done():
@@ -99,10 +106,22 @@
 			for _, d := range g.rollouts.Decide(g.isLeader(now), g.targetCount, now) {
 				g.recordDecision(ctx, written, d, now)
 			}
+			if now.Sub(loggedAt) >= evidenceLogInterval {
+				g.logEvidence()
+				loggedAt = now
+			}
 		}
 	}
 }
 
+// logEvidence logs the comparison of the versions' speeds for all running rollouts.
+func (g *Gateway) logEvidence() {
+	for service, e := range g.rollouts.Evidence() {
+		event.MoveEvidence.Log(g.cfg.Log, slog.String("service", service), slog.Float64("logRatio", e.LogRatio), slog.Float64("factor", e.Factor),
+			slog.Int("oldTargets", e.OldTargets), slog.Int("newTargets", e.NewTargets), slog.Uint64("oldSamples", e.OldSamples), slog.Uint64("newSamples", e.NewSamples))
+	}
+}
+
 // isLeader reports whether this host has the lowest name of all live hosts that are not
 // stopping. Two hosts may both be leader for a short time.
 func (g *Gateway) isLeader(now time.Time) bool {
@@ -137,7 +156,7 @@
 		return
 	}
 	w.state, w.writtenAt = d.State, now
-	s, err := g.putStatus(ctx, d)
+	s, err := g.writeStatus(ctx, d)
 	if err != nil {
 		event.MoveStepRetried.Log(g.cfg.Log, slog.String("service", d.Order.Service), slog.Any("error", err))
 		return
@@ -155,6 +174,16 @@
 	g.SendHeartbeat()
 }
 
+// writeStatus calls putStatus again at once after a conflict: at the end of a rollout, no time is
+// left to wait for the next rewrite.
+func (g *Gateway) writeStatus(ctx context.Context, d rollout.Decision) (rollout.State, error) {
+	s, err := g.putStatus(ctx, d)
+	for i := 0; i < maxConflictRetries && errors.Is(err, platform.ErrConflict); i++ {
+		s, err = g.putStatus(ctx, d)
+	}
+	return s, err
+}
+
 // putStatus writes the state with compare-and-swap and returns the state in the store. It
 // never replaces a final state of the same order, so that a version that one host has
 // rolled back is not reported as done by another host.
