Don't add up the pauses of a target that goes on each time

A target that pauses during several requests and goes on stayed ejected: a pause during the trial that follows an ejection for silence counted as a failed trial, which ejects for 10 s and more, and single pauses added up to failures in a row and to a failure rate.

A response after silence now takes its timeout back, a trial that fails for silence ends like an ejection for silence, and an ejection that a response ends does not lengthen the next one. TestPausesOfASoundTargetDoNotAddUp failed before: 3 single pauses ejected the target, and no trial followed a pause in the trial.

--- a/sched/health/health.go
+++ b/sched/health/health.go
@@ -82,7 +82,7 @@
 	lastFailure               time.Time
 	slowSince                 time.Time
 	ejectedUntil              time.Time
-	ejectedSilent             bool // the reason of the ejection was silence
+	ejectedSilent             bool // a timeout was the reason of the ejection
 	rampStart                 time.Time
 	ejections                 int
 	lastEjected               time.Time
@@ -108,7 +108,7 @@
 	if o == Timeout {
 		t.consecutiveTimeouts++
 	}
-	return t.evaluate(now)
+	return t.evaluate(o, now)
 }
 
 // observeError records an error response. In a trial it counts as a success, because the
@@ -137,12 +137,14 @@
 
 // evaluate ejects the target if it fails in a trial, or if its failures, timeouts or failure
 // rate reach a threshold. It returns the reason.
-func (t *Tracker) evaluate(now time.Time) string {
+func (t *Tracker) evaluate(o Observation, now time.Time) string {
 	switch {
 	case t.state == Ejected:
 		return ""
 	case t.state == Trial:
-		return t.eject("failed its trial", now)
+		reason := t.eject("failed its trial", now)
+		t.ejectedSilent = o == Timeout
+		return reason
 	case t.consecutiveTimeouts >= timeoutThreshold:
 		reason := t.eject("silent", now)
 		t.ejectedSilent = true
@@ -174,13 +176,17 @@
 }
 
 // ObserveResponsive records that the target has gone on with a request after a timeout was
-// observed for it. It reports whether that ends an ejection for silence: the target then starts
-// its trial.
+// observed for it. The timeout then no longer counts as a failure. It reports whether that ends
+// an ejection for silence: the target then starts its trial, and the ejection does not lengthen
+// the next one.
 func (t *Tracker) ObserveResponsive(now time.Time) bool {
 	t.consecutiveTimeouts = 0
+	t.consecutiveFailures = max(0, t.consecutiveFailures-1)
+	t.failedWeight = max(0, t.failedWeight-1)
 	if t.state != Ejected || !t.ejectedSilent {
 		return false
 	}
+	t.ejections--
 	t.ejectedUntil = now
 	return t.Advance(now)
 }
