Find waiting requests by their item, not by the id that callers send

Two requests that waited at the same host with the same id replaced each other in the map of waiting requests. When one of them left the queue, the next dispatch panicked with the scheduler's lock held, so that no request of the service was served any more. Callers may send an id twice, and requests that wait beside a silent target do so for seconds.

--- a/sched/flow/flow.go
+++ b/sched/flow/flow.go
@@ -142,7 +142,7 @@
 		}
 	}
 	it := most.items[most.headIndex]
-	q.removeItem(it)
+	q.RemoveItem(it)
 	return it
 }
 
@@ -187,7 +187,7 @@
 	var out []Expired
 	for len(q.deadlines) > 0 && !q.deadlines[0].LatestStart.After(now) {
 		it := q.deadlines[0]
-		q.removeItem(it)
+		q.RemoveItem(it)
 		wait := now.Sub(it.Request.Arrived).Round(time.Millisecond)
 		out = append(out, Expired{it, refusal.New(refusal.DeadlineExceeded, "the deadline cannot be met after %s in the queue", wait)})
 	}
@@ -205,18 +205,21 @@
 func (q *Queue) Remove(id string) *Item {
 	it := q.items[id]
 	if it != nil {
-		q.removeItem(it)
+		q.RemoveItem(it)
 	}
 	return it
 }
 
-func (q *Queue) removeItem(it *Item) {
+// RemoveItem removes a waiting item without a charge.
+func (q *Queue) RemoveItem(it *Item) {
 	q.unindex(it)
 	it.queue.remove(it)
 }
 
 func (q *Queue) unindex(it *Item) {
-	delete(q.items, it.Request.ID)
+	if q.items[it.Request.ID] == it {
+		delete(q.items, it.Request.ID)
+	}
 	if it.deadlineIndex >= 0 {
 		heap.Remove(&q.deadlines, it.deadlineIndex)
 	}
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -38,7 +38,7 @@
 	cfg          Config
 	rnd          *rand.Rand
 	queue        *flow.Queue
-	waiters      map[string]*Waiter
+	waiters      map[*flow.Item]*Waiter // by their items, since callers may repeat the id of a request
 	targets      map[string]*target
 	order        []*target
 	ejectedCount int
@@ -71,7 +71,7 @@
 		cfg:     c,
 		rnd:     rand.New(rand.NewPCG(c.Seed, c.Seed^0x9e3779b97f4a7c15)),
 		queue:   flow.New(flow.Config{MaxWaiting: bounds}),
-		waiters: map[string]*Waiter{},
+		waiters: map[*flow.Item]*Waiter{},
 		targets: map[string]*target{}, starvingHosts: map[string]floor{},
 	}
 }
@@ -106,7 +106,7 @@
 		return ref
 	}
 	w.queued, w.queuedAt = true, now
-	p.waiters[w.Request.ID] = w
+	p.waiters[&w.item] = w
 	return nil
 }
 
@@ -116,7 +116,7 @@
 	w.item = w.queueItem()
 	p.queue.PushFront(&w.item)
 	w.queued = true
-	p.waiters[w.Request.ID] = w
+	p.waiters[&w.item] = w
 }
 
 // Remove takes a waiting request out of the queue and reports whether it was waiting.
@@ -124,14 +124,14 @@
 	if !w.queued {
 		return false
 	}
-	p.queue.Remove(w.Request.ID)
+	p.queue.RemoveItem(&w.item)
 	p.dequeue(w)
 	return true
 }
 
 func (p *Pool) dequeue(w *Waiter) {
 	w.queued = false
-	delete(p.waiters, w.Request.ID)
+	delete(p.waiters, &w.item)
 }
 
 // Dispatch assigns waiting requests to targets with free slots. It returns these grants and
@@ -139,7 +139,7 @@
 func (p *Pool) Dispatch(now time.Time) (grants []Grant, expired []Expired) {
 	p.startTrials(now)
 	for _, x := range p.queue.Expire(now) {
-		w := p.waiters[x.Item.Request.ID]
+		w := p.waiters[x.Item]
 		p.dequeue(w)
 		expired = append(expired, Expired{w, x.Refusal})
 	}
@@ -168,7 +168,7 @@
 		if it == nil {
 			return grants
 		}
-		w := p.waiters[it.Request.ID]
+		w := p.waiters[it]
 		t := p.chooseTarget(w, l, now)
 		if t == nil && w.RolloutVersion != "" && !w.AvoidRolloutVersion {
 			// A full rollout version must not block the requests behind this one.
@@ -176,7 +176,7 @@
 			t = p.chooseTarget(w, l, now)
 		}
 		if t == nil && len(w.excluded) > 0 {
-			p.queue.Remove(it.Request.ID)
+			p.queue.RemoveItem(it)
 			skipped = append(skipped, w)
 			continue
 		}
