Quarantine prompt parts that crash targets

A part of a prompt may crash each target that begins to write a response with it. Nothing read the parts of a prompt, so no host could connect one crash with the next. It is the class of poison messages: a retry spreads the failure of the request over the fleet.

sched/quarantine attributes a crash to the shared parts of the requests that had no response yet at the target. A crash is a closed connection followed by a refused connect, so that resets, truncated and lost responses don't count. A part is quarantined after three crashes in turn, each under a request sent after the one before (or two in turn of five in all), and no response with it in between. Crashes at the same time thus count once, and those in an outage of the whole service not at all. A part whose crashes another quarantined part explains blocks only requests that have both.

Requests with a quarantined part are refused (503, not run) at admission and when they leave the queue; those already sent get 502. After a minute, and then ever more rarely, one host of the fleet at a time may send one as a trial.

Heartbeats carry the evidence (format 3): crashes by target, kept as the earliest report of each, and the host's own newest success, so lost, repeated and reordered ones don't count twice. A quarantine is sent to all peers at once.

FuzzDecode of gateway/peers expects format 3 instead of 2.

--- a/core/event/table.go
+++ b/core/event/table.go
@@ -29,8 +29,11 @@
 	TargetDraining  = Event{Number: 303, Name: "target draining", Level: slog.LevelInfo, Meaning: "The platform lists the target as leaving; it receives no new requests."}
 	TargetListStale = Event{Number: 304, Name: "target list stale", Level: slog.LevelWarn, Meaning: "The platform's host list could not be read; the last list stays in use."}
 
-	TargetListChanged = Event{Number: 305, Name: "target list changed", Level: slog.LevelInfo, Meaning: "An entry of the target list was added, changed or removed."}
-	TargetFailure     = Event{Number: 306, Name: "target failure", Level: slog.LevelInfo, Meaning: "A request to a target failed or its connection was refused."}
+	TargetListChanged     = Event{Number: 305, Name: "target list changed", Level: slog.LevelInfo, Meaning: "An entry of the target list was added, changed or removed."}
+	TargetFailure         = Event{Number: 306, Name: "target failure", Level: slog.LevelInfo, Meaning: "A request to a target failed or its connection was refused."}
+	PromptPartSuspected   = Event{Number: 307, Name: "prompt part suspected", Level: slog.LevelWarn, Meaning: "Several targets crashed under requests with this part of a prompt, and no response with it has begun since."}
+	PromptPartQuarantined = Event{Number: 308, Name: "prompt part quarantined", Level: slog.LevelError, Meaning: "Requests with this part of a prompt crash targets and are refused. The line states the crashes and whether a peer's report decided it."}
+	PromptPartReleased    = Event{Number: 309, Name: "prompt part released", Level: slog.LevelInfo, Meaning: "Requests with this part of a prompt are sent again, because a response with it began or the evidence expired."}
 
 	WriterElected         = Event{Number: 401, Name: "journal writer elected", Level: slog.LevelInfo, Meaning: "This host became the writer of a journal partition."}
 	WriterRoleLost        = Event{Number: 402, Name: "journal writer role lost", Level: slog.LevelWarn, Meaning: "This host is no longer the writer of a journal partition: its lease ended or another writer appended to the log."}
@@ -68,7 +71,7 @@
 	return []Event{
 		Started, EmbeddedStore, ShutdownStarted, ShutdownCompleted, ShutdownForced, SettingsRejected, SettingsReloaded, LogLinesDropped, LoopPanicked,
 		RequestRefused, RequestRetried, CallerDisconnected, ResponseAborted, RequestAnswered, RequestSent, TargetErrorForwarded, RequestPanicked,
-		TargetEjected, TargetRestored, TargetDraining, TargetListStale, TargetListChanged, TargetFailure,
+		TargetEjected, TargetRestored, TargetDraining, TargetListStale, TargetListChanged, TargetFailure, PromptPartSuspected, PromptPartQuarantined, PromptPartReleased,
 		WriterElected, WriterRoleLost, AppendOutcomeUnknown, RequestOutcomeUnknown, RequestTakenOver,
 		MemberSuspected, MemberDead, MemberAlive, PeerRejected, PeerFetchFailed, QuotaReservedForPeers,
 		ConfigApplied, ConfigRejected, StoreUnreachable, StoreReachable, CheckpointRestored, CheckpointFailed, BecameStoreReader,
--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -70,6 +70,7 @@
 	TargetAddressReused
 	RetryBudgetExhausted
 	InternalError
+	PromptPartQuarantined
 	reasonCount
 )
 
@@ -118,6 +119,8 @@
 	TargetAddressReused:  {"target-moved", http.StatusServiceUnavailable, NotRun, 200 * time.Millisecond},
 	RetryBudgetExhausted: {"retry-budget", http.StatusServiceUnavailable, NotRun, 500 * time.Millisecond},
 	InternalError:        {"internal-error", http.StatusInternalServerError, RunUnknown, 0},
+	// A repeat within seconds is refused as well.
+	PromptPartQuarantined: {"prompt-part-quarantined", http.StatusServiceUnavailable, NotRun, 30 * time.Second},
 }
 
 // Reasons returns all reasons in table order.
--- a/core/telemetry/telemetry.go
+++ b/core/telemetry/telemetry.go
@@ -44,6 +44,7 @@
 	{"sardinefront_queue_wait", "histogram", "s", []string{"tier"}, "Time from arrival until the request is sent to a target."},
 	{"sardinefront_event_pause", "histogram", "s", []string{"tier"}, "Longest pause between two events of a completed response stream."},
 	{"sardinefront_target_connections", "counter", "{connection}", []string{"result"}, "Attempts to open a connection to a target, by result."},
+	{"sardinefront_prompt_parts", "counter", "{change}", []string{"change"}, "Changes of the state of prompt parts that crash targets: suspected, quarantined or released."},
 	{"sardinefront_waiting", "gauge", "{request}", []string{"tier", "service"}, "Requests waiting for a target."},
 	{"sardinefront_targets", "gauge", "{target}", []string{"service", "state"}, "Targets by state: all in use (used), and those of them that are ejected (ejected)."},
 	{"sardinefront_config_version", "gauge", "", nil, "Version of the active configuration."},
@@ -194,6 +195,11 @@
 	m.add("sardinefront_target_connections", 1, attribute.String("result", result))
 }
 
+// CountPromptPart counts a change of the state of a prompt part: suspected, quarantined or released.
+func (m *Metrics) CountPromptPart(change string) {
+	m.add("sardinefront_prompt_parts", 1, attribute.String("change", change))
+}
+
 // GaugeValue is the value of one series of a gauge. Labels holds the label values in the order
 // of the labels in the gauge's Spec.
 type GaugeValue struct {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"sardinefront.dev/gateway/dispatch"
 	"sardinefront.dev/gateway/ingress"
 	"sardinefront.dev/gateway/peers"
+	"sardinefront.dev/gateway/promptparts"
 	"sardinefront.dev/gateway/protocol"
 	"sardinefront.dev/gateway/quota"
 	"sardinefront.dev/gateway/retry"
@@ -37,6 +38,7 @@
 type Metrics interface {
 	ingress.Metrics
 	upstream.DialCounter
+	promptparts.Metrics
 	// RegisterGauge registers read as the source of a gauge.
 	RegisterGauge(name string, read func() []telemetry.GaugeValue) error
 }
@@ -93,6 +95,7 @@
 	mesh        *peers.Mesh
 	ingress     *ingress.Server
 	rollouts    *rollout.Tracker
+	parts       *promptparts.Guard
 	settings    atomic.Pointer[settings.Settings] // current settings, replaced by Reload
 	speeds      speedTable
 	// usageReports is used only by the loop that sends heartbeats.
@@ -124,9 +127,10 @@
 		OnRolloutOrder: g.handleRolloutOrder,
 	})
 	g.rollouts = rollout.New(s.Host.Name, rollout.Limits{MaxShare: s.Rollout.ExposeShare})
+	g.parts = promptparts.New(g, cfg.Metrics, cfg.Log)
 	g.ingress = ingress.New(ingress.Config{
 		Codec: cfg.Codec, Routing: &g.routing, Quota: g.quota, RetryBudget: g.retryBudget, Schedulers: g.schedulers,
-		Upstream: g.upstream, Rollouts: g.rollouts, Metrics: cfg.Metrics, Log: cfg.Log,
+		Upstream: g.upstream, Rollouts: g.rollouts, Parts: g.parts, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
 	return g
 }
@@ -246,6 +250,23 @@
 	}
 }
 
+// SendHeartbeatToAll implements promptparts.Peers.
+func (g *Gateway) SendHeartbeatToAll() {
+	if g.mesh != nil {
+		g.mesh.TriggerHeartbeats()
+	}
+}
+
+// Hosts implements promptparts.Peers.
+func (g *Gateway) Hosts() (self string, hosts []string) {
+	self = g.cfg.Settings.Host.Name
+	hosts = append(hosts, self)
+	for _, p := range g.mesh.Alive(time.Now()) {
+		hosts = append(hosts, p.Name)
+	}
+	return self, hosts
+}
+
 // OfferSlot implements dispatch.Peers.
 func (g *Gateway) OfferSlot(host, target string) { g.mesh.SendSlotOffer(host, targetHash(target)) }
 
@@ -271,6 +292,7 @@
 		h.Ejected = append(h.Ejected, targetHash(name))
 	}
 	h.Rollouts = g.rollouts.Reports(now)
+	h.PromptParts = g.parts.Reports(now)
 }
 
 // HandleHeartbeat implements peers.Delegate.
@@ -287,6 +309,7 @@
 	if err := g.rollouts.MergeReports(h.Name, h.Rollouts, now); err != nil {
 		event.PeerRejected.Log(g.cfg.Log, slog.Any("error", err))
 	}
+	g.parts.Merge(h.PromptParts, now)
 	g.quota.RecordPeerUsage(usageReport(h), now)
 }
 
--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -94,6 +94,11 @@
 			x.endUndispatched(err)
 			return
 		}
+		if ref := x.checkParts(); ref != nil {
+			scheduler.EndGrant(target.Key(), reserve.Abandoned, reserve.Sample{})
+			x.refuseOrAbort(ref, attempt{})
+			return
+		}
 		att := x.runAttempt(ctx, scheduler, target)
 		if att.status == answered {
 			return
@@ -170,6 +175,7 @@
 		scheduler.EndGrant(target.Key(), att.outcome, att.sample)
 	}
 	x.recordForRollout(target, att)
+	x.recordCrash(target, att)
 	if att.status == answered {
 		return
 	}
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -22,6 +22,7 @@
 	"sardinefront.dev/core/request"
 	"sardinefront.dev/gateway/directory"
 	"sardinefront.dev/gateway/dispatch"
+	"sardinefront.dev/gateway/promptparts"
 	"sardinefront.dev/gateway/protocol"
 	"sardinefront.dev/gateway/quota"
 	"sardinefront.dev/gateway/retry"
@@ -56,6 +57,7 @@
 	Schedulers  *dispatch.Schedulers
 	Upstream    *upstream.Pool
 	Rollouts    *rollout.Tracker
+	Parts       *promptparts.Guard
 	Metrics     Metrics
 	Log         *slog.Logger
 }
@@ -141,6 +143,10 @@
 	// failureLogged is true if a failed attempt was logged; the final log line is then exempt
 	// from sampling.
 	failureLogged bool
+	// partsTrial is true if the request is the trial of a quarantined prompt part.
+	partsTrial bool
+	// sentAt is the time of the last send.
+	sentAt time.Time
 	// began is true if the last send got an answer beyond its beginning.
 	began bool
 	// mayHaveRun is true if a target may have started to run the request.
@@ -171,6 +177,9 @@
 		return ref
 	}
 	x.buildRequest()
+	if ref := x.checkParts(); ref != nil {
+		return ref
+	}
 	return x.acquireQuota()
 }
 
--- a/gateway/ingress/parts.go
+++ b/gateway/ingress/parts.go
@@ -1,6 +1,22 @@
 package ingress
 
-import "net/http"
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"syscall"
+	"time"
+
+	"sardinefront.dev/core/refusal"
+	"sardinefront.dev/gateway/directory"
+	"sardinefront.dev/sched/quarantine"
+	"sardinefront.dev/sched/reserve"
+)
+
+// crashProbeTimeout bounds the connect that distinguishes a crashed target, which refuses it,
+// from a broken connection.
+const crashProbeTimeout = 150 * time.Millisecond
 
 // sharedParts returns the ids of the prompt's parts that other requests may hold too. The last
 // part belongs to the request or its session.
@@ -15,10 +31,48 @@
 	return out
 }
 
+// checkParts returns a refusal if the prompt has a part that crashes targets. A trial passes until
+// it has been sent once.
+func (x *exchange) checkParts() *refusal.Refusal {
+	if x.partsTrial && x.sends == 0 {
+		return nil
+	}
+	id, verdict := x.cfg.Parts.Check(x.service, x.sharedParts(), time.Now())
+	x.partsTrial = verdict == quarantine.Trial && x.sends == 0
+	if verdict == quarantine.Allowed || x.partsTrial {
+		return nil
+	}
+	return refusal.New(refusal.PromptPartQuarantined, "requests with the prompt part %s crash targets of %s", id, x.service)
+}
+
 // recordBegun records that the target's answer got beyond its beginning.
 func (x *exchange) recordBegun(status int) {
 	if x.began || status != http.StatusOK {
 		return
 	}
 	x.began = true
+	x.cfg.Parts.RecordSuccess(x.service, x.sharedParts(), time.Now())
+}
+
+// recordCrash attributes a crash of the target to the prompt's parts if the attempt failed by it
+// before the response began.
+func (x *exchange) recordCrash(target directory.Target, att attempt) {
+	if att.status != failed || att.outcome != reserve.BrokenResponse || x.began || target.Draining || !connectionClosed(att.err) {
+		return
+	}
+	parts := x.sharedParts()
+	if len(parts) == 0 {
+		return
+	}
+	crashedAt := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
+	defer cancel()
+	if x.cfg.Upstream.ConnectionRefused(ctx, target.Key(), target.Address) {
+		x.cfg.Parts.RecordCrash(x.service, parts, target.Key(), x.sentAt, crashedAt)
+	}
+}
+
+// connectionClosed reports whether the target closed or reset the connection.
+func connectionClosed(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -41,7 +41,7 @@
 		Header: x.cfg.Codec.RequestHeader(x.r.Header, x.attemptHeader(target, reservation)),
 	}
 	x.sends++
-	x.began = false
+	x.sentAt, x.began = sentAt, false
 	x.targetID, x.targetKey, x.queueWait = target.ID, target.Key(), sentAt.Sub(x.arrived)
 	x.cfg.Metrics.RecordQueueWait(x.request.Tier, x.queueWait.Seconds())
 	event.RequestSent.Log(x.cfg.Log, slog.String("id", x.info.ID), slog.String("target", x.targetID), slog.Int("send", x.sends),
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -11,11 +11,12 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"sardinefront.dev/moves/analysis"
+	"sardinefront.dev/sched/quarantine"
 )
 
 // formatVersion is the first field of every heartbeat. Hosts drop heartbeats of other
 // versions.
-const formatVersion = 2
+const formatVersion = 3
 
 // Heartbeat is the state of one host. It is encoded as an array in the order of its fields.
 type Heartbeat struct {
@@ -57,6 +58,8 @@
 	Changes []Change
 	// Rollouts is the state of rollouts on this host, by service.
 	Rollouts map[string]Rollout
+	// PromptParts is the evidence on parts of prompts that crash targets.
+	PromptParts []quarantine.Report
 }
 
 // Rollout is the state of the rollout of a service on one host.
@@ -184,5 +187,5 @@
 			}
 		}
 	}
-	return nil
+	return quarantine.Validate(h.PromptParts)
 }
--- a/gateway/peers/message_test.go
+++ b/gateway/peers/message_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"sardinefront.dev/gateway/peers"
+	"sardinefront.dev/sched/quarantine"
 )
 
 func heartbeat() *peers.Heartbeat {
@@ -13,7 +14,8 @@
 		Name: "host-1", Zone: "zone-1", Address: "127.0.0.1:7000", Incarnation: 7, IntervalMs: 250, ConfigVersion: 3, ListDigest: 99, ListAgeMs: 120,
 		OwnUsage: map[string]float64{"org": 12.5}, FleetUsage: map[string]float64{"org": 3}, Floors: map[string]uint8{"s": 1},
 		EventGapsUs: map[uint32]uint32{1: 8000}, KnownAddresses: []string{"127.0.0.1:7001"},
-		Changes: []peers.Change{{Key: "k", Value: []byte("v"), Revision: 4}},
+		Changes:     []peers.Change{{Key: "k", Value: []byte("v"), Revision: 4}},
+		PromptParts: []quarantine.Report{{Service: "s", ID: "5c1e07a2", SuccessAgeMs: -1, Crashes: []quarantine.Crash{{Target: 9, SentAgeMs: 70, CrashedAgeMs: 20}}}},
 	}
 }
 
@@ -49,7 +51,7 @@
 	f.Add([]byte{0x9f, 0xff})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		h, err := peers.Decode(b)
-		if err == nil && (h.Name == "" || h.Address == "" || h.Format != 2) {
+		if err == nil && (h.Name == "" || h.Address == "" || h.Format != 3) {
 			t.Errorf("accepted %+v", h)
 		}
 		if bulk, err := peers.DecodeSnapshot(b); err == nil && bulk == nil {
@@ -66,6 +68,13 @@
 		"infinite":        func(h *peers.Heartbeat) { h.FleetUsage = map[string]float64{"org": math.Inf(1)} },
 		"long interval":   func(h *peers.Heartbeat) { h.IntervalMs = math.MaxInt64 },
 		"no interval":     func(h *peers.Heartbeat) { h.IntervalMs = 0 },
+		"part without id": func(h *peers.Heartbeat) { h.PromptParts = []quarantine.Report{{Service: "s"}} },
+		"crash in the future": func(h *peers.Heartbeat) {
+			h.PromptParts = []quarantine.Report{{Service: "s", ID: "p", Crashes: []quarantine.Crash{{Target: 1, SentAgeMs: 10, CrashedAgeMs: -1}}}}
+		},
+		"crash before the send": func(h *peers.Heartbeat) {
+			h.PromptParts = []quarantine.Report{{Service: "s", ID: "p", Crashes: []quarantine.Crash{{Target: 1, SentAgeMs: 10, CrashedAgeMs: 11}}}}
+		},
 		"negative uptime": func(h *peers.Heartbeat) { h.UptimeMs = -1 },
 	}
 	for name, corrupt := range cases {
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"strconv"
@@ -114,6 +115,21 @@
 	return newConn(nc, p.codec, tp), nil
 }
 
+// ConnectionRefused reports whether the target refuses a new connection because no process
+// listens on its address. A connection that it accepts is kept for the next Get.
+func (p *Pool) ConnectionRefused(ctx context.Context, key, address string) bool {
+	nc, err := p.dialer.DialContext(ctx, "tcp", address)
+	if p.counter != nil {
+		p.counter.CountDial(err == nil)
+	}
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	tp := p.target(key)
+	tp.put(newConn(nc, p.codec, tp))
+	return false
+}
+
 // Retain closes the idle connections of targets that are not in the set.
 func (p *Pool) Retain(keys map[string]bool) {
 	p.mu.Lock()
--- a/standin/slotengine/slotengine.go
+++ b/standin/slotengine/slotengine.go
@@ -66,6 +66,9 @@
 	// ResponseDelay is the delay before each event of a stream, or before a plain
 	// response.
 	ResponseDelay time.Duration
+	// CrashOnPart is the id of a part of a prompt. A server that begins a response to a request
+	// with it closes its listener and all connections; empty for none.
+	CrashOnPart string
 	// Address is the listen address (host:port); empty selects a free loopback port.
 	Address string
 }
@@ -299,6 +302,11 @@
 		return writeResponse(c, 503, "Not-Executed: 1\r\n", nil)
 	}
 	defer s.endRun()
+	if p := s.cfg.CrashOnPart; p != "" && strings.Contains(r.Header.Get("Prompt-Prefix"), p+":") {
+		time.Sleep(s.cfg.ResponseDelay)
+		s.Close()
+		return false
+	}
 	header := "Request-Id: " + r.Header.Get("Request-Id") + "\r\nServer-Stamp: stamp-" + s.cfg.ID + "\r\nServer-Load: 1,0," + strconv.Itoa(s.cfg.Slots) + "\r\n"
 	switch f {
 	case Fail:
