Don't take a caller that reads slowly for a silent target

While an event was written to a caller that did not read, the time counted as silence of the target since silent targets are kept. Another target was then sought and reserved for each such caller.

--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -185,3 +186,35 @@
 		t.Errorf("response %+v", resp)
 	}
 }
+
+// Guards against a caller that reads slowly and is taken for a silent target: its stream was sent
+// to a second target.
+func TestSlowReaderIsNoSilentTarget(t *testing.T) {
+	const events, eventBytes = 200, 64 << 10 // more than the buffers of all connections
+	fx := newFixture(t)
+	var runs atomic.Int32
+	respond := func(c net.Conn, r *http.Request) bool {
+		runs.Add(1)
+		writeHead(c, r, "Content-Type: text/event-stream", "Connection: close")
+		for i := 1; i <= events; i++ {
+			if _, err := fmt.Fprintf(c, "id: %d\ndata: %s\n\n", i, strings.Repeat("x", eventBytes)); err != nil {
+				return false
+			}
+		}
+		return false
+	}
+	fx.addRawServer(engineName, "i-1", respond)
+	fx.addRawServer(engineName, "i-2", respond)
+	fx.startHost()
+	c := fx.dial()
+	fx.send(c, "POST", pathStream, "prompt")
+	fx.eventually("the stream runs", func() bool { return runs.Load() == 1 })
+	time.Sleep(targetPause - 200*time.Millisecond) // within the route's timeout
+	resp := fx.read(c)
+	if resp.err != nil || strings.Count(resp.body, "data: ") != events {
+		t.Errorf("%d events of %d, error %v", strings.Count(resp.body, "data: "), events, resp.err)
+	}
+	if n := runs.Load(); n != 1 {
+		t.Errorf("%d runs", n)
+	}
+}
