--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -217,4 +217,7 @@
 	if n := runs.Load(); n != 1 {
 		t.Errorf("%d runs", n)
 	}
+	if fx.log.contains("target silent") {
+		t.Error("the target counts as silent")
+	}
 }
