Unbind a returned reservation's connection from its request

A reservation that a search had made and that was not needed was cancelled on its connection, which then returned to the pool while still bound to the request of the search. When that request ended, the connection was interrupted, and with it the answer of the request that used it by then. If the request had ended before, the cancel failed at once and the reservation stayed at the target for 0.5 s.

The connection is now bound to the cancel instead, or closed and replaced if its request has ended. The raw target of the fixture took a cancel for a request to run, and now responds to it; TestStalledReaderDoesNotHoldItsTarget counted it as a second run.

--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -60,6 +60,10 @@
 			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n{\"hold\":\"h\"}")
 			continue
 		}
+		if r.Method == http.MethodDelete && strings.HasPrefix(r.URL.Path, "/-/hold-drop/") {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
 		if !respond(c, r) {
 			return
 		}
--- a/gateway/ingress/silence.go
+++ b/gateway/ingress/silence.go
@@ -66,19 +66,27 @@
 func (x *exchange) cancelReservation(p *placement) {
 	ctx, cancel := context.WithTimeout(context.Background(), reserveTimeout)
 	defer cancel()
-	p.conn.BindContext(ctx)
+	conn := p.conn
+	if !conn.RebindContext(ctx) {
+		conn.Release(nil, false)
+		var err error
+		if conn, err = x.cfg.Upstream.Get(ctx, p.target.Key(), p.target.Address); err != nil {
+			return
+		}
+		conn.BindContext(ctx)
+	}
 	m := x.cfg.Codec.ReleaseRequest(p.target.ID, p.reservation)
-	if p.conn.Send(m) != nil {
-		p.conn.Release(nil, false)
+	if conn.Send(m) != nil {
+		conn.Release(nil, false)
 		return
 	}
-	resp, err := p.conn.Receive(m.Method, "", 0)
+	resp, err := conn.Receive(m.Method, "", 0)
 	if err != nil {
-		p.conn.Release(nil, false)
+		conn.Release(nil, false)
 		return
 	}
 	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxReservationResponseBytes))
-	p.conn.Release(resp, err == nil)
+	conn.Release(resp, err == nil)
 }
 
 // silenceWatch seeks another target for an attempt whose target has been silent for some time.
