--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -185,3 +186,27 @@
 		t.Errorf("response %+v", resp)
 	}
 }
+
+// Guards against a sound target that counts as silent while the caller is slow to read.
+func TestSlowCallerIsNoSilenceOfTheTarget(t *testing.T) {
+	fx := newFixture(t)
+	const events, eventBytes = 40, 512 << 10 // more than the socket buffers
+	data := strings.Repeat("x", eventBytes)
+	fx.addRawServer(engineName, "i-1", func(c net.Conn, r *http.Request) bool {
+		writeHead(c, r, "Content-Type: text/event-stream", "Connection: close")
+		for i := range events {
+			fmt.Fprintf(c, "id: %d\ndata: %s\n\n", i+1, data)
+		}
+		return false
+	})
+	fx.startHost()
+	c := fx.dial()
+	fx.send(c, "POST", pathStream, "prompt")
+	time.Sleep(time.Second)
+	if resp := fx.read(c); resp.err != nil || strings.Count(resp.body, "id: ") != events {
+		t.Errorf("status %d, %d events, %v", resp.status, strings.Count(resp.body, "id: "), resp.err)
+	}
+	if fx.log.contains("target silent") {
+		t.Error("the target counts as silent")
+	}
+}
