Don't take a stream that ended before its first event for whole

A stream without a length or chunks ends with its connection. When a target crashed between the response headers and the first event, the end looked regular: the caller got 200 with an empty stream, the attempt counted as answered and as a success of the target, and the crash was not attributed to the prompt. Such an end is now a truncated response, which is retried; a resumed stream may still end without a further event.

--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -34,7 +34,12 @@
 	firstEventTimeoutPerToken = 6 * prefillPerToken
 )
 
-var errEventTooLong = fmt.Errorf("stream event exceeds %d bytes", maxEventBytes)
+var (
+	errEventTooLong = fmt.Errorf("stream event exceeds %d bytes", maxEventBytes)
+	// errNoEvent is the error of a stream without a length or chunks that ended before its
+	// first event. A target that crashes ends it in the same way as one that has no events.
+	errNoEvent = fmt.Errorf("the stream ended before its first event: %w", io.ErrUnexpectedEOF)
+)
 
 // forwardStream forwards events as they arrive. Only complete events are written, so that
 // another target can resume the stream after the last one.
@@ -147,6 +152,9 @@
 // finishStream returns the attempt of a stream whose next event could not be read; err is
 // io.EOF at the regular end.
 func (x *exchange) finishStream(ctx context.Context, conn *upstream.Conn, resp *upstream.Response, err error, timing streamTiming) attempt {
+	if errors.Is(err, io.EOF) && resp.EndsWithConnection() && timing.events == 0 && x.lastEventID == "" {
+		err = errNoEvent
+	}
 	if errors.Is(err, io.EOF) {
 		x.writeHead(resp, 0, false)
 		conn.Release(resp, true)
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -92,6 +92,11 @@
 // bodyComplete reports whether the whole body was read, or there is none.
 func (r *Response) bodyComplete() bool { return r.body.complete || r.httpResponse.Body == http.NoBody }
 
+// EndsWithConnection reports whether only the end of the connection shows the end of the body.
+func (r *Response) EndsWithConnection() bool {
+	return r.Length < 0 && len(r.httpResponse.TransferEncoding) == 0 && r.httpResponse.Body != http.NoBody
+}
+
 // bodyReader reads a response body and records whether all of it was read.
 type bodyReader struct {
 	io.Reader
