Don't invent a length in responses to HEAD

If the target stated no length, the host added 'Content-Length: 0', which callers and caches take for the length of the resource. TestResponseWithoutBodyGetsNoInventedLength failed before (HEAD with status 200).

--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -205,7 +205,9 @@
 		h["Date"] = nil // keeps net/http from adding one
 	}
 	switch {
-	case x.r.Method == http.MethodHead && resp.Length >= 0:
+	case x.r.Method == http.MethodHead && resp.Length < 0:
+		// The length of the resource is not known.
+	case x.r.Method == http.MethodHead:
 		h.Set("Content-Length", strconv.FormatInt(resp.Length, 10))
 	case lengthKnown:
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -93,3 +93,25 @@
 		t.Errorf("response %+v", resp)
 	}
 }
+
+// Guards against a length that the host invents for a response without a body: callers and caches
+// take it for the length of the resource.
+func TestResponseWithoutBodyGetsNoInventedLength(t *testing.T) {
+	for _, c := range []struct{ method, status string }{{"HEAD", "200 OK"}, {"GET", "204 No Content"}, {"GET", "304 Not Modified"}, {"HEAD", "304 Not Modified"}} {
+		fx := newFixture(t)
+		fx.addRawServer(plainName, "i-raw", func(conn net.Conn, r *http.Request) bool {
+			fmt.Fprintf(conn, "HTTP/1.1 %s\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n\r\n", c.status, r.Header.Get("Request-Id"))
+			return true
+		})
+		fx.startHost()
+		caller := fx.dial()
+		fx.send(caller, c.method, pathIdempotent, "")
+		resp, err := http.ReadResponse(caller.br, &http.Request{Method: c.method})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp.Status != c.status || resp.Header.Get("Content-Length") != "" {
+			t.Errorf("%s: %s, header %v", c.method, resp.Status, resp.Header)
+		}
+	}
+}
