Don't send negative ages in the evidence on prompt parts

A crash that was recorded after a heartbeat had taken its time, but before it read the evidence, got an age of -1 ms or less. Peers rejected the whole heartbeat, the one that was to tell them of the crash. Such ages are now 0. TestReportsOfLaterEvidenceAreValid failed before with 'crash -5 ms ago'.

--- a/sched/quarantine/quarantine_test.go
+++ b/sched/quarantine/quarantine_test.go
@@ -307,3 +307,14 @@
 		}, gen.UInt64()))
 	properties.TestingRun(t)
 }
+
+// Guards against a heartbeat that peers reject because evidence was recorded after its time was
+// taken.
+func TestReportsOfLaterEvidenceAreValid(t *testing.T) {
+	table := newTable()
+	table.RecordCrash(parts("a"), 1, at(90), at(100))
+	reports := table.Reports(at(95))
+	if err := quarantine.Validate(reports); err != nil || len(reports) == 0 {
+		t.Errorf("%d reports: %v", len(reports), err)
+	}
+}
--- a/sched/quarantine/report.go
+++ b/sched/quarantine/report.go
@@ -72,10 +72,11 @@
 func (r *record) report(p Part, n int, now time.Time) Report {
 	rep := Report{Service: p.Service, ID: p.ID, SuccessAgeMs: -1}
 	if !r.ownSuccess.IsZero() {
-		rep.SuccessAgeMs = now.Sub(r.ownSuccess).Milliseconds()
+		rep.SuccessAgeMs = max(0, now.Sub(r.ownSuccess).Milliseconds())
 	}
 	for target, s := range r.crashes {
-		rep.Crashes = append(rep.Crashes, Crash{Target: target, SentAgeMs: now.Sub(s.sent).Milliseconds(), CrashedAgeMs: now.Sub(s.crashed).Milliseconds()})
+		// Evidence may have been recorded after now was taken.
+		rep.Crashes = append(rep.Crashes, Crash{Target: target, SentAgeMs: max(0, now.Sub(s.sent).Milliseconds()), CrashedAgeMs: max(0, now.Sub(s.crashed).Milliseconds())})
 	}
 	slices.SortFunc(rep.Crashes, func(a, b Crash) int {
 		return cmp.Or(cmp.Compare(a.CrashedAgeMs, b.CrashedAgeMs), cmp.Compare(a.Target, b.Target))
