Share the reported crashes between prompt parts

The parts with most crashes filled the bound on crashes in a message: three quarantined parts with twelve crashes each left no room for a fourth part, so hosts that saw one or two of its crashes each could not learn of the others', for up to six hours. Each reported part now gets an equal share of the crashes that the ones before it have left. TestOldQuarantinesDoNotHideNewEvidence failed before.

--- a/sched/quarantine/quarantine_test.go
+++ b/sched/quarantine/quarantine_test.go
@@ -318,3 +318,18 @@
 		t.Errorf("%d reports: %v", len(reports), err)
 	}
 }
+
+// Guards against parts with long histories that keep the evidence on another part out of the
+// reports.
+func TestOldQuarantinesDoNotHideNewEvidence(t *testing.T) {
+	a, b := newTable(), newTable()
+	crashInTurn(a, 12, "q1", "q2", "q3")
+	a.RecordServed("s", at(1900))
+	for i := range 3 {
+		a.RecordCrash(parts("bad"), uint32(1000+i), at(2000+100*i), at(2090+100*i))
+	}
+	b.Merge(a.Reports(at(3000)), at(3001))
+	if !blocked(b, 3002, "q1", "q2", "q3") || !blocked(b, 3002, "bad") {
+		t.Error("the peer has not learned of all quarantines")
+	}
+}
--- a/sched/quarantine/report.go
+++ b/sched/quarantine/report.go
@@ -55,13 +55,12 @@
 		return cmp.Or(cmp.Compare(len(rb.crashes), len(ra.crashes)), rb.lastActivity().Compare(ra.lastActivity()),
 			cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
 	})
+	parts = parts[:min(len(parts), maxReports)]
 	var out []Report
 	left := maxReportedTotal
-	for _, p := range parts {
-		if len(out) == maxReports || left == 0 {
-			break
-		}
-		rep := t.records[p].report(p, min(left, maxReportedCrashes), now)
+	for i, p := range parts {
+		// Each part gets an equal share of the crashes that the ones before it have left.
+		rep := t.records[p].report(p, min(left/(len(parts)-i), maxReportedCrashes), now)
 		left -= len(rep.Crashes)
 		out = append(out, rep)
 	}
