Let new evidence on prompt parts replace the oldest in a full table

Callers choose the parts of their prompts. A few dozen requests with 63 unused parts each that were at crashed targets filled the table for ten minutes, and no further part could be suspected. A new record now replaces the oldest one of a part that is not suspected. Old evidence that peers repeat replaces nothing. TestFullTableStillConvicts failed before.

--- a/sched/quarantine/quarantine.go
+++ b/sched/quarantine/quarantine.go
@@ -226,7 +226,7 @@
 // addCrash adds a crash to the record of a part. The earliest times of several reports of one
 // crash are kept: reports arrive late, never early.
 func (t *Table) addCrash(p Part, target uint32, s span, peer bool, now time.Time) {
-	r := t.recordOf(p)
+	r := t.recordOf(p, s.crashed)
 	if r == nil || now.Sub(s.crashed) >= quarantineTTL {
 		return
 	}
@@ -247,11 +247,12 @@
 	t.update(p, r, peer, now)
 }
 
-// recordOf returns the record of a part, a new one if there is none, or nil if the table is
-// full.
-func (t *Table) recordOf(p Part) *record {
+// recordOf returns the record of a part, a new one if there is none. If the table is full, the new
+// one replaces the oldest record of a part that is not suspected, or is nil if that is newer than
+// crashed.
+func (t *Table) recordOf(p Part, crashed time.Time) *record {
 	r := t.records[p]
-	if r == nil && len(t.records) < maxRecords {
+	if r == nil && (len(t.records) < maxRecords || t.evictBefore(crashed)) {
 		p = p.clone()
 		r = &record{crashes: map[uint32]span{}, ownSuccess: t.lastSuccess(p)}
 		r.success = r.ownSuccess
@@ -260,6 +261,25 @@
 	return r
 }
 
+// evictBefore removes the record with the oldest activity among the parts that are not suspected.
+// It reports false if there is none from before the given time.
+func (t *Table) evictBefore(limit time.Time) bool {
+	var oldest Part
+	found := false
+	for p, r := range t.records {
+		if len(r.crashes) >= minSuspicion || !r.quarantined.IsZero() {
+			continue
+		}
+		if at := r.lastActivity(); at.Before(limit) {
+			oldest, limit, found = p, at, true
+		}
+	}
+	if found {
+		delete(t.records, oldest)
+	}
+	return found
+}
+
 func (t *Table) lastSuccess(p Part) time.Time {
 	if at, ok := t.successes[p]; ok {
 		return at
--- a/sched/quarantine/quarantine_test.go
+++ b/sched/quarantine/quarantine_test.go
@@ -333,3 +333,16 @@
 		t.Error("the peer has not learned of all quarantines")
 	}
 }
+
+// Guards against a part that is never suspected because the parts of one request that was at a
+// crashed target, chosen by its caller, have filled the table.
+func TestFullTableStillConvicts(t *testing.T) {
+	table := newTable()
+	for i := range 1500 {
+		table.RecordCrash(parts(fmt.Sprint("junk", i)), uint32(10_000+i), at(0), at(10))
+	}
+	crashInTurn(table, 3, "bad")
+	if !blocked(table, 400, "bad") {
+		t.Error("not quarantined after three crashes, with a full table")
+	}
+}
