Don't connect to a closed target to check whether it crashed

After a response that broke off before its first event, the host connected to the target to see whether it still listens, even if the target had just stated that it is leaving or asked for a back-off. The check now asks MaySend first, as each send does; a closed target's broken responses are attributed to no part. TestLeavingTargetIsNotCheckedForCrash failed before with a second connection to the leaving target.

--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -190,7 +190,7 @@
 func (x *exchange) finishAttempt(scheduler *dispatch.Scheduler, target directory.Target, att attempt) {
 	endGrant(scheduler, target, att)
 	x.recordForRollout(target, att)
-	x.recordCrash(target, att)
+	x.recordCrash(scheduler, target, att)
 	if att.status == answered {
 		return
 	}
--- a/gateway/ingress/parts.go
+++ b/gateway/ingress/parts.go
@@ -10,6 +10,7 @@
 
 	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/gateway/directory"
+	"sardinefront.dev/gateway/dispatch"
 	"sardinefront.dev/sched/quarantine"
 	"sardinefront.dev/sched/reserve"
 )
@@ -56,12 +57,12 @@
 
 // recordCrash attributes a crash of the target to the prompt's parts if the attempt failed by it
 // before the response began.
-func (x *exchange) recordCrash(target directory.Target, att attempt) {
+func (x *exchange) recordCrash(scheduler *dispatch.Scheduler, target directory.Target, att attempt) {
 	if att.status != failed || att.outcome != reserve.BrokenResponse || x.began || target.Draining || !connectionClosed(att.err) {
 		return
 	}
 	parts := x.sharedParts()
-	if len(parts) == 0 {
+	if len(parts) == 0 || !scheduler.MaySend(target.Key()) {
 		return
 	}
 	crashedAt := time.Now()
