--- a/sched/quarantine/quarantine_test.go
+++ b/sched/quarantine/quarantine_test.go
@@ -307,3 +307,42 @@
 		}, gen.UInt64()))
 	properties.TestingRun(t)
 }
+
+// Guards against a heartbeat that peers reject because evidence was recorded after its time was
+// taken.
+func TestReportsOfLaterEvidenceAreValid(t *testing.T) {
+	table := newTable()
+	table.RecordCrash(parts("a"), 1, at(90), at(100))
+	reports := table.Reports(at(95))
+	if err := quarantine.Validate(reports); err != nil || len(reports) == 0 {
+		t.Errorf("%d reports: %v", len(reports), err)
+	}
+}
+
+// Guards against parts with long histories that keep the evidence on another part out of the
+// reports.
+func TestOldQuarantinesDoNotHideNewEvidence(t *testing.T) {
+	a, b := newTable(), newTable()
+	crashInTurn(a, 12, "q1", "q2", "q3")
+	a.RecordServed("s", at(1900))
+	for i := range 3 {
+		a.RecordCrash(parts("bad"), uint32(1000+i), at(2000+100*i), at(2090+100*i))
+	}
+	b.Merge(a.Reports(at(3000)), at(3001))
+	if !blocked(b, 3002, "q1", "q2", "q3") || !blocked(b, 3002, "bad") {
+		t.Error("the peer has not learned of all quarantines")
+	}
+}
+
+// Guards against a part that is never suspected because the parts of one request that was at a
+// crashed target, chosen by its caller, have filled the table.
+func TestFullTableStillConvicts(t *testing.T) {
+	table := newTable()
+	for i := range 1500 {
+		table.RecordCrash(parts(fmt.Sprint("junk", i)), uint32(10_000+i), at(0), at(10))
+	}
+	crashInTurn(table, 3, "bad")
+	if !blocked(table, 400, "bad") {
+		t.Error("not quarantined after three crashes, with a full table")
+	}
+}
--- a/sched/quarantine/report.go
+++ b/sched/quarantine/report.go
@@ -55,13 +55,12 @@
 		return cmp.Or(cmp.Compare(len(rb.crashes), len(ra.crashes)), rb.lastActivity().Compare(ra.lastActivity()),
 			cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
 	})
+	parts = parts[:min(len(parts), maxReports)]
 	var out []Report
 	left := maxReportedTotal
-	for _, p := range parts {
-		if len(out) == maxReports || left == 0 {
-			break
-		}
-		rep := t.records[p].report(p, min(left, maxReportedCrashes), now)
+	for i, p := range parts {
+		// Each part gets an equal share of the crashes that the ones before it have left.
+		rep := t.records[p].report(p, min(left/(len(parts)-i), maxReportedCrashes), now)
 		left -= len(rep.Crashes)
 		out = append(out, rep)
 	}
@@ -72,10 +71,11 @@
 func (r *record) report(p Part, n int, now time.Time) Report {
 	rep := Report{Service: p.Service, ID: p.ID, SuccessAgeMs: -1}
 	if !r.ownSuccess.IsZero() {
-		rep.SuccessAgeMs = now.Sub(r.ownSuccess).Milliseconds()
+		rep.SuccessAgeMs = max(0, now.Sub(r.ownSuccess).Milliseconds())
 	}
 	for target, s := range r.crashes {
-		rep.Crashes = append(rep.Crashes, Crash{Target: target, SentAgeMs: now.Sub(s.sent).Milliseconds(), CrashedAgeMs: now.Sub(s.crashed).Milliseconds()})
+		// Evidence may have been recorded after now was taken.
+		rep.Crashes = append(rep.Crashes, Crash{Target: target, SentAgeMs: max(0, now.Sub(s.sent).Milliseconds()), CrashedAgeMs: max(0, now.Sub(s.crashed).Milliseconds())})
 	}
 	slices.SortFunc(rep.Crashes, func(a, b Crash) int {
 		return cmp.Or(cmp.Compare(a.CrashedAgeMs, b.CrashedAgeMs), cmp.Compare(a.Target, b.Target))
