Accept versions that are faster than the old one in rollouts

A good version that answers 1.7 to 3 times faster was rolled back at the end of its rollout, and sometimes earlier. The comparison accepted slowdowns from 0.9 to 1.1 only. On unlike hardware, the new targets on slow hardware then passed for slowed targets on fast hardware. Speed-ups up to 10 times are now accepted too, with prior odds of e^-5, so that a slow version doesn't pass for a faster one on slower hardware.

--- a/gateway/rollout/compare_test.go
+++ b/gateway/rollout/compare_test.go
@@ -102,3 +102,26 @@
 		}
 	}
 }
+
+// Guards against a good version that is rolled back at the end because it is faster: its targets on
+// slow hardware passed for slowed targets on fast hardware.
+func TestFasterVersionIsNotSuspect(t *testing.T) {
+	const runs = 2000
+	for _, factor := range []float64{0.25, 0.33, 0.4, 0.5, 0.6, 0.8} {
+		p := pool{hardware: unlikeHardware, oldCount: 12, newCount: 12, slowdown: factor, loadDelay: 0.15}
+		rng := rand.New(rand.NewPCG(1, 2))
+		wrong, suspect := 0, 0
+		for range runs {
+			e := p.measure(rng)
+			if e.sufficient() {
+				wrong++
+			}
+			if e.suspect() {
+				suspect++
+			}
+		}
+		if float64(wrong) > analysis.DefaultErrorRate*runs || float64(suspect) > 0.05*runs {
+			t.Errorf("factor %v: %d bad, %d suspect of %d faster versions, want at most 5 of 100 suspect", factor, wrong, suspect, runs)
+		}
+	}
+}
--- a/gateway/rollout/speed.go
+++ b/gateway/rollout/speed.go
@@ -147,6 +147,10 @@
 	// maxPriorTargets bounds the old targets that represent the distribution, and so the cost of a
 	// comparison in large pools.
 	maxPriorTargets = 32
+	// logPriorSpeedup is the logarithm of the assumed probability of a version that is much faster,
+	// relative to one of about the same speed. Without it, a slow version could pass for a faster
+	// one on slower hardware.
+	logPriorSpeedup = -5.0
 	// minOldTargets is the number of measured old targets from which versions are compared.
 	minOldTargets = 2
 )
@@ -156,6 +160,9 @@
 	faultFactors = []float64{1.4, 1.7, 2, 2.5, 3.2, 4, 5, 6.5, 8, 12, 20}
 	// acceptedFactors are the slowdowns without a fault.
 	acceptedFactors = []float64{0.9, 0.95, 1, 1.05, 1.1}
+	// speedupFactors are those of faster versions. Neighbours differ by less than two
+	// hardwareStdDev, so that each speed-up is close to one of them.
+	speedupFactors = []float64{0.1, 0.115, 0.13, 0.15, 0.17, 0.2, 0.23, 0.26, 0.3, 0.35, 0.4, 0.45, 0.5, 0.55, 0.6, 0.65, 0.7, 0.75, 0.8, 0.85}
 )
 
 // SpeedEvidence is the result of a comparison of the speeds of both versions.
@@ -193,12 +200,17 @@
 	}
 	p := newSpeedPrior(oldTargets)
 	accepted := math.Inf(-1)
-	acceptedShift := 0.0
+	acceptedShift, logPrior := 0.0, 0.0
 	for _, factor := range acceptedFactors {
 		if l := p.logLikelihood(newTargets, math.Log(factor)); l > accepted {
 			accepted, acceptedShift = l, math.Log(factor)
 		}
 	}
+	for _, factor := range speedupFactors {
+		if l := p.logLikelihood(newTargets, math.Log(factor)) + logPriorSpeedup; l > accepted {
+			accepted, acceptedShift, logPrior = l, math.Log(factor), logPriorSpeedup
+		}
+	}
 	best, sum := math.Inf(-1), 0.0
 	for _, factor := range faultFactors {
 		ratio := p.logRatio(newTargets, acceptedShift, math.Log(factor))
@@ -207,7 +219,7 @@
 			best, e.Factor = ratio, factor
 		}
 	}
-	e.LogRatio = math.Log(sum / float64(len(faultFactors)))
+	e.LogRatio = math.Log(sum/float64(len(faultFactors))) - logPrior
 	return e
 }
 
