Bound the new targets that a comparison of speeds takes

A comparison with 1350 targets of each version took 74 ms, four times a second on each host and under the lock that dispatch takes to choose a version: more than a host with a fifth of a core has. Only the old targets were bounded. At most 32 quantiles now represent the new ones too, and the densities without a fault are computed once and not for each factor. TestLargePoolsAreComparedByQuantiles failed before: it needs the bound.

--- a/gateway/rollout/compare_test.go
+++ b/gateway/rollout/compare_test.go
@@ -125,3 +125,16 @@
 		}
 	}
 }
+
+// Guards against a comparison that takes longer than the interval between two in large pools: each
+// new target was compared with all representatives of the old ones.
+func TestLargePoolsAreComparedByQuantiles(t *testing.T) {
+	targets := make([]speedSum, 1350)
+	for i := range targets {
+		targets[i] = speedSum{newVersion: true, count: 1, floor: float64(i) / float64(len(targets))}
+	}
+	all, few := compareSpeeds(targets, targets), compareSpeeds(targets, quantiles(targets, maxComparedTargets))
+	if all.LogRatio != few.LogRatio || all.NewTargets != len(targets) {
+		t.Errorf("evidence e^%.2f from %d targets, want that of their quantiles, e^%.2f", all.LogRatio, all.NewTargets, few.LogRatio)
+	}
+}
--- a/gateway/rollout/speed.go
+++ b/gateway/rollout/speed.go
@@ -144,9 +144,9 @@
 	// unaffectedShare is the assumed share of the targets of a slow version that are as fast as
 	// those of the old one.
 	unaffectedShare = 0.05
-	// maxPriorTargets bounds the old targets that represent the distribution, and so the cost of a
-	// comparison in large pools.
-	maxPriorTargets = 32
+	// maxComparedTargets bounds the targets of each version that represent its distribution, and so
+	// the cost of a comparison in large pools.
+	maxComparedTargets = 32
 	// logPriorSpeedup is the logarithm of the assumed probability of a version that is much faster,
 	// relative to one of about the same speed. Without it, a slow version could pass for a faster
 	// one on slower hardware.
@@ -198,6 +198,7 @@
 	if len(oldTargets) < minOldTargets || len(newTargets) == 0 {
 		return e
 	}
+	newTargets = quantiles(newTargets, maxComparedTargets)
 	p := newSpeedPrior(oldTargets)
 	accepted := math.Inf(-1)
 	acceptedShift, logPrior := 0.0, 0.0
@@ -211,9 +212,10 @@
 			accepted, acceptedShift, logPrior = l, math.Log(factor), logPriorSpeedup
 		}
 	}
+	acceptedDensities := p.densities(newTargets, acceptedShift)
 	best, sum := math.Inf(-1), 0.0
 	for _, factor := range faultFactors {
-		ratio := p.logRatio(newTargets, acceptedShift, math.Log(factor))
+		ratio := p.logRatio(p.densities(newTargets, math.Log(factor)), acceptedDensities)
 		sum += math.Exp(min(300, ratio))
 		if ratio > best {
 			best, e.Factor = ratio, factor
@@ -245,7 +247,7 @@
 		p.loadDelay += float64(t.count) * (t.recent - t.floor) / float64(samples(old))
 	}
 	p.loadDelay = max(minLoadDelay, p.loadDelay)
-	p.old = quantiles(old, maxPriorTargets)
+	p.old = quantiles(old, maxComparedTargets)
 	return p
 }
 
@@ -287,20 +289,29 @@
 	return math.Exp(ratio*ratio/2-x/mean) * math.Erfc((ratio-x/stdDev)/math.Sqrt2) / (2 * mean)
 }
 
+func (p speedPrior) densities(targets []speedSum, shift float64) []float64 {
+	out := make([]float64, len(targets))
+	for i, t := range targets {
+		out[i] = p.density(t, shift)
+	}
+	return out
+}
+
 func (p speedPrior) logLikelihood(targets []speedSum, shift float64) float64 {
 	var sum float64
-	for _, t := range targets {
-		sum += math.Log(p.density(t, shift))
+	for _, density := range p.densities(targets, shift) {
+		sum += math.Log(density)
 	}
 	return sum
 }
 
-// logRatio returns the log likelihood ratio of a fault to no fault. A target may also be slow
-// independently of its version; each target that is makes the next one more likely to be.
-func (p speedPrior) logRatio(targets []speedSum, acceptedShift, faultShift float64) float64 {
-	ratios := make([]float64, 0, len(targets))
-	for _, t := range targets {
-		ratios = append(ratios, p.density(t, faultShift)/p.density(t, acceptedShift))
+// logRatio returns the log likelihood ratio of a fault to no fault, given the densities of the new
+// targets in both cases. A target may also be slow independently of its version; each target that
+// is makes the next one more likely to be.
+func (p speedPrior) logRatio(fault, accepted []float64) float64 {
+	ratios := make([]float64, len(fault))
+	for i := range fault {
+		ratios[i] = fault[i] / accepted[i]
 	}
 	slices.SortFunc(ratios, func(a, b float64) int { return cmp.Compare(b, a) })
 	var sum float64
