Compare slow versions with both kinds of versions without a fault

The comparison chose the most likely of the versions without a fault and then added the odds of a faster one. Where a faster one was most likely, the ratio could exceed the one to a version of the same speed by these odds. The lower of both ratios now counts.

TestOddsOfSpeedupDoNotCountAsEvidence fails before.

--- a/gateway/rollout/compare_test.go
+++ b/gateway/rollout/compare_test.go
@@ -138,3 +138,20 @@
 		t.Errorf("evidence e^%.2f from %d targets, want that of their quantiles, e^%.2f", all.LogRatio, all.NewTargets, few.LogRatio)
 	}
 }
+
+// Guards against a version that is found slow at the end because the evidence against a faster one
+// counts more by the odds of a faster one.
+func TestOddsOfSpeedupDoNotCountAsEvidence(t *testing.T) {
+	const runs = 1000
+	p := pool{hardware: unlikeHardware, oldCount: 12, newCount: 4, slowdown: 0.8, loadDelay: 0.15}
+	rng := rand.New(rand.NewPCG(1, 2))
+	suspect := 0
+	for range runs {
+		if p.measure(rng).suspect() {
+			suspect++
+		}
+	}
+	if float64(suspect) > 0.05*runs {
+		t.Errorf("%d suspect of %d faster versions, want at most 5 of 100", suspect, runs)
+	}
+}
--- a/gateway/rollout/speed.go
+++ b/gateway/rollout/speed.go
@@ -200,29 +200,33 @@
 	}
 	newTargets = quantiles(newTargets, maxComparedTargets)
 	p := newSpeedPrior(oldTargets)
-	accepted := math.Inf(-1)
-	acceptedShift, logPrior := 0.0, 0.0
-	for _, factor := range acceptedFactors {
-		if l := p.logLikelihood(newTargets, math.Log(factor)); l > accepted {
-			accepted, acceptedShift = l, math.Log(factor)
-		}
+	e.LogRatio, e.Factor = p.evidence(newTargets, acceptedFactors)
+	if ratio, factor := p.evidence(newTargets, speedupFactors); ratio-logPriorSpeedup < e.LogRatio {
+		e.LogRatio, e.Factor = ratio-logPriorSpeedup, factor
 	}
-	for _, factor := range speedupFactors {
-		if l := p.logLikelihood(newTargets, math.Log(factor)) + logPriorSpeedup; l > accepted {
-			accepted, acceptedShift, logPrior = l, math.Log(factor), logPriorSpeedup
+	return e
+}
+
+// evidence returns the log likelihood ratio of a slow version to the most likely of the slowdowns
+// without a fault, and the most likely slowdown of a slow version.
+func (p speedPrior) evidence(targets []speedSum, withoutFault []float64) (logRatio, factor float64) {
+	best, accepted := math.Inf(-1), []float64(nil)
+	for _, f := range withoutFault {
+		densities := p.densities(targets, math.Log(f))
+		if l := logLikelihood(densities); l > best {
+			best, accepted = l, densities
 		}
 	}
-	acceptedDensities := p.densities(newTargets, acceptedShift)
-	best, sum := math.Inf(-1), 0.0
-	for _, factor := range faultFactors {
-		ratio := p.logRatio(p.densities(newTargets, math.Log(factor)), acceptedDensities)
+	best = math.Inf(-1)
+	sum := 0.0
+	for _, f := range faultFactors {
+		ratio := p.logRatio(p.densities(targets, math.Log(f)), accepted)
 		sum += math.Exp(min(300, ratio))
 		if ratio > best {
-			best, e.Factor = ratio, factor
+			best, factor = ratio, f
 		}
 	}
-	e.LogRatio = math.Log(sum/float64(len(faultFactors))) - logPrior
-	return e
+	return math.Log(sum / float64(len(faultFactors))), factor
 }
 
 func samples(targets []speedSum) uint64 {
@@ -297,9 +301,9 @@
 	return out
 }
 
-func (p speedPrior) logLikelihood(targets []speedSum, shift float64) float64 {
+func logLikelihood(densities []float64) float64 {
 	var sum float64
-	for _, density := range p.densities(targets, shift) {
+	for _, density := range densities {
 		sum += math.Log(density)
 	}
 	return sum
