Reject implausible speeds in heartbeats

One report with a smallest gap far out of range, or with a count that overflows the sum, made the comparison of both versions NaN on each receiver, which is neither sufficient nor suspect: a slow version would then be completed. Decode now checks the range that hosts themselves report.

The four new cases of TestImplausibleHeartbeatIsRejected were accepted before.

--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -217,5 +217,31 @@
 			}
 		}
 	}
+	for service, r := range h.Rollouts {
+		for _, s := range r.Speeds {
+			if err := s.validate(); err != nil {
+				return fmt.Errorf("rollout of service %q: %w", service, err)
+			}
+		}
+	}
 	return quarantine.Validate(h.PromptParts)
 }
+
+const (
+	// maxSpeedCount bounds the samples of one host at a target, so that sums don't overflow.
+	maxSpeedCount = 1 << 40
+	// MaxLogGap and LogGapScale define the range of the logarithms in a TargetSpeed: at most
+	// MaxLogGap up or down, in LogGapScale integer steps per unit.
+	MaxLogGap   = 5
+	LogGapScale = 64
+)
+
+// validate returns an error for a speed that no host measures. Such a speed would make each
+// comparison of both versions undecidable.
+func (s TargetSpeed) validate() error {
+	const limit = MaxLogGap * LogGapScale
+	if s.Count == 0 || s.Count > maxSpeedCount || s.Floor < -limit || s.Floor > limit || s.Recent < -limit || s.Recent > limit {
+		return fmt.Errorf("speed of %d samples, smallest %d, average %d", s.Count, s.Floor, s.Recent)
+	}
+	return nil
+}
--- a/gateway/peers/message_test.go
+++ b/gateway/peers/message_test.go
@@ -87,6 +87,14 @@
 		"long target name": func(h *peers.Heartbeat) {
 			h.LeavingAgesMs = map[string]uint32{strings.Repeat("x", 1000): 1}
 		},
+		"speed without samples": func(h *peers.Heartbeat) { h.Rollouts = speedReport(peers.TargetSpeed{Target: 1}) },
+		"overflowing samples":   func(h *peers.Heartbeat) { h.Rollouts = speedReport(peers.TargetSpeed{Count: math.MaxUint64}) },
+		"smallest gap out of range": func(h *peers.Heartbeat) {
+			h.Rollouts = speedReport(peers.TargetSpeed{Count: 1, Floor: math.MinInt64})
+		},
+		"average gap out of range": func(h *peers.Heartbeat) {
+			h.Rollouts = speedReport(peers.TargetSpeed{Count: 1, Recent: math.MaxInt64})
+		},
 		"negative uptime": func(h *peers.Heartbeat) { h.UptimeMs = -1 },
 	}
 	for name, corrupt := range cases {
@@ -101,3 +109,7 @@
 		}
 	}
 }
+
+func speedReport(s peers.TargetSpeed) map[string]peers.Rollout {
+	return map[string]peers.Rollout{"s": {OrderRevision: 1, Speeds: []peers.TargetSpeed{s}}}
+}
--- a/gateway/rollout/speed.go
+++ b/gateway/rollout/speed.go
@@ -17,10 +17,6 @@
 	// logGapReference is the gap that log gaps are relative to, in seconds, which keeps the
 	// reported numbers short.
 	logGapReference = 0.015
-	// logGapScale is the number of integer steps per unit of the natural logarithm.
-	logGapScale = 64
-	// maxLogGap bounds each log gap, so that a single outlier cannot decide.
-	maxLogGap = 5.0
 	// maxReportedSpeeds bounds the speeds in one heartbeat. If there are more, each heartbeat
 	// holds other ones.
 	maxReportedSpeeds = 40
@@ -38,9 +34,9 @@
 // recentWeight is the weight of a new log gap in speedSum.recent.
 const recentWeight = 0.2
 
-// add counts one gap.
+// add counts one gap. Its logarithm is bounded, so that a single outlier cannot decide.
 func (s *speedSum) add(gap time.Duration) {
-	x := max(-maxLogGap, min(maxLogGap, math.Log(gap.Seconds()/logGapReference)))
+	x := max(-peers.MaxLogGap, min(peers.MaxLogGap, math.Log(gap.Seconds()/logGapReference)))
 	if s.count == 0 {
 		s.floor, s.recent = x, x
 	}
@@ -89,7 +85,7 @@
 		}
 		out = append(out, peers.TargetSpeed{
 			Target: id, NewVersion: v.newVersion, Count: v.count,
-			Floor: int64(math.Round(v.floor * logGapScale)), Recent: int64(math.Round(v.recent * logGapScale)),
+			Floor: int64(math.Round(v.floor * peers.LogGapScale)), Recent: int64(math.Round(v.recent * peers.LogGapScale)),
 		})
 	}
 	return out
@@ -99,7 +95,7 @@
 func (s speeds) mergeReport(from string, reported []peers.TargetSpeed) {
 	for _, r := range reported {
 		if r.Count > s.of(from)[r.Target].count {
-			s[from][r.Target] = speedSum{r.NewVersion, r.Count, float64(r.Floor) / logGapScale, float64(r.Recent) / logGapScale}
+			s[from][r.Target] = speedSum{r.NewVersion, r.Count, float64(r.Floor) / peers.LogGapScale, float64(r.Recent) / peers.LogGapScale}
 		}
 	}
 }
