--- a/gateway/rollout/compare_test.go
+++ b/gateway/rollout/compare_test.go
@@ -102,3 +102,56 @@
 		}
 	}
 }
+
+// Guards against a good version that is rolled back at the end because it is faster: its targets on
+// slow hardware passed for slowed targets on fast hardware.
+func TestFasterVersionIsNotSuspect(t *testing.T) {
+	const runs = 2000
+	for _, factor := range []float64{0.25, 0.33, 0.4, 0.5, 0.6, 0.8} {
+		p := pool{hardware: unlikeHardware, oldCount: 12, newCount: 12, slowdown: factor, loadDelay: 0.15}
+		rng := rand.New(rand.NewPCG(1, 2))
+		wrong, suspect := 0, 0
+		for range runs {
+			e := p.measure(rng)
+			if e.sufficient() {
+				wrong++
+			}
+			if e.suspect() {
+				suspect++
+			}
+		}
+		if float64(wrong) > analysis.DefaultErrorRate*runs || float64(suspect) > 0.05*runs {
+			t.Errorf("factor %v: %d bad, %d suspect of %d faster versions, want at most 5 of 100 suspect", factor, wrong, suspect, runs)
+		}
+	}
+}
+
+// Guards against a comparison that takes longer than the interval between two in large pools: each
+// new target was compared with all representatives of the old ones.
+func TestLargePoolsAreComparedByQuantiles(t *testing.T) {
+	targets := make([]speedSum, 1350)
+	for i := range targets {
+		targets[i] = speedSum{newVersion: true, count: 1, floor: float64(i) / float64(len(targets))}
+	}
+	all, few := compareSpeeds(targets, targets), compareSpeeds(targets, quantiles(targets, maxComparedTargets))
+	if all.LogRatio != few.LogRatio || all.NewTargets != len(targets) {
+		t.Errorf("evidence e^%.2f from %d targets, want that of their quantiles, e^%.2f", all.LogRatio, all.NewTargets, few.LogRatio)
+	}
+}
+
+// Guards against a version that is found slow at the end because the evidence against a faster one
+// counts more by the odds of a faster one.
+func TestOddsOfSpeedupDoNotCountAsEvidence(t *testing.T) {
+	const runs = 1000
+	p := pool{hardware: unlikeHardware, oldCount: 12, newCount: 4, slowdown: 0.8, loadDelay: 0.15}
+	rng := rand.New(rand.NewPCG(1, 2))
+	suspect := 0
+	for range runs {
+		if p.measure(rng).suspect() {
+			suspect++
+		}
+	}
+	if float64(suspect) > 0.05*runs {
+		t.Errorf("%d suspect of %d faster versions, want at most 5 of 100", suspect, runs)
+	}
+}
--- a/gateway/rollout/speed.go
+++ b/gateway/rollout/speed.go
@@ -17,10 +17,6 @@
 	// logGapReference is the gap that log gaps are relative to, in seconds, which keeps the
 	// reported numbers short.
 	logGapReference = 0.015
-	// logGapScale is the number of integer steps per unit of the natural logarithm.
-	logGapScale = 64
-	// maxLogGap bounds each log gap, so that a single outlier cannot decide.
-	maxLogGap = 5.0
 	// maxReportedSpeeds bounds the speeds in one heartbeat. If there are more, each heartbeat
 	// holds other ones.
 	maxReportedSpeeds = 40
@@ -38,9 +34,9 @@
 // recentWeight is the weight of a new log gap in speedSum.recent.
 const recentWeight = 0.2
 
-// add counts one gap.
+// add counts one gap. Its logarithm is bounded, so that a single outlier cannot decide.
 func (s *speedSum) add(gap time.Duration) {
-	x := max(-maxLogGap, min(maxLogGap, math.Log(gap.Seconds()/logGapReference)))
+	x := max(-peers.MaxLogGap, min(peers.MaxLogGap, math.Log(gap.Seconds()/logGapReference)))
 	if s.count == 0 {
 		s.floor, s.recent = x, x
 	}
@@ -89,7 +85,7 @@
 		}
 		out = append(out, peers.TargetSpeed{
 			Target: id, NewVersion: v.newVersion, Count: v.count,
-			Floor: int64(math.Round(v.floor * logGapScale)), Recent: int64(math.Round(v.recent * logGapScale)),
+			Floor: int64(math.Round(v.floor * peers.LogGapScale)), Recent: int64(math.Round(v.recent * peers.LogGapScale)),
 		})
 	}
 	return out
@@ -99,7 +95,7 @@
 func (s speeds) mergeReport(from string, reported []peers.TargetSpeed) {
 	for _, r := range reported {
 		if r.Count > s.of(from)[r.Target].count {
-			s[from][r.Target] = speedSum{r.NewVersion, r.Count, float64(r.Floor) / logGapScale, float64(r.Recent) / logGapScale}
+			s[from][r.Target] = speedSum{r.NewVersion, r.Count, float64(r.Floor) / peers.LogGapScale, float64(r.Recent) / peers.LogGapScale}
 		}
 	}
 }
@@ -144,9 +140,13 @@
 	// unaffectedShare is the assumed share of the targets of a slow version that are as fast as
 	// those of the old one.
 	unaffectedShare = 0.05
-	// maxPriorTargets bounds the old targets that represent the distribution, and so the cost of a
-	// comparison in large pools.
-	maxPriorTargets = 32
+	// maxComparedTargets bounds the targets of each version that represent its distribution, and so
+	// the cost of a comparison in large pools.
+	maxComparedTargets = 32
+	// logPriorSpeedup is the logarithm of the assumed probability of a version that is much faster,
+	// relative to one of about the same speed. Without it, a slow version could pass for a faster
+	// one on slower hardware.
+	logPriorSpeedup = -5.0
 	// minOldTargets is the number of measured old targets from which versions are compared.
 	minOldTargets = 2
 )
@@ -156,6 +156,9 @@
 	faultFactors = []float64{1.4, 1.7, 2, 2.5, 3.2, 4, 5, 6.5, 8, 12, 20}
 	// acceptedFactors are the slowdowns without a fault.
 	acceptedFactors = []float64{0.9, 0.95, 1, 1.05, 1.1}
+	// speedupFactors are those of faster versions. Neighbours differ by less than two
+	// hardwareStdDev, so that each speed-up is close to one of them.
+	speedupFactors = []float64{0.1, 0.115, 0.13, 0.15, 0.17, 0.2, 0.23, 0.26, 0.3, 0.35, 0.4, 0.45, 0.5, 0.55, 0.6, 0.65, 0.7, 0.75, 0.8, 0.85}
 )
 
 // SpeedEvidence is the result of a comparison of the speeds of both versions.
@@ -191,24 +194,35 @@
 	if len(oldTargets) < minOldTargets || len(newTargets) == 0 {
 		return e
 	}
+	newTargets = quantiles(newTargets, maxComparedTargets)
 	p := newSpeedPrior(oldTargets)
-	accepted := math.Inf(-1)
-	acceptedShift := 0.0
-	for _, factor := range acceptedFactors {
-		if l := p.logLikelihood(newTargets, math.Log(factor)); l > accepted {
-			accepted, acceptedShift = l, math.Log(factor)
+	e.LogRatio, e.Factor = p.evidence(newTargets, acceptedFactors)
+	if ratio, factor := p.evidence(newTargets, speedupFactors); ratio-logPriorSpeedup < e.LogRatio {
+		e.LogRatio, e.Factor = ratio-logPriorSpeedup, factor
+	}
+	return e
+}
+
+// evidence returns the log likelihood ratio of a slow version to the most likely of the slowdowns
+// without a fault, and the most likely slowdown of a slow version.
+func (p speedPrior) evidence(targets []speedSum, withoutFault []float64) (logRatio, factor float64) {
+	best, accepted := math.Inf(-1), []float64(nil)
+	for _, f := range withoutFault {
+		densities := p.densities(targets, math.Log(f))
+		if l := logLikelihood(densities); l > best {
+			best, accepted = l, densities
 		}
 	}
-	best, sum := math.Inf(-1), 0.0
-	for _, factor := range faultFactors {
-		ratio := p.logRatio(newTargets, acceptedShift, math.Log(factor))
+	best = math.Inf(-1)
+	sum := 0.0
+	for _, f := range faultFactors {
+		ratio := p.logRatio(p.densities(targets, math.Log(f)), accepted)
 		sum += math.Exp(min(300, ratio))
 		if ratio > best {
-			best, e.Factor = ratio, factor
+			best, factor = ratio, f
 		}
 	}
-	e.LogRatio = math.Log(sum / float64(len(faultFactors)))
-	return e
+	return math.Log(sum / float64(len(faultFactors))), factor
 }
 
 func samples(targets []speedSum) uint64 {
@@ -233,7 +247,7 @@
 		p.loadDelay += float64(t.count) * (t.recent - t.floor) / float64(samples(old))
 	}
 	p.loadDelay = max(minLoadDelay, p.loadDelay)
-	p.old = quantiles(old, maxPriorTargets)
+	p.old = quantiles(old, maxComparedTargets)
 	return p
 }
 
@@ -275,20 +289,29 @@
 	return math.Exp(ratio*ratio/2-x/mean) * math.Erfc((ratio-x/stdDev)/math.Sqrt2) / (2 * mean)
 }
 
-func (p speedPrior) logLikelihood(targets []speedSum, shift float64) float64 {
+func (p speedPrior) densities(targets []speedSum, shift float64) []float64 {
+	out := make([]float64, len(targets))
+	for i, t := range targets {
+		out[i] = p.density(t, shift)
+	}
+	return out
+}
+
+func logLikelihood(densities []float64) float64 {
 	var sum float64
-	for _, t := range targets {
-		sum += math.Log(p.density(t, shift))
+	for _, density := range densities {
+		sum += math.Log(density)
 	}
 	return sum
 }
 
-// logRatio returns the log likelihood ratio of a fault to no fault. A target may also be slow
-// independently of its version; each target that is makes the next one more likely to be.
-func (p speedPrior) logRatio(targets []speedSum, acceptedShift, faultShift float64) float64 {
-	ratios := make([]float64, 0, len(targets))
-	for _, t := range targets {
-		ratios = append(ratios, p.density(t, faultShift)/p.density(t, acceptedShift))
+// logRatio returns the log likelihood ratio of a fault to no fault, given the densities of the new
+// targets in both cases. A target may also be slow independently of its version; each target that
+// is makes the next one more likely to be.
+func (p speedPrior) logRatio(fault, accepted []float64) float64 {
+	ratios := make([]float64, len(fault))
+	for i := range fault {
+		ratios[i] = fault[i] / accepted[i]
 	}
 	slices.SortFunc(ratios, func(a, b float64) int { return cmp.Compare(b, a) })
 	var sum float64
