Keep seeking another target while the only one is silent

A search beside a silent target of a plain service ended for good when no other target was listed. A target that was listed a moment later did not take over, and the caller got 504 at its deadline.

A request that is still running now waits in the queue until another target is listed. TestSearchFindsTargetThatIsListedLater failed before with 504.

--- a/gateway/ingress/silence.go
+++ b/gateway/ingress/silence.go
@@ -215,11 +215,6 @@
 			endGrant(scheduler, target, *att)
 			continue
 		}
-		if p.reservation == "" && target.Key() == w.current.target.Key() {
-			// Without a reservation, a second request at the silent target gains nothing.
-			w.x.release(scheduler, p)
-			return nil
-		}
 		return p
 	}
 }
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -221,3 +221,27 @@
 		t.Error("the target counts as silent")
 	}
 }
+
+// Guards against a request that stays at a silent target although another one is listed after the
+// search for it has begun.
+func TestSearchFindsTargetThatIsListedLater(t *testing.T) {
+	fx := newFixture(t)
+	ended := make(chan struct{})
+	defer close(ended)
+	fx.addRawServer(plainName, "i-silent", func(net.Conn, *http.Request) bool {
+		<-ended
+		return false
+	})
+	fx.startHost()
+	c := fx.dial()
+	fx.send(c, "GET", pathIdempotent, "")
+	fx.eventually("the target is silent", func() bool { return fx.log.contains("target silent") })
+	fx.addRawServer(plainName, "i-next", func(c net.Conn, r *http.Request) bool {
+		writeHead(c, r, "Content-Length: 2")
+		fmt.Fprint(c, "ok")
+		return true
+	})
+	if resp := fx.read(c); resp.status != http.StatusOK || resp.body != "ok" {
+		t.Errorf("response %+v", resp)
+	}
+}
--- a/sched/reserve/choose.go
+++ b/sched/reserve/choose.go
@@ -92,9 +92,10 @@
 
 // allExcluded reports whether the request has excluded every open target it could use. In that
 // case its exclusions are ignored, because a second attempt at one of them is better than
-// none.
+// none. A request that is still running waits for another target instead, unless a reservation
+// shows that the same one has capacity.
 func (p *Pool) allExcluded(w *Waiter, now time.Time) bool {
-	if len(w.excluded) == 0 {
+	if len(w.excluded) == 0 || w.standby && !p.cfg.Reservations {
 		return false
 	}
 	for _, t := range p.order {
