Complete a rollout on any host if its leader ends just before

Only the leader completed a good rollout, 0.65 s before the limit. A leader that had ended counted as alive for 1.2 s, and one that is cut off from the store for as long as its peers hear it, so that the outcome was written after the limit, or never. Every host now completes a rollout that still runs 0.3 s before the limit.

TestRolloutIsCompletedWithoutLeader failed before: not completed 50 ms before the limit.

--- a/gateway/rollout/rollout.go
+++ b/gateway/rollout/rollout.go
@@ -61,6 +61,10 @@
 	// The duration is measured from when the order was read, up to half a second after it was
 	// written, and a write may take a few attempts.
 	decisionLead = 650 * time.Millisecond
+	// fallbackLead is the time before the end of the duration at which every host completes a
+	// rollout that is still running: the leader may be stopped, or cut off from the store, and
+	// counts as alive for longer than decisionLead.
+	fallbackLead = 300 * time.Millisecond
 	// evaluatedDuration is the duration of a rollout for which the windows and lookbacks of
 	// moves/analysis are sized. The time of an order is scaled to it.
 	evaluatedDuration = 10 * time.Minute
@@ -248,8 +252,9 @@
 }
 
 // Decide evaluates the observations of all orders and returns the states that the store should
-// hold, at each call. The leader completes good rollouts. Every host rolls a bad version back
-// immediately. The targets function returns the number of targets of a service.
+// hold, at each call. The leader completes good rollouts, and the other hosts do shortly before the
+// end if the leader has not. Every host rolls a bad version back immediately. The targets function
+// returns the number of targets of a service.
 func (t *Tracker) Decide(leader bool, targets func(service string) int, now time.Time) []Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -258,11 +263,15 @@
 		if st.state == Running {
 			t.evaluate(st, targets(service), now)
 		}
-		due := now.Sub(st.startedAt) >= st.order.Duration-decisionLead
+		lead := fallbackLead
+		if leader {
+			lead = decisionLead
+		}
+		due := now.Sub(st.startedAt) >= st.order.Duration-lead
 		switch {
 		case st.state == RolledBack:
 			out = append(out, Decision{st.order, RolledBack, st.reason})
-		case st.state == Running && due && leader:
+		case st.state == Running && due:
 			out = append(out, Decision{st.order, Done, "no fault detected"})
 		case st.state == Running && leader:
 			out = append(out, Decision{st.order, Running, ""})
--- a/gateway/rollout/rollout_test.go
+++ b/gateway/rollout/rollout_test.go
@@ -268,3 +268,20 @@
 	}
 	t.Errorf("no outcome %s before the time limit", writeTime)
 }
+
+// Guards against a good rollout that no host completes in time because the leader has ended, or is
+// cut off from the store, just before it completes it.
+func TestRolloutIsCompletedWithoutLeader(t *testing.T) {
+	const orderDelay, writeTime = 100 * time.Millisecond, 50 * time.Millisecond
+	written := time.Unix(5000, 0)
+	tr := rollout.New("host-1", rollout.Limits{MaxShare: 0.1})
+	tr.Start(order, orderDelay, written.Add(orderDelay))
+	for now := written.Add(orderDelay); !now.After(written.Add(duration - writeTime)); now = now.Add(100 * time.Millisecond) {
+		for _, d := range tr.Decide(false, func(string) int { return 2 * targets }, now) {
+			if d.State == rollout.Done {
+				return
+			}
+		}
+	}
+	t.Errorf("not completed %s before the time limit", writeTime)
+}
