Write the outcome of a rollout again soon after a failure

A failed write of an outcome was repeated after a second, but the outcome is decided 0.65 s before the time limit: one failed call to the store made it late. It is now repeated at the next evaluation, after 0.1 s. A call that hangs still takes the store's timeout of 1 s.

TestOutcomeIsWrittenAgainSoonAfterFailure failed before: nothing was stored.

--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -32,8 +32,8 @@
 const (
 	// rolloutDecisionInterval is how often the states of rollouts are evaluated.
 	rolloutDecisionInterval = 100 * time.Millisecond
-	// statusRewriteInterval is how often an unchanged state is written again, in case the
-	// last write failed.
+	// statusRewriteInterval is how often an unchanged state is written again. An outcome whose
+	// write has failed is written again at the next evaluation.
 	statusRewriteInterval = time.Second
 	// maxConflictRetries bounds the immediate retries of a write. A conflict means that another
 	// host has just written, usually the same state.
@@ -158,6 +158,9 @@
 	w.state, w.writtenAt = d.State, now
 	s, err := g.writeStatus(ctx, d)
 	if err != nil {
+		if d.State != rollout.Running {
+			w.writtenAt = time.Time{} // an outcome is due before the rollout's time limit
+		}
 		event.MoveStepRetried.Log(g.cfg.Log, slog.String("service", d.Order.Service), slog.Any("error", err))
 		return
 	}
