Measure targets of a rollout that replace others in place anew

If a target of the new version replaces one of the old version under the same name, both had one sum: the smallest gap of the old version stayed, and a slow version passed for a fast one. Sums are now kept by name and version. No service in the tests replaces targets in place; this is a suspicion from reading.

TestTargetsReplacedInPlaceAreMeasuredAnew failed before: no old target was left.

--- a/gateway/rollout/compare_test.go
+++ b/gateway/rollout/compare_test.go
@@ -131,7 +131,7 @@
 func TestLargePoolsAreComparedByQuantiles(t *testing.T) {
 	targets := make([]speedSum, 1350)
 	for i := range targets {
-		targets[i] = speedSum{newVersion: true, count: 1, floor: float64(i) / float64(len(targets))}
+		targets[i] = speedSum{count: 1, floor: float64(i) / float64(len(targets))}
 	}
 	all, few := compareSpeeds(targets, targets), compareSpeeds(targets, quantiles(targets, maxComparedTargets))
 	if all.LogRatio != few.LogRatio || all.NewTargets != len(targets) {
@@ -155,3 +155,22 @@
 		t.Errorf("%d suspect of %d faster versions, want at most 5 of 100", suspect, runs)
 	}
 }
+
+// Guards against a slow version that passes for a fast one because its targets replace those of the
+// old version under the same names.
+func TestTargetsReplacedInPlaceAreMeasuredAnew(t *testing.T) {
+	const count = 12
+	s := speeds{}
+	for i := range count {
+		name := fmt.Sprintf("target-%d", i)
+		s.observe("host", name, false, 15*time.Millisecond)
+		s.observe("host", name, true, 60*time.Millisecond)
+	}
+	other := speeds{}
+	other.mergeReport("host", s.report("host"))
+	for _, e := range []SpeedEvidence{compareSpeeds(s.byVersion()), compareSpeeds(other.byVersion())} {
+		if e.OldTargets != count || e.NewTargets != count || !e.sufficient() {
+			t.Errorf("evidence %+v, want a slow version on %d targets", e, count)
+		}
+	}
+}
--- a/gateway/rollout/speed.go
+++ b/gateway/rollout/speed.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -24,8 +25,7 @@
 
 // speedSum summarises the log gaps between events that were measured at one target.
 type speedSum struct {
-	newVersion bool
-	count      uint64
+	count uint64
 	// floor is the smallest log gap, which is close to that of the idle target. recent is a
 	// moving average.
 	floor, recent float64
@@ -56,22 +56,28 @@
 	s.count += o.count
 }
 
+// targetKey identifies a target while it runs one version. A target may be replaced in place, under
+// the same name.
+type targetKey struct {
+	nameHash   uint32
+	newVersion bool
+}
+
 // speeds holds the sums of one order since its start, by host and target. The counts of a host only
 // grow, so a lost or repeated report does no harm.
-type speeds map[string]map[uint32]speedSum
+type speeds map[string]map[targetKey]speedSum
 
 // observe counts a gap that the host has measured at a target.
 func (s speeds) observe(host, target string, newVersion bool, gap time.Duration) {
-	id := uint32(xxhash.Sum64String(target))
-	sum := s.of(host)[id]
-	sum.newVersion = newVersion
+	key := targetKey{uint32(xxhash.Sum64String(target)), newVersion}
+	sum := s.of(host)[key]
 	sum.add(gap)
-	s[host][id] = sum
+	s[host][key] = sum
 }
 
-func (s speeds) of(host string) map[uint32]speedSum {
+func (s speeds) of(host string) map[targetKey]speedSum {
 	if s[host] == nil {
-		s[host] = map[uint32]speedSum{}
+		s[host] = map[targetKey]speedSum{}
 	}
 	return s[host]
 }
@@ -79,12 +85,12 @@
 // report returns the sums of the host for a heartbeat, at most maxReportedSpeeds.
 func (s speeds) report(host string) []peers.TargetSpeed {
 	var out []peers.TargetSpeed
-	for id, v := range s[host] {
+	for key, v := range s[host] {
 		if len(out) == maxReportedSpeeds {
 			break
 		}
 		out = append(out, peers.TargetSpeed{
-			Target: id, NewVersion: v.newVersion, Count: v.count,
+			Target: key.nameHash, NewVersion: key.newVersion, Count: v.count,
 			Floor: int64(math.Round(v.floor * peers.LogGapScale)), Recent: int64(math.Round(v.recent * peers.LogGapScale)),
 		})
 	}
@@ -94,32 +100,29 @@
 // mergeReport replaces older sums of a peer.
 func (s speeds) mergeReport(from string, reported []peers.TargetSpeed) {
 	for _, r := range reported {
-		if r.Count > s.of(from)[r.Target].count {
-			s[from][r.Target] = speedSum{r.NewVersion, r.Count, float64(r.Floor) / peers.LogGapScale, float64(r.Recent) / peers.LogGapScale}
+		key := targetKey{r.Target, r.NewVersion}
+		if r.Count > s.of(from)[key].count {
+			s[from][key] = speedSum{r.Count, float64(r.Floor) / peers.LogGapScale, float64(r.Recent) / peers.LogGapScale}
 		}
 	}
 }
 
 // byVersion returns the sums over all hosts of the targets of each version, ordered by target.
 func (s speeds) byVersion() (oldTargets, newTargets []speedSum) {
-	sums := map[uint32]speedSum{}
+	sums := map[targetKey]speedSum{}
 	for _, byTarget := range s {
-		for id, v := range byTarget {
-			sum := sums[id]
+		for key, v := range byTarget {
+			sum := sums[key]
 			sum.merge(v)
-			sums[id] = sum
+			sums[key] = sum
 		}
 	}
-	ids := make([]uint32, 0, len(sums))
-	for id := range sums {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
-		if sums[id].newVersion {
-			newTargets = append(newTargets, sums[id])
+	keys := slices.SortedFunc(maps.Keys(sums), func(a, b targetKey) int { return cmp.Compare(a.nameHash, b.nameHash) })
+	for _, key := range keys {
+		if key.newVersion {
+			newTargets = append(newTargets, sums[key])
 		} else {
-			oldTargets = append(oldTargets, sums[id])
+			oldTargets = append(oldTargets, sums[key])
 		}
 	}
 	return oldTargets, newTargets
