Don't take a target for silent while its caller does not read

A caller that stops reading blocks the writes of its stream. The timer for the target's next event ran on meanwhile, so that a sound target counted as silent, another one was sought, and the stream was sent there: a second run of the request, a charge on the retry budget and, during a rollout, a failure of the target's version. The timer now stops while an event is written; comments are no progress and leave it running.

TestStalledReaderDoesNotHoldItsTarget now also checks that the target isn't taken for silent, and failed on that before.

--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -173,6 +173,9 @@
 		t.Error("the target still runs the request, 8 s after the timeout of its route")
 	}
 	fx.eventually("the request has ended", func() bool { return fx.log.contains("answer broken") })
+	if fx.log.contains("target silent") {
+		t.Error("the target counts as silent while its caller does not read")
+	}
 }
 
 // panickingCodec panics on requests with the header X-Panic.
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -53,6 +53,9 @@
 			conn.Release(resp, false)
 			return x.failedAttempt(ctx, reserve.BrokenResponse, refusal.ResponseTruncated, fmt.Errorf("event id %q does not follow the last forwarded id %q", event.id, x.lastEventID))
 		}
+		if !event.comment {
+			watch.stop() // a caller that does not read blocks the writes
+		}
 		x.writeHead(resp, 0, false)
 		if _, err := x.w.Write(event.raw); err != nil {
 			conn.Release(resp, false)
