Clarify comments and errors for new readers

A reader without knowledge of the project found comments that were ambiguous, figurative or outdated. The package comment of promptparts could be read as blocking targets; those of decisionLead and discard no longer described the code; terms such as log gap and the beginning of a response were not defined where they are used.

Errors for reports, speeds and leaving targets in heartbeats state that the value is invalid or what is allowed. The behaviour and the names are unchanged.

--- a/core/freeport/lock_other.go
+++ b/core/freeport/lock_other.go
@@ -4,5 +4,6 @@
 
 import "os"
 
-// tryLock always succeeds: on this platform the blocks of processes are only drawn at random.
+// tryLock always succeeds: on this platform blocks are selected at random only, so two processes
+// may select the same one.
 func tryLock(*os.File) bool { return true }
--- a/core/telemetry/telemetry.go
+++ b/core/telemetry/telemetry.go
@@ -208,7 +208,8 @@
 	m.add("sardinefront_target_connections", 1, attribute.String("result", result))
 }
 
-// CountPromptPart counts a change of the state of a prompt part: suspected, quarantined or released.
+// CountPromptPart counts a change of the state of a prompt part: suspected, quarantined or
+// released.
 func (m *Metrics) CountPromptPart(change string) {
 	m.add("sardinefront_prompt_parts", 1, attribute.String("change", change))
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -222,7 +222,8 @@
 	}
 }
 
-// stepLocked is step without sending, and returns the packets to send.
+// stepLocked takes the lock, passes an input to the core and executes the resulting actions, except
+// that it returns the packets to send.
 func (n *Node) stepLocked(input func(c *core.Core, now time.Time) core.Actions) []core.Packet {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/gateway/directory/exchange.go
+++ b/gateway/directory/exchange.go
@@ -30,9 +30,9 @@
 	h.Changes = d.changesToSend(repeatTime, now)
 }
 
-// changesToSend returns the changes of the last repeatTime that fit into a heartbeat. Rollout orders
-// come first, whatever their age: unlike the target list, they have no digest by which a host that
-// misses one would notice.
+// changesToSend returns the changes of the last repeatTime that fit into a heartbeat. Rollout
+// orders come first, whatever their age: unlike the target list, they have no digest that shows a
+// host that it has missed one.
 func (d *Directory) changesToSend(repeatTime time.Duration, now time.Time) []peers.Change {
 	var out []peers.Change
 	size := 0
--- a/gateway/dispatch/closed.go
+++ b/gateway/dispatch/closed.go
@@ -20,7 +20,7 @@
 }
 
 // RecordResponse merges what a response says about its target: that it is leaving, or that it
-// wants nothing from this host for some time.
+// wants no requests from this host for some time.
 func (s *Schedulers) RecordResponse(o upstream.Observation) {
 	s.mu.Lock()
 	scheduler := s.byTarget[o.Target]
@@ -36,7 +36,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	at := o.SentAt
+	at := o.SentAt // see drain.Report.At
 	if o.Info.Leaving {
 		at = o.ReceivedAt
 	}
@@ -67,7 +67,8 @@
 	}
 }
 
-// recordClosure logs and counts a change. The caller holds s.mu.
+// recordClosure logs that a target was closed or reopened, and counts closures. The caller holds
+// s.mu.
 func (s *Scheduler) recordClosure(c reserve.ClosureChange, now time.Time) {
 	t := s.targets[c.Target]
 	line := event.TargetReopened
@@ -94,8 +95,8 @@
 	return s.pool.Closure(target, time.Now()) == drain.Open
 }
 
-// LeavingSince returns the targets of which this host has read in a response, at or after the
-// given time, that they are leaving.
+// LeavingSince returns the targets whose responses to this host have stated, at or after the given
+// time, that they are leaving.
 func (s *Schedulers) LeavingSince(since time.Time) []reserve.Leaving {
 	var out []reserve.Leaving
 	s.each(func(_ string, scheduler *Scheduler) {
--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -202,7 +202,7 @@
 	}
 	if (att.targetFull || att.targetClosed) && !att.sent {
 		// A busy host sees hundreds of refused reservations a second. Metrics count them, and
-		// the closing of a target has a line of its own.
+		// the closure of a target has an event of its own.
 		return
 	}
 	x.failureLogged = true
@@ -308,7 +308,7 @@
 	}
 	defer p.conn.CloseOnPanic()
 	if !d.scheduler.MaySend(p.target.Key()) {
-		return *closedAttempt(p.conn) // a reservation expires
+		return *closedAttempt(p.conn) // a reservation expires shortly
 	}
 	return x.roundTrip(ctx, d, p)
 }
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -148,7 +148,7 @@
 	partsTrial bool
 	// sentAt is the time of the last send.
 	sentAt time.Time
-	// began is true if the last send got an answer beyond its beginning.
+	// began is true if the response to the last send has begun; see promptparts.Guard.
 	began bool
 	// mayHaveRun is true if a target may have started to run the request.
 	mayHaveRun bool
--- a/gateway/ingress/parts.go
+++ b/gateway/ingress/parts.go
@@ -46,7 +46,7 @@
 	return refusal.New(refusal.PromptPartQuarantined, "requests with the prompt part %s crash targets of %s", id, x.service)
 }
 
-// recordBegun records that the target's answer got beyond its beginning.
+// recordBegun records that the response to the last send has begun, if it is a success.
 func (x *exchange) recordBegun(status int) {
 	if x.began || status != http.StatusOK {
 		return
@@ -55,7 +55,7 @@
 	x.cfg.Parts.RecordSuccess(x.service, x.sharedParts(), time.Now())
 }
 
-// recordCrash attributes a crash of the target to the prompt's parts if the attempt failed by it
+// recordCrash attributes a crash of the target to the prompt's parts if the crash ended the attempt
 // before the response began.
 func (x *exchange) recordCrash(scheduler *dispatch.Scheduler, target directory.Target, att attempt) {
 	if att.status != failed || att.outcome != reserve.BrokenResponse || x.began || target.Draining || !connectionClosed(att.err) {
--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -63,7 +63,7 @@
 	if resp.Info.NotRun {
 		return x.handleNotRun(conn, resp)
 	}
-	// The target did not state that it had not run the request, so its caller must not be
+	// The target did not state that it had not run the request, so the caller must not be
 	// told so by the status.
 	if refusal.StatusImpliesNotRun(resp.Status) || x.shouldRetryStatus(resp.Status) {
 		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedResponseBytes))
--- a/gateway/ingress/silence.go
+++ b/gateway/ingress/silence.go
@@ -25,7 +25,8 @@
 }
 
 // place connects to the target and reserves capacity if the engine supports it. If that fails,
-// it returns the attempt. Unlike most methods of exchange, it may run beside an attempt.
+// it returns the failed attempt. Unlike most methods of exchange, it may run concurrently with an
+// attempt.
 func (x *exchange) place(ctx context.Context, scheduler *dispatch.Scheduler, target directory.Target) (*placement, *attempt) {
 	conn, err := x.cfg.Upstream.Get(ctx, target.Key(), target.Address, x.info.ID)
 	if err != nil {
@@ -50,10 +51,10 @@
 	return p, nil
 }
 
-// release returns a placement that is not used, with its connection and its reservation if it
+// release gives up a placement that is not used, with its connection and its reservation if it
 // has them.
 func (x *exchange) release(scheduler *dispatch.Scheduler, p *placement) {
-	// A closed target gets no cancel either; the reservation expires shortly.
+	// A closed target must not get a cancellation either; the reservation expires shortly.
 	if p.reservation == "" || !scheduler.MaySend(p.target.Key()) {
 		if p.conn != nil {
 			p.conn.Release(nil, false)
@@ -106,7 +107,7 @@
 	d       *dispatcher
 	current *placement
 	timer   *time.Timer
-	armed   bool
+	armed   bool // the timer was started, and end was not called since
 	// searches receives the search when the timer starts it.
 	searches chan *search
 }
@@ -116,7 +117,7 @@
 	cancel    context.CancelFunc
 	startedAt time.Time
 	done      chan struct{}
-	found     *placement // valid once done is closed
+	found     *placement // set before done is closed; nil if no target was found
 }
 
 // watchSilence returns a watch over the attempt at a target. It is inactive until reset.
@@ -139,8 +140,8 @@
 	w.timer.Reset(silence)
 }
 
-// stop ends the watch, because the target has made progress or the attempt ends. What a search
-// has found is returned unused.
+// stop ends the watch, because the target has made progress or the attempt ends. A placement that
+// a search has found is released.
 func (w *silenceWatch) stop() {
 	s := w.end()
 	if s == nil {
@@ -150,7 +151,7 @@
 	w.current.conn.ResumeRead()
 }
 
-// discard ends a search whose result is not needed, because the target responds.
+// discard releases the result of an ended search, because the target responds.
 func (w *silenceWatch) discard(s *search) {
 	w.d.scheduler.RecordResponsive(w.current.target.Key())
 	event.TargetResponsive.Log(w.x.cfg.Log, slog.String("id", w.x.info.ID), slog.String("target", w.current.target.ID),
--- a/gateway/leaving.go
+++ b/gateway/leaving.go
@@ -13,9 +13,9 @@
 // since datagrams may be lost.
 const leavingHeartbeats = 4
 
-// leavingAges returns the ages in milliseconds of what responses have said about leaving
-// targets, by target, for heartbeats at the given interval. An initial heartbeat also has the
-// older ones, of which the newest matter most.
+// leavingAges returns, by target, how many milliseconds ago a response stated that the target is
+// leaving, for heartbeats at the given interval. An initial heartbeat includes statements of any
+// age. If there are more than peers.MaxLeaving, the newest are returned.
 func (g *Gateway) leavingAges(interval time.Duration, initial bool, now time.Time) map[string]uint32 {
 	var since time.Time
 	if !initial {
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -207,7 +207,7 @@
 	}
 	for name := range h.LeavingAgesMs {
 		if name == "" || len(name) > maxTargetNameBytes {
-			return fmt.Errorf("leaving target with a name of %d bytes", len(name))
+			return fmt.Errorf("leaving target with a name of %d bytes, 1 to %d are allowed", len(name), maxTargetNameBytes)
 		}
 	}
 	for _, usage := range []map[string]float64{h.OwnUsage, h.FleetUsage} {
@@ -241,7 +241,7 @@
 func (s TargetSpeed) validate() error {
 	const limit = MaxLogGap * LogGapScale
 	if s.Count == 0 || s.Count > maxSpeedCount || s.Floor < -limit || s.Floor > limit || s.Recent < -limit || s.Recent > limit {
-		return fmt.Errorf("speed of %d samples, smallest %d, average %d", s.Count, s.Floor, s.Recent)
+		return fmt.Errorf("implausible speed of a target: %d samples, smallest log gap %d, average %d", s.Count, s.Floor, s.Recent)
 	}
 	return nil
 }
--- a/gateway/promptparts/promptparts.go
+++ b/gateway/promptparts/promptparts.go
@@ -1,5 +1,5 @@
-// Package promptparts keeps requests away from targets whose prompts have a part that crashes
-// targets. It adds locking, logs, metrics and the exchange with peers to sched/quarantine.
+// Package promptparts blocks requests whose prompt has a part that crashes targets. It adds
+// locking, logs, metrics and the exchange with peers to sched/quarantine.
 package promptparts
 
 import (
@@ -18,9 +18,9 @@
 
 // Peers sends this host's state to the other hosts. Its methods must not block.
 type Peers interface {
-	// SendHeartbeat sends it at once to the peers that receive heartbeats at the full rate.
+	// SendHeartbeat sends the state at once to the peers that get heartbeats at the full rate.
 	SendHeartbeat()
-	// SendHeartbeatToAll sends it at once to all peers.
+	// SendHeartbeatToAll sends the state at once to all peers.
 	SendHeartbeatToAll()
 	// Hosts returns the names of this host and of all hosts that are alive.
 	Hosts() (self string, hosts []string)
@@ -48,8 +48,8 @@
 	return &Guard{peers: peers, metrics: metrics, log: log, table: quarantine.New()}
 }
 
-// Check states whether a request with these parts may be sent to a target, and the quarantined part
-// on which that depends.
+// Check states whether a request with these parts may be sent to a target. Unless the verdict is
+// Allowed, id is the first quarantined part that affects the request.
 func (g *Guard) Check(service string, ids []string, now time.Time) (id string, verdict quarantine.Verdict) {
 	if len(ids) == 0 {
 		return "", quarantine.Allowed
@@ -60,7 +60,8 @@
 	return p.ID, verdict
 }
 
-// RecordSuccess records that a response to a request with these parts got beyond its beginning.
+// RecordSuccess records that a response to a request with these parts has begun: the first event
+// of a stream, or another response, was received.
 func (g *Guard) RecordSuccess(service string, ids []string, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -102,7 +103,8 @@
 	}
 }
 
-// publish logs and counts the changes and sends those that this host found to all peers.
+// publish logs and counts the changes of the table. It sends changes that this host found to all
+// peers. The caller holds g.mu.
 func (g *Guard) publish() {
 	for _, c := range g.table.TakeChanges() {
 		line := [...]event.Event{
--- a/gateway/rollout/rollout.go
+++ b/gateway/rollout/rollout.go
@@ -54,12 +54,12 @@
 	canaryFraction = 0.5
 	// fullTrafficFraction is the part of the order's duration, before its outcome is written, in
 	// which all requests go to the new version, so that few are in progress at the old targets
-	// when they stop. maxFullTraffic and the rest of MaxShare also bound that time.
+	// when they stop. maxFullTraffic and the part of MaxShare that the canary leaves also bound
+	// that time.
 	fullTrafficFraction = 0.06
 	maxFullTraffic      = 900 * time.Millisecond
-	// decisionLead is the time before the end of the duration at which the outcome is written.
-	// The duration is measured from when the order was read, up to half a second after it was
-	// written, and a write may take a few attempts.
+	// decisionLead is the time before the end of the duration at which the outcome is written. A
+	// write may take a few attempts, and an order may have been written earlier than assumed.
 	decisionLead = 650 * time.Millisecond
 	// fallbackLead is the time before the end of the duration at which every host completes a
 	// rollout that is still running: the leader may be stopped, or cut off from the store, and
@@ -83,7 +83,7 @@
 	samples   *analysis.Samples
 	speeds    speeds
 	evidence  SpeedEvidence
-	// comparedAt is the time of the comparison that evidence is from.
+	// comparedAt is the time of the comparison that returned evidence.
 	comparedAt time.Time
 	groups     map[string]uint8 // by target
 }
@@ -193,8 +193,8 @@
 	return canaryFraction * t.limits.MaxShare
 }
 
-// fullTrafficTime returns the length of the time at the end of the duration in which all requests go
-// to the new version unless it is rolled back.
+// fullTrafficTime returns the length of the time at the end of the duration in which all requests
+// go to the new version unless it is rolled back.
 func (st *rolloutState) fullTrafficTime(l Limits) time.Duration {
 	exposureTime := (1 - canaryFraction) * l.MaxShare * float64(st.order.Duration)
 	return decisionLead + min(time.Duration(fullTrafficFraction*float64(st.order.Duration)), time.Duration(exposureTime), maxFullTraffic)
--- a/gateway/rollout/speed.go
+++ b/gateway/rollout/speed.go
@@ -15,11 +15,11 @@
 )
 
 const (
-	// logGapReference is the gap that log gaps are relative to, in seconds, which keeps the
-	// reported numbers short.
+	// A log gap is the natural logarithm of a gap between events relative to logGapReference, in
+	// seconds, which keeps the reported numbers short.
 	logGapReference = 0.015
 	// maxReportedSpeeds bounds the speeds in one heartbeat. If there are more, each heartbeat
-	// holds other ones.
+	// holds an arbitrary selection.
 	maxReportedSpeeds = 40
 )
 
@@ -133,7 +133,7 @@
 	// hardware.
 	hardwareStdDev = 0.08
 	// unseenHardwareStdDev is the standard deviation of the log gaps of hardware that no old
-	// target has. One old target is assumed to be of that kind.
+	// target has. Such hardware has the weight of one old target.
 	unseenHardwareStdDev = 1.0
 	// minLoadDelay is the lower bound of the mean increase of a log gap by load.
 	minLoadDelay = 0.05
@@ -176,14 +176,14 @@
 	OldSamples, NewSamples uint64
 }
 
-// sufficient returns whether the evidence shows a slow version.
+// sufficient reports whether the evidence shows a slow version.
 func (e SpeedEvidence) sufficient() bool { return e.LogRatio >= -math.Log(analysis.DefaultErrorRate) }
 
-// suspect returns whether a slow version is 3 times more likely than one that is as fast as the old
-// one. That suffices at the end of a rollout, where completing it is a decision too.
+// suspect reports whether a slow version is 3 times more likely than one that is as fast as the
+// old one. That suffices at the end of a rollout, where completing it is a decision too.
 func (e SpeedEvidence) suspect() bool { return e.LogRatio >= math.Log(3) }
 
-// reason describes the evidence.
+// reason states the evidence as the reason for a rollback.
 func (e SpeedEvidence) reason() string {
 	return fmt.Sprintf("time between events is %.1f times that of the old version (evidence e^%.1f, %d samples of %d targets)", e.Factor, e.LogRatio, e.NewSamples, e.NewTargets)
 }
@@ -220,7 +220,7 @@
 	sum := 0.0
 	for _, f := range faultFactors {
 		ratio := p.logRatio(p.densities(targets, math.Log(f)), accepted)
-		sum += math.Exp(min(300, ratio))
+		sum += math.Exp(min(300, ratio)) // bounded, since math.Exp overflows above 709
 		if ratio > best {
 			best, factor = ratio, f
 		}
@@ -236,7 +236,7 @@
 	return n
 }
 
-// speedPrior is the distribution of the log gaps of the old targets.
+// speedPrior models the distribution of the log gaps of the old targets.
 type speedPrior struct {
 	old []speedSum
 	// mean is that of the floors, loadDelay the mean increase of a log gap by load.
@@ -268,7 +268,8 @@
 }
 
 // density returns the density of the target's smallest log gap in the distribution of the old
-// targets, shifted. A target with few samples may never have been measured idle.
+// targets, shifted. A delay by load is included, since a target with few samples may never have
+// been measured idle.
 func (p speedPrior) density(t speedSum, shift float64) float64 {
 	x := t.floor - p.mean - shift
 	sum := math.Exp(-x*x/(2*unseenHardwareStdDev*unseenHardwareStdDev)) / (unseenHardwareStdDev * math.Sqrt(2*math.Pi))
@@ -309,8 +310,8 @@
 }
 
 // logRatio returns the log likelihood ratio of a fault to no fault, given the densities of the new
-// targets in both cases. A target may also be slow independently of its version; each target that
-// is makes the next one more likely to be.
+// targets in both cases. A target may also be slow independently of its version. The assumed
+// probability of that rises with each slower target.
 func (p speedPrior) logRatio(fault, accepted []float64) float64 {
 	ratios := make([]float64, len(fault))
 	for i := range fault {
--- a/gateway/rollout/start.go
+++ b/gateway/rollout/start.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// maxElapsed is the age above which a start time is taken for one that another writer got wrong.
-// The state of a rollout that ended so long ago is read from its status.
+// maxElapsed is the age above which a start time is taken for invalid. The state of a rollout that
+// ended so long ago is read from its status.
 const maxElapsed = 30 * 24 * time.Hour
 
 // maxClockSkew is how far the clock of the host that wrote a start time may be ahead.
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -50,8 +50,8 @@
 	final     bool // the state in the store is final
 }
 
-// handleRolloutOrder starts the rollout of a new order, which was written at most age ago, or ends it
-// if the order was removed.
+// handleRolloutOrder starts the rollout of a new order, which was written at most age ago, or ends
+// it if the order was removed.
 func (g *Gateway) handleRolloutOrder(service string, e platform.Entry, age time.Duration) {
 	if e.Deleted {
 		g.rollouts.Remove(service, e.Revision)
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -63,7 +63,7 @@
 	// connection. They may be sent again, but not here: a second copy of the first response
 	// could not be told from the second response.
 	failedIDs []string
-	// calledWithoutID is true after a response without an id, of which there may be a copy.
+	// calledWithoutID is true after a response without an id, which the target may send again.
 	calledWithoutID bool
 	// bodyWritten is closed when a long body has been written or has failed with writeErr;
 	// nil if the body was written inline.
@@ -215,10 +215,10 @@
 }
 
 // Receive reads the status line and headers of the response to a request, within timeout if
-// that is positive. Only a response with the request's id is taken for the response: a target
-// may write an earlier one, without an id too, once more. Responses to earlier requests are
-// skipped, and the connection is then not reused. An empty id is for requests to which the
-// target responds without an id.
+// that is positive. Only a response with the request's id is accepted, because a target may send
+// a second copy of an earlier response, which may lack an id. Responses to earlier requests are
+// skipped, and the connection is then not reused. id is empty for a request to which the target
+// responds without an id.
 func (c *Conn) Receive(method, id string, timeout time.Duration) (*Response, error) {
 	if timeout > 0 {
 		c.net.SetReadDeadline(time.Now().Add(timeout))
--- a/host/closure.go
+++ b/host/closure.go
@@ -14,8 +14,8 @@
 	"sardinefront.dev/target"
 )
 
-// recordNotice passes on what a response of a target states. run is the target's run that the
-// client connects to.
+// recordNotice passes what a response of a target states to the scheduler. run is the id of the
+// target's run to which the client connects.
 func (p *poolRunner) recordNotice(name, run string, n target.Notice) {
 	notice := pool.Notice{
 		Incarnation: drain.Incarnation{ID: run, StartedUnixMs: n.StartedUnixMs},
@@ -37,7 +37,7 @@
 	p.decide(func(now time.Time) []pool.Action { return p.scheduler.RecordNotice(name, notice, now) })
 }
 
-// admits reports whether a target accepts a request now.
+// admits reports whether a target accepts a request now; see pool.Pool.Admits.
 func (p *poolRunner) admits(name string, newWork bool) bool {
 	return p.scheduler.Admits(name, newWork, time.Now())
 }
@@ -95,7 +95,7 @@
 	return x.response.Status == http.StatusServiceUnavailable && !x.runner.admits(x.target, false)
 }
 
-// admissionPollInterval is how often a request that waits for the end of a back-off checks it.
+// admissionPollInterval is how often a waiting request checks whether a back-off has ended.
 const admissionPollInterval = 50 * time.Millisecond
 
 // awaitAdmission waits for the end of the target's back-off. It reports false if ctx or the time
@@ -116,7 +116,8 @@
 	return true
 }
 
-// resumeAt resumes the stream from the event offset, after the target's back-off.
+// resumeAt resumes the stream from the event offset. It waits for the end of the target's back-off
+// and returns target.ErrClosed if that wait fails; see awaitAdmission.
 func (x *exchange) resumeAt(ctx context.Context, e engineBackend, offset int64) (*target.Response, error) {
 	for {
 		if !x.awaitAdmission(ctx) {
--- a/host/digest.go
+++ b/host/digest.go
@@ -84,7 +84,8 @@
 	for _, p := range d.Pools {
 		if runner, ok := (*h.pools.Load())[p.Pool]; ok {
 			runner.decide(func(now time.Time) []pool.Action {
-				actions, _ := runner.scheduler.ApplyPeerDigest(from, p.Body, now) // a malformed digest changes nothing
+				// A malformed digest changes nothing.
+				actions, _ := runner.scheduler.ApplyPeerDigest(from, p.Body, now)
 				return actions
 			})
 		}
--- a/proof/soak/closed.go
+++ b/proof/soak/closed.go
@@ -121,8 +121,9 @@
 	return found
 }
 
-// checkBackOffsAt checks that a server that has asked a host for a back-off receives next to
-// nothing from it until the end, unless the host or the link to the server was disturbed.
+// checkBackOffsAt checks that a server that has asked a host for a back-off receives at most
+// maxBackOffRequests from it after backOffReaction and before the end of the back-off, unless the
+// host or the link to the server was disturbed.
 func checkBackOffsAt(s *server, arrivals []slotengine.Arrival, byID map[string]*exchange) []Violation {
 	var found []Violation
 	for h, list := range arrivalsByHost(arrivals, byID) {
--- a/sched/drain/drain.go
+++ b/sched/drain/drain.go
@@ -30,10 +30,10 @@
 	Incarnation Incarnation
 	Source      Source
 	Leaving     bool
-	// At is when the target said so. Of a response it is when the request was sent unless
-	// Leaving is set, and when the response was read otherwise: a response that was under way
-	// while another one stated the leaving must not withdraw it. Of a list entry it is when
-	// this host read the entry, of a peer's report when the peer learned it.
+	// At is when the target said so. For a response with Leaving, it is when the response was
+	// read. For one without, it is when the request was sent, because a response that was under
+	// way while another one stated the leaving must not withdraw it. For a list entry, it is
+	// when this host read the entry; for a peer's report, when the peer learned it.
 	At time.Time
 	// Revision orders the list entries of a target. Other sources leave it 0.
 	Revision int64
@@ -75,7 +75,7 @@
 
 // acceptListEntry reports whether a list entry says anything newer than the list did before.
 // Entries lag behind: one that does not list the target as leaving may be older than a
-// response that did. Only an entry that follows one with the leaving withdraws it.
+// response that states the leaving. Only an entry that follows one with Leaving withdraws it.
 func (s *State) acceptListEntry(r Report) bool {
 	if r.Revision < s.listRevision || r.Revision == s.listRevision && r.Leaving == s.listLeaving {
 		return false
@@ -85,9 +85,9 @@
 	return r.Leaving || withdrawn
 }
 
-// BackOff records that the incarnation wants nothing from this host for d after now. spread, 0
-// to 1, places this host in the time after the end within which hosts return. It returns the
-// end and reports whether that is later than before.
+// BackOff records that the incarnation wants nothing from this host for d after now. It extends d
+// by spread, 0 to 1, times a return interval, so that hosts don't return at the same time. It
+// returns the end of the back-off and reports whether that is later than before.
 func (s *State) BackOff(i Incarnation, d time.Duration, spread float64, now time.Time) (until time.Time, extended bool) {
 	if d <= 0 || !s.adopt(i, FromResponse) {
 		return s.backOffUntil, false
@@ -101,9 +101,9 @@
 }
 
 const (
-	// maxReturnSpread bounds the time after the end of a back-off within which hosts return.
-	maxReturnSpread = 200 * time.Millisecond
-	// returnSpreadDivisor is the part of a back-off that is used for it.
+	// The return interval after a back-off is the back-off divided by returnSpreadDivisor, at
+	// most maxReturnSpread.
+	maxReturnSpread     = 200 * time.Millisecond
 	returnSpreadDivisor = 8
 )
 
@@ -127,8 +127,8 @@
 	return i.ID == other.ID && (i.StartedUnixMs == other.StartedUnixMs || i.StartedUnixMs == 0 || other.StartedUnixMs == 0)
 }
 
-// replaces reports whether i is the later one of two incarnations at an address. Where start
-// times do not tell, only the list does.
+// replaces reports whether i is the later one of two incarnations at an address. If a start
+// time is unknown or both are equal, only the list can introduce a new incarnation.
 func (i Incarnation) replaces(old Incarnation, src Source) bool {
 	if i.StartedUnixMs != 0 && old.StartedUnixMs != 0 && i.StartedUnixMs != old.StartedUnixMs {
 		return i.StartedUnixMs > old.StartedUnixMs
@@ -149,7 +149,8 @@
 // String returns the name used in logs and metric labels.
 func (c Closure) String() string { return [...]string{"open", "leaving", "backed-off"}[c] }
 
-// Closure returns why the target gets no work at a time. Leaving precedes BackedOff.
+// Closure returns why the target gets no work at a time, Open if it may get work. Leaving takes
+// precedence over BackedOff.
 func (s *State) Closure(now time.Time) Closure {
 	switch {
 	case s.leaving:
--- a/sched/pool/closure.go
+++ b/sched/pool/closure.go
@@ -50,9 +50,10 @@
 type ClosedTarget struct {
 	Name    string
 	Closure drain.Closure
-	// Source and Since are those of the report by which the target is leaving.
+	// Source is where this host learned of the closure.
 	Source drain.Source
-	Since  time.Time
+	// Since is when the target stated that it is leaving, zero for one in a back-off.
+	Since time.Time
 	// Until is the end of the back-off, zero for a leaving target.
 	Until time.Time
 }
@@ -147,10 +148,9 @@
 }
 
 const (
-	// maxReturnSpread bounds the random time that is added to a Retry-After, so that refused
-	// callers don't return at the same time.
-	maxReturnSpread = time.Second
-	// returnSpreadDivisor is the part of the wait that is used for it.
+	// The random time that is added to a Retry-After is at most maxReturnSpread, and at most the
+	// wait divided by returnSpreadDivisor. It keeps refused callers from returning together.
+	maxReturnSpread     = time.Second
 	returnSpreadDivisor = 4
 )
 
--- a/sched/quarantine/admit.go
+++ b/sched/quarantine/admit.go
@@ -22,10 +22,10 @@
 	Blocked
 )
 
-// Check states whether a request with these parts may be sent, and the quarantined part on which
-// that depends. A part whose crashes another quarantined part explains blocks only requests that have both,
-// because sound requests may share it. If a trial is due and it is this host's turn, the request
-// is the trial.
+// Check states whether a request with these parts may be sent. Unless the verdict is Allowed, it
+// also returns the first quarantined part that affects the request. A part whose crashes another
+// quarantined part explains blocks only requests that have both, because sound requests may share
+// it. If a trial is due and it is this host's turn, the request is the trial.
 func (t *Table) Check(parts []Part, fleet Fleet, now time.Time) (Part, Verdict) {
 	var blocked []*record
 	var first Part
@@ -53,9 +53,9 @@
 	return first, Trial
 }
 
-// explained reports whether the crashes of a part would not suffice for a quarantine without those
-// that quarantined parts which the request does not have explain as well. Only parts with at least
-// as many crashes explain others.
+// explained reports whether the crashes of a part don't suffice for a quarantine once those at
+// targets that other quarantined parts crashed as well are left out. Only parts that the request
+// does not have, with at least as many crashes, count.
 func (t *Table) explained(p Part, r *record, parts []Part) bool {
 	rest := maps.Clone(r.crashes)
 	for other, o := range t.records {
--- a/sched/quarantine/quarantine.go
+++ b/sched/quarantine/quarantine.go
@@ -1,8 +1,9 @@
 // Package quarantine finds the parts of prompts that crash targets. Each crash is attributed to
-// the parts of the requests that waited for the beginning of their response at the target. A part
-// with a chain of crashes and no response in between is quarantined: requests with it are not
-// sent any more, except for rare trials. Hosts exchange their evidence as Reports, which may
-// be lost, repeated and reordered. The package does no I/O and reads no clock.
+// the parts of the requests whose response had not begun at the target. A part with a chain of
+// crashes and no response in between is quarantined: requests with it are not sent any more,
+// except for rare trials, which show whether it still crashes targets. Hosts exchange their
+// evidence as Reports, which may be lost, repeated and reordered. The package does no I/O and
+// reads no clock.
 package quarantine
 
 import (
@@ -21,12 +22,12 @@
 	minSuspicion = 2
 	// minChain is the number of crashes in a row, each by a request that was sent after the
 	// crash before it, for which a part is quarantined. Crashes at the same time, as in the
-	// loss of a zone, count once.
+	// loss of an availability zone, count once.
 	minChain = 3
-	// minCrashes is the number of crashes for which minConcurrentChain is sufficient.
+	// A chain of minConcurrentChain suffices for a part with at least minCrashes crashes.
 	minCrashes         = 5
 	minConcurrentChain = 2
-	// servedWindow is how long a response that began shows that the service is up.
+	// servedWindow is how long a service counts as up after one of its responses began.
 	servedWindow = 2 * time.Second
 	// evidenceTTL is how long a crash counts for a part that is not quarantined.
 	evidenceTTL = 10 * time.Minute
@@ -34,7 +35,8 @@
 	// maxTrialInterval, so that a part is forgotten only when trials have ended as well.
 	quarantineTTL = 6 * time.Hour
 	// The first trial of a quarantined part takes place minTrialInterval after its last crash.
-	// Each crash in a trial multiplies the interval.
+	// Each crash in a trial multiplies the interval by trialIntervalFactor, up to
+	// maxTrialInterval.
 	minTrialInterval    = time.Minute
 	maxTrialInterval    = time.Hour
 	trialIntervalFactor = 4
@@ -79,7 +81,7 @@
 type record struct {
 	crashes map[uint32]span // since the last success, by the hash of the target's key
 	success time.Time       // of the newest known response, zero if there is none
-	// ownSuccess is the newest one at this host.
+	// ownSuccess is the time of the newest response at this host.
 	ownSuccess  time.Time
 	quarantined time.Time // zero unless the part is quarantined
 	trial       time.Time // start of this host's last trial
@@ -139,8 +141,8 @@
 	return out
 }
 
-// RecordSuccess records that a response to a request with these parts got beyond its beginning.
-// It reports whether there was evidence against one of them, which peers may have too.
+// RecordSuccess records that a response to a request with these parts has begun. It reports
+// whether there was evidence against one of them, which peers may have too.
 func (t *Table) RecordSuccess(parts []Part, now time.Time) (cleared bool) {
 	for _, p := range parts {
 		t.rememberSuccess(p, now)
@@ -190,16 +192,16 @@
 	}
 }
 
-// RecordServed records that a response of the service got beyond its beginning, whatever its parts.
+// RecordServed records that a response of the service has begun, whatever its parts.
 func (t *Table) RecordServed(service string, now time.Time) {
 	times := t.services[service]
 	times.served = now
 	t.services[service] = times
 }
 
-// outage reports whether the service is down as a whole as far as this host knows: no response has
-// begun since its last crash, nor recently. Parts of prompts are then not to blame for crashes. It
-// records the crash at now.
+// outage records a crash at now and reports whether the service is down as a whole as far as this
+// host knows: no response has begun since the crash before, nor within servedWindow. Crashes are
+// then not attributed to parts of prompts.
 func (t *Table) outage(service string, now time.Time) bool {
 	times := t.services[service]
 	previous := times.crashed
@@ -211,8 +213,8 @@
 	return !times.served.After(previous) && now.Sub(times.served) > servedWindow
 }
 
-// RecordCrash records that a target crashed at now while a request with these parts, sent at
-// sent, waited for the beginning of its response there.
+// RecordCrash records that a target crashed at now, before it had begun the response to a request
+// with these parts that was sent at the given time.
 func (t *Table) RecordCrash(parts []Part, target uint32, sent, now time.Time) {
 	t.expire(now)
 	if len(parts) == 0 || t.outage(parts[0].Service, now) {
@@ -224,14 +226,14 @@
 }
 
 // addCrash adds a crash to the record of a part. The earliest times of several reports of one
-// crash are kept: reports arrive late, never early.
+// crash are kept, since a report can be delayed but never early.
 func (t *Table) addCrash(p Part, target uint32, s span, peer bool, now time.Time) {
 	r := t.recordOf(p, s.crashed)
 	if r == nil || now.Sub(s.crashed) >= quarantineTTL {
 		return
 	}
 	if !s.crashed.After(r.success) {
-		r.cleared = now // the peer has not heard of the success
+		r.cleared = now // lets Reports repeat this host's own success, which the peer may lack
 		return
 	}
 	old, known := r.crashes[target]
--- a/sched/quarantine/report.go
+++ b/sched/quarantine/report.go
@@ -14,7 +14,7 @@
 	maxReports         = 8
 	maxReportedCrashes = 12
 	maxReportedTotal   = 32
-	// clearanceTTL is how long a success after crashes is reported.
+	// clearanceTTL is how long a success that cleared crashes is reported.
 	clearanceTTL = 30 * time.Second
 	// maxIDBytes bounds the id of a part.
 	maxIDBytes = 64
@@ -113,16 +113,17 @@
 // Validate returns an error for reports that no host sends.
 func Validate(reports []Report) error {
 	if len(reports) > maxReports {
-		return fmt.Errorf("%d reports of prompt parts", len(reports))
+		return fmt.Errorf("%d reports of prompt parts, at most %d are allowed", len(reports), maxReports)
 	}
 	for i := range reports {
 		r := &reports[i]
 		if r.ID == "" || len(r.ID) > maxIDBytes || len(r.Service) > maxServiceBytes || r.SuccessAgeMs > maxAgeMs || len(r.Crashes) > maxReportedCrashes {
-			return fmt.Errorf("report of prompt part %q with %d crashes", r.ID, len(r.Crashes))
+			return fmt.Errorf("invalid report of prompt part %.*q: id of %d bytes, service name of %d bytes, success %d ms ago, %d crashes",
+				maxIDBytes, r.ID, len(r.ID), len(r.Service), r.SuccessAgeMs, len(r.Crashes))
 		}
 		for _, c := range r.Crashes {
 			if c.CrashedAgeMs < 0 || c.SentAgeMs < c.CrashedAgeMs || c.SentAgeMs > maxAgeMs {
-				return fmt.Errorf("prompt part %q: crash %d ms ago, request sent %d ms ago", r.ID, c.CrashedAgeMs, c.SentAgeMs)
+				return fmt.Errorf("invalid report of prompt part %q: crash %d ms ago, request sent %d ms ago", r.ID, c.CrashedAgeMs, c.SentAgeMs)
 			}
 		}
 	}
--- a/sched/reserve/closed.go
+++ b/sched/reserve/closed.go
@@ -48,8 +48,8 @@
 }
 
 // RecordBackOff records that a target wants nothing from this host for d, and returns the
-// change if the target was open before. When the back-off ends, requests return one at a time
-// until one of them is accepted.
+// change if the target was open before. After the back-off, requests are sent one at a time until
+// one of them is accepted.
 func (p *Pool) RecordBackOff(name string, d time.Duration, now time.Time) (ClosureChange, bool) {
 	s := p.drainState(name)
 	if s == nil {
@@ -66,7 +66,7 @@
 	return ClosureChange{Target: name, Closure: drain.BackedOff, Source: drain.FromResponse, At: now, Until: until}, before == drain.Open
 }
 
-// Closure returns why a target must get nothing from this host.
+// Closure returns why a target must get nothing from this host; drain.Open if it may get requests.
 func (p *Pool) Closure(name string, now time.Time) drain.Closure {
 	if s := p.drainState(name); s != nil {
 		return s.Closure(now)
@@ -82,7 +82,7 @@
 	return p.departed[name]
 }
 
-// observeList merges what the list says about a target.
+// observeList merges what the list says about a target, and returns the change if there is one.
 func (t *target) observeList() (ClosureChange, bool) {
 	changed := t.drain.Observe(drain.Report{Incarnation: incarnation(t.Name), Source: drain.FromList, Leaving: t.Draining, At: t.ListedAt})
 	return ClosureChange{Target: t.Name, Closure: t.drain.Closure(t.ListedAt), Source: drain.FromList, At: t.ListedAt, Until: t.drain.BackOffUntil()}, changed
@@ -115,8 +115,8 @@
 	return *s
 }
 
-// LeavingSince returns the targets of which this host has read in a response, at or after the
-// given time, that they are leaving.
+// LeavingSince returns the targets whose responses to this host have stated, at or after the given
+// time, that they are leaving.
 func (p *Pool) LeavingSince(since time.Time) []Leaving {
 	var out []Leaving
 	for _, t := range p.order {
--- a/standin/internal/web/availability.go
+++ b/standin/internal/web/availability.go
@@ -26,8 +26,8 @@
 	Unstated bool `json:"unstated,omitempty"`
 }
 
-// Availability is what a server states in its responses about its leaving and about requests
-// that it wants later. Its methods are safe for concurrent use.
+// Availability is what a server states in its responses about its leaving and about back-offs
+// that it asks for. Its methods are safe for concurrent use.
 type Availability struct {
 	startedUnixMs int64
 
@@ -37,7 +37,7 @@
 	until    time.Time
 	rejected int
 	late     int
-	firstAt  time.Time
+	firstAt  time.Time // of the first rejection of the current push-back
 }
 
 // NewAvailability returns the availability of a server that starts now.
@@ -63,7 +63,7 @@
 const pushBackReaction = 500 * time.Millisecond
 
 // Rejected returns how many requests were turned away so far, and how many of them more than
-// half a second after the first one of their push-back.
+// pushBackReaction after the first one of their push-back.
 func (a *Availability) Rejected() (all, late int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/target/client.go
+++ b/target/client.go
@@ -142,8 +142,8 @@
 
 // verifyResponseID compares the request id in the response header with that of the
 // request. A successful response of an engine must have one, except for an event
-// stream, whose events are verified one by one. On a connection that is in use again each
-// response must have one, because the target may write an earlier response once more.
+// stream, whose events are verified one by one. On a reused connection each other response
+// must have one, because the target may send a second copy of an earlier response.
 func (x *exchange) verifyResponseID(resp *Response, req *Request) error {
 	if req.ID == "" {
 		return nil
--- a/target/notice.go
+++ b/target/notice.go
@@ -50,7 +50,7 @@
 
 func isSet(value []byte) bool { return string(value) == "1" }
 
-// admit returns ErrClosed if the request must not be sent now.
+// admit returns ErrClosed if Config.Admit does not allow the request now.
 func (c *client) admit(req *Request) error {
 	if c.cfg.Admit == nil || c.cfg.Admit(!req.control) {
 		return nil
@@ -58,7 +58,7 @@
 	return ErrClosed
 }
 
-// report passes the notice of a response on.
+// report passes the notice of the response to Config.OnNotice.
 func (x *exchange) report() {
 	if f := x.client.cfg.OnNotice; f != nil {
 		f(x.notice())
