--- a/sched/quarantine/admit.go
+++ b/sched/quarantine/admit.go
@@ -67,7 +67,7 @@
 			return shared
 		})
 	}
-	return !convicts(rest)
+	return !sufficient(rest)
 }
 
 // trialDue reports whether this host may send one request with the part.
--- a/sched/quarantine/quarantine.go
+++ b/sched/quarantine/quarantine.go
@@ -182,11 +182,11 @@
 
 // update sets the state of a part according to its evidence.
 func (t *Table) update(p Part, r *record, peer bool, now time.Time) {
-	switch quarantined, convicted := !r.quarantined.IsZero(), convicts(r.crashes); {
-	case convicted && !quarantined:
+	switch quarantined, evident := !r.quarantined.IsZero(), sufficient(r.crashes); {
+	case evident && !quarantined:
 		r.quarantined = now
 		t.note(p, r, Quarantined, now.Sub(r.firstCrash()), peer)
-	case quarantined && !convicted:
+	case quarantined && !evident:
 		t.note(p, r, Released, now.Sub(r.quarantined), peer)
 		r.quarantined = time.Time{}
 	}
@@ -289,8 +289,8 @@
 	return t.olderSuccesses[p]
 }
 
-// convicts reports whether the crashes suffice for a quarantine.
-func convicts(crashes map[uint32]span) bool {
+// sufficient reports whether the crashes suffice for a quarantine.
+func sufficient(crashes map[uint32]span) bool {
 	n := chain(crashes)
 	return n >= minChain || n >= minConcurrentChain && len(crashes) >= minCrashes
 }
--- a/sched/quarantine/quarantine_test.go
+++ b/sched/quarantine/quarantine_test.go
@@ -336,7 +336,7 @@
 
 // Guards against a part that is never suspected because the parts of one request that was at a
 // crashed target, chosen by its caller, have filled the table.
-func TestFullTableStillConvicts(t *testing.T) {
+func TestFullTableStillQuarantines(t *testing.T) {
 	table := newTable()
 	for i := range 1500 {
 		table.RecordCrash(parts(fmt.Sprint("junk", i)), uint32(10_000+i), at(0), at(10))
