Don't let tests of silent targets depend on when a target is listed

The silent target now goes on when the reservation is asked for, and the reservation is granted only after the caller has its response. TestSilentStreamMovesOnceAnotherTargetIsReady lists both targets from the start.

--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -83,14 +83,12 @@
 	fx := newFixture(t)
 	silent := &pausingTarget{pause: endlessPause}
 	fx.addRawEngine(engineName, "i-silent", silent.reserve, silent.respond)
-	fx.startHost()
-	c := fx.dial()
-	fx.send(c, "POST", pathStream, "prompt")
-	fx.eventually("the stream runs", func() bool { return silent.runs.Load() == 1 })
-
 	var refused atomic.Int32
 	var cutBefore atomic.Bool
 	fx.addRawEngine(engineName, "i-next", func() bool {
+		if silent.runs.Load() == 0 {
+			return false // the stream starts at the other target
+		}
 		cutBefore.Store(silent.cut.Load())
 		return refused.Add(1) > 3
 	}, func(c net.Conn, r *http.Request) bool {
@@ -100,7 +98,8 @@
 		}
 		return false
 	})
-	resp := fx.read(c)
+	fx.startHost()
+	resp := fx.call("POST", pathStream, "prompt")
 	if resp.err != nil || resp.body != streamEvents(1, 5) {
 		t.Errorf("response %+v", resp)
 	}
@@ -114,16 +113,25 @@
 // when the silent target goes on.
 func TestUnusedReplacementIsReturned(t *testing.T) {
 	fx := newFixture(t)
-	silent := &pausingTarget{pause: 600 * time.Millisecond}
-	fx.addRawEngine(engineName, "i-silent", silent.reserve, silent.respond)
+	var silentRuns, asked, runs atomic.Int32
+	reservationAsked, answered := make(chan struct{}), make(chan struct{})
+	fx.addRawEngine(engineName, "i-silent", func() bool { return silentRuns.Load() == 0 }, func(c net.Conn, r *http.Request) bool {
+		silentRuns.Add(1)
+		writeHead(c, r, "Content-Type: text/event-stream", "Connection: close")
+		fmt.Fprint(c, streamEvents(1, 2))
+		<-reservationAsked
+		fmt.Fprint(c, streamEvents(3, 5))
+		return false
+	})
 	fx.startHost()
 	c := fx.dial()
 	fx.send(c, "POST", pathStream, "prompt")
-	fx.eventually("the stream runs", func() bool { return silent.runs.Load() == 1 })
-	var slowGrants, runs atomic.Int32
+	fx.eventually("the stream runs", func() bool { return silentRuns.Load() == 1 })
 	fx.addRawEngine(engineName, "i-slow", func() bool {
-		slowGrants.Add(1)
-		time.Sleep(150 * time.Millisecond) // until the silent target has gone on
+		if asked.Add(1) == 1 {
+			close(reservationAsked)
+			<-answered
+		}
 		return true
 	}, func(c net.Conn, r *http.Request) bool {
 		runs.Add(1)
@@ -131,11 +139,13 @@
 		fmt.Fprint(c, streamEvents(1, 5))
 		return false
 	})
-	if resp := fx.read(c); resp.err != nil || resp.body != streamEvents(1, 5) {
+	resp := fx.read(c)
+	close(answered)
+	if resp.err != nil || resp.body != streamEvents(1, 5) {
 		t.Errorf("response %+v", resp)
 	}
-	if slowGrants.Load() == 0 || runs.Load() != 0 {
-		t.Errorf("%d reservations asked for, %d runs at the other target", slowGrants.Load(), runs.Load())
+	if asked.Load() == 0 || runs.Load() != 0 {
+		t.Errorf("%d reservations asked for, %d runs at the other target", asked.Load(), runs.Load())
 	}
 	for range 4 { // more than the target's slots
 		if resp := fx.call("POST", pathStream, "prompt"); resp.err != nil || resp.status != http.StatusOK {
