--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,8 +6,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -52,7 +54,12 @@
 	fmt.Fprintf(r.file, "%8.3f s  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// seconds returns a time as seconds since the start of the case.
+func (r *recorder) seconds(t time.Time) float64 { return t.Sub(r.start).Seconds() }
+
 var cases = map[string]func(work string, log *recorder, trouble bool) bool{
+	"gone":  lostServers,
+	"old":   lostOldServers,
 	"split": splitOutcome,
 	"herd":  lostEvidence,
 }
@@ -69,6 +76,12 @@
 	}
 	f, err := os.Create(filepath.Join(dir, "record.txt"))
 	check(err)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		fail("stopped by a signal")
+	}()
 	log := &recorder{file: f, start: time.Now()}
 	trouble := os.Getenv("TROUBLE") != "0"
 	log.logf("case %s, trouble %t, logs in %s", os.Args[1], trouble, work)
--- a/review/standin/split.go
+++ b/review/standin/split.go
@@ -31,24 +31,28 @@
 
 	// The last disturbance is over a second and a half after the time limit.
 	settled := ordered.Add(rolloutSeconds*time.Second + greyTime)
-	recovered := settled.Add(recoverTime)
-	time.Sleep(time.Until(recovered.Add(observedTime)))
-	end := w.finish()
+	return w.judgeRecovery(ordered, settled, settled.Add(recoverTime), observedTime)
+}
 
+// judgeRecovery ends the load some time after recovered and reports whether less than a quarter of
+// the requests sent from recovered on was served, though a quarter or more was before the order.
+func (w *world) judgeRecovery(ordered, settled, recovered time.Time, watched time.Duration) (broken bool) {
+	time.Sleep(time.Until(recovered.Add(watched)))
+	end := w.finish()
 	c := w.clients
 	for _, kind := range []string{"status", "stock"} {
 		n, served := c.share(kind, w.begun, ordered)
-		log.logf("%s: of %d requests before the order, %.3f served, by status %v", kind, n, served, c.statuses(kind, w.begun, ordered))
+		w.log.logf("%s: of %d requests before the order, %.3f served, by status %v", kind, n, served, c.statuses(kind, w.begun, ordered))
 		n, served = c.share(kind, ordered, settled)
-		log.logf("%s: of %d requests from the order on, %.3f served, by status %v", kind, n, served, c.statuses(kind, ordered, settled))
+		w.log.logf("%s: of %d requests from the order on, %.3f served, by status %v", kind, n, served, c.statuses(kind, ordered, settled))
 		n, served = c.share(kind, recovered, end)
-		log.logf("%s: of %d requests later than recoverS after the last disturbance, %.3f served, by status %v", kind, n, served, c.statuses(kind, recovered, end))
+		w.log.logf("%s: of %d requests later than recoverS after the last disturbance, %.3f served, by status %v", kind, n, served, c.statuses(kind, recovered, end))
 	}
 	before, servedBefore := c.share("", w.begun, ordered)
 	after, servedAfter := c.share("", recovered, end)
-	log.logf("all: of %d requests before, %.3f served; of %d afterwards, %.3f", before, servedBefore, after, servedAfter)
+	w.log.logf("all: of %d requests before, %.3f served; of %d afterwards, %.3f", before, servedBefore, after, servedAfter)
 	it, _ := w.store.get(statusKey)
-	log.logf("status in the store at the end: %s", it.Value)
+	w.log.logf("status in the store at the end: %s", it.Value)
 	if servedBefore < recoverFraction {
 		fail("too few requests were served before the disturbance")
 	}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -12,11 +12,17 @@
 // statusKey is the key of the status of the rollout.
 const statusKey = "status/rollout/desk"
 
+const (
+	oldSlots = 6
+	workTime = 15 * time.Millisecond
+)
+
 // world is a small deployment: three entry hosts, the platform's store, the service desk with three
 // servers of version v1, and the service shop with two.
 type world struct {
 	store      *store
 	hosts      []*host
+	servers    []*server // all
 	oldServers []*server
 	newServers []*server
 	clients    *clients
@@ -36,7 +42,15 @@
 
 // newWorld starts the deployment and the load, the given requests a second for each host.
 func newWorld(work string, log *recorder, desk, shop float64) *world {
-	w := &world{store: newStore(log), clients: &clients{}, log: log}
+	return newWorldWith(work, log, desk, shop, []*server{
+		startServer("i-1", "desk", "v1", "a", oldSlots, workTime), startServer("i-2", "desk", "v1", "b", oldSlots, workTime),
+		startServer("i-3", "desk", "v1", "a", oldSlots, workTime),
+	})
+}
+
+// newWorldWith is newWorld with other servers of desk.
+func newWorldWith(work string, log *recorder, desk, shop float64, old []*server) *world {
+	w := &world{oldServers: old, store: newStore(log), clients: &clients{}, log: log}
 	net := os.Getpid() % 200
 	ips := []string{fmt.Sprintf("127.0.%d.21", net), fmt.Sprintf("127.0.%d.22", net), fmt.Sprintf("127.0.%d.23", net)}
 	p := freePorts(ips)
@@ -53,9 +67,12 @@
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants":  []any{map[string]any{"name": "jernbane", "apiKeys": []string{"key-1"}}},
 	})
-	w.oldServers = []*server{w.add("i-1", "desk", "v1", "a"), w.add("i-2", "desk", "v1", "b"), w.add("i-3", "desk", "v1", "a")}
-	w.add("i-7", "shop", "v1", "a")
-	w.add("i-8", "shop", "v1", "b")
+	for _, s := range old {
+		w.servers = append(w.servers, s)
+		w.store.put("servers/"+s.id, s.entry("ready"))
+	}
+	w.add("i-7", "shop", "v1", "a", oldSlots)
+	w.add("i-8", "shop", "v1", "b", oldSlots)
 	w.store.onWrite = w.handleStatus
 	for _, h := range w.hosts {
 		h.start()
@@ -76,15 +93,16 @@
 }
 
 // add starts a server and lists it.
-func (w *world) add(id, service, version, zone string) *server {
-	s := startServer(id, service, version, zone, 6, 15*time.Millisecond)
+func (w *world) add(id, service, version, zone string, slots int) *server {
+	s := startServer(id, service, version, zone, slots, workTime)
+	w.servers = append(w.servers, s)
 	w.store.put("servers/"+id, s.entry("ready"))
 	return s
 }
 
 // startNew starts servers of version v2 of desk beside the old ones.
 func (w *world) startNew() {
-	w.newServers = []*server{w.add("i-4", "desk", "v2", "a"), w.add("i-5", "desk", "v2", "b"), w.add("i-6", "desk", "v2", "a")}
+	w.newServers = []*server{w.add("i-4", "desk", "v2", "a", oldSlots), w.add("i-5", "desk", "v2", "b", oldSlots), w.add("i-6", "desk", "v2", "a", oldSlots)}
 }
 
 // order orders that desk be moved to v2.
@@ -135,9 +153,22 @@
 	}
 }
 
-// finish ends the load and waits for all answers.
+// finish ends the load, waits for all answers and records each request with its answer and its runs.
 func (w *world) finish() time.Time {
 	w.stopLoad()
 	w.clients.wg.Wait()
-	return time.Now()
+	end := time.Now()
+	ran := map[string]string{}
+	for _, s := range w.servers {
+		s.mu.Lock()
+		for _, r := range s.runs {
+			ran[r.id] += fmt.Sprintf(", run by %s (%s) at %.3f s with %d", s.id, s.version, w.log.seconds(r.at), r.status)
+		}
+		s.mu.Unlock()
+	}
+	for _, a := range w.clients.answers {
+		w.log.logf("request %s %s to %s: sent at %.3f s, answered %d at %.3f s%s",
+			a.id, a.kind, a.host, w.log.seconds(a.sent), a.status, w.log.seconds(a.answered), ran[a.id])
+	}
+	return end
 }
