Roll back a rollout of which too little is known at its end

What callers saw: all hosts are killed 0.6 s after a new version turned bad and are back shortly before the end of the rollout.

Cause: a rollout that is still running when its time is up was completed, whatever the amount of evidence. A restarted host has observed nothing and found no fault.

Change: a host knows since when it observes a rollout. If that is less than a third of the time since the order, and it knows of fewer than 16 requests of either version, the rollout is unproven: the versions share the requests evenly towards the end, and the rollout is rolled back 0.15 s before its end. The rollback is proposed to the store only, so a host that knows more decides. The reason of an outcome states what was observed.

TestElapsedTimeSurvivesARestart asked for the share 1 at a host that has observed nothing of an order near its end. That was the fault; it now asks for the share 0 and a rollback, which also differ from those of an order that has just started. The simulated store keeps the first final state, as the real one does.

--- a/gateway/rollout/rollout.go
+++ b/gateway/rollout/rollout.go
@@ -65,6 +65,15 @@
 	// rollout that is still running: the leader may be stopped, or cut off from the store, and
 	// counts as alive for longer than decisionLead.
 	fallbackLead = 300 * time.Millisecond
+	// unprovenLead is the time before the end of the duration at which every host rolls back a
+	// rollout that is still running and unproven. Hosts that have seen more complete it before.
+	unprovenLead = 150 * time.Millisecond
+	// comparisonShare is the share of the new version at the end of an unproven rollout, so that
+	// both versions are observed.
+	comparisonShare = 0.5
+	// minObservedFraction is the part of the time since the start of an order that a host must
+	// have observed to tell a version without faults from one that it knows nothing about.
+	minObservedFraction = 1.0 / 3
 	// evaluatedDuration is the duration of a rollout for which the windows and lookbacks of
 	// moves/analysis are sized. The time of an order is scaled to it.
 	evaluatedDuration = 10 * time.Minute
@@ -78,11 +87,14 @@
 type rolloutState struct {
 	order     Order
 	startedAt time.Time // moved back if a peer got the order earlier
-	state     State
-	reason    string
-	samples   *analysis.Samples
-	speeds    speeds
-	evidence  SpeedEvidence
+	// observedFrom is the time from which this process has observed the rollout. It is later than
+	// startedAt if the process has started since.
+	observedFrom time.Time
+	state        State
+	reason       string
+	samples      *analysis.Samples
+	speeds       speeds
+	evidence     SpeedEvidence
 	// comparedAt is the time of the comparison that returned evidence.
 	comparedAt time.Time
 	groups     map[string]uint8 // by target
@@ -116,8 +128,9 @@
 	if st := t.rollouts[o.Service]; st != nil && st.order.Revision >= o.Revision || o.Duration <= 0 {
 		return
 	}
+	startedAt := now.Add(-elapsed)
 	t.rollouts[o.Service] = &rolloutState{
-		order: o, startedAt: now.Add(-elapsed), samples: analysis.NewSamples(), speeds: speeds{}, groups: map[string]uint8{},
+		order: o, startedAt: startedAt, observedFrom: startedAt, samples: analysis.NewSamples(), speeds: speeds{}, groups: map[string]uint8{},
 	}
 }
 
@@ -184,15 +197,55 @@
 }
 
 func (t *Tracker) share(st *rolloutState, now time.Time) float64 {
+	switch st.state {
+	case RolledBack:
+		return 0
+	case Done:
+		return 1
+	}
+	left := st.order.Duration - now.Sub(st.startedAt)
+	fullTrafficTime := st.fullTrafficTime(t.limits)
+	// A smaller share than 1 may be sent for a longer time, at the same exposure.
+	comparisonTime := time.Duration(float64(fullTrafficTime) / comparisonShare)
+	unproven := left <= comparisonTime && st.unproven(now)
 	switch {
-	case st.state == RolledBack:
+	case unproven && left <= unprovenLead:
 		return 0
-	case st.state == Done || now.Sub(st.startedAt) >= st.order.Duration-st.fullTrafficTime(t.limits):
+	case unproven:
+		return comparisonShare
+	case left <= fullTrafficTime:
 		return 1
 	}
 	return canaryFraction * t.limits.MaxShare
 }
 
+// observedEnough reports whether this process has observed enough of the time since the order to
+// conclude from the absence of faults that there are none. Time after the end does not count.
+func (st *rolloutState) observedEnough(now time.Time) bool {
+	if end := st.startedAt.Add(st.order.Duration); now.After(end) {
+		now = end
+	}
+	return now.Sub(st.observedFrom).Seconds() >= minObservedFraction*now.Sub(st.startedAt).Seconds()
+}
+
+// unproven reports whether too little is known of the new version to complete the rollout: this
+// process has observed only a small part of it, and it holds too few requests to compare both
+// versions, its own and those of peers.
+func (st *rolloutState) unproven(now time.Time) bool {
+	if st.observedEnough(now) {
+		return false
+	}
+	oldVersion, newVersion := st.samples.Requests(st.scaledTime(now))
+	return min(oldVersion, newVersion) < analysis.MinComparedRequests
+}
+
+// observed describes what this process has observed, for the reason of an outcome.
+func (st *rolloutState) observed(now time.Time) string {
+	oldVersion, newVersion := st.samples.Requests(st.scaledTime(now))
+	return fmt.Sprintf("%d requests of the new version and %d of the old one, %s of %s observed", newVersion, oldVersion,
+		now.Sub(st.observedFrom).Round(time.Millisecond), now.Sub(st.startedAt).Round(time.Millisecond))
+}
+
 // fullTrafficTime returns the length of the time at the end of the duration in which all requests
 // go to the new version unless it is rolled back.
 func (st *rolloutState) fullTrafficTime(l Limits) time.Duration {
@@ -253,8 +306,8 @@
 
 // Decide evaluates the observations of all orders and returns the states that the store should
 // hold, at each call. The leader completes good rollouts, and the other hosts do shortly before the
-// end if the leader has not. Every host rolls a bad version back immediately. The targets function
-// returns the number of targets of a service.
+// end if the leader has not. Every host rolls a bad version back immediately, and an unproven one
+// at the end. The targets function returns the number of targets of a service.
 func (t *Tracker) Decide(leader bool, targets func(service string) int, now time.Time) []Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -263,23 +316,41 @@
 		if st.state == Running {
 			t.evaluate(st, targets(service), now)
 		}
-		lead := fallbackLead
-		if leader {
-			lead = decisionLead
-		}
-		due := now.Sub(st.startedAt) >= st.order.Duration-lead
-		switch {
-		case st.state == RolledBack:
-			out = append(out, Decision{st.order, RolledBack, st.reason})
-		case st.state == Running && due:
-			out = append(out, Decision{st.order, Done, "no fault detected"})
-		case st.state == Running && leader:
-			out = append(out, Decision{st.order, Running, ""})
+		if d := st.decide(leader, now); d != nil {
+			out = append(out, *d)
 		}
 	}
 	return out
 }
 
+// decide returns the state that the store should hold, or nil if this host need not write it.
+func (st *rolloutState) decide(leader bool, now time.Time) *Decision {
+	switch st.state {
+	case RolledBack:
+		return &Decision{st.order, RolledBack, st.reason}
+	case Done:
+		return nil
+	}
+	left := st.order.Duration - now.Sub(st.startedAt)
+	// A leader that has observed little leaves the completion to the other hosts, which may have
+	// found a fault.
+	lead := fallbackLead
+	if leader && st.observedEnough(now) {
+		lead = decisionLead
+	}
+	switch {
+	case left <= unprovenLead && st.unproven(now):
+		// The state of this host does not change before the store has accepted the rollback: a
+		// host that knows more may have completed the rollout.
+		return &Decision{st.order, RolledBack, "the version is unproven: " + st.observed(now)}
+	case left <= lead && !st.unproven(now):
+		return &Decision{st.order, Done, "no fault detected: " + st.observed(now)}
+	case leader:
+		return &Decision{st.order, Running, ""}
+	}
+	return nil
+}
+
 func (t *Tracker) evaluate(st *rolloutState, targets int, now time.Time) {
 	at := st.scaledTime(now)
 	if now.Sub(st.comparedAt) >= comparisonInterval {
--- a/gateway/rollout/rollout_test.go
+++ b/gateway/rollout/rollout_test.go
@@ -41,6 +41,7 @@
 	all, exposed, failures int
 	lastExposed            time.Duration // of the newest request at the new version
 	rolledBackAt           time.Duration // on the first host
+	stored                 rollout.State // the first final state, which the store keeps
 	done                   bool
 }
 
@@ -61,8 +62,11 @@
 }
 
 // run simulates the whole duration of the order.
-func (s *sim) run() {
-	for ; s.now.Sub(s.began) < duration; s.now = s.now.Add(step) {
+func (s *sim) run() { s.runUntil(duration) }
+
+// runUntil simulates until the given time after the order.
+func (s *sim) runUntil(end time.Duration) {
+	for ; s.now.Sub(s.began) < end; s.now = s.now.Add(step) {
 		for n := s.requestsPerSecond * step.Seconds(); n > 0; n-- {
 			if n >= 1 || s.rng.Float64() < n {
 				s.request()
@@ -126,11 +130,15 @@
 	for i, tr := range s.trackers {
 		for _, d := range tr.Decide(i == 0, func(string) int { return 2 * targets }, s.now) {
 			switch {
-			case d.State == rollout.RolledBack && s.rolledBackAt == 0:
+			case d.State == rollout.RolledBack && s.rolledBackAt == 0 && s.stored != rollout.Done:
 				s.rolledBackAt = s.now.Sub(s.began)
 			case d.State == rollout.Done && s.rolledBackAt == 0:
 				s.done = true
 			}
+			if s.stored == rollout.Running {
+				s.stored = d.State
+			}
+			tr.SetOutcome(service, order.Revision, s.stored, d.Reason)
 		}
 	}
 }
@@ -242,8 +250,11 @@
 	s := newSim(t, 1)
 	tr := s.trackers[0]
 	tr.RecordElapsed(service, order.Revision, 11900*time.Millisecond, s.now)
-	if got := tr.Split(service, s.now).Share; got != 1 {
-		t.Errorf("share %v near the end of the order", got)
+	if got := tr.Split(service, s.now).Share; got != 0 {
+		t.Errorf("share %v near the end of the order, of which the host has observed nothing", got)
+	}
+	if d := tr.Decide(true, func(string) int { return 2 * targets }, s.now); len(d) != 1 || d[0].State != rollout.RolledBack {
+		t.Errorf("decisions %+v near the end of the order, of which the host has observed nothing", d)
 	}
 	tr.Remove(service, order.Revision+1)
 	if got := tr.Split(service, s.now); got.Version != "" {
--- a/moves/analysis/ratio.go
+++ b/moves/analysis/ratio.go
@@ -33,6 +33,9 @@
 	// minGroupRequests is the number of requests that an old group needs before
 	// it counts for how often targets slow down by themselves.
 	minGroupRequests = 8
+	// MinComparedRequests is the number of requests of the old version from which the versions are
+	// compared.
+	MinComparedRequests = 2 * minGroupRequests
 )
 
 // comparison holds the cells of one route: those of both versions during the
@@ -107,7 +110,7 @@
 			}
 		}
 	}
-	if degrees < 2*minGroupRequests {
+	if degrees < MinComparedRequests {
 		return 0, false
 	}
 	return max(squares/degrees, 0.01), true
@@ -184,7 +187,7 @@
 		faults += float64(c.oldCell(g).faultCount(m))
 		requests += float64(c.oldCell(g).Requests)
 	}
-	if requests < 2*minGroupRequests {
+	if requests < MinComparedRequests {
 		return nil, nil
 	}
 	t := newCountTest(faults, requests)
--- a/moves/analysis/samples.go
+++ b/moves/analysis/samples.go
@@ -289,6 +289,14 @@
 	return sums
 }
 
+// Requests returns the numbers of requests of both versions over the longest lookback that ends
+// now.
+func (s *Samples) Requests(now time.Time) (oldVersion, newVersion uint64) {
+	longest := Lookbacks[len(Lookbacks)-1]
+	newVersion, oldVersion = s.sumsOver(now, longest).allRoutes().requests()
+	return oldVersion, newVersion
+}
+
 // addWindow adds window number n to the sums that it belongs to. first is the
 // number of the first window of the lookback.
 func (s *Samples) addWindow(sums lookbackSums, n, first int64, w Window) {
