Read the state of a rollout again after a failed read

What callers would see: a host that restarts after a rollout has ended, while the store fails for a moment, took the order for a new one. It sent nearly all requests of the service to old targets that had stopped.

Cause: the state and the start time of an order were read once, with a limit of 1 s.

Change: both are read again every 0.2 s until the store has answered or the rollout has ended. A start time that is written late is that of the order's arrival.

TestOutcomeIsReadAgainAfterFailure failed before with the share 0.

--- a/gateway/rollout/rollout.go
+++ b/gateway/rollout/rollout.go
@@ -143,6 +143,14 @@
 	}
 }
 
+// IsRunning reports whether the tracker has the order and no final state of it.
+func (t *Tracker) IsRunning(o Order) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	st := t.rollouts[o.Service]
+	return st != nil && st.order.Revision == o.Revision && st.state == Running
+}
+
 // SetOutcome records the final state of an order that was read from the store or got from a peer.
 func (t *Tracker) SetOutcome(service string, revision int64, s State, reason string) {
 	t.mu.Lock()
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"time"
 
@@ -40,6 +41,10 @@
 	maxConflictRetries = 3
 	// evidenceLogInterval is how often the evidence of running rollouts is logged.
 	evidenceLogInterval = time.Second
+	// recoverTimeout bounds each read of the state or start of a rollout, recoverRetryInterval is
+	// the delay after a failed one.
+	recoverTimeout       = time.Second
+	recoverRetryInterval = 200 * time.Millisecond
 )
 
 // writtenStatus is the last state that this host wrote for an order.
@@ -68,28 +73,63 @@
 }
 
 // recoverRollout reads the state and the start time of an order that may be older than this
-// process.
+// process. It repeats failed reads until the rollout has ended: a host that doesn't know them would
+// start the rollout anew.
 func (g *Gateway) recoverRollout(o rollout.Order) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	l := g.cfg.Rollouts
-	if e, err := g.cfg.Records.Get(ctx, l.StatusPrefix+o.Service); err == nil && e.Revision > o.Revision {
-		if version, s, err := l.DecodeStatus(e.Value); err == nil && version == o.Version {
-			g.rollouts.SetOutcome(o.Service, o.Revision, s, "final state read from the store")
+	receivedAt := time.Now()
+	for g.rollouts.IsRunning(o) && !g.stopping.Load() {
+		err := g.recoverOutcome(o)
+		if err == nil {
+			err = g.recoverStart(o, receivedAt)
 		}
+		if err == nil {
+			return
+		}
+		event.MoveStepRetried.Log(g.cfg.Log, slog.String("service", o.Service), slog.Any("error", err))
+		time.Sleep(recoverRetryInterval)
+	}
+}
+
+// recoverOutcome records the final state that the store holds of an order.
+func (g *Gateway) recoverOutcome(o rollout.Order) error {
+	ctx, cancel := context.WithTimeout(context.Background(), recoverTimeout)
+	defer cancel()
+	e, err := g.cfg.Records.Get(ctx, g.cfg.Rollouts.StatusPrefix+o.Service)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("read the state of the rollout: %w", err)
+	}
+	version, s, err := g.cfg.Rollouts.DecodeStatus(e.Value)
+	if err == nil && e.Revision > o.Revision && version == o.Version {
+		g.rollouts.SetOutcome(o.Service, o.Revision, s, "final state read from the store")
+	}
+	return nil // an unreadable state is replaced when this host writes one
+}
+
+// recoverStart records the time since the start of an order, or stores receivedAt as the start if
+// the store holds none.
+func (g *Gateway) recoverStart(o rollout.Order, receivedAt time.Time) error {
+	ctx, cancel := context.WithTimeout(context.Background(), recoverTimeout)
+	defer cancel()
+	key := g.cfg.Rollouts.StartPrefix + o.Service
+	e, err := g.cfg.Records.Get(ctx, key)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return fmt.Errorf("read the start of the rollout: %w", err)
 	}
-	e, err := g.cfg.Records.Get(ctx, l.StartPrefix+o.Service)
 	now := time.Now()
 	if err == nil && e.Revision > o.Revision {
 		if elapsed, ok := rollout.ParseStart(e.Value, now); ok {
 			g.rollouts.RecordElapsed(o.Service, o.Revision, elapsed, now)
-			return
+			return nil
 		}
 	}
-	if errors.Is(err, platform.ErrNotFound) || err == nil {
-		// Another host may have written it first; either time is accurate enough.
-		_, _ = g.cfg.Records.CompareAndSwap(ctx, l.StartPrefix+o.Service, rollout.FormatStart(now), e.Revision, platform.NoLease)
+	_, err = g.cfg.Records.CompareAndSwap(ctx, key, rollout.FormatStart(receivedAt), e.Revision, platform.NoLease)
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		return fmt.Errorf("write the start of the rollout: %w", err)
 	}
+	return nil // after a conflict, another host has written the start; either time is accurate enough
 }
 
 // runRollouts evaluates the rollouts and writes their states until ctx ends.
--- a/gateway/rollouts_test.go
+++ b/gateway/rollouts_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"sardinefront.dev/gateway/rollout"
@@ -78,3 +79,50 @@
 		t.Errorf("stored %q after %s", store.value, rolloutDecisionInterval)
 	}
 }
+
+// restartedStore holds the outcome of a rollout that has ended. The first reads fail.
+type restartedStore struct {
+	conflictingStore
+	failures int
+}
+
+func (s *restartedStore) Get(_ context.Context, key string) (platform.Entry, error) {
+	if s.failures > 0 {
+		s.failures--
+		return platform.Entry{}, errors.New("connection reset")
+	}
+	return platform.Entry{Key: key, Revision: 9, Value: []byte(rollout.Done.String())}, nil
+}
+
+// Guards against a host that starts a rollout anew, after its restart, because one read of the
+// store has failed: it sends nearly all requests to old targets that have stopped.
+func TestOutcomeIsReadAgainAfterFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &Gateway{cfg: Config{Records: &restartedStore{failures: 3}, Log: slog.New(slog.DiscardHandler), Rollouts: RolloutLayout{
+			DecodeStatus: func([]byte) (string, rollout.State, error) { return "v2", rollout.Done, nil },
+		}}, rollouts: rollout.New("host-1", rollout.Limits{})}
+		o := rollout.Order{Service: "llm", Version: "v2", Duration: time.Minute, Revision: 7}
+		g.rollouts.Start(o, 0, time.Now())
+		g.recoverRollout(o)
+		if share := g.rollouts.Split("llm", time.Now()).Share; share != 1 {
+			t.Errorf("share %v of the version of a completed rollout", share)
+		}
+	})
+}
+
+// Guards against a host without observations that keeps its own rollback although the store holds
+// the outcome of a host that knew more: its requests would avoid the targets that are left.
+func TestUnprovenRollbackYieldsToTheStoredOutcome(t *testing.T) {
+	g := &Gateway{cfg: Config{Records: &restartedStore{}, Log: slog.New(slog.DiscardHandler), Rollouts: RolloutLayout{
+		DecodeStatus: func([]byte) (string, rollout.State, error) { return "v2", rollout.Done, nil },
+	}}, rollouts: rollout.New("host-1", rollout.Limits{})}
+	o, now := rollout.Order{Service: "llm", Version: "v2", Duration: time.Minute, Revision: 7}, time.Now()
+	g.rollouts.Start(o, 0, now)
+	g.rollouts.RecordElapsed("llm", 7, time.Minute, now)
+	for _, d := range g.rollouts.Decide(true, func(string) int { return 1 }, now) {
+		g.recordDecision(t.Context(), map[string]*writtenStatus{}, d, now)
+	}
+	if share := g.rollouts.Split("llm", now).Share; share != 1 {
+		t.Errorf("share %v of the version of a completed rollout", share)
+	}
+}
