Bound the memory of incomplete events of all streams together

What callers would see: faulty targets send an event without an end on many connections at once; the host keeps up to 1 MiB (2 MiB with the buffer's growth) for each, runs out of memory, and the requests of all its callers end with it.

Cause: events were bounded for each stream, their sum was not.

Evidence: TestEndlessEventsShareABoundedMemory (gateway) failed before: the heap grew by 122 MB with 30 targets. The other forms of bytes without end were found bounded: TestEndlessFramingIsBounded (target) passed before too, and the forms of TestEndlessHeadIsBounded on the platform path.

Change: events draw on a shared budget beyond 16 KiB each, on both paths.

Why it works: the sum is bounded, whatever the number of streams.

--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"sardinefront.dev/core/event"
+	"sardinefront.dev/core/membudget"
 	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/core/request"
 	"sardinefront.dev/gateway/directory"
@@ -64,12 +65,15 @@
 
 // Server is the HTTP handler for callers. It is safe for concurrent use.
 type Server struct {
-	cfg      Config
-	stopping atomic.Bool
+	cfg         Config
+	stopping    atomic.Bool
+	eventMemory *membudget.Budget
 }
 
 // New returns a Server.
-func New(cfg Config) *Server { return &Server{cfg: cfg} }
+func New(cfg Config) *Server {
+	return &Server{cfg: cfg, eventMemory: membudget.New(sharedEventBytes, ownEventBytes)}
+}
 
 // StopKeepAlives makes every further response close its connection.
 func (s *Server) StopKeepAlives() { s.stopping.Store(true) }
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"sardinefront.dev/core/membudget"
 	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/gateway/dispatch"
 	"sardinefront.dev/gateway/upstream"
@@ -22,6 +23,10 @@
 const (
 	// maxEventBytes bounds one event of a stream.
 	maxEventBytes = 1 << 20
+	// sharedEventBytes bounds what all streams of the host hold of incomplete events, beyond
+	// ownEventBytes each. A buffer may be twice as large as its content.
+	sharedEventBytes = 8 << 20
+	ownEventBytes    = 16 << 10
 	// eventTimeoutGaps is the time without an event after which another target is sought
 	// for a resumable stream, as a multiple of the route's longest tolerated gap.
 	eventTimeoutGaps = 2
@@ -36,6 +41,7 @@
 
 var (
 	errEventTooLong = fmt.Errorf("stream event exceeds %d bytes", maxEventBytes)
+	errEventMemory  = fmt.Errorf("stream event exceeds %d bytes while other streams use up the memory for larger ones", ownEventBytes)
 	// errNoEvent is the error of a stream without a length or chunks that ended before its
 	// first event. A target that crashes ends it in the same way as one that has no events.
 	errNoEvent = fmt.Errorf("the stream ended before its first event: %w", io.ErrUnexpectedEOF)
@@ -44,7 +50,8 @@
 // forwardStream forwards events as they arrive. Only complete events are written, so that
 // another target can resume the stream after the last one.
 func (x *exchange) forwardStream(ctx context.Context, scheduler *dispatch.Scheduler, watch *silenceWatch, conn *upstream.Conn, resp *upstream.Response, sentAt time.Time) attempt {
-	s := newEventReader(resp.Body)
+	s := newEventReader(resp.Body, x.eventMemory)
+	defer s.releaseEvent()
 	timing := streamTiming{sentAt: sentAt}
 	flusher := http.NewResponseController(x.w)
 	watch.reset(x.eventTimeout(0))
@@ -184,16 +191,31 @@
 
 // eventReader splits a stream into server-sent events.
 type eventReader struct {
-	br  *bufio.Reader
-	buf bytes.Buffer
+	br     *bufio.Reader
+	buf    bytes.Buffer
+	memory *membudget.Budget
+	usage  membudget.Usage
 }
 
-func newEventReader(r io.Reader) *eventReader { return &eventReader{br: bufio.NewReaderSize(r, 2<<10)} }
+// newEventReader returns a reader whose large events draw on the memory budget until
+// releaseEvent.
+func newEventReader(r io.Reader, memory *membudget.Budget) *eventReader {
+	return &eventReader{br: bufio.NewReaderSize(r, 2<<10), memory: memory}
+}
+
+// releaseEvent drops the last event and returns its memory to the budget.
+func (s *eventReader) releaseEvent() {
+	s.buf.Reset()
+	if s.buf.Cap() > 2*ownEventBytes {
+		s.buf = bytes.Buffer{}
+	}
+	s.memory.Resize(&s.usage, 0)
+}
 
 // next returns the next complete event. It returns io.EOF only if the stream ended between
 // events. The raw bytes are valid until the next call.
 func (s *eventReader) next() (streamEvent, error) {
-	s.buf.Reset()
+	s.releaseEvent()
 	event := streamEvent{comment: true}
 	lineBegins := true
 	for {
@@ -202,6 +224,9 @@
 		if s.buf.Len() > maxEventBytes {
 			return streamEvent{}, errEventTooLong
 		}
+		if !s.memory.Resize(&s.usage, s.buf.Len()) {
+			return streamEvent{}, errEventMemory
+		}
 		event.comment = event.comment && (!lineBegins || isComment(line))
 		lineBegins = !errors.Is(err, bufio.ErrBufferFull)
 		if !lineBegins {
--- a/gateway/peers/snapshot.go
+++ b/gateway/peers/snapshot.go
@@ -35,6 +35,8 @@
 	// maxFetchBytes bounds a fetched body. It covers a configuration of at most 1 MiB and the
 	// target list.
 	maxFetchBytes = 4 << 20
+	// maxFetchHeaderBytes bounds the headers of a fetched response.
+	maxFetchHeaderBytes = 16 << 10
 )
 
 // SnapshotSource supplies the state that is served to peers. The version parameter is the
@@ -119,7 +121,7 @@
 }
 
 // fetchClient keeps no connections open: fetches are rare.
-var fetchClient = &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+var fetchClient = &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxFetchHeaderBytes}}
 
 // FetchSnapshot fetches the snapshot of the peer at the address. It contains the configuration
 // only if that is newer than version.
--- a/target/errors.go
+++ b/target/errors.go
@@ -15,6 +15,9 @@
 	ErrBodyTooLarge = errors.New("body too large")
 	// ErrMalformed means that the response violates the protocol.
 	ErrMalformed = errors.New("malformed response")
+	// ErrEventMemory means that an event is incomplete while other streams use up the memory for
+	// large ones.
+	ErrEventMemory = errors.New("no memory left for a large event")
 	// ErrTimeout means that the target did not respond in time.
 	ErrTimeout = errors.New("target did not respond in time")
 )
--- a/target/eventbody.go
+++ b/target/eventbody.go
@@ -21,7 +21,7 @@
 }
 
 func newEventBody(x *exchange, reader *bodyReader, id string, offset int64) *eventBody {
-	return &eventBody{exchange: x, events: eventReader{r: reader}, requestID: id, offset: offset}
+	return &eventBody{exchange: x, events: eventReader{r: reader, memory: x.client.cfg.EventMemory}, requestID: id, offset: offset}
 }
 
 // Next implements Body. The terminal event is returned after the end of the
@@ -38,7 +38,7 @@
 		return b.finishStream(append([]byte(nil), event.Raw...))
 	}
 	if err := b.verifyEventID(event); err != nil {
-		b.exchange.finish(false)
+		b.end(false)
 		b.err = err
 		return nil, err
 	}
@@ -61,16 +61,23 @@
 
 func (b *eventBody) truncate(err error) error {
 	b.err = b.exchange.truncate(b.offset, err)
+	b.events.close()
 	return b.err
 }
 
+// end releases the connection, and the memory for events.
+func (b *eventBody) end(complete bool) {
+	b.exchange.finish(complete)
+	b.events.close()
+}
+
 // finishStream reads to the end of the body and returns the terminal event. Further
 // data after the terminal event is an error. The terminal event also shows that a body
 // without a length or chunks is complete, although its connection cannot be reused.
 func (b *eventBody) finishStream(last []byte) ([]byte, error) {
 	_, err := b.nextData()
 	if errors.Is(err, errUnframedBody) && !b.events.insideEvent() {
-		b.exchange.finish(false)
+		b.end(false)
 		b.err = io.EOF
 		return last, nil
 	}
@@ -80,7 +87,7 @@
 	if err != io.EOF {
 		return nil, b.truncate(err)
 	}
-	b.exchange.finish(true)
+	b.end(true)
 	b.err = io.EOF
 	return last, nil
 }
@@ -106,6 +113,6 @@
 
 // Close implements Body.
 func (b *eventBody) Close() error {
-	b.exchange.finish(false)
+	b.end(false)
 	return nil
 }
--- a/target/events.go
+++ b/target/events.go
@@ -4,10 +4,16 @@
 	"bytes"
 	"fmt"
 	"io"
+
+	"sardinefront.dev/core/membudget"
 )
 
-// maxEventBytes bounds one event, because a whole event is buffered in memory.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds one event, because a whole event is buffered in memory.
+	maxEventBytes = 1 << 20
+	// minEventBufferBytes is the size of the first buffer of a stream.
+	minEventBufferBytes = 4 << 10
+)
 
 // rawEvent is one event of a stream. Raw holds the bytes as they were sent,
 // including the blank line and comments before the event. All slices are valid until
@@ -33,6 +39,8 @@
 	data       []byte
 	event      rawEvent
 	err        error // of r, returned after the buffered events
+	memory     *membudget.Budget
+	usage      membudget.Usage // of memory, for buf
 }
 
 // next returns the next event. At the end of the stream it returns the error of
@@ -113,7 +121,11 @@
 		if e.bufEnd >= maxEventBytes {
 			return fmt.Errorf("%w: event above %d bytes", ErrMalformed, maxEventBytes)
 		}
-		e.buf = append(e.buf, make([]byte, max(4096, len(e.buf)))...)
+		larger := max(minEventBufferBytes, 2*len(e.buf))
+		if !e.memory.Resize(&e.usage, larger) {
+			return fmt.Errorf("%w: %d bytes", ErrEventMemory, larger)
+		}
+		e.buf = append(make([]byte, 0, larger), e.buf...)[:larger]
 	}
 	n, err := e.r.Read(e.buf[e.bufEnd:])
 	e.bufEnd += n
@@ -121,6 +133,12 @@
 	return nil
 }
 
+// close drops the buffered bytes and returns their memory to the budget.
+func (e *eventReader) close() {
+	e.buf, e.eventStart, e.lineStart, e.bufEnd = nil, 0, 0, 0
+	e.memory.Resize(&e.usage, 0)
+}
+
 // insideEvent reports whether a part of an event has been read.
 func (e *eventReader) insideEvent() bool { return e.bufEnd > e.eventStart }
 
--- a/target/target.go
+++ b/target/target.go
@@ -9,6 +9,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"sardinefront.dev/core/membudget"
 )
 
 // The headers of the protocol between hosts and targets.
@@ -121,9 +123,24 @@
 	// OnNotice, if set, is called with the notice of each response, of whatever status, before
 	// the response is returned.
 	OnNotice func(Notice)
+	// EventMemory bounds what the streams of all targets hold of incomplete events. Default: a
+	// budget that all targets of the process share.
+	EventMemory *membudget.Budget
 }
 
+const (
+	// sharedEventBytes bounds what all streams of the process hold of incomplete events, beyond
+	// ownEventBytes each.
+	sharedEventBytes = 16 << 20
+	ownEventBytes    = 16 << 10
+)
+
+var defaultEventMemory = membudget.New(sharedEventBytes, ownEventBytes)
+
 func (c Config) withDefaults() Config {
+	if c.EventMemory == nil {
+		c.EventMemory = defaultEventMemory
+	}
 	setDefault(&c.DialTimeout, 2*time.Second)
 	setDefault(&c.FirstByteTimeout, 30*time.Second)
 	setDefault(&c.StallTimeout, 30*time.Second)
