Close no caller's connection in use, and cut no request without a response, in a planned stop

What callers saw: in planned stops of one host after the other, in calm, some requests ended with a closed connection and no response, and some streams broke off.

Cause: 2.5 s after SIGTERM the host closed all idle connections, also those on which a request was on its way. A connection that had been opened before still brought a request later, which was passed on whatever its time limit. Requests that were queued or at a target at the end of the grace period were cut.

Change: responses say for how long a connection may be used, and a stop closes idle connections after that only; the listener stays open until then. Late requests must fit into the time left, or are refused as not run. Shortly before the end, requests in progress get a response.

Why it works: no request can be on its way when its connection is closed. The test fixture sends one Request-Deadline instead of two where a test asks for its own.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,6 +82,8 @@
 	balancerRemovalDelay = 2500 * time.Millisecond
 	// shutdownMargin is left unused at the end of the grace period.
 	shutdownMargin = 400 * time.Millisecond
+	// lastResponseTime is the time for the responses to the requests that a stop ends.
+	lastResponseTime = 150 * time.Millisecond
 )
 
 // Gateway is a running entry host.
@@ -107,6 +109,7 @@
 	restoredSpeeds atomic.Pointer[map[uint32]uint32]
 
 	callers, ready, internal, metrics *http.Server
+	conns                             *callerConns // of callers
 	stopping                          atomic.Bool
 	cancel                            context.CancelFunc
 	wg                                conc.WaitGroup
@@ -117,6 +120,7 @@
 	s := cfg.Settings
 	g := &Gateway{
 		cfg:         cfg,
+		conns:       newCallerConns(),
 		quota:       quota.New(s.QuotaTolerance()),
 		upstream:    upstream.New(cfg.Codec, dialTimeout, cfg.Metrics),
 		retryBudget: retry.New(s.RetryLimits()),
@@ -153,7 +157,7 @@
 		return err
 	}
 	g.callers = &http.Server{
-		Handler: g.ingress, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: g.ingress, ConnState: g.conns.track, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(g.cfg.Log.Handler(), slog.LevelDebug),
 	}
 	g.ready = &http.Server{Handler: http.HandlerFunc(g.serveReady)}
@@ -371,15 +375,19 @@
 }
 
 // Stop shuts down gracefully: it fails readiness probes, waits until the load balancer has
-// removed the host, closes idle connections and waits for requests in progress. It returns
-// an error if some are still running at the end of the grace period.
+// removed the host, closes each connection once its caller may not use it any more, and waits for
+// requests in progress. Those that are left are ended shortly before the end of the grace period.
+// It returns an error if some are running even then.
 func (g *Gateway) Stop() error {
-	end := time.Now().Add(g.settings.Load().GracePeriod() - shutdownMargin)
+	begun := time.Now()
+	removed := begun.Add(balancerRemovalDelay)
+	end := begun.Add(g.settings.Load().GracePeriod() - shutdownMargin)
+	requestEnd := end.Add(-lastResponseTime)
 	event.ShutdownStarted.Log(g.cfg.Log)
 	g.stopping.Store(true)
-	g.ingress.StopKeepAlives()
+	g.ingress.BeginStop(removed, requestEnd)
 	g.mesh.MarkStopping()
-	time.Sleep(min(balancerRemovalDelay, time.Until(end)))
+	g.conns.drain(ingress.KeepAliveTimeout, removed, requestEnd)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	err := g.callers.Shutdown(ctx)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -34,6 +35,8 @@
 	callers string
 	ready   string
 	nextID  int
+	// graceSeconds is the grace period of the host; 0 means 8.
+	graceSeconds float64
 	// settings are the settings that the host was started with.
 	settings settings.Settings
 	codec    protocol.Codec
@@ -135,6 +138,9 @@
 	s.Listen.InternalPorts = []uint16{freePort(fx.t)}
 	s.Store.Address = fx.store.Address()
 	s.Stop.GraceSeconds = 8
+	if fx.graceSeconds > 0 {
+		s.Stop.GraceSeconds = fx.graceSeconds
+	}
 	s.Rollout.ExposeShare = 0.1
 	s.RetryBudget.Ratio, s.RetryBudget.Slack, s.RetryBudget.WindowSeconds = 0.2, 50, 10
 	metrics, err := telemetry.New()
@@ -204,7 +210,10 @@
 	fx.t.Helper()
 	fx.nextID++
 	id := fmt.Sprintf("req-%d", fx.nextID)
-	head := append([]string{"Host: " + testHost, "Request-Id: " + id, "Authorization: Bearer " + testKey, "Token-Count: 100,20", "Request-Deadline: 5000"}, extra...)
+	head := append([]string{"Host: " + testHost, "Request-Id: " + id, "Authorization: Bearer " + testKey, "Token-Count: 100,20"}, extra...)
+	if !slices.ContainsFunc(extra, func(line string) bool { return strings.HasPrefix(line, "Request-Deadline:") }) {
+		head = append(head, "Request-Deadline: 5000")
+	}
 	if body != "" {
 		head = append(head, fmt.Sprintf("Content-Length: %d", len(body)))
 	}
--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -152,6 +152,8 @@
 	case errors.As(err, &ref):
 	case x.callerDisconnected():
 		ref = refusal.New(refusal.CallerDisconnected, "after %s in the queue", time.Since(x.arrived).Round(time.Millisecond))
+	case x.endedByStop():
+		ref = shutdownRefusal("after %s in the queue", time.Since(x.arrived).Round(time.Millisecond))
 	default:
 		ref = x.overloaded("no target within %s", time.Since(x.arrived).Round(time.Millisecond))
 	}
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -66,18 +66,20 @@
 // Server is the HTTP handler for callers. It is safe for concurrent use.
 type Server struct {
 	cfg         Config
-	stopping    atomic.Bool
 	eventMemory *membudget.Budget
+	stop        atomic.Pointer[stopTimes] // nil until a planned stop begins
+	// running ends when a planned stop ends the requests in progress.
+	running     context.Context
+	endRequests context.CancelFunc
 }
 
 // New returns a Server.
 func New(cfg Config) *Server {
-	return &Server{cfg: cfg, eventMemory: membudget.New(sharedEventBytes, ownEventBytes)}
+	s := &Server{cfg: cfg, eventMemory: membudget.New(sharedEventBytes, ownEventBytes)}
+	s.running, s.endRequests = context.WithCancel(context.Background())
+	return s
 }
 
-// StopKeepAlives makes every further response close its connection.
-func (s *Server) StopKeepAlives() { s.stopping.Store(true) }
-
 const (
 	// defaultTimeout applies to requests without a deadline on routes without a timeout.
 	defaultTimeout = 30 * time.Second
@@ -91,9 +93,7 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if s.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	s.setConnectionHeader(w.Header())
 	x := &exchange{Server: s, w: w, r: r, arrived: arrived, info: s.cfg.Codec.RequestInfo(r.Header)}
 	x.setWriteDeadline(arrived.Add(defaultTimeout))
 	defer x.recoverPanic()
@@ -103,6 +103,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
+	defer context.AfterFunc(s.running, cancel)()
 	x.serve(ctx)
 }
 
@@ -178,6 +179,9 @@
 		return refusal.New(refusal.BadRequest, "the request has no id header")
 	}
 	x.setDeadline()
+	if ref := x.checkStop(); ref != nil {
+		return ref
+	}
 	if ref := x.readBody(); ref != nil {
 		return ref
 	}
--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -100,11 +100,11 @@
 }
 
 // failedAttempt returns the attempt of a request that may have run. If ctx has ended, the
-// outcome is Abandoned for a closed caller connection and TimedOut otherwise.
+// outcome is Abandoned for a closed caller connection or the end of a stop, and TimedOut otherwise.
 func (x *exchange) failedAttempt(ctx context.Context, o reserve.Outcome, reason refusal.Reason, err error) attempt {
 	if ctx.Err() != nil {
 		o = reserve.Abandoned
-		if !x.callerDisconnected() {
+		if !x.callerDisconnected() && !x.endedByStop() {
 			o = reserve.TimedOut
 		}
 	}
