End requests in progress with the right response when the time to drain is over

What callers of the own path would see: a request that was queued or at a target when the time to drain was over got the status 499, which says that the caller had gone, and no statement that it had not run. A request that was admitted at the moment of the stop was not counted yet and could be cut.

Cause: the host's context ended without a cause, and the refusal took it for a caller that disconnected. Requests were counted after the check whether the host drains.

The count was found by reading.

Change: the context ends with errStopped; queued requests are refused as not run, sent ones with 504. Requests are counted before the check.

--- a/host/abort.go
+++ b/host/abort.go
@@ -15,7 +15,7 @@
 	h.ready.Store(false)
 	h.closableStore.closed.Store(true)
 	h.callerListener.Abort()
-	h.cancel()
+	h.cancel(nil)
 	if h.fleet != nil {
 		_ = h.fleet.Abort()
 	}
--- a/host/callers.go
+++ b/host/callers.go
@@ -126,6 +126,9 @@
 
 // serveCaller handles requests for targets.
 func (h *Host) serveCaller(c fiber.Ctx) error {
+	// A stop waits for this request from before it looks whether the host is draining.
+	h.admitting.Add(1)
+	defer h.admitting.Add(-1)
 	in, ref := h.admit(c)
 	if ref != nil {
 		tier := request.Interactive
--- a/host/exchange.go
+++ b/host/exchange.go
@@ -100,8 +100,13 @@
 // have run only if it was not dispatched.
 func (x *exchange) contextRefusal(ctx context.Context) *refusal.Refusal {
 	reason := refusal.CallerDisconnected
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, context.DeadlineExceeded):
 		reason = refusal.DeadlineExceeded
+	case errors.Is(cause, errStopped) && x.dispatched:
+		reason = refusal.TargetTimedOut // the status of a stop guarantees that the request has not run
+	case errors.Is(cause, errStopped):
+		reason = refusal.ShuttingDown
 	}
 	ref := refusal.New(reason, "the request was cancelled before its response was complete: %v", context.Cause(ctx))
 	if x.dispatched {
--- a/host/host.go
+++ b/host/host.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"sync"
@@ -67,13 +68,15 @@
 	callerAddress, operatorAddress string
 	tasks                          conc.WaitGroup
 	ctx                            context.Context
-	cancel                         context.CancelFunc
+	cancel                         context.CancelCauseFunc
 	// drainCtx is cancelled when the host begins to drain.
 	drainCtx       context.Context
 	cancelDrainCtx context.CancelFunc
 	// inProgress counts requests whose response is not yet complete, and background work that
 	// a graceful shutdown waits for.
 	inProgress atomic.Int64
+	// admitting counts requests in their handler, which may not be counted in inProgress yet.
+	admitting atomic.Int64
 }
 
 // Dependencies are the logger, the metrics and the clients of the platform that a Host uses.
@@ -97,7 +100,7 @@
 		drainRequested:        make(chan struct{}),
 	}
 	h.store = h.closableStore
-	h.ctx, h.cancel = context.WithCancel(context.Background())
+	h.ctx, h.cancel = context.WithCancelCause(context.Background())
 	h.drainCtx, h.cancelDrainCtx = context.WithCancel(context.Background())
 	h.owner = newOwner(s.Host.Name, time.Now())
 	h.pools.Store(&map[string]*poolRunner{})
@@ -157,7 +160,7 @@
 	} else {
 		event.ShutdownCompleted.Log(h.log)
 	}
-	h.cancel()
+	h.cancel(errStopped)
 	h.closeListeners()
 	if h.fleet != nil {
 		_ = h.fleet.Stop()
@@ -166,6 +169,9 @@
 	return cutOff
 }
 
+// errStopped ends the requests that are in progress when the time to drain is over.
+var errStopped = errors.New("this host has stopped")
+
 // taskStopTimeout bounds the wait for background tasks, which release their leases.
 const taskStopTimeout = 3 * time.Second
 
@@ -196,7 +202,7 @@
 func (h *Host) awaitIdle(ctx context.Context) int64 {
 	tick := time.NewTicker(drainPollInterval)
 	defer tick.Stop()
-	for h.inProgress.Load() > 0 {
+	for h.admitting.Load() > 0 || h.inProgress.Load() > 0 {
 		select {
 		case <-ctx.Done():
 			return h.inProgress.Load()
--- a/host/panic_test.go
+++ b/host/panic_test.go
@@ -34,7 +34,7 @@
 	h := New(s, Dependencies{Log: slog.New(slog.NewTextHandler(&log, nil)), Store: memkv.New(time.Now), HostList: list})
 	h.runLoop("targets", h.runTargets)
 	eventually(t, "the list is read again", func() bool { return list.reads.Load() > 2 })
-	h.cancel()
+	h.cancel(nil)
 	h.tasks.Wait()
 	if !strings.Contains(log.String(), "list of endpoints") {
 		t.Errorf("the panic is not logged: %s", log.String())
