Take no error of the next target for a part or the end of a broken stream

What callers would see: a stream breaks off, the next target answers 200 with an event without id that states an error, or with a head and no event before it closes. The caller gets the error inside its stream, or a stream that ends as if it were complete.

Cause: the check of an event's place accepts events without id, and the rule for responses without a length or chunks that have no event looked at the first attempt only.

Evidence: TestErrorOfTheNextTargetStaysOutOfABegunStream failed before for 3 of 24 responses of the second target. TestResumeAcceptsNoErrorAsStream (own path) passed before for all of 14.

Change: the first event of a resumed stream must have an id that follows, and a response without a length or chunks and without an event counts as broken off.

--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -42,8 +42,9 @@
 var (
 	errEventTooLong = fmt.Errorf("stream event exceeds %d bytes", maxEventBytes)
 	errEventMemory  = fmt.Errorf("stream event exceeds %d bytes while other streams use up the memory for larger ones", ownEventBytes)
-	// errNoEvent is the error of a stream without a length or chunks that ended before its
-	// first event. A target that crashes ends it in the same way as one that has no events.
+	// errNoEvent is the error of a stream, or of its resumption, without a length or chunks that
+	// ended before its first event. A target that crashes ends it in the same way as one that has
+	// no events.
 	errNoEvent = fmt.Errorf("the stream ended before its first event: %w", io.ErrUnexpectedEOF)
 )
 
@@ -61,7 +62,7 @@
 			found := watch.end()
 			return watch.settle(found, x.finishStream(ctx, conn, resp, err, timing))
 		}
-		if !followsEvent(event.id, x.lastEventID) {
+		if !x.continuesStream(event, timing.events == 0) {
 			conn.Release(resp, false)
 			return x.failedAttempt(ctx, reserve.BrokenResponse, refusal.ResponseTruncated, fmt.Errorf("event id %q does not follow the last forwarded id %q", event.id, x.lastEventID))
 		}
@@ -95,6 +96,15 @@
 	}
 }
 
+// continuesStream reports whether the event may be forwarded after those before it. The first event
+// of a resumed stream must have an id, which shows that it is no error message of the target.
+func (x *exchange) continuesStream(e streamEvent, first bool) bool {
+	if first && x.lastEventID != "" && e.id == "" && !e.comment {
+		return false
+	}
+	return followsEvent(e.id, x.lastEventID)
+}
+
 // followsEvent reports whether the event id may follow last: numeric ids must increase.
 func followsEvent(id, last string) bool {
 	a, err1 := strconv.ParseInt(id, 10, 64)
@@ -162,7 +172,7 @@
 // finishStream returns the attempt of a stream whose next event could not be read; err is
 // io.EOF at the regular end.
 func (x *exchange) finishStream(ctx context.Context, conn *upstream.Conn, resp *upstream.Response, err error, timing streamTiming) attempt {
-	if errors.Is(err, io.EOF) && resp.EndsWithConnection() && timing.events == 0 && x.lastEventID == "" {
+	if errors.Is(err, io.EOF) && resp.EndsWithConnection() && timing.events == 0 {
 		err = errNoEvent
 	}
 	if errors.Is(err, io.EOF) {
