Forget a failed read of the store once any host has read it

Cause: the flag of a failed read was cleared only by the host's own next read. After an outage one host reads for all, so the flag stayed set elsewhere. When such a host became the reader much later, it delayed removals as if the outage had just ended. The same flag kept it from asking the store for a configuration that a peer does not send.

Evidence: TestOutageThatEndedDelaysNoRemoval and TestOutageThatEndedKeepsNoConfigurationBack failed before.

Change: a failed read counts until the list was read by any host, and removals stay unconfirmed for 3 s after the host's own failed read.

--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -56,6 +56,9 @@
 	// storeOutageTimeout is the time without a successful read from which removals are
 	// unconfirmed: entries may have expired during an outage of the store.
 	storeOutageTimeout = 2500 * time.Millisecond
+	// outageRecoveryTime is the time after a failed read for which removals are unconfirmed:
+	// entries that expired during an outage are back about 2 s after its end.
+	outageRecoveryTime = 3 * time.Second
 )
 
 // Store is the part of the platform's store that the directory uses.
@@ -118,8 +121,9 @@
 	readAt time.Time
 	// freshAt is the latest time at which the list was confirmed to be current.
 	freshAt    time.Time
-	readFailed bool // the last read failed
-	isReader   bool // this host reads the store because no other one did in time
+	readFailed bool      // the last read failed
+	failedAt   time.Time // when the last failed read ended
+	isReader   bool      // this host reads the store because no other one did in time
 	nextReadAt time.Time
 	// mismatchSince is the time since which a peer with a newer list has a different one;
 	// mismatchPeer is the address of that peer.
@@ -261,7 +265,7 @@
 	after, readAt := d.readRevision, d.readAt
 	becameReader := !d.isReader
 	d.isReader = true
-	unconfirmed := d.readFailed || !d.freshAt.IsZero() && now.Sub(d.freshAt) > storeOutageTimeout
+	unconfirmed := d.storeFailing() || now.Sub(d.failedAt) < outageRecoveryTime || !d.freshAt.IsZero() && now.Sub(d.freshAt) > storeOutageTimeout
 	d.mu.Unlock()
 	if becameReader {
 		event.BecameStoreReader.Log(d.cfg.Log, sinceLastRead(readAt, now))
@@ -278,6 +282,10 @@
 	d.finishRead(ctx, err, now)
 }
 
+// storeFailing reports whether this host's last read has failed and no host has read the store
+// since. The caller holds the lock.
+func (d *Directory) storeFailing() bool { return d.readFailed && !d.freshAt.After(d.failedAt) }
+
 // sinceLastRead returns the log attribute for the time since the last read, if there was one.
 func sinceLastRead(readAt, now time.Time) slog.Attr {
 	if readAt.IsZero() {
@@ -330,7 +338,8 @@
 	if err == nil {
 		d.readAt, d.freshAt, d.mismatchSince = began, began, time.Time{}
 	} else {
-		d.nextReadAt = time.Now().Add(readRetryDelay)
+		d.failedAt = time.Now()
+		d.nextReadAt = d.failedAt.Add(readRetryDelay)
 	}
 	neverRead, mismatchPeer := d.freshAt.IsZero(), ""
 	if err != nil && !d.mismatchSince.IsZero() && began.Sub(d.snapshotFetchedAt) >= snapshotFetchInterval {
--- a/gateway/directory/exchange.go
+++ b/gateway/directory/exchange.go
@@ -126,14 +126,14 @@
 }
 
 // fetchConfig fetches a newer configuration from a peer that has it and, after a short delay,
-// from the store. It skips the store if the last read failed.
+// from the store. It skips the store while that fails.
 func (d *Directory) fetchConfig(ctx context.Context) {
 	version, from := d.wantedConfig()
 	if version == 0 {
 		return
 	}
 	d.mu.Lock()
-	storeFailed := d.readFailed
+	storeFailed := d.storeFailing()
 	d.mu.Unlock()
 	ctx, done := context.WithCancel(ctx)
 	defer done()
--- /dev/null
+++ b/gateway/directory/outage_test.go
@@ -0,0 +1,122 @@
+package directory_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sardinefront.dev/gateway/directory"
+	"sardinefront.dev/gateway/peers"
+	"sardinefront.dev/gateway/routing"
+	"sardinefront.dev/platform"
+)
+
+// outageStore lists one target until removed is set. Its calls fail while failing is set.
+type outageStore struct {
+	countingStore
+	failing, removed atomic.Bool
+}
+
+func (s *outageStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if s.failing.Load() {
+		return platform.Entry{}, errors.New("connection refused")
+	}
+	return s.countingStore.Get(ctx, key)
+}
+
+func (s *outageStore) Snapshot(ctx context.Context, prefix string) ([]platform.Entry, int64, error) {
+	switch {
+	case s.failing.Load():
+		return nil, 0, errors.New("connection refused")
+	case prefix == testLayout.TargetPrefix && s.removed.Load():
+		return nil, 5, nil
+	case prefix == testLayout.TargetPrefix:
+		return []platform.Entry{put("i-1", "ready 1", 1)}, 1, nil
+	}
+	return s.countingStore.Snapshot(ctx, prefix)
+}
+
+func (s *outageStore) Changes(_ context.Context, _ string, after int64, _ time.Duration) ([]platform.Entry, int64, error) {
+	switch {
+	case s.failing.Load():
+		return nil, 0, errors.New("connection refused")
+	case s.removed.Load():
+		return []platform.Entry{removed("i-1", 5)}, 5, nil
+	}
+	return nil, after, nil
+}
+
+// outageFixture is a directory whose reads failed during an outage of the store that ended long
+// ago. Since then a peer has read the store for it.
+type outageFixture struct {
+	*directory.Directory
+	store   *outageStore
+	current routing.ActiveTable
+}
+
+// hearPeer handles heartbeats of the peer that reads the store, for the given time.
+func (f *outageFixture) hearPeer(d time.Duration, configVersion int64) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		h := &peers.Heartbeat{}
+		f.FillHeartbeat(h, time.Now())
+		h.Name, h.Address, h.ListAgeMs, h.ConfigVersion = "busy", "busy", 0, configVersion
+		f.HandleHeartbeat(h, time.Now())
+	}
+}
+
+// afterOutage runs check on an outageFixture.
+func afterOutage(t *testing.T, check func(f *outageFixture)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &outageFixture{store: &outageStore{}}
+		f.store.version.Store(1)
+		layout := testLayout
+		layout.DecodeTarget = decode
+		f.Directory = directory.New(directory.Config{
+			Name: "a", Store: f.store, ActiveTable: &f.current, Log: slog.New(slog.DiscardHandler), OnChange: func() {}, Layout: layout,
+		})
+		f.SetFleet(&fakePeers{version: 3})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		synctest.Wait()
+		f.store.failing.Store(true)
+		time.Sleep(4 * time.Second)
+		f.store.failing.Store(false)
+		f.hearPeer(6*time.Second, 1)
+		check(f)
+		cancel()
+		<-done
+	})
+}
+
+// Guards against a removal that is delayed, longer than a target may get requests, because this
+// host's last read failed in an outage that other hosts have seen end.
+func TestOutageThatEndedDelaysNoRemoval(t *testing.T) {
+	afterOutage(t, func(f *outageFixture) {
+		f.store.removed.Store(true)
+		time.Sleep(1500 * time.Millisecond) // until this host reads the store itself
+		if n := len(f.Targets()); n != 0 {
+			t.Errorf("%d targets are listed after the removal", n)
+		}
+	})
+}
+
+// Guards against a host that does not ask the store for a configuration, which its peer does not
+// send, because its last read failed in an outage that other hosts have seen end.
+func TestOutageThatEndedKeepsNoConfigurationBack(t *testing.T) {
+	afterOutage(t, func(f *outageFixture) {
+		f.store.version.Store(3)
+		f.hearPeer(500*time.Millisecond, 3)
+		if v := f.current.Version(); v != 3 {
+			t.Errorf("version %d 500 ms after a peer has announced version 3", v)
+		}
+	})
+}
