Let the store's outcome of a rollout decide, and no request wait for a lost version

What callers saw: all requests of a service were refused without end beside sound targets.

Cause: a rollback by one host replaced a completion that the store held, on all hosts; and a request that is to avoid a version could use no other, even if there was none.

Evidence: TestStoredCompletionReplacesARollbackOfOneHost and TestRequestsDoNotWaitForALostVersion failed before.

Change: a host acts on a fault at once, but takes over the final state in the store. Where no target of another version is listed, a request may use the new version of a running rollout; one that was rolled back gets none. TestRollbackIsFinal holds as it was, since a rollback in the store stays final.

--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -390,7 +390,7 @@
 func (x *exchange) waiter() *reserve.Waiter {
 	w := newWaiter(x.request, x.route)
 	if split := x.cfg.Rollouts.Split(x.service, x.arrived); split.Version != "" {
-		w.RolloutVersion, w.AvoidRolloutVersion = split.Version, rand.Float64() >= split.Share
+		w.RolloutVersion, w.AvoidRolloutVersion, w.RolledBack = split.Version, rand.Float64() >= split.Share, split.RolledBack
 	}
 	return w
 }
--- a/gateway/rollout/restart_test.go
+++ b/gateway/rollout/restart_test.go
@@ -98,14 +98,14 @@
 	tr := rollout.New("host-0", rollout.Limits{MaxShare: 0.1})
 	tr.Start(order, 0, now)
 	tr.RecordElapsed(service, order.Revision, duration-100*time.Millisecond, now)
-	decisions := tr.Decide(true, func(string) int { return targets }, now)
+	decisions := tr.Decide(true, listedTargets, now)
 	if len(decisions) != 1 || decisions[0].State != rollout.RolledBack || !strings.Contains(decisions[0].Reason, "unproven: 0 requests of the new version and 0 of the old one") {
 		t.Errorf("decisions %+v", decisions)
 	}
 	if share := tr.Split(service, now).Share; share != 0 {
 		t.Errorf("share %v of an unproven version at the end", share)
 	}
-	if d := tr.Decide(true, func(string) int { return targets }, now.Add(duration)); len(d) != 1 || d[0].State != rollout.RolledBack {
+	if d := tr.Decide(true, listedTargets, now.Add(duration)); len(d) != 1 || d[0].State != rollout.RolledBack {
 		t.Errorf("decisions %+v while the store cannot be written", d)
 	}
 	if state := tr.Reports(now)[service].State; rollout.State(state) != rollout.Running {
--- a/gateway/rollout/rollout.go
+++ b/gateway/rollout/rollout.go
@@ -1,7 +1,7 @@
 // Package rollout moves the traffic of a service to a new version of its targets within a given
 // time, or rolls it back. All hosts send the same small share of requests to the new version and
 // exchange their observations of both versions, which moves/analysis evaluates. Any host may roll
-// back, and that is final for the order. The package does no I/O and reads no clock.
+// back; the final state in the store decides. The package does no I/O and reads no clock.
 package rollout
 
 import (
@@ -24,8 +24,8 @@
 	Revision int64
 }
 
-// State is the state of an order. Every state but Running is final, except that Done may still
-// become RolledBack.
+// State is the state of an order. Every state but Running is final once the store holds it. A host
+// that finds a fault acts on RolledBack at once, and takes over Done if the store holds that.
 type State uint8
 
 // The states of an order. Their values are part of the wire format.
@@ -92,9 +92,13 @@
 	observedFrom time.Time
 	state        State
 	reason       string
-	samples      *analysis.Samples
-	speeds       speeds
-	evidence     SpeedEvidence
+	// newTargets is the number of listed targets of the new version at the last Decide.
+	newTargets int
+	// stored is true once the state is known to be the final one in the store.
+	stored   bool
+	samples  *analysis.Samples
+	speeds   speeds
+	evidence SpeedEvidence
 	// comparedAt is the time of the comparison that returned evidence.
 	comparedAt time.Time
 	groups     map[string]uint8 // by target
@@ -130,7 +134,7 @@
 	}
 	startedAt := now.Add(-elapsed)
 	t.rollouts[o.Service] = &rolloutState{
-		order: o, startedAt: startedAt, observedFrom: startedAt, samples: analysis.NewSamples(), speeds: speeds{}, groups: map[string]uint8{},
+		order: o, startedAt: startedAt, observedFrom: startedAt, newTargets: 1, samples: analysis.NewSamples(), speeds: speeds{}, groups: map[string]uint8{},
 	}
 }
 
@@ -151,12 +155,13 @@
 	return st != nil && st.order.Revision == o.Revision && st.state == Running
 }
 
-// SetOutcome records the final state of an order that was read from the store or got from a peer.
+// SetOutcome records the final state that the store holds of an order. It replaces a rollback that
+// this host has decided itself: after Done, the old targets stop.
 func (t *Tracker) SetOutcome(service string, revision int64, s State, reason string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if st := t.rollouts[service]; st != nil && st.order.Revision == revision && s != Running {
-		st.setOutcome(s, reason)
+		st.setStored(s, reason)
 	}
 }
 
@@ -177,12 +182,18 @@
 	}
 }
 
-// setOutcome sets the state. It does nothing after a rollback, which is final.
-func (st *rolloutState) setOutcome(s State, reason string) {
-	if st.state == RolledBack {
-		return
+// setStored sets the final state in the store.
+func (st *rolloutState) setStored(s State, reason string) {
+	if !st.stored {
+		st.state, st.reason, st.stored = s, reason, true
+	}
+}
+
+// rollBack ends a running rollout because of a fault that this host or a peer has found.
+func (st *rolloutState) rollBack(reason string) {
+	if st.state == Running {
+		st.state, st.reason = RolledBack, reason
 	}
-	st.state, st.reason = s, reason
 }
 
 // Split is the split of a service's requests between its versions.
@@ -191,6 +202,8 @@
 	Version string
 	// Share is the part of the requests that goes to the new version.
 	Share float64
+	// RolledBack means that no request may use the new version.
+	RolledBack bool
 }
 
 // Split returns the present split of the requests of a service.
@@ -201,7 +214,7 @@
 	if st == nil {
 		return Split{}
 	}
-	return Split{Version: st.order.Version, Share: t.share(st, now)}
+	return Split{Version: st.order.Version, Share: t.share(st, now), RolledBack: st.state == RolledBack}
 }
 
 func (t *Tracker) share(st *rolloutState, now time.Time) float64 {
@@ -236,9 +249,9 @@
 	return now.Sub(st.observedFrom).Seconds() >= minObservedFraction*now.Sub(st.startedAt).Seconds()
 }
 
-// unproven reports whether too little is known of the new version to complete the rollout: this
-// process has observed only a small part of it, and it holds too few requests to compare both
-// versions, its own and those of peers.
+// unproven reports whether too little is known of the new version to complete the rollout: no target
+// of it is listed, or this process has observed only a small part of the rollout and holds too few
+// requests to compare both versions, its own and those of peers.
 func (st *rolloutState) unproven(now time.Time) bool {
 	if st.observedEnough(now) {
 		return false
@@ -250,7 +263,7 @@
 // observed describes what this process has observed, for the reason of an outcome.
 func (st *rolloutState) observed(now time.Time) string {
 	oldVersion, newVersion := st.samples.Requests(st.scaledTime(now))
-	return fmt.Sprintf("%d requests of the new version and %d of the old one, %s of %s observed", newVersion, oldVersion,
+	return fmt.Sprintf("%d requests of the new version and %d of the old one, %d targets of the new version, %s of %s observed", newVersion, oldVersion, st.newTargets,
 		now.Sub(st.observedFrom).Round(time.Millisecond), now.Sub(st.startedAt).Round(time.Millisecond))
 }
 
@@ -315,14 +328,17 @@
 // Decide evaluates the observations of all orders and returns the states that the store should
 // hold, at each call. The leader completes good rollouts, and the other hosts do shortly before the
 // end if the leader has not. Every host rolls a bad version back immediately, and an unproven one
-// at the end. The targets function returns the number of targets of a service.
-func (t *Tracker) Decide(leader bool, targets func(service string) int, now time.Time) []Decision {
+// at the end. The targets function returns the number of listed targets of a service, and of those
+// that serve the version.
+func (t *Tracker) Decide(leader bool, targets func(service, version string) (all, ofVersion int), now time.Time) []Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Decision
 	for service, st := range t.rollouts {
 		if st.state == Running {
-			t.evaluate(st, targets(service), now)
+			var all int
+			all, st.newTargets = targets(service, st.order.Version)
+			t.evaluate(st, all, now)
 		}
 		if d := st.decide(leader, now); d != nil {
 			out = append(out, *d)
@@ -371,15 +387,15 @@
 	due := now.Sub(st.startedAt) >= st.order.Duration-decisionLead
 	switch {
 	case st.evidence.sufficient():
-		st.setOutcome(RolledBack, st.evidence.reason())
+		st.rollBack(st.evidence.reason())
 	case grouped.Bad:
-		st.setOutcome(RolledBack, grouped.Reason())
+		st.rollBack(grouped.Reason())
 	case ungroupedFailing:
-		st.setOutcome(RolledBack, ungrouped.Reason())
+		st.rollBack(ungrouped.Reason())
 	case due && st.evidence.suspect():
-		st.setOutcome(RolledBack, fmt.Sprintf("suspected fault at the end of the rollout: %s", st.evidence.reason()))
+		st.rollBack(fmt.Sprintf("suspected fault at the end of the rollout: %s", st.evidence.reason()))
 	case due && grouped.Suspect:
-		st.setOutcome(RolledBack, fmt.Sprintf("suspected fault at the end of the rollout: %s", grouped.Reason()))
+		st.rollBack(fmt.Sprintf("suspected fault at the end of the rollout: %s", grouped.Reason()))
 	}
 }
 
@@ -429,8 +445,11 @@
 			continue
 		}
 		st.recordElapsed(time.Duration(r.ElapsedMs)*time.Millisecond, now)
-		if s := State(r.State); s == Done || s == RolledBack {
-			st.setOutcome(s, r.Reason)
+		switch State(r.State) {
+		case Done: // hosts report it only once the store holds it
+			st.setStored(Done, r.Reason)
+		case RolledBack:
+			st.rollBack(r.Reason)
 		}
 		st.speeds.mergeReport(from, r.Speeds)
 		for _, w := range r.Windows {
--- a/gateway/rollout/rollout_test.go
+++ b/gateway/rollout/rollout_test.go
@@ -33,6 +33,8 @@
 	failureProbability func(version string, elapsed time.Duration) float64
 	// slowdown returns the factor by which a version is slower than usual.
 	slowdown func(version string, elapsed time.Duration) float64
+	// listed returns the number of listed targets of the new version.
+	listed func(elapsed time.Duration) int
 	// requestsPerSecond is the rate of requests over all hosts.
 	requestsPerSecond float64
 	// streams makes the requests streams, if set.
@@ -45,11 +47,20 @@
 	done                   bool
 }
 
+// listedTargets returns the numbers of targets of the service, and of those of the new version.
+func listedTargets(string, string) (all, ofVersion int) { return 2 * targets, targets }
+
+func (s *sim) listedTargets(string, string) (all, ofVersion int) {
+	ofVersion = s.listed(s.now.Sub(s.began))
+	return targets + ofVersion, ofVersion
+}
+
 func newSim(t *testing.T, seed uint64) *sim {
 	s := &sim{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(5000, 0), requestsPerSecond: 70,
 		failureProbability: func(string, time.Duration) float64 { return 0.004 },
 		slowdown:           func(string, time.Duration) float64 { return 1 },
+		listed:             func(time.Duration) int { return targets },
 	}
 	s.began = s.now
 	for i := range hosts {
@@ -128,7 +139,7 @@
 
 func (s *sim) decide() {
 	for i, tr := range s.trackers {
-		for _, d := range tr.Decide(i == 0, func(string) int { return 2 * targets }, s.now) {
+		for _, d := range tr.Decide(i == 0, s.listedTargets, s.now) {
 			switch {
 			case d.State == rollout.RolledBack && s.rolledBackAt == 0 && s.stored != rollout.Done:
 				s.rolledBackAt = s.now.Sub(s.began)
@@ -253,7 +264,7 @@
 	if got := tr.Split(service, s.now).Share; got != 0 {
 		t.Errorf("share %v near the end of the order, of which the host has observed nothing", got)
 	}
-	if d := tr.Decide(true, func(string) int { return 2 * targets }, s.now); len(d) != 1 || d[0].State != rollout.RolledBack {
+	if d := tr.Decide(true, listedTargets, s.now); len(d) != 1 || d[0].State != rollout.RolledBack {
 		t.Errorf("decisions %+v near the end of the order, of which the host has observed nothing", d)
 	}
 	tr.Remove(service, order.Revision+1)
@@ -271,7 +282,7 @@
 	tr.Start(order, 0, written.Add(orderDelay))
 	limit := written.Add(duration - writeTime)
 	for now := written.Add(orderDelay); !now.After(limit); now = now.Add(100 * time.Millisecond) {
-		for _, d := range tr.Decide(true, func(string) int { return 2 * targets }, now) {
+		for _, d := range tr.Decide(true, listedTargets, now) {
 			if d.State != rollout.Running {
 				return
 			}
@@ -288,7 +299,7 @@
 	tr := rollout.New("host-1", rollout.Limits{MaxShare: 0.1})
 	tr.Start(order, orderDelay, written.Add(orderDelay))
 	for now := written.Add(orderDelay); !now.After(written.Add(duration - writeTime)); now = now.Add(100 * time.Millisecond) {
-		for _, d := range tr.Decide(false, func(string) int { return 2 * targets }, now) {
+		for _, d := range tr.Decide(false, listedTargets, now) {
 			if d.State == rollout.Done {
 				return
 			}
@@ -296,3 +307,32 @@
 	}
 	t.Errorf("not completed %s before the time limit", writeTime)
 }
+
+// Guards against one rollout with two outcomes: the store holds done, so the old targets stop, while
+// a host that found a fault at the same moment keeps its rollback and passes it on. All hosts then
+// refused all requests of the service.
+func TestStoredCompletionReplacesARollbackOfOneHost(t *testing.T) {
+	s := newSim(t, 1)
+	found, completed, other := s.trackers[0], s.trackers[1], s.trackers[2]
+	fault := s.trackers[3]
+	fault.SetOutcome(service, order.Revision, rollout.RolledBack, "test")
+	merge := func(to *rollout.Tracker, from string, tr *rollout.Tracker) {
+		if err := to.MergeReports(from, tr.Reports(s.now), s.now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	merge(found, "host-3", fault) // a rollback that the store does not hold
+	if share := found.Split(service, s.now).Share; share != 0 {
+		t.Fatalf("share %v of a version with a fault", share)
+	}
+	completed.SetOutcome(service, order.Revision, rollout.Done, "no fault detected")
+	merge(completed, "host-0", found)
+	merge(other, "host-0", found)
+	merge(other, "host-1", completed)
+	found.SetOutcome(service, order.Revision, rollout.Done, "in the store")
+	for i, tr := range []*rollout.Tracker{found, completed, other} {
+		if share := tr.Split(service, s.now).Share; share != 1 {
+			t.Errorf("host %d: share %v of the version that the store holds as done", i, share)
+		}
+	}
+}
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -173,15 +173,19 @@
 	return true
 }
 
-// targetCount returns the number of listed targets of a service.
-func (g *Gateway) targetCount(service string) int {
-	n := 0
+// targetCount returns the number of listed targets of a service, and of those that serve the
+// version.
+func (g *Gateway) targetCount(service, version string) (all, ofVersion int) {
 	for _, t := range g.dir.Targets() {
-		if t.Service == service {
-			n++
+		if t.Service != service {
+			continue
+		}
+		all++
+		if t.Version == version {
+			ofVersion++
 		}
 	}
-	return n
+	return all, ofVersion
 }
 
 // recordDecision writes the decided state to the store unless it was written recently, and
--- a/gateway/rollouts_test.go
+++ b/gateway/rollouts_test.go
@@ -119,7 +119,7 @@
 	o, now := rollout.Order{Service: "llm", Version: "v2", Duration: time.Minute, Revision: 7}, time.Now()
 	g.rollouts.Start(o, 0, now)
 	g.rollouts.RecordElapsed("llm", 7, time.Minute, now)
-	for _, d := range g.rollouts.Decide(true, func(string) int { return 1 }, now) {
+	for _, d := range g.rollouts.Decide(true, func(string, string) (int, int) { return 2, 1 }, now) {
 		g.recordDecision(t.Context(), map[string]*writtenStatus{}, d, now)
 	}
 	if share := g.rollouts.Split("llm", now).Share; share != 1 {
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -189,9 +189,8 @@
 		}
 		w := p.waiters[it]
 		t := p.chooseTarget(w, l, now)
-		if t == nil && w.RolloutVersion != "" && !w.AvoidRolloutVersion {
-			// A full rollout version must not block the requests behind this one.
-			w.AvoidRolloutVersion = true
+		if t == nil && p.mayChangeVersion(w) {
+			w.AvoidRolloutVersion = !w.AvoidRolloutVersion
 			t = p.chooseTarget(w, l, now)
 		}
 		if t == nil && len(w.excluded) > 0 {
@@ -214,6 +213,20 @@
 	}
 }
 
+// mayChangeVersion reports whether a request that found no target may use the other versions than
+// before. A full rollout version must not block the requests behind this one, and a request must
+// not wait for a version of which no target is left.
+func (p *Pool) mayChangeVersion(w *Waiter) bool {
+	if w.RolloutVersion == "" {
+		return false
+	}
+	othersLeft := slices.ContainsFunc(p.order, func(t *target) bool { return t.Version != w.RolloutVersion })
+	if w.AvoidRolloutVersion {
+		return !othersLeft && !w.RolledBack
+	}
+	return othersLeft
+}
+
 // NextWake returns when Dispatch must be called next if nothing else happens before, or the
 // zero time if no request waits.
 func (p *Pool) NextWake(now time.Time) time.Time {
--- a/sched/reserve/reserve_test.go
+++ b/sched/reserve/reserve_test.go
@@ -713,3 +713,23 @@
 	}
 	submit(t, p, waiter("new", request.Urgent, "o", now), now)
 }
+
+// Guards against requests that wait for the old version of a rollout although no target of it is
+// left, beside sound targets of the new version, and against requests to a version that was rolled
+// back.
+func TestRequestsDoNotWaitForALostVersion(t *testing.T) {
+	for _, rolledBack := range []bool{false, true} {
+		p := reserve.New(reserve.Config{Reservations: true})
+		list := engines(2, 4)
+		list[0].Version, list[1].Version = "v1", "v2"
+		p.SetTargets(list)
+		p.SetTargets(list[1:]) // the target of the old version is lost
+		w := waiter("old", request.Urgent, "o", start)
+		w.RolloutVersion, w.AvoidRolloutVersion, w.RolledBack = "v2", true, rolledBack
+		submit(t, p, w, start)
+		grants, _ := p.Dispatch(start)
+		if granted := len(grants) == 1; granted == rolledBack {
+			t.Errorf("rolled back %v: grants %v", rolledBack, grants)
+		}
+	}
+}
--- a/sched/reserve/waiter.go
+++ b/sched/reserve/waiter.go
@@ -34,9 +34,11 @@
 
 	// RolloutVersion, if not empty, is the version that a rollout moves to. The request
 	// uses only targets of that version, or only targets of other versions if
-	// AvoidRolloutVersion is set.
+	// AvoidRolloutVersion is set. Where the pool has no target of another version, it may use
+	// the rollout version all the same, unless RolledBack is set: that version was found bad.
 	RolloutVersion      string
 	AvoidRolloutVersion bool
+	RolledBack          bool
 
 	item          flow.Item
 	excluded      []string  // names of targets that this request must not try again
