Roll back a rollout without targets of its version

What callers saw: the only targets of the new version were lost for good during a rollout.

Cause: the end of a rollout did not ask whether targets of the version are listed.

--- a/gateway/rollout/rollout.go
+++ b/gateway/rollout/rollout.go
@@ -253,6 +253,9 @@
 // of it is listed, or this process has observed only a small part of the rollout and holds too few
 // requests to compare both versions, its own and those of peers.
 func (st *rolloutState) unproven(now time.Time) bool {
+	if st.newTargets == 0 {
+		return true
+	}
 	if st.observedEnough(now) {
 		return false
 	}
--- a/gateway/rollout/rollout_test.go
+++ b/gateway/rollout/rollout_test.go
@@ -336,3 +336,17 @@
 		}
 	}
 }
+
+// Guards against a rollout that is completed although no target of its version is left: the old
+// targets stop, and the service has none.
+func TestRolloutWithoutTargetsOfItsVersionIsRolledBack(t *testing.T) {
+	s := newSim(t, 1)
+	s.listed = func(elapsed time.Duration) int {
+		if elapsed > 10*time.Second {
+			return 0
+		}
+		return targets
+	}
+	s.run()
+	s.checkRolledBack("without targets")
+}
