--- a/gateway/rollout/rollout.go
+++ b/gateway/rollout/rollout.go
@@ -92,7 +92,7 @@
 	observedFrom time.Time
 	state        State
 	reason       string
-	// newTargets is the number of listed targets of the new version at the last Decide.
+	// newTargets is the number of listed targets of the new version at the last Decide; 1 before.
 	newTargets int
 	// stored is true once the state is known to be the final one in the store.
 	stored   bool
