--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -54,7 +54,6 @@
 	s := newEventReader(resp.Body, x.eventMemory)
 	defer s.releaseEvent()
 	timing := streamTiming{sentAt: sentAt}
-	flusher := http.NewResponseController(x.w)
 	watch.reset(x.eventTimeout(0))
 	for {
 		event, err := s.next()
@@ -69,23 +68,13 @@
 		if !event.comment {
 			watch.stop() // the time until the caller has read the event is no silence of the target
 		}
-		x.writeHead(resp, 0, false)
-		if _, err := x.w.Write(event.raw); err != nil {
-			conn.Release(resp, false)
-			return x.failedAttempt(ctx, reserve.Abandoned, refusal.CallerDisconnected, err)
-		}
-		if err := flusher.Flush(); err != nil {
+		if err := x.writeEvent(resp, event); err != nil {
 			conn.Release(resp, false)
 			return x.failedAttempt(ctx, reserve.Abandoned, refusal.CallerDisconnected, err)
 		}
 		if event.comment {
 			continue
 		}
-		if event.id == "" {
-			x.notResumable = true
-		} else {
-			x.lastEventID = event.id
-		}
 		timing.recordEvent(time.Now())
 		x.recordBegun(resp.Status)
 		watch.reset(x.eventTimeout(timing.events))
@@ -96,6 +85,25 @@
 	}
 }
 
+// writeEvent sends an event to the caller and records where another target can resume the stream.
+func (x *exchange) writeEvent(resp *upstream.Response, event streamEvent) error {
+	x.writeHead(resp, 0, false)
+	if _, err := x.w.Write(event.raw); err != nil {
+		return err
+	}
+	if err := http.NewResponseController(x.w).Flush(); err != nil {
+		return err
+	}
+	switch {
+	case event.comment:
+	case event.id == "":
+		x.notResumable = true
+	default:
+		x.lastEventID = event.id
+	}
+	return nil
+}
+
 // continuesStream reports whether the event may be forwarded after those before it. The first event
 // of a resumed stream must have an id, which shows that it is no error message of the target.
 func (x *exchange) continuesStream(e streamEvent, first bool) bool {
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -44,7 +44,7 @@
 	// recoverTimeout bounds each read of the state or start of a rollout, recoverRetryInterval is
 	// the delay after a failed one.
 	recoverTimeout       = time.Second
-	recoverRetryInterval = 200 * time.Millisecond
+	recoverRetryInterval = 500 * time.Millisecond
 )
 
 // writtenStatus is the last state that this host wrote for an order.
