Take memory for an event before its buffer grows

Cause: the budget counted an event after its buffer had grown, and by its content instead of the buffer.

Change: the growth of a buffer is taken from the budget first. A stream keeps its buffer until its end, as before the budget.

--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -23,8 +23,8 @@
 const (
 	// maxEventBytes bounds one event of a stream.
 	maxEventBytes = 1 << 20
-	// sharedEventBytes bounds what all streams of the host hold of incomplete events, beyond
-	// ownEventBytes each. A buffer may be twice as large as its content.
+	// sharedEventBytes bounds the buffers for events of all streams of the host, beyond
+	// ownEventBytes each.
 	sharedEventBytes = 8 << 20
 	ownEventBytes    = 16 << 10
 	// eventTimeoutGaps is the time without an event after which another target is sought
@@ -52,7 +52,7 @@
 // another target can resume the stream after the last one.
 func (x *exchange) forwardStream(ctx context.Context, scheduler *dispatch.Scheduler, watch *silenceWatch, conn *upstream.Conn, resp *upstream.Response, sentAt time.Time) attempt {
 	s := newEventReader(resp.Body, x.eventMemory)
-	defer s.releaseEvent()
+	defer s.close()
 	timing := streamTiming{sentAt: sentAt}
 	watch.reset(x.eventTimeout(0))
 	for {
@@ -215,36 +215,45 @@
 	usage  membudget.Usage
 }
 
-// newEventReader returns a reader whose large events draw on the memory budget until
-// releaseEvent.
+// newEventReader returns a reader whose buffer draws on the memory budget until close.
 func newEventReader(r io.Reader, memory *membudget.Budget) *eventReader {
 	return &eventReader{br: bufio.NewReaderSize(r, 2<<10), memory: memory}
 }
 
-// releaseEvent drops the last event and returns its memory to the budget.
-func (s *eventReader) releaseEvent() {
-	s.buf.Reset()
-	if s.buf.Cap() > 2*ownEventBytes {
-		s.buf = bytes.Buffer{}
-	}
+// close drops the buffer and returns its memory to the budget.
+func (s *eventReader) close() {
+	s.buf = bytes.Buffer{}
 	s.memory.Resize(&s.usage, 0)
 }
 
+// reserve makes room for n more bytes in the buffer. It returns false if the budget has too few left.
+func (s *eventReader) reserve(n int) bool {
+	if n <= s.buf.Available() {
+		return true
+	}
+	larger := 2*s.buf.Cap() + n
+	if !s.memory.Resize(&s.usage, larger) {
+		return false
+	}
+	s.buf.Grow(larger - s.buf.Len())
+	return true
+}
+
 // next returns the next complete event. It returns io.EOF only if the stream ended between
 // events. The raw bytes are valid until the next call.
 func (s *eventReader) next() (streamEvent, error) {
-	s.releaseEvent()
+	s.buf.Reset()
 	event := streamEvent{comment: true}
 	lineBegins := true
 	for {
 		line, err := s.br.ReadSlice('\n')
-		s.buf.Write(line)
-		if s.buf.Len() > maxEventBytes {
+		if s.buf.Len()+len(line) > maxEventBytes {
 			return streamEvent{}, errEventTooLong
 		}
-		if !s.memory.Resize(&s.usage, s.buf.Len()) {
+		if !s.reserve(len(line)) {
 			return streamEvent{}, errEventMemory
 		}
+		s.buf.Write(line)
 		event.comment = event.comment && (!lineBegins || isComment(line))
 		lineBegins = !errors.Is(err, bufio.ErrBufferFull)
 		if !lineBegins {
