Log why a request that was sent ended and what decided it

An engineer with the logs alone could not tell a stream that the host cut at the end of a planned stop from one whose deadline was reached, one whose target was silent and one whose caller had left: events 306 and 201 said target-silent with "i/o timeout" for all of them, and event 204 had no reason. Each of these ends expires the read of the connection to the target, and the error of that read was taken for the cause.

The context of a request now ends with a cause, and the reason of an attempt that it ended follows from the first one: deadline-after-send, caller-gone or stopped-after-send, beside target-silent. They are declared in core/refusal, so the log field, the header and the label of sardinefront_refusals agree. Status and run state stay 504 and unknown; shutting-down and deadline would claim that the request has not run. Retries are made only before these ends, so their labels stay. A request that was not sent when the stop ended it gets shutting-down instead of overloaded, both 503. The product's own interface names the end of a stop in the same way; its deadline had a reason already.

Events 201, 204 and 306 also state the time left until the deadline, the events and bytes forwarded in the last attempt, and how long the host had waited for the target. sardinectl explain prints them, and sardinectl causes counts broken responses by reason.

The requestlog test of causes has one more request, whose response broke off, so its count is 5 instead of 4.

Run with the race detector: gateway, core and host.

--- a/core/event/table.go
+++ b/core/event/table.go
@@ -15,12 +15,12 @@
 	LoopPanicked      = Event{Number: 109, Name: "loop panicked", Level: slog.LevelError, Meaning: "A background loop panicked and runs again. The line carries the stack."}
 	SettingsReloaded  = Event{Number: 107, Name: "settings reloaded", Level: slog.LevelInfo, Meaning: "The settings file changed and was applied, except for settings that need a restart."}
 
-	RequestRefused       = Event{Number: 201, Name: "request refused", Level: slog.LevelInfo, Meaning: "A request was refused with a reason."}
+	RequestRefused       = Event{Number: 201, Name: "request refused", Level: slog.LevelInfo, Meaning: "A request was refused with a reason. If it was sent, the line states what the last target has sent."}
 	RequestRetried       = Event{Number: 202, Name: "request retried", Level: slog.LevelInfo, Meaning: "An attempt failed and the request is tried again. A request that must not run twice is tried again only if it did not run."}
 	CallerDisconnected   = Event{Number: 203, Name: "caller disconnected", Level: slog.LevelInfo, Meaning: "The caller closed its connection; the request was cancelled."}
 	RequestSent          = Event{Number: 206, Name: "request sent", Level: slog.LevelInfo, Meaning: "A request was sent to a target.", Sampled: true}
 	RequestAnswered      = Event{Number: 205, Name: "request answered", Level: slog.LevelInfo, Meaning: "A caller received its complete response.", Sampled: true}
-	ResponseAborted      = Event{Number: 204, Name: "answer broken", Level: slog.LevelWarn, Meaning: "A response that had begun could not be completed; the connection to the caller was closed."}
+	ResponseAborted      = Event{Number: 204, Name: "answer broken", Level: slog.LevelWarn, Meaning: "A response that had begun could not be completed for the given reason; the connection to the caller was closed. The line states the time left until the deadline and what the last target has sent."}
 	RequestPanicked      = Event{Number: 208, Name: "request panicked", Level: slog.LevelError, Meaning: "The handler of a request panicked; the request was ended and its slot and quota returned. The line carries the stack."}
 	TargetErrorForwarded = Event{Number: 207, Name: "target error forwarded", Level: slog.LevelInfo, Meaning: "A target's own error response was forwarded to the caller because the request could not be retried."}
 
@@ -32,7 +32,7 @@
 	TargetListChanged     = Event{Number: 305, Name: "target list changed", Level: slog.LevelInfo, Meaning: "An entry of the target list was added, changed or removed."}
 	TargetSilent          = Event{Number: 307, Name: "target silent", Level: slog.LevelInfo, Meaning: "A target has not answered, or not gone on with its stream, for longer than expected. The request stays there while another target is sought."}
 	TargetResponsive      = Event{Number: 308, Name: "target responsive", Level: slog.LevelInfo, Meaning: "A silent target went on with the request before another target took it over. found tells whether one had been found."}
-	TargetFailure         = Event{Number: 306, Name: "target failure", Level: slog.LevelInfo, Meaning: "A request to a target failed or its connection was refused."}
+	TargetFailure         = Event{Number: 306, Name: "target failure", Level: slog.LevelInfo, Meaning: "A request to a target failed, was ended by this host or its caller, or its connection was refused. The line states the reason, the time left until the deadline and what the target has sent."}
 	PromptPartSuspected   = Event{Number: 309, Name: "prompt part suspected", Level: slog.LevelWarn, Meaning: "Several targets crashed under requests with this part of a prompt, and no response with it has begun since."}
 	PromptPartQuarantined = Event{Number: 310, Name: "prompt part quarantined", Level: slog.LevelError, Meaning: "Requests with this part of a prompt crash targets and are refused. The line states the crashes and whether a peer's report decided it."}
 	PromptPartReleased    = Event{Number: 311, Name: "prompt part released", Level: slog.LevelInfo, Meaning: "Requests with this part of a prompt are sent again, because a response with it began or the evidence expired."}
--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -72,6 +72,8 @@
 	TargetsBackedOff
 	InternalError
 	PromptPartQuarantined
+	DeadlineAfterSend
+	StoppedAfterSend
 	reasonCount
 )
 
@@ -123,6 +125,10 @@
 	InternalError:        {"internal-error", http.StatusInternalServerError, RunUnknown, 0},
 	// A repeat within seconds is refused as well.
 	PromptPartQuarantined: {"prompt-part-quarantined", http.StatusServiceUnavailable, NotRun, 30 * time.Second},
+	// A request that was sent may have run, so these have reasons and statuses of their own beside
+	// those of a request that ends in the queue.
+	DeadlineAfterSend: {"deadline-after-send", http.StatusGatewayTimeout, RunUnknown, time.Second},
+	StoppedAfterSend:  {"stopped-after-send", http.StatusGatewayTimeout, RunUnknown, time.Second},
 }
 
 // Reasons returns all reasons in table order.
--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -180,7 +180,7 @@
 // refuseOrAbort sends the refusal, or aborts the response if it has begun.
 func (x *exchange) refuseOrAbort(ref *refusal.Refusal, att attempt) {
 	if x.headSent {
-		x.abortResponse(fmt.Errorf("%s: %w", ref.Reason, errors.Join(att.err, ref)))
+		x.abortResponse(ref.Reason, fmt.Errorf("%s: %w", ref.Reason, errors.Join(att.err, ref)))
 	}
 	if x.mayHaveRun && ref.Reason.StatusImpliesNotRun() {
 		ref = refusal.New(refusal.TargetFailed, "%s after %d sends", ref.Reason, x.sends)
@@ -190,6 +190,7 @@
 
 // finishAttempt reports the result of an attempt to the scheduler, the rollout and the log.
 func (x *exchange) finishAttempt(scheduler *dispatch.Scheduler, target directory.Target, att attempt) {
+	x.progress.end(time.Now())
 	endGrant(scheduler, target, att)
 	x.recordForRollout(target, att)
 	x.recordCrash(scheduler, target, att)
@@ -208,9 +209,9 @@
 		return
 	}
 	x.failureLogged = true
-	event.TargetFailure.Log(x.cfg.Log, slog.String("id", x.info.ID), slog.String("target", target.ID),
+	event.TargetFailure.Log(x.cfg.Log, append(x.endAttrs(), slog.String("id", x.info.ID), slog.String("target", target.ID),
 		slog.String("service", x.service), slog.Bool("sent", att.sent), slog.Bool("began", x.began),
-		slog.Any("parts", x.sharedParts()), slog.String("reason", att.reason.String()), slog.Any("error", att.err))
+		slog.Any("parts", x.sharedParts()), slog.String("reason", att.reason.String()), slog.Any("error", att.err))...)
 }
 
 // endGrant ends the grant of an attempt with its outcome.
@@ -241,14 +242,8 @@
 // prepareRetry decides whether the request may be tried at another target and updates the
 // waiter for that. A refusal means that the request ends.
 func (x *exchange) prepareRetry(ctx context.Context, w *reserve.Waiter, target directory.Target, att attempt) *refusal.Refusal {
-	if x.callerDisconnected() {
-		return refusal.New(refusal.CallerDisconnected, "after %d sends", x.sends)
-	}
 	if ctx.Err() != nil {
-		if x.mayHaveRun {
-			return refusal.New(refusal.TargetTimedOut, "no complete response within %s", time.Since(x.arrived).Round(time.Millisecond))
-		}
-		return x.overloaded("not run within %s", time.Since(x.arrived).Round(time.Millisecond))
+		return x.endedRefusal(ctx)
 	}
 	if x.mayHaveRun && (!x.route.Idempotent() || x.notResumable) {
 		return refusal.New(att.reason, "target %s: %v", target.ID, att.err)
@@ -267,6 +262,21 @@
 	return nil
 }
 
+// endedRefusal returns the refusal of a request whose context has ended after an attempt.
+func (x *exchange) endedRefusal(ctx context.Context) *refusal.Refusal {
+	after := time.Since(x.arrived).Round(time.Millisecond)
+	reason := endReason(ctx)
+	switch {
+	case reason == refusal.CallerDisconnected:
+		return refusal.New(reason, "after %d sends", x.sends)
+	case x.mayHaveRun:
+		return refusal.New(reason, "no complete response within %s", after)
+	case reason == refusal.StoppedAfterSend:
+		return shutdownRefusal("not run within %s", after)
+	}
+	return x.overloaded("not run within %s", after)
+}
+
 // avoidUnprovenVersion makes retries use the old version during a rollout.
 func (x *exchange) avoidUnprovenVersion(w *reserve.Waiter) {
 	w.AvoidRolloutVersion = w.AvoidRolloutVersion || x.cfg.Rollouts.Split(x.service, time.Now()).Share < 1
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -101,9 +101,11 @@
 		x.refuse(ref)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	withDeadline, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
-	defer context.AfterFunc(s.running, cancel)()
+	ctx, end := context.WithCancelCause(withDeadline)
+	defer end(nil)
+	defer context.AfterFunc(s.running, func() { end(errGraceEnded) })()
 	x.serve(ctx)
 }
 
@@ -153,6 +155,8 @@
 	partsTrial bool
 	// sentAt is the time of the last send.
 	sentAt time.Time
+	// progress is that of the last send.
+	progress progress
 	// began is true if the response to the last send has begun; see promptparts.Guard.
 	began bool
 	// mayHaveRun is true if a target may have started to run the request.
@@ -326,9 +330,9 @@
 		tier = x.request.Tier
 	}
 	x.cfg.Metrics.CountRefusal(tier, ref.Reason)
-	event.RequestRefused.Log(x.cfg.Log, x.logAttrs(
+	event.RequestRefused.Log(x.cfg.Log, x.logAttrs(append(x.endAttrs(),
 		slog.String("reason", ref.Reason.String()), slog.String("detail", ref.Detail), slog.String("ran", ref.RunState.String()),
-		slog.Duration("retryAfter", ref.RetryAfter))...)
+		slog.Duration("retryAfter", ref.RetryAfter))...)...)
 	// A timeout while the body is read also cancels the request's context.
 	if x.r.Context().Err() != nil && ref.Reason != refusal.CallerTimeout {
 		panic(http.ErrAbortHandler)
@@ -366,8 +370,9 @@
 
 // abortResponse closes the connection of a caller whose response has begun, so that the
 // truncated response does not look complete. It does not return.
-func (x *exchange) abortResponse(why error) {
-	event.ResponseAborted.Log(x.cfg.Log, x.logAttrs(slog.Any("error", why), slog.String("lastEvent", x.lastEventID))...)
+func (x *exchange) abortResponse(reason refusal.Reason, why error) {
+	event.ResponseAborted.Log(x.cfg.Log, x.logAttrs(append(x.endAttrs(),
+		slog.String("reason", reason.String()), slog.Any("error", why), slog.String("lastEvent", x.lastEventID))...)...)
 	panic(http.ErrAbortHandler)
 }
 
--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -40,7 +40,7 @@
 		Header: x.cfg.Codec.RequestHeader(x.r.Header, x.attemptHeader(target, p.reservation)),
 	}
 	x.sends++
-	x.sentAt, x.began = sentAt, false
+	x.sentAt, x.began, x.progress = sentAt, false, progress{lastAt: sentAt}
 	x.targetID, x.targetKey, x.targetVersion, x.queueWait = target.ID, target.Key(), target.Version, sentAt.Sub(x.arrived)
 	x.cfg.Metrics.RecordQueueWait(x.request.Tier, x.queueWait.Seconds())
 	event.RequestSent.Log(x.cfg.Log, slog.String("id", x.info.ID), slog.String("target", x.targetID), slog.Int("send", x.sends),
@@ -59,6 +59,7 @@
 		return watch.settle(found, x.readFailed(ctx, err))
 	}
 	watch.stop()
+	x.progress.lastAt = time.Now()
 	d.scheduler.RecordLoad(target.Key(), resp.Info.Load)
 	if resp.Info.NotRun {
 		return x.handleNotRun(conn, resp)
@@ -100,13 +101,15 @@
 }
 
 // failedAttempt returns the attempt of a request that may have run. If ctx has ended, the
-// outcome is Abandoned for a closed caller connection or the end of a stop, and TimedOut otherwise.
+// outcome is Abandoned for a closed caller connection or the end of a stop, and TimedOut otherwise,
+// and the reason is that of the end.
 func (x *exchange) failedAttempt(ctx context.Context, o reserve.Outcome, reason refusal.Reason, err error) attempt {
 	if ctx.Err() != nil {
 		o = reserve.Abandoned
 		if !x.callerDisconnected() && !x.endedByStop() {
 			o = reserve.TimedOut
 		}
+		reason = endReason(ctx)
 	}
 	return attempt{status: failed, outcome: o, sent: true, reason: reason, err: err}
 }
@@ -143,7 +146,8 @@
 
 // forwardResponse forwards a response that is not an event stream.
 func (x *exchange) forwardResponse(ctx context.Context, conn *upstream.Conn, resp *upstream.Response, sentAt time.Time) attempt {
-	body, complete, err := readBuffered(resp)
+	source := &progressReader{resp.Body, &x.progress}
+	body, complete, err := readBuffered(source)
 	if err != nil {
 		conn.Release(resp, false)
 		return x.failedAttempt(ctx, reserve.BrokenResponse, refusal.ResponseTruncated, err)
@@ -153,7 +157,7 @@
 	x.notResumable = true
 	_, werr := x.w.Write(body)
 	if !complete && werr == nil {
-		_, werr = io.Copy(x.w, resp.Body)
+		_, werr = io.Copy(x.w, source)
 	}
 	conn.Release(resp, werr == nil)
 	if werr != nil {
@@ -180,8 +184,8 @@
 
 // readBuffered reads up to maxBufferedResponseBytes of the body. complete is true if the
 // body is shorter.
-func readBuffered(resp *upstream.Response) (body []byte, complete bool, err error) {
-	body, err = io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponseBytes))
+func readBuffered(r io.Reader) (body []byte, complete bool, err error) {
+	body, err = io.ReadAll(io.LimitReader(r, maxBufferedResponseBytes))
 	return body, len(body) < maxBufferedResponseBytes, err
 }
 
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -67,15 +67,19 @@
 		}
 		if !event.comment {
 			watch.stop() // the time until the caller has read the event is no silence of the target
+			x.progress.lastAt = time.Now()
 		}
 		if err := x.writeEvent(resp, event); err != nil {
 			conn.Release(resp, false)
 			return x.failedAttempt(ctx, reserve.Abandoned, refusal.CallerDisconnected, err)
 		}
+		x.progress.bytes += int64(len(event.raw))
 		if event.comment {
 			continue
 		}
-		timing.recordEvent(time.Now())
+		now := time.Now()
+		timing.recordEvent(now)
+		x.progress.recordEvent(now)
 		x.recordBegun(resp.Status)
 		watch.reset(x.eventTimeout(timing.events))
 		if timing.events == minSampleEvents {
--- a/gateway/requestlog/causes.go
+++ b/gateway/requestlog/causes.go
@@ -45,7 +45,7 @@
 }
 
 // Causes of requests that were not refused. Refused requests have the reason of the refusal as
-// their cause.
+// their cause, and broken responses have theirs added to it.
 const (
 	causeAnswered = "answered"
 	causeFailure  = "failure of the target, passed on"
@@ -69,6 +69,9 @@
 			reason, _ := line.Fields["reason"].(string)
 			return reason, reason != ""
 		case event.ResponseAborted.Number:
+			if reason, _ := line.Fields["reason"].(string); reason != "" {
+				return causeBroken + ": " + reason, true
+			}
 			return causeBroken, line.Fields["error"] != nil
 		case event.TargetErrorForwarded.Number:
 			return causeFailure, line.Fields["status"] != nil
--- a/gateway/requestlog/requestlog.go
+++ b/gateway/requestlog/requestlog.go
@@ -83,7 +83,7 @@
 	var b strings.Builder
 	for _, key := range []string{
 		"reason", "target", "service", "tier", "organisation", "promptTokens", "config", "tries", "send", "sends",
-		"waited", "first", "longestPause", "after", "retryAfter", "lastEvent", "detail", "error",
+		"waited", "first", "longestPause", "after", "deadlineIn", "events", "bytes", "silent", "retryAfter", "lastEvent", "detail", "error",
 	} {
 		v, ok := l.Fields[key]
 		if !ok || v == "" {
@@ -98,7 +98,7 @@
 }
 
 // durationFields are the fields that hold nanoseconds.
-var durationFields = map[string]bool{"waited": true, "first": true, "longestPause": true, "after": true, "retryAfter": true}
+var durationFields = map[string]bool{"waited": true, "first": true, "longestPause": true, "after": true, "retryAfter": true, "deadlineIn": true, "silent": true}
 
 // Summary returns a sentence that describes how the request ended.
 func Summary(lines []Line) string {
@@ -109,7 +109,11 @@
 			detail, _ := l.Fields["detail"].(string)
 			return fmt.Sprintf("%s (%s)", DescribeReason(reason), detail)
 		case event.ResponseAborted.Number:
-			return fmt.Sprintf("The response had begun and could not be completed, so the caller's connection was closed (%v).", l.Fields["error"])
+			broken := fmt.Sprintf("The response had begun and could not be completed, so the caller's connection was closed (%v).", l.Fields["error"])
+			if reason, _ := l.Fields["reason"].(string); reason != "" {
+				broken = DescribeReason(reason) + " " + broken
+			}
+			return broken
 		case event.RequestAnswered.Number:
 			return "The caller received the complete response."
 		}
@@ -145,7 +149,9 @@
 	refusal.TargetFailed.String():          "The target failed while it may have been running it.",
 	refusal.ResponseTruncated.String():     "The target's connection ended before the response was complete.",
 	refusal.ResponseMismatched.String():    "The target's connection carried a response to another request.",
-	refusal.TargetTimedOut.String():        "The target did not complete its response in the time allowed.",
+	refusal.TargetTimedOut.String():        "The target sent nothing for the time that its route allows.",
+	refusal.DeadlineAfterSend.String():     "Its deadline was reached after it had been sent to a target and before the response was complete.",
+	refusal.StoppedAfterSend.String():      "The planned stop of the host ended it after it had been sent to a target and before the response was complete.",
 	refusal.CallerDisconnected.String():    "The caller closed its connection.",
 	refusal.ShuttingDown.String():          "The host was stopping; it was not run.",
 	refusal.Unauthorized.String():          "No organisation has its API key in the active configuration.",
--- a/gateway/requestlog/requestlog_test.go
+++ b/gateway/requestlog/requestlog_test.go
@@ -63,23 +63,24 @@
 1.0 a {"time":"2026-01-02T03:04:05.100Z","msg":"target failure","event":306,"id":"served"}
 1.1 a {"time":"2026-01-02T03:04:05.200Z","msg":"request answered","event":205,"id":"served"}
 1.1 a {"time":"2026-01-02T03:04:05.200Z","msg":"request sent","event":206,"id":"sampled"}
+1.1 a {"time":"2026-01-02T03:04:05.200Z","msg":"answer broken","event":204,"id":"begun","reason":"deadline-after-send","error":"i/o timeout"}
 1.1 b {"time":"2026-01-02T03:04:05.200Z","msg":"target failure","event":306,"id":"killed"}
 2.1 b {"time":"2026-01-02T03:04:06.200Z","msg":"started","event":101}
 1.1 a {"time":"2026-01-02T03:04:05.200Z","msg":"target failure","event":306,"id":"lost"}
 `
 
-// Guards against counting a request without a known cause as explained, and against
-// counting served requests.
+// Guards against counting a request without a known cause as explained, against counting served
+// requests, and against one cause for all responses that broke off.
 func TestCauses(t *testing.T) {
 	log := requestlog.NewLog()
 	if err := log.Add(strings.NewReader(causesLog)); err != nil {
 		t.Fatal(err)
 	}
 	var out strings.Builder
-	if unexplained, all := log.WriteCauses(&out, nil); unexplained != 1 || all != 4 {
-		t.Errorf("%d of %d unexplained, want 1 of 4:\n%s", unexplained, all, out.String())
+	if unexplained, all := log.WriteCauses(&out, nil); unexplained != 1 || all != 5 {
+		t.Errorf("%d of %d unexplained, want 1 of 5:\n%s", unexplained, all, out.String())
 	}
-	if !strings.Contains(out.String(), "no cause: lost\n") {
+	if !strings.Contains(out.String(), "no cause: lost\n") || !strings.Contains(out.String(), "deadline-after-send") {
 		t.Errorf("causes:\n%s", out.String())
 	}
 	if unexplained, all := log.WriteCauses(&out, []string{"refused", "unseen"}); unexplained != 1 || all != 2 {
--- a/host/exchange.go
+++ b/host/exchange.go
@@ -104,7 +104,7 @@
 	case errors.Is(cause, context.DeadlineExceeded):
 		reason = refusal.DeadlineExceeded
 	case errors.Is(cause, errStopped) && x.dispatched:
-		reason = refusal.TargetTimedOut // the status of a stop guarantees that the request has not run
+		reason = refusal.StoppedAfterSend // the status of ShuttingDown guarantees that the request has not run
 	case errors.Is(cause, errStopped):
 		reason = refusal.ShuttingDown
 	}
