Apply changes of the directory one after another

Callers' requests could go to a target that the host knew to be leaving, or be charged to an older quota, until the next change: onDirectoryChange runs on the goroutines of store reads, configuration fetches, heartbeats and reloads. Each call loads the table and the target list first and applies them last, so a call that began earlier could overwrite what a later one had applied.

A lock makes each call load its state after the call before it has ended, so the last one applies the newest state.

The own path was not examined.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -104,6 +105,8 @@
 	// usageReports is used only by the loop that sends heartbeats.
 	usageReports usageReports
 	targetIndex  targetIndex
+	// directoryChange serialises onDirectoryChange, so that the newest state is applied last.
+	directoryChange sync.Mutex
 	// restoredSpeeds holds the gaps between events from the checkpoint, in microseconds by
 	// target hash.
 	restoredSpeeds atomic.Pointer[map[uint32]uint32]
@@ -228,6 +231,8 @@
 // onDirectoryChange applies a new configuration or target list to quotas, connections and
 // schedulers.
 func (g *Gateway) onDirectoryChange() {
+	g.directoryChange.Lock()
+	defer g.directoryChange.Unlock()
 	table := g.routing.Load()
 	if table == nil {
 		return
