Reserve the ports of relays and targets in scenarios

A host's relays stop listening when the host crashes, and listen on the same port again after its restart. The port came from the ephemeral range, and the system assigned it to a listener of the restarted host. A request can also reach the wrong target in this way: another target may get the port of a crashed one.

Relays and targets now get their ports from core/freeport, below the ephemeral range and never twice, as the peer listeners of hosts already did.

The other fixtures that close a listener (gateway, host, target, proof/soak, standin) never listen on its port again.

--- a/core/freeport/freeport.go
+++ b/core/freeport/freeport.go
@@ -63,6 +63,10 @@
 	return fmt.Sprintf("127.0.0.1:%d", port), err
 }
 
+// IsEphemeral reports whether the system may assign the port to a connection, or to a listener that
+// requests port 0.
+func IsEphemeral(port uint16) bool { return int(port) >= firstEphemeralPort() }
+
 func isFree(port uint16) bool {
 	address := fmt.Sprintf("127.0.0.1:%d", port)
 	l, err := net.Listen("tcp4", address)
--- a/proof/scenario/hostprocess.go
+++ b/proof/scenario/hostprocess.go
@@ -193,13 +193,14 @@
 	}
 	k := files[s.Host.Name]
 	s.KeyFiles = settings.KeyFiles{CA: k.CA, Cert: k.Cert, Key: k.Key}
-	s.Listen.Peers, err = peerAddress(w.listenAddress)
+	// Other hosts must know the address before the host starts.
+	s.Listen.Peers, err = reservedAddress(w.listenAddress)
 	return err
 }
 
-// peerAddress returns an address with a free port on the IP of a listen address. Other hosts
-// must know it before the host starts.
-func peerAddress(listen string) (string, error) {
+// reservedAddress returns an address with a free port on the IP of a listen address. No other
+// listener is assigned that port, even while nothing listens on it.
+func reservedAddress(listen string) (string, error) {
 	ip, _, err := net.SplitHostPort(listen)
 	if err != nil {
 		return "", err
@@ -345,8 +346,11 @@
 	defer p.mu.Unlock()
 	r := p.relays[endpoint.Name]
 	if r == nil {
-		var err error
-		if r, err = newRelay(p.listenAddress, endpoint.Address); err != nil {
+		address, err := reservedAddress(p.listenAddress)
+		if err != nil {
+			return unreachableAddress
+		}
+		if r, err = newRelay(address, endpoint.Address); err != nil {
 			return unreachableAddress
 		}
 		p.relays[endpoint.Name] = r
--- a/proof/scenario/standins.go
+++ b/proof/scenario/standins.go
@@ -119,10 +119,9 @@
 func (w *world) addTarget(endpoint platform.Endpoint, newServer func() standinServer) error {
 	s := &standin{endpoint: endpoint, newServer: newServer, server: newServer(), recordedRuns: map[string]int{}, endedRuns: map[string]int{}}
 	s.engine, _ = s.server.(*engine.Server)
-	if err := s.server.Start(w.listenAddress); err != nil {
+	if err := w.startServer(s); err != nil {
 		return err
 	}
-	s.endpoint.Address = s.server.Addr()
 	w.targets.mu.Lock()
 	w.targets.all[endpoint.Name] = s
 	w.targets.mu.Unlock()
@@ -130,6 +129,20 @@
 	return nil
 }
 
+// startServer starts the target's server on a port that no other listener had before, so that
+// requests to the previous server of another target cannot reach it.
+func (w *world) startServer(s *standin) error {
+	address, err := reservedAddress(w.listenAddress)
+	if err != nil {
+		return err
+	}
+	if err := s.server.Start(address); err != nil {
+		return err
+	}
+	s.endpoint.Address = address
+	return nil
+}
+
 // markLeaving records that the target is leaving, and marks it so in the platform's list if
 // listed is set.
 func (w *world) markLeaving(s *standin, listed bool) {
@@ -157,10 +170,7 @@
 	s.recordedRuns = map[string]int{}
 	s.server = s.newServer()
 	s.engine, _ = s.server.(*engine.Server)
-	err := s.server.Start(w.listenAddress)
-	if err == nil {
-		s.endpoint.Address = s.server.Addr()
-	}
+	err := w.startServer(s)
 	endpoint := s.endpoint
 	s.mu.Unlock()
 	if err == nil {
--- a/proof/scenario/world.go
+++ b/proof/scenario/world.go
@@ -61,10 +61,10 @@
 // addressCount is the number of calls of uniqueLoopbackAddress in this process.
 var addressCount atomic.Uint32
 
-// uniqueLoopbackAddress returns a loopback address that no other scenario uses. The
-// port of a closed relay may be reused by another listener. On a shared address, that
-// listener could belong to another scenario, whose targets would then receive the
-// requests of this scenario.
+// uniqueLoopbackAddress returns a loopback address that no other scenario uses. The system
+// may assign the port of a crashed host to another listener. On a shared address, that
+// listener could belong to another scenario, which would then receive the requests of this
+// one.
 func uniqueLoopbackAddress() string {
 	n := addressCount.Add(1)
 	address := fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()%250, 1+n/250%250, 1+n%250)
