Forward a target's error response if the request cannot be retried

Callers of an idempotent request got 502 after up to 0.7 s although its target had answered 500 long before. The response was dropped as soon as a retry was allowed, before another target had taken the request; when none had capacity, the host made up a failure of its own.

A complete error response is now kept while the request is retried and is forwarded if no retry succeeds, unless its status would guarantee that the request has not run.

--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -177,11 +177,15 @@
 	return ref
 }
 
-// refuseOrAbort sends the refusal, or aborts the response if it has begun.
+// refuseOrAbort sends the refusal, or the error response of a target if one was kept, or aborts
+// the response if it has begun.
 func (x *exchange) refuseOrAbort(ref *refusal.Refusal, att attempt) {
 	if x.headSent {
 		x.abortResponse(ref.Reason, fmt.Errorf("%s: %w", ref.Reason, errors.Join(att.err, ref)))
 	}
+	if x.forwardFailure(ref) {
+		return
+	}
 	if x.mayHaveRun && ref.Reason.StatusImpliesNotRun() {
 		ref = refusal.New(refusal.TargetFailed, "%s after %d sends", ref.Reason, x.sends)
 	}
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -148,6 +148,8 @@
 	// notResumable is true if the caller has received bytes after which no other target can
 	// continue: a part of a response that is not an event stream, or an event without an id.
 	notResumable bool
+	// failure is the last error response of a target; nil if there was none.
+	failure *targetFailure
 	// failureLogged is true if a failed attempt was logged; the final log line is then exempt
 	// from sampling.
 	failureLogged bool
--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -67,9 +67,7 @@
 	// The target did not state that it had not run the request, so the caller must not be
 	// told so by the status.
 	if refusal.StatusImpliesNotRun(resp.Status) || x.shouldRetryStatus(resp.Status) {
-		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedResponseBytes))
-		conn.Release(resp, err == nil)
-		return x.failedAttempt(ctx, reserve.ErrorResponse, refusal.TargetFailed, fmt.Errorf("status %d", resp.Status))
+		return x.handleErrorStatus(ctx, conn, resp)
 	}
 	if isEventStream(resp.Header) && resp.Status == http.StatusOK {
 		return x.forwardStream(ctx, d.scheduler, watch, conn, resp, sentAt)
@@ -94,8 +92,8 @@
 	return max(minIdempotentTimeout, idempotentTimeoutGoals*x.route.LatencyGoal)
 }
 
-// shouldRetryStatus reports whether a 5xx response is dropped and the request retried. It
-// charges the retry budget. If no retry is allowed, the response is forwarded.
+// shouldRetryStatus reports whether the request is retried after a 5xx response. It charges the
+// retry budget. If no retry is allowed, the response is forwarded.
 func (x *exchange) shouldRetryStatus(status int) bool {
 	return status >= 500 && x.route.Idempotent() && !x.headSent && x.sends < x.route.MaxAttempts && x.chargeRetryBudget()
 }
@@ -166,7 +164,7 @@
 	o := reserve.OK
 	if resp.Status >= http.StatusInternalServerError {
 		o = reserve.ErrorResponse
-		event.TargetErrorForwarded.Log(x.cfg.Log, x.logAttrs(slog.Int("status", resp.Status))...)
+		x.logForwardedError(resp.Status)
 	} else {
 		x.recordAnswered()
 	}
