Queue requests for a service that was just added

Callers of a route that a change of the configuration moved to a new service got 503 with a Retry-After of 2 s, longer than many of them wait, for as long as the host took to apply the change: the new routes are in force before the service has a queue.

TestAddedServiceIsUsedAtOnce on the code before: status 503, no-target (two of two runs). The request now creates the queue of a configured service itself and waits there until the targets are set; five of five runs and one with -race pass.

logBuffer of the fixture gains hold, which stops the host at a log line.

--- a/gateway/dispatch/schedulers.go
+++ b/gateway/dispatch/schedulers.go
@@ -139,6 +139,24 @@
 	return s.schedulers[name]
 }
 
+// Add returns the scheduler of a configured service. It creates one without targets for a new
+// service: requests are routed by a new configuration shortly before Update applies it.
+func (s *Schedulers) Add(service *routing.Service) *Scheduler {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.add(service)
+}
+
+// add is Add. The caller holds s.mu.
+func (s *Schedulers) add(service *routing.Service) *Scheduler {
+	scheduler := s.schedulers[service.Name]
+	if scheduler == nil {
+		scheduler = newScheduler(service.Name, service.Engine != nil && service.Engine.MaxReservationLifetime > 0, s.log, s.peers, s.metrics)
+		s.schedulers[service.Name] = scheduler
+	}
+	return scheduler
+}
+
 // each calls f for every scheduler with its lock held.
 func (s *Schedulers) each(f func(name string, scheduler *Scheduler)) {
 	s.mu.Lock()
@@ -160,10 +178,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := range table.Services {
-		info := &table.Services[i]
-		if s.schedulers[info.Name] == nil {
-			s.schedulers[info.Name] = newScheduler(info.Name, info.Engine != nil && info.Engine.MaxReservationLifetime > 0, s.log, s.peers, s.metrics)
-		}
+		s.add(&table.Services[i])
 	}
 	s.byTarget = make(map[string]*Scheduler, len(targets))
 	for name, scheduler := range s.schedulers {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -47,9 +47,24 @@
 type logBuffer struct {
 	mu sync.Mutex
 	b  strings.Builder
+	// holdText, if not empty, is the text of the line at which the host is held.
+	holdText      string
+	held, endHold chan struct{}
+}
+
+// hold holds the host at the first log line that contains the text: held is closed then, and the
+// host goes on once end is closed. It must be called before the host starts.
+func (l *logBuffer) hold(text string) (held <-chan struct{}, end chan<- struct{}) {
+	l.holdText, l.held, l.endHold = text, make(chan struct{}), make(chan struct{})
+	return l.held, l.endHold
 }
 
 func (l *logBuffer) Write(p []byte) (int, error) {
+	if l.holdText != "" && strings.Contains(string(p), l.holdText) { // the handler serialises writes
+		l.holdText = ""
+		close(l.held)
+		<-l.endHold
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.b.Write(p)
--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -86,11 +86,12 @@
 // or no retry is allowed.
 func (x *exchange) serve(ctx context.Context) {
 	x.cfg.RetryBudget.RecordRequest(x.service, x.arrived)
-	scheduler := x.cfg.Schedulers.Get(x.service)
-	if scheduler == nil || x.table.Service(x.service) == nil {
+	service := x.table.Service(x.service)
+	if service == nil {
 		x.refuse(refusal.New(refusal.NoTarget, "service %s is not configured", x.service))
 		return
 	}
+	scheduler := x.cfg.Schedulers.Add(service)
 	d := &dispatcher{scheduler: scheduler, waiter: x.waiter()}
 	var next *placement
 	for resubmit := false; ; resubmit = true {
