Refuse requests that wait for a withdrawn service

A request that waited for a service which a change of the configuration had withdrawn, with all of its targets, was held for 0.65 of its caller's time and then refused as overloaded, when its caller had little time left to come back. Nothing told the queue of the service that it was withdrawn.

Running requests go on, and so do waiting ones while targets of the service are listed: some configuration allowed them to go there. A service that comes back is in use again with the first request that the new configuration routes to it.

--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -88,6 +88,13 @@
 	s.dispatch(now)
 }
 
+// setWithdrawn sets whether requests of the service are refused; see reserve.Pool.SetWithdrawn.
+func (s *Scheduler) setWithdrawn(withdrawn bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.SetWithdrawn(withdrawn)
+}
+
 // Acquire blocks until the request is granted a target, is refused, or ctx ends. resubmit
 // is true if an earlier grant of the same Waiter did not serve the request. The error is a
 // *refusal.Refusal or ctx.Err(). Each grant must be ended by EndGrant or RecordFull.
--- a/gateway/dispatch/schedulers.go
+++ b/gateway/dispatch/schedulers.go
@@ -19,6 +19,7 @@
 	mu         sync.Mutex
 	schedulers map[string]*Scheduler
 	byTarget   map[string]*Scheduler // by the key of the target's incarnation
+	version    int64                 // of the configuration of the last Update
 }
 
 // NewSchedulers returns an empty set for a host in the zone.
@@ -139,12 +140,17 @@
 	return s.schedulers[name]
 }
 
-// Add returns the scheduler of a configured service. It creates one without targets for a new
-// service: requests are routed by a new configuration shortly before Update applies it.
-func (s *Schedulers) Add(service *routing.Service) *Scheduler {
+// Add returns the scheduler of a service of the configuration. Requests are routed by a new
+// configuration shortly before Update applies it: a new service gets a scheduler without targets
+// until then, and one that was withdrawn is in use again.
+func (s *Schedulers) Add(table *routing.Table, service *routing.Service) *Scheduler {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.add(service)
+	scheduler := s.add(service)
+	if table.Version > s.version {
+		scheduler.setWithdrawn(false)
+	}
+	return scheduler
 }
 
 // add is Add. The caller holds s.mu.
@@ -168,8 +174,9 @@
 	}
 }
 
-// Update applies a new configuration and list of targets. The scheduler of a removed
-// service stays, without targets, for the requests that still wait in it.
+// Update applies a new configuration and list of targets. The scheduler of a removed service
+// stays. While targets of the service are listed, its waiting requests may run there; without
+// targets they are refused.
 func (s *Schedulers) Update(table *routing.Table, targets []directory.Target) {
 	byService := map[string][]directory.Target{}
 	for _, t := range targets {
@@ -180,11 +187,13 @@
 	for i := range table.Services {
 		s.add(&table.Services[i])
 	}
+	s.version = table.Version
 	s.byTarget = make(map[string]*Scheduler, len(targets))
 	for name, scheduler := range s.schedulers {
 		for _, t := range byService[name] {
 			s.byTarget[t.Key()] = scheduler
 		}
+		scheduler.setWithdrawn(table.Service(name) == nil && len(byService[name]) == 0)
 		scheduler.setTargets(byService[name], s.zone)
 	}
 }
--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -91,7 +91,7 @@
 		x.refuse(refusal.New(refusal.NoTarget, "service %s is not configured", x.service))
 		return
 	}
-	scheduler := x.cfg.Schedulers.Add(service)
+	scheduler := x.cfg.Schedulers.Add(x.table, service)
 	d := &dispatcher{scheduler: scheduler, waiter: x.waiter()}
 	var next *placement
 	for resubmit := false; ; resubmit = true {
--- a/gateway/withdrawn_test.go
+++ b/gateway/withdrawn_test.go
@@ -1,12 +1,15 @@
 package gateway_test
 
 import (
+	"encoding/json"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"sardinefront.dev/platform/wire"
+	"sardinefront.dev/standin/fleetuser"
 	"sardinefront.dev/standin/slotengine"
 )
 
@@ -28,3 +31,62 @@
 		t.Errorf("response %+v", resp)
 	}
 }
+
+// withoutService returns the configuration without a service and its routes.
+func withoutService(t *testing.T, version int, service string) []byte {
+	t.Helper()
+	var c map[string]any
+	if err := json.Unmarshal(configuration(version, 0), &c); err != nil {
+		t.Fatal(err)
+	}
+	of := func(field string) func(any) bool {
+		return func(v any) bool { return v.(map[string]any)[field] == service }
+	}
+	c["routes"] = slices.DeleteFunc(c["routes"].([]any), of("service"))
+	c["services"] = slices.DeleteFunc(c["services"].([]any), of("name"))
+	b, err := json.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// Guards against a request that waits for a service which a change of the configuration has
+// withdrawn, until its caller has no time left to come back, and against one that is cut while it
+// runs there.
+func TestRequestsOfWithdrawnServiceRunOrAreRefused(t *testing.T) {
+	const slots, delay = 3, 2500 * time.Millisecond
+	deadline := "Request-Deadline: 8000"
+	fx := newFixture(t)
+	fx.store.Put(wire.KeyConfig, fleetuser.Configuration(1, 8000, 0, slots))
+	s := fx.addServer(plainName, slotengine.Config{Slots: slots, ResponseDelay: delay})
+	fx.startHost()
+	responses := make(chan response, slots)
+	for range slots { // as many as a plain service with two listed slots gets at once
+		c := fx.dial()
+		fx.send(c, "POST", pathNonIdempotent, "order", deadline)
+		go func() { responses <- fx.read(c) }()
+	}
+	fx.eventually("the service is full", func() bool { return s.ActiveRuns() == slots })
+	waiting := fx.dial()
+	fx.send(waiting, "POST", pathNonIdempotent, "order", deadline)
+	time.Sleep(100 * time.Millisecond) // the request waits
+	fx.store.Put(wire.KeyConfig, withoutService(t, 2, plainName))
+	fx.store.Delete(wire.PrefixTargets + "i-0")
+	resp := fx.read(waiting)
+	if n := s.ActiveRuns(); n != slots {
+		t.Errorf("response to the waiting request after only %d of %d other ones were running", n, slots)
+	}
+	if resp.status != http.StatusServiceUnavailable || resp.header.Get("Sardinefront-Ran") != "not-run" || resp.header.Get("Retry-After") != "0.200" {
+		t.Errorf("response to the waiting request %+v", resp)
+	}
+	for range slots {
+		if resp := <-responses; resp.status != http.StatusOK {
+			t.Errorf("response to a running request %+v", resp)
+		}
+	}
+	// The service comes back.
+	fx.store.Put(wire.KeyConfig, fleetuser.Configuration(3, 8000, 0, slots))
+	fx.listServer(plainName, "i-0", s.Address(), "ready")
+	fx.eventually("the service is used again", func() bool { return fx.call("POST", pathNonIdempotent, "order").status == http.StatusOK })
+}
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -21,6 +21,9 @@
 	defaultMaxWaiting = 2048
 	// maxWakeInterval bounds the time between calls of Dispatch while requests wait.
 	maxWakeInterval = 50 * time.Millisecond
+	// withdrawnRetryAfter is the Retry-After of requests for a withdrawn service. The other hosts
+	// apply a configuration within a few heartbeats.
+	withdrawnRetryAfter = 200 * time.Millisecond
 )
 
 // Config configures a Pool.
@@ -60,6 +63,8 @@
 	// departedOrder.
 	departed      map[string]*drain.State
 	departedOrder []string
+	// withdrawn is set while the service is not configured and has no targets.
+	withdrawn bool
 	// slowThreshold is the gap between events above which a target is slow, as of the last
 	// Dispatch with waiting requests; 0 if too few targets are measured.
 	slowThreshold time.Duration
@@ -105,6 +110,25 @@
 	return changes
 }
 
+// SetWithdrawn sets whether the service is not configured any more and has no targets. Its requests
+// are then refused at the next Dispatch, so that their callers can come back in time: a new
+// configuration may send them to another service.
+func (p *Pool) SetWithdrawn(withdrawn bool) { p.withdrawn = withdrawn }
+
+// refuseWithdrawn removes all waiting requests and returns their refusals.
+func (p *Pool) refuseWithdrawn() []Expired {
+	var out []Expired
+	for _, w := range p.waiters {
+		ref := refusal.New(refusal.NoTarget, "the service is not configured any more and has no targets")
+		ref.RetryAfter = withdrawnRetryAfter
+		out = append(out, Expired{w, ref})
+	}
+	for _, x := range out {
+		p.Remove(x.Waiter)
+	}
+	return out
+}
+
 // SetHostCount sets the number of hosts that share the targets, this one included.
 func (p *Pool) SetHostCount(n int) { p.hostCount = n }
 
@@ -151,9 +175,13 @@
 }
 
 // Dispatch assigns waiting requests to targets with free slots. It returns these grants and
-// the requests that have expired. Each grant ends with EndGrant or RecordFull.
+// the requests that are refused, because they have expired or the service is withdrawn. Each grant
+// ends with EndGrant or RecordFull.
 func (p *Pool) Dispatch(now time.Time) (grants []Grant, expired []Expired) {
 	p.startTrials(now)
+	if p.withdrawn {
+		return nil, p.refuseWithdrawn()
+	}
 	for _, x := range p.queue.Expire(now) {
 		w := p.waiters[x.Item]
 		p.dequeue(w)
