Keep connections in use while their peer pauses

What callers saw: requests that were sent to a sound target ended with 502 or 504, and streams with a closed connection, about 1.5 s after the link to the target was cut or the target stopped reading a long body, long before the request's deadline.

Cause: TCP_USER_TIMEOUT of 1.5 s on connections to targets. On Linux it ends a connection whose data stays unacknowledged, one whose keep-alive probes get no answer (also while a response is awaited), and one whose peer keeps its receive window closed. The last is no sign of a lost peer: a target may answer before it reads a long body, or read it late.

Change: while a connection carries a request, TCP_USER_TIMEOUT is the time that the request has left, plus 1 s.

Why it works: the deadline, the search for another target after a silence, and the caller's own end already bound a request in progress. What it costs: a request that may not be repeated, at a target that is lost without a reset, ends at its deadline with 504 instead of after 1.5 s with 502 or 504; its caller may not repeat it in either case.

Elsewhere: the own path and the client of the store set no user timeout; the kernel's default probes take minutes (read).

addListener is split from addRawEngine in the fixture, which behaves as before.

--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -25,6 +25,12 @@
 // addRawEngine is addRawServer for a target that grants a reservation only if reserve returns
 // true.
 func (fx *fixture) addRawEngine(service, id string, reserve func() bool, respond func(net.Conn, *http.Request) bool) {
+	fx.t.Helper()
+	fx.addListener(service, id, func(c net.Conn) { serveRaw(c, reserve, respond) })
+}
+
+// addListener lists a target of a service that passes each of its connections to serve.
+func (fx *fixture) addListener(service, id string, serve func(net.Conn)) {
 	fx.t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -37,7 +43,7 @@
 			if err != nil {
 				return
 			}
-			go serveRaw(c, reserve, respond)
+			go serve(c)
 		}
 	}()
 	fx.listServer(service, id, l.Addr().String(), "ready")
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"sardinefront.dev/gateway/protocol"
@@ -141,12 +142,34 @@
 // pastDeadline makes reads and writes fail at once.
 var pastDeadline = time.Unix(1, 0)
 
-// BindContext makes reads and writes fail once ctx ends. Call it once after each Get.
+// BindContext makes reads and writes fail once ctx ends. Call it once after each Get. Until then or
+// Release, a connection whose peer is cut off or reads nothing is kept: a sound target may be so for
+// seconds.
 func (c *Conn) BindContext(ctx context.Context) {
 	c.ctx = ctx
+	c.setUserTimeout(timeLeft(ctx) + userTimeoutMargin)
 	c.unbindContext = context.AfterFunc(ctx, func() { c.net.SetDeadline(pastDeadline) })
 }
 
+// timeLeft returns the time until the deadline of ctx.
+func timeLeft(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return maxUserTimeout
+	}
+	return min(max(0, time.Until(deadline)), maxUserTimeout)
+}
+
+// setUserTimeout sets TCP_USER_TIMEOUT. A failure means that the connection is closed, which its
+// next use reports.
+func (c *Conn) setUserTimeout(d time.Duration) {
+	if sc, ok := c.net.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			_ = setUserTimeout(raw, d)
+		}
+	}
+}
+
 // RebindContext replaces the bound context. It reports false if that has ended; the connection
 // cannot be used any more then.
 func (c *Conn) RebindContext(ctx context.Context) bool {
@@ -301,6 +324,7 @@
 // was read.
 func (c *Conn) Release(resp *Response, ok bool) {
 	ctxActive := c.unbindContext == nil || c.unbindContext()
+	c.setUserTimeout(idleUserTimeout)
 	c.ctx, c.unbindContext = nil, nil
 	if resp != nil {
 		c.updateIdleTimeout(resp.Header)
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -29,10 +29,15 @@
 	idleMargin = 700 * time.Millisecond
 	// maxIdlePerTarget bounds the idle connections per target.
 	maxIdlePerTarget = 16
-	// tcpUserTimeout (TCP_USER_TIMEOUT) closes connections whose data stays
-	// unacknowledged, as after a network partition or a lost peer.
-	tcpUserTimeout = 1500 * time.Millisecond
-	// The TCP keep-alive probes detect lost connections while a response is awaited.
+	// idleUserTimeout (TCP_USER_TIMEOUT) closes idle connections to a lost peer, and ends the
+	// transmission of what was sent before a connection is closed.
+	idleUserTimeout = 1500 * time.Millisecond
+	// userTimeoutMargin is added to the time left of a request for TCP_USER_TIMEOUT, so that the
+	// request's deadline ends it first.
+	userTimeoutMargin = time.Second
+	// maxUserTimeout applies to requests without a deadline. The option takes milliseconds in 32 bits.
+	maxUserTimeout = 24 * time.Hour
+	// The TCP keep-alive probes detect lost connections while they are idle.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = 500 * time.Millisecond
 	keepAliveCount    = 2
@@ -87,7 +92,7 @@
 			KeepAliveConfig: net.KeepAliveConfig{
 				Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 			},
-			Control: setUserTimeout,
+			Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, idleUserTimeout) },
 		},
 	}
 }
@@ -96,10 +101,11 @@
 // It must be called before Get and must not block.
 func (p *Pool) SetObserver(observer func(Observation)) { p.observer = observer }
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// setUserTimeout bounds the time for which the peer may acknowledge nothing, or accept no data.
+func setUserTimeout(raw syscall.RawConn, d time.Duration) error {
 	var setErr error
 	err := raw.Control(func(fd uintptr) {
-		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
+		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
 	if err != nil {
 		return err
