Send refusals before the body is read, and read the body after them

What callers saw: a request that was refused before its body was read (no configuration yet, unknown route or key, planned stop, body too large) got the refusal late, or never, if its caller was still sending. A caller of a long body that writes first and reads then got a broken pipe. One that never sent the body kept its connection for good.

Cause: net/http reads up to 256 KiB of an unread body before it sends the response, without a deadline here, and closes the connection 0.5 s after the response to a longer one. The unread bytes then make the kernel reset the connection.

Why it works: the connection is no longer closed while its caller writes, and nothing that the caller does delays the refusal. A request with "Expect: 100-continue" keeps its old handling, since its caller sends no body after a refusal (TestExpectContinue).

Ruled out, with tests that pass before and after: bytes after a request, a pipelined request, "Expect: 100-continue" (TestBytesAfterRequestAreNoEnd, TestExpectContinue), and the write deadline of an earlier request on a kept connection (TestMalformedRequestOnKeptConnectionGetsAResponse).

--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -121,9 +121,11 @@
 	quotaUnits   float64 // charged to the organisation's quota
 	uri          string
 	body         []byte
-	service      string
-	request      *request.Request
-	deadline     time.Time
+	// bodyRead is true once the body was read to its end, or reading it has failed.
+	bodyRead bool
+	service  string
+	request  *request.Request
+	deadline time.Time
 
 	// targetID, targetKey and targetVersion describe the target of the last send.
 	targetID      string
@@ -229,6 +231,7 @@
 	connection := http.NewResponseController(x.w)
 	_ = connection.SetReadDeadline(x.deadline) // an error means a connection without deadlines
 	body, err := readAll(x.r, limit+1)
+	x.bodyRead = int64(len(body)) <= limit
 	if err == nil {
 		// After an error the deadline stays, because net/http then reads the rest of the body.
 		_ = connection.SetReadDeadline(time.Time{})
@@ -340,7 +343,15 @@
 		h.Set("Retry-After", strconv.FormatFloat(ref.RetryAfter.Seconds(), 'f', 3, 64))
 	}
 	h.Set("Content-Length", "0")
+	if !x.hasUnreadBody() {
+		x.w.WriteHeader(ref.Reason.Status())
+		return
+	}
+	connection := http.NewResponseController(x.w)
+	_ = connection.EnableFullDuplex() // else net/http reads the body before it sends the refusal
 	x.w.WriteHeader(ref.Reason.Status())
+	_ = connection.Flush()
+	x.discardBody(connection)
 }
 
 // recoverPanic ends a request whose handler panicked with a status, or closes the connection
