Answer callers that have shut down their side of the connection

What callers saw: a caller that sent a whole request, shut down its write side and waited got neither an answer nor a refusal; its connection was closed.

Cause: net/http cancels the request's context when it reads the end of the connection, and refuse then closed the connection without a response.

Change: the refusal is written also then. It is 503 if the request was not run, so the caller may repeat it, else 502. Status 499 stays in the log only, under reason caller-gone: it tells callers nothing about whether the request ran. A response that has begun still breaks off.

Why the request still ends: a caller that closes its connection sends the same FIN as one that shuts down its write side, and nothing but a write tells them apart. Work for callers that have left must stop, so the end of the caller's side ends the request, as nginx, Envoy and net/http do by default.

--- a/gateway/callers_test.go
+++ b/gateway/callers_test.go
@@ -3,9 +3,11 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -140,3 +142,41 @@
 		t.Errorf("response %+v", resp)
 	}
 }
+
+// Guards against a caller that shuts down its side of the connection after its request and gets
+// neither a response nor a refusal, and against work that goes on for it: a caller that has left
+// looks the same.
+func TestHalfClosedCallerGetsARefusal(t *testing.T) {
+	const requests = 12 // more than the target gets at once
+	fx := newFixture(t)
+	var began, ended atomic.Int32
+	fx.addRawServer(plainName, "i-slow", func(c net.Conn, _ *http.Request) bool {
+		began.Add(1)
+		c.Read(make([]byte, 1)) // ends when the host closes the connection
+		ended.Add(1)
+		return false
+	})
+	fx.startHost()
+	var callers []*caller
+	for range requests {
+		c := fx.dial()
+		fx.send(c, "POST", pathNonIdempotent, "order")
+		callers = append(callers, c)
+	}
+	time.Sleep(100 * time.Millisecond) // the others are queued
+	for _, c := range callers {
+		if err := c.Conn.(*net.TCPConn).CloseWrite(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	results := map[string]int{}
+	for _, c := range callers {
+		resp := fx.read(c)
+		results[fmt.Sprint(resp.status, " ", resp.header.Get("Sardinefront-Ran"))]++
+	}
+	notRun, unknown := results["503 not-run"], results["502 unknown"]
+	if notRun == 0 || unknown == 0 || notRun+unknown != requests || unknown < int(began.Load()) {
+		t.Errorf("responses %v, %d runs", results, began.Load())
+	}
+	fx.eventually("the target may stop", func() bool { return ended.Load() == began.Load() })
+}
--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -151,7 +151,7 @@
 		ref = x.overloaded("%s", ref.Detail)
 	case errors.As(err, &ref):
 	case x.callerDisconnected():
-		ref = refusal.New(refusal.CallerDisconnected, "after %s in the queue", time.Since(x.arrived).Round(time.Millisecond))
+		ref = x.callerGone("after %s in the queue", time.Since(x.arrived).Round(time.Millisecond))
 	case x.endedByStop():
 		ref = shutdownRefusal("after %s in the queue", time.Since(x.arrived).Round(time.Millisecond))
 	default:
@@ -242,7 +242,7 @@
 // waiter for that. A refusal means that the request ends.
 func (x *exchange) prepareRetry(ctx context.Context, w *reserve.Waiter, target directory.Target, att attempt) *refusal.Refusal {
 	if x.callerDisconnected() {
-		return refusal.New(refusal.CallerDisconnected, "after %d sends", x.sends)
+		return x.callerGone("after %d sends", x.sends)
 	}
 	if ctx.Err() != nil {
 		if x.mayHaveRun {
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -332,10 +332,6 @@
 	event.RequestRefused.Log(x.cfg.Log, x.logAttrs(
 		slog.String("reason", ref.Reason.String()), slog.String("detail", ref.Detail), slog.String("ran", ref.RunState.String()),
 		slog.Duration("retryAfter", ref.RetryAfter))...)
-	// A timeout while the body is read also cancels the request's context.
-	if x.r.Context().Err() != nil && ref.Reason != refusal.CallerTimeout {
-		panic(http.ErrAbortHandler)
-	}
 	h := x.w.Header()
 	h.Set("Sardinefront-Reason", ref.Reason.String())
 	h.Set("Sardinefront-Ran", ref.RunState.String())
@@ -344,12 +340,12 @@
 	}
 	h.Set("Content-Length", "0")
 	if !x.hasUnreadBody() {
-		x.w.WriteHeader(ref.Reason.Status())
+		x.w.WriteHeader(responseStatus(ref))
 		return
 	}
 	connection := http.NewResponseController(x.w)
 	_ = connection.EnableFullDuplex() // else net/http reads the body before it sends the refusal
-	x.w.WriteHeader(ref.Reason.Status())
+	x.w.WriteHeader(responseStatus(ref))
 	_ = connection.Flush()
 	x.discardBody(connection)
 }
