--- a/gateway/connections_test.go
+++ b/gateway/connections_test.go
@@ -74,13 +74,24 @@
 	io.WriteString(c, parts[1])
 }
 
+// pausePlaces are the places of a pause in a response, with the path of a request that may not be
+// repeated.
+var pausePlaces = map[string]string{
+	"before the head": pathNonIdempotent, "inside the head": pathNonIdempotent, "inside the body": pathNonIdempotent,
+	"before a stream": pathNonResumable, "between its events": pathNonResumable, "inside an event": pathNonResumable,
+}
+
+// pausedBody returns the body of pausedResponse for a path.
+func pausedBody(path string) string {
+	if path == pathNonResumable {
+		return streamEvents(1, 3)
+	}
+	return "text"
+}
+
 // Guards against a request that may not be repeated and ends before its deadline because its sound
 // target, or the link to it, pauses for two seconds.
 func TestPauseOfTargetEndsNoRequest(t *testing.T) {
-	places := map[string]string{
-		"before the head": pathNonIdempotent, "inside the head": pathNonIdempotent, "inside the body": pathNonIdempotent,
-		"before a stream": pathNonResumable, "between its events": pathNonResumable, "inside an event": pathNonResumable,
-	}
 	for _, cut := range []bool{false, true} {
 		t.Run(fmt.Sprintf("link cut %t", cut), func(t *testing.T) {
 			fx := newFixture(t)
@@ -101,13 +112,10 @@
 			}
 			fx.startHost()
 			var wg sync.WaitGroup
-			for place, path := range places {
+			for place, path := range pausePlaces {
 				c := fx.dial()
 				fx.send(c, "POST", path, "order", "X-Place: "+place, "Request-Deadline: 8000")
-				want := "text"
-				if path == pathNonResumable {
-					want = streamEvents(1, 3)
-				}
+				want := pausedBody(path)
 				wg.Go(func() {
 					if resp := fx.read(c); resp.err != nil || resp.status != http.StatusOK || resp.body != want {
 						t.Errorf("%s: response %+v", place, resp)
