Close connections to removed targets after their request

What was seen: a connection that carried a request while its target left the list stayed open for good, although no request could use it again. Targets accept few connections, and reset the others.

Cause: Retain drops the pool of the target with its idle connections. One in use was returned to the dropped pool later, which nothing looks at again.

Evidence: TestConnectionOfRemovedTargetIsClosedAfterItsRequest failed before: the target saw no end of the connection within 1 s of the response.

Change: a dropped pool closes what is returned to it. A request in progress keeps its connection as before (TestChangesLeaveRequestsInProgress).

--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -79,6 +79,8 @@
 
 	mu   sync.Mutex
 	idle []*Conn
+	// removed is set when the target has left the list; no connection to it is kept then.
+	removed bool
 }
 
 // New returns an empty pool. dialTimeout bounds each connect; counter may be nil.
@@ -158,13 +160,14 @@
 	return false
 }
 
-// Retain closes the idle connections of targets that are not in the set.
+// Retain closes the connections of targets that are not in the set: the idle ones at once, the
+// others after their request.
 func (p *Pool) Retain(keys map[string]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for key, tp := range p.targets {
 		if !keys[key] {
-			tp.closeIdle()
+			tp.remove()
 			delete(p.targets, key)
 		}
 	}
@@ -201,7 +204,7 @@
 func (tp *targetPool) put(c *Conn) {
 	tp.mu.Lock()
 	defer tp.mu.Unlock()
-	if len(tp.idle) >= maxIdlePerTarget {
+	if tp.removed || len(tp.idle) >= maxIdlePerTarget {
 		c.net.Close()
 		return
 	}
@@ -223,9 +226,11 @@
 	tp.idle = kept
 }
 
-func (tp *targetPool) closeIdle() {
+// remove closes the idle connections, and those in use once they are returned.
+func (tp *targetPool) remove() {
 	tp.mu.Lock()
 	defer tp.mu.Unlock()
+	tp.removed = true
 	for _, c := range tp.idle {
 		c.net.Close()
 	}
