--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -152,7 +152,7 @@
 		ref = x.overloaded("%s", ref.Detail)
 	case errors.As(err, &ref):
 	case x.callerDisconnected():
-		ref = refusal.New(refusal.CallerDisconnected, "after %s in the queue", time.Since(x.arrived).Round(time.Millisecond))
+		ref = x.callerGone("after %s in the queue", time.Since(x.arrived).Round(time.Millisecond))
 	case x.endedByStop():
 		ref = shutdownRefusal("after %s in the queue", time.Since(x.arrived).Round(time.Millisecond))
 	default:
@@ -273,7 +273,7 @@
 	reason := endReason(ctx)
 	switch {
 	case reason == refusal.CallerDisconnected:
-		return refusal.New(reason, "after %d sends", x.sends)
+		return x.callerGone("after %d sends", x.sends)
 	case x.mayHaveRun:
 		return refusal.New(reason, "no complete response within %s", after)
 	case reason == refusal.StoppedAfterSend:
--- a/gateway/ingress/failure.go
+++ b/gateway/ingress/failure.go
@@ -34,7 +34,7 @@
 // forwardFailure forwards the error response of a target whose request could not be retried, in
 // place of the refusal. It reports false if there is none.
 func (x *exchange) forwardFailure(ref *refusal.Refusal) bool {
-	if x.failure == nil || x.headSent || x.r.Context().Err() != nil {
+	if x.failure == nil || x.headSent {
 		return false
 	}
 	x.targetID = x.failure.targetID
