Refuse responses with a malformed head

Callers got a 200 with a body of two bytes, framed as whole, from a target that had announced twelve with "Content-Length : 12" and closed its connection.

net/http accepts a blank before the colon or inside a field name, folded lines, a bare CR in the status line, a transfer encoding in HTTP/1.0 (which it drops), a length beside chunks, versions 0.9 and 2.0 and a status such as "+20". A length or encoding written in such a way has no effect, so that the end of the connection ends the body, and a body that broke off is whole.

upstream now checks each head, interim ones included, in the read buffer before net/http parses it: field names are tokens, which also excludes folded lines, there is one length or one encoding "chunked", and none with a status without a body. RFC 9112 lets an intermediary handle all of these as errors. The response counts as broken and its connection is closed. All reads of responses go through this place, those of reservations too. The read buffer grows for heads above 4 KiB, within the limit of 64 KiB, and shrinks before the connection is kept.

TestSoundHeadIsForwarded shows that responses with neither a length nor chunks, of HTTP/1.0, with line feeds only and with heads of 40 KiB still pass.

--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -25,6 +25,29 @@
 // addRawEngine is addRawServer for a target that grants a reservation only if reserve returns
 // true.
 func (fx *fixture) addRawEngine(service, id string, reserve func() bool, respond func(net.Conn, *http.Request) bool) {
+	fx.t.Helper()
+	fx.listen(service, id, func(c net.Conn) { serveRaw(c, reserve, respond) })
+}
+
+// addRawReservation lists a target of a service that responds to each reservation with the given
+// bytes, closes the connection, and passes other requests to onRequest.
+func (fx *fixture) addRawReservation(service, id, response string, onRequest func(*http.Request)) {
+	fx.t.Helper()
+	fx.listen(service, id, func(c net.Conn) {
+		defer c.Close()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		switch {
+		case err != nil:
+		case r.URL.Path == "/-/hold-take":
+			fmt.Fprint(c, response)
+		default:
+			onRequest(r)
+		}
+	})
+}
+
+// listen lists a target of a service that passes each of its connections to serve.
+func (fx *fixture) listen(service, id string, serve func(net.Conn)) {
 	fx.t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -37,7 +60,7 @@
 			if err != nil {
 				return
 			}
-			go serveRaw(c, reserve, respond)
+			go serve(c)
 		}
 	}()
 	fx.listServer(service, id, l.Addr().String(), "ready")
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -11,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"sardinefront.dev/core/httphead"
 	"sardinefront.dev/gateway/protocol"
 )
 
@@ -275,6 +277,9 @@
 // readFinalResponse reads the next response that is not an interim one.
 func (c *Conn) readFinalResponse(method string) (*http.Response, error) {
 	for range 1 + maxInterimResponses {
+		if err := c.checkHead(); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		if err != nil || resp.StatusCode >= http.StatusOK {
 			return resp, err
@@ -286,6 +291,33 @@
 	return nil, errors.New("unexpected interim response")
 }
 
+// checkHead waits for the next head and checks it, because http.ReadResponse accepts malformed ones.
+func (c *Conn) checkHead() error {
+	for {
+		head, err := httphead.Peek(c.br)
+		if err == nil {
+			return httphead.Check(head)
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
+		}
+		c.growReadBuffer()
+	}
+}
+
+// growReadBuffer doubles the full read buffer. maxHeadBytes bounds it.
+func (c *Conn) growReadBuffer() {
+	buffered, _ := c.br.Peek(c.br.Buffered())
+	c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(buffered), c.in), 2*c.br.Size())
+}
+
+// shrinkReadBuffer drops a grown read buffer, which must be empty.
+func (c *Conn) shrinkReadBuffer() {
+	if c.br.Size() > readBufferBytes {
+		c.br = bufio.NewReaderSize(c.in, readBufferBytes)
+	}
+}
+
 // skipBody reads and drops the body of a response to another request.
 func (c *Conn) skipBody(resp *http.Response) error {
 	headBytesLeft := c.in.remaining
@@ -311,6 +343,7 @@
 		return
 	}
 	c.net.SetDeadline(time.Time{})
+	c.shrinkReadBuffer()
 	c.pool.put(c)
 }
 
