Refuse malformed heads of targets on the own path

A response of HTTP/1.0 with a transfer encoding and a length was returned as whole with the first bytes of its chunks as the body: fasthttp drops the encoding, like net/http. It also accepts folded lines, blanks in a field name, a bare CR in the status line and a length beside chunks.

TestMalformedHeadIsABrokenResponse failed before for 13 of 25 heads, for instance "HTTP/1.0 with both: body "2\r\nhi" is returned without an error". A short body was not returned as whole with a misspelt length, since a body without framing counts as truncated there. TestMalformedHeadClosesItsConnection got "hi" from a malformed response.

Heads now pass the same check as on the platform path before they are parsed.

--- a/target/client.go
+++ b/target/client.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"sardinefront.dev/core/httphead"
 )
 
 const (
@@ -244,7 +246,7 @@
 		if err := x.conn.SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
 			return ReasonClosed, err
 		}
-		if err := x.header.Read(x.conn.br); err != nil {
+		if err := x.readCheckedHead(); err != nil {
 			return ReasonMalformed, x.timeoutError(err)
 		}
 		if x.header.StatusCode() == http.StatusSwitchingProtocols {
@@ -257,6 +259,18 @@
 	return ReasonMalformed, fmt.Errorf("%w: no final status, last status %d", ErrMalformed, x.header.StatusCode())
 }
 
+// readCheckedHead reads one header after a check, because fasthttp accepts malformed ones.
+func (x *exchange) readCheckedHead() error {
+	head, err := httphead.Peek(x.conn.br)
+	if err != nil {
+		return err
+	}
+	if err := httphead.Check(head); err != nil {
+		return fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return x.header.Read(x.conn.br)
+}
+
 func firstByteReason(err error) Reason {
 	if isTimeout(err) {
 		return ReasonFirstByte
