Fail the fetch of a configuration that broke off at its beginning

A peer's response to a fetch of its configuration that ended after its head, where no length was stated, was read as "no newer configuration": no failure was logged.

All other cuts of configurations and target lists are detected by gzip and CBOR.

Only a stated length of 0 now means that there is no newer configuration.

--- a/gateway/peers/snapshot.go
+++ b/gateway/peers/snapshot.go
@@ -139,7 +139,7 @@
 	return fetchCompressed(ctx, address, configPath, version)
 }
 
-// fetchCompressed fetches and decompresses a body. The result is nil for an empty body.
+// fetchCompressed fetches and decompresses a body. The result is nil for a body of the stated length 0.
 func fetchCompressed(ctx context.Context, address, path string, version int64) ([]byte, error) {
 	url := fmt.Sprintf("http://%s%s?%s=%d", address, path, versionParam, version)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
@@ -155,9 +155,12 @@
 		return nil, fmt.Errorf("peer state: GET %s: status %d", url, resp.StatusCode)
 	}
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxFetchBytes))
-	if err != nil || len(b) == 0 {
+	if err != nil {
 		return nil, err
 	}
+	if len(b) == 0 && resp.ContentLength == 0 { // not a body that broke off at its beginning
+		return nil, nil
+	}
 	z, err := gzip.NewReader(bytes.NewReader(b))
 	if err != nil {
 		return nil, fmt.Errorf("peer state: GET %s: gzip: %w", url, err)
