Refuse HTTP/1.0 requests whose body has no length

A POST of HTTP/1.0 with chunks, or without any framing, ran with an empty body and was answered with 200: net/http drops a transfer encoding of HTTP/1.0 and then takes the body for empty.

TestMalformedRequestDoesNotRun failed before: "HTTP/1.0 with chunked: the request ran, response {status:200 ...", and the same for "HTTP/1.0 without framing". The other 19 misspelt framings were refused before, "Content-Length : 12" with 400, and requests cut at any byte of their head or body did not run (TestCutRequestDoesNotRun).

POST, PUT and PATCH of HTTP/1.0 now need a content length, as RFC 1945 demands, else the response is 400 and the connection is closed.

--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -222,6 +222,10 @@
 	if x.r.ContentLength > limit {
 		return refusal.New(refusal.BodyTooLarge, "body of %d bytes exceeds the limit of %d bytes", x.r.ContentLength, limit)
 	}
+	if x.lacksLength() {
+		x.w.Header().Set("Connection", "close")
+		return refusal.New(refusal.BadRequest, "%s request of HTTP/1.0 without a content length", x.r.Method)
+	}
 	if x.r.Body == nil || x.r.Body == http.NoBody {
 		return nil
 	}
@@ -244,6 +248,15 @@
 	return nil
 }
 
+// lacksLength reports whether the length of the request's body is not known. net/http drops the
+// transfer encoding of an HTTP/1.0 request and then takes its body for empty.
+func (x *exchange) lacksLength() bool {
+	if x.r.ProtoAtLeast(1, 1) || x.r.Header["Content-Length"] != nil {
+		return false
+	}
+	return x.r.Method == http.MethodPost || x.r.Method == http.MethodPut || x.r.Method == http.MethodPatch
+}
+
 // readAll reads at most limit bytes of the body.
 func readAll(r *http.Request, limit int64) ([]byte, error) {
 	if n := r.ContentLength; n >= 0 && n < limit {
