--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -29,6 +29,23 @@
 	fx.addListener(service, id, func(c net.Conn) { serveRaw(c, reserve, respond) })
 }
 
+// addRawReservation lists a target of a service that responds to each reservation with the given
+// bytes, closes the connection, and passes other requests to onRequest.
+func (fx *fixture) addRawReservation(service, id, response string, onRequest func(*http.Request)) {
+	fx.t.Helper()
+	fx.addListener(service, id, func(c net.Conn) {
+		defer c.Close()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		switch {
+		case err != nil:
+		case r.URL.Path == "/-/hold-take":
+			fmt.Fprint(c, response)
+		default:
+			onRequest(r)
+		}
+	})
+}
+
 // addListener lists a target of a service that passes each of its connections to serve.
 func (fx *fixture) addListener(service, id string, serve func(net.Conn)) {
 	fx.t.Helper()
