Apply the outcome of a rollout to waiting requests

Requests are assigned to a version of their service when they arrive, and kept that assignment while they waited. After a rollback, those that were assigned to the bad version still ran there; after the end of a rollout, those that were assigned to the old version waited for its targets, which stop at once and stay listed until their entries expire, and were refused as overloaded.

--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -95,6 +95,15 @@
 	s.pool.SetWithdrawn(withdrawn)
 }
 
+// endRollout applies the outcome of a rollout to the requests that wait.
+func (s *Scheduler) endRollout(version string, rolledBack bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pool.EndRollout(version, rolledBack) {
+		s.dispatch(time.Now())
+	}
+}
+
 // Acquire blocks until the request is granted a target, is refused, or ctx ends. resubmit
 // is true if an earlier grant of the same Waiter did not serve the request. The error is a
 // *refusal.Refusal or ctx.Err(). Each grant must be ended by EndGrant or RecordFull.
--- a/gateway/dispatch/schedulers.go
+++ b/gateway/dispatch/schedulers.go
@@ -174,6 +174,13 @@
 	}
 }
 
+// EndRollout applies the outcome of a rollout to the requests of a service that wait.
+func (s *Schedulers) EndRollout(service, version string, rolledBack bool) {
+	if scheduler := s.Get(service); scheduler != nil {
+		scheduler.endRollout(version, rolledBack)
+	}
+}
+
 // Update applies a new configuration and list of targets. The scheduler of a removed service
 // stays. While targets of the service are listed, its waiting requests may run there; without
 // targets they are refused.
--- a/gateway/rollout/rollout.go
+++ b/gateway/rollout/rollout.go
@@ -204,6 +204,22 @@
 	return Split{Version: st.order.Version, Share: t.share(st, now), RolledBack: st.state == RolledBack}
 }
 
+// Outcomes returns the splits of the services whose rollouts have ended on this host.
+func (t *Tracker) Outcomes() map[string]Split {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := map[string]Split{}
+	for service, st := range t.rollouts {
+		switch st.state {
+		case Done:
+			out[service] = Split{Version: st.order.Version, Share: 1}
+		case RolledBack:
+			out[service] = Split{Version: st.order.Version, RolledBack: true}
+		}
+	}
+	return out
+}
+
 func (t *Tracker) share(st *rolloutState, now time.Time) float64 {
 	switch st.state {
 	case RolledBack:
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -146,6 +146,9 @@
 			for _, d := range g.rollouts.Decide(g.isLeader(now), g.targetCount, now) {
 				g.recordDecision(ctx, written, d, now)
 			}
+			for service, split := range g.rollouts.Outcomes() {
+				g.schedulers.EndRollout(service, split.Version, split.RolledBack)
+			}
 			if now.Sub(loggedAt) >= evidenceLogInterval {
 				g.logEvidence()
 				loggedAt = now
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -255,6 +255,20 @@
 	return othersLeft
 }
 
+// EndRollout applies the outcome of a rollout to the waiting requests, which were assigned to a
+// version when they arrived: they use the version from now on, or no more if it was rolled back. It
+// reports whether that changes any request. Requests of a rollout to another version are left alone.
+func (p *Pool) EndRollout(version string, rolledBack bool) (changed bool) {
+	for _, w := range p.waiters {
+		if w.RolloutVersion != "" && w.RolloutVersion != version {
+			continue
+		}
+		changed = changed || w.RolloutVersion != version || w.AvoidRolloutVersion != rolledBack || w.RolledBack != rolledBack
+		w.RolloutVersion, w.AvoidRolloutVersion, w.RolledBack = version, rolledBack, rolledBack
+	}
+	return changed
+}
+
 // NextWake returns when Dispatch must be called next if nothing else happens before, or the
 // zero time if no request waits.
 func (p *Pool) NextWake(now time.Time) time.Time {
