Read the whole state when its changes cannot be read

A host that read the changes of the store with a time limit, and did not get the response in time, requested the same changes and those since then again, until they were 15 s old. A response above 8 MB was treated in the same way. Meanwhile the host followed neither the list of targets nor the configuration, and could not get them in time as long as the response stayed too long: only after 15 s it read the whole state, which comes in pages of about 1 MB.

This is why TestOddEntriesDoNotStopTheHost failed beside load: each round writes 7 MB, the store took longer than 0.7 s to its first byte, and each repetition took as long ("store unreachable: watch ...: context deadline exceeded" once, nothing after it).

After a read of changes that ran out of time, the next read is a listing, then changes again, so that an unresponsive store costs no more calls than before. Changes that are too large are followed by a listing at once.

The stand-in of the store had no limit of bytes in a page, and encoded a response of any length before its first byte. Its pages are now about 1 MB, as the protocol states, and each item is sent once it is encoded.

--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -124,6 +124,8 @@
 	readFailed bool      // the last read failed
 	failedAt   time.Time // when the last failed read ended
 	isReader   bool      // this host reads the store because no other one did in time
+	// listNext makes the next read a complete listing, which comes in pages of limited size.
+	listNext   bool
 	nextReadAt time.Time
 	// mismatchSince is the time since which a peer with a newer list has a different one;
 	// mismatchPeer is the address of that peer.
@@ -262,7 +264,7 @@
 // longer has them.
 func (d *Directory) readStore(ctx context.Context, now time.Time) {
 	d.mu.Lock()
-	after, readAt := d.readRevision, d.readAt
+	after, readAt, listNext := d.readRevision, d.readAt, d.listNext
 	becameReader := !d.isReader
 	d.isReader = true
 	unconfirmed := d.storeFailing() || now.Sub(d.failedAt) < outageRecoveryTime || !d.freshAt.IsZero() && now.Sub(d.freshAt) > storeOutageTimeout
@@ -271,12 +273,16 @@
 		event.BecameStoreReader.Log(d.cfg.Log, sinceLastRead(readAt, now))
 	}
 	var err error
-	if after > 0 && now.Sub(readAt) < historyRetention {
+	if after > 0 && now.Sub(readAt) < historyRetention && !listNext {
 		err = d.readChanges(ctx, after, unconfirmed, now)
 	} else {
 		err = platform.ErrCompacted
 	}
-	if errors.Is(err, platform.ErrCompacted) {
+	d.mu.Lock()
+	// The same changes would take as long again.
+	d.listNext = !listNext && errors.Is(err, context.DeadlineExceeded)
+	d.mu.Unlock()
+	if errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrTooLarge) {
 		err = d.readAll(ctx, unconfirmed, now)
 	}
 	d.finishRead(ctx, err, now)
--- a/gateway/directory/outage_test.go
+++ b/gateway/directory/outage_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"sync/atomic"
 	"testing"
@@ -120,3 +121,59 @@
 		}
 	})
 }
+
+// stuckStore fails each read of changes, after a delay, and lists a second target from the given
+// time on.
+type stuckStore struct {
+	outageStore
+	delay    time.Duration
+	err      error
+	listFrom time.Time
+}
+
+func (s *stuckStore) Changes(_ context.Context, _ string, after int64, _ time.Duration) ([]platform.Entry, int64, error) {
+	time.Sleep(s.delay)
+	return nil, after, s.err
+}
+
+func (s *stuckStore) Snapshot(ctx context.Context, prefix string) ([]platform.Entry, int64, error) {
+	entries, asOf, err := s.outageStore.Snapshot(ctx, prefix)
+	if prefix == testLayout.TargetPrefix && time.Now().After(s.listFrom) {
+		entries, asOf = append(entries, put("i-2", "ready 1", 6)), 6
+	}
+	return entries, asOf, err
+}
+
+// Guards against a host that requests the same changes again and again, until the store may have
+// discarded them, although they are too many for one response or for the time limit of a read.
+func TestChangesThatCannotBeReadAreListed(t *testing.T) {
+	for name, s := range map[string]*stuckStore{
+		"too large": {err: fmt.Errorf("%w: %w", platform.ErrUnavailable, platform.ErrTooLarge)},
+		"too slow":  {err: fmt.Errorf("%w: %w", platform.ErrUnavailable, context.DeadlineExceeded), delay: 700 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s.listFrom = time.Now().Add(time.Millisecond)
+				layout := testLayout
+				layout.DecodeTarget = decode
+				var current routing.ActiveTable
+				d := directory.New(directory.Config{
+					Name: "a", Store: s, ActiveTable: &current, Log: slog.New(slog.DiscardHandler), OnChange: func() {}, Layout: layout,
+				})
+				d.SetFleet(&fakePeers{})
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					d.Run(ctx)
+				}()
+				time.Sleep(2 * time.Second)
+				if n := len(d.Targets()); n != 2 {
+					t.Errorf("%d targets of 2 after 2 s", n)
+				}
+				cancel()
+				<-done
+			})
+		})
+	}
+}
--- a/standin/kvstore/kvstore.go
+++ b/standin/kvstore/kvstore.go
@@ -5,6 +5,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -36,8 +38,12 @@
 	Delay time.Duration
 }
 
-// PageSize is the maximum number of items in one response to a range request.
-const PageSize = 50
+// The limits of one response to a range request: the number of items, and the bytes of their
+// values. A page has at least one item.
+const (
+	PageSize     = 50
+	maxPageBytes = 1 << 20
+)
 
 // Store is a running stand-in. Its methods are safe for concurrent use.
 type Store struct {
@@ -196,6 +202,23 @@
 	_ = json.NewEncoder(w).Encode(v) // on an error the client gets a truncated response
 }
 
+// writeList writes a response whose field holds a list of items. Each item is sent once it is encoded,
+// as the encoding of a long list may take longer than a client waits for a byte.
+func writeList(w http.ResponseWriter, field string, items []Item, hasMore bool, asOf int64) {
+	w.Header().Set("Content-Type", "application/json")
+	fmt.Fprintf(w, `{"hasMore":%t,"asOf":%d,%q:[`, hasMore, asOf, field)
+	for n, i := range items {
+		if n > 0 {
+			_, _ = io.WriteString(w, ",")
+		}
+		if json.NewEncoder(w).Encode(i) != nil {
+			return // the client gets a truncated response
+		}
+		_ = http.NewResponseController(w).Flush()
+	}
+	_, _ = io.WriteString(w, "]}")
+}
+
 func (s *Store) getKey(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -208,25 +231,29 @@
 }
 
 func (s *Store) listRange(w http.ResponseWriter, r *http.Request) {
+	items, hasMore, asOf := s.page(r.URL.Query().Get("prefix"), r.URL.Query().Get("after"))
+	writeList(w, "items", items, hasMore, asOf)
+}
+
+func (s *Store) page(prefix, after string) (items []Item, hasMore bool, asOf int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	q := r.URL.Query()
 	var keys []string
 	for key := range s.items {
-		if strings.HasPrefix(key, q.Get("prefix")) && key > q.Get("after") {
+		if strings.HasPrefix(key, prefix) && key > after {
 			keys = append(keys, key)
 		}
 	}
 	slices.Sort(keys)
-	hasMore := len(keys) > PageSize
-	if hasMore {
-		keys = keys[:PageSize]
-	}
-	items := make([]Item, 0, len(keys))
+	size := 0
 	for _, key := range keys {
+		size += len(s.items[key].Value)
+		if len(items) == PageSize || len(items) > 0 && size > maxPageBytes {
+			return items, true, s.revision
+		}
 		items = append(items, s.items[key])
 	}
-	writeJSON(w, map[string]any{"items": items, "hasMore": hasMore, "asOf": s.revision})
+	return items, false, s.revision
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
@@ -241,7 +268,7 @@
 			return
 		}
 		if len(events) > 0 {
-			writeJSON(w, map[string]any{"events": events, "asOf": asOf})
+			writeList(w, "events", events, false, asOf)
 			return
 		}
 		select {
@@ -249,7 +276,7 @@
 		case <-r.Context().Done():
 			return
 		case <-timeout:
-			writeJSON(w, map[string]any{"events": []Item{}, "asOf": asOf})
+			writeList(w, "events", nil, false, asOf)
 			return
 		}
 	}
