End a rollout whose order is missing in a listing

A host that reads the whole state of the store, because it has missed changes, compared the targets with the listing but not the rollout orders. If an order was removed among the missed changes, the rollout went on at that host.

Orders that a listing lacks are now removed as of its revision, once.

TestOrderMissingInAListingIsRemoved failed before: only the order was reported, not its removal. go test -race ./gateway/directory passes.

--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -142,8 +142,8 @@
 	recentChanges []recentChange
 	config        []byte
 	// configVersion is the version of config. It is updated after the active table.
-	configVersion  int64
-	orderRevisions map[string]int64 // of the newest order, by key
+	configVersion int64
+	orders        map[string]orderState // by key
 }
 
 // source is where this host got a change from.
@@ -156,6 +156,12 @@
 	fromStore
 )
 
+// orderState is the newest known state of a rollout order.
+type orderState struct {
+	revision int64
+	removed  bool
+}
+
 // recentChange is a change that heartbeats repeat.
 type recentChange struct {
 	change platform.Entry
@@ -164,7 +170,7 @@
 
 // New returns a directory without targets and configuration.
 func New(cfg Config) *Directory {
-	d := &Directory{cfg: cfg, list: NewList(cfg.Layout.DecodeTarget), orderRevisions: map[string]int64{}}
+	d := &Directory{cfg: cfg, list: NewList(cfg.Layout.DecodeTarget), orders: map[string]orderState{}}
 	d.list.OnUnreadable(func(key string, revision int64, err error) {
 		event.TargetEntryUnreadable.Log(cfg.Log, slog.String("key", key), slog.Int64("revision", revision), slog.Any("error", err))
 	})
@@ -321,11 +327,11 @@
 	if err != nil {
 		return err
 	}
-	operator, _, err := d.cfg.Store.Snapshot(ctx, l.OperatorPrefix)
+	operator, operatorAsOf, err := d.cfg.Store.Snapshot(ctx, l.OperatorPrefix)
 	if err != nil {
 		return err
 	}
-	d.applyChanges(operator, fromStore, false, now)
+	d.applyChanges(append(operator, d.missingOrders(operator, operatorAsOf)...), fromStore, false, now)
 	from := fromStore
 	if first {
 		from = fromPeer // the initial list is not sent to peers
@@ -337,6 +343,21 @@
 	return nil
 }
 
+// missingOrders returns the removal of each rollout order that a complete listing as of a revision
+// lacks.
+func (d *Directory) missingOrders(listed []platform.Entry, asOf int64) []platform.Entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []platform.Entry
+	for key, o := range d.orders {
+		isListed := slices.ContainsFunc(listed, func(e platform.Entry) bool { return e.Key == key })
+		if !isListed && !o.removed && o.revision <= asOf {
+			out = append(out, platform.Entry{Key: key, Revision: asOf, Deleted: true})
+		}
+	}
+	return out
+}
+
 func (d *Directory) finishRead(ctx context.Context, err error, began time.Time) {
 	d.mu.Lock()
 	failedBefore := d.readFailed
@@ -388,9 +409,9 @@
 func (d *Directory) applyRolloutOrder(c platform.Entry, from source, now time.Time) {
 	d.mu.Lock()
 	age := d.maxOrderAge(from, now)
-	known := d.orderRevisions[c.Key] >= c.Revision
+	known := d.orders[c.Key].revision >= c.Revision
 	if !known {
-		d.orderRevisions[c.Key] = c.Revision
+		d.orders[c.Key] = orderState{revision: c.Revision, removed: c.Deleted}
 		if from == fromStore {
 			d.recentChanges = append(d.recentChanges, recentChange{c, now})
 		}
--- a/gateway/directory/outage_test.go
+++ b/gateway/directory/outage_test.go
@@ -177,3 +177,49 @@
 		})
 	}
 }
+
+// compactedStore has a rollout order until orderRemoved is set, and has discarded all changes.
+type compactedStore struct {
+	outageStore
+	orderRemoved atomic.Bool
+}
+
+func (s *compactedStore) Changes(_ context.Context, _ string, after int64, _ time.Duration) ([]platform.Entry, int64, error) {
+	return nil, after, platform.ErrCompacted
+}
+
+func (s *compactedStore) Snapshot(ctx context.Context, prefix string) ([]platform.Entry, int64, error) {
+	entries, asOf, err := s.outageStore.Snapshot(ctx, prefix)
+	if prefix == testLayout.OperatorPrefix && !s.orderRemoved.Load() {
+		entries = append(entries, platform.Entry{Key: testLayout.RolloutPrefix + "s", Value: []byte("order"), Revision: 3})
+	}
+	return entries, asOf + 5, err
+}
+
+// Guards against a rollout that goes on at a host because its order was removed among changes that
+// the host could not read, and against a removal that is reported at each listing.
+func TestOrderMissingInAListingIsRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &compactedStore{}
+		var reported []platform.Entry
+		var current routing.ActiveTable
+		d := directory.New(directory.Config{
+			Name: "a", Store: s, ActiveTable: &current, Log: slog.New(slog.DiscardHandler), OnChange: func() {}, Layout: testLayout,
+			OnRolloutOrder: func(_ string, e platform.Entry, _ time.Duration) { reported = append(reported, e) },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			d.Run(ctx)
+		}()
+		time.Sleep(2 * time.Second)
+		s.orderRemoved.Store(true)
+		time.Sleep(4 * time.Second)
+		cancel()
+		<-done
+		if len(reported) != 2 || reported[0].Deleted || !reported[1].Deleted || reported[1].Revision <= 3 {
+			t.Errorf("orders and removals reported: %+v", reported)
+		}
+	})
+}
