Give the test of a slow reader a time limit that it does not reach

TestSlowReaderIsNoSilentTarget failed beside load with 79 to 171 of 200 events: the stream was cut at the route's time limit of 2 s, of which 1.3 s had passed before the caller read.

The host does little for these 13 MB. The whole test, with the target and the caller, takes 90 ms of processor time without -race; the buffer for events grows once and is kept. Under -race it takes 590 ms, 360 ms of them in the detector's checks of the copied ranges. So the limit, not the host, was the bottleneck.

The route's limit and the caller's are now 8 s. The pause of the caller is longer than before (1.5 s). The caller's receive buffer is set to 64 KB, because the system lets it grow to 33 MB, which would take the whole stream; 100 events of 64 KB then exceed what the connection holds. All events, a single run and no silence are required as before. Without the stop of the silence watch during the write, the test fails in 3 of 3 runs.

--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -8,6 +8,9 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"sardinefront.dev/platform/wire"
+	"sardinefront.dev/standin/fleetuser"
 )
 
 const (
@@ -200,14 +203,19 @@
 // Guards against a caller that reads slowly and is taken for a silent target: its stream was sent
 // to a second target.
 func TestSlowReaderIsNoSilentTarget(t *testing.T) {
-	const events, eventBytes = 200, 64 << 10 // more than the buffers of all connections
+	// The events exceed what the host's connection to the caller holds: callerBufferBytes and a
+	// send buffer of at most 4 MB.
+	const events, eventBytes, callerBufferBytes = 100, 64 << 10, 64 << 10
+	const streamTimeoutMs = 8000 // much longer than the pause and the transfer
 	fx := newFixture(t)
+	fx.store.Put(wire.KeyConfig, fleetuser.Configuration(1, streamTimeoutMs, 0, 2))
+	data := strings.Repeat("x", eventBytes)
 	var runs atomic.Int32
 	respond := func(c net.Conn, r *http.Request) bool {
 		runs.Add(1)
 		writeHead(c, r, "Content-Type: text/event-stream", "Connection: close")
 		for i := 1; i <= events; i++ {
-			if _, err := fmt.Fprintf(c, "id: %d\ndata: %s\n\n", i, strings.Repeat("x", eventBytes)); err != nil {
+			if _, err := fmt.Fprintf(c, "id: %d\ndata: %s\n\n", i, data); err != nil {
 				return false
 			}
 		}
@@ -217,9 +225,12 @@
 	fx.addRawServer(engineName, "i-2", respond)
 	fx.startHost()
 	c := fx.dial()
-	fx.send(c, "POST", pathStream, "prompt")
+	if err := c.Conn.(*net.TCPConn).SetReadBuffer(callerBufferBytes); err != nil {
+		t.Fatal(err)
+	}
+	fx.send(c, "POST", pathStream, "prompt", fmt.Sprintf("Request-Deadline: %d", streamTimeoutMs))
 	fx.eventually("the stream runs", func() bool { return runs.Load() == 1 })
-	time.Sleep(targetPause - 200*time.Millisecond) // within the route's timeout
+	time.Sleep(targetPause)
 	resp := fx.read(c)
 	if resp.err != nil || strings.Count(resp.body, "data: ") != events {
 		t.Errorf("%d events of %d, error %v", strings.Count(resp.body, "data: "), events, resp.err)
