--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -124,6 +124,8 @@
 	readFailed bool      // the last read failed
 	failedAt   time.Time // when the last failed read ended
 	isReader   bool      // this host reads the store because no other one did in time
+	// listNext makes the next read a complete listing, which comes in pages of limited size.
+	listNext   bool
 	nextReadAt time.Time
 	// mismatchSince is the time since which a peer with a newer list has a different one;
 	// mismatchPeer is the address of that peer.
@@ -140,8 +142,8 @@
 	recentChanges []recentChange
 	config        []byte
 	// configVersion is the version of config. It is updated after the active table.
-	configVersion  int64
-	orderRevisions map[string]int64 // of the newest order, by key
+	configVersion int64
+	orders        map[string]orderState // by key
 }
 
 // source is where this host got a change from.
@@ -154,6 +156,12 @@
 	fromStore
 )
 
+// orderState is the newest known state of a rollout order.
+type orderState struct {
+	revision int64
+	removed  bool
+}
+
 // recentChange is a change that heartbeats repeat.
 type recentChange struct {
 	change platform.Entry
@@ -162,7 +170,7 @@
 
 // New returns a directory without targets and configuration.
 func New(cfg Config) *Directory {
-	d := &Directory{cfg: cfg, list: NewList(cfg.Layout.DecodeTarget), orderRevisions: map[string]int64{}}
+	d := &Directory{cfg: cfg, list: NewList(cfg.Layout.DecodeTarget), orders: map[string]orderState{}}
 	d.list.OnUnreadable(func(key string, revision int64, err error) {
 		event.TargetEntryUnreadable.Log(cfg.Log, slog.String("key", key), slog.Int64("revision", revision), slog.Any("error", err))
 	})
@@ -262,7 +270,7 @@
 // longer has them.
 func (d *Directory) readStore(ctx context.Context, now time.Time) {
 	d.mu.Lock()
-	after, readAt := d.readRevision, d.readAt
+	after, readAt, listNext := d.readRevision, d.readAt, d.listNext
 	becameReader := !d.isReader
 	d.isReader = true
 	unconfirmed := d.storeFailing() || now.Sub(d.failedAt) < outageRecoveryTime || !d.freshAt.IsZero() && now.Sub(d.freshAt) > storeOutageTimeout
@@ -271,12 +279,16 @@
 		event.BecameStoreReader.Log(d.cfg.Log, sinceLastRead(readAt, now))
 	}
 	var err error
-	if after > 0 && now.Sub(readAt) < historyRetention {
+	if after > 0 && now.Sub(readAt) < historyRetention && !listNext {
 		err = d.readChanges(ctx, after, unconfirmed, now)
 	} else {
 		err = platform.ErrCompacted
 	}
-	if errors.Is(err, platform.ErrCompacted) {
+	d.mu.Lock()
+	// The same changes would take as long again.
+	d.listNext = !listNext && errors.Is(err, context.DeadlineExceeded)
+	d.mu.Unlock()
+	if errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrTooLarge) {
 		err = d.readAll(ctx, unconfirmed, now)
 	}
 	d.finishRead(ctx, err, now)
@@ -315,11 +327,11 @@
 	if err != nil {
 		return err
 	}
-	operator, _, err := d.cfg.Store.Snapshot(ctx, l.OperatorPrefix)
+	operator, operatorAsOf, err := d.cfg.Store.Snapshot(ctx, l.OperatorPrefix)
 	if err != nil {
 		return err
 	}
-	d.applyChanges(operator, fromStore, false, now)
+	d.applyChanges(append(operator, d.missingOrders(operator, operatorAsOf)...), fromStore, false, now)
 	from := fromStore
 	if first {
 		from = fromPeer // the initial list is not sent to peers
@@ -331,6 +343,21 @@
 	return nil
 }
 
+// missingOrders returns the removal of each rollout order that a complete listing as of a revision
+// lacks.
+func (d *Directory) missingOrders(listed []platform.Entry, asOf int64) []platform.Entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []platform.Entry
+	for key, o := range d.orders {
+		isListed := slices.ContainsFunc(listed, func(e platform.Entry) bool { return e.Key == key })
+		if !isListed && !o.removed && o.revision <= asOf {
+			out = append(out, platform.Entry{Key: key, Revision: asOf, Deleted: true})
+		}
+	}
+	return out
+}
+
 func (d *Directory) finishRead(ctx context.Context, err error, began time.Time) {
 	d.mu.Lock()
 	failedBefore := d.readFailed
@@ -382,9 +409,9 @@
 func (d *Directory) applyRolloutOrder(c platform.Entry, from source, now time.Time) {
 	d.mu.Lock()
 	age := d.maxOrderAge(from, now)
-	known := d.orderRevisions[c.Key] >= c.Revision
+	known := d.orders[c.Key].revision >= c.Revision
 	if !known {
-		d.orderRevisions[c.Key] = c.Revision
+		d.orders[c.Key] = orderState{revision: c.Revision, removed: c.Deleted}
 		if from == fromStore {
 			d.recentChanges = append(d.recentChanges, recentChange{c, now})
 		}
