--- a/host/callerframing_test.go
+++ b/host/callerframing_test.go
@@ -30,8 +30,8 @@
 }
 
 // exchangeRaw writes the bytes of a request on a connection of its own and returns the status of the
-// response, 0 if there is none.
-func (f *fixture) exchangeRaw(t *testing.T, raw string) int {
+// response, 0 if there is none, and the reason of a refusal.
+func (f *fixture) exchangeRaw(t *testing.T, raw string) (status int, reason string) {
 	t.Helper()
 	c := f.dialCaller(t)
 	defer c.Close()
@@ -41,10 +41,10 @@
 	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
-		return 0
+		return 0, ""
 	}
 	resp.Body.Close()
-	return resp.StatusCode
+	return resp.StatusCode, resp.Header.Get(headerReason)
 }
 
 // runs returns how many requests the service has run.
@@ -89,12 +89,12 @@
 	for name, raw := range requests {
 		next++
 		before := f.runs()
-		status := f.exchangeRaw(t, strings.Replace(raw, "%s", fmt.Sprintf("m%d", next), 1))
+		status, _ := f.exchangeRaw(t, strings.Replace(raw, "%s", fmt.Sprintf("m%d", next), 1))
 		if f.runs() > before || status != 0 && status/100 != 4 {
 			t.Errorf("%s: status %d, ran: %t", name, status, f.runs() > before)
 		}
 	}
-	if status := f.exchangeRaw(t, fmt.Sprintf(callerHead, "sound")+"Content-Length: 2\r\n\r\nhi"); status != http.StatusOK {
+	if status, _ := f.exchangeRaw(t, fmt.Sprintf(callerHead, "sound")+"Content-Length: 2\r\n\r\nhi"); status != http.StatusOK {
 		t.Errorf("status %d of a sound request", status)
 	}
 }
@@ -126,7 +126,7 @@
 			if n := f.runs(); n > 0 {
 				t.Errorf("%d cut requests ran", n)
 			}
-			if status := f.exchangeRaw(t, raw); status != http.StatusOK || f.runs() != 1 {
+			if status, _ := f.exchangeRaw(t, raw); status != http.StatusOK || f.runs() != 1 {
 				t.Errorf("the whole request: status %d, %d runs", status, f.runs())
 			}
 		})
