--- a/target/framing_test.go
+++ b/target/framing_test.go
@@ -1,11 +1,14 @@
 package target
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // malformedHeads are heads whose framing is invalid or may be read in two ways, each with a body.
@@ -63,3 +66,39 @@
 		t.Errorf("body %q, %v", body, err)
 	}
 }
+
+// Guards against a head that arrives byte by byte and is taken for whole before its end, or that is
+// waited for beyond the caller's deadline.
+func TestSlowHead(t *testing.T) {
+	for name, missing := range map[string]int{"completes": 0, "breaks off": len("\nhi"), "goes on": -1} {
+		t.Run(name, func(t *testing.T) {
+			s := NewService(startServer(t, func(w net.Conn, _, _ int, r *http.Request) bool {
+				text := response(r.Header.Get(HeaderRequestID), "hi")
+				if missing < 0 {
+					text = "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("b", 8<<10)
+				}
+				for i := range len(text) - max(0, missing) {
+					if _, err := io.WriteString(w, text[i:i+1]); err != nil {
+						break
+					}
+					time.Sleep(time.Millisecond)
+				}
+				return false
+			}).config())
+			defer s.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			resp, err := s.Do(ctx, getRequest("q"))
+			var body []byte
+			if err == nil {
+				body, err = ReadAll(resp.Body, 10)
+			}
+			if whole := err == nil; whole != (missing == 0) || whole && string(body) != "hi" {
+				t.Errorf("body %q, %v", body, err)
+			}
+			if missing < 0 && ctx.Err() == nil {
+				t.Errorf("the request ended before its deadline: %v", err)
+			}
+		})
+	}
+}
