Eject no sound target because deadlines are shorter than its work

Callers of a plain service lost most of its capacity on a host for 5 to 12 s at a time: sound targets were ejected as silent because the route's or the caller's time limit was shorter than the requests took. Streams that had delivered events up to their deadline ejected their engine too, and counted as failures of its version in a rollout.

Each attempt that its deadline ended was reported as a timeout of the target, and two of these in a row eject it. A deadline alone says nothing about the target. What the host has seen decides now:

- A response that has begun counts only if it then paused for longer than its route tolerates, or is a body without a stated length, which may come without end.
Otherwise the attempt leaves health and rollout alone.
- Without a first byte, the timeout has a weight from 0 to 1.
The pool keeps the last 256 waits for a first byte of the service, and estimates from those of the route at other targets how often a sound one takes as long.
Over a half the weight is 0; under one in 256 it is 1, as before.
Unanswered waits count only for targets that respond themselves, so that two silent targets of three do not excuse each other.

Successes in between still clear the count. A request without a response stays a failure of its version, because versions are compared and time limits affect both. A timeout that nothing can be compared with counts a fifth, or a twentieth where the other targets have not responded either; it still makes the target dearer, so the next requests go elsewhere and give the comparison. The cost is a slower ejection where many requests exceed their limits at sound targets.

Failed before: TestShortDeadlinesDoNotEjectSoundTargets, "3 ejections, statuses map[200:12 504:84]" on both routes, and TestDeadlinesOfFlowingStreamsDoNotEjectTheirTarget, "a target with flowing streams is ejected". TestSilentTargetIsEjectedByDeadlines, TestStalledStreamsEjectTheirTarget, TestHangingVersionIsRolledBack and TestCommonFailuresDoNotRollAGoodVersionBack guard the other side and passed before, as far as they were run; the stalled streams were not.

gateway, gateway/ingress, sched/health and sched/reserve passed with the race detector.

--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -225,12 +225,20 @@
 	event.TargetEjected.Log(s.log, slog.String("service", s.name), slog.String("target", target), slog.String("why", reason))
 }
 
-// RecordSilent records that a target has been silent for too long during a request that is still
-// running there.
-func (s *Scheduler) RecordSilent(target string) {
+// RecordFirstByte records the time from the send of a request of the route to the first byte of its
+// response.
+func (s *Scheduler) RecordFirstByte(target, route string, length time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.announceEjection(target, s.pool.RecordSilent(target, time.Now()))
+	s.pool.RecordFirstByte(target, route, length, time.Now())
+}
+
+// RecordSilent records that a target has been silent for too long during a request of the route that
+// is still running there. unanswered is the time since the send, 0 if the response has begun.
+func (s *Scheduler) RecordSilent(target, route string, unanswered time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.announceEjection(target, s.pool.RecordSilent(target, route, unanswered, time.Now()))
 }
 
 // RecordResponsive records that a target has gone on after RecordSilent.
--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -191,6 +191,9 @@
 // finishAttempt reports the result of an attempt to the scheduler, the rollout and the log.
 func (x *exchange) finishAttempt(scheduler *dispatch.Scheduler, target directory.Target, att attempt) {
 	x.progress.end(time.Now())
+	if att.sent && att.status != unsent && x.progress.firstAt.IsZero() {
+		att.sample.Route, att.sample.Unanswered = x.route.Name, time.Since(x.sentAt)
+	}
 	endGrant(scheduler, target, att)
 	x.recordForRollout(target, att)
 	x.recordCrash(scheduler, target, att)
--- a/gateway/ingress/end.go
+++ b/gateway/ingress/end.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"sardinefront.dev/core/refusal"
+	"sardinefront.dev/gateway/dispatch"
+	"sardinefront.dev/sched/reserve"
 )
 
 // errGraceEnded is the cause with which a planned stop ends the context of a request.
@@ -28,6 +30,12 @@
 type progress struct {
 	events int   // of a stream
 	bytes  int64 // of the body
+	// unbounded is set for a body that is no event stream and has no stated length, which a broken
+	// target may send without end.
+	unbounded bool
+	// firstAt is the time of the first event of a stream, or of the headers of another response;
+	// zero before.
+	firstAt time.Time
 	// lastAt is when the host began to wait for the next event of a stream or byte of another
 	// response. The time in which the caller reads is no silence of the target.
 	lastAt time.Time
@@ -44,6 +52,29 @@
 // end records the end of the attempt.
 func (p *progress) end(now time.Time) { p.silence = now.Sub(p.lastAt) }
 
+// endOutcome returns the outcome of a sent attempt whose context has ended for the reason.
+func (x *exchange) endOutcome(reason refusal.Reason) reserve.Outcome {
+	switch {
+	case reason != refusal.DeadlineAfterSend:
+		return reserve.Abandoned
+	case x.progress.firstAt.IsZero():
+		return reserve.DeadlineReached
+	case x.callerDisconnected():
+		return reserve.Abandoned // it may have stopped reading
+	case x.progress.unbounded || time.Since(x.progress.lastAt) >= x.toleratedSilence():
+		return reserve.TimedOut
+	}
+	return reserve.Abandoned
+}
+
+// recordFirstByte records that the response of the target has begun.
+func (x *exchange) recordFirstByte(s *dispatch.Scheduler) {
+	if x.progress.firstAt.IsZero() {
+		x.progress.firstAt = x.progress.lastAt
+		s.RecordFirstByte(x.targetKey, x.route.Name, x.progress.firstAt.Sub(x.sentAt))
+	}
+}
+
 // progressReader reads the body of a response that is not an event stream and records its progress.
 type progressReader struct {
 	io.Reader
--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -64,6 +64,10 @@
 	if resp.Info.NotRun {
 		return x.handleNotRun(conn, resp)
 	}
+	stream := isEventStream(resp.Header) && resp.Status == http.StatusOK
+	if !stream {
+		x.recordFirstByte(d.scheduler)
+	}
 	// The target did not state that it had not run the request, so the caller must not be
 	// told so by the status.
 	if refusal.StatusImpliesNotRun(resp.Status) || x.shouldRetryStatus(resp.Status) {
@@ -71,7 +75,7 @@
 		conn.Release(resp, err == nil)
 		return x.failedAttempt(ctx, reserve.ErrorResponse, refusal.TargetFailed, fmt.Errorf("status %d", resp.Status))
 	}
-	if isEventStream(resp.Header) && resp.Status == http.StatusOK {
+	if stream {
 		return x.forwardStream(ctx, d.scheduler, watch, conn, resp, sentAt)
 	}
 	if x.headSent {
@@ -91,6 +95,15 @@
 	if x.route.Kind == routing.Stream {
 		return x.eventTimeout(0)
 	}
+	return x.toleratedSilence()
+}
+
+// toleratedSilence returns how long a target may be silent before its response or between parts of
+// it, without the time to the first event of a stream.
+func (x *exchange) toleratedSilence() time.Duration {
+	if x.route.Kind == routing.Stream {
+		return max(minEventTimeout, eventTimeoutGaps*x.route.MaxEventGap)
+	}
 	return max(minIdempotentTimeout, idempotentTimeoutGoals*x.route.LatencyGoal)
 }
 
@@ -101,15 +114,11 @@
 }
 
 // failedAttempt returns the attempt of a request that may have run. If ctx has ended, the
-// outcome is Abandoned for a closed caller connection or the end of a stop, and TimedOut otherwise,
-// and the reason is that of the end.
+// outcome and the reason are those of the end.
 func (x *exchange) failedAttempt(ctx context.Context, o reserve.Outcome, reason refusal.Reason, err error) attempt {
 	if ctx.Err() != nil {
-		o = reserve.Abandoned
-		if !x.callerDisconnected() && !x.endedByStop() {
-			o = reserve.TimedOut
-		}
 		reason = endReason(ctx)
+		o = x.endOutcome(reason)
 	}
 	return attempt{status: failed, outcome: o, sent: true, reason: reason, err: err}
 }
@@ -146,6 +155,7 @@
 
 // forwardResponse forwards a response that is not an event stream.
 func (x *exchange) forwardResponse(ctx context.Context, conn *upstream.Conn, resp *upstream.Response, sentAt time.Time) attempt {
+	x.progress.unbounded = resp.Length < 0
 	source := &progressReader{resp.Body, &x.progress}
 	body, complete, err := readBuffered(source)
 	if err != nil {
--- a/gateway/ingress/silence.go
+++ b/gateway/ingress/silence.go
@@ -108,6 +108,8 @@
 	current *placement
 	timer   *time.Timer
 	armed   bool // the timer was started, and end was not called since
+	// unanswered is the silence after which the search starts if the response has not begun, else 0.
+	unanswered time.Duration
 	// searches receives the search when the timer starts it.
 	searches chan *search
 }
@@ -133,6 +135,10 @@
 		return
 	}
 	w.armed = true
+	w.unanswered = 0
+	if w.x.progress.firstAt.IsZero() {
+		w.unanswered = silence
+	}
 	if w.timer == nil {
 		w.timer = time.AfterFunc(silence, w.search)
 		return
@@ -186,7 +192,7 @@
 	defer close(s.done)
 	defer supervise.Recover(x.cfg.Log, "search for another target")
 	current := w.current.target
-	w.d.scheduler.RecordSilent(current.Key())
+	w.d.scheduler.RecordSilent(current.Key(), x.route.Name, w.unanswered)
 	event.TargetSilent.Log(x.cfg.Log, slog.String("id", x.info.ID), slog.String("target", current.ID), slog.String("service", x.service))
 	w.d.waiter.Exclude(current.Key())
 	w.d.waiter.StandBy(x.deadline)
@@ -245,8 +251,9 @@
 		w.discard(s)
 		return att
 	}
-	if att.outcome == reserve.TimedOut {
+	if att.outcome == reserve.TimedOut || att.outcome == reserve.DeadlineReached {
 		att.outcome = reserve.Silent
+		att.sample.SilentAfter = w.unanswered
 	}
 	if s.found == nil {
 		return att
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -68,10 +68,13 @@
 		if !event.comment {
 			watch.stop() // the time until the caller has read the event is no silence of the target
 			x.progress.lastAt = time.Now()
+			x.recordFirstByte(scheduler)
 		}
 		if err := x.writeEvent(resp, event); err != nil {
 			conn.Release(resp, false)
-			return x.failedAttempt(ctx, reserve.Abandoned, refusal.CallerDisconnected, err)
+			att := x.failedAttempt(ctx, reserve.Abandoned, refusal.CallerDisconnected, err)
+			att.outcome = reserve.Abandoned // also if the deadline was reached before
+			return att
 		}
 		x.progress.bytes += int64(len(event.raw))
 		if event.comment {
@@ -134,7 +137,7 @@
 	if events == 0 && !x.headSent {
 		return firstEventTimeoutBase + time.Duration(x.info.PromptTokens)*firstEventTimeoutPerToken
 	}
-	return max(minEventTimeout, eventTimeoutGaps*x.route.MaxEventGap)
+	return x.toleratedSilence()
 }
 
 // streamTiming records the times of the events of one attempt.
--- a/gateway/rollout/rollout_test.go
+++ b/gateway/rollout/rollout_test.go
@@ -183,6 +183,25 @@
 	}
 }
 
+// Guards against a good version that is rolled back because many requests to either version reach
+// their deadlines.
+func TestCommonFailuresDoNotRollAGoodVersionBack(t *testing.T) {
+	for _, p := range []float64{0.1, 0.3, 0.6} {
+		rolledBack := 0
+		for seed := range uint64(20) {
+			s := newSim(t, seed)
+			s.failureProbability = func(string, time.Duration) float64 { return p }
+			s.run()
+			if s.rolledBackAt > 0 || !s.done {
+				rolledBack++
+			}
+		}
+		if rolledBack > 0 {
+			t.Errorf("%.0f%% failures: %d of 20 good versions rolled back", 100*p, rolledBack)
+		}
+	}
+}
+
 // Guards against a version that fails from the start, or from some time on, and is not rolled back
 // or gets more than its share of requests.
 func TestFailingVersionIsRolledBack(t *testing.T) {
--- a/sched/health/health.go
+++ b/sched/health/health.go
@@ -75,9 +75,12 @@
 // Tracker tracks the health of one target. The zero value is healthy. It is not safe for
 // concurrent use.
 type Tracker struct {
-	state                     State
-	consecutiveFailures       int
-	consecutiveTimeouts       int
+	state State
+	// consecutiveFailures and consecutiveTimeouts are sums of weights: a timeout may count less than
+	// 1.
+	consecutiveFailures       float64
+	consecutiveTimeouts       float64
+	lastTimeoutWeight         float64
 	failedWeight, totalWeight float64 // decayed counts of failed and of all observations
 	lastFailure               time.Time
 	slowSince                 time.Time
@@ -92,6 +95,9 @@
 // Observe records an observation and returns the reason if it ejects the target now, else an
 // empty string.
 func (t *Tracker) Observe(o Observation, now time.Time) string {
+	if o == Timeout {
+		return t.ObserveTimeout(1, now)
+	}
 	t.totalWeight = t.totalWeight*observationDecay + 1
 	t.failedWeight *= observationDecay
 	if o == Success {
@@ -105,12 +111,32 @@
 		return t.observeError(now)
 	}
 	t.consecutiveFailures++
-	if o == Timeout {
-		t.consecutiveTimeouts++
-	}
 	return t.evaluate(o, now)
 }
 
+// ObserveTimeout is Observe for a timeout that is a fault of the target only to the given weight,
+// 0..1.
+func (t *Tracker) ObserveTimeout(weight float64, now time.Time) string {
+	t.totalWeight = t.totalWeight*observationDecay + 1
+	t.failedWeight *= observationDecay
+	t.lastTimeoutWeight = weight
+	return t.addTimeout(weight, now)
+}
+
+// RaiseTimeout raises the weight of a timeout that was observed before.
+func (t *Tracker) RaiseTimeout(by float64, now time.Time) string { return t.addTimeout(by, now) }
+
+func (t *Tracker) addTimeout(weight float64, now time.Time) string {
+	if weight == 0 {
+		return ""
+	}
+	t.failedWeight += weight
+	t.lastFailure = now
+	t.consecutiveFailures += weight
+	t.consecutiveTimeouts += weight
+	return t.evaluate(Timeout, now)
+}
+
 // observeError records an error response. In a trial it counts as a success, because the
 // target responds again.
 func (t *Tracker) observeError(now time.Time) string {
@@ -141,6 +167,8 @@
 	switch {
 	case t.state == Ejected:
 		return ""
+	case t.state == Trial && o == Timeout && t.consecutiveTimeouts < 1:
+		return ""
 	case t.state == Trial:
 		reason := t.eject("failed its trial", now)
 		t.ejectedSilent = o == Timeout
@@ -181,8 +209,8 @@
 // the next one.
 func (t *Tracker) ObserveResponsive(now time.Time) bool {
 	t.consecutiveTimeouts = 0
-	t.consecutiveFailures = max(0, t.consecutiveFailures-1)
-	t.failedWeight = max(0, t.failedWeight-1)
+	t.consecutiveFailures = max(0, t.consecutiveFailures-t.lastTimeoutWeight)
+	t.failedWeight = max(0, t.failedWeight-t.lastTimeoutWeight)
 	if t.state != Ejected || !t.ejectedSilent {
 		return false
 	}
@@ -231,9 +259,14 @@
 		return false
 	}
 	t.state = Trial
+	// Requests that were sent before the ejection may have ended since.
+	t.consecutiveFailures, t.consecutiveTimeouts = 0, 0
 	return true
 }
 
+// SuspectedSilent reports whether the timeouts in a row are halfway to an ejection.
+func (t *Tracker) SuspectedSilent() bool { return 2*t.consecutiveTimeouts >= timeoutThreshold }
+
 // State returns the current state.
 func (t *Tracker) State() State { return t.state }
 
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -56,6 +56,7 @@
 	// starvingHosts holds the hosts that have starved requests.
 	starvingHosts map[string]floor
 	gapScratch    []time.Duration // buffer of computeSlowThreshold
+	waits         waitHistory
 	// departed holds the closures of targets that were removed from the list, in the order of
 	// departedOrder.
 	departed      map[string]*drain.State
--- a/sched/reserve/target.go
+++ b/sched/reserve/target.go
@@ -67,6 +67,9 @@
 	ErrorResponse
 	// TimedOut is a target that did not respond in time.
 	TimedOut
+	// DeadlineReached is a request whose deadline was reached before the first byte of its
+	// response. Sample.Unanswered tells whether that is a fault of the target.
+	DeadlineReached
 	// Silent is a target that did not respond in time, after RecordSilent.
 	Silent
 	// Unreachable is a target to which no connection could be made.
@@ -82,6 +85,14 @@
 	Latency time.Duration
 	// Gap is the mean time between the events of a stream; 0 if unknown.
 	Gap time.Duration
+	// Route is the name of the request's route.
+	Route string
+	// Unanswered is the time from the send to the end of a request without a first byte of the
+	// response, else 0.
+	Unanswered time.Duration
+	// SilentAfter is the time without a first byte that RecordSilent has recorded for the request,
+	// 0 for none.
+	SilentAfter time.Duration
 }
 
 // target is the state that this host keeps about one target.
@@ -108,7 +119,8 @@
 	gapUpdatedAt        time.Time // time of the newest measurement by any host
 	localMeasuredAt     time.Time // time of this host's newest measurement; zero if a peer's replaced it
 	latency             time.Duration
-	load                float64 // running and waiting requests per slot, from the last load report
+	respondedAt         time.Time // time of the newest first byte of a response
+	load                float64   // running and waiting requests per slot, from the last load report
 	loadReportedAt      time.Time
 }
 
@@ -285,6 +297,9 @@
 	t.reopening = t.reopening && o != OK
 	t.recordGap(s.Gap, now)
 	t.latency = smooth(t.latency, s.Latency)
+	if s.Unanswered > 0 && o != BrokenResponse && o != Unreachable {
+		p.waits.record(wait{t, s.Route, s.Unanswered, false, now})
+	}
 	switch o {
 	case OK:
 		return t.health.Observe(health.Success, now)
@@ -294,6 +309,13 @@
 		return t.health.Observe(health.ErrorResponse, now)
 	case TimedOut:
 		return t.health.Observe(health.Timeout, now)
+	case DeadlineReached:
+		return t.health.ObserveTimeout(p.timeoutWeight(t, s.Route, s.Unanswered, now), now)
+	case Silent:
+		if s.Unanswered > 0 && s.SilentAfter > 0 {
+			increase := p.timeoutWeight(t, s.Route, s.Unanswered, now) - p.timeoutWeight(t, s.Route, s.SilentAfter, now)
+			return t.health.RaiseTimeout(max(0, increase), now)
+		}
 	case Unreachable:
 		// A refused connection fails quickly, so the target would be tried again at
 		// once. The backoff limits the rate of this host's attempts.
@@ -303,14 +325,24 @@
 	return ""
 }
 
-// RecordSilent records that a target has been silent for too long during a request that is still
-// running, and returns the reason if that ejects the target.
-func (p *Pool) RecordSilent(name string, now time.Time) string {
+// RecordSilent records that a target has been silent for too long during a request of the route that
+// is still running, and returns the reason if that ejects the target. unanswered is the time since
+// the send, 0 if the response has begun.
+func (p *Pool) RecordSilent(name, route string, unanswered time.Duration, now time.Time) string {
 	t := p.targets[name]
 	if t == nil {
 		return ""
 	}
-	return t.health.Observe(health.Timeout, now)
+	return t.health.ObserveTimeout(p.timeoutWeight(t, route, unanswered, now), now)
+}
+
+// timeoutWeight returns the weight of a timeout of the target; unanswered is 0 if its response had
+// begun.
+func (p *Pool) timeoutWeight(t *target, route string, unanswered time.Duration, now time.Time) float64 {
+	if unanswered <= 0 {
+		return 1
+	}
+	return p.waits.timeoutWeight(t, route, unanswered, now)
 }
 
 // RecordResponsive records that a target has gone on after RecordSilent, and reports whether
