Let a broken request wait as long as its caller

Callers wait 2 s or longer for the next event. An idempotent plain request whose target failed late got 502 after 0.7 s, whatever was left of its time.

The wait now ends 0.2 s and the time to read the prompt at a slow target before the caller gives up, and not before 0.7 s as until now. For a stream that is the longest gap that callers bear, from the last event they got; for other routes the deadline less the goal.

On the code before: TestBrokenStreamWaitsAsLongAsItsCaller, the stream ends after its second event (two of two runs). The retry budget is charged once for each broken request, as before.

ExtendWait gets the time at which the caller gives up; the existing tests pass the time of their waiters and assert what they did.

--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -22,8 +22,8 @@
 )
 
 const (
-	// Callers abandon a stream whose first event does not arrive within the longest of
-	// these: a fixed time, a multiple of the route's goal for the first event, and a
+	// Callers abandon a stream whose next event does not arrive within the longest of these:
+	// a fixed time, a multiple of the route's goal for the first event, and a
 	// multiple of its longest tolerated gap between events.
 	minCallerWait   = 2 * time.Second
 	callerWaitGoals = 4
@@ -42,7 +42,7 @@
 		PrefillTime: time.Duration(r.PromptTokens) * prefillPerToken,
 	}
 	if route.Kind == routing.Stream {
-		w.FirstByteTimeout = min(w.FirstByteTimeout, max(minCallerWait, callerWaitGoals*route.LatencyGoal, callerWaitGaps*route.MaxEventGap))
+		w.FirstByteTimeout = min(w.FirstByteTimeout, callerEventWait(route))
 	}
 	if route.LatencyGoal > 0 {
 		first := firstEventLatency + w.PrefillTime
@@ -51,6 +51,27 @@
 	return w
 }
 
+// callerEventWait returns how long the caller of a stream waits for its next event.
+func callerEventWait(route *routing.Route) time.Duration {
+	return max(minCallerWait, callerWaitGoals*route.LatencyGoal, callerWaitGaps*route.MaxEventGap)
+}
+
+// callerUntil returns when a target must begin to respond to a request whose attempt has failed:
+// when the caller of a stream gives up, or early enough for the whole response of other routes.
+func (x *exchange) callerUntil(w *reserve.Waiter) time.Time {
+	if x.route.Kind != routing.Stream {
+		return x.deadline.Add(-x.route.LatencyGoal)
+	}
+	until := x.arrived.Add(w.FirstByteTimeout)
+	if !x.lastEventAt.IsZero() {
+		until = x.lastEventAt.Add(callerEventWait(x.route))
+	}
+	if x.deadline.Before(until) {
+		return x.deadline
+	}
+	return until
+}
+
 // attemptStatus determines whether an attempt can be followed by another one.
 type attemptStatus uint8
 
@@ -261,7 +282,7 @@
 		return ref
 	}
 	w.Exclude(target.Key())
-	w.ExtendWait(time.Now())
+	w.ExtendWait(time.Now(), x.callerUntil(w))
 	x.avoidUnprovenVersion(w)
 	x.cfg.Metrics.CountRetry(retryReason(att.reason))
 	event.RequestRetried.Log(x.cfg.Log, slog.String("id", x.info.ID), slog.String("target", target.ID), slog.String("reason", att.reason.String()))
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -143,6 +143,8 @@
 	headSent bool
 	// lastEventID is the id of the last event that was sent to the caller.
 	lastEventID string
+	// lastEventAt is when the last event was sent to the caller.
+	lastEventAt time.Time
 	// notResumable is true if the caller has received bytes after which no other target can
 	// continue: a part of a response that is not an event stream, or an event without an id.
 	notResumable bool
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -94,13 +94,15 @@
 	if err := http.NewResponseController(x.w).Flush(); err != nil {
 		return err
 	}
-	switch {
-	case event.comment:
-	case event.id == "":
+	if event.comment {
+		return nil
+	}
+	x.lastEventAt = time.Now()
+	if event.id == "" {
 		x.notResumable = true
-	default:
-		x.lastEventID = event.id
+		return nil
 	}
+	x.lastEventID = event.id
 	return nil
 }
 
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -6,7 +6,12 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
+
+	"sardinefront.dev/platform/wire"
+	"sardinefront.dev/standin/fleetuser"
 )
 
 // Guards against the error of a second target that reaches the caller in the middle of a stream
@@ -117,3 +122,31 @@
 		}
 	}
 }
+
+// Guards against a stream that broke off and is given up while all other targets are busy, although
+// one of them has a free slot before the caller would give up.
+func TestBrokenStreamWaitsAsLongAsItsCaller(t *testing.T) {
+	const timeoutMs, busy = 8000, 1500 * time.Millisecond // callers wait 2 s for the next event
+	fx := newFixture(t)
+	fx.store.Put(wire.KeyConfig, fleetuser.Configuration(1, timeoutMs, 0, 2))
+	var brokeAt atomic.Pointer[time.Time]
+	serve := func(c net.Conn, r *http.Request) bool {
+		writeHead(c, r, "Content-Type: text/event-stream", "Connection: close")
+		if now := time.Now(); brokeAt.CompareAndSwap(nil, &now) {
+			fmt.Fprint(c, streamEvents(1, 2)+"id: 3\ndata: pie")
+			return false
+		}
+		fmt.Fprint(c, streamEvents(3, 5))
+		return false
+	}
+	free := func() bool {
+		at := brokeAt.Load()
+		return at == nil || time.Since(*at) > busy
+	}
+	fx.addRawEngine(engineName, "i-1", free, serve)
+	fx.addRawEngine(engineName, "i-2", free, serve)
+	fx.startHost()
+	if resp := fx.call("POST", pathStream, "prompt", fmt.Sprintf("Request-Deadline: %d", timeoutMs)); resp.err != nil || resp.body != streamEvents(1, 5) {
+		t.Errorf("response %+v", resp)
+	}
+}
--- a/sched/reserve/reserve_test.go
+++ b/sched/reserve/reserve_test.go
@@ -67,7 +67,7 @@
 	p.EndGrant(g[0].Target, reserve.TimedOut, reserve.Sample{}, now)
 	retried.Exclude("e0")
 	retried.Exclude("e1")
-	retried.ExtendWait(now)
+	retried.ExtendWait(now, now)
 	p.Resubmit(retried)
 	submit(t, p, waiter("new", request.Urgent, "o", now), now)
 }
@@ -87,7 +87,7 @@
 	now := start.Add(100 * ms)
 	p.EndGrant(failed.Target, reserve.ErrorResponse, reserve.Sample{}, now)
 	failed.Waiter.Exclude(failed.Target)
-	failed.Waiter.ExtendWait(now)
+	failed.Waiter.ExtendWait(now, now)
 	p.Resubmit(failed.Waiter)
 	submit(t, p, waiter("c", request.Urgent, "o", now), now)
 	expectIDs(t, dispatchedIDs(p, now), "c")
@@ -316,7 +316,7 @@
 	now := start.Add(3500 * ms)
 	p.EndGrant("e0", reserve.TimedOut, reserve.Sample{}, now)
 	p.SetTargets(nil)
-	w.ExtendWait(now)
+	w.ExtendWait(now, start.Add(w.FirstByteTimeout))
 	p.Resubmit(w)
 	if _, expired := p.Dispatch(now.Add(600 * ms)); len(expired) != 0 {
 		t.Error("a resubmitted request expired within the extended wait")
--- a/sched/reserve/waiter.go
+++ b/sched/reserve/waiter.go
@@ -6,6 +6,7 @@
 	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/core/request"
 	"sardinefront.dev/sched/flow"
+	"sardinefront.dev/sched/health"
 )
 
 const (
@@ -15,9 +16,12 @@
 	// refuseWaitFraction is the fraction of FirstByteTimeout above which the wait of a
 	// queued request makes a new one of its organisation and tier be refused at once.
 	refuseWaitFraction = 0.4
-	// extendedWaitTime is how long a request may wait for another target after a failed
+	// minExtendedWait is how long a request may wait at least for another target after a failed
 	// attempt.
-	extendedWaitTime = 700 * time.Millisecond
+	minExtendedWait = 700 * time.Millisecond
+	// restartMargin, and the time to read the prompt at a slow target, are left of the caller's time
+	// for the target that continues a response, from its choice to the first byte.
+	restartMargin = 200 * time.Millisecond
 )
 
 // Waiter is one request from Submit until its grant has ended.
@@ -76,11 +80,16 @@
 	Refusal *refusal.Refusal
 }
 
-// ExtendWait lets a request wait for at least extendedWaitTime more after a failed attempt:
-// the target has used up the caller's time, or the caller already has a part of the response. The
-// time at the target does not count as queueing time.
-func (w *Waiter) ExtendWait(now time.Time) {
-	w.extendedUntil = now.Add(extendedWaitTime)
+// ExtendWait lets a request wait for another target after a failed attempt: the target has used up
+// the caller's time, or the caller already has a part of the response. It may wait until just before
+// the time at which its caller gives up, at least for minExtendedWait. The time at the target does
+// not count as queueing time.
+func (w *Waiter) ExtendWait(now, callerUntil time.Time) {
+	restart := restartMargin + time.Duration(slowGapFactor*float64(w.PrefillTime))
+	w.extendedUntil = callerUntil.Add(-restart)
+	if earliest := now.Add(minExtendedWait); w.extendedUntil.Before(earliest) {
+		w.extendedUntil = earliest
+	}
 	w.queuedAt = now
 	w.standby = false
 }
@@ -111,7 +120,7 @@
 func (p *Pool) checkQueueDelay(w *Waiter, now time.Time) *refusal.Refusal {
 	maxDelay := time.Duration(refuseWaitFraction * float64(w.FirstByteTimeout))
 	for _, other := range p.waiters {
-		if other.standby || other.Request.Tier != w.Request.Tier || other.Request.Organisation != w.Request.Organisation {
+		if other.standby || other.Request.Tier != w.Request.Tier || other.Request.Organisation != w.Request.Organisation || p.hasFreeExcluded(other) {
 			continue
 		}
 		if waited := now.Sub(other.queuedAt); waited > maxDelay {
@@ -120,3 +129,14 @@
 	}
 	return nil
 }
+
+// hasFreeExcluded reports whether a target that the request has excluded has a free slot: the
+// request then waits where new ones need not.
+func (p *Pool) hasFreeExcluded(w *Waiter) bool {
+	for _, name := range w.excluded {
+		if t := p.targets[name]; t != nil && t.health.State() == health.Healthy && t.inflight < t.Slots {
+			return true
+		}
+	}
+	return false
+}
