Search for another target until the retry budget allows it

A request at a silent target stayed there until its deadline and ended with 504, although another target was free, if the retry budget was used up at the moment at which that target was first ready: the search for the silence ended with the refusal. It now waits until the budget has a retry, looks for a target then, and charges the budget as before when one is ready.

TestSearchGoesOnOnceTheRetryBudgetAllowsIt on the code before: status 504 after 8 s. The queue does not refuse the wait of such a request before its deadline, so nothing is to be repeated there.

--- a/gateway/ingress/silence.go
+++ b/gateway/ingress/silence.go
@@ -191,16 +191,44 @@
 	w.d.waiter.Exclude(current.Key())
 	w.d.waiter.StandBy(x.deadline)
 	x.avoidUnprovenVersion(w.d.waiter)
-	p := w.findPlacement(ctx)
-	if p == nil {
-		return
+	if s.found = w.findAllowedPlacement(ctx); s.found != nil {
+		w.current.conn.InterruptRead()
 	}
-	if !p.conn.RebindContext(w.ctx) || !x.cfg.RetryBudget.AllowRetry(x.service, time.Now()) {
-		x.release(w.d.scheduler, p)
-		return
+}
+
+// retryBudgetPollInterval is how often a search looks whether the retry budget allows a retry again.
+const retryBudgetPollInterval = 250 * time.Millisecond
+
+// findAllowedPlacement waits until another target is ready and the retry budget allows a retry, and
+// charges it. It returns nil if ctx ends before. It looks for no target while the budget is used up,
+// since that would reserve capacity in vain.
+func (w *silenceWatch) findAllowedPlacement(ctx context.Context) *placement {
+	budget, service := w.x.cfg.RetryBudget, w.x.service
+	for ctx.Err() == nil {
+		if !budget.HasRetry(service, time.Now()) {
+			sleep(ctx, retryBudgetPollInterval)
+			continue
+		}
+		p := w.findPlacement(ctx)
+		if p == nil {
+			return nil
+		}
+		if p.conn.RebindContext(w.ctx) && budget.AllowRetry(service, time.Now()) {
+			return p
+		}
+		w.x.release(w.d.scheduler, p)
+	}
+	return nil
+}
+
+// sleep waits until d has passed or ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
 	}
-	s.found = p
-	w.current.conn.InterruptRead()
 }
 
 // findPlacement waits until another target is ready. It returns nil if ctx ends before.
--- a/gateway/retry/retry.go
+++ b/gateway/retry/retry.go
@@ -73,14 +73,25 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.counter(service, now)
-	requests, retries := sum(c.requests), sum(c.retries)
-	if retries+1 > safetyFactor*(b.limits.Ratio*requests+b.limits.FixedRetries/float64(b.hosts)) {
+	if !b.hasRetry(c) {
 		return false
 	}
 	c.retries[c.newestBucket%windowBuckets]++
 	return true
 }
 
+// HasRetry reports whether AllowRetry would allow a retry now.
+func (b *Budget) HasRetry(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.hasRetry(b.counter(service, now))
+}
+
+// hasRetry reports whether the counter is below the limit. The caller holds b.mu.
+func (b *Budget) hasRetry(c *counter) bool {
+	return sum(c.retries)+1 <= safetyFactor*(b.limits.Ratio*sum(c.requests)+b.limits.FixedRetries/float64(b.hosts))
+}
+
 // counter returns the service's counter after moving the window to now.
 func (b *Budget) counter(service string, now time.Time) *counter {
 	bucket := now.UnixNano() / int64(b.limits.Window/windowBuckets)
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -8,6 +8,9 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"sardinefront.dev/platform/wire"
+	"sardinefront.dev/standin/fleetuser"
 )
 
 const (
@@ -255,3 +258,39 @@
 		t.Errorf("response %+v", resp)
 	}
 }
+
+// Guards against a request that stays at a silent target until its deadline because the retry budget
+// was used up when another target was first ready.
+func TestSearchGoesOnOnceTheRetryBudgetAllowsIt(t *testing.T) {
+	const timeoutMs = 8000
+	fx := newFixture(t)
+	fx.store.Put(wire.KeyConfig, fleetuser.Configuration(1, timeoutMs, 0, 2))
+	ended := make(chan struct{})
+	defer close(ended)
+	fx.addRawServer(plainName, "i-silent", func(net.Conn, *http.Request) bool {
+		<-ended
+		return false
+	})
+	fx.startHost()
+	exhausted := fx.settings
+	exhausted.RetryBudget.Ratio, exhausted.RetryBudget.Slack = 0, 0
+	fx.host.Reload(exhausted)
+	c := fx.dial()
+	fx.send(c, "GET", pathIdempotent, "", fmt.Sprintf("Request-Deadline: %d", timeoutMs))
+	fx.eventually("the target is silent", func() bool { return fx.log.contains("target silent") })
+	var runs atomic.Int32
+	fx.addRawServer(plainName, "i-next", func(c net.Conn, r *http.Request) bool {
+		runs.Add(1)
+		writeHead(c, r, "Content-Length: 2")
+		fmt.Fprint(c, "ok")
+		return true
+	})
+	time.Sleep(targetPause) // the target is listed meanwhile
+	if n := runs.Load(); n != 0 {
+		t.Errorf("%d runs without a retry budget", n)
+	}
+	fx.host.Reload(fx.settings)
+	if resp := fx.read(c); resp.status != http.StatusOK || resp.body != "ok" {
+		t.Errorf("response %+v", resp)
+	}
+}
