Test requests whose configuration is withdrawn

TestRequestsOutliveTheirConfiguration withdraws route, service, key, organisation and limits while a request's body is read, while others wait and while others run. All get the response of their target.

--- a/gateway/withdrawn_test.go
+++ b/gateway/withdrawn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -90,3 +91,45 @@
 	fx.listServer(plainName, "i-0", s.Address(), "ready")
 	fx.eventually("the service is used again", func() bool { return fx.call("POST", pathNonIdempotent, "order").status == http.StatusOK })
 }
+
+// Guards against requests without a response because their route, service, key, organisation and
+// limits are withdrawn while their body is read, while they wait and while they run.
+func TestRequestsOutliveTheirConfiguration(t *testing.T) {
+	const slots, delay, body = 3, 1500 * time.Millisecond, "order"
+	deadline := "Request-Deadline: 8000"
+	fx := newFixture(t)
+	fx.store.Put(wire.KeyConfig, fleetuser.Configuration(1, 8000, 1000, slots))
+	s := fx.addServer(plainName, slotengine.Config{Slots: slots, ResponseDelay: delay})
+	fx.startHost()
+	var callers []*caller
+	start := func(body string, extra ...string) *caller {
+		c := fx.dial()
+		fx.send(c, "POST", pathNonIdempotent, body, append(extra, deadline, "Token-Count: 1,1")...)
+		callers = append(callers, c)
+		return c
+	}
+	for range slots {
+		start(body)
+	}
+	fx.eventually("the service is full", func() bool { return s.ActiveRuns() == slots })
+	start(body) // waits
+	half := start("", fmt.Sprintf("Content-Length: %d", len(body)))
+	fmt.Fprint(half, body[:2])
+	time.Sleep(100 * time.Millisecond) // until the host has routed both
+
+	next := strings.NewReplacer(fleetuser.APIKey, "key-2", `"`+orgName+`"`, `"org-2"`, `"maxBodyBytes":1048576`, `"maxBodyBytes":1`).Replace(string(withoutService(t, 2, plainName)))
+	fx.store.Put(wire.KeyConfig, []byte(next))
+	fx.eventually("the new configuration is in force", func() bool { return fx.log.contains(`"version":2,`) })
+	if resp := fx.call("GET", pathIdempotent, ""); resp.status != http.StatusNotFound {
+		t.Errorf("response %+v on a withdrawn route", resp)
+	}
+	if n := s.ActiveRuns(); n != slots {
+		t.Fatalf("%d requests run, want %d", n, slots)
+	}
+	fmt.Fprint(half, body[2:])
+	for i, c := range callers {
+		if resp := fx.read(c); resp.err != nil || resp.status != http.StatusOK {
+			t.Errorf("request %d: response %+v", i, resp)
+		}
+	}
+}
