Leave a silent target only when another one responds

An idempotent request at a silent target of a plain service was cut there and sent to another target, which may refuse it, cut it or be silent too, since plain services grant no reservation. It then ended with 502 or 504 although its first target would have responded: its attempts were used up.

The search now sends the request to the other target itself and waits for the head of the response; only then is the silent target given up. A refusal or a failure there counts as one of the route's attempts. The retry budget is charged before the send, as before.

TestSilentTargetIsKeptUntilAnotherOneResponds on the code before: 502 where the other target refuses or cuts the request, 504 where it is silent. The price is that both targets work on the request until one responds; the first one's work was cut before.

Streams are as before: engines grant reservations, and two of them must not work on one stream. In roundTrip the steps after the response are now forward, since a response that the search has received takes the same way.

--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -331,6 +331,10 @@
 		}
 	}
 	defer p.conn.CloseOnPanic()
+	if p.response != nil {
+		x.recordSend(p.target, p.sentAt)
+		return x.forward(ctx, d, x.watchSilence(ctx, d, p), p, p.response, p.sentAt)
+	}
 	if !d.scheduler.MaySend(p.target.Key()) {
 		return *closedAttempt(p.conn) // a reservation expires shortly
 	}
--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -14,6 +14,7 @@
 
 	"sardinefront.dev/core/event"
 	"sardinefront.dev/core/refusal"
+	"sardinefront.dev/gateway/directory"
 	"sardinefront.dev/gateway/protocol"
 	"sardinefront.dev/gateway/routing"
 	"sardinefront.dev/gateway/upstream"
@@ -33,18 +34,10 @@
 
 // roundTrip sends the request to a target and forwards the response to the caller.
 func (x *exchange) roundTrip(ctx context.Context, d *dispatcher, p *placement) attempt {
-	conn, target := p.conn, p.target
-	sentAt := time.Now()
-	m := protocol.Request{
-		Method: x.r.Method, URI: x.uri, Host: x.r.Host, Body: x.body,
-		Header: x.cfg.Codec.RequestHeader(x.r.Header, x.attemptHeader(target, p.reservation)),
-	}
-	x.sends++
-	x.sentAt, x.began = sentAt, false
-	x.targetID, x.targetKey, x.targetVersion, x.queueWait = target.ID, target.Key(), target.Version, sentAt.Sub(x.arrived)
-	x.cfg.Metrics.RecordQueueWait(x.request.Tier, x.queueWait.Seconds())
-	event.RequestSent.Log(x.cfg.Log, slog.String("id", x.info.ID), slog.String("target", x.targetID), slog.Int("send", x.sends),
-		slog.Int("tries", x.unsentAttempts), slog.Duration("waited", x.queueWait), slog.String("after", x.lastEventID))
+	conn, sentAt := p.conn, time.Now()
+	m := x.targetRequest(p)
+	x.recordSend(p.target, sentAt)
+	x.logSend(p.target, x.sends, sentAt)
 	if err := conn.Send(m); err != nil {
 		conn.Release(nil, false)
 		return x.failedAttempt(ctx, reserve.BrokenResponse, refusal.TargetFailed, err)
@@ -59,7 +52,35 @@
 		return watch.settle(found, x.readFailed(ctx, err))
 	}
 	watch.stop()
-	d.scheduler.RecordLoad(target.Key(), resp.Info.Load)
+	return x.forward(ctx, d, watch, p, resp, sentAt)
+}
+
+// targetRequest returns the request for a placement.
+func (x *exchange) targetRequest(p *placement) protocol.Request {
+	return protocol.Request{
+		Method: x.r.Method, URI: x.uri, Host: x.r.Host, Body: x.body,
+		Header: x.cfg.Codec.RequestHeader(x.r.Header, x.attemptHeader(p.target, p.reservation)),
+	}
+}
+
+// recordSend records that the request is sent to a target.
+func (x *exchange) recordSend(target directory.Target, sentAt time.Time) {
+	x.sends++
+	x.sentAt, x.began = sentAt, false
+	x.targetID, x.targetKey, x.targetVersion, x.queueWait = target.ID, target.Key(), target.Version, sentAt.Sub(x.arrived)
+	x.cfg.Metrics.RecordQueueWait(x.request.Tier, x.queueWait.Seconds())
+}
+
+// logSend logs that the request is sent to a target for the given time, counted from 1.
+func (x *exchange) logSend(target directory.Target, send int, sentAt time.Time) {
+	event.RequestSent.Log(x.cfg.Log, slog.String("id", x.info.ID), slog.String("target", target.ID), slog.Int("send", send),
+		slog.Int("tries", x.unsentAttempts), slog.Duration("waited", sentAt.Sub(x.arrived)), slog.String("after", x.lastEventID))
+}
+
+// forward forwards a response to the caller, or returns why the attempt has failed.
+func (x *exchange) forward(ctx context.Context, d *dispatcher, watch *silenceWatch, p *placement, resp *upstream.Response, sentAt time.Time) attempt {
+	conn := p.conn
+	d.scheduler.RecordLoad(p.target.Key(), resp.Info.Load)
 	if resp.Info.NotRun {
 		return x.handleNotRun(conn, resp)
 	}
--- a/gateway/ingress/silence.go
+++ b/gateway/ingress/silence.go
@@ -12,16 +12,20 @@
 	"sardinefront.dev/core/supervise"
 	"sardinefront.dev/gateway/directory"
 	"sardinefront.dev/gateway/dispatch"
+	"sardinefront.dev/gateway/routing"
 	"sardinefront.dev/gateway/upstream"
 	"sardinefront.dev/sched/reserve"
 )
 
 // placement is a target that was granted to a request. Once it is ready, conn is a connection
-// to it, and reservation is the id of a reservation if the service's targets grant them.
+// to it, and reservation is the id of a reservation if the service's targets grant them. If a search
+// has sent the request already, response is the head of the target's response.
 type placement struct {
 	target      directory.Target
 	conn        *upstream.Conn
 	reservation string
+	response    *upstream.Response
+	sentAt      time.Time
 }
 
 // place connects to the target and reserves capacity if the engine supports it. If that fails,
@@ -118,6 +122,9 @@
 	startedAt time.Time
 	done      chan struct{}
 	found     *placement // set before done is closed; nil if no target was found
+	// failedSends counts the sends to other targets that brought no response. It is set before done
+	// is closed.
+	failedSends int
 }
 
 // watchSilence returns a watch over the attempt at a target. It is inactive until reset.
@@ -174,6 +181,7 @@
 	s := <-w.searches
 	s.cancel()
 	<-s.done
+	w.x.sends += s.failedSends
 	return s
 }
 
@@ -191,11 +199,76 @@
 	w.d.waiter.Exclude(current.Key())
 	w.d.waiter.StandBy(x.deadline)
 	x.avoidUnprovenVersion(w.d.waiter)
-	if s.found = w.findAllowedPlacement(ctx); s.found != nil {
+	if s.found = w.findReplacement(ctx, s); s.found != nil {
 		w.current.conn.InterruptRead()
 	}
 }
 
+// findReplacement waits until another target is ready to take over. A target that grants a
+// reservation is ready. Others may refuse the request, so it is sent to them first, and the silent
+// target is given up only when one of them responds. It returns nil if ctx ends before, or the
+// request was sent as often as its route allows.
+func (w *silenceWatch) findReplacement(ctx context.Context, s *search) *placement {
+	x := w.x
+	for x.sends+s.failedSends < x.route.MaxAttempts {
+		p := w.findAllowedPlacement(ctx)
+		if p == nil || p.reservation != "" || x.route.Kind == routing.Stream {
+			return p
+		}
+		if w.sendAhead(ctx, p, x.sends+s.failedSends+1) {
+			return p
+		}
+		s.failedSends++
+		w.d.waiter.Exclude(p.target.Key())
+	}
+	return nil
+}
+
+// sendAhead sends the request to a placement and waits for the head of the response. If that fails,
+// or the target states that it did not run the request, it ends the grant and reports false.
+func (w *silenceWatch) sendAhead(ctx context.Context, p *placement, send int) bool {
+	att := attempt{outcome: reserve.Abandoned}
+	defer func() {
+		if p.response == nil {
+			endGrant(w.d.scheduler, p.target, att)
+			w.x.recordForRollout(p.target, att)
+		}
+	}()
+	defer p.conn.CloseOnPanic()
+	p.sentAt = time.Now()
+	w.x.logSend(p.target, send, p.sentAt)
+	resp, err := w.x.receiveHead(ctx, p)
+	switch {
+	case err != nil:
+		p.conn.Release(nil, false)
+		att = w.x.readFailed(ctx, err)
+		if ctx.Err() != nil {
+			att.outcome = reserve.Abandoned // the silent target has responded, or the request ends
+		}
+	case resp.Info.NotRun:
+		att = w.x.handleNotRun(p.conn, resp)
+	default:
+		p.response = resp
+	}
+	return p.response != nil
+}
+
+// receiveHead sends the request to a placement and receives the head of the response. It fails when
+// ctx ends, which may be before the context that is bound to the connection.
+func (x *exchange) receiveHead(ctx context.Context, p *placement) (*upstream.Response, error) {
+	unbind := context.AfterFunc(ctx, p.conn.InterruptRead)
+	defer unbind()
+	m := x.targetRequest(p)
+	if err := p.conn.Send(m); err != nil {
+		return nil, err
+	}
+	resp, err := p.conn.Receive(m.Method, x.info.ID, 0)
+	if err == nil && !unbind() {
+		return nil, ctx.Err()
+	}
+	return resp, err
+}
+
 // retryBudgetPollInterval is how often a search looks whether the retry budget allows a retry again.
 const retryBudgetPollInterval = 250 * time.Millisecond
 
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -294,3 +294,57 @@
 		t.Errorf("response %+v", resp)
 	}
 }
+
+// Guards against an idempotent request that leaves a silent target for one which refuses it: the
+// silent target may still respond, and the request ended with 502.
+func TestSilentTargetIsKeptUntilAnotherOneResponds(t *testing.T) {
+	const fromSilent, fromNext = "silent", "next"
+	notRun := func(c net.Conn, r *http.Request) bool {
+		fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Request-Id"))
+		return true
+	}
+	respond := func(c net.Conn, r *http.Request, body string) bool {
+		writeHead(c, r, fmt.Sprintf("Content-Length: %d", len(body)))
+		fmt.Fprint(c, body)
+		return true
+	}
+	ended := make(chan struct{})
+	defer close(ended)
+	cases := map[string]struct {
+		next func(net.Conn, *http.Request) bool
+		want string
+	}{
+		"refused":  {notRun, fromSilent},
+		"cut":      {func(net.Conn, *http.Request) bool { return false }, fromSilent},
+		"silent":   {func(net.Conn, *http.Request) bool { <-ended; return false }, fromSilent},
+		"answered": {func(c net.Conn, r *http.Request) bool { return respond(c, r, fromNext) }, fromNext},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			fx := newFixture(t)
+			var nextRuns atomic.Int32
+			answer := make(chan struct{})
+			fx.addRawServer(plainName, "i-silent", func(conn net.Conn, r *http.Request) bool {
+				<-answer
+				return respond(conn, r, fromSilent)
+			})
+			fx.startHost()
+			caller := fx.dial()
+			fx.send(caller, "GET", pathIdempotent, "")
+			fx.eventually("the target is silent", func() bool { return fx.log.contains("target silent") })
+			fx.addRawServer(plainName, "i-next", func(conn net.Conn, r *http.Request) bool {
+				nextRuns.Add(1)
+				return c.next(conn, r)
+			})
+			fx.eventually("the request is sent to the other target", func() bool { return nextRuns.Load() == 1 })
+			time.Sleep(50 * time.Millisecond)
+			close(answer)
+			if resp := fx.read(caller); resp.status != http.StatusOK || resp.body != c.want {
+				t.Errorf("response %+v, want %q", resp, c.want)
+			}
+			if n := nextRuns.Load(); n != 1 {
+				t.Errorf("sent to the other target %d times", n)
+			}
+		})
+	}
+}
