Derive the failure of the last read from its times

Directory kept a flag beside failedAt and readAt. Reads follow one another, and readAt is the start of the last successful one, so the last read has failed exactly if failedAt is after readAt. No behaviour changes; the tests of gateway/directory pass with -race.

--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -121,7 +121,6 @@
 	readAt time.Time
 	// freshAt is the latest time at which the list was confirmed to be current.
 	freshAt    time.Time
-	readFailed bool      // the last read failed
 	failedAt   time.Time // when the last failed read ended
 	isReader   bool      // this host reads the store because no other one did in time
 	nextReadAt time.Time
@@ -284,7 +283,10 @@
 
 // storeFailing reports whether this host's last read has failed and no host has read the store
 // since. The caller holds the lock.
-func (d *Directory) storeFailing() bool { return d.readFailed && !d.freshAt.After(d.failedAt) }
+func (d *Directory) storeFailing() bool { return d.readFailed() && !d.freshAt.After(d.failedAt) }
+
+// readFailed reports whether this host's last read has failed. The caller holds the lock.
+func (d *Directory) readFailed() bool { return d.failedAt.After(d.readAt) }
 
 // sinceLastRead returns the log attribute for the time since the last read, if there was one.
 func sinceLastRead(readAt, now time.Time) slog.Attr {
@@ -333,8 +335,7 @@
 
 func (d *Directory) finishRead(ctx context.Context, err error, began time.Time) {
 	d.mu.Lock()
-	failedBefore := d.readFailed
-	d.readFailed = err != nil
+	failedBefore := d.readFailed()
 	if err == nil {
 		d.readAt, d.freshAt, d.mismatchSince = began, began, time.Time{}
 	} else {
