Share the exchange of reservation requests and cancellations

requestReservation and cancelReservation sent, received and drained on their own. No behaviour changes; the tests of gateway/ingress pass with -race.

--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -397,14 +397,7 @@
 // requestReservation sends a reservation request and returns the reservation id, empty if
 // the target is full. The response is nil if none was read.
 func (x *exchange) requestReservation(conn *upstream.Conn, m protocol.Request) (string, *upstream.Response, error) {
-	if err := conn.Send(m); err != nil {
-		return "", nil, err
-	}
-	resp, err := conn.Receive(m.Method, "", reserveTimeout)
-	if err != nil {
-		return "", nil, err
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReservationResponseBytes))
+	body, resp, err := exchangeShort(conn, m, reserveTimeout)
 	if err != nil {
 		return "", resp, err
 	}
@@ -412,6 +405,21 @@
 	return id, resp, err
 }
 
+// exchangeShort sends a request to which the target responds without an id and with at most
+// maxReservationResponseBytes, and reads the response. The headers must arrive within timeout if that
+// is positive. The response is nil if none was read.
+func exchangeShort(conn *upstream.Conn, m protocol.Request, timeout time.Duration) ([]byte, *upstream.Response, error) {
+	if err := conn.Send(m); err != nil {
+		return nil, nil, err
+	}
+	resp, err := conn.Receive(m.Method, "", timeout)
+	if err != nil {
+		return nil, nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReservationResponseBytes))
+	return body, resp, err
+}
+
 // retryReason maps the reason of a failed attempt to the label of the retry counter.
 func retryReason(r refusal.Reason) refusal.RetryReason {
 	switch r {
--- a/gateway/ingress/silence.go
+++ b/gateway/ingress/silence.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"time"
 
@@ -87,17 +86,8 @@
 		}
 		conn.BindContext(ctx)
 	}
-	m := x.cfg.Codec.ReleaseRequest(p.target.ID, p.reservation)
-	if conn.Send(m) != nil {
-		conn.Release(nil, false)
-		return
-	}
-	resp, err := conn.Receive(m.Method, "", 0)
-	if err != nil {
-		conn.Release(nil, false)
-		return
-	}
-	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxReservationResponseBytes))
+	// The context of the connection bounds the time.
+	_, resp, err := exchangeShort(conn, x.cfg.Codec.ReleaseRequest(p.target.ID, p.reservation), 0)
 	conn.Release(resp, err == nil)
 }
 
