Count the compared requests of a rollout once per decision

The split of each request summed all samples while a rollout was unproven. Decide, which runs every 0.1 s, now keeps the result; a split may be based on a count that is so much older. Decisions use the count of the same moment, as before.

--- a/gateway/rollout/decide.go
+++ b/gateway/rollout/decide.go
@@ -43,6 +43,7 @@
 		if st.state == Running {
 			var all int
 			all, st.newTargets = targets(service, st.order.Version)
+			st.countCompared(now)
 			t.evaluate(st, all, now)
 		}
 		if d := st.decide(leader, now); d != nil {
@@ -120,11 +121,14 @@
 	if st.newTargets == 0 {
 		return true
 	}
-	if st.observedEnough(now) {
-		return false
-	}
+	return !st.observedEnough(now) && !st.comparable
+}
+
+// countCompared records whether this process holds enough requests to compare both versions, so that
+// the split of a request need not sum the samples.
+func (st *rolloutState) countCompared(now time.Time) {
 	oldVersion, newVersion := st.samples.Requests(st.scaledTime(now))
-	return min(oldVersion, newVersion) < analysis.MinComparedRequests
+	st.comparable = min(oldVersion, newVersion) >= analysis.MinComparedRequests
 }
 
 // observed describes what this process has observed, for the reason of an outcome.
--- a/gateway/rollout/rollout.go
+++ b/gateway/rollout/rollout.go
@@ -81,6 +81,8 @@
 	reason       string
 	// newTargets is the number of listed targets of the new version at the last Decide; 1 before.
 	newTargets int
+	// comparable is true if there were enough requests to compare both versions at the last Decide.
+	comparable bool
 	// stored is true once the state is known to be the final one in the store.
 	stored   bool
 	samples  *analysis.Samples
