--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -22,8 +22,8 @@
 )
 
 const (
-	// Callers abandon a stream whose first event does not arrive within the longest of
-	// these: a fixed time, a multiple of the route's goal for the first event, and a
+	// Callers abandon a stream whose next event does not arrive within the longest of these:
+	// a fixed time, a multiple of the route's goal for the first event, and a
 	// multiple of its longest tolerated gap between events.
 	minCallerWait   = 2 * time.Second
 	callerWaitGoals = 4
@@ -42,7 +42,7 @@
 		PrefillTime: time.Duration(r.PromptTokens) * prefillPerToken,
 	}
 	if route.Kind == routing.Stream {
-		w.FirstByteTimeout = min(w.FirstByteTimeout, max(minCallerWait, callerWaitGoals*route.LatencyGoal, callerWaitGaps*route.MaxEventGap))
+		w.FirstByteTimeout = min(w.FirstByteTimeout, callerEventWait(route))
 	}
 	if route.LatencyGoal > 0 {
 		first := firstEventLatency + w.PrefillTime
@@ -51,6 +51,27 @@
 	return w
 }
 
+// callerEventWait returns how long the caller of a stream waits for its next event.
+func callerEventWait(route *routing.Route) time.Duration {
+	return max(minCallerWait, callerWaitGoals*route.LatencyGoal, callerWaitGaps*route.MaxEventGap)
+}
+
+// callerUntil returns when a target must begin to respond to a request whose attempt has failed:
+// when the caller of a stream gives up, or early enough for the whole response of other routes.
+func (x *exchange) callerUntil(w *reserve.Waiter) time.Time {
+	if x.route.Kind != routing.Stream {
+		return x.deadline.Add(-x.route.LatencyGoal)
+	}
+	until := x.arrived.Add(w.FirstByteTimeout)
+	if !x.lastEventAt.IsZero() {
+		until = x.lastEventAt.Add(callerEventWait(x.route))
+	}
+	if x.deadline.Before(until) {
+		return x.deadline
+	}
+	return until
+}
+
 // attemptStatus determines whether an attempt can be followed by another one.
 type attemptStatus uint8
 
@@ -263,7 +284,7 @@
 		return ref
 	}
 	w.Exclude(target.Key())
-	w.ExtendWait(time.Now())
+	w.ExtendWait(time.Now(), x.callerUntil(w))
 	x.avoidUnprovenVersion(w)
 	x.cfg.Metrics.CountRetry(retryReason(att.reason))
 	event.RequestRetried.Log(x.cfg.Log, slog.String("id", x.info.ID), slog.String("target", target.ID), slog.String("reason", att.reason.String()))
@@ -327,6 +348,10 @@
 		}
 	}
 	defer p.conn.CloseOnPanic()
+	if p.response != nil {
+		x.recordSend(p.target, p.sentAt)
+		return x.forward(ctx, d, x.watchSilence(ctx, d, p), p, p.response, p.sentAt)
+	}
 	if !d.scheduler.MaySend(p.target.Key()) {
 		return *closedAttempt(p.conn) // a reservation expires shortly
 	}
@@ -389,14 +414,7 @@
 // requestReservation sends a reservation request and returns the reservation id, empty if
 // the target is full. The response is nil if none was read.
 func (x *exchange) requestReservation(conn *upstream.Conn, m protocol.Request) (string, *upstream.Response, error) {
-	if err := conn.Send(m); err != nil {
-		return "", nil, err
-	}
-	resp, err := conn.Receive(m.Method, "", reserveTimeout)
-	if err != nil {
-		return "", nil, err
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReservationResponseBytes))
+	body, resp, err := exchangeShort(conn, m, reserveTimeout)
 	if err != nil {
 		return "", resp, err
 	}
@@ -404,6 +422,21 @@
 	return id, resp, err
 }
 
+// exchangeShort sends a request to which the target responds without an id and with at most
+// maxReservationResponseBytes, and reads the response. The headers must arrive within timeout if that
+// is positive. The response is nil if none was read.
+func exchangeShort(conn *upstream.Conn, m protocol.Request, timeout time.Duration) ([]byte, *upstream.Response, error) {
+	if err := conn.Send(m); err != nil {
+		return nil, nil, err
+	}
+	resp, err := conn.Receive(m.Method, "", timeout)
+	if err != nil {
+		return nil, nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReservationResponseBytes))
+	return body, resp, err
+}
+
 // retryReason maps the reason of a failed attempt to the label of the retry counter.
 func retryReason(r refusal.Reason) refusal.RetryReason {
 	switch r {
