Refuse requests of a withdrawn service whose targets drain

The targets of a withdrawn service usually drain before they are removed.

Only targets that are listed as ready count now. The test was one case and is the same for both.

--- a/gateway/dispatch/schedulers.go
+++ b/gateway/dispatch/schedulers.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -182,8 +183,8 @@
 }
 
 // Update applies a new configuration and list of targets. The scheduler of a removed service
-// stays. While targets of the service are listed, its waiting requests may run there; without
-// targets they are refused.
+// stays. While targets of the service are listed as ready, its waiting requests may run there; else
+// they are refused.
 func (s *Schedulers) Update(table *routing.Table, targets []directory.Target) {
 	byService := map[string][]directory.Target{}
 	for _, t := range targets {
@@ -200,7 +201,8 @@
 		for _, t := range byService[name] {
 			s.byTarget[t.Key()] = scheduler
 		}
-		scheduler.setWithdrawn(table.Service(name) == nil && len(byService[name]) == 0)
+		ready := slices.ContainsFunc(byService[name], func(t directory.Target) bool { return !t.Draining })
+		scheduler.setWithdrawn(table.Service(name) == nil && !ready)
 		scheduler.setTargets(byService[name], s.zone)
 	}
 }
--- a/gateway/withdrawn_test.go
+++ b/gateway/withdrawn_test.go
@@ -56,6 +56,15 @@
 // withdrawn, until its caller has no time left to come back, and against one that is cut while it
 // runs there.
 func TestRequestsOfWithdrawnServiceRunOrAreRefused(t *testing.T) {
+	for name, leave := range map[string]func(*fixture, *slotengine.Server){
+		"its target is removed": func(fx *fixture, _ *slotengine.Server) { fx.store.Delete(wire.PrefixTargets + "i-0") },
+		"its target drains":     func(fx *fixture, s *slotengine.Server) { fx.listServer(plainName, "i-0", s.Address(), "draining") },
+	} {
+		t.Run(name, func(t *testing.T) { testWithdrawnService(t, leave) })
+	}
+}
+
+func testWithdrawnService(t *testing.T, leave func(*fixture, *slotengine.Server)) {
 	const slots, delay = 3, 2500 * time.Millisecond
 	deadline := "Request-Deadline: 8000"
 	fx := newFixture(t)
@@ -73,7 +82,7 @@
 	fx.send(waiting, "POST", pathNonIdempotent, "order", deadline)
 	time.Sleep(100 * time.Millisecond) // the request waits
 	fx.store.Put(wire.KeyConfig, withoutService(t, 2, plainName))
-	fx.store.Delete(wire.PrefixTargets + "i-0")
+	leave(fx, s)
 	resp := fx.read(waiting)
 	if n := s.ActiveRuns(); n != slots {
 		t.Errorf("response to the waiting request after only %d of %d other ones were running", n, slots)
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -63,7 +63,7 @@
 	// departedOrder.
 	departed      map[string]*drain.State
 	departedOrder []string
-	// withdrawn is set while the service is not configured and has no targets.
+	// withdrawn is set while the service is not configured and has no ready targets.
 	withdrawn bool
 	// slowThreshold is the gap between events above which a target is slow, as of the last
 	// Dispatch with waiting requests; 0 if too few targets are measured.
@@ -110,8 +110,8 @@
 	return changes
 }
 
-// SetWithdrawn sets whether the service is not configured any more and has no targets. Its requests
-// are then refused at the next Dispatch, so that their callers can come back in time: a new
+// SetWithdrawn sets whether the service is not configured any more and has no ready targets. Its
+// requests are then refused at the next Dispatch, so that their callers can come back in time: a new
 // configuration may send them to another service.
 func (p *Pool) SetWithdrawn(withdrawn bool) { p.withdrawn = withdrawn }
 
@@ -119,7 +119,7 @@
 func (p *Pool) refuseWithdrawn() []Expired {
 	var out []Expired
 	for _, w := range p.waiters {
-		ref := refusal.New(refusal.NoTarget, "the service is not configured any more and has no targets")
+		ref := refusal.New(refusal.NoTarget, "the service is not configured any more and has no ready targets")
 		ref.RetryAfter = withdrawnRetryAfter
 		out = append(out, Expired{w, ref})
 	}
