Stop the watch of a response that a search has received

An event stream of an idempotent route that is resumable may arm the watch over its target; where the caller disconnects, the watch stayed armed and would have counted the target as silent after the request had ended.

--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -332,8 +332,10 @@
 	}
 	defer p.conn.CloseOnPanic()
 	if p.response != nil {
+		watch := x.watchSilence(ctx, d, p)
+		defer watch.stop()
 		x.recordSend(p.target, p.sentAt)
-		return x.forward(ctx, d, x.watchSilence(ctx, d, p), p, p.response, p.sentAt)
+		return x.forward(ctx, d, watch, p, p.response, p.sentAt)
 	}
 	if !d.scheduler.MaySend(p.target.Key()) {
 		return *closedAttempt(p.conn) // a reservation expires shortly
