--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -650,9 +650,7 @@
 	c := fx.dial()
 	fx.send(c, "POST", pathStream, "prompt", "Request-Deadline: 8000")
 	fx.eventually("the stream runs", func() bool { return fx.servers[0].ActiveRuns() == 1 })
-	stopped := make(chan error, 1)
-	go func() { stopped <- fx.host.Stop() }()
-	fx.eventually("the host is not ready", func() bool { return !fx.isReady() })
+	stopped := fx.stop()
 	resp := fx.read(c)
 	if resp.err != nil || resp.status != 200 || resp.body != streamEvents(1, events) {
 		t.Errorf("status %d, %v, %d bytes", resp.status, resp.err, len(resp.body))
