Excuse engines that make progress when a completion reaches its deadline

Two completions in a row that took longer than their deadlines ejected a sound engine that was sending events of other streams all the time.

Such an end is now a result of its own, DeadlineReached. It counts as a timeout only if no byte of any response has arrived from the engine since the request was sent. The caller gets the reason deadline-after-send instead of target-silent; status and run state stay 504 and unknown. For a move of versions it stays a failure, since both versions are compared.

Open: an engine on which only completions run that all exceed their deadlines is still ejected; the estimate of the run time refuses most of them before.

--- a/host/attempt.go
+++ b/host/attempt.go
@@ -73,12 +73,15 @@
 // request's deadline.
 func (x *exchange) callWithTimeout() target.Request {
 	c := x.call
-	if x.runner.kind == pool.Engine && !c.Stream {
+	if x.waitsUntilDeadline() {
 		c.FirstByte = max(minFirstByteTimeout, time.Until(x.pending.req.Deadline))
 	}
 	return c
 }
 
+// waitsUntilDeadline reports whether only the request's deadline bounds the wait for the first byte.
+func (x *exchange) waitsUntilDeadline() bool { return x.runner.kind == pool.Engine && !x.call.Stream }
+
 // minFirstByteTimeout is the minimum first-byte timeout of a completion that is not streamed.
 const minFirstByteTimeout = time.Second
 
@@ -219,6 +222,9 @@
 		return x.contextRefusal(ctx)
 	}
 	result, ref := classifyError(x.target, err)
+	if result == pool.TimedOut && x.waitsUntilDeadline() && !time.Now().Before(x.pending.req.Deadline) {
+		result, ref = pool.DeadlineReached, refusal.New(refusal.DeadlineAfterSend, "target %s: %v", x.target, err)
+	}
 	x.runner.recordResult(x.pending, result)
 	x.recordObservation(result)
 	x.host.metrics.AddWastedPrefill(telemetry.WasteTargetLost, x.pending.req.PromptTokens)
--- a/host/observe.go
+++ b/host/observe.go
@@ -17,6 +17,8 @@
 	pool.Truncated: analysis.Truncated,
 	pool.Failed:    analysis.Failed,
 	pool.TimedOut:  analysis.Failed,
+	// Both versions are compared, and deadlines affect both.
+	pool.DeadlineReached: analysis.Failed,
 }
 
 // recordObservation records the result of a dispatch for the evaluation of a running move.
--- a/sched/pool/api.go
+++ b/sched/pool/api.go
@@ -140,6 +140,9 @@
 	// byte was sent, or the target stated both. The pool queues the request again. This is no
 	// failure of the target and spends no retry budget.
 	Declined
+	// DeadlineReached means that the first byte of the response did not arrive before the request's
+	// deadline. That is a failure of the target unless it made progress on other requests meanwhile.
+	DeadlineReached
 )
 
 // LoadReport is the load that a target reports, over all hosts.
--- a/sched/pool/entry.go
+++ b/sched/pool/entry.go
@@ -152,7 +152,7 @@
 		return
 	}
 	e.firstByteSeen = true
-	e.progressAt = now
+	e.progressAt, e.target.progressAt = now, now
 	e.timedTokens = e.offset + 1
 	e.target.clearPending(e)
 	if e.pinned {
@@ -188,7 +188,7 @@
 		return
 	}
 	d := now.Sub(e.progressAt)
-	e.progressAt = now
+	e.progressAt, e.target.progressAt = now, now
 	if p.hostWasPaused(now) {
 		return
 	}
@@ -224,7 +224,7 @@
 		return health.Success, true
 	case Failed, Truncated, NotSent:
 		return health.Failure, true
-	case TimedOut:
+	case TimedOut, DeadlineReached:
 		return health.Timeout, true
 	default:
 		return 0, false
--- a/sched/pool/requests.go
+++ b/sched/pool/requests.go
@@ -153,7 +153,8 @@
 	t := e.target
 	p.endRun(e)
 	var out []Action
-	if obs, ok := res.observation(); ok {
+	excused := res == DeadlineReached && t.progressAt.After(e.runStartedAt)
+	if obs, ok := res.observation(); ok && !excused {
 		out = p.recordObservation(out, t, obs, now)
 	}
 	if res == Declined {
--- a/sched/pool/targets.go
+++ b/sched/pool/targets.go
@@ -29,6 +29,8 @@
 	closure drain.Closure
 	// runs holds this host's requests in progress.
 	runs []*entry
+	// progressAt is when a byte of any response last arrived.
+	progressAt time.Time
 	// suspended holds paused or taken-over requests, which can resume only here.
 	suspended []*entry
 	// alarmLimit is the lowered limit of a target that far exceeds its latency goals, as
