Notice an unresponsive peer also after a late packet

What was seen: TestUnresponsiveConnectionIsReplaced failed now and then beside load: "call on the new connection: no response from the peer". In production the same costs a call between hosts its whole deadline, and the next call 2 s and its answer.

Cause: a call checked once, after UnresponsiveAfter, whether its connection had received any packet since the call began. A packet that the peer had sent before it became unresponsive counted as a sign of life. The call then waited until its deadline, and its connection stayed in use, so the next call was sent on it and failed. The test's message names a new connection, but there was none.

--- a/fleet/peer/call.go
+++ b/fleet/peer/call.go
@@ -83,19 +83,12 @@
 	return fmt.Errorf("call %s at %s: %w: %w", kind, address, class, err)
 }
 
-// roundTrip writes the request and reads the response. A connection that receives no
-// packet within UnresponsiveAfter, not even an acknowledgement, is closed, so that the
-// next call uses a new one.
+// roundTrip writes the request and reads the response. An unresponsive connection is closed, so
+// that the next call uses a new one.
 func (t *Transport) roundTrip(ctx context.Context, c *quic.Conn, s *quic.Stream, data []byte) (response, error) {
 	stop := context.AfterFunc(ctx, func() { cancelStream(s) })
 	defer stop()
-	before := c.ConnectionStats().PacketsReceived
-	watchdog := time.AfterFunc(t.cfg.UnresponsiveAfter, func() {
-		if c.ConnectionStats().PacketsReceived == before {
-			t.closeUnresponsive(c)
-		}
-	})
-	defer watchdog.Stop()
+	defer t.watch(c)()
 	var r response
 	if _, err := s.Write(data); err != nil {
 		return r, contextError(ctx, err)
--- a/fleet/peer/peer_test.go
+++ b/fleet/peer/peer_test.go
@@ -242,6 +242,8 @@
 	mu       sync.Mutex
 	flows    map[string]*net.UDPConn
 	blocked  map[string]bool
+	// toTargetBlocked drops the packets to the target of all flows.
+	toTargetBlocked bool
 }
 
 func newUDPProxy(t *testing.T, to string) *udpProxy {
@@ -279,7 +281,7 @@
 			r.flows[from.String()] = f
 			go r.forwardBack(f, from)
 		}
-		if !r.blocked[from.String()] {
+		if !r.blocked[from.String()] && !r.toTargetBlocked {
 			_, _ = f.Write(buf[:n])
 		}
 		r.mu.Unlock()
@@ -302,6 +304,13 @@
 	}
 }
 
+// blockToTarget drops all further packets to the target while blocked is set.
+func (r *udpProxy) blockToTarget(blocked bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.toTargetBlocked = blocked
+}
+
 // blockFlows drops all further packets of the existing flows.
 func (r *udpProxy) blockFlows() {
 	r.mu.Lock()
@@ -339,6 +348,57 @@
 	}
 }
 
+// Guards against a packet that the peer sent before it became unresponsive and that counts as its
+// sign of life: the call waited until its deadline, and the next call failed on the same connection.
+func TestLatePacketDoesNotHideUnresponsiveConnection(t *testing.T) {
+	k := devKeys(t, t.TempDir(), "a", "b")
+	a, got := newEchoTransport(t, "127.0.0.1:0", k["a"], nil)
+	b, _ := newEchoTransport(t, "127.0.0.1:0", k["b"], nil)
+	r := newUDPProxy(t, b.Address())
+	to := r.listener.LocalAddr().String()
+	if _, err := call(t, a, to, ""); err != nil {
+		t.Fatal(err)
+	}
+	r.blockToTarget(true)
+	result := make(chan error, 1)
+	go func() {
+		_, err := call(t, a, to, "")
+		result <- err
+	}()
+	time.Sleep(50 * time.Millisecond) // the call has begun
+	for _, c := range b.openConns() {
+		b.Send(c.RemoteAddr().String(), "late", nil)
+	}
+	<-got
+	r.blockFlows()
+	r.blockToTarget(false)
+	if err := <-result; !errors.Is(err, ErrNoResponse) || errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("call on the unresponsive connection: %v", err)
+	}
+	if _, err := call(t, a, to, ""); err != nil {
+		t.Errorf("call on the new connection: %v", err)
+	}
+}
+
+// Guards against a connection that is closed because the peer sends nothing while its handler works.
+func TestSlowHandlerIsNoUnresponsivePeer(t *testing.T) {
+	k := devKeys(t, t.TempDir(), "a", "b")
+	a, _ := newEchoTransport(t, "127.0.0.1:0", k["a"], nil)
+	b, err := New(Config{Listen: "127.0.0.1:0", Keys: k["b"]}, Handlers{
+		Call: func(context.Context, Peer, string, []byte) ([]byte, error) {
+			time.Sleep(time.Second) // more than Config.UnresponsiveAfter of the caller
+			return nil, nil
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer b.Close()
+	if _, err := call(t, a, b.Address(), ""); err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against waiting for a timeout after a peer has restarted: a process with the
 // same keys must reset the connections to the previous process.
 func TestRestartedPeerResetsOldConnections(t *testing.T) {
