Define the limits of incomplete events once

The platform path and the own path bound the memory of incomplete events in the same way, each with its own three constants. They were equal but for the shared part, 8 MB on the platform path and 16 MB on the own one, for which neither the code nor its history gives a reason.

The limits and the budget made of them are now in core/membudget, with 16 MB shared: the smaller value would end streams on the own path that are whole today.

--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -75,7 +75,7 @@
 
 // New returns a Server.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg, eventMemory: membudget.New(sharedEventBytes, ownEventBytes)}
+	s := &Server{cfg: cfg, eventMemory: membudget.NewForEvents()}
 	s.running, s.endRequests = context.WithCancel(context.Background())
 	return s
 }
--- a/target/target.go
+++ b/target/target.go
@@ -128,14 +128,7 @@
 	EventMemory *membudget.Budget
 }
 
-const (
-	// sharedEventBytes bounds what all streams of the process hold of incomplete events, beyond
-	// ownEventBytes each.
-	sharedEventBytes = 16 << 20
-	ownEventBytes    = 16 << 10
-)
-
-var defaultEventMemory = membudget.New(sharedEventBytes, ownEventBytes)
+var defaultEventMemory = membudget.NewForEvents()
 
 func (c Config) withDefaults() Config {
 	if c.EventMemory == nil {
