Seek another target for a plain response that stops in its body

What callers saw: an idempotent request ended with 504 at its deadline although another target was ready, where its target fell silent after the head of a plain response, or where its route has no goal.

Cause: the watch over a silent target ended with the head of a plain response, although up to 64 KiB of the body are read before the first byte is forwarded. Without a goal there was no watch at all.

Change: each wait for a part of the buffered body is watched like the wait for the head. On a route without a goal another target is sought after 1.5 s. As before, the first target is given up only when another one is ready and the retry budget allows it, and its progress ends the search (TestSlowBodyIsNoSilence). Resumable streams of routes without a goal are now watched until their first event too, as after it.

--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -29,6 +29,8 @@
 	idempotentTimeoutGoals = 3
 	// minIdempotentTimeout is the lower bound of that timeout.
 	minIdempotentTimeout = 200 * time.Millisecond
+	// defaultIdempotentTimeout is that timeout for routes without a goal.
+	defaultIdempotentTimeout = 1500 * time.Millisecond
 )
 
 // roundTrip sends the request to a target and forwards the response to the caller.
@@ -78,18 +80,21 @@
 		conn.Release(resp, false)
 		return x.failedAttempt(ctx, reserve.BrokenResponse, refusal.TargetFailed, fmt.Errorf("status %d instead of an event stream for a resumed stream", resp.Status))
 	}
-	return x.forwardResponse(ctx, conn, resp, sentAt)
+	return x.forwardResponse(ctx, watch, conn, resp, sentAt)
 }
 
-// firstByteTimeout returns the time to wait for the response headers before another target is
-// sought; 0 means until the deadline.
+// firstByteTimeout returns the time to wait for the response headers, and for each part of the body
+// that is buffered, before another target is sought; 0 means until the deadline.
 func (x *exchange) firstByteTimeout() time.Duration {
-	if !x.route.Idempotent() || x.sends >= x.route.MaxAttempts || x.route.LatencyGoal <= 0 {
+	if !x.route.Idempotent() || x.sends >= x.route.MaxAttempts {
 		return 0
 	}
 	if x.route.Kind == routing.Stream {
 		return x.eventTimeout(0)
 	}
+	if x.route.LatencyGoal <= 0 {
+		return defaultIdempotentTimeout
+	}
 	return max(minIdempotentTimeout, idempotentTimeoutGoals*x.route.LatencyGoal)
 }
 
@@ -142,12 +147,15 @@
 }
 
 // forwardResponse forwards a response that is not an event stream.
-func (x *exchange) forwardResponse(ctx context.Context, conn *upstream.Conn, resp *upstream.Response, sentAt time.Time) attempt {
-	body, complete, err := readBuffered(resp)
+func (x *exchange) forwardResponse(ctx context.Context, watch *silenceWatch, conn *upstream.Conn, resp *upstream.Response, sentAt time.Time) attempt {
+	// Another target can take over until the first byte is forwarded.
+	body, complete, err := readBuffered(watch.reader(resp.Body, x.firstByteTimeout()))
 	if err != nil {
+		found := watch.end()
 		conn.Release(resp, false)
-		return x.failedAttempt(ctx, reserve.BrokenResponse, refusal.ResponseTruncated, err)
+		return watch.settle(found, x.readFailed(ctx, err))
 	}
+	watch.stop()
 	x.recordBegun(resp.Status)
 	x.writeHead(resp, int64(len(body)), complete)
 	x.notResumable = true
@@ -180,8 +188,8 @@
 
 // readBuffered reads up to maxBufferedResponseBytes of the body. complete is true if the
 // body is shorter.
-func readBuffered(resp *upstream.Response) (body []byte, complete bool, err error) {
-	body, err = io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponseBytes))
+func readBuffered(r io.Reader) (body []byte, complete bool, err error) {
+	body, err = io.ReadAll(io.LimitReader(r, maxBufferedResponseBytes))
 	return body, len(body) < maxBufferedResponseBytes, err
 }
 
--- a/gateway/ingress/silence.go
+++ b/gateway/ingress/silence.go
@@ -140,6 +140,28 @@
 	w.timer.Reset(silence)
 }
 
+// reader returns a reader of the response's body that resets the watch before the first and after
+// each read of data.
+func (w *silenceWatch) reader(body io.Reader, silence time.Duration) io.Reader {
+	w.reset(silence)
+	return &watchedReader{body, w, silence}
+}
+
+// watchedReader is the result of silenceWatch.reader.
+type watchedReader struct {
+	body    io.Reader
+	watch   *silenceWatch
+	silence time.Duration
+}
+
+func (r *watchedReader) Read(p []byte) (int, error) {
+	n, err := r.body.Read(p)
+	if n > 0 {
+		r.watch.reset(r.silence)
+	}
+	return n, err
+}
+
 // stop ends the watch, because the target has made progress or the attempt ends. A placement that
 // a search has found is released.
 func (w *silenceWatch) stop() {
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -8,6 +9,9 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"sardinefront.dev/platform/wire"
+	"sardinefront.dev/standin/fleetuser"
 )
 
 const (
@@ -255,3 +259,93 @@
 		t.Errorf("response %+v", resp)
 	}
 }
+
+// Guards against an idempotent request that stays at a target which falls silent in the middle of a
+// plain response, or on a route without a goal, although another target is ready.
+func TestSilentIdempotentRequestMovesToAReadyTarget(t *testing.T) {
+	for name, c := range map[string]struct {
+		goalMs int
+		begin  string
+	}{"inside the body": {300, "half of"}, "no goal": {0, ""}} {
+		t.Run(name, func(t *testing.T) {
+			fx := newFixture(t)
+			fx.store.Put(wire.KeyConfig, configurationWithGoal(t, c.goalMs))
+			ended := make(chan struct{})
+			defer close(ended)
+			var requests atomic.Int32
+			for _, id := range []string{"i-1", "i-2"} {
+				fx.addRawServer(plainName, id, func(conn net.Conn, r *http.Request) bool {
+					first := requests.Add(1) == 1
+					if !first || c.begin != "" {
+						writeHead(conn, r, "Content-Length: 10")
+					}
+					if first {
+						fmt.Fprint(conn, c.begin)
+						<-ended
+						return false
+					}
+					fmt.Fprint(conn, "half of it")
+					return true
+				})
+			}
+			fx.startHost()
+			resp := fx.call("GET", pathIdempotent, "", "Request-Deadline: 8000")
+			if resp.err != nil || resp.status != http.StatusOK || resp.body != "half of it" {
+				t.Errorf("response %+v", resp)
+			}
+			if n := requests.Load(); n != 2 {
+				t.Errorf("%d sends", n)
+			}
+		})
+	}
+}
+
+// Guards against a sound target whose plain response comes slowly and that is given up for another
+// one: it is not silent.
+func TestSlowBodyIsNoSilence(t *testing.T) {
+	const parts, interval = 20, 100 * time.Millisecond // longer than the time after which a target is silent
+	fx := newFixture(t)
+	fx.store.Put(wire.KeyConfig, configurationWithGoal(t, 300))
+	var runs atomic.Int32
+	for _, id := range []string{"i-1", "i-2"} {
+		fx.addRawServer(plainName, id, func(c net.Conn, r *http.Request) bool {
+			runs.Add(1)
+			writeHead(c, r, fmt.Sprintf("Content-Length: %d", parts))
+			for range parts {
+				time.Sleep(interval)
+				fmt.Fprint(c, "x")
+			}
+			return true
+		})
+	}
+	fx.startHost()
+	if resp := fx.call("GET", pathIdempotent, "", "Request-Deadline: 8000"); resp.err != nil || len(resp.body) != parts {
+		t.Errorf("response %+v", resp)
+	}
+	if n := runs.Load(); n != 1 || fx.log.contains("target silent") {
+		t.Errorf("%d runs, or the target counts as silent", n)
+	}
+}
+
+// configurationWithGoal returns a configuration whose routes have the given goal, none for 0.
+func configurationWithGoal(t *testing.T, goalMs int) []byte {
+	t.Helper()
+	var c struct {
+		Version  int              `json:"version"`
+		Routes   []map[string]any `json:"routes"`
+		Services json.RawMessage  `json:"services"`
+		Limits   json.RawMessage  `json:"limits"`
+		Tenants  json.RawMessage  `json:"tenants"`
+	}
+	if err := json.Unmarshal(fleetuser.Configuration(1, longTimeoutMs, 0, 2), &c); err != nil {
+		t.Fatal(err)
+	}
+	for _, route := range c.Routes {
+		route["goalMs"] = goalMs
+	}
+	b, err := json.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
