Count the running requests of a target that is listed again

A target that was removed from the list and listed again, with its service or after an outage of the store, got more requests than it takes: those that still ran there were not counted, and the end of one was taken for the end of a newer one. Callers of a full plain service then got its refusals. The pool now keeps the number of requests that run at removed targets until they end.

TestRelistedTargetKeepsItsRunningRequests on the code before: two requests are dispatched to the one free slot.

--- a/sched/reserve/broken_sim_test.go
+++ b/sched/reserve/broken_sim_test.go
@@ -80,6 +80,7 @@
 		case r.engine == crashed:
 			s.broken++
 			s.brokenIDs[r.waiter.Request.ID] = true
+			s.pool.EndGrant(r.engine, reserve.BrokenResponse, reserve.Sample{}, s.now)
 			r.waiter.Exclude(r.engine)
 			r.waiter.ExtendWait(s.now, s.now.Add(callerEventGap))
 			s.pool.Resubmit(r.waiter)
--- a/sched/reserve/closed.go
+++ b/sched/reserve/closed.go
@@ -88,10 +88,13 @@
 	return ClosureChange{Target: t.Name, Closure: t.drain.Closure(t.ListedAt), Source: drain.FromList, At: t.ListedAt, Until: t.drain.BackOffUntil()}, changed
 }
 
-// keepDeparted keeps the closures of targets that the next list lacks. The same incarnation
-// may be listed again, for example after an outage of the store.
+// keepDeparted keeps the closures and the running requests of targets that the next list lacks. The
+// same incarnation may be listed again, for example after an outage of the store.
 func (p *Pool) keepDeparted(next map[string]*target) {
 	for _, t := range p.order {
+		if next[t.Name] == nil && t.inflight > 0 {
+			p.departedInflight[t.Name] = t.inflight
+		}
 		if _, _, leaving := t.drain.LeavingReport(); next[t.Name] != nil || !leaving && t.drain.BackOffUntil().IsZero() {
 			continue
 		}
@@ -104,6 +107,13 @@
 	}
 }
 
+// endDeparted ends a request at a target that is not listed.
+func (p *Pool) endDeparted(name string) {
+	if p.departedInflight[name]--; p.departedInflight[name] <= 0 {
+		delete(p.departedInflight, name)
+	}
+}
+
 // restoreDeparted returns the kept closure of a target that is listed again, else a new one.
 func (p *Pool) restoreDeparted(name string) drain.State {
 	s := p.departed[name]
--- a/sched/reserve/closed_test.go
+++ b/sched/reserve/closed_test.go
@@ -206,3 +206,21 @@
 	p.Resubmit(rejected[0])
 	expectIDs(t, dispatchedIDs(p, start), rejected[0].Request.ID)
 }
+
+// Guards against more requests at a target than it takes: those that ran there while it was not
+// listed were not counted after it was listed again, and the end of one was counted for another.
+func TestRelistedTargetKeepsItsRunningRequests(t *testing.T) {
+	const slots = 2
+	p := reserve.New(reserve.Config{Reservations: true})
+	p.SetTargets(engines(1, slots))
+	for i := range slots + 3 {
+		submit(t, p, waiter(fmt.Sprint(i), request.Urgent, "o", start), start)
+	}
+	expectIDs(t, dispatchedIDs(p, start), "0", "1")
+	p.SetTargets(nil)
+	p.EndGrant("e0", reserve.OK, reserve.Sample{}, start)
+	p.SetTargets(engines(1, slots))
+	expectIDs(t, dispatchedIDs(p, start), "2")
+	p.EndGrant("e0", reserve.OK, reserve.Sample{}, start)
+	expectIDs(t, dispatchedIDs(p, start), "3")
+}
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -63,6 +63,8 @@
 	// departedOrder.
 	departed      map[string]*drain.State
 	departedOrder []string
+	// departedInflight holds the requests that still run at targets that were removed from the list.
+	departedInflight map[string]int
 	// withdrawn is set while the service is not configured and has no ready targets.
 	withdrawn bool
 	// slowThreshold is the gap between events above which a target is slow, as of the last
@@ -84,7 +86,7 @@
 		rnd:     rand.New(rand.NewPCG(c.Seed, c.Seed^0x9e3779b97f4a7c15)),
 		queue:   flow.New(flow.Config{MaxWaiting: bounds}),
 		waiters: map[*flow.Item]*Waiter{},
-		targets: map[string]*target{}, starvingHosts: map[string]floor{}, departed: map[string]*drain.State{},
+		targets: map[string]*target{}, starvingHosts: map[string]floor{}, departed: map[string]*drain.State{}, departedInflight: map[string]int{},
 	}
 }
 
@@ -96,7 +98,8 @@
 	for _, info := range list {
 		t := p.targets[info.Name]
 		if t == nil {
-			t = &target{preference: p.rnd.Float64(), drain: p.restoreDeparted(info.Name)}
+			t = &target{preference: p.rnd.Float64(), drain: p.restoreDeparted(info.Name), inflight: p.departedInflight[info.Name]}
+			delete(p.departedInflight, info.Name)
 		}
 		t.Target = info
 		if c, changed := t.observeList(); changed {
--- a/sched/reserve/target.go
+++ b/sched/reserve/target.go
@@ -168,6 +168,7 @@
 func (p *Pool) RecordFull(name string, now time.Time) {
 	t := p.targets[name]
 	if t == nil {
+		p.endDeparted(name)
 		return
 	}
 	t.inflight = max(0, t.inflight-1)
@@ -268,6 +269,7 @@
 func (p *Pool) EndGrant(name string, o Outcome, s Sample, now time.Time) HealthChange {
 	t := p.targets[name]
 	if t == nil {
+		p.endDeparted(name)
 		return HealthChange{}
 	}
 	before := t.health.State()
