Forward a response without waiting for another target's failure

A target was silent, the request was sent to another one as well, and that one sent the head of an error response and then nothing. The response of the first target did not reach the caller: before it is forwarded, the search ends, and the search read the body of the error response until the request's deadline.

The search's context interrupted only the wait for the head. Now the connection is bound to it from the send until the head of a response that is used, so each read and write ends with the search. A response that is used is bound to the context of the attempt again.

TestResponseDoesNotWaitForTheFailureOfAnotherTarget failed before: "failed" with status 504, deadline-after-send, "not run" with the response after 0.7 s, both at the request's time limit of 2 s.

--- a/gateway/ingress/silence.go
+++ b/gateway/ingress/silence.go
@@ -223,7 +223,7 @@
 
 // sendAhead sends the request to a placement and waits for the head of the response. If that fails, or
 // is an error or the statement that the target did not run the request, it ends the grant and reports
-// false.
+// false. It returns as soon as ctx ends, which may be before the context of the attempt.
 func (w *silenceWatch) sendAhead(ctx context.Context, p *placement, send int) bool {
 	att := attempt{outcome: reserve.Abandoned}
 	defer func() {
@@ -240,33 +240,33 @@
 	case err != nil:
 		p.conn.Release(nil, false)
 		att = w.x.readFailed(ctx, err)
-		if ctx.Err() != nil {
-			att.outcome = reserve.Abandoned // the silent target has responded, or the request ends
-		}
 	case resp.Info.NotRun:
 		att = w.x.handleNotRun(p.conn, resp)
 	case resp.Status >= http.StatusInternalServerError || refusal.StatusImpliesNotRun(resp.Status):
 		att = w.x.handleErrorStatus(ctx, p, resp)
+	case !p.conn.RebindContext(w.ctx):
+		p.conn.Release(nil, false)
 	default:
 		p.response = resp
+		return true
+	}
+	if ctx.Err() != nil {
+		att.outcome = reserve.Abandoned // the silent target has responded, or the request ends
 	}
-	return p.response != nil
+	return false
 }
 
-// receiveHead sends the request to a placement and receives the head of the response. It fails when
-// ctx ends, which may be before the context that is bound to the connection.
+// receiveHead sends the request to a placement and receives the head of the response. The connection
+// is bound to ctx from then on.
 func (x *exchange) receiveHead(ctx context.Context, p *placement) (*upstream.Response, error) {
-	unbind := context.AfterFunc(ctx, p.conn.InterruptRead)
-	defer unbind()
+	if !p.conn.RebindContext(ctx) {
+		return nil, context.Cause(ctx)
+	}
 	m := x.targetRequest(p)
 	if err := p.conn.Send(m); err != nil {
 		return nil, err
 	}
-	resp, err := p.conn.Receive(m.Method, x.info.ID, 0)
-	if err == nil && !unbind() {
-		return nil, ctx.Err()
-	}
-	return resp, err
+	return p.conn.Receive(m.Method, x.info.ID, 0)
 }
 
 // retryBudgetPollInterval is how often a search looks whether the retry budget allows a retry again.
--- /dev/null
+++ b/gateway/search_ends_test.go
@@ -0,0 +1,59 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// searchFixture starts a host with a silent target and, once a request is running there, adds another
+// one. It returns the connection of the request's caller. answer lets the silent target respond.
+func searchFixture(t *testing.T, silent func(net.Conn, *http.Request) bool, next func(net.Conn, *http.Request) bool) (fx *fixture, c *caller, answer chan struct{}) {
+	t.Helper()
+	fx = newFixture(t)
+	answer = make(chan struct{})
+	fx.addRawServer(plainName, "i-silent", func(conn net.Conn, r *http.Request) bool {
+		<-answer
+		return silent(conn, r)
+	})
+	fx.startHost()
+	c = fx.dial()
+	fx.send(c, "GET", pathIdempotent, "")
+	fx.eventually("the target is silent", func() bool { return fx.log.contains("target silent") })
+	var nextRuns atomic.Int32
+	fx.addRawServer(plainName, "i-next", func(conn net.Conn, r *http.Request) bool {
+		nextRuns.Add(1)
+		return next(conn, r)
+	})
+	fx.eventually("the request is sent to the other target", func() bool { return nextRuns.Load() == 1 })
+	time.Sleep(50 * time.Millisecond)
+	return fx, c, answer
+}
+
+// Guards against a response that does not reach its caller because the host waits for the body of
+// another target's failure.
+func TestResponseDoesNotWaitForTheFailureOfAnotherTarget(t *testing.T) {
+	for name, status := range map[string]string{"failed": "500 Failed", "not run": "503 Full\r\nNot-Executed: 1"} {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan struct{})
+			defer close(ended)
+			fx, c, answer := searchFixture(t, func(conn net.Conn, r *http.Request) bool {
+				writeHead(conn, r, "Content-Length: 2")
+				fmt.Fprint(conn, "ok")
+				return true
+			}, func(conn net.Conn, r *http.Request) bool {
+				fmt.Fprintf(conn, "HTTP/1.1 %s\r\nRequest-Id: %s\r\nContent-Length: 2\r\n\r\n", status, r.Header.Get("Request-Id"))
+				<-ended
+				return false
+			})
+			close(answer)
+			answered := time.Now()
+			if resp := fx.read(c); resp.status != http.StatusOK || resp.body != "ok" || time.Since(answered) > 300*time.Millisecond {
+				t.Errorf("response %+v after %s", resp, time.Since(answered))
+			}
+		})
+	}
+}
