Share the waits and periodic loops that end with a context

Seven packages had their own wait for a time or the end of a context, and nine loops their own ticker.

Two details change: a wait of no time reports whether its context has ended, as that of the engine stand-in did, and the controller of a rollout closes after its loop instead of in it.

Loops that take the first step at once, or wait for something else too, stay as they are.

--- a/cmd/internal/demo/fleet.go
+++ b/cmd/internal/demo/fleet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sardinefront.dev/core/request"
+	"sardinefront.dev/core/wait"
 )
 
 const (
@@ -35,7 +36,7 @@
 	start := time.Now()
 	r := c.send(ctx, n, j)
 	for i := 1; j.deduplicated() && outcomeUndecided(r) && i <= maxRepeats && ctx.Err() == nil; i++ {
-		sleep(ctx, repeatDelay)
+		wait.Sleep(ctx, repeatDelay)
 		r = c.send(ctx, n+i, j)
 	}
 	if j.patient() && r.outcome == accepted {
@@ -72,20 +73,8 @@
 		if r.outcome == answered || r.outcome == mismatched || (r.outcome == refused && r.reason != "store-unavailable") {
 			return r
 		}
-		if !sleep(ctx, outcomePollInterval) {
+		if !wait.Sleep(ctx, outcomePollInterval) {
 			return result{outcome: accepted}
 		}
 	}
 }
-
-// sleep waits for d. It returns false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/cmd/internal/demo/move.go
+++ b/cmd/internal/demo/move.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sardinefront.dev/core/request"
+	"sardinefront.dev/core/wait"
 	"sardinefront.dev/moves"
 	"sardinefront.dev/moves/analysis"
 	"sardinefront.dev/moves/control"
@@ -92,16 +93,7 @@
 
 // watch polls the state of the move until ctx ends.
 func (m *moveMonitor) watch(ctx context.Context) {
-	tick := time.NewTicker(movePollInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			m.poll(now)
-		}
-	}
+	wait.Every(ctx, movePollInterval, m.poll)
 }
 
 func (m *moveMonitor) poll(now time.Time) {
--- a/cmd/internal/demo/phase.go
+++ b/cmd/internal/demo/phase.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"sardinefront.dev/core/wait"
 )
 
 // settleTimeout is how long requests may continue after the last arrival.
@@ -44,14 +46,14 @@
 	var wg conc.WaitGroup
 	for _, f := range faults {
 		wg.Go(func() {
-			if sleep(ctx, f.at) {
+			if wait.Sleep(ctx, f.at) {
 				fmt.Fprintf(progress, "%5.1fs  %s\n", time.Since(start).Seconds(), f.description)
 				f.inject()
 			}
 		})
 	}
 	for i := range jobs {
-		if !sleep(ctx, time.Until(start.Add(jobs[i].arrival))) {
+		if !wait.Sleep(ctx, time.Until(start.Add(jobs[i].arrival))) {
 			break
 		}
 		wg.Go(func() { results[i] = s.run(ctx, i, &jobs[i]) })
--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sardinefront.dev/core/event"
+	"sardinefront.dev/core/wait"
 )
 
 // restartDelay is the pause before a loop that panicked runs again. It bounds the log lines
@@ -20,10 +21,8 @@
 // process or, silently, the loop. Locks that f holds must be released by defer.
 func Loop(ctx context.Context, log *slog.Logger, name string, f func(context.Context)) {
 	for runRecovered(ctx, log, name, f) {
-		select {
-		case <-ctx.Done():
+		if !wait.Sleep(ctx, restartDelay) {
 			return
-		case <-time.After(restartDelay):
 		}
 	}
 }
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -8,6 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"sardinefront.dev/core/wait"
 	"sardinefront.dev/fleet/internal/core"
 	"sardinefront.dev/fleet/peer"
 )
@@ -147,7 +148,7 @@
 				return
 			}
 		}
-		n.sleep(tickInterval)
+		wait.Sleep(n.ctx, tickInterval)
 		if n.ctx.Err() != nil {
 			return
 		}
--- a/fleet/config/push.go
+++ b/fleet/config/push.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"time"
 
+	"sardinefront.dev/core/wait"
 	"sardinefront.dev/platform"
 )
 
@@ -59,7 +60,7 @@
 
 // NewPublisher returns a Publisher that uses the system's clock and randomness.
 func NewPublisher(kv platform.KV) *Publisher {
-	return &Publisher{KV: kv, Now: time.Now, NewPushToken: newPushToken, Sleep: sleep}
+	return &Publisher{KV: kv, Now: time.Now, NewPushToken: newPushToken, Sleep: wait.Sleep}
 }
 
 // Push is NewPublisher(kv).Push.
@@ -252,14 +253,3 @@
 	var c *ConflictError
 	return errors.As(err, &c)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"sardinefront.dev/core/supervise"
+	"sardinefront.dev/core/wait"
 	"sardinefront.dev/fleet/config"
 	"sardinefront.dev/fleet/internal/core"
 	"sardinefront.dev/fleet/member"
@@ -239,16 +240,7 @@
 }
 
 func (n *Node) tick() {
-	t := time.NewTicker(tickInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-n.ctx.Done():
-			return
-		case <-t.C:
-			n.step((*core.Core).Tick)
-		}
-	}
+	wait.Every(n.ctx, tickInterval, func(time.Time) { n.step((*core.Core).Tick) })
 }
 
 // pull requests a newer rules file from a peer.
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sardinefront.dev/core/event"
+	"sardinefront.dev/core/wait"
 	"sardinefront.dev/fleet/config"
 	"sardinefront.dev/fleet/internal/core"
 	"sardinefront.dev/platform"
@@ -39,15 +40,15 @@
 			next = time.Now().Add(n.storeReadInterval())
 			n.readStore()
 		}
-		wait := time.Second
+		delay := time.Second
 		switch {
 		case n.store.unreachable:
-			wait = n.store.backoff
+			delay = n.store.backoff
 		case watching:
 			n.watchStore()
-			wait = 0
+			delay = 0
 		}
-		n.sleep(wait)
+		wait.Sleep(n.ctx, delay)
 	}
 }
 
@@ -61,18 +62,6 @@
 	return n.cfg.StoreReadInterval + time.Duration(n.cfg.Incarnation%97)*n.cfg.StoreReadInterval/97
 }
 
-func (n *Node) sleep(d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-n.ctx.Done():
-	}
-}
-
 func (n *Node) isWatcher() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/gateway/checkpoints.go
+++ b/gateway/checkpoints.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sardinefront.dev/core/event"
+	"sardinefront.dev/core/wait"
 	"sardinefront.dev/gateway/checkpoint"
 	"sardinefront.dev/platform"
 )
@@ -25,23 +26,16 @@
 // the leader, until ctx ends.
 func (g *Gateway) runCheckpoints(ctx context.Context) {
 	revision := g.restoreCheckpoint(ctx)
-	t := time.NewTicker(checkpointInterval)
-	defer t.Stop()
 	var schedule checkpoint.Schedule
-	for {
-		select {
-		case <-ctx.Done():
+	wait.Every(ctx, checkpointInterval, func(now time.Time) {
+		if !g.isLeader(now) {
 			return
-		case now := <-t.C:
-			if !g.isLeader(now) {
-				continue
-			}
-			speeds := speedsByHash(g.schedulers.Speeds())
-			if schedule.Due(g.quota.CheckpointNeeded(now), len(speeds), now) {
-				revision = g.writeCheckpoint(ctx, checkpoint.New(g.quota.Histories(now), speeds, now), revision)
-			}
 		}
-	}
+		speeds := speedsByHash(g.schedulers.Speeds())
+		if schedule.Due(g.quota.CheckpointNeeded(now), len(speeds), now) {
+			revision = g.writeCheckpoint(ctx, checkpoint.New(g.quota.Histories(now), speeds, now), revision)
+		}
+	})
 }
 
 // restoreCheckpoint reads and applies the checkpoint and returns its revision, 0 if there
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"sardinefront.dev/core/event"
 	"sardinefront.dev/core/supervise"
 	"sardinefront.dev/core/telemetry"
+	"sardinefront.dev/core/wait"
 	"sardinefront.dev/gateway/directory"
 	"sardinefront.dev/gateway/dispatch"
 	"sardinefront.dev/gateway/ingress"
@@ -339,24 +340,17 @@
 // runMaintenance closes expired connections, logs changes in the number of unresponsive
 // peers and updates the host count until ctx ends.
 func (g *Gateway) runMaintenance(ctx context.Context) {
-	t := time.NewTicker(maintenanceInterval)
-	defer t.Stop()
 	lastUnresponsive := 0
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-t.C:
-			g.upstream.CloseExpired(now)
-			if unresponsive, peers := g.quota.UnresponsivePeers(now); unresponsive != lastUnresponsive {
-				lastUnresponsive = unresponsive
-				event.QuotaReservedForPeers.Log(g.cfg.Log, slog.Int("silent", unresponsive), slog.Int("peers", peers))
-			}
-			hosts := 1 + len(g.mesh.Alive(now))
-			g.retryBudget.SetHosts(hosts)
-			g.schedulers.SetHostCount(hosts)
+	wait.Every(ctx, maintenanceInterval, func(now time.Time) {
+		g.upstream.CloseExpired(now)
+		if unresponsive, peers := g.quota.UnresponsivePeers(now); unresponsive != lastUnresponsive {
+			lastUnresponsive = unresponsive
+			event.QuotaReservedForPeers.Log(g.cfg.Log, slog.Int("silent", unresponsive), slog.Int("peers", peers))
 		}
-	}
+		hosts := 1 + len(g.mesh.Alive(now))
+		g.retryBudget.SetHosts(hosts)
+		g.schedulers.SetHostCount(hosts)
+	})
 }
 
 // Reload applies changed settings: retry budget, quota tolerance, rollout limits, seeds and
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sardinefront.dev/core/event"
+	"sardinefront.dev/core/wait"
 	"sardinefront.dev/gateway/rollout"
 	"sardinefront.dev/platform"
 )
@@ -134,24 +135,17 @@
 
 // runRollouts evaluates the rollouts and writes their states until ctx ends.
 func (g *Gateway) runRollouts(ctx context.Context) {
-	t := time.NewTicker(rolloutDecisionInterval)
-	defer t.Stop()
 	written := map[string]*writtenStatus{}
 	loggedAt := time.Time{}
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-t.C:
-			for _, d := range g.rollouts.Decide(g.isLeader(now), g.targetCount, now) {
-				g.recordDecision(ctx, written, d, now)
-			}
-			if now.Sub(loggedAt) >= evidenceLogInterval {
-				g.logEvidence()
-				loggedAt = now
-			}
+	wait.Every(ctx, rolloutDecisionInterval, func(now time.Time) {
+		for _, d := range g.rollouts.Decide(g.isLeader(now), g.targetCount, now) {
+			g.recordDecision(ctx, written, d, now)
 		}
-	}
+		if now.Sub(loggedAt) >= evidenceLogInterval {
+			g.logEvidence()
+			loggedAt = now
+		}
+	})
 }
 
 // logEvidence logs the comparison of the versions' speeds for all running rollouts.
--- a/host/config.go
+++ b/host/config.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sardinefront.dev/core/event"
+	"sardinefront.dev/core/wait"
 	"sardinefront.dev/fleet/config"
 	"sardinefront.dev/platform"
 	"sardinefront.dev/rules"
@@ -65,7 +66,7 @@
 		if err == nil || errors.As(err, &conflict) {
 			return
 		}
-		h.sleep(storeRetryInterval)
+		wait.Sleep(h.ctx, storeRetryInterval)
 	}
 }
 
@@ -76,7 +77,7 @@
 		revision, err := h.watchOnce(after)
 		if err != nil {
 			event.StoreUnreachable.Log(h.log, slog.String("error", err.Error()))
-			h.sleep(storeRetryInterval)
+			wait.Sleep(h.ctx, storeRetryInterval)
 			continue
 		}
 		after = revision
--- a/host/moves.go
+++ b/host/moves.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"sardinefront.dev/core/event"
+	"sardinefront.dev/core/wait"
 	"sardinefront.dev/fleet/member"
 	"sardinefront.dev/moves"
 )
@@ -40,21 +41,14 @@
 
 // runMoves evaluates all running moves, publishes halts and applies the version shares.
 func (h *Host) runMoves() {
-	tick := time.NewTicker(moveEvalInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-h.ctx.Done():
-			return
-		case now := <-tick.C:
-			for _, halt := range h.moveTracker.Evaluate(now) {
-				h.publishHalt(halt)
-			}
-			for _, runner := range *h.pools.Load() {
-				h.applyVersionShares(runner)
-			}
+	wait.Every(h.ctx, moveEvalInterval, func(now time.Time) {
+		for _, halt := range h.moveTracker.Evaluate(now) {
+			h.publishHalt(halt)
 		}
-	}
+		for _, runner := range *h.pools.Load() {
+			h.applyVersionShares(runner)
+		}
+	})
 }
 
 // publishHalt applies a halt on this host and broadcasts it to all reachable peers.
@@ -83,7 +77,7 @@
 func (h *Host) runSampleSender() {
 	for round := 0; h.ctx.Err() == nil; round++ {
 		members := h.fleet.Members()
-		h.sleep(max(minSampleInterval, time.Duration(len(members))*sampleIntervalPerHost))
+		wait.Sleep(h.ctx, max(minSampleInterval, time.Duration(len(members))*sampleIntervalPerHost))
 		for name := range *h.pools.Load() {
 			h.sendMoveSamples(name, members, round)
 		}
--- a/host/patient.go
+++ b/host/patient.go
@@ -13,6 +13,7 @@
 
 	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/core/request"
+	"sardinefront.dev/core/wait"
 	"sardinefront.dev/host/internal/prompt"
 	"sardinefront.dev/journal"
 	"sardinefront.dev/journal/claim"
@@ -180,17 +181,7 @@
 		if h.attemptPatient(st, in, &stored) {
 			return
 		}
-		h.sleep(patientRetryInterval)
-	}
-}
-
-// sleep waits for d or until the host stops.
-func (h *Host) sleep(d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-h.ctx.Done():
+		wait.Sleep(h.ctx, patientRetryInterval)
 	}
 }
 
--- a/host/pool.go
+++ b/host/pool.go
@@ -8,6 +8,7 @@
 
 	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/core/request"
+	"sardinefront.dev/core/wait"
 	"sardinefront.dev/platform"
 	"sardinefront.dev/sched/pool"
 )
@@ -95,16 +96,9 @@
 
 // run evaluates the pool at every tick until ctx ends.
 func (p *poolRunner) run(ctx context.Context) {
-	tick := time.NewTicker(tickInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			p.decide(func(time.Time) []pool.Action { return p.scheduler.Tick(now) })
-		}
-	}
+	wait.Every(ctx, tickInterval, func(now time.Time) {
+		p.decide(func(time.Time) []pool.Action { return p.scheduler.Tick(now) })
+	})
 }
 
 // backend returns the client of a target, or false if the target is no longer listed.
--- a/host/rollout.go
+++ b/host/rollout.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"sardinefront.dev/core/event"
+	"sardinefront.dev/core/wait"
 	"sardinefront.dev/moves"
 	"sardinefront.dev/moves/control"
 	"sardinefront.dev/platform"
@@ -57,18 +58,9 @@
 
 func (r *rollout) run() {
 	r.loadMoveState()
-	tick := time.NewTicker(controllerInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-r.host.ctx.Done():
-			// Releases the lease, so that another controller can acquire it at once.
-			r.controller.Close(context.Background())
-			return
-		case <-tick.C:
-			r.controller.Tick(r.host.ctx)
-		}
-	}
+	wait.Every(r.host.ctx, controllerInterval, func(time.Time) { r.controller.Tick(r.host.ctx) })
+	// Releases the lease, so that another controller can acquire it at once.
+	r.controller.Close(context.Background())
 }
 
 // loadMoveState reads the state of the pool's move from the store, so that a host that starts
@@ -82,7 +74,7 @@
 			return
 		}
 		if err != nil {
-			r.host.sleep(moveStateRetryInterval)
+			wait.Sleep(r.host.ctx, moveStateRetryInterval)
 			continue
 		}
 		if s, err := moves.DecodeState(e.Value); err == nil {
--- a/host/takeover.go
+++ b/host/takeover.go
@@ -9,6 +9,7 @@
 
 	"sardinefront.dev/core/event"
 	"sardinefront.dev/core/refusal"
+	"sardinefront.dev/core/wait"
 	"sardinefront.dev/journal/claim"
 	"sardinefront.dev/sched/pool"
 )
@@ -19,19 +20,12 @@
 // runTakeovers takes over requests of dead hosts in the partitions that this host writes, unless
 // it is draining.
 func (h *Host) runTakeovers() {
-	tick := time.NewTicker(takeoverInterval)
-	defer tick.Stop()
 	running := newKeySet()
-	for {
-		select {
-		case <-h.ctx.Done():
-			return
-		case <-tick.C:
-			if !h.draining.Load() {
-				h.takeOverOrphans(running)
-			}
+	wait.Every(h.ctx, takeoverInterval, func(time.Time) {
+		if !h.draining.Load() {
+			h.takeOverOrphans(running)
 		}
-	}
+	})
 }
 
 // takeOverOrphans starts to handle each orphaned request: accepted ones are run, claimed ones
--- a/standin/engine/run.go
+++ b/standin/engine/run.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"sardinefront.dev/core/wait"
 	"sardinefront.dev/target"
 )
 
@@ -96,7 +97,7 @@
 		s.batch.addLoad(-1, 0, 0)
 		<-s.batch.slots
 	}()
-	if !sleep(ctx, r.startDelay) || !s.prefill(ctx, r) {
+	if !wait.Sleep(ctx, r.startDelay) || !s.prefill(ctx, r) {
 		return
 	}
 	s.generate(ctx, r, offset)
@@ -113,7 +114,7 @@
 	missing := max(0, r.promptTokens-cached)
 	s.stats.prefilled.Add(int64(missing))
 	s.stats.cached.Add(int64(r.promptTokens - missing))
-	return sleep(ctx, secondsToDuration(r.slowFactor*float64(missing)/s.cfg.PrefillTokensPerSecond))
+	return wait.Sleep(ctx, secondsToDuration(r.slowFactor*float64(missing)/s.cfg.PrefillTokensPerSecond))
 }
 
 // generate emits tokens on a fixed schedule, so that late timers do not lower
@@ -124,7 +125,7 @@
 		running, _, _ := s.batch.load()
 		factor := 1 + s.cfg.FullBatchSlowdown*float64(running)/float64(s.cfg.Slots)
 		dueAt = dueAt.Add(secondsToDuration(r.slowFactor * factor / s.cfg.TokensPerSecond))
-		if !sleep(ctx, time.Until(dueAt)) {
+		if !wait.Sleep(ctx, time.Until(dueAt)) {
 			return
 		}
 		s.stats.generated.Add(1)
@@ -143,20 +144,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (r *run) addToken() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/standin/internal/web/web.go
+++ b/standin/internal/web/web.go
@@ -12,6 +12,8 @@
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/sourcegraph/conc"
+
+	"sardinefront.dev/core/wait"
 )
 
 // bodyLimit is the maximum size of a request body, in bytes. An exported KV cache
@@ -85,17 +87,7 @@
 }
 
 // Sleep waits for d or until the server closes.
-func (s *Server) Sleep(d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-s.ctx.Done():
-	}
-}
+func (s *Server) Sleep(d time.Duration) { wait.Sleep(s.ctx, d) }
 
 // Close closes the listener and all connections and waits for the goroutines that Go
 // started.
