--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -201,11 +201,7 @@
 // Stop announces that the host leaves, closes all connections and waits for
 // running callbacks to return. It does nothing if the Node is not running.
 func (n *Node) Stop() error {
-	n.mu.Lock()
-	started := n.started
-	n.started = false
-	n.mu.Unlock()
-	if !started {
+	if !n.markStopped() {
 		return nil
 	}
 	n.step(func(c *core.Core, now time.Time) core.Actions { return c.Leave(now) })
