--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"sardinefront.dev/core/supervise"
+	"sardinefront.dev/core/wait"
 	"sardinefront.dev/fleet/config"
 	"sardinefront.dev/fleet/internal/core"
 	"sardinefront.dev/fleet/member"
@@ -200,11 +201,7 @@
 // Stop announces that the host leaves, closes all connections and waits for
 // running callbacks to return. It does nothing if the Node is not running.
 func (n *Node) Stop() error {
-	n.mu.Lock()
-	started := n.started
-	n.started = false
-	n.mu.Unlock()
-	if !started {
+	if !n.markStopped() {
 		return nil
 	}
 	n.step(func(c *core.Core, now time.Time) core.Actions { return c.Leave(now) })
@@ -239,16 +236,7 @@
 }
 
 func (n *Node) tick() {
-	t := time.NewTicker(tickInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-n.ctx.Done():
-			return
-		case <-t.C:
-			n.step((*core.Core).Tick)
-		}
-	}
+	wait.Every(n.ctx, tickInterval, func(time.Time) { n.step((*core.Core).Tick) })
 }
 
 // pull requests a newer rules file from a peer.
--- a/gateway/ingress/silence.go
+++ b/gateway/ingress/silence.go
@@ -11,6 +11,7 @@
 	"sardinefront.dev/core/event"
 	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/core/supervise"
+	"sardinefront.dev/core/wait"
 	"sardinefront.dev/gateway/directory"
 	"sardinefront.dev/gateway/dispatch"
 	"sardinefront.dev/gateway/routing"
@@ -302,7 +303,7 @@
 	budget, service := w.x.cfg.RetryBudget, w.x.service
 	for ctx.Err() == nil {
 		if !budget.HasRetry(service, time.Now()) {
-			sleep(ctx, retryBudgetPollInterval)
+			wait.Sleep(ctx, retryBudgetPollInterval)
 			continue
 		}
 		p := w.findPlacement(ctx)
@@ -317,16 +318,6 @@
 	return nil
 }
 
-// sleep waits until d has passed or ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // findPlacement waits until another target is ready. It returns nil if ctx ends before.
 func (w *silenceWatch) findPlacement(ctx context.Context) *placement {
 	scheduler := w.d.scheduler
