Count the sends of a search when the silent target did not run the request

Callers got 503 with "not-run" for a request that another target may have run. While a target is silent, the request is sent to another one as well. If that send failed or was still running when the silent target stated that it had not run the request, only that statement counted: the request was refused as target-full.

Also, a response of the other target that is dropped, because the silent one responds in the same instant, did not count as a send. After an error response of the silent target, the request could go to one target more than its route allows.

A search now reports whether one of its sends may have run the request, and a dropped response counts as a send.

--- a/gateway/ingress/silence.go
+++ b/gateway/ingress/silence.go
@@ -115,9 +115,10 @@
 	startedAt time.Time
 	done      chan struct{}
 	found     *placement // set before done is closed; nil if no target was found
-	// failedSends counts the sends to other targets that brought no response. It is set before done
-	// is closed.
+	// failedSends counts the sends to other targets that brought no response, and mayHaveRun is true
+	// if one of them may have run the request. They are set before done is closed.
 	failedSends int
+	mayHaveRun  bool
 }
 
 // watchSilence returns a watch over the attempt at a target. It is inactive until reset.
@@ -160,9 +161,14 @@
 	w.d.scheduler.RecordResponsive(w.current.target.Key())
 	event.TargetResponsive.Log(w.x.cfg.Log, slog.String("id", w.x.info.ID), slog.String("target", w.current.target.ID),
 		slog.Duration("sought", time.Since(s.startedAt)), slog.Bool("found", s.found != nil))
-	if s.found != nil {
-		w.x.release(w.d.scheduler, s.found)
+	if s.found == nil {
+		return
+	}
+	if s.found.response != nil {
+		w.x.sends++
+		w.x.mayHaveRun = true
 	}
+	w.x.release(w.d.scheduler, s.found)
 }
 
 // end ends the watch and returns its search, nil if none was started. It must be called before
@@ -179,6 +185,7 @@
 	s.cancel()
 	<-s.done
 	w.x.sends += s.failedSends
+	w.x.mayHaveRun = w.x.mayHaveRun || s.mayHaveRun
 	return s
 }
 
@@ -212,7 +219,7 @@
 		if p == nil || p.reservation != "" || x.route.Kind == routing.Stream {
 			return p
 		}
-		if w.sendAhead(ctx, p, x.sends+s.failedSends+1) {
+		if w.sendAhead(ctx, s, p) {
 			return p
 		}
 		s.failedSends++
@@ -224,17 +231,18 @@
 // sendAhead sends the request to a placement and waits for the head of the response. If that fails, or
 // is an error or the statement that the target did not run the request, it ends the grant and reports
 // false. It returns as soon as ctx ends, which may be before the context of the attempt.
-func (w *silenceWatch) sendAhead(ctx context.Context, p *placement, send int) bool {
+func (w *silenceWatch) sendAhead(ctx context.Context, s *search, p *placement) bool {
 	att := attempt{outcome: reserve.Abandoned}
 	defer func() {
 		if p.response == nil {
+			s.mayHaveRun = s.mayHaveRun || att.status != unsent
 			endGrant(w.d.scheduler, p.target, att)
 			w.x.recordForRollout(p.target, att)
 		}
 	}()
 	defer p.conn.CloseOnPanic()
 	p.sentAt = time.Now()
-	w.x.logSend(p.target, send, p.sentAt)
+	w.x.logSend(p.target, w.x.sends+s.failedSends+1, p.sentAt)
 	resp, err := w.x.receiveHead(ctx, p)
 	switch {
 	case err != nil:
--- a/gateway/ingress/silence_test.go
+++ b/gateway/ingress/silence_test.go
@@ -127,3 +127,28 @@
 	}
 	acquire(t, scheduler)
 }
+
+// Guards against a request that is sent to more targets than its route allows, or counts as not run,
+// because a response of another target was dropped when the silent one responded at the same time.
+func TestDroppedResponseOfAnotherTargetCountsAsSend(t *testing.T) {
+	x, scheduler, target, _ := placementFixture(t)
+	acquire(t, scheduler)
+	current := &placement{target: target}
+	var err error
+	if current.conn, err = x.cfg.Upstream.Get(context.Background(), target.Key(), target.Address, ""); err != nil {
+		t.Fatal(err)
+	}
+	defer current.conn.Release(nil, false)
+	x.sends = 1
+	w := x.watchSilence(context.Background(), &dispatcher{scheduler: scheduler}, current)
+	fired := make(chan struct{})
+	w.armed, w.timer = true, time.AfterFunc(0, func() { close(fired) })
+	<-fired
+	s := &search{cancel: func() {}, done: make(chan struct{}), found: &placement{target: target, response: &upstream.Response{}}}
+	close(s.done)
+	w.searches <- s
+	w.stop()
+	if x.sends != 2 || !x.mayHaveRun {
+		t.Errorf("%d sends, may have run: %t", x.sends, x.mayHaveRun)
+	}
+}
--- a/gateway/search_ends_test.go
+++ b/gateway/search_ends_test.go
@@ -57,3 +57,26 @@
 		})
 	}
 }
+
+// Guards against a refusal which guarantees that a request has not run, although it was sent to a
+// second target while the first one, which did not run it, was silent.
+func TestRefusalAfterSearchDoesNotStateThatTheRequestHasNotRun(t *testing.T) {
+	ended := make(chan struct{})
+	defer close(ended)
+	for name, next := range map[string]func(net.Conn, *http.Request) bool{
+		"cut":     func(net.Conn, *http.Request) bool { return false },
+		"running": func(net.Conn, *http.Request) bool { <-ended; return false },
+	} {
+		t.Run(name, func(t *testing.T) {
+			fx, c, answer := searchFixture(t, func(conn net.Conn, r *http.Request) bool {
+				fmt.Fprintf(conn, "HTTP/1.1 503 Full\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Request-Id"))
+				return true
+			}, next)
+			close(answer)
+			resp := fx.read(c)
+			if resp.status != http.StatusBadGateway || resp.header.Get("Sardinefront-Ran") != "unknown" {
+				t.Errorf("response %+v", resp)
+			}
+		})
+	}
+}
