--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -30,6 +30,8 @@
 	idempotentTimeoutGoals = 3
 	// minIdempotentTimeout is the lower bound of that timeout.
 	minIdempotentTimeout = 200 * time.Millisecond
+	// defaultIdempotentTimeout is that timeout for routes without a goal.
+	defaultIdempotentTimeout = 1500 * time.Millisecond
 )
 
 // roundTrip sends the request to a target and forwards the response to the caller.
@@ -102,13 +104,13 @@
 		conn.Release(resp, false)
 		return x.failedAttempt(ctx, reserve.BrokenResponse, refusal.TargetFailed, fmt.Errorf("status %d instead of an event stream for a resumed stream", resp.Status))
 	}
-	return x.forwardResponse(ctx, conn, resp, sentAt)
+	return x.forwardResponse(ctx, watch, conn, resp, sentAt)
 }
 
-// firstByteTimeout returns the time to wait for the response headers before another target is
-// sought; 0 means until the deadline.
+// firstByteTimeout returns the time to wait for the response headers, and for each part of the body
+// that is buffered, before another target is sought; 0 means until the deadline.
 func (x *exchange) firstByteTimeout() time.Duration {
-	if !x.route.Idempotent() || x.sends >= x.route.MaxAttempts || x.route.LatencyGoal <= 0 {
+	if !x.route.Idempotent() || x.sends >= x.route.MaxAttempts {
 		return 0
 	}
 	if x.route.Kind == routing.Stream {
@@ -120,8 +122,11 @@
 // toleratedSilence returns how long a target may be silent before its response or between parts of
 // it, without the time to the first event of a stream.
 func (x *exchange) toleratedSilence() time.Duration {
-	if x.route.Kind == routing.Stream {
+	switch {
+	case x.route.Kind == routing.Stream:
 		return max(minEventTimeout, eventTimeoutGaps*x.route.MaxEventGap)
+	case x.route.LatencyGoal <= 0:
+		return defaultIdempotentTimeout
 	}
 	return max(minIdempotentTimeout, idempotentTimeoutGoals*x.route.LatencyGoal)
 }
@@ -173,14 +178,17 @@
 }
 
 // forwardResponse forwards a response that is not an event stream.
-func (x *exchange) forwardResponse(ctx context.Context, conn *upstream.Conn, resp *upstream.Response, sentAt time.Time) attempt {
+func (x *exchange) forwardResponse(ctx context.Context, watch *silenceWatch, conn *upstream.Conn, resp *upstream.Response, sentAt time.Time) attempt {
 	x.progress.unbounded = resp.Length < 0
 	source := &progressReader{resp.Body, &x.progress}
-	body, complete, err := readBuffered(source)
+	// Another target can take over until the first byte is forwarded.
+	body, complete, err := readBuffered(watch.reader(source, x.firstByteTimeout()))
 	if err != nil {
+		found := watch.end()
 		conn.Release(resp, false)
-		return x.failedAttempt(ctx, reserve.BrokenResponse, refusal.ResponseTruncated, err)
+		return watch.settle(found, x.readFailed(ctx, err))
 	}
+	watch.stop()
 	x.recordBegun(resp.Status)
 	x.writeHead(resp, int64(len(body)), complete)
 	x.notResumable = true
