--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -88,6 +88,22 @@
 	s.dispatch(now)
 }
 
+// setWithdrawn sets whether requests of the service are refused; see reserve.Pool.SetWithdrawn.
+func (s *Scheduler) setWithdrawn(withdrawn bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.SetWithdrawn(withdrawn)
+}
+
+// endRollout applies the outcome of a rollout to the requests that wait.
+func (s *Scheduler) endRollout(version string, rolledBack bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pool.EndRollout(version, rolledBack) {
+		s.dispatch(time.Now())
+	}
+}
+
 // Acquire blocks until the request is granted a target, is refused, or ctx ends. resubmit
 // is true if an earlier grant of the same Waiter did not serve the request. The error is a
 // *refusal.Refusal or ctx.Err(). Each grant must be ended by EndGrant or RecordFull.
@@ -225,12 +241,20 @@
 	event.TargetEjected.Log(s.log, slog.String("service", s.name), slog.String("target", target), slog.String("why", reason))
 }
 
-// RecordSilent records that a target has been silent for too long during a request that is still
-// running there.
-func (s *Scheduler) RecordSilent(target string) {
+// RecordFirstByte records the time from the send of a request of the route to the first byte of its
+// response.
+func (s *Scheduler) RecordFirstByte(target, route string, length time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.RecordFirstByte(target, route, length, time.Now())
+}
+
+// RecordSilent records that a target has been silent for too long during a request of the route that
+// is still running there. unanswered is the time since the send, 0 if the response has begun.
+func (s *Scheduler) RecordSilent(target, route string, unanswered time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.announceEjection(target, s.pool.RecordSilent(target, time.Now()))
+	s.announceEjection(target, s.pool.RecordSilent(target, route, unanswered, time.Now()))
 }
 
 // RecordResponsive records that a target has gone on after RecordSilent.
--- a/gateway/dispatch/schedulers.go
+++ b/gateway/dispatch/schedulers.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,7 @@
 	mu         sync.Mutex
 	schedulers map[string]*Scheduler
 	byTarget   map[string]*Scheduler // by the key of the target's incarnation
+	version    int64                 // of the configuration of the last Update
 }
 
 // NewSchedulers returns an empty set for a host in the zone.
@@ -139,6 +141,29 @@
 	return s.schedulers[name]
 }
 
+// Add returns the scheduler of a service of the configuration. Requests are routed by a new
+// configuration shortly before Update applies it: a new service gets a scheduler without targets
+// until then, and one that was withdrawn is in use again.
+func (s *Schedulers) Add(table *routing.Table, service *routing.Service) *Scheduler {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	scheduler := s.add(service)
+	if table.Version > s.version {
+		scheduler.setWithdrawn(false)
+	}
+	return scheduler
+}
+
+// add is Add. The caller holds s.mu.
+func (s *Schedulers) add(service *routing.Service) *Scheduler {
+	scheduler := s.schedulers[service.Name]
+	if scheduler == nil {
+		scheduler = newScheduler(service.Name, service.Engine != nil && service.Engine.MaxReservationLifetime > 0, s.log, s.peers, s.metrics)
+		s.schedulers[service.Name] = scheduler
+	}
+	return scheduler
+}
+
 // each calls f for every scheduler with its lock held.
 func (s *Schedulers) each(f func(name string, scheduler *Scheduler)) {
 	s.mu.Lock()
@@ -150,8 +175,16 @@
 	}
 }
 
-// Update applies a new configuration and list of targets. The scheduler of a removed
-// service stays, without targets, for the requests that still wait in it.
+// EndRollout applies the outcome of a rollout to the requests of a service that wait.
+func (s *Schedulers) EndRollout(service, version string, rolledBack bool) {
+	if scheduler := s.Get(service); scheduler != nil {
+		scheduler.endRollout(version, rolledBack)
+	}
+}
+
+// Update applies a new configuration and list of targets. The scheduler of a removed service
+// stays. While targets of the service are listed as ready, its waiting requests may run there; else
+// they are refused.
 func (s *Schedulers) Update(table *routing.Table, targets []directory.Target) {
 	byService := map[string][]directory.Target{}
 	for _, t := range targets {
@@ -160,16 +193,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := range table.Services {
-		info := &table.Services[i]
-		if s.schedulers[info.Name] == nil {
-			s.schedulers[info.Name] = newScheduler(info.Name, info.Engine != nil && info.Engine.MaxReservationLifetime > 0, s.log, s.peers, s.metrics)
-		}
+		s.add(&table.Services[i])
 	}
+	s.version = table.Version
 	s.byTarget = make(map[string]*Scheduler, len(targets))
 	for name, scheduler := range s.schedulers {
 		for _, t := range byService[name] {
 			s.byTarget[t.Key()] = scheduler
 		}
+		ready := slices.ContainsFunc(byService[name], func(t directory.Target) bool { return !t.Draining })
+		scheduler.setWithdrawn(table.Service(name) == nil && !ready)
 		scheduler.setTargets(byService[name], s.zone)
 	}
 }
--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -22,8 +22,8 @@
 )
 
 const (
-	// Callers abandon a stream whose first event does not arrive within the longest of
-	// these: a fixed time, a multiple of the route's goal for the first event, and a
+	// Callers abandon a stream whose next event does not arrive within the longest of these:
+	// a fixed time, a multiple of the route's goal for the first event, and a
 	// multiple of its longest tolerated gap between events.
 	minCallerWait   = 2 * time.Second
 	callerWaitGoals = 4
@@ -42,7 +42,7 @@
 		PrefillTime: time.Duration(r.PromptTokens) * prefillPerToken,
 	}
 	if route.Kind == routing.Stream {
-		w.FirstByteTimeout = min(w.FirstByteTimeout, max(minCallerWait, callerWaitGoals*route.LatencyGoal, callerWaitGaps*route.MaxEventGap))
+		w.FirstByteTimeout = min(w.FirstByteTimeout, callerEventWait(route))
 	}
 	if route.LatencyGoal > 0 {
 		first := firstEventLatency + w.PrefillTime
@@ -51,6 +51,27 @@
 	return w
 }
 
+// callerEventWait returns how long the caller of a stream waits for its next event.
+func callerEventWait(route *routing.Route) time.Duration {
+	return max(minCallerWait, callerWaitGoals*route.LatencyGoal, callerWaitGaps*route.MaxEventGap)
+}
+
+// callerUntil returns when a target must begin to respond to a request whose attempt has failed:
+// when the caller of a stream gives up, or early enough for the whole response of other routes.
+func (x *exchange) callerUntil(w *reserve.Waiter) time.Time {
+	if x.route.Kind != routing.Stream {
+		return x.deadline.Add(-x.route.LatencyGoal)
+	}
+	until := x.arrived.Add(w.FirstByteTimeout)
+	if !x.lastEventAt.IsZero() {
+		until = x.lastEventAt.Add(callerEventWait(x.route))
+	}
+	if x.deadline.Before(until) {
+		return x.deadline
+	}
+	return until
+}
+
 // attemptStatus determines whether an attempt can be followed by another one.
 type attemptStatus uint8
 
@@ -86,11 +107,12 @@
 // or no retry is allowed.
 func (x *exchange) serve(ctx context.Context) {
 	x.cfg.RetryBudget.RecordRequest(x.service, x.arrived)
-	scheduler := x.cfg.Schedulers.Get(x.service)
-	if scheduler == nil || x.table.Service(x.service) == nil {
+	service := x.table.Service(x.service)
+	if service == nil {
 		x.refuse(refusal.New(refusal.NoTarget, "service %s is not configured", x.service))
 		return
 	}
+	scheduler := x.cfg.Schedulers.Add(x.table, service)
 	d := &dispatcher{scheduler: scheduler, waiter: x.waiter()}
 	var next *placement
 	for resubmit := false; ; resubmit = true {
@@ -151,7 +173,7 @@
 		ref = x.overloaded("%s", ref.Detail)
 	case errors.As(err, &ref):
 	case x.callerDisconnected():
-		ref = refusal.New(refusal.CallerDisconnected, "after %s in the queue", time.Since(x.arrived).Round(time.Millisecond))
+		ref = x.callerGone("after %s in the queue", time.Since(x.arrived).Round(time.Millisecond))
 	case x.endedByStop():
 		ref = shutdownRefusal("after %s in the queue", time.Since(x.arrived).Round(time.Millisecond))
 	default:
@@ -177,10 +199,14 @@
 	return ref
 }
 
-// refuseOrAbort sends the refusal, or aborts the response if it has begun.
+// refuseOrAbort sends the refusal, or the error response of a target if one was kept, or aborts
+// the response if it has begun.
 func (x *exchange) refuseOrAbort(ref *refusal.Refusal, att attempt) {
 	if x.headSent {
-		x.abortResponse(fmt.Errorf("%s: %w", ref.Reason, errors.Join(att.err, ref)))
+		x.abortResponse(ref.Reason, fmt.Errorf("%s: %w", ref.Reason, errors.Join(att.err, ref)))
+	}
+	if x.forwardFailure(ref) {
+		return
 	}
 	if x.mayHaveRun && ref.Reason.StatusImpliesNotRun() {
 		ref = refusal.New(refusal.TargetFailed, "%s after %d sends", ref.Reason, x.sends)
@@ -190,6 +216,10 @@
 
 // finishAttempt reports the result of an attempt to the scheduler, the rollout and the log.
 func (x *exchange) finishAttempt(scheduler *dispatch.Scheduler, target directory.Target, att attempt) {
+	x.progress.end(time.Now())
+	if att.sent && att.status != unsent && x.progress.firstAt.IsZero() {
+		att.sample.Route, att.sample.Unanswered = x.route.Name, time.Since(x.sentAt)
+	}
 	endGrant(scheduler, target, att)
 	x.recordForRollout(target, att)
 	x.recordCrash(scheduler, target, att)
@@ -208,9 +238,9 @@
 		return
 	}
 	x.failureLogged = true
-	event.TargetFailure.Log(x.cfg.Log, slog.String("id", x.info.ID), slog.String("target", target.ID),
+	event.TargetFailure.Log(x.cfg.Log, append(x.endAttrs(), slog.String("id", x.info.ID), slog.String("target", target.ID),
 		slog.String("service", x.service), slog.Bool("sent", att.sent), slog.Bool("began", x.began),
-		slog.Any("parts", x.sharedParts()), slog.String("reason", att.reason.String()), slog.Any("error", att.err))
+		slog.Any("parts", x.sharedParts()), slog.String("reason", att.reason.String()), slog.Any("error", att.err))...)
 }
 
 // endGrant ends the grant of an attempt with its outcome.
@@ -241,14 +271,8 @@
 // prepareRetry decides whether the request may be tried at another target and updates the
 // waiter for that. A refusal means that the request ends.
 func (x *exchange) prepareRetry(ctx context.Context, w *reserve.Waiter, target directory.Target, att attempt) *refusal.Refusal {
-	if x.callerDisconnected() {
-		return refusal.New(refusal.CallerDisconnected, "after %d sends", x.sends)
-	}
 	if ctx.Err() != nil {
-		if x.mayHaveRun {
-			return refusal.New(refusal.TargetTimedOut, "no complete response within %s", time.Since(x.arrived).Round(time.Millisecond))
-		}
-		return x.overloaded("not run within %s", time.Since(x.arrived).Round(time.Millisecond))
+		return x.endedRefusal(ctx)
 	}
 	if x.mayHaveRun && (!x.route.Idempotent() || x.notResumable) {
 		return refusal.New(att.reason, "target %s: %v", target.ID, att.err)
@@ -260,13 +284,28 @@
 		return ref
 	}
 	w.Exclude(target.Key())
-	w.ExtendWait(time.Now())
+	w.ExtendWait(time.Now(), x.callerUntil(w))
 	x.avoidUnprovenVersion(w)
 	x.cfg.Metrics.CountRetry(retryReason(att.reason))
 	event.RequestRetried.Log(x.cfg.Log, slog.String("id", x.info.ID), slog.String("target", target.ID), slog.String("reason", att.reason.String()))
 	return nil
 }
 
+// endedRefusal returns the refusal of a request whose context has ended after an attempt.
+func (x *exchange) endedRefusal(ctx context.Context) *refusal.Refusal {
+	after := time.Since(x.arrived).Round(time.Millisecond)
+	reason := endReason(ctx)
+	switch {
+	case reason == refusal.CallerDisconnected:
+		return x.callerGone("after %d sends", x.sends)
+	case x.mayHaveRun:
+		return refusal.New(reason, "no complete response within %s", after)
+	case reason == refusal.StoppedAfterSend:
+		return shutdownRefusal("not run within %s", after)
+	}
+	return x.overloaded("not run within %s", after)
+}
+
 // avoidUnprovenVersion makes retries use the old version during a rollout.
 func (x *exchange) avoidUnprovenVersion(w *reserve.Waiter) {
 	w.AvoidRolloutVersion = w.AvoidRolloutVersion || x.cfg.Rollouts.Split(x.service, time.Now()).Share < 1
@@ -309,6 +348,12 @@
 		}
 	}
 	defer p.conn.CloseOnPanic()
+	if p.response != nil {
+		watch := x.watchSilence(ctx, d, p)
+		defer watch.stop()
+		x.recordSend(p.target, p.sentAt)
+		return x.forward(ctx, d, watch, p, p.response, p.sentAt)
+	}
 	if !d.scheduler.MaySend(p.target.Key()) {
 		return *closedAttempt(p.conn) // a reservation expires shortly
 	}
@@ -371,14 +416,7 @@
 // requestReservation sends a reservation request and returns the reservation id, empty if
 // the target is full. The response is nil if none was read.
 func (x *exchange) requestReservation(conn *upstream.Conn, m protocol.Request) (string, *upstream.Response, error) {
-	if err := conn.Send(m); err != nil {
-		return "", nil, err
-	}
-	resp, err := conn.Receive(m.Method, "", reserveTimeout)
-	if err != nil {
-		return "", nil, err
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReservationResponseBytes))
+	body, resp, err := exchangeShort(conn, m, reserveTimeout)
 	if err != nil {
 		return "", resp, err
 	}
@@ -386,6 +424,21 @@
 	return id, resp, err
 }
 
+// exchangeShort sends a request to which the target responds without an id and with at most
+// maxReservationResponseBytes, and reads the response. The headers must arrive within timeout if that
+// is positive. The response is nil if none was read.
+func exchangeShort(conn *upstream.Conn, m protocol.Request, timeout time.Duration) ([]byte, *upstream.Response, error) {
+	if err := conn.Send(m); err != nil {
+		return nil, nil, err
+	}
+	resp, err := conn.Receive(m.Method, "", timeout)
+	if err != nil {
+		return nil, nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReservationResponseBytes))
+	return body, resp, err
+}
+
 // retryReason maps the reason of a failed attempt to the label of the retry counter.
 func retryReason(r refusal.Reason) refusal.RetryReason {
 	switch r {
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -101,9 +101,11 @@
 		x.refuse(ref)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	withDeadline, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
-	defer context.AfterFunc(s.running, cancel)()
+	ctx, end := context.WithCancelCause(withDeadline)
+	defer end(nil)
+	defer context.AfterFunc(s.running, func() { end(errGraceEnded) })()
 	x.serve(ctx)
 }
 
@@ -121,9 +123,11 @@
 	quotaUnits   float64 // charged to the organisation's quota
 	uri          string
 	body         []byte
-	service      string
-	request      *request.Request
-	deadline     time.Time
+	// bodyRead is true once the body was read to its end, or reading it has failed.
+	bodyRead bool
+	service  string
+	request  *request.Request
+	deadline time.Time
 
 	// targetID, targetKey and targetVersion describe the target of the last send.
 	targetID      string
@@ -143,9 +147,13 @@
 	headSent bool
 	// lastEventID is the id of the last event that was sent to the caller.
 	lastEventID string
+	// lastEventAt is when the last event was sent to the caller.
+	lastEventAt time.Time
 	// notResumable is true if the caller has received bytes after which no other target can
 	// continue: a part of a response that is not an event stream, or an event without an id.
 	notResumable bool
+	// failure is the last error response of a target; nil if there was none.
+	failure *targetFailure
 	// failureLogged is true if a failed attempt was logged; the final log line is then exempt
 	// from sampling.
 	failureLogged bool
@@ -153,6 +161,8 @@
 	partsTrial bool
 	// sentAt is the time of the last send.
 	sentAt time.Time
+	// progress is that of the last send.
+	progress progress
 	// began is true if the response to the last send has begun; see promptparts.Guard.
 	began bool
 	// mayHaveRun is true if a target may have started to run the request.
@@ -222,6 +232,10 @@
 	if x.r.ContentLength > limit {
 		return refusal.New(refusal.BodyTooLarge, "body of %d bytes exceeds the limit of %d bytes", x.r.ContentLength, limit)
 	}
+	if x.lacksLength() {
+		x.w.Header().Set("Connection", "close")
+		return refusal.New(refusal.BadRequest, "%s request of HTTP/1.0 without a content length", x.r.Method)
+	}
 	if x.r.Body == nil || x.r.Body == http.NoBody {
 		return nil
 	}
@@ -229,6 +243,7 @@
 	connection := http.NewResponseController(x.w)
 	_ = connection.SetReadDeadline(x.deadline) // an error means a connection without deadlines
 	body, err := readAll(x.r, limit+1)
+	x.bodyRead = int64(len(body)) <= limit
 	if err == nil {
 		// After an error the deadline stays, because net/http then reads the rest of the body.
 		_ = connection.SetReadDeadline(time.Time{})
@@ -244,6 +259,15 @@
 	return nil
 }
 
+// lacksLength reports whether the length of the request's body is not known. net/http drops the
+// transfer encoding of an HTTP/1.0 request and then takes its body for empty.
+func (x *exchange) lacksLength() bool {
+	if x.r.ProtoAtLeast(1, 1) || x.r.Header["Content-Length"] != nil {
+		return false
+	}
+	return x.r.Method == http.MethodPost || x.r.Method == http.MethodPut || x.r.Method == http.MethodPatch
+}
+
 // readAll reads at most limit bytes of the body.
 func readAll(r *http.Request, limit int64) ([]byte, error) {
 	if n := r.ContentLength; n >= 0 && n < limit {
@@ -326,13 +350,9 @@
 		tier = x.request.Tier
 	}
 	x.cfg.Metrics.CountRefusal(tier, ref.Reason)
-	event.RequestRefused.Log(x.cfg.Log, x.logAttrs(
+	event.RequestRefused.Log(x.cfg.Log, x.logAttrs(append(x.endAttrs(),
 		slog.String("reason", ref.Reason.String()), slog.String("detail", ref.Detail), slog.String("ran", ref.RunState.String()),
-		slog.Duration("retryAfter", ref.RetryAfter))...)
-	// A timeout while the body is read also cancels the request's context.
-	if x.r.Context().Err() != nil && ref.Reason != refusal.CallerTimeout {
-		panic(http.ErrAbortHandler)
-	}
+		slog.Duration("retryAfter", ref.RetryAfter))...)...)
 	h := x.w.Header()
 	h.Set("Sardinefront-Reason", ref.Reason.String())
 	h.Set("Sardinefront-Ran", ref.RunState.String())
@@ -340,7 +360,15 @@
 		h.Set("Retry-After", strconv.FormatFloat(ref.RetryAfter.Seconds(), 'f', 3, 64))
 	}
 	h.Set("Content-Length", "0")
-	x.w.WriteHeader(ref.Reason.Status())
+	if !x.hasUnreadBody() {
+		x.w.WriteHeader(responseStatus(ref))
+		return
+	}
+	connection := http.NewResponseController(x.w)
+	_ = connection.EnableFullDuplex() // else net/http reads the body before it sends the refusal
+	x.w.WriteHeader(responseStatus(ref))
+	_ = connection.Flush()
+	x.discardBody(connection)
 }
 
 // recoverPanic ends a request whose handler panicked with a status, or closes the connection
@@ -366,8 +394,9 @@
 
 // abortResponse closes the connection of a caller whose response has begun, so that the
 // truncated response does not look complete. It does not return.
-func (x *exchange) abortResponse(why error) {
-	event.ResponseAborted.Log(x.cfg.Log, x.logAttrs(slog.Any("error", why), slog.String("lastEvent", x.lastEventID))...)
+func (x *exchange) abortResponse(reason refusal.Reason, why error) {
+	event.ResponseAborted.Log(x.cfg.Log, x.logAttrs(append(x.endAttrs(),
+		slog.String("reason", reason.String()), slog.Any("error", why), slog.String("lastEvent", x.lastEventID))...)...)
 	panic(http.ErrAbortHandler)
 }
 
--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -14,6 +14,7 @@
 
 	"sardinefront.dev/core/event"
 	"sardinefront.dev/core/refusal"
+	"sardinefront.dev/gateway/directory"
 	"sardinefront.dev/gateway/protocol"
 	"sardinefront.dev/gateway/routing"
 	"sardinefront.dev/gateway/upstream"
@@ -29,22 +30,16 @@
 	idempotentTimeoutGoals = 3
 	// minIdempotentTimeout is the lower bound of that timeout.
 	minIdempotentTimeout = 200 * time.Millisecond
+	// defaultIdempotentTimeout is that timeout for routes without a goal.
+	defaultIdempotentTimeout = 1500 * time.Millisecond
 )
 
 // roundTrip sends the request to a target and forwards the response to the caller.
 func (x *exchange) roundTrip(ctx context.Context, d *dispatcher, p *placement) attempt {
-	conn, target := p.conn, p.target
-	sentAt := time.Now()
-	m := protocol.Request{
-		Method: x.r.Method, URI: x.uri, Host: x.r.Host, Body: x.body,
-		Header: x.cfg.Codec.RequestHeader(x.r.Header, x.attemptHeader(target, p.reservation)),
-	}
-	x.sends++
-	x.sentAt, x.began = sentAt, false
-	x.targetID, x.targetKey, x.targetVersion, x.queueWait = target.ID, target.Key(), target.Version, sentAt.Sub(x.arrived)
-	x.cfg.Metrics.RecordQueueWait(x.request.Tier, x.queueWait.Seconds())
-	event.RequestSent.Log(x.cfg.Log, slog.String("id", x.info.ID), slog.String("target", x.targetID), slog.Int("send", x.sends),
-		slog.Int("tries", x.unsentAttempts), slog.Duration("waited", x.queueWait), slog.String("after", x.lastEventID))
+	conn, sentAt := p.conn, time.Now()
+	m := x.targetRequest(p)
+	x.recordSend(p.target, sentAt)
+	x.logSend(p.target, x.sends, sentAt)
 	if err := conn.Send(m); err != nil {
 		conn.Release(nil, false)
 		return x.failedAttempt(ctx, reserve.BrokenResponse, refusal.TargetFailed, err)
@@ -59,18 +54,49 @@
 		return watch.settle(found, x.readFailed(ctx, err))
 	}
 	watch.stop()
-	d.scheduler.RecordLoad(target.Key(), resp.Info.Load)
+	return x.forward(ctx, d, watch, p, resp, sentAt)
+}
+
+// targetRequest returns the request for a placement.
+func (x *exchange) targetRequest(p *placement) protocol.Request {
+	return protocol.Request{
+		Method: x.r.Method, URI: x.uri, Host: x.r.Host, Body: x.body,
+		Header: x.cfg.Codec.RequestHeader(x.r.Header, x.attemptHeader(p.target, p.reservation)),
+	}
+}
+
+// recordSend records that the request is sent to a target.
+func (x *exchange) recordSend(target directory.Target, sentAt time.Time) {
+	x.sends++
+	x.sentAt, x.began, x.progress = sentAt, false, progress{lastAt: sentAt}
+	x.targetID, x.targetKey, x.targetVersion, x.queueWait = target.ID, target.Key(), target.Version, sentAt.Sub(x.arrived)
+	x.cfg.Metrics.RecordQueueWait(x.request.Tier, x.queueWait.Seconds())
+}
+
+// logSend logs that the request is sent to a target for the given time, counted from 1.
+func (x *exchange) logSend(target directory.Target, send int, sentAt time.Time) {
+	event.RequestSent.Log(x.cfg.Log, slog.String("id", x.info.ID), slog.String("target", target.ID), slog.Int("send", send),
+		slog.Int("tries", x.unsentAttempts), slog.Duration("waited", sentAt.Sub(x.arrived)), slog.String("after", x.lastEventID))
+}
+
+// forward forwards a response to the caller, or returns why the attempt has failed.
+func (x *exchange) forward(ctx context.Context, d *dispatcher, watch *silenceWatch, p *placement, resp *upstream.Response, sentAt time.Time) attempt {
+	conn := p.conn
+	x.progress.lastAt = time.Now()
+	d.scheduler.RecordLoad(p.target.Key(), resp.Info.Load)
 	if resp.Info.NotRun {
 		return x.handleNotRun(conn, resp)
 	}
+	stream := isEventStream(resp.Header) && resp.Status == http.StatusOK
+	if !stream {
+		x.recordFirstByte(d.scheduler)
+	}
 	// The target did not state that it had not run the request, so the caller must not be
 	// told so by the status.
 	if refusal.StatusImpliesNotRun(resp.Status) || x.shouldRetryStatus(resp.Status) {
-		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedResponseBytes))
-		conn.Release(resp, err == nil)
-		return x.failedAttempt(ctx, reserve.ErrorResponse, refusal.TargetFailed, fmt.Errorf("status %d", resp.Status))
+		return x.handleErrorStatus(ctx, p, resp)
 	}
-	if isEventStream(resp.Header) && resp.Status == http.StatusOK {
+	if stream {
 		return x.forwardStream(ctx, d.scheduler, watch, conn, resp, sentAt)
 	}
 	if x.headSent {
@@ -78,35 +104,45 @@
 		conn.Release(resp, false)
 		return x.failedAttempt(ctx, reserve.BrokenResponse, refusal.TargetFailed, fmt.Errorf("status %d instead of an event stream for a resumed stream", resp.Status))
 	}
-	return x.forwardResponse(ctx, conn, resp, sentAt)
+	return x.forwardResponse(ctx, watch, conn, resp, sentAt)
 }
 
-// firstByteTimeout returns the time to wait for the response headers before another target is
-// sought; 0 means until the deadline.
+// firstByteTimeout returns the time to wait for the response headers, and for each part of the body
+// that is buffered, before another target is sought; 0 means until the deadline.
 func (x *exchange) firstByteTimeout() time.Duration {
-	if !x.route.Idempotent() || x.sends >= x.route.MaxAttempts || x.route.LatencyGoal <= 0 {
+	if !x.route.Idempotent() || x.sends >= x.route.MaxAttempts {
 		return 0
 	}
 	if x.route.Kind == routing.Stream {
 		return x.eventTimeout(0)
 	}
+	return x.toleratedSilence()
+}
+
+// toleratedSilence returns how long a target may be silent before its response or between parts of
+// it, without the time to the first event of a stream.
+func (x *exchange) toleratedSilence() time.Duration {
+	switch {
+	case x.route.Kind == routing.Stream:
+		return max(minEventTimeout, eventTimeoutGaps*x.route.MaxEventGap)
+	case x.route.LatencyGoal <= 0:
+		return defaultIdempotentTimeout
+	}
 	return max(minIdempotentTimeout, idempotentTimeoutGoals*x.route.LatencyGoal)
 }
 
-// shouldRetryStatus reports whether a 5xx response is dropped and the request retried. It
-// charges the retry budget. If no retry is allowed, the response is forwarded.
+// shouldRetryStatus reports whether the request is retried after a 5xx response. It charges the
+// retry budget. If no retry is allowed, the response is forwarded.
 func (x *exchange) shouldRetryStatus(status int) bool {
 	return status >= 500 && x.route.Idempotent() && !x.headSent && x.sends < x.route.MaxAttempts && x.chargeRetryBudget()
 }
 
 // failedAttempt returns the attempt of a request that may have run. If ctx has ended, the
-// outcome is Abandoned for a closed caller connection or the end of a stop, and TimedOut otherwise.
+// outcome and the reason are those of the end.
 func (x *exchange) failedAttempt(ctx context.Context, o reserve.Outcome, reason refusal.Reason, err error) attempt {
 	if ctx.Err() != nil {
-		o = reserve.Abandoned
-		if !x.callerDisconnected() && !x.endedByStop() {
-			o = reserve.TimedOut
-		}
+		reason = endReason(ctx)
+		o = x.endOutcome(reason)
 	}
 	return attempt{status: failed, outcome: o, sent: true, reason: reason, err: err}
 }
@@ -142,18 +178,23 @@
 }
 
 // forwardResponse forwards a response that is not an event stream.
-func (x *exchange) forwardResponse(ctx context.Context, conn *upstream.Conn, resp *upstream.Response, sentAt time.Time) attempt {
-	body, complete, err := readBuffered(resp)
+func (x *exchange) forwardResponse(ctx context.Context, watch *silenceWatch, conn *upstream.Conn, resp *upstream.Response, sentAt time.Time) attempt {
+	x.progress.unbounded = resp.Length < 0
+	source := &progressReader{resp.Body, &x.progress}
+	// Another target can take over until the first byte is forwarded.
+	body, complete, err := readBuffered(watch.reader(source, x.firstByteTimeout()))
 	if err != nil {
+		found := watch.end()
 		conn.Release(resp, false)
-		return x.failedAttempt(ctx, reserve.BrokenResponse, refusal.ResponseTruncated, err)
+		return watch.settle(found, x.readFailed(ctx, err))
 	}
+	watch.stop()
 	x.recordBegun(resp.Status)
 	x.writeHead(resp, int64(len(body)), complete)
 	x.notResumable = true
 	_, werr := x.w.Write(body)
 	if !complete && werr == nil {
-		_, werr = io.Copy(x.w, resp.Body)
+		_, werr = io.Copy(x.w, source)
 	}
 	conn.Release(resp, werr == nil)
 	if werr != nil {
@@ -162,7 +203,7 @@
 	o := reserve.OK
 	if resp.Status >= http.StatusInternalServerError {
 		o = reserve.ErrorResponse
-		event.TargetErrorForwarded.Log(x.cfg.Log, x.logAttrs(slog.Int("status", resp.Status))...)
+		x.logForwardedError(resp.Status)
 	} else {
 		x.recordAnswered()
 	}
@@ -180,8 +221,8 @@
 
 // readBuffered reads up to maxBufferedResponseBytes of the body. complete is true if the
 // body is shorter.
-func readBuffered(resp *upstream.Response) (body []byte, complete bool, err error) {
-	body, err = io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponseBytes))
+func readBuffered(r io.Reader) (body []byte, complete bool, err error) {
+	body, err = io.ReadAll(io.LimitReader(r, maxBufferedResponseBytes))
 	return body, len(body) < maxBufferedResponseBytes, err
 }
 
--- a/gateway/ingress/silence.go
+++ b/gateway/ingress/silence.go
@@ -5,23 +5,29 @@
 	"errors"
 	"io"
 	"log/slog"
+	"net/http"
 	"time"
 
 	"sardinefront.dev/core/event"
 	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/core/supervise"
+	"sardinefront.dev/core/wait"
 	"sardinefront.dev/gateway/directory"
 	"sardinefront.dev/gateway/dispatch"
+	"sardinefront.dev/gateway/routing"
 	"sardinefront.dev/gateway/upstream"
 	"sardinefront.dev/sched/reserve"
 )
 
 // placement is a target that was granted to a request. Once it is ready, conn is a connection
-// to it, and reservation is the id of a reservation if the service's targets grant them.
+// to it, and reservation is the id of a reservation if the service's targets grant them. If a search
+// has sent the request already, response is the head of the target's response.
 type placement struct {
 	target      directory.Target
 	conn        *upstream.Conn
 	reservation string
+	response    *upstream.Response
+	sentAt      time.Time
 }
 
 // place connects to the target and reserves capacity if the engine supports it. If that fails,
@@ -83,17 +89,8 @@
 		}
 		conn.BindContext(ctx)
 	}
-	m := x.cfg.Codec.ReleaseRequest(p.target.ID, p.reservation)
-	if conn.Send(m) != nil {
-		conn.Release(nil, false)
-		return
-	}
-	resp, err := conn.Receive(m.Method, "", 0)
-	if err != nil {
-		conn.Release(nil, false)
-		return
-	}
-	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxReservationResponseBytes))
+	// The context of the connection bounds the time.
+	_, resp, err := exchangeShort(conn, x.cfg.Codec.ReleaseRequest(p.target.ID, p.reservation), 0)
 	conn.Release(resp, err == nil)
 }
 
@@ -108,6 +105,8 @@
 	current *placement
 	timer   *time.Timer
 	armed   bool // the timer was started, and end was not called since
+	// unanswered is the silence after which the search starts if the response has not begun, else 0.
+	unanswered time.Duration
 	// searches receives the search when the timer starts it.
 	searches chan *search
 }
@@ -118,6 +117,10 @@
 	startedAt time.Time
 	done      chan struct{}
 	found     *placement // set before done is closed; nil if no target was found
+	// failedSends counts the sends to other targets that brought no response, and mayHaveRun is true
+	// if one of them may have run the request. They are set before done is closed.
+	failedSends int
+	mayHaveRun  bool
 }
 
 // watchSilence returns a watch over the attempt at a target. It is inactive until reset.
@@ -133,6 +136,10 @@
 		return
 	}
 	w.armed = true
+	w.unanswered = 0
+	if w.x.progress.firstAt.IsZero() {
+		w.unanswered = silence
+	}
 	if w.timer == nil {
 		w.timer = time.AfterFunc(silence, w.search)
 		return
@@ -140,6 +147,28 @@
 	w.timer.Reset(silence)
 }
 
+// reader returns a reader of the response's body that resets the watch before the first and after
+// each read of data.
+func (w *silenceWatch) reader(body io.Reader, silence time.Duration) io.Reader {
+	w.reset(silence)
+	return &watchedReader{body, w, silence}
+}
+
+// watchedReader is the result of silenceWatch.reader.
+type watchedReader struct {
+	body    io.Reader
+	watch   *silenceWatch
+	silence time.Duration
+}
+
+func (r *watchedReader) Read(p []byte) (int, error) {
+	n, err := r.body.Read(p)
+	if n > 0 {
+		r.watch.reset(r.silence)
+	}
+	return n, err
+}
+
 // stop ends the watch, because the target has made progress or the attempt ends. A placement that
 // a search has found is released.
 func (w *silenceWatch) stop() {
@@ -156,9 +185,14 @@
 	w.d.scheduler.RecordResponsive(w.current.target.Key())
 	event.TargetResponsive.Log(w.x.cfg.Log, slog.String("id", w.x.info.ID), slog.String("target", w.current.target.ID),
 		slog.Duration("sought", time.Since(s.startedAt)), slog.Bool("found", s.found != nil))
-	if s.found != nil {
-		w.x.release(w.d.scheduler, s.found)
+	if s.found == nil {
+		return
 	}
+	if s.found.response != nil {
+		w.x.sends++
+		w.x.mayHaveRun = true
+	}
+	w.x.release(w.d.scheduler, s.found)
 }
 
 // end ends the watch and returns its search, nil if none was started. It must be called before
@@ -174,6 +208,8 @@
 	s := <-w.searches
 	s.cancel()
 	<-s.done
+	w.x.sends += s.failedSends
+	w.x.mayHaveRun = w.x.mayHaveRun || s.mayHaveRun
 	return s
 }
 
@@ -186,21 +222,108 @@
 	defer close(s.done)
 	defer supervise.Recover(x.cfg.Log, "search for another target")
 	current := w.current.target
-	w.d.scheduler.RecordSilent(current.Key())
+	w.d.scheduler.RecordSilent(current.Key(), x.route.Name, w.unanswered)
 	event.TargetSilent.Log(x.cfg.Log, slog.String("id", x.info.ID), slog.String("target", current.ID), slog.String("service", x.service))
 	w.d.waiter.Exclude(current.Key())
 	w.d.waiter.StandBy(x.deadline)
 	x.avoidUnprovenVersion(w.d.waiter)
-	p := w.findPlacement(ctx)
-	if p == nil {
-		return
+	if s.found = w.findReplacement(ctx, s); s.found != nil {
+		w.current.conn.InterruptRead()
 	}
-	if !p.conn.RebindContext(w.ctx) || !x.cfg.RetryBudget.AllowRetry(x.service, time.Now()) {
-		x.release(w.d.scheduler, p)
-		return
+}
+
+// findReplacement waits until another target is ready to take over. A target that grants a
+// reservation is ready. Others may refuse the request, so it is sent to them first, and the silent
+// target is given up only when one of them responds. It returns nil if ctx ends before, or the
+// request was sent as often as its route allows.
+func (w *silenceWatch) findReplacement(ctx context.Context, s *search) *placement {
+	x := w.x
+	for x.sends+s.failedSends < x.route.MaxAttempts {
+		p := w.findAllowedPlacement(ctx)
+		if p == nil || p.reservation != "" || x.route.Kind == routing.Stream {
+			return p
+		}
+		if w.sendAhead(ctx, s, p) {
+			return p
+		}
+		s.failedSends++
+		w.d.waiter.Exclude(p.target.Key())
+	}
+	return nil
+}
+
+// sendAhead sends the request to a placement and waits for the head of the response. If that fails, or
+// is an error or the statement that the target did not run the request, it ends the grant and reports
+// false. It returns as soon as ctx ends, which may be before the context of the attempt.
+func (w *silenceWatch) sendAhead(ctx context.Context, s *search, p *placement) bool {
+	att := attempt{outcome: reserve.Abandoned}
+	defer func() {
+		if p.response == nil {
+			s.mayHaveRun = s.mayHaveRun || att.status != unsent
+			endGrant(w.d.scheduler, p.target, att)
+			w.x.recordForRollout(p.target, att)
+		}
+	}()
+	defer p.conn.CloseOnPanic()
+	p.sentAt = time.Now()
+	w.x.logSend(p.target, w.x.sends+s.failedSends+1, p.sentAt)
+	resp, err := w.x.receiveHead(ctx, p)
+	switch {
+	case err != nil:
+		p.conn.Release(nil, false)
+		att = w.x.readFailed(ctx, err)
+	case resp.Info.NotRun:
+		att = w.x.handleNotRun(p.conn, resp)
+	case resp.Status >= http.StatusInternalServerError || refusal.StatusImpliesNotRun(resp.Status):
+		att = w.x.handleErrorStatus(ctx, p, resp)
+	case !p.conn.RebindContext(w.ctx):
+		p.conn.Release(nil, false)
+	default:
+		p.response = resp
+		return true
+	}
+	if ctx.Err() != nil {
+		att.outcome = reserve.Abandoned // the silent target has responded, or the request ends
+	}
+	return false
+}
+
+// receiveHead sends the request to a placement and receives the head of the response. The connection
+// is bound to ctx from then on.
+func (x *exchange) receiveHead(ctx context.Context, p *placement) (*upstream.Response, error) {
+	if !p.conn.RebindContext(ctx) {
+		return nil, context.Cause(ctx)
+	}
+	m := x.targetRequest(p)
+	if err := p.conn.Send(m); err != nil {
+		return nil, err
+	}
+	return p.conn.Receive(m.Method, x.info.ID, 0)
+}
+
+// retryBudgetPollInterval is how often a search looks whether the retry budget allows a retry again.
+const retryBudgetPollInterval = 250 * time.Millisecond
+
+// findAllowedPlacement waits until another target is ready and the retry budget allows a retry, and
+// charges it. It returns nil if ctx ends before. It looks for no target while the budget is used up,
+// since that would reserve capacity in vain.
+func (w *silenceWatch) findAllowedPlacement(ctx context.Context) *placement {
+	budget, service := w.x.cfg.RetryBudget, w.x.service
+	for ctx.Err() == nil {
+		if !budget.HasRetry(service, time.Now()) {
+			wait.Sleep(ctx, retryBudgetPollInterval)
+			continue
+		}
+		p := w.findPlacement(ctx)
+		if p == nil {
+			return nil
+		}
+		if p.conn.RebindContext(w.ctx) && budget.AllowRetry(service, time.Now()) {
+			return p
+		}
+		w.x.release(w.d.scheduler, p)
 	}
-	s.found = p
-	w.current.conn.InterruptRead()
+	return nil
 }
 
 // findPlacement waits until another target is ready. It returns nil if ctx ends before.
@@ -245,8 +368,9 @@
 		w.discard(s)
 		return att
 	}
-	if att.outcome == reserve.TimedOut {
+	if att.outcome == reserve.TimedOut || att.outcome == reserve.DeadlineReached {
 		att.outcome = reserve.Silent
+		att.sample.SilentAfter = w.unanswered
 	}
 	if s.found == nil {
 		return att
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -266,3 +267,188 @@
 		t.Errorf("response %+v", resp)
 	}
 }
+
+// Guards against a request that stays at a silent target until its deadline because the retry budget
+// was used up when another target was first ready.
+func TestSearchGoesOnOnceTheRetryBudgetAllowsIt(t *testing.T) {
+	const timeoutMs = 8000
+	fx := newFixture(t)
+	fx.store.Put(wire.KeyConfig, fleetuser.Configuration(1, timeoutMs, 0, 2))
+	ended := make(chan struct{})
+	defer close(ended)
+	fx.addRawServer(plainName, "i-silent", func(net.Conn, *http.Request) bool {
+		<-ended
+		return false
+	})
+	fx.startHost()
+	exhausted := fx.settings
+	exhausted.RetryBudget.Ratio, exhausted.RetryBudget.Slack = 0, 0
+	fx.host.Reload(exhausted)
+	c := fx.dial()
+	fx.send(c, "GET", pathIdempotent, "", fmt.Sprintf("Request-Deadline: %d", timeoutMs))
+	fx.eventually("the target is silent", func() bool { return fx.log.contains("target silent") })
+	var runs atomic.Int32
+	fx.addRawServer(plainName, "i-next", func(c net.Conn, r *http.Request) bool {
+		runs.Add(1)
+		writeHead(c, r, "Content-Length: 2")
+		fmt.Fprint(c, "ok")
+		return true
+	})
+	time.Sleep(targetPause) // the target is listed meanwhile
+	if n := runs.Load(); n != 0 {
+		t.Errorf("%d runs without a retry budget", n)
+	}
+	fx.host.Reload(fx.settings)
+	if resp := fx.read(c); resp.status != http.StatusOK || resp.body != "ok" {
+		t.Errorf("response %+v", resp)
+	}
+}
+
+// Guards against an idempotent request that leaves a silent target for one which refuses it or fails:
+// the silent target may still respond.
+func TestSilentTargetIsKeptUntilAnotherOneResponds(t *testing.T) {
+	const fromSilent, fromNext = "silent", "next"
+	notRun := func(c net.Conn, r *http.Request) bool {
+		fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Request-Id"))
+		return true
+	}
+	fail := func(c net.Conn, r *http.Request) bool {
+		fmt.Fprintf(c, "HTTP/1.1 500 Failed\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Request-Id"))
+		return true
+	}
+	respond := func(c net.Conn, r *http.Request, body string) bool {
+		writeHead(c, r, fmt.Sprintf("Content-Length: %d", len(body)))
+		fmt.Fprint(c, body)
+		return true
+	}
+	ended := make(chan struct{})
+	defer close(ended)
+	cases := map[string]struct {
+		next func(net.Conn, *http.Request) bool
+		want string
+	}{
+		"refused":  {notRun, fromSilent},
+		"failed":   {fail, fromSilent},
+		"cut":      {func(net.Conn, *http.Request) bool { return false }, fromSilent},
+		"silent":   {func(net.Conn, *http.Request) bool { <-ended; return false }, fromSilent},
+		"answered": {func(c net.Conn, r *http.Request) bool { return respond(c, r, fromNext) }, fromNext},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			fx := newFixture(t)
+			var nextRuns atomic.Int32
+			answer := make(chan struct{})
+			fx.addRawServer(plainName, "i-silent", func(conn net.Conn, r *http.Request) bool {
+				<-answer
+				return respond(conn, r, fromSilent)
+			})
+			fx.startHost()
+			caller := fx.dial()
+			fx.send(caller, "GET", pathIdempotent, "")
+			fx.eventually("the target is silent", func() bool { return fx.log.contains("target silent") })
+			fx.addRawServer(plainName, "i-next", func(conn net.Conn, r *http.Request) bool {
+				nextRuns.Add(1)
+				return c.next(conn, r)
+			})
+			fx.eventually("the request is sent to the other target", func() bool { return nextRuns.Load() == 1 })
+			time.Sleep(50 * time.Millisecond)
+			close(answer)
+			if resp := fx.read(caller); resp.status != http.StatusOK || resp.body != c.want {
+				t.Errorf("response %+v, want %q", resp, c.want)
+			}
+			if n := nextRuns.Load(); n != 1 {
+				t.Errorf("sent to the other target %d times", n)
+			}
+		})
+	}
+}
+
+// Guards against an idempotent request that stays at a target which falls silent in the middle of a
+// plain response, or on a route without a goal, although another target is ready.
+func TestSilentIdempotentRequestMovesToAReadyTarget(t *testing.T) {
+	for name, c := range map[string]struct {
+		goalMs int
+		begin  string
+	}{"inside the body": {300, "half of"}, "no goal": {0, ""}} {
+		t.Run(name, func(t *testing.T) {
+			fx := newFixture(t)
+			fx.store.Put(wire.KeyConfig, configurationWithGoal(t, c.goalMs))
+			ended := make(chan struct{})
+			defer close(ended)
+			var requests atomic.Int32
+			for _, id := range []string{"i-1", "i-2"} {
+				fx.addRawServer(plainName, id, func(conn net.Conn, r *http.Request) bool {
+					first := requests.Add(1) == 1
+					if !first || c.begin != "" {
+						writeHead(conn, r, "Content-Length: 10")
+					}
+					if first {
+						fmt.Fprint(conn, c.begin)
+						<-ended
+						return false
+					}
+					fmt.Fprint(conn, "half of it")
+					return true
+				})
+			}
+			fx.startHost()
+			resp := fx.call("GET", pathIdempotent, "", "Request-Deadline: 8000")
+			if resp.err != nil || resp.status != http.StatusOK || resp.body != "half of it" {
+				t.Errorf("response %+v", resp)
+			}
+			if n := requests.Load(); n != 2 {
+				t.Errorf("%d sends", n)
+			}
+		})
+	}
+}
+
+// Guards against a sound target whose plain response comes slowly and that is given up for another
+// one: it is not silent.
+func TestSlowBodyIsNoSilence(t *testing.T) {
+	const parts, interval = 20, 100 * time.Millisecond // longer than the time after which a target is silent
+	fx := newFixture(t)
+	fx.store.Put(wire.KeyConfig, configurationWithGoal(t, 300))
+	var runs atomic.Int32
+	for _, id := range []string{"i-1", "i-2"} {
+		fx.addRawServer(plainName, id, func(c net.Conn, r *http.Request) bool {
+			runs.Add(1)
+			writeHead(c, r, fmt.Sprintf("Content-Length: %d", parts))
+			for range parts {
+				time.Sleep(interval)
+				fmt.Fprint(c, "x")
+			}
+			return true
+		})
+	}
+	fx.startHost()
+	if resp := fx.call("GET", pathIdempotent, "", "Request-Deadline: 8000"); resp.err != nil || len(resp.body) != parts {
+		t.Errorf("response %+v", resp)
+	}
+	if n := runs.Load(); n != 1 || fx.log.contains("target silent") {
+		t.Errorf("%d runs, or the target counts as silent", n)
+	}
+}
+
+// configurationWithGoal returns a configuration whose routes have the given goal, none for 0.
+func configurationWithGoal(t *testing.T, goalMs int) []byte {
+	t.Helper()
+	var c struct {
+		Version  int              `json:"version"`
+		Routes   []map[string]any `json:"routes"`
+		Services json.RawMessage  `json:"services"`
+		Limits   json.RawMessage  `json:"limits"`
+		Tenants  json.RawMessage  `json:"tenants"`
+	}
+	if err := json.Unmarshal(fleetuser.Configuration(1, longTimeoutMs, 0, 2), &c); err != nil {
+		t.Fatal(err)
+	}
+	for _, route := range c.Routes {
+		route["goalMs"] = goalMs
+	}
+	b, err := json.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -9,8 +10,10 @@
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
+	"sardinefront.dev/core/httphead"
 	"sardinefront.dev/gateway/protocol"
 )
 
@@ -141,12 +144,34 @@
 // pastDeadline makes reads and writes fail at once.
 var pastDeadline = time.Unix(1, 0)
 
-// BindContext makes reads and writes fail once ctx ends. Call it once after each Get.
+// BindContext makes reads and writes fail once ctx ends. Call it once after each Get. Until then or
+// Release, a connection whose peer is cut off or reads nothing is kept: a sound target may be so for
+// seconds.
 func (c *Conn) BindContext(ctx context.Context) {
 	c.ctx = ctx
+	c.setUserTimeout(timeLeft(ctx) + userTimeoutMargin)
 	c.unbindContext = context.AfterFunc(ctx, func() { c.net.SetDeadline(pastDeadline) })
 }
 
+// timeLeft returns the time until the deadline of ctx.
+func timeLeft(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return maxUserTimeout
+	}
+	return min(max(0, time.Until(deadline)), maxUserTimeout)
+}
+
+// setUserTimeout sets TCP_USER_TIMEOUT. A failure means that the connection is closed, which its
+// next use reports.
+func (c *Conn) setUserTimeout(d time.Duration) {
+	if sc, ok := c.net.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			_ = setUserTimeout(raw, d)
+		}
+	}
+}
+
 // RebindContext replaces the bound context. It reports false if that has ended; the connection
 // cannot be used any more then.
 func (c *Conn) RebindContext(ctx context.Context) bool {
@@ -275,6 +300,9 @@
 // readFinalResponse reads the next response that is not an interim one.
 func (c *Conn) readFinalResponse(method string) (*http.Response, error) {
 	for range 1 + maxInterimResponses {
+		if err := c.checkHead(); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		if err != nil || resp.StatusCode >= http.StatusOK {
 			return resp, err
@@ -286,6 +314,33 @@
 	return nil, errors.New("unexpected interim response")
 }
 
+// checkHead waits for the next head and checks it, because http.ReadResponse accepts malformed ones.
+func (c *Conn) checkHead() error {
+	for {
+		head, err := httphead.Peek(c.br)
+		if err == nil {
+			return httphead.Check(head)
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
+		}
+		c.growReadBuffer()
+	}
+}
+
+// growReadBuffer doubles the full read buffer. maxHeadBytes bounds it.
+func (c *Conn) growReadBuffer() {
+	buffered, _ := c.br.Peek(c.br.Buffered())
+	c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(buffered), c.in), 2*c.br.Size())
+}
+
+// shrinkReadBuffer drops a grown read buffer, which must be empty.
+func (c *Conn) shrinkReadBuffer() {
+	if c.br.Size() > readBufferBytes {
+		c.br = bufio.NewReaderSize(c.in, readBufferBytes)
+	}
+}
+
 // skipBody reads and drops the body of a response to another request.
 func (c *Conn) skipBody(resp *http.Response) error {
 	headBytesLeft := c.in.remaining
@@ -301,6 +356,7 @@
 // was read.
 func (c *Conn) Release(resp *Response, ok bool) {
 	ctxActive := c.unbindContext == nil || c.unbindContext()
+	c.setUserTimeout(idleUserTimeout)
 	c.ctx, c.unbindContext = nil, nil
 	if resp != nil {
 		c.updateIdleTimeout(resp.Header)
@@ -311,6 +367,7 @@
 		return
 	}
 	c.net.SetDeadline(time.Time{})
+	c.shrinkReadBuffer()
 	c.pool.put(c)
 }
 
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -29,10 +29,15 @@
 	idleMargin = 700 * time.Millisecond
 	// maxIdlePerTarget bounds the idle connections per target.
 	maxIdlePerTarget = 16
-	// tcpUserTimeout (TCP_USER_TIMEOUT) closes connections whose data stays
-	// unacknowledged, as after a network partition or a lost peer.
-	tcpUserTimeout = 1500 * time.Millisecond
-	// The TCP keep-alive probes detect lost connections while a response is awaited.
+	// idleUserTimeout (TCP_USER_TIMEOUT) closes idle connections to a lost peer, and ends the
+	// transmission of what was sent before a connection is closed.
+	idleUserTimeout = 1500 * time.Millisecond
+	// userTimeoutMargin is added to the time left of a request for TCP_USER_TIMEOUT, so that the
+	// request's deadline ends it first.
+	userTimeoutMargin = time.Second
+	// maxUserTimeout applies to requests without a deadline. The option takes milliseconds in 32 bits.
+	maxUserTimeout = 24 * time.Hour
+	// The TCP keep-alive probes detect lost connections while they are idle.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = 500 * time.Millisecond
 	keepAliveCount    = 2
@@ -74,6 +79,8 @@
 
 	mu   sync.Mutex
 	idle []*Conn
+	// removed is set when the target has left the list; no connection to it is kept then.
+	removed bool
 }
 
 // New returns an empty pool. dialTimeout bounds each connect; counter may be nil.
@@ -87,7 +94,7 @@
 			KeepAliveConfig: net.KeepAliveConfig{
 				Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 			},
-			Control: setUserTimeout,
+			Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, idleUserTimeout) },
 		},
 	}
 }
@@ -96,10 +103,11 @@
 // It must be called before Get and must not block.
 func (p *Pool) SetObserver(observer func(Observation)) { p.observer = observer }
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// setUserTimeout bounds the time for which the peer may acknowledge nothing, or accept no data.
+func setUserTimeout(raw syscall.RawConn, d time.Duration) error {
 	var setErr error
 	err := raw.Control(func(fd uintptr) {
-		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
+		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
 	if err != nil {
 		return err
@@ -152,13 +160,14 @@
 	return false
 }
 
-// Retain closes the idle connections of targets that are not in the set.
+// Retain closes the connections of targets that are not in the set: the idle ones at once, the
+// others after their request.
 func (p *Pool) Retain(keys map[string]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for key, tp := range p.targets {
 		if !keys[key] {
-			tp.closeIdle()
+			tp.remove()
 			delete(p.targets, key)
 		}
 	}
@@ -195,7 +204,7 @@
 func (tp *targetPool) put(c *Conn) {
 	tp.mu.Lock()
 	defer tp.mu.Unlock()
-	if len(tp.idle) >= maxIdlePerTarget {
+	if tp.removed || len(tp.idle) >= maxIdlePerTarget {
 		c.net.Close()
 		return
 	}
@@ -217,9 +226,11 @@
 	tp.idle = kept
 }
 
-func (tp *targetPool) closeIdle() {
+// remove closes the idle connections, and those in use once they are returned.
+func (tp *targetPool) remove() {
 	tp.mu.Lock()
 	defer tp.mu.Unlock()
+	tp.removed = true
 	for _, c := range tp.idle {
 		c.net.Close()
 	}
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -21,6 +21,9 @@
 	defaultMaxWaiting = 2048
 	// maxWakeInterval bounds the time between calls of Dispatch while requests wait.
 	maxWakeInterval = 50 * time.Millisecond
+	// withdrawnRetryAfter is the Retry-After of requests for a withdrawn service. The other hosts
+	// apply a configuration within a few heartbeats.
+	withdrawnRetryAfter = 200 * time.Millisecond
 )
 
 // Config configures a Pool.
@@ -56,10 +59,15 @@
 	// starvingHosts holds the hosts that have starved requests.
 	starvingHosts map[string]floor
 	gapScratch    []time.Duration // buffer of computeSlowThreshold
+	waits         waitHistory
 	// departed holds the closures of targets that were removed from the list, in the order of
 	// departedOrder.
 	departed      map[string]*drain.State
 	departedOrder []string
+	// departedInflight holds the requests that still run at targets that were removed from the list.
+	departedInflight map[string]int
+	// withdrawn is set while the service is not configured and has no ready targets.
+	withdrawn bool
 	// slowThreshold is the gap between events above which a target is slow, as of the last
 	// Dispatch with waiting requests; 0 if too few targets are measured.
 	slowThreshold time.Duration
@@ -79,7 +87,7 @@
 		rnd:     rand.New(rand.NewPCG(c.Seed, c.Seed^0x9e3779b97f4a7c15)),
 		queue:   flow.New(flow.Config{MaxWaiting: bounds}),
 		waiters: map[*flow.Item]*Waiter{},
-		targets: map[string]*target{}, starvingHosts: map[string]floor{}, departed: map[string]*drain.State{},
+		targets: map[string]*target{}, starvingHosts: map[string]floor{}, departed: map[string]*drain.State{}, departedInflight: map[string]int{},
 	}
 }
 
@@ -91,7 +99,8 @@
 	for _, info := range list {
 		t := p.targets[info.Name]
 		if t == nil {
-			t = &target{preference: p.rnd.Float64(), drain: p.restoreDeparted(info.Name)}
+			t = &target{preference: p.rnd.Float64(), drain: p.restoreDeparted(info.Name), inflight: p.departedInflight[info.Name]}
+			delete(p.departedInflight, info.Name)
 		}
 		t.Target = info
 		if c, changed := t.observeList(); changed {
@@ -105,6 +114,25 @@
 	return changes
 }
 
+// SetWithdrawn sets whether the service is not configured any more and has no ready targets. Its
+// requests are then refused at the next Dispatch, so that their callers can come back in time: a new
+// configuration may send them to another service.
+func (p *Pool) SetWithdrawn(withdrawn bool) { p.withdrawn = withdrawn }
+
+// refuseWithdrawn removes all waiting requests and returns their refusals.
+func (p *Pool) refuseWithdrawn() []Expired {
+	var out []Expired
+	for _, w := range p.waiters {
+		ref := refusal.New(refusal.NoTarget, "the service is not configured any more and has no ready targets")
+		ref.RetryAfter = withdrawnRetryAfter
+		out = append(out, Expired{w, ref})
+	}
+	for _, x := range out {
+		p.Remove(x.Waiter)
+	}
+	return out
+}
+
 // SetHostCount sets the number of hosts that share the targets, this one included.
 func (p *Pool) SetHostCount(n int) { p.hostCount = n }
 
@@ -151,9 +179,13 @@
 }
 
 // Dispatch assigns waiting requests to targets with free slots. It returns these grants and
-// the requests that have expired. Each grant ends with EndGrant or RecordFull.
+// the requests that are refused, because they have expired or the service is withdrawn. Each grant
+// ends with EndGrant or RecordFull.
 func (p *Pool) Dispatch(now time.Time) (grants []Grant, expired []Expired) {
 	p.startTrials(now)
+	if p.withdrawn {
+		return nil, p.refuseWithdrawn()
+	}
 	for _, x := range p.queue.Expire(now) {
 		w := p.waiters[x.Item]
 		p.dequeue(w)
@@ -227,6 +259,20 @@
 	return othersLeft
 }
 
+// EndRollout applies the outcome of a rollout to the waiting requests, which were assigned to a
+// version when they arrived: they use the version from now on, or no more if it was rolled back. It
+// reports whether that changes any request. Requests of a rollout to another version are left alone.
+func (p *Pool) EndRollout(version string, rolledBack bool) (changed bool) {
+	for _, w := range p.waiters {
+		if w.RolloutVersion != "" && w.RolloutVersion != version {
+			continue
+		}
+		changed = changed || w.RolloutVersion != version || w.AvoidRolloutVersion != rolledBack || w.RolledBack != rolledBack
+		w.RolloutVersion, w.AvoidRolloutVersion, w.RolledBack = version, rolledBack, rolledBack
+	}
+	return changed
+}
+
 // NextWake returns when Dispatch must be called next if nothing else happens before, or the
 // zero time if no request waits.
 func (p *Pool) NextWake(now time.Time) time.Time {
