Close a target between grant and send in a test instead of in 60 requests

TestGrantedRequestsArePickedAgain fails beside load: in 24 of 36 runs under -race, 12 copies at once, with "status 503 ... overloaded" for up to half of its requests.

No fault of the host stands behind it. The test sends 60 requests of 30 ms to an engine that is listed with 2 slots, which takes 0.9 s, and a stream leaves the queue 1.3 s after its arrival (0.65 of the 2 s that its caller waits for the first event). In the log of a failed copy the engine is sent the next request within about 1 ms of the end of the one before, each request takes 25 to 60 ms, and the 60th is refused 1.302 s after its arrival. The target in its back-off has one arrival, its first.

Nor does the test find the failure that it names: it passes 9 of 10 runs with both checks before the send removed, and the tenth fails as above. It counts arrivals only later than half a second after the start of the back-off.

The test now holds the reservation of one request until that of another one has closed the target, and then grants it. No request may reach the target after that, and both callers must be served elsewhere. A round in which the host has given up the reservation (after 0.4 s) proves nothing about the grant and is repeated. The other window of the old test, between the grant and the end of the connect, has a test of its own that closes the target by the host's own record of a response, with no clock.

--- a/gateway/closed_test.go
+++ b/gateway/closed_test.go
@@ -1,7 +1,9 @@
 package gateway_test
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -196,39 +198,80 @@
 	}
 }
 
-// Guards against requests that were granted a target, and connect or wait for a reservation
-// there, and that are sent although another response has meanwhile closed the target.
+// Guards against a request that was granted a target, and waits for a reservation there, and that is
+// sent although another response has meanwhile closed the target.
 func TestGrantedRequestsArePickedAgain(t *testing.T) {
-	const requests = 60
-	fx := newFixture(t)
-	for _, id := range []string{"i-busy", "i-open"} {
-		cfg := targetConfig(engineName, id)
-		cfg.Slots, cfg.ResponseDelay = 4, 10*time.Millisecond
-		fx.addServer(engineName, cfg)
+	// A round proves nothing if the host has given up the reservation before the closure.
+	for range 20 {
+		if closeDuringReservation(t) || t.Failed() {
+			return
+		}
 	}
+	t.Error("no reservation was granted in time after the closure")
+}
+
+// closeDuringReservation sends two requests to a target. The reservation of the first one is granted
+// after that of the second one has closed the target. It reports whether the host has waited for the
+// grant.
+func closeDuringReservation(t *testing.T) (waited bool) {
+	t.Helper()
+	const granted, rejected = "200 OK\r\nContent-Length: 12\r\n\r\n{\"hold\":\"h\"}", "503 Busy\r\nNot-Executed: 1\r\nRetry-After: 20\r\nContent-Length: 0\r\n\r\n"
+	fx := newFixture(t)
+	var arrivals, sends atomic.Int32
+	var open atomic.Bool
+	closed := make(chan struct{})
+	fx.addListener(engineName, "i-busy", func(c net.Conn) {
+		defer c.Close()
+		br := bufio.NewReader(c)
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, r.Body)
+			if r.URL.Path != "/-/hold-take" {
+				sends.Add(1)
+			}
+			response := rejected
+			if arrivals.Add(1) == 1 {
+				<-closed
+				response = granted
+			}
+			fmt.Fprintf(c, "HTTP/1.1 %s", response)
+		}
+	})
+	fx.addRawEngine(engineName, "i-open", open.Load, func(c net.Conn, r *http.Request) bool {
+		writeHead(c, r, "Content-Type: text/event-stream")
+		fmt.Fprint(c, streamEvents(1, 3))
+		return false
+	})
 	fx.startHost()
-	busy := fx.servers[0]
-	busy.PushBack(1500*time.Millisecond, false)
-	var callers []*caller
-	for range requests {
-		c := fx.dial()
-		fx.send(c, "POST", pathStream, "prompt")
-		callers = append(callers, c)
+	timedOut := func() bool { return fx.log.contains(`"event":306`) }
+	first, second := fx.dial(), fx.dial()
+	fx.send(first, "POST", pathStream, "prompt")
+	fx.eventually("a reservation is requested", func() bool { return arrivals.Load() > 0 })
+	fx.send(second, "POST", pathStream, "prompt")
+	fx.eventually("the target is closed", func() bool { return fx.log.contains(`"event":312`) || timedOut() })
+	waited = !timedOut()
+	open.Store(true)
+	close(closed)
+	responses := []response{fx.read(first), fx.read(second)}
+	if n := sends.Load(); n != 0 {
+		t.Errorf("%d requests reached the target after its closure", n)
 	}
-	for _, c := range callers {
-		if resp := fx.read(c); resp.status != 200 {
-			t.Errorf("response %+v", resp)
-		}
+	waited = waited && !timedOut()
+	if !waited {
+		return false
 	}
-	late := 0
-	for _, a := range busy.Arrivals() {
-		if a.BackOffLeft > 0 && a.BackOffLeft < time.Second {
-			late++
-		}
+	if n := arrivals.Load(); n != 2 {
+		t.Errorf("%d arrivals at the target, want only the two reservations", n)
 	}
-	if late > 0 {
-		t.Errorf("%d arrivals later than half a second after the start of the back-off", late)
+	for _, resp := range responses {
+		if resp.status != http.StatusOK || resp.body != streamEvents(1, 3) {
+			t.Errorf("response %+v", resp)
+		}
 	}
+	return true
 }
 
 // Guards against callers that are refused, or told to return too early, while the only target
--- a/gateway/ingress/silence_test.go
+++ b/gateway/ingress/silence_test.go
@@ -36,7 +36,9 @@
 
 type nopMetrics struct{ Metrics }
 
-func (nopMetrics) CountReservation(string, string) {}
+func (nopMetrics) CountReservation(string, string)  {}
+func (nopMetrics) CountTargetClosed(string, string) {}
+func (nopMetrics) CountRetryAfterRejected(string)   {}
 
 type nopPeers struct{}
 
@@ -57,9 +59,9 @@
 	target := directory.Target{ID: "i", Service: "s", Address: server.Listener.Addr().String(), Slots: 1}
 	table := routing.Compile(routing.Config{Services: []routing.Service{{Name: "s", Engine: &routing.Engine{MaxReservationLifetime: time.Second}}}})
 	log := slog.New(slog.DiscardHandler)
-	schedulers := dispatch.NewSchedulers("z", log, nopPeers{}, nil)
+	schedulers := dispatch.NewSchedulers("z", log, nopPeers{}, nopMetrics{})
 	schedulers.Update(table, []directory.Target{target})
-	cfg := Config{Codec: reservationCodec{}, Upstream: upstream.New(reservationCodec{}, time.Second, nil), Metrics: nopMetrics{}, Log: log}
+	cfg := Config{Codec: reservationCodec{}, Schedulers: schedulers, Upstream: upstream.New(reservationCodec{}, time.Second, nil), Metrics: nopMetrics{}, Log: log}
 	return &exchange{Server: New(cfg), table: table, service: "s"}, schedulers.Get("s"), target, cancelled
 }
 
@@ -127,3 +129,22 @@
 	}
 	acquire(t, scheduler)
 }
+
+// Guards against a reservation at a target that another response has closed between the grant and
+// the end of the connect.
+func TestTargetClosedDuringTheConnectGetsNoReservation(t *testing.T) {
+	for name, closing := range map[string]upstream.Observation{
+		"back-off": {Status: http.StatusServiceUnavailable, Info: protocol.ResponseInfo{RetryAfter: "20"}},
+		"leaving":  {Status: http.StatusOK, Info: protocol.ResponseInfo{Leaving: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x, scheduler, target, _ := placementFixture(t)
+			acquire(t, scheduler)
+			closing.Target, closing.ReceivedAt = target.Key(), time.Now()
+			x.cfg.Schedulers.RecordResponse(closing)
+			if _, att := x.place(t.Context(), scheduler, target); att == nil || !att.targetClosed || att.sent {
+				t.Errorf("attempt %+v, want one that ends because the target is closed", att)
+			}
+		})
+	}
+}
