Judge sends of a search without the progress of the silent target

The race detector reports a data race when a target is silent in the middle of its body, the request was sent to another one as well, and both end at the request's deadline: the search evaluates its failed send with the progress of the attempt, which the attempt's goroutine updates with each read.

That progress says nothing about the other target, and the outcome of such a send is Abandoned anyway, so its failure is now built without it.

TestDeadlineEndsSendsToTwoSilentTargets with -race failed before: "DATA RACE", read in endOutcome at end.go:64, previous write in progressReader.Read. It passes three times now.

--- a/gateway/ingress/silence.go
+++ b/gateway/ingress/silence.go
@@ -264,17 +264,19 @@
 		}
 	}()
 	defer p.conn.CloseOnPanic()
+	// The progress that a failure is judged by if its context has ended is that of the silent target.
+	failureCtx := context.WithoutCancel(ctx)
 	p.sentAt = time.Now()
 	w.x.logSend(p.target, w.x.sends+s.failedSends+1, p.sentAt)
 	resp, err := w.x.receiveHead(ctx, p)
 	switch {
 	case err != nil:
 		p.conn.Release(nil, false)
-		att = w.x.readFailed(ctx, err)
+		att = w.x.readFailed(failureCtx, err)
 	case resp.Info.NotRun:
 		att = w.x.handleNotRun(p.conn, resp)
 	case resp.Status >= http.StatusInternalServerError || refusal.StatusImpliesNotRun(resp.Status):
-		att = w.x.handleErrorStatus(ctx, p, resp)
+		att = w.x.handleErrorStatus(failureCtx, p, resp)
 	case !p.conn.RebindContext(w.ctx):
 		p.conn.Release(nil, false)
 	default:
--- a/gateway/search_ends_test.go
+++ b/gateway/search_ends_test.go
@@ -80,3 +80,32 @@
 		})
 	}
 }
+
+// Guards against a data race between the attempt at a target that is silent in the middle of its body
+// and the send to another one, when both end at the request's deadline.
+func TestDeadlineEndsSendsToTwoSilentTargets(t *testing.T) {
+	ended := make(chan struct{})
+	defer close(ended)
+	var nextRuns atomic.Int32
+	hang := func(net.Conn, *http.Request) bool { <-ended; return false }
+	fx := newFixture(t)
+	fx.addRawServer(plainName, "i-silent", func(conn net.Conn, r *http.Request) bool {
+		writeHead(conn, r, "Content-Length: 2")
+		fmt.Fprint(conn, "o")
+		return hang(conn, r)
+	})
+	fx.startHost()
+	c := fx.dial()
+	fx.send(c, "GET", pathIdempotent, "")
+	fx.eventually("the target is silent", func() bool { return fx.log.contains("target silent") })
+	fx.addRawServer(plainName, "i-next", func(conn net.Conn, r *http.Request) bool {
+		nextRuns.Add(1)
+		return hang(conn, r)
+	})
+	if resp := fx.read(c); resp.status != http.StatusGatewayTimeout || resp.header.Get("Sardinefront-Reason") != "deadline-after-send" {
+		t.Errorf("response %+v", resp)
+	}
+	if n := nextRuns.Load(); n != 1 {
+		t.Errorf("sent to the other target %d times", n)
+	}
+}
