Refuse a request that has not run while its caller can still come back

A request whose target stated that it had not run it, with all other targets busy, waited until its caller's time was nearly over: 503 "not-run" after 3.5 s of 4 s, with a Retry-After of 0.117 s. The wait was extended for requests whose response broke off, which nobody else can continue, but it applied to all retried requests.

The wait is now extended to the caller's whole time only for a request that may have run.

TestRequestThatHasNotRunIsRefusedInTime failed before with the figures above; with the change it passes, and so do the tests of broken streams.

--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -57,8 +57,12 @@
 }
 
 // callerUntil returns when a target must begin to respond to a request whose attempt has failed:
-// when the caller of a stream gives up, or early enough for the whole response of other routes.
+// when the caller of a stream gives up, or early enough for the whole response of other routes. It is
+// zero for a request that has not run, whose caller can come back if it is refused in time.
 func (x *exchange) callerUntil(w *reserve.Waiter) time.Time {
+	if !x.mayHaveRun {
+		return time.Time{}
+	}
 	if x.route.Kind != routing.Stream {
 		return x.deadline.Add(-x.route.LatencyGoal)
 	}
--- a/gateway/search_ends_test.go
+++ b/gateway/search_ends_test.go
@@ -7,6 +7,9 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"sardinefront.dev/platform/wire"
+	"sardinefront.dev/standin/fleetuser"
 )
 
 // searchFixture starts a host with a silent target and, once a request is running there, adds another
@@ -109,3 +112,36 @@
 		t.Errorf("sent to the other target %d times", n)
 	}
 }
+
+// Guards against a refusal of a request that has not run which comes so late that its caller cannot
+// come back: it waited as long as one that must be continued here.
+func TestRequestThatHasNotRunIsRefusedInTime(t *testing.T) {
+	const timeoutMs = 4000
+	fx := newFixture(t)
+	fx.store.Put(wire.KeyConfig, fleetuser.Configuration(1, timeoutMs, 0, 2))
+	ended := make(chan struct{})
+	defer close(ended)
+	var busyRuns atomic.Int32
+	fx.addRawServer(plainName, "i-busy", func(net.Conn, *http.Request) bool {
+		busyRuns.Add(1)
+		<-ended
+		return false
+	})
+	fx.startHost()
+	for range 3 { // the slots of a plain target and half as many more
+		fx.send(fx.dial(), "POST", pathNonIdempotent, "order", "Request-Deadline: 8000")
+	}
+	fx.eventually("the first target is full", func() bool { return busyRuns.Load() == 3 })
+	var refusals atomic.Int32
+	fx.addRawServer(plainName, "i-full", func(conn net.Conn, r *http.Request) bool {
+		refusals.Add(1)
+		fmt.Fprintf(conn, "HTTP/1.1 503 Full\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Request-Id"))
+		return true
+	})
+	sent := time.Now()
+	resp := fx.call("GET", pathIdempotent, "", fmt.Sprintf("Request-Deadline: %d", timeoutMs))
+	after := time.Since(sent)
+	if resp.status != http.StatusServiceUnavailable || refusals.Load() == 0 || after > timeoutMs*time.Millisecond*3/4 {
+		t.Errorf("response %+v after %s, sent %d times", resp, after, refusals.Load())
+	}
+}
