Stop the host of a gateway test at the end of its test

Where several copies of package gateway run at once, tests fail with requests that nobody sent: "9 runs of 6 requests", "2 arrivals at the leaving target after its first responses" and "2 reservations of the leaving target were used" in one of four copies under -race beside load. Of the same form, in four copies before: "96 requests of 91 were sent", "sent to the other target 3 times", "3 runs" and "5 runs" of one stream, "1 runs of a request that was refused as not run", and a first request that was taken for the second.

The target of a failed test had logged GET /-/kv-range from a Go client beside the requests of its own host, two in each of the two tests. The fixture closes its store but never stopped its host, so the host of a test that had ended went on to ask for the store's port, which the system had since given to a target of another test. Targets of the fixture count each call that they don't know as a request. No fault of the product: the host calls the address that it is configured with.

The fixture now ends the host, with its requests, before it closes the store.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -172,11 +172,21 @@
 	if err := fx.host.Start(); err != nil {
 		fx.t.Fatal(err)
 	}
+	host := fx.host
+	fx.t.Cleanup(func() { stopAtOnce(host, s) })
 	fx.settings = s
 	fx.callers, fx.ready = s.Listen.Callers, s.Listen.Ready
 	fx.eventually("the host is ready", fx.isReady)
 }
 
+// stopAtOnce ends a host with its requests. A host that outlives its test goes on to call its store
+// and targets, whose ports the system assigns again, also to the fixtures of other processes.
+func stopAtOnce(host *gateway.Gateway, s settings.Settings) {
+	s.Stop.GraceSeconds = shortPause.Seconds()
+	host.Reload(s)
+	_ = host.Stop() // reports the requests that were still in progress
+}
+
 func (fx *fixture) isReady() bool {
 	resp, err := http.Get("http://" + fx.ready + wire.ReadyPath)
 	if err != nil {
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -114,3 +114,35 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a host of the fixture that outlives its test: its calls reached later targets that
+// had got the port of its store, and counted there as requests.
+func TestHostOfEndedTestCallsNoStore(t *testing.T) {
+	l := listenAtEndedStore(t)
+	defer l.Close()
+	if err := l.SetDeadline(time.Now().Add(2 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if c, err := l.Accept(); err == nil {
+		c.Close()
+		t.Error("the store is called after the end of its test")
+	}
+}
+
+// listenAtEndedStore listens at the address of the store of a test that has ended.
+func listenAtEndedStore(t *testing.T) *net.TCPListener {
+	t.Helper()
+	for range 5 { // the system may have assigned the port again
+		var address string
+		t.Run("ended", func(t *testing.T) {
+			fx := newFixture(t)
+			fx.startHost()
+			address = fx.store.Address()
+		})
+		if l, err := net.Listen("tcp4", address); err == nil {
+			return l.(*net.TCPListener)
+		}
+	}
+	t.Fatal("no port of a store is free after its test")
+	return nil
+}
