Give the silent target's test time for its list of targets

TestSilentTargetIsKeptUntilAnotherOneResponds fails beside load (2 of its cases in one of four copies under -race, load 50) with "condition not met within 10 s: the request is sent to the other target". Its request has 2 s: the target counts as silent after 1 s, and only then is the other one listed, which a host learns within about 0.7 s, since it reads the list every 0.6 s. In the logs of both cases the list arrives 1.05 s after the silence, when the request has 0.05 s left or has ended.

The route and the request now have 8 s.

--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -335,6 +335,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			fx := newFixture(t)
+			fx.store.Put(wire.KeyConfig, fleetuser.Configuration(1, longTimeoutMs, 0, 2))
 			var nextRuns atomic.Int32
 			answer := make(chan struct{})
 			fx.addRawServer(plainName, "i-silent", func(conn net.Conn, r *http.Request) bool {
@@ -343,7 +344,7 @@
 			})
 			fx.startHost()
 			caller := fx.dial()
-			fx.send(caller, "GET", pathIdempotent, "")
+			fx.send(caller, "GET", pathIdempotent, "", fmt.Sprintf("Request-Deadline: %d", longTimeoutMs))
 			fx.eventually("the target is silent", func() bool { return fx.log.contains("target silent") })
 			fx.addRawServer(plainName, "i-next", func(conn net.Conn, r *http.Request) bool {
 				nextRuns.Add(1)
