Apply the outcome of a rollout before it is written to the store

Requests that wait for a target went on to a version that had been rolled back. The loop that applies the outcome to them does so after it has written the states of all rollouts, and a write to a slow store takes seconds. New requests avoid the version at once.

An outcome is now applied where the host learns it: from a peer's report, from the store and from its own evaluation, before the write. MergeReports states whether a report has ended a rollout; its callers in tests ignore that.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -321,9 +321,13 @@
 	if len(h.LeavingAgesMs) > 0 {
 		g.recordLeavingAges(h.LeavingAgesMs, now)
 	}
-	if err := g.rollouts.MergeReports(h.Name, h.Rollouts, now); err != nil {
+	ended, err := g.rollouts.MergeReports(h.Name, h.Rollouts, now)
+	if err != nil {
 		event.PeerRejected.Log(g.cfg.Log, slog.Any("error", err))
 	}
+	if ended {
+		g.applyOutcomes()
+	}
 	g.parts.Merge(h.PromptParts, now)
 	g.quota.RecordPeerUsage(usageReport(h), now)
 }
--- a/gateway/outcome_test.go
+++ b/gateway/outcome_test.go
@@ -12,6 +12,7 @@
 	"sardinefront.dev/gateway/peers"
 	"sardinefront.dev/gateway/rollout"
 	"sardinefront.dev/platform/wire"
+	"sardinefront.dev/standin/kvstore"
 )
 
 // versionTarget is a plain server of one version that responds to no request until it is opened.
@@ -57,7 +58,9 @@
 	const seconds = 60
 	order := fmt.Sprintf(`{"service":%q,"target":"v2","overS":%d}`, plainName, seconds)
 	revision := fx.store.Put(wire.PrefixRollout+plainName, []byte(order))
-	fx.eventually("the rollout runs", func() bool { return fx.store.Value(wire.PrefixRolloutStatus+plainName) != nil })
+	fx.eventually("the rollout runs", func() bool {
+		return fx.log.contains("move started") && fx.store.Value(wire.PrefixRolloutStatus+plainName) != nil
+	})
 	report := func(s rollout.State) {
 		r := peers.Rollout{OrderRevision: revision, ElapsedMs: (seconds - 2) * 1000, State: uint8(s)}
 		fx.host.HandleHeartbeat(&peers.Heartbeat{Name: "host-2", ListAgeMs: -1, Rollouts: map[string]peers.Rollout{plainName: r}}, time.Now())
@@ -73,13 +76,34 @@
 }
 
 // Guards against a request that goes to a bad version after its rollback, because it waited
-// meanwhile and had been assigned to that version.
+// meanwhile and had been assigned to that version. A peer reports the rollback; the write of this
+// host's own report, which a silent store delays, must not hold it up.
 func TestWaitingRequestsLeaveAVersionThatIsRolledBack(t *testing.T) {
+	for name, storeSilent := range map[string]bool{"store responds": false, "store is silent": true} {
+		t.Run(name, func(t *testing.T) { testLeaveVersion(t, storeSilent) })
+	}
+}
+
+func testLeaveVersion(t *testing.T, storeSilent bool) {
+	t.Helper()
 	const requests = 24 // more than both versions take at once
 	fx := newFixture(t)
 	oldVersion, newVersion := fx.addVersion("v1", false), fx.addVersion("v2", false)
 	fx.startHost()
 	callers, end := fx.waitDuringRollout(requests)
+	fx.eventually("a request runs at the new version", func() bool {
+		if newVersion.runs.Load() > 0 {
+			return true
+		}
+		// Few requests are assigned to the new version, sometimes none of the first ones.
+		c := fx.dial()
+		fx.send(c, "POST", pathNonIdempotent, "order")
+		callers = append(callers, c)
+		return false
+	})
+	if storeSilent {
+		fx.store.SetFaults(kvstore.Faults{NoResponse: true})
+	}
 	end(rollout.RolledBack)
 	time.Sleep(300 * time.Millisecond)
 	before := newVersion.runs.Load()
@@ -92,7 +116,7 @@
 		}
 	}
 	if n := newVersion.runs.Load() - before; n > 0 || before == 0 {
-		t.Errorf("%d of %d requests ran at the bad version after its rollback, %d before", n, requests, before)
+		t.Errorf("%d of %d requests ran at the bad version after its rollback, %d before", n, len(callers), before)
 	}
 }
 
--- a/gateway/rollout/rollout.go
+++ b/gateway/rollout/rollout.go
@@ -331,9 +331,10 @@
 	return out
 }
 
-// MergeReports merges the reports of a peer. It returns an error if the observations in one are
-// malformed; reports before that one may have been merged.
-func (t *Tracker) MergeReports(from string, reports map[string]peers.Rollout, now time.Time) error {
+// MergeReports merges the reports of a peer and reports whether that ends a rollout on this host. It
+// returns an error if the observations in one are malformed; reports before that one may have been
+// merged.
+func (t *Tracker) MergeReports(from string, reports map[string]peers.Rollout, now time.Time) (ended bool, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for service, r := range reports {
@@ -342,20 +343,22 @@
 			continue
 		}
 		st.recordElapsed(time.Duration(r.ElapsedMs)*time.Millisecond, now)
+		wasRunning := st.state == Running
 		switch State(r.State) {
 		case Done: // hosts report it only once the store holds it
 			st.setStored(Done, r.Reason)
 		case RolledBack:
 			st.rollBack(r.Reason)
 		}
+		ended = ended || wasRunning && st.state != Running
 		st.speeds.mergeReport(from, r.Speeds)
 		for _, w := range r.Windows {
 			window, err := analysis.DecodeWindow(w.Routes)
 			if err != nil {
-				return fmt.Errorf("rollout observations of service %s from host %s, window %d: %w", service, from, w.Number, err)
+				return ended, fmt.Errorf("rollout observations of service %s from host %s, window %d: %w", service, from, w.Number, err)
 			}
 			st.samples.MergeWindow(from, w.Number, window, st.scaledTime(now))
 		}
 	}
-	return nil
+	return ended, nil
 }
--- a/gateway/rollout/rollout_test.go
+++ b/gateway/rollout/rollout_test.go
@@ -129,7 +129,7 @@
 		report := from.Reports(s.now)
 		for j, to := range s.trackers {
 			if i != j {
-				if err := to.MergeReports(s.names[i], report, s.now); err != nil {
+				if _, err := to.MergeReports(s.names[i], report, s.now); err != nil {
 					s.t.Fatal(err)
 				}
 			}
@@ -260,13 +260,13 @@
 	tr.SetOutcome(service, order.Revision, rollout.RolledBack, "test")
 	tr.Start(order, 0, s.now)
 	tr.SetOutcome(service, order.Revision, rollout.Done, "late")
-	if err := tr.MergeReports("host-1", s.trackers[1].Reports(s.now), s.now); err != nil {
+	if _, err := tr.MergeReports("host-1", s.trackers[1].Reports(s.now), s.now); err != nil {
 		t.Fatal(err)
 	}
 	if got := tr.Split(service, s.now.Add(duration)).Share; got != 0 {
 		t.Errorf("share %v after the rollback, want 0", got)
 	}
-	if err := s.trackers[1].MergeReports("host-0", tr.Reports(s.now), s.now); err != nil {
+	if _, err := s.trackers[1].MergeReports("host-0", tr.Reports(s.now), s.now); err != nil {
 		t.Fatal(err)
 	}
 	if got := s.trackers[1].Split(service, s.now).Share; got != 0 {
@@ -336,7 +336,7 @@
 	fault := s.trackers[3]
 	fault.SetOutcome(service, order.Revision, rollout.RolledBack, "test")
 	merge := func(to *rollout.Tracker, from string, tr *rollout.Tracker) {
-		if err := to.MergeReports(from, tr.Reports(s.now), s.now); err != nil {
+		if _, err := to.MergeReports(from, tr.Reports(s.now), s.now); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -104,6 +104,7 @@
 	version, s, err := g.cfg.Rollouts.DecodeStatus(e.Value)
 	if err == nil && e.Revision > o.Revision && version == o.Version {
 		g.rollouts.SetOutcome(o.Service, o.Revision, s, "final state read from the store")
+		g.applyOutcomes()
 	}
 	return nil // an unreadable state is replaced when this host writes one
 }
@@ -143,12 +144,11 @@
 		case <-ctx.Done():
 			return
 		case now := <-t.C:
-			for _, d := range g.rollouts.Decide(g.isLeader(now), g.targetCount, now) {
+			decisions := g.rollouts.Decide(g.isLeader(now), g.targetCount, now)
+			g.applyOutcomes() // a write may take seconds
+			for _, d := range decisions {
 				g.recordDecision(ctx, written, d, now)
 			}
-			for service, split := range g.rollouts.Outcomes() {
-				g.schedulers.EndRollout(service, split.Version, split.RolledBack)
-			}
 			if now.Sub(loggedAt) >= evidenceLogInterval {
 				g.logEvidence()
 				loggedAt = now
@@ -157,6 +157,13 @@
 	}
 }
 
+// applyOutcomes applies the outcomes that this host knows to the requests that wait for a target.
+func (g *Gateway) applyOutcomes() {
+	for service, split := range g.rollouts.Outcomes() {
+		g.schedulers.EndRollout(service, split.Version, split.RolledBack)
+	}
+}
+
 // logEvidence logs the comparison of the versions' speeds for all running rollouts.
 func (g *Gateway) logEvidence() {
 	for service, e := range g.rollouts.Evidence() {
@@ -216,6 +223,7 @@
 	}
 	w.final = true
 	g.rollouts.SetOutcome(d.Order.Service, d.Order.Revision, s, d.Reason)
+	g.applyOutcomes()
 	ended := event.MoveCompleted
 	if s == rollout.RolledBack {
 		ended = event.MoveRolledBack
