--- a/gateway/rollouts_test.go
+++ b/gateway/rollouts_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"sardinefront.dev/gateway/dispatch"
 	"sardinefront.dev/gateway/rollout"
 	"sardinefront.dev/platform"
 )
@@ -100,7 +101,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := &Gateway{cfg: Config{Records: &restartedStore{failures: 3}, Log: slog.New(slog.DiscardHandler), Rollouts: RolloutLayout{
 			DecodeStatus: func([]byte) (string, rollout.State, error) { return "v2", rollout.Done, nil },
-		}}, rollouts: rollout.New("host-1", rollout.Limits{})}
+		}}, rollouts: rollout.New("host-1", rollout.Limits{}), schedulers: dispatch.NewSchedulers("z", slog.New(slog.DiscardHandler), nil, nil)}
 		o := rollout.Order{Service: "llm", Version: "v2", Duration: time.Minute, Revision: 7}
 		g.rollouts.Start(o, 0, time.Now())
 		g.recoverRollout(o)
@@ -115,7 +116,7 @@
 func TestUnprovenRollbackYieldsToTheStoredOutcome(t *testing.T) {
 	g := &Gateway{cfg: Config{Records: &restartedStore{}, Log: slog.New(slog.DiscardHandler), Rollouts: RolloutLayout{
 		DecodeStatus: func([]byte) (string, rollout.State, error) { return "v2", rollout.Done, nil },
-	}}, rollouts: rollout.New("host-1", rollout.Limits{})}
+	}}, rollouts: rollout.New("host-1", rollout.Limits{}), schedulers: dispatch.NewSchedulers("z", slog.New(slog.DiscardHandler), nil, nil)}
 	o, now := rollout.Order{Service: "llm", Version: "v2", Duration: time.Minute, Revision: 7}, time.Now()
 	g.rollouts.Start(o, 0, now)
 	g.rollouts.RecordElapsed("llm", 7, time.Minute, now)
