Read load reports with a fourth number and report unreadable ones

Targets that share their machine report four numbers; parseLoadReport took exactly three, so each such report was dropped without a trace and the targets counted as idle. The fourth number, how long work takes now in percent of the usual, is read as LoadReport.WorkTime. Reports are taken where every response is observed, reservations included. An unreadable one is counted and logged once per target (event 315).

--- a/core/telemetry/telemetry.go
+++ b/core/telemetry/telemetry.go
@@ -48,6 +48,7 @@
 	{"sardinefront_waiting", "gauge", "{request}", []string{"tier", "service"}, "Requests waiting for a target."},
 	{"sardinefront_targets", "gauge", "{target}", []string{"service", "state"}, "Targets by state: all in use (used), and those of them that are ejected (ejected), leaving (leaving) or in a back-off that they asked for (backed-off)."},
 	{"sardinefront_targets_closed", "counter", "{target}", []string{"service", "reason"}, "Targets that this host stopped sending requests to, because they were leaving (leaving) or asked for a back-off (backed-off)."},
+	{"sardinefront_load_reports_unreadable", "counter", "{response}", []string{"service"}, "Load reports of targets that could not be read and were ignored."},
 	{"sardinefront_retry_after_rejected", "counter", "{response}", []string{"service"}, "Retry-After values of targets that were unreadable, negative or too long."},
 	{"sardinefront_config_version", "gauge", "", nil, "Version of the active configuration."},
 	{"sardinefront_target_list_age", "gauge", "s", nil, "Time since the target list was last confirmed to be current."},
@@ -194,6 +195,11 @@
 	m.add("sardinefront_targets_closed", 1, attribute.String("service", service), attribute.String("reason", reason))
 }
 
+// CountUnreadableLoad counts a load report of a target that could not be read.
+func (m *Metrics) CountUnreadableLoad(service string) {
+	m.add("sardinefront_load_reports_unreadable", 1, attribute.String("service", service))
+}
+
 // CountRetryAfterRejected counts a Retry-After value of a target that was ignored.
 func (m *Metrics) CountRetryAfterRejected(service string) {
 	m.add("sardinefront_retry_after_rejected", 1, attribute.String("service", service))
--- a/gateway/dispatch/closed.go
+++ b/gateway/dispatch/closed.go
@@ -11,16 +11,18 @@
 	"sardinefront.dev/sched/reserve"
 )
 
-// Metrics counts targets that are closed to this host.
+// Metrics counts what targets state about themselves in their responses.
 type Metrics interface {
 	// CountTargetClosed counts a target that gets no requests any more, by reason.
 	CountTargetClosed(service, reason string)
 	// CountRetryAfterRejected counts an ignored Retry-After of a target.
 	CountRetryAfterRejected(service string)
+	// CountUnreadableLoad counts a load report that could not be read.
+	CountUnreadableLoad(service string)
 }
 
-// RecordResponse merges what a response says about its target: that it is leaving, or that it
-// wants no requests from this host for some time.
+// RecordResponse merges what a response says about its target: its load, that it is leaving, or
+// that it wants no requests from this host for some time.
 func (s *Schedulers) RecordResponse(o upstream.Observation) {
 	s.mu.Lock()
 	scheduler := s.byTarget[o.Target]
@@ -48,6 +50,22 @@
 	if o.Status == http.StatusServiceUnavailable && o.Info.RetryAfter != "" {
 		s.recordRetryAfter(o)
 	}
+	s.recordLoad(o)
+}
+
+// recordLoad records the load report of a response. The caller holds s.mu.
+func (s *Scheduler) recordLoad(o upstream.Observation) {
+	if l := o.Info.Load; l != nil && !o.SentAt.IsZero() {
+		s.pool.RecordLoad(o.Target, l.Running, l.Waiting, l.Slots, o.ReceivedAt)
+	}
+	if o.Info.UnreadableLoad == "" {
+		return
+	}
+	s.metrics.CountUnreadableLoad(s.name)
+	if !s.unreadableLoads[o.Target] {
+		s.unreadableLoads[o.Target] = true
+		event.LoadReportUnreadable.Log(s.log, slog.String("service", s.name), slog.String("target", o.Target), slog.String("value", o.Info.UnreadableLoad))
+	}
 }
 
 // recordRetryAfter starts the back-off that a response asks for. The caller holds s.mu.
--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -13,7 +14,6 @@
 	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/core/supervise"
 	"sardinefront.dev/gateway/directory"
-	"sardinefront.dev/gateway/protocol"
 	"sardinefront.dev/sched/reserve"
 )
 
@@ -35,6 +35,8 @@
 	announcedAt time.Time
 	peers       Peers
 	metrics     Metrics
+	// unreadableLoads holds the targets with an unreadable load report, each of which is logged once.
+	unreadableLoads map[string]bool
 }
 
 // Peers notifies the other hosts. Its methods are called with locks held and must not
@@ -55,9 +57,10 @@
 func newScheduler(name string, reservations bool, log *slog.Logger, peers Peers, metrics Metrics) *Scheduler {
 	s := &Scheduler{
 		name: name, log: log, starvedLane: reserve.LaneCount, peers: peers, metrics: metrics,
-		pool:    reserve.New(reserve.Config{Reservations: reservations, Seed: rand.Uint64()}),
-		targets: map[string]directory.Target{},
-		waiters: map[*reserve.Waiter]chan acquireResult{},
+		pool:            reserve.New(reserve.Config{Reservations: reservations, Seed: rand.Uint64()}),
+		targets:         map[string]directory.Target{},
+		waiters:         map[*reserve.Waiter]chan acquireResult{},
+		unreadableLoads: map[string]bool{},
 	}
 	s.timer = time.AfterFunc(time.Hour, s.onTimer)
 	s.timer.Stop()
@@ -82,6 +85,7 @@
 			Name: key, Local: t.Zone == zone, Version: t.Version, Slots: t.Slots, Draining: t.Draining, ListedAt: now, WarmUpUntil: t.WarmUpUntil,
 		})
 	}
+	maps.DeleteFunc(s.unreadableLoads, func(key string, _ bool) bool { return s.targets[key].ID == "" })
 	for _, c := range s.pool.SetTargets(infos) {
 		s.recordClosure(c, now)
 	}
@@ -205,16 +209,6 @@
 	s.pool.RecordReserved(target)
 }
 
-// RecordLoad records the load that a target reports in a response; l may be nil.
-func (s *Scheduler) RecordLoad(target string, l *protocol.LoadReport) {
-	if l == nil {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.pool.RecordLoad(target, l.Running, l.Waiting, l.Slots, time.Now())
-}
-
 // EndGrant ends a grant with its outcome. If no request of this host takes the freed slot,
 // it is offered to the peer that has starved requests in the most urgent lane.
 func (s *Scheduler) EndGrant(target string, o reserve.Outcome, sample reserve.Sample) {
--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -83,7 +83,6 @@
 func (x *exchange) forward(ctx context.Context, d *dispatcher, watch *silenceWatch, p *placement, resp *upstream.Response, sentAt time.Time) attempt {
 	conn := p.conn
 	x.progress.lastAt = time.Now()
-	d.scheduler.RecordLoad(p.target.Key(), resp.Info.Load)
 	if resp.Info.NotRun {
 		return x.handleNotRun(conn, resp)
 	}
--- a/gateway/ingress/silence_test.go
+++ b/gateway/ingress/silence_test.go
@@ -39,6 +39,7 @@
 func (nopMetrics) CountReservation(string, string)  {}
 func (nopMetrics) CountTargetClosed(string, string) {}
 func (nopMetrics) CountRetryAfterRejected(string)   {}
+func (nopMetrics) CountUnreadableLoad(string)       {}
 
 type nopPeers struct{}
 
--- a/gateway/protocol/protocol.go
+++ b/gateway/protocol/protocol.go
@@ -51,9 +51,13 @@
 	LastEventID string
 }
 
-// LoadReport is the load that a target reports: running and waiting requests, and slots.
+// LoadReport is the load that a target reports.
 type LoadReport struct {
+	// Running and Waiting count requests. Slots is the number that the target runs at once.
 	Running, Waiting, Slots int
+	// WorkTime is how long work takes on the target's machine at the time of the report, as a
+	// multiple of its usual time; 0 if the target does not report it.
+	WorkTime float64
 }
 
 // ResponseInfo is the metadata in the headers of a target's response.
@@ -64,8 +68,10 @@
 	NotRun bool
 	// Misdirected is true if another incarnation has the address.
 	Misdirected bool
-	// Load is nil if the response reports none.
+	// Load is nil if the response reports none, or one that cannot be read.
 	Load *LoadReport
+	// UnreadableLoad is the load report as received if it cannot be read, else empty.
+	UnreadableLoad string
 	// Leaving is true if the target states that it is about to shut down. It finishes what it
 	// runs and wants no further requests.
 	Leaving bool
