Add sardinectl check-config for configurations of the platform

Operators had no way to see before sending that a configuration has routes that never match, values that the hosts replace, or limits that contradict each other, nor what differs from the active one.

--- a/cmd/internal/ctl/ctl.go
+++ b/cmd/internal/ctl/ctl.go
@@ -107,6 +107,7 @@
 func allCommands() []command {
 	return []command{
 		checkCommand(),
+		checkConfigCommand(),
 		rulesCommand(),
 		statusCommand(),
 		explainCommand(),
