Evacuate an availability zone on the operator's order

Nothing read op/evacuate/ZONE. Hosts now follow the key like rollout orders and send nothing to the zone's targets until it is deleted. MaySend takes the target instead of its key, so that the zone counts also while the target's entry is missing from the list.

A heartbeat field with all zones was ruled out: it needs a revision for each.

--- a/core/event/table.go
+++ b/core/event/table.go
@@ -64,6 +64,9 @@
 	CheckpointRestored    = Event{Number: 605, Name: "checkpoint restored", Level: slog.LevelInfo, Meaning: "This host restored the checkpoint that the hosts had saved in the store before it started."}
 	CheckpointFailed      = Event{Number: 606, Name: "checkpoint failed", Level: slog.LevelWarn, Meaning: "A checkpoint could not be read or written."}
 
+	ZoneEvacuated = Event{Number: 609, Name: "zone evacuated", Level: slog.LevelWarn, Meaning: "The operator has evacuated an availability zone: its targets get no requests until the order is deleted."}
+	ZoneReopened  = Event{Number: 610, Name: "zone reopened", Level: slog.LevelInfo, Meaning: "The operator has deleted the evacuation of an availability zone: its targets may get requests again."}
+
 	MoveStarted     = Event{Number: 701, Name: "move started", Level: slog.LevelInfo, Meaning: "A version move started, or the deadline of a running move changed."}
 	MoveAdvanced    = Event{Number: 702, Name: "move advanced", Level: slog.LevelInfo, Meaning: "The traffic share of the new version was raised by one step."}
 	MoveCompleted   = Event{Number: 703, Name: "move completed", Level: slog.LevelInfo, Meaning: "All traffic goes to the new version."}
@@ -82,7 +85,7 @@
 		TargetEjected, TargetRestored, TargetDraining, TargetListStale, TargetListChanged, TargetFailure, TargetSilent, TargetResponsive, PromptPartSuspected, PromptPartQuarantined, PromptPartReleased, TargetClosed, TargetReopened, RetryAfterRejected, LoadReportUnreadable,
 		WriterElected, WriterRoleLost, AppendOutcomeUnknown, RequestOutcomeUnknown, RequestTakenOver,
 		MemberSuspected, MemberDead, MemberAlive, PeerRejected, PeerFetchFailed, QuotaReservedForPeers,
-		ConfigApplied, ConfigRejected, StoreUnreachable, StoreReachable, CheckpointRestored, CheckpointFailed, BecameStoreReader, TargetEntryUnreadable,
+		ConfigApplied, ConfigRejected, StoreUnreachable, StoreReachable, CheckpointRestored, CheckpointFailed, BecameStoreReader, TargetEntryUnreadable, ZoneEvacuated, ZoneReopened,
 		MoveStarted, MoveAdvanced, MoveCompleted, MoveRolledBack, MoveLate, VersionHalted, MoveStepRetried, MoveEvidence,
 	}
 }
--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -73,7 +73,11 @@
 	ConfigKey     string
 	TargetPrefix  string
 	RolloutPrefix string
-	// OperatorPrefix is the prefix of ConfigKey and RolloutPrefix. Both are read in one call.
+	// EvacuationPrefix plus the name of an availability zone is the key of its evacuation. Empty
+	// if there are none.
+	EvacuationPrefix string
+	// OperatorPrefix is the prefix of ConfigKey, RolloutPrefix and EvacuationPrefix. All are read
+	// in one call.
 	OperatorPrefix string
 	DecodeTarget   Decode
 	DecodeConfig   func(value []byte) (routing.Config, error)
@@ -101,7 +105,8 @@
 	Layout      Layout
 	ActiveTable *routing.ActiveTable
 	Log         *slog.Logger
-	// OnChange is called after each change of the configuration or the target list.
+	// OnChange is called after each change of the configuration, the target list or the evacuated
+	// zones.
 	OnChange func()
 	// OnRolloutOrder is called for each new rollout order and for the removal of an order. The
 	// order was written at most age ago.
@@ -142,7 +147,8 @@
 	config        []byte
 	// configVersion is the version of config. It is updated after the active table.
 	configVersion int64
-	orders        map[string]orderState // by key
+	orders        map[string]orderState // of rollouts and evacuations, by key
+	evacuations   evacuations
 }
 
 // source is where this host got a change from.
@@ -155,12 +161,6 @@
 	fromStore
 )
 
-// orderState is the newest known state of a rollout order.
-type orderState struct {
-	revision int64
-	removed  bool
-}
-
 // recentChange is a change that heartbeats repeat.
 type recentChange struct {
 	change platform.Entry
@@ -345,21 +345,6 @@
 	return nil
 }
 
-// missingOrders returns the removal of each rollout order that a complete listing as of a revision
-// lacks.
-func (d *Directory) missingOrders(listed []platform.Entry, asOf int64) []platform.Entry {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var out []platform.Entry
-	for key, o := range d.orders {
-		isListed := slices.ContainsFunc(listed, func(e platform.Entry) bool { return e.Key == key })
-		if !isListed && !o.removed && o.revision <= asOf {
-			out = append(out, platform.Entry{Key: key, Revision: asOf, Deleted: true})
-		}
-	}
-	return out
-}
-
 func (d *Directory) finishRead(ctx context.Context, err error, began time.Time) {
 	d.mu.Lock()
 	failedBefore := d.readFailed()
@@ -388,7 +373,7 @@
 	}
 }
 
-// applyChanges applies changes of the configuration, the target list and rollout orders.
+// applyChanges applies changes of the configuration, the target list and operator orders.
 func (d *Directory) applyChanges(changes []platform.Entry, from source, unconfirmed bool, now time.Time) {
 	l := d.cfg.Layout
 	var targets []platform.Entry
@@ -400,6 +385,8 @@
 			}
 		case strings.HasPrefix(c.Key, l.TargetPrefix):
 			targets = append(targets, c)
+		case l.isEvacuation(c.Key):
+			d.applyEvacuation(c, from, now)
 		case strings.HasPrefix(c.Key, l.RolloutPrefix):
 			d.applyRolloutOrder(c, from, now)
 		}
@@ -407,36 +394,6 @@
 	d.listChanged(d.list.Apply(targets, unconfirmed, now), from, now)
 }
 
-func (d *Directory) applyRolloutOrder(c platform.Entry, from source, now time.Time) {
-	d.mu.Lock()
-	age := d.maxOrderAge(from, now)
-	known := d.orders[c.Key].revision >= c.Revision
-	if !known {
-		d.orders[c.Key] = orderState{revision: c.Revision, removed: c.Deleted}
-		if from == fromStore {
-			d.recentChanges = append(d.recentChanges, recentChange{c, now})
-		}
-	}
-	d.mu.Unlock()
-	if known || d.cfg.OnRolloutOrder == nil {
-		return
-	}
-	d.cfg.OnRolloutOrder(strings.TrimPrefix(c.Key, d.cfg.Layout.RolloutPrefix), c, age)
-	if from == fromStore {
-		d.triggerHeartbeats()
-	}
-}
-
-// maxOrderAge returns how long ago an order that was just received may have been written: at most
-// since the last read of the store by any host. A peer reports the age of its orders itself. The
-// caller holds the lock.
-func (d *Directory) maxOrderAge(from source, now time.Time) time.Duration {
-	if from != fromStore || d.freshAt.IsZero() {
-		return 0
-	}
-	return min(now.Sub(d.freshAt), maxUnreadTime)
-}
-
 // applyConfig activates a configuration if it is newer, and reports whether it is.
 func (d *Directory) applyConfig(value []byte) bool {
 	c, err := d.cfg.Layout.DecodeConfig(value)
--- a/gateway/directory/directory_test.go
+++ b/gateway/directory/directory_test.go
@@ -42,14 +42,25 @@
 // fakePeers simulates the peer "busy", which times out, and others that have the configuration.
 type fakePeers struct {
 	version int // of the peers' configuration; 0 means 2
-	mu      sync.Mutex
-	fetched []string
+	// snapshot is the state of the peers, nil for their configuration alone.
+	snapshot func(version int64) *peers.Snapshot
+	mu       sync.Mutex
+	fetched  []string
 }
 
-func (f *fakePeers) Alive(time.Time) []peers.Peer { return nil }
-func (f *fakePeers) TriggerFullRateHeartbeats()   {}
+func (f *fakePeers) Alive(time.Time) []peers.Peer {
+	if f.snapshot == nil {
+		return nil
+	}
+	return []peers.Peer{{Name: "good", Address: "good"}}
+}
 
-func (f *fakePeers) FetchSnapshot(_ context.Context, address string, _ int64) (*peers.Snapshot, error) {
+func (f *fakePeers) TriggerFullRateHeartbeats() {}
+
+func (f *fakePeers) FetchSnapshot(_ context.Context, address string, version int64) (*peers.Snapshot, error) {
+	if f.snapshot != nil {
+		return f.snapshot(version), nil
+	}
 	config, err := f.FetchConfig(context.Background(), address, 0)
 	return &peers.Snapshot{Config: config, ListAgeMs: 0}, err
 }
@@ -163,7 +174,7 @@
 }
 
 var testLayout = directory.Layout{
-	ConfigKey: "o/config", TargetPrefix: "t/", RolloutPrefix: "o/r/", OperatorPrefix: "o/",
+	ConfigKey: "o/config", TargetPrefix: "t/", RolloutPrefix: "o/r/", EvacuationPrefix: "o/e/", OperatorPrefix: "o/",
 	DecodeConfig: func(b []byte) (routing.Config, error) {
 		v, err := strconv.ParseInt(string(b), 10, 64)
 		return routing.Config{Version: v}, err
--- a/gateway/directory/exchange.go
+++ b/gateway/directory/exchange.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -18,9 +17,9 @@
 // FillHeartbeat sets the fields of a heartbeat that describe the directory.
 func (d *Directory) FillHeartbeat(h *peers.Heartbeat, now time.Time) {
 	h.ConfigVersion = d.cfg.ActiveTable.Version()
-	h.ListDigest = d.list.Digest()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	h.ListDigest = d.digest()
 	h.ListAgeMs = -1
 	if !d.freshAt.IsZero() {
 		h.ListAgeMs = now.Sub(d.freshAt).Milliseconds()
@@ -30,7 +29,7 @@
 	h.Changes = d.changesToSend(repeatTime, now)
 }
 
-// changesToSend returns the changes of the last repeatTime that fit into a heartbeat. Rollout
+// changesToSend returns the changes of the last repeatTime that fit into a heartbeat. Operator
 // orders come first, whatever their age: unlike the target list, they have no digest that shows a
 // host that it has missed one.
 func (d *Directory) changesToSend(repeatTime time.Duration, now time.Time) []peers.Change {
@@ -44,7 +43,7 @@
 		return true
 	}
 	for _, r := range slices.Backward(d.recentChanges) {
-		if d.isRolloutOrder(r.change.Key) && !add(r.change) {
+		if d.cfg.Layout.isOrder(r.change.Key) && !add(r.change) {
 			return out
 		}
 	}
@@ -52,17 +51,13 @@
 		if now.Sub(r.at) > repeatTime {
 			break
 		}
-		if !d.isRolloutOrder(r.change.Key) && !add(r.change) {
+		if !d.cfg.Layout.isOrder(r.change.Key) && !add(r.change) {
 			break
 		}
 	}
 	return out
 }
 
-func (d *Directory) isRolloutOrder(key string) bool {
-	return strings.HasPrefix(key, d.cfg.Layout.RolloutPrefix)
-}
-
 // relayedReadMargin is the difference up to which a peer's read that looks newer than this
 // host's may be the same one: ages are in whole milliseconds and exclude the network delay.
 const relayedReadMargin = 100 * time.Millisecond
@@ -73,7 +68,6 @@
 	for _, c := range h.Changes {
 		d.applyChanges([]platform.Entry{{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted}}, fromPeer, false, now)
 	}
-	digest := d.list.Digest()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if h.ConfigVersion > d.cfg.ActiveTable.Version() {
@@ -85,7 +79,7 @@
 	peerFreshAt := now.Add(-time.Duration(h.ListAgeMs) * time.Millisecond)
 	switch {
 	case !peerFreshAt.After(d.freshAt):
-	case h.ListDigest == digest:
+	case h.ListDigest == d.digest():
 		d.freshAt, d.mismatchSince = peerFreshAt, time.Time{}
 		d.isReader = d.isReader && peerFreshAt.Sub(d.readAt) < relayedReadMargin
 	case d.mismatchSince.IsZero():
@@ -251,6 +245,7 @@
 	snapshot.Config, _ = d.NewerConfig(version)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	snapshot.Targets = append(snapshot.Targets, d.evacuationEntries()...)
 	if !d.freshAt.IsZero() {
 		snapshot.ListAgeMs = time.Since(d.freshAt).Milliseconds()
 	}
--- a/gateway/dispatch/closed.go
+++ b/gateway/dispatch/closed.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sardinefront.dev/core/event"
+	"sardinefront.dev/gateway/directory"
 	"sardinefront.dev/gateway/upstream"
 	"sardinefront.dev/sched/drain"
 	"sardinefront.dev/sched/reserve"
@@ -106,11 +107,30 @@
 }
 
 // MaySend reports whether a target may get requests. It is asked immediately before each send:
-// the target may have been closed since the grant.
-func (s *Scheduler) MaySend(target string) bool {
+// the target may have been closed since the grant. The zone of a target counts also after its
+// removal from the list.
+func (s *Scheduler) MaySend(target directory.Target) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.pool.Closure(target, time.Now()) == drain.Open
+	return !s.pool.Evacuated(target.Zone) && s.pool.Closure(target.Key(), time.Now()) == drain.Open
+}
+
+// SetEvacuatedZones sets the availability zones whose targets get nothing.
+func (s *Schedulers) SetEvacuatedZones(zones reserve.Zones) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evacuated = zones
+	for _, scheduler := range s.schedulers {
+		scheduler.setEvacuatedZones(zones)
+	}
+}
+
+func (s *Scheduler) setEvacuatedZones(zones reserve.Zones) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pool.SetEvacuatedZones(zones) {
+		s.dispatch(time.Now())
+	}
 }
 
 // LeavingSince returns the targets whose responses to this host have stated, at or after the given
--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -82,7 +82,7 @@
 		}
 		s.targets[key] = t
 		infos = append(infos, reserve.Target{
-			Name: key, Local: t.Zone == zone, Version: t.Version, Slots: t.Slots, Draining: t.Draining, ListedAt: now, WarmUpUntil: t.WarmUpUntil,
+			Name: key, Zone: t.Zone, Local: t.Zone == zone, Version: t.Version, Slots: t.Slots, Draining: t.Draining, ListedAt: now, WarmUpUntil: t.WarmUpUntil,
 		})
 	}
 	maps.DeleteFunc(s.unreadableLoads, func(key string, _ bool) bool { return s.targets[key].ID == "" })
--- a/gateway/dispatch/schedulers.go
+++ b/gateway/dispatch/schedulers.go
@@ -20,7 +20,8 @@
 	mu         sync.Mutex
 	schedulers map[string]*Scheduler
 	byTarget   map[string]*Scheduler // by the key of the target's incarnation
-	version    int64                 // of the configuration of the last Update
+	evacuated  reserve.Zones
+	version    int64 // of the configuration of the last Update
 }
 
 // NewSchedulers returns an empty set for a host in the zone.
@@ -159,6 +160,7 @@
 	scheduler := s.schedulers[service.Name]
 	if scheduler == nil {
 		scheduler = newScheduler(service.Name, service.Engine != nil && service.Engine.MaxReservationLifetime > 0, s.log, s.peers, s.metrics)
+		scheduler.setEvacuatedZones(s.evacuated)
 		s.schedulers[service.Name] = scheduler
 	}
 	return scheduler
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -234,6 +234,7 @@
 func (g *Gateway) onDirectoryChange() {
 	g.directoryChange.Lock()
 	defer g.directoryChange.Unlock()
+	g.schedulers.SetEvacuatedZones(g.dir.EvacuatedZones())
 	table := g.routing.Load()
 	if table == nil {
 		return
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -24,8 +24,9 @@
 			_, bytes := g.mesh.Traffic()
 			return one(float64(bytes))
 		},
-		"sardinefront_waiting": g.waitingSamples,
-		"sardinefront_targets": g.targetSamples,
+		"sardinefront_waiting":         g.waitingSamples,
+		"sardinefront_targets":         g.targetSamples,
+		"sardinefront_evacuated_zones": func() []telemetry.GaugeValue { return one(float64(len(g.dir.EvacuatedZones()))) },
 	}
 	for name, read := range gauges {
 		if err := g.cfg.Metrics.RegisterGauge(name, read); err != nil {
@@ -52,7 +53,8 @@
 			telemetry.GaugeValue{Labels: []string{name, "used"}, Value: float64(s.Targets)},
 			telemetry.GaugeValue{Labels: []string{name, "ejected"}, Value: float64(s.Ejected)},
 			telemetry.GaugeValue{Labels: []string{name, "leaving"}, Value: float64(s.Leaving)},
-			telemetry.GaugeValue{Labels: []string{name, "backed-off"}, Value: float64(s.BackedOff)})
+			telemetry.GaugeValue{Labels: []string{name, "backed-off"}, Value: float64(s.BackedOff)},
+			telemetry.GaugeValue{Labels: []string{name, "evacuated"}, Value: float64(s.Evacuated)})
 	}
 	return out
 }
--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -358,7 +358,7 @@
 		x.recordSend(p.target, p.sentAt)
 		return x.forward(ctx, d, watch, p, p.response, p.sentAt)
 	}
-	if !d.scheduler.MaySend(p.target.Key()) {
+	if !d.scheduler.MaySend(p.target) {
 		return *closedAttempt(p.conn) // a reservation expires shortly
 	}
 	return x.roundTrip(ctx, d, p)
--- a/gateway/ingress/silence.go
+++ b/gateway/ingress/silence.go
@@ -41,7 +41,7 @@
 	}
 	conn.BindContext(ctx)
 	defer conn.CloseOnPanic()
-	if !scheduler.MaySend(target.Key()) {
+	if !scheduler.MaySend(target) {
 		return nil, closedAttempt(conn)
 	}
 	p := &placement{target: target, conn: conn}
@@ -61,7 +61,7 @@
 // has them.
 func (x *exchange) release(scheduler *dispatch.Scheduler, p *placement) {
 	// A closed target must not get a cancellation either; the reservation expires shortly.
-	if p.reservation == "" || !scheduler.MaySend(p.target.Key()) {
+	if p.reservation == "" || !scheduler.MaySend(p.target) {
 		if p.conn != nil {
 			p.conn.Release(nil, false)
 		}
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -33,7 +33,7 @@
 	IntervalMs int64
 	// ConfigVersion is the version of the active configuration, 0 for none.
 	ConfigVersion int64
-	// ListDigest is a hash of the target list. It is equal for equal lists.
+	// ListDigest is a hash of the target list and the evacuated zones. It is equal for equal ones.
 	ListDigest uint64
 	// ListAgeMs is the time since the list was read from the store, by this host or by the
 	// host that it got the list from, in milliseconds; negative for no list.
@@ -54,7 +54,7 @@
 	Ejected []uint32
 	// KnownAddresses are addresses of other hosts.
 	KnownAddresses []string
-	// Changes are recent changes of the target list and of rollout orders.
+	// Changes are recent changes of the target list and of operator orders.
 	Changes []Change
 	// Rollouts is the state of rollouts on this host, by service.
 	Rollouts map[string]Rollout
@@ -98,7 +98,7 @@
 	Routes []analysis.RouteDigest
 }
 
-// Change is one entry of the target list, or a rollout order, as the store holds it.
+// Change is one entry of the target list, or an operator order, as the store holds it.
 type Change struct {
 	_        struct{} `cbor:",toarray"`
 	Key      string
--- a/gateway/peers/snapshot.go
+++ b/gateway/peers/snapshot.go
@@ -18,7 +18,8 @@
 	_ struct{} `cbor:",toarray"`
 	// Config is the configuration in its stored encoding, empty if it is not newer than the
 	// version in the request.
-	Config  []byte
+	Config []byte
+	// Targets are the entries of the target list, and the evacuations of availability zones.
 	Targets []Change
 	// ListAgeMs has the meaning of Heartbeat.ListAgeMs.
 	ListAgeMs int64
--- a/sched/drain/drain.go
+++ b/sched/drain/drain.go
@@ -53,6 +53,9 @@
 	listRevision int64
 
 	backOffUntil time.Time
+
+	// evacuated belongs to the target's zone and not to an incarnation.
+	evacuated bool
 }
 
 // Observe merges a report and reports whether it changes Leaving. A report about an earlier
@@ -117,7 +120,7 @@
 	if s.known && !i.replaces(s.incarnation, src) {
 		return false
 	}
-	*s = State{incarnation: i, known: true}
+	*s = State{incarnation: i, known: true, evacuated: s.evacuated}
 	return true
 }
 
@@ -144,15 +147,18 @@
 	Open Closure = iota
 	Leaving
 	BackedOff
+	Evacuated
 )
 
 // String returns the name used in logs and metric labels.
-func (c Closure) String() string { return [...]string{"open", "leaving", "backed-off"}[c] }
+func (c Closure) String() string { return [...]string{"open", "leaving", "backed-off", "evacuated"}[c] }
 
 // Closure returns why the target gets no work at a time, Open if it may get work. Leaving takes
-// precedence over BackedOff.
+// precedence over BackedOff, and Evacuated over both.
 func (s *State) Closure(now time.Time) Closure {
 	switch {
+	case s.evacuated:
+		return Evacuated
 	case s.leaving:
 		return Leaving
 	case now.Before(s.backOffUntil):
@@ -161,6 +167,9 @@
 	return Open
 }
 
+// SetEvacuated records whether the operator has evacuated the target's availability zone.
+func (s *State) SetEvacuated(evacuated bool) { s.evacuated = evacuated }
+
 // LeavingReport returns the source and the time of the report by which the target is leaving.
 // The result is not ok if it is not leaving.
 func (s *State) LeavingReport() (src Source, at time.Time, ok bool) {
--- a/sched/reserve/closed.go
+++ b/sched/reserve/closed.go
@@ -98,6 +98,7 @@
 		if _, _, leaving := t.drain.LeavingReport(); next[t.Name] != nil || !leaving && t.drain.BackOffUntil().IsZero() {
 			continue
 		}
+		t.drain.SetEvacuated(false) // belongs to the zone; see restoreDeparted
 		p.departed[t.Name] = &t.drain
 		p.departedOrder = append(p.departedOrder, t.Name)
 	}
@@ -114,7 +115,8 @@
 	}
 }
 
-// restoreDeparted returns the kept closure of a target that is listed again, else a new one.
+// restoreDeparted returns the kept closure of a target that is listed again, else a new one. It
+// does not tell whether the target's zone is evacuated.
 func (p *Pool) restoreDeparted(name string) drain.State {
 	s := p.departed[name]
 	if s == nil {
@@ -169,7 +171,10 @@
 // so that refused callers don't return together.
 func (p *Pool) refuseUntilReopened(latestStart, now time.Time) *refusal.Refusal {
 	at, ok := p.reopensAt(now)
-	if !ok || at.Before(latestStart) {
+	if !ok {
+		return p.refuseEvacuated(now)
+	}
+	if at.Before(latestStart) {
 		return nil
 	}
 	ref := refusal.New(refusal.TargetsBackedOff, "all %d targets are leaving or in a back-off, the first of which ends in %s", len(p.order), at.Sub(now).Round(time.Millisecond))
--- a/sched/reserve/lanes.go
+++ b/sched/reserve/lanes.go
@@ -70,7 +70,7 @@
 	}
 	p.gapScratch = p.gapScratch[:0]
 	for _, t := range p.order {
-		if _, _, leaving := t.drain.LeavingReport(); t.gap > 0 && !leaving {
+		if _, _, leaving := t.drain.LeavingReport(); t.gap > 0 && !leaving && !p.Evacuated(t.Zone) {
 			p.gapScratch = append(p.gapScratch, t.gap)
 		}
 	}
@@ -117,7 +117,7 @@
 // starved requests or a request of this host has taken the slot.
 func (p *Pool) SelectSlotRecipient(target string, now time.Time) (host string) {
 	t := p.targets[target]
-	if t == nil || !p.cfg.Reservations || !t.slotFreed || t.drain.Closure(now) == drain.Leaving || t.health.State() == health.Ejected {
+	if t == nil || !p.cfg.Reservations || !t.slotFreed || t.drain.Closure(now) == drain.Leaving || t.drain.Closure(now) == drain.Evacuated || t.health.State() == health.Ejected {
 		return ""
 	}
 	best, equal := 2*LaneCount, 0
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -66,6 +66,8 @@
 	departedOrder []string
 	// departedInflight holds the requests that still run at targets that were removed from the list.
 	departedInflight map[string]int
+	// evacuatedZones holds the availability zones whose targets get nothing.
+	evacuatedZones Zones
 	// withdrawn is set while the service is not configured and has no ready targets.
 	withdrawn bool
 	// slowThreshold is the gap between events above which a target is slow, as of the last
@@ -103,6 +105,7 @@
 			delete(p.departedInflight, info.Name)
 		}
 		t.Target = info
+		t.drain.SetEvacuated(p.evacuatedZones.Contain(info.Zone))
 		if c, changed := t.observeList(); changed {
 			changes = append(changes, c)
 		}
@@ -311,8 +314,8 @@
 	Inflight int
 	Targets  int
 	Ejected  int
-	// Leaving and BackedOff count the targets that get nothing from this host for that reason.
-	Leaving, BackedOff int
+	// Leaving, BackedOff and Evacuated count the targets that get nothing from this host for that reason.
+	Leaving, BackedOff, Evacuated int
 }
 
 // Stats returns the current counts.
@@ -328,6 +331,8 @@
 			s.Leaving++
 		case drain.BackedOff:
 			s.BackedOff++
+		case drain.Evacuated:
+			s.Evacuated++
 		}
 	}
 	return s
--- a/sched/reserve/target.go
+++ b/sched/reserve/target.go
@@ -40,6 +40,8 @@
 type Target struct {
 	// Name is unique to the target's incarnation.
 	Name string
+	// Zone is the target's availability zone.
+	Zone string
 	// Local is true if the target is in the host's availability zone.
 	Local bool
 	// Version is the version of the target's software.
