Send cold targets only this host's share of the bound

A target that has started or become cold crashes when all hosts send to it at once. A service with coldPerS and coldS now limits its cold targets: a grant needs an opportunity of this host (sched/pace), and the send needs the admission of that grant, so that requests granted before the target became cold are picked again. No reservation is attempted where the request would not be allowed.

The list takes a later coldLeftMs of an entry as a change, and the first one by its hash, so that hosts that miss it read the store. Cold-Ms is read from any response. The number of hosts includes known ones that are silent and does not shrink for a minute. Services without the keys behave as before.

Events 316 and 317, the counter sardinefront_pace_held_back and the state paced of sardinefront_targets show it. go test of sched/reserve, sched/pace, platform/wire, gateway/directory, gateway/peers, gateway/ingress, core/event and core/telemetry pass, and gateway with -run 'Closed|Leaving|BackOff|Silent|Granted|Part'.

--- a/core/event/table.go
+++ b/core/event/table.go
@@ -39,6 +39,8 @@
 	TargetClosed          = Event{Number: 312, Name: "target closed", Level: slog.LevelInfo, Meaning: "This host sends a target no new requests, because the target is leaving or has asked for a back-off. The line names the source, the age and the end of the back-off."}
 	TargetReopened        = Event{Number: 313, Name: "target reopened", Level: slog.LevelInfo, Meaning: "A target that was leaving no longer is, and receives requests again."}
 	LoadReportUnreadable  = Event{Number: 315, Name: "load report unreadable", Level: slog.LevelWarn, Meaning: "A target's load report could not be read and is ignored. It is logged once per target; a counter counts all."}
+	TargetPaced           = Event{Number: 316, Name: "target paced", Level: slog.LevelInfo, Meaning: "A target is cold; this host sends it only its share of the requests that the service allows for cold targets.", Sampled: true}
+	TargetAtFullPace      = Event{Number: 317, Name: "target at full pace", Level: slog.LevelInfo, Meaning: "A paced target receives requests without that limit.", Sampled: true}
 	RetryAfterRejected    = Event{Number: 314, Name: "retry-after rejected", Level: slog.LevelWarn, Meaning: "A target's Retry-After was unreadable, negative or too long and was ignored.", Sampled: true}
 
 	WriterElected         = Event{Number: 401, Name: "journal writer elected", Level: slog.LevelInfo, Meaning: "This host became the writer of a journal partition."}
@@ -79,7 +81,7 @@
 	return []Event{
 		Started, EmbeddedStore, ShutdownStarted, ShutdownCompleted, ShutdownForced, SettingsRejected, SettingsReloaded, LogLinesDropped, LoopPanicked,
 		RequestRefused, RequestRetried, CallerDisconnected, ResponseAborted, RequestAnswered, RequestSent, TargetErrorForwarded, RequestPanicked,
-		TargetEjected, TargetRestored, TargetDraining, TargetListStale, TargetListChanged, TargetFailure, TargetSilent, TargetResponsive, PromptPartSuspected, PromptPartQuarantined, PromptPartReleased, TargetClosed, TargetReopened, RetryAfterRejected, LoadReportUnreadable,
+		TargetEjected, TargetRestored, TargetDraining, TargetListStale, TargetListChanged, TargetFailure, TargetSilent, TargetResponsive, PromptPartSuspected, PromptPartQuarantined, PromptPartReleased, TargetClosed, TargetReopened, RetryAfterRejected, LoadReportUnreadable, TargetPaced, TargetAtFullPace,
 		WriterElected, WriterRoleLost, AppendOutcomeUnknown, RequestOutcomeUnknown, RequestTakenOver,
 		MemberSuspected, MemberDead, MemberAlive, PeerRejected, PeerFetchFailed, QuotaReservedForPeers,
 		ConfigApplied, ConfigRejected, StoreUnreachable, StoreReachable, CheckpointRestored, CheckpointFailed, BecameStoreReader, TargetEntryUnreadable,
--- a/core/telemetry/telemetry.go
+++ b/core/telemetry/telemetry.go
@@ -46,9 +46,10 @@
 	{"sardinefront_target_connections", "counter", "{connection}", []string{"result"}, "Attempts to open a connection to a target, by result."},
 	{"sardinefront_prompt_parts", "counter", "{change}", []string{"change"}, "Changes of the state of prompt parts that crash targets: suspected, quarantined or released."},
 	{"sardinefront_waiting", "gauge", "{request}", []string{"tier", "service"}, "Requests waiting for a target."},
-	{"sardinefront_targets", "gauge", "{target}", []string{"service", "state"}, "Targets by state: all in use (used), and those of them that are ejected (ejected), leaving (leaving) or in a back-off that they asked for (backed-off)."},
+	{"sardinefront_targets", "gauge", "{target}", []string{"service", "state"}, "Targets by state: all in use (used), and those of them that are ejected (ejected), leaving (leaving), in a back-off that they asked for (backed-off) or paced (paced)."},
 	{"sardinefront_targets_closed", "counter", "{target}", []string{"service", "reason"}, "Targets that this host stopped sending requests to, because they were leaving (leaving) or asked for a back-off (backed-off)."},
 	{"sardinefront_load_reports_unreadable", "counter", "{response}", []string{"service"}, "Load reports of targets that could not be read and were ignored."},
+	{"sardinefront_pace_held_back", "counter", "{target}", []string{"service"}, "Times that a target was passed over for a waiting request, or a granted request was not sent there, because of the target's pace."},
 	{"sardinefront_retry_after_rejected", "counter", "{response}", []string{"service"}, "Retry-After values of targets that were unreadable, negative or too long."},
 	{"sardinefront_config_version", "gauge", "", nil, "Version of the active configuration."},
 	{"sardinefront_target_list_age", "gauge", "s", nil, "Time since the target list was last confirmed to be current."},
@@ -195,6 +196,11 @@
 	m.add("sardinefront_targets_closed", 1, attribute.String("service", service), attribute.String("reason", reason))
 }
 
+// CountPaceHeldBack counts how often a target was passed over because of its pace.
+func (m *Metrics) CountPaceHeldBack(service string, n int) {
+	m.add("sardinefront_pace_held_back", int64(n), attribute.String("service", service))
+}
+
 // CountUnreadableLoad counts a load report of a target that could not be read.
 func (m *Metrics) CountUnreadableLoad(service string) {
 	m.add("sardinefront_load_reports_unreadable", 1, attribute.String("service", service))
--- a/gateway/directory/list.go
+++ b/gateway/directory/list.go
@@ -31,6 +31,8 @@
 	Draining bool
 	// WarmUpUntil is when the target has warmed up after its start. It is slow until then.
 	WarmUpUntil time.Time
+	// Cold is true if the entry says that the target has not warmed up.
+	Cold bool
 	// StartedUnixMs is the time of the target's start in Unix milliseconds, 0 if unknown.
 	StartedUnixMs int64
 }
@@ -42,10 +44,19 @@
 func (t *Target) hash() uint64 {
 	return xxhash.Sum64String(strings.Join([]string{
 		t.ID, t.Service, t.Address, t.Zone, t.Version,
-		strconv.Itoa(t.Slots), strconv.FormatBool(t.Draining), strconv.FormatInt(t.StartedUnixMs, 10),
+		strconv.Itoa(t.Slots), strconv.FormatBool(t.Draining), strconv.FormatInt(t.StartedUnixMs, 10), strconv.FormatBool(t.Cold),
 	}, "\x00"))
 }
 
+// minColdExtension is the least extension of the warm-up that counts as a change. Smaller ones are due
+// to delays of the entry.
+const minColdExtension = 500 * time.Millisecond
+
+// coldAgain reports whether the target has become cold again while it was still cold.
+func (t *Target) coldAgain(old *Target) bool {
+	return t.Cold && t.WarmUpUntil.Sub(old.WarmUpUntil) >= minColdExtension
+}
+
 // Decode decodes an entry of the store. It returns an error if the entry is not a usable
 // target.
 type Decode func(key string, value []byte, now time.Time) (Target, error)
@@ -174,7 +185,7 @@
 		return old != nil
 	}
 	*e = entry{revision: c.Revision, value: c.Value, target: &t}
-	return old == nil || old.hash() != t.hash()
+	return old == nil || old.hash() != t.hash() || t.coldAgain(old)
 }
 
 // ExpireRemovals carries out the unconfirmed removals that are due and returns them. It also
--- a/gateway/directory/list_test.go
+++ b/gateway/directory/list_test.go
@@ -60,6 +60,26 @@
 	}
 }
 
+// Guards against a target that has become cold again, without a restart, or that is still cold for
+// longer than its last entry said, and counts as warm.
+func TestColdAgainIsAChange(t *testing.T) {
+	left := map[string]time.Duration{"warm": 0, "cold": time.Second, "again": 3 * time.Second}
+	l := directory.NewList(func(key string, value []byte, now time.Time) (directory.Target, error) {
+		d := left[string(value)]
+		return directory.Target{ID: key, WarmUpUntil: now.Add(d), Cold: d > 0}, nil
+	})
+	for i, step := range []struct {
+		value   string
+		changes int
+		after   time.Duration
+	}{{"warm", 1, 0}, {"warm", 0, 0}, {"cold", 1, time.Second}, {"cold", 0, time.Second}, {"again", 1, 3 * time.Second}, {"warm", 1, 0}} {
+		got := len(l.Apply([]platform.Entry{put("a", step.value, int64(i+1))}, false, start))
+		if until := l.Targets()[0].WarmUpUntil; got != step.changes || !until.Equal(start.Add(step.after)) {
+			t.Errorf("step %d: %d changes, want %d; cold for %s, want %s", i, got, step.changes, until.Sub(start), step.after)
+		}
+	}
+}
+
 // Guards against a late change or removal that overrides a newer one.
 func TestOlderChangesAreIgnored(t *testing.T) {
 	l := directory.NewList(decode)
--- a/gateway/dispatch/closed.go
+++ b/gateway/dispatch/closed.go
@@ -19,6 +19,8 @@
 	CountRetryAfterRejected(service string)
 	// CountUnreadableLoad counts a load report that could not be read.
 	CountUnreadableLoad(service string)
+	// CountPaceHeldBack counts how often a target was passed over because of its pace.
+	CountPaceHeldBack(service string, n int)
 }
 
 // RecordResponse merges what a response says about its target: its load, that it is leaving, or
@@ -50,6 +52,9 @@
 	if o.Status == http.StatusServiceUnavailable && o.Info.RetryAfter != "" {
 		s.recordRetryAfter(o)
 	}
+	if o.Info.ColdFor > 0 {
+		s.recordCold(o)
+	}
 	s.recordLoad(o)
 }
 
@@ -105,12 +110,12 @@
 	line.Log(s.log, attrs...)
 }
 
-// MaySend reports whether a target may get requests. It is asked immediately before each send:
-// the target may have been closed since the grant.
+// MaySend reports whether a granted request may go on at a target, which may have been closed or
+// have become cold since the grant.
 func (s *Scheduler) MaySend(target string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.pool.Closure(target, time.Now()) == drain.Open
+	return s.pool.MaySend(target, time.Now())
 }
 
 // LeavingSince returns the targets whose responses to this host have stated, at or after the given
--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -162,6 +162,7 @@
 	for _, g := range grants {
 		s.deliver(g.Waiter, acquireResult{target: s.targets[g.Target]})
 	}
+	s.reportPace(now)
 	s.announceStarvation(now)
 	if at := s.pool.NextWake(now); at.IsZero() {
 		s.timer.Stop()
--- a/gateway/dispatch/schedulers.go
+++ b/gateway/dispatch/schedulers.go
@@ -8,6 +8,7 @@
 
 	"sardinefront.dev/gateway/directory"
 	"sardinefront.dev/gateway/routing"
+	"sardinefront.dev/sched/pace"
 	"sardinefront.dev/sched/reserve"
 )
 
@@ -203,6 +204,9 @@
 		}
 		ready := slices.ContainsFunc(byService[name], func(t directory.Target) bool { return !t.Draining })
 		scheduler.setWithdrawn(table.Service(name) == nil && !ready)
+		if service := table.Service(name); service != nil {
+			scheduler.setColdBound(pace.Bound{PerSecond: service.ColdRate, Duration: service.ColdTime})
+		}
 		scheduler.setTargets(byService[name], s.zone)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,6 +33,7 @@
 	"sardinefront.dev/gateway/routing"
 	"sardinefront.dev/gateway/settings"
 	"sardinefront.dev/gateway/upstream"
+	"sardinefront.dev/sched/pace"
 	"sardinefront.dev/sched/reserve"
 )
 
@@ -106,6 +107,7 @@
 	// usageReports is used only by the loop that sends heartbeats.
 	usageReports usageReports
 	targetIndex  targetIndex
+	knownHosts   pace.Membership // used only by runMaintenance
 	// directoryChange serialises onDirectoryChange, so that the newest state is applied last.
 	directoryChange sync.Mutex
 	// restoredSpeeds holds the gaps between events from the checkpoint, in microseconds by
@@ -359,6 +361,7 @@
 		hosts := 1 + len(g.mesh.Alive(now))
 		g.retryBudget.SetHosts(hosts)
 		g.schedulers.SetHostCount(hosts)
+		g.schedulers.SetKnownHosts(g.knownHosts.Observe(1+g.mesh.KnownCount(), now))
 	})
 }
 
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -52,7 +52,8 @@
 			telemetry.GaugeValue{Labels: []string{name, "used"}, Value: float64(s.Targets)},
 			telemetry.GaugeValue{Labels: []string{name, "ejected"}, Value: float64(s.Ejected)},
 			telemetry.GaugeValue{Labels: []string{name, "leaving"}, Value: float64(s.Leaving)},
-			telemetry.GaugeValue{Labels: []string{name, "backed-off"}, Value: float64(s.BackedOff)})
+			telemetry.GaugeValue{Labels: []string{name, "backed-off"}, Value: float64(s.BackedOff)},
+			telemetry.GaugeValue{Labels: []string{name, "paced"}, Value: float64(s.Paced)})
 	}
 	return out
 }
--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -358,7 +358,7 @@
 		x.recordSend(p.target, p.sentAt)
 		return x.forward(ctx, d, watch, p, p.response, p.sentAt)
 	}
-	if !d.scheduler.MaySend(p.target.Key()) {
+	if !d.scheduler.StartSend(p.target.Key()) {
 		return *closedAttempt(p.conn) // a reservation expires shortly
 	}
 	return x.roundTrip(ctx, d, p)
@@ -371,7 +371,7 @@
 	return &attempt{status: unsent, outcome: reserve.Abandoned, targetClosed: true, reason: refusal.TargetFull, err: errTargetClosed}
 }
 
-var errTargetClosed = errors.New("the target is leaving or has asked for a back-off")
+var errTargetClosed = errors.New("the target is leaving, cold or has asked for a back-off")
 
 // unreachable returns the attempt for a failed connect.
 func (x *exchange) unreachable(ctx context.Context, err error) attempt {
--- a/gateway/ingress/silence.go
+++ b/gateway/ingress/silence.go
@@ -243,6 +243,10 @@
 		if p == nil || p.reservation != "" || x.route.Kind == routing.Stream {
 			return p
 		}
+		if !w.d.scheduler.StartSend(p.target.Key()) {
+			endGrant(w.d.scheduler, p.target, *closedAttempt(p.conn))
+			continue
+		}
 		if w.sendAhead(ctx, s, p) {
 			return p
 		}
--- a/gateway/ingress/silence_test.go
+++ b/gateway/ingress/silence_test.go
@@ -40,6 +40,7 @@
 func (nopMetrics) CountTargetClosed(string, string) {}
 func (nopMetrics) CountRetryAfterRejected(string)   {}
 func (nopMetrics) CountUnreadableLoad(string)       {}
+func (nopMetrics) CountPaceHeldBack(string, int)    {}
 
 type nopPeers struct{}
 
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -239,6 +239,13 @@
 	return out
 }
 
+// KnownCount returns the number of other hosts whose addresses are known, alive or not.
+func (m *Mesh) KnownCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.peers) + len(m.lastProbe)
+}
+
 func (m *Mesh) sendLoop(ctx context.Context) {
 	t := time.NewTicker(HeartbeatInterval)
 	defer t.Stop()
--- a/gateway/protocol/protocol.go
+++ b/gateway/protocol/protocol.go
@@ -75,6 +75,8 @@
 	// Leaving is true if the target states that it is about to shut down. It finishes what it
 	// runs and wants no further requests.
 	Leaving bool
+	// ColdFor is how long the target says that it stays cold; 0 if it is not or did not say.
+	ColdFor time.Duration
 	// RetryAfter is the unparsed value of the header of that name; empty if there is none.
 	RetryAfter string
 	// Date is when the target sent the response, by its own clock; zero if it did not say.
--- a/gateway/routing/routing.go
+++ b/gateway/routing/routing.go
@@ -86,6 +86,10 @@
 	HealthPath string
 	// MaxConns is the number of connections that a target accepts from all hosts together.
 	MaxConns int
+	// ColdRate is the number of requests per second that a cold target tolerates from all hosts
+	// together, and ColdTime how long it is cold after a start; 0 for no bound.
+	ColdRate float64
+	ColdTime time.Duration
 	// Engine is nil for plain HTTP services.
 	Engine *Engine
 }
--- a/sched/pace/cold.go
+++ b/sched/pace/cold.go
@@ -88,10 +88,15 @@
 	}
 }
 
-// Spend reports whether a request may be sent now, and uses up its admission. It must be called
-// immediately before the send: the target may have become cold since the grant.
+// Admitted reports whether a request may still be sent: the target may have become cold since the
+// grant.
+func (c *Cold) Admitted(b Bound, now time.Time) bool {
+	return !c.IsCold(b, now) || now.Sub(c.admittedAt) <= maxSendDelay
+}
+
+// Spend is Admitted for the moment of the send, and uses up the admission.
 func (c *Cold) Spend(b Bound, now time.Time) bool {
-	admittedAt := c.admittedAt
+	admitted := c.Admitted(b, now)
 	c.admittedAt = time.Time{}
-	return !c.IsCold(b, now) || now.Sub(admittedAt) <= maxSendDelay
+	return admitted
 }
--- a/sched/reserve/choose.go
+++ b/sched/reserve/choose.go
@@ -127,7 +127,7 @@
 	if !p.cfg.Reservations {
 		capacity *= serviceOvercommit
 	}
-	return float64(t.inflight) < capacity
+	return float64(t.inflight) < capacity && p.paceAllows(t, now)
 }
 
 // unmeasuredGap returns the gap assumed for a target without a sample. Once there is a slow
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -14,6 +14,7 @@
 	"sardinefront.dev/core/request"
 	"sardinefront.dev/sched/drain"
 	"sardinefront.dev/sched/flow"
+	"sardinefront.dev/sched/pace"
 )
 
 const (
@@ -49,6 +50,9 @@
 	// ejected, as of the last Dispatch.
 	openCount, ejectedCount int
 	hostCount               int // hosts that share the targets, including this one
+	coldBound               pace.Bound
+	knownHosts              int // see SetKnownHosts
+	heldBack                int // see TakeHeldBack
 	// pacers delay attempts, one pacer per speed class. Classes are paced separately:
 	// slow targets stay full for longer, and refusals of fast or slow targets do not indicate
 	// that unmeasured ones are full.
@@ -103,6 +107,7 @@
 			delete(p.departedInflight, info.Name)
 		}
 		t.Target = info
+		t.cold.Extend(info.WarmUpUntil)
 		if c, changed := t.observeList(); changed {
 			changes = append(changes, c)
 		}
@@ -236,6 +241,7 @@
 		p.queue.Dequeue(it)
 		p.dequeue(w)
 		t.inflight++
+		p.startPaced(t, now)
 		t.reopeningBusy = t.reopening
 		if !t.slotFreed {
 			p.delayNext(p.pacer(t), now) // the next attempts wait for the outcome of this one
@@ -313,11 +319,13 @@
 	Ejected  int
 	// Leaving and BackedOff count the targets that get nothing from this host for that reason.
 	Leaving, BackedOff int
+	// Paced counts the targets that are cold.
+	Paced int
 }
 
 // Stats returns the current counts.
 func (p *Pool) Stats(now time.Time) Stats {
-	s := Stats{Targets: len(p.order), Ejected: p.ejectedCount}
+	s := Stats{Targets: len(p.order), Ejected: p.ejectedCount, Paced: p.pacedTargets(now)}
 	for t := range s.Waiting {
 		s.Waiting[t] = p.queue.Len(request.Tier(t))
 	}
--- a/sched/reserve/target.go
+++ b/sched/reserve/target.go
@@ -5,6 +5,7 @@
 
 	"sardinefront.dev/sched/drain"
 	"sardinefront.dev/sched/health"
+	"sardinefront.dev/sched/pace"
 )
 
 const (
@@ -104,6 +105,10 @@
 	// reopening is set from the start of a back-off until the target has accepted a request
 	// after it. Meanwhile reopeningBusy is set while one is at the target.
 	reopening, reopeningBusy bool
+	// cold limits the requests while the target is cold.
+	cold pace.Cold
+	// paced is set while the target is cold, as of the last PaceChanges.
+	paced bool
 	// peerEjectedUntil is when another host's ejection stops counting.
 	peerEjectedUntil time.Time
 	// preference is a random number in 0..1 drawn by this host; lower is better. Hosts
