--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -54,7 +54,8 @@
 			telemetry.GaugeValue{Labels: []string{name, "ejected"}, Value: float64(s.Ejected)},
 			telemetry.GaugeValue{Labels: []string{name, "leaving"}, Value: float64(s.Leaving)},
 			telemetry.GaugeValue{Labels: []string{name, "backed-off"}, Value: float64(s.BackedOff)},
-			telemetry.GaugeValue{Labels: []string{name, "evacuated"}, Value: float64(s.Evacuated)})
+			telemetry.GaugeValue{Labels: []string{name, "evacuated"}, Value: float64(s.Evacuated)},
+			telemetry.GaugeValue{Labels: []string{name, "paced"}, Value: float64(s.Paced)})
 	}
 	return out
 }
