Estimate when a request finishes at a target

The cost of a target was the gap between events times 25, whatever the request and the target's load. It is now the expected finish: reading the prompt at the target's speed, the load it reports with this host's sends since, and the gap for each event that the request asks for.

--- a/core/telemetry/telemetry.go
+++ b/core/telemetry/telemetry.go
@@ -43,6 +43,7 @@
 	{"sardinefront_reservations", "counter", "{reservation}", []string{"service", "result"}, "Reservations requested from engines, by result."},
 	{"sardinefront_queue_wait", "histogram", "s", []string{"tier"}, "Time from arrival until the request is sent to a target."},
 	{"sardinefront_event_pause", "histogram", "s", []string{"tier"}, "Longest pause between two events of a completed response stream."},
+	{"sardinefront_first_event_error", "histogram", "s", []string{"tier"}, "Difference between the expected and the measured time from the send of a request to the first event of its stream, without its sign."},
 	{"sardinefront_target_connections", "counter", "{connection}", []string{"result"}, "Attempts to open a connection to a target, by result."},
 	{"sardinefront_prompt_parts", "counter", "{change}", []string{"change"}, "Changes of the state of prompt parts that crash targets: suspected, quarantined or released."},
 	{"sardinefront_waiting", "gauge", "{request}", []string{"tier", "service"}, "Requests waiting for a target."},
@@ -195,6 +196,11 @@
 	m.add("sardinefront_targets_closed", 1, attribute.String("service", service), attribute.String("reason", reason))
 }
 
+// RecordFirstEventError records by how much the expected time to the first event of a stream was wrong.
+func (m *Metrics) RecordFirstEventError(t request.Tier, seconds float64) {
+	m.recordSeconds("sardinefront_first_event_error", t, seconds)
+}
+
 // CountUnreadableLoad counts a load report of a target that could not be read.
 func (m *Metrics) CountUnreadableLoad(service string) {
 	m.add("sardinefront_load_reports_unreadable", 1, attribute.String("service", service))
--- a/gateway/dispatch/closed.go
+++ b/gateway/dispatch/closed.go
@@ -56,7 +56,7 @@
 // recordLoad records the load report of a response. The caller holds s.mu.
 func (s *Scheduler) recordLoad(o upstream.Observation) {
 	if l := o.Info.Load; l != nil && !o.SentAt.IsZero() {
-		s.pool.RecordLoad(o.Target, l.Running, l.Waiting, l.Slots, o.ReceivedAt)
+		s.pool.RecordLoad(o.Target, l.Running, l.Waiting, l.Slots, l.WorkTime, o.ReceivedAt)
 	}
 	if o.Info.UnreadableLoad == "" {
 		return
--- a/sched/reserve/choose.go
+++ b/sched/reserve/choose.go
@@ -4,15 +4,13 @@
 	"time"
 
 	"sardinefront.dev/sched/drain"
+	"sardinefront.dev/sched/finish"
 	"sardinefront.dev/sched/health"
 )
 
 const (
 	// crossZonePenalty is added to the cost of targets in other availability zones.
 	crossZonePenalty = 30 * time.Millisecond
-	// typicalEventCount is the assumed number of events of a response. It converts the gap
-	// between events into a response time.
-	typicalEventCount = 25
 	// defaultGap and defaultLatency are assumed for targets without a sample.
 	defaultGap     = 8 * time.Millisecond
 	defaultLatency = 25 * time.Millisecond
@@ -74,7 +72,7 @@
 				continue
 			}
 		}
-		c := p.cost(t, l, now) * (1 + preferenceWeight*t.preference + costJitter*p.rnd.Float64())
+		c := p.cost(w, t, l, now) * (1 + preferenceWeight*t.preference + costJitter*p.rnd.Float64())
 		if best == nil || c < bestCost {
 			best, bestCost = t, c
 		}
@@ -150,13 +148,19 @@
 	return orDefault(t.gap, p.unmeasuredGap(l))
 }
 
+// estimate estimates when a streamed request gets its events at a target.
+func (p *Pool) estimate(w *Waiter, t *target, l Lane, now time.Time) finish.Estimate {
+	t.snapshot.Gap, t.snapshot.FastGap = p.expectedGap(t, l, now), p.fastGap
+	return finish.EstimateStream(&t.snapshot, w.work(), now)
+}
+
 // cost estimates the response time of a request at a target, in seconds, with penalties.
-func (p *Pool) cost(t *target, l Lane, now time.Time) float64 {
+func (p *Pool) cost(w *Waiter, t *target, l Lane, now time.Time) float64 {
 	c := 0.0
 	if p.cfg.Reservations {
-		c = p.expectedGap(t, l, now).Seconds() * typicalEventCount
+		c = p.estimate(w, t, l, now).Finish.Seconds()
 	} else {
-		c = orDefault(t.latency, defaultLatency).Seconds() * (1 + max(t.utilization(), t.reportedLoad(now)))
+		c = finish.EstimateResponse(&t.snapshot, orDefault(t.latency, defaultLatency), t.utilization(), now).Seconds()
 	}
 	if now.Before(t.WarmUpUntil) {
 		c *= warmUpCostFactor
--- a/sched/reserve/lanes.go
+++ b/sched/reserve/lanes.go
@@ -56,15 +56,16 @@
 
 // classifyTargets updates the slow threshold and marks the targets above it as slow.
 func (p *Pool) classifyTargets(now time.Time) {
-	p.slowThreshold = p.computeSlowThreshold()
+	p.fastGap = p.computeFastGap()
+	p.slowThreshold = time.Duration(slowGapFactor * float64(p.fastGap))
 	for _, t := range p.order {
 		t.slow = p.slowThreshold > 0 && t.gap > p.slowThreshold && !t.gapStale(now)
 	}
 }
 
-// computeSlowThreshold returns the gap between events above which a target is slow, or 0 if
-// too few targets are measured.
-func (p *Pool) computeSlowThreshold() time.Duration {
+// computeFastGap returns the gap between events at a fast target, or 0 if too few targets are
+// measured.
+func (p *Pool) computeFastGap() time.Duration {
 	if !p.cfg.Reservations {
 		return 0
 	}
@@ -78,8 +79,7 @@
 		return 0
 	}
 	slices.Sort(p.gapScratch)
-	fastGap := p.gapScratch[int(fastQuantile*float64(len(p.gapScratch)-1))]
-	return time.Duration(slowGapFactor * float64(fastGap))
+	return p.gapScratch[int(fastQuantile*float64(len(p.gapScratch)-1))]
 }
 
 // blockedByFloor reports whether the floor of a more urgent lane than l is active: another host
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -58,7 +58,7 @@
 	floors [LaneCount]time.Time
 	// starvingHosts holds the hosts that have starved requests.
 	starvingHosts map[string]floor
-	gapScratch    []time.Duration // buffer of computeSlowThreshold
+	gapScratch    []time.Duration // buffer of computeFastGap
 	waits         waitHistory
 	// departed holds the closures of targets that were removed from the list, in the order of
 	// departedOrder.
@@ -71,6 +71,8 @@
 	// slowThreshold is the gap between events above which a target is slow, as of the last
 	// Dispatch with waiting requests; 0 if too few targets are measured.
 	slowThreshold time.Duration
+	// fastGap is the gap between events at a fast target, as of the same time.
+	fastGap time.Duration
 }
 
 // New returns a pool without targets.
@@ -103,6 +105,7 @@
 			delete(p.departedInflight, info.Name)
 		}
 		t.Target = info
+		t.snapshot.Slots = info.Slots
 		if c, changed := t.observeList(); changed {
 			changes = append(changes, c)
 		}
@@ -235,7 +238,9 @@
 		}
 		p.queue.Dequeue(it)
 		p.dequeue(w)
+		w.expectedFirstEvent = p.estimate(w, t, l, now).FirstEvent
 		t.inflight++
+		t.snapshot.Load.RecordSend()
 		t.reopeningBusy = t.reopening
 		if !t.slotFreed {
 			p.delayNext(p.pacer(t), now) // the next attempts wait for the outcome of this one
--- a/sched/reserve/target.go
+++ b/sched/reserve/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sardinefront.dev/sched/drain"
+	"sardinefront.dev/sched/finish"
 	"sardinefront.dev/sched/health"
 )
 
@@ -120,8 +121,7 @@
 	localMeasuredAt     time.Time // time of this host's newest measurement; zero if a peer's replaced it
 	latency             time.Duration
 	respondedAt         time.Time // time of the newest first byte of a response
-	load                float64   // running and waiting requests per slot, from the last load report
-	loadReportedAt      time.Time
+	snapshot            finish.Snapshot
 }
 
 // recordGap adds a sample of the gap between events; 0 is ignored.
@@ -156,16 +156,10 @@
 
 func (t *target) utilization() float64 { return float64(t.inflight) / float64(max(1, t.Slots)) }
 
-// loadTTL is the age at which a load report has lost all of its weight.
-const loadTTL = 300 * time.Millisecond
-
-// reportedLoad returns the load of the last load report, reduced linearly with its age.
-func (t *target) reportedLoad(now time.Time) float64 {
-	age := now.Sub(t.loadReportedAt)
-	if age > loadTTL {
-		return 0
-	}
-	return t.load * (1 - float64(age)/float64(loadTTL))
+// endRequest removes a request of this host from the counts.
+func (t *target) endRequest() {
+	t.inflight = max(0, t.inflight-1)
+	t.snapshot.Load.RecordEnd()
 }
 
 func orDefault(d, fallback time.Duration) time.Duration {
@@ -183,7 +177,7 @@
 		p.endDeparted(name)
 		return
 	}
-	t.inflight = max(0, t.inflight-1)
+	t.endRequest()
 	t.reopeningBusy = false
 	if t.drain.Closure(now) != drain.Open {
 		return // says nothing about the free slots of other targets
@@ -261,11 +255,12 @@
 	}
 }
 
-// RecordLoad records a load report of a target.
-func (p *Pool) RecordLoad(name string, running, waiting, slots int, now time.Time) {
-	if t := p.targets[name]; t != nil && slots > 0 {
-		t.load = float64(running+waiting) / float64(slots)
-		t.loadReportedAt = now
+// RecordLoad records a load report of a target. workTime is how long work takes there as a multiple
+// of the usual time, 0 if that is unknown.
+func (p *Pool) RecordLoad(name string, running, waiting, slots int, workTime float64, now time.Time) {
+	if t := p.targets[name]; t != nil {
+		t.snapshot.Load.Report(running, waiting, slots, now)
+		t.snapshot.Work.Report(workTime, now)
 	}
 }
 
@@ -291,7 +286,7 @@
 
 // recordOutcome updates the target and returns the reason if the outcome ejects it.
 func (p *Pool) recordOutcome(t *target, o Outcome, s Sample, now time.Time) string {
-	t.inflight = max(0, t.inflight-1)
+	t.endRequest()
 	t.slotFreed = true
 	t.fullUntil = time.Time{}
 	t.consecutiveRefusals = 0
--- a/sched/reserve/waiter.go
+++ b/sched/reserve/waiter.go
@@ -5,6 +5,7 @@
 
 	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/core/request"
+	"sardinefront.dev/sched/finish"
 	"sardinefront.dev/sched/flow"
 	"sardinefront.dev/sched/health"
 )
@@ -35,6 +36,8 @@
 	// LatencyGoal is the goal for the first event, 0 for none. PrefillTime is the expected time
 	// to read the prompt at a fast target.
 	LatencyGoal, PrefillTime time.Duration
+	// EventTokens is the number of tokens in one event of a stream, 0 if unknown.
+	EventTokens int
 
 	// RolloutVersion, if not empty, is the version that a rollout moves to. The request
 	// uses only targets of that version, or only targets of other versions if
@@ -50,6 +53,17 @@
 	standby       bool      // the request is still running at a silent target
 	queued        bool
 	queuedAt      time.Time
+	// expectedFirstEvent is the expected time to the first event at the last granted target.
+	expectedFirstEvent time.Duration
+}
+
+// ExpectedFirstEvent returns the expected time from the send to the first event of a stream at the
+// target of the last grant. It must not be called while the request waits.
+func (w *Waiter) ExpectedFirstEvent() time.Duration { return w.expectedFirstEvent }
+
+// work returns the request's work at an engine.
+func (w *Waiter) work() finish.Request {
+	return finish.Request{Prefill: w.PrefillTime, Events: finish.ExpectedEvents(w.Request.MaxTokens, w.EventTokens)}
 }
 
 // Exclude keeps the request from being dispatched to a target again.
