Send a misdirected request to another target at once

A 421 says that another incarnation has the address, and that the request has not run. It counted as an attempt, so routes with one attempt refused it as target-full although the retry budget and other targets had room. Up to three such sends no longer count; the retry budget is still charged. Refusals as target-full after one or two sends are those of routes with as many attempts (log text: 'retry budget used up: false'); the text now names both numbers.

Also record the error of the expected time to the first event.

--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -121,6 +121,7 @@
 	var next *placement
 	for resubmit := false; ; resubmit = true {
 		p := next
+		x.expectedFirstEvent = 0
 		if p == nil {
 			target, err := scheduler.Acquire(ctx, d.waiter, resubmit)
 			if err != nil {
@@ -128,6 +129,7 @@
 				return
 			}
 			p = &placement{target: target}
+			x.expectedFirstEvent = d.waiter.ExpectedFirstEvent()
 		}
 		if ref := x.checkParts(); ref != nil {
 			x.release(scheduler, p)
@@ -233,6 +235,9 @@
 	if att.sent && att.status == failed {
 		x.mayHaveRun = true
 	}
+	if att.sent && att.reason == refusal.TargetAddressReused {
+		x.misdirectedSends++
+	}
 	if !att.sent {
 		x.unsentAttempts++
 	}
@@ -317,7 +322,7 @@
 
 // checkResend returns a refusal unless the route and the retry budget allow another send.
 func (x *exchange) checkResend(target directory.Target, att attempt) *refusal.Refusal {
-	reason, attemptsLeft := refusal.TargetFull, x.sends < x.route.MaxAttempts
+	reason, attemptsLeft := refusal.TargetFull, x.attemptsLeft()
 	if attemptsLeft && x.chargeRetryBudget() {
 		return nil
 	}
@@ -327,9 +332,22 @@
 	if x.mayHaveRun {
 		reason = att.reason
 	}
-	return refusal.New(reason, "target %s: %v; %d sends, retry budget used up: %t", target.ID, att.err, x.sends, attemptsLeft)
+	return refusal.New(reason, "target %s: %v; %d sends of %d allowed, retry budget used up: %t", target.ID, att.err, x.sends, x.allowedSends(), attemptsLeft)
 }
 
+// maxMisdirectedSends bounds the sends to reused addresses that a request may make beside those that
+// its route allows. A list of targets that is further off than that is repaired by a new one.
+const maxMisdirectedSends = 3
+
+// allowedSends returns how often the request may be sent. A send that reached another incarnation than
+// the target's is none to that target and does not count.
+func (x *exchange) allowedSends() int {
+	return x.route.MaxAttempts + min(maxMisdirectedSends, x.misdirectedSends)
+}
+
+// attemptsLeft reports whether the route allows another send.
+func (x *exchange) attemptsLeft() bool { return x.sends < x.allowedSends() }
+
 // chargeRetryBudget reports whether the retry budget allows another send. It charges the
 // budget once for each further send.
 func (x *exchange) chargeRetryBudget() bool {
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -45,6 +45,9 @@
 	RecordQueueWait(tier request.Tier, seconds float64)
 	// RecordEventPause records the longest gap between events of a stream, in seconds.
 	RecordEventPause(tier request.Tier, seconds float64)
+	// RecordFirstEventError records by how much the expected time from the send to the first event
+	// of a stream was wrong, in seconds.
+	RecordFirstEventError(tier request.Tier, seconds float64)
 	// RecordFirstToken records the time to the first byte of a response, in seconds.
 	RecordFirstToken(tier request.Tier, seconds float64)
 }
@@ -135,11 +138,16 @@
 	targetVersion string
 	// queueWait is the time from arrival until the last send.
 	queueWait time.Duration
+	// expectedFirstEvent is the expected time to the first event at the target that was granted last,
+	// 0 at one that took over from a silent target.
+	expectedFirstEvent time.Duration
 	// unsentAttempts counts attempts that ended before the request was sent: refused
 	// reservations and unreachable targets.
 	unsentAttempts int
 	// sends counts how often the request was sent to a target.
 	sends int
+	// misdirectedSends counts those of them that reached another incarnation than the target's.
+	misdirectedSends int
 	// grantedSends is the value of sends for which the retry budget granted one more, so that
 	// a retry is charged once.
 	grantedSends int
@@ -418,6 +426,9 @@
 // waiter returns the queue entry of the request, with the version that a rollout assigns.
 func (x *exchange) waiter() *reserve.Waiter {
 	w := newWaiter(x.request, x.route)
+	if service := x.table.Service(x.service); service != nil && service.Engine != nil {
+		w.EventTokens = service.Engine.EventTokens
+	}
 	if split := x.cfg.Rollouts.Split(x.service, x.arrived); split.Version != "" {
 		w.RolloutVersion, w.AvoidRolloutVersion, w.RolledBack = split.Version, rand.Float64() >= split.Share, split.RolledBack
 	}
--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -109,7 +109,7 @@
 // firstByteTimeout returns the time to wait for the response headers, and for each part of the body
 // that is buffered, before another target is sought; 0 means until the deadline.
 func (x *exchange) firstByteTimeout() time.Duration {
-	if !x.route.Idempotent() || x.sends >= x.route.MaxAttempts {
+	if !x.route.Idempotent() || !x.attemptsLeft() {
 		return 0
 	}
 	if x.route.Kind == routing.Stream {
@@ -133,7 +133,7 @@
 // shouldRetryStatus reports whether the request is retried after a 5xx response. It charges the
 // retry budget. If no retry is allowed, the response is forwarded.
 func (x *exchange) shouldRetryStatus(status int) bool {
-	return status >= 500 && x.route.Idempotent() && !x.headSent && x.sends < x.route.MaxAttempts && x.chargeRetryBudget()
+	return status >= 500 && x.route.Idempotent() && !x.headSent && x.attemptsLeft() && x.chargeRetryBudget()
 }
 
 // failedAttempt returns the attempt of a request that may have run. If ctx has ended, the
--- a/gateway/ingress/silence.go
+++ b/gateway/ingress/silence.go
@@ -238,7 +238,7 @@
 // request was sent as often as its route allows.
 func (w *silenceWatch) findReplacement(ctx context.Context, s *search) *placement {
 	x := w.x
-	for x.sends+s.failedSends < x.route.MaxAttempts {
+	for x.sends+s.failedSends < x.allowedSends() {
 		p := w.findAllowedPlacement(ctx)
 		if p == nil || p.reservation != "" || x.route.Kind == routing.Stream {
 			return p
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -127,7 +127,7 @@
 // resume the stream; 0 means until the deadline. events is the number received so far in this
 // attempt.
 func (x *exchange) eventTimeout(events int) time.Duration {
-	if !x.route.Resumable || x.notResumable || x.sends >= x.route.MaxAttempts {
+	if !x.route.Resumable || x.notResumable || !x.attemptsLeft() {
 		return 0
 	}
 	if events == 0 && !x.headSent {
@@ -180,6 +180,13 @@
 	return (t.lastAt.Sub(t.firstAt) - t.longestGap) / time.Duration(t.events-2)
 }
 
+// recordEstimate records the error of the expected time to the first event.
+func (x *exchange) recordEstimate(timing streamTiming) {
+	if x.expectedFirstEvent > 0 && timing.events > 0 {
+		x.cfg.Metrics.RecordFirstEventError(x.request.Tier, (timing.firstEventDelay() - x.expectedFirstEvent).Abs().Seconds())
+	}
+}
+
 // finishStream returns the attempt of a stream whose next event could not be read; err is
 // io.EOF at the regular end.
 func (x *exchange) finishStream(ctx context.Context, conn *upstream.Conn, resp *upstream.Response, err error, timing streamTiming) attempt {
@@ -190,6 +197,7 @@
 		x.writeHead(resp, 0, false)
 		conn.Release(resp, true)
 		x.cfg.Metrics.RecordEventPause(x.request.Tier, timing.longestGap.Seconds())
+		x.recordEstimate(timing)
 		x.recordAnswered(slog.Duration("first", x.queueWait+timing.firstEventDelay()), slog.Int("events", timing.events), slog.Duration("longestPause", timing.longestGap))
 		return attempt{status: answered, sent: true, outcome: reserve.OK, sample: timing.sample(), firstByte: timing.firstEventDelay()}
 	}
--- a/gateway/repeats_test.go
+++ b/gateway/repeats_test.go
@@ -118,3 +118,28 @@
 		}
 	}
 }
+
+// Guards against a request that is refused although a target is free, because its only attempt went
+// to an address that another incarnation has taken over, which has not run it.
+func TestMisdirectedRequestIsSentToAnotherTarget(t *testing.T) {
+	for path, service := range map[string]string{pathNonIdempotent: plainName, pathNonResumable: engineName} {
+		fx := newFixture(t)
+		var arrivals, runs atomic.Int32
+		for _, id := range []string{"i-0", "i-1"} {
+			fx.addRawServer(service, id, func(c net.Conn, r *http.Request) bool {
+				if arrivals.Add(1) == 1 {
+					fmt.Fprintf(c, "HTTP/1.1 421 Misdirected\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Request-Id"))
+					return true
+				}
+				runs.Add(1)
+				writeHead(c, r, "Content-Length: 3")
+				_, err := io.WriteString(c, "ran")
+				return err == nil
+			})
+		}
+		fx.startHost()
+		if resp := fx.call("POST", path, "order"); resp.status != 200 || resp.body != "ran" || runs.Load() != 1 || arrivals.Load() != 2 {
+			t.Errorf("%s: %+v after %d arrivals and %d runs", path, resp, arrivals.Load(), runs.Load())
+		}
+	}
+}
