--- a/gateway/dispatch/closed_test.go
+++ b/gateway/dispatch/closed_test.go
@@ -22,6 +22,8 @@
 func (*countingMetrics) CountTargetClosed(string, string)  {}
 func (*countingMetrics) CountRetryAfterRejected(string)    {}
 func (m *countingMetrics) CountUnreadableLoad(name string) { m.unreadable++ }
+func (*countingMetrics) CountPaceHeldBack(string, int)     {}
+func (*countingMetrics) CountEarlyRefusal(string, string)  {}
 
 // Guards against unreadable load reports that go unnoticed, and against a log line for each of the
 // many responses of a target that sends them.
