Serve the newest first only where many requests become late

Requests with a third late now turn the order, and the median replaces the mean.

Repeats that come too soon are not told apart any more: a caller that honours a short Retry-After of a quota looks the same.

Broken streams count as ahead of new requests again.

--- a/sched/admission/admission.go
+++ b/sched/admission/admission.go
@@ -27,6 +27,22 @@
 	return first.Add(queue)
 }
 
+// medianStep is the relative step by which a tracked median follows its samples.
+const medianStep = 0.05
+
+// TrackMedian adds a sample to an approximate running median, 0 for none. Unlike a mean, it does not
+// follow the few samples of slow targets.
+func TrackMedian(median, sample time.Duration) time.Duration {
+	step := time.Duration(medianStep * float64(median))
+	switch {
+	case median == 0:
+		return sample
+	case sample > median:
+		return min(sample, median+step)
+	}
+	return max(sample, median-step)
+}
+
 // Snapshot describes the queue that a new request meets.
 type Snapshot struct {
 	// Urgent is the number of requests in lanes that are served first.
@@ -87,11 +103,15 @@
 	MaxAhead time.Duration
 }
 
+// hopelessFactor is the multiple of the longest possible wait that the expected one must exceed. The
+// estimate is uncertain, and a refusal costs the caller an attempt.
+const hopelessFactor = 2
+
 // Decide returns whether a new request is queued, and if not, why.
 func Decide(s Snapshot, r Request) Cause {
 	wait, known := s.ExpectedWait()
 	switch {
-	case known && wait > r.MaxWait:
+	case known && float64(wait) > hopelessFactor*float64(r.MaxWait):
 		return NoStartInTime
 	case r.LongestAhead > r.MaxAhead:
 		return BehindLongWait
--- a/sched/admission/returns.go
+++ b/sched/admission/returns.go
@@ -10,21 +10,10 @@
 	knownTimes = 8
 	// maxRoutes bounds the routes whose times are kept.
 	maxRoutes = 1024
-	// MinRetryAfterShare is the smallest share of a caller's remaining time that a refusal for
-	// overload asks it to wait.
-	MinRetryAfterShare = 0.2
 	// minAgeShare is the share of a limit below which a difference to it is the time until the send.
 	minAgeShare = 0.02
 )
 
-// Attempt describes how a caller's request relates to its first attempt.
-type Attempt struct {
-	// Age is the time since the first attempt, 0 for a first attempt.
-	Age time.Duration
-	// Early is true if a repeat came sooner than a refusal for overload asks for.
-	Early bool
-}
-
 // TimeLimits learns the usual time limits of the callers of each route. The zero value knows none.
 type TimeLimits struct{ routes map[string]*routeTimes }
 
@@ -36,22 +25,23 @@
 	limits []time.Duration
 }
 
-// Classify returns the age of an attempt whose caller states how long it still waits, and records
-// that time. Repeats state what is left of a usual limit, which differs each time.
-func (l *TimeLimits) Classify(route string, stated time.Duration) Attempt {
+// Age returns the time since the first attempt of a caller that states how long it still waits, and
+// records that time. It is 0 for a first attempt. Repeats state what is left of a usual limit, which
+// differs each time.
+func (l *TimeLimits) Age(route string, stated time.Duration) time.Duration {
 	if stated <= 0 {
-		return Attempt{}
+		return 0
 	}
 	r := l.route(route)
 	if r == nil {
-		return Attempt{}
+		return 0
 	}
 	limit := r.record(stated)
 	age := limit - stated
 	if float64(age) < minAgeShare*float64(limit) {
-		return Attempt{}
+		return 0
 	}
-	return Attempt{Age: age, Early: float64(age) < MinRetryAfterShare*float64(limit)}
+	return age
 }
 
 func (l *TimeLimits) route(name string) *routeTimes {
--- a/sched/admission/starts.go
+++ b/sched/admission/starts.go
@@ -47,18 +47,49 @@
 	return r.starts / r.busy
 }
 
-// orderMemory is how long new requests are served first after one has become late in the queue.
-const orderMemory = time.Second
+const (
+	// orderMemory is the time constant of the counts of Order.
+	orderMemory = time.Second
+	// minLateShare is the share of requests becoming late in the queue from which the newest are
+	// served first. Below it, most of the oldest can still be started in time.
+	minLateShare = 1.0 / 3
+	// minLate is the number of late requests, decayed, from which their share counts.
+	minLate = 2
+)
 
 // Order selects which of an organisation's fresh requests of one tier is served next. The zero value
 // serves the oldest first.
-type Order struct{ lateAt time.Time }
+type Order struct {
+	late, started float64 // decayed counts
+	last          time.Time
+}
 
 // RecordLate records that a request has become late in the queue.
-func (o *Order) RecordLate(now time.Time) { o.lateAt = now }
+func (o *Order) RecordLate(now time.Time) {
+	o.decay(now)
+	o.late++
+}
+
+// RecordStart records that a fresh request has been started.
+func (o *Order) RecordStart(now time.Time) {
+	o.decay(now)
+	o.started++
+}
+
+func (o *Order) decay(now time.Time) {
+	f := 0.0
+	if !o.last.IsZero() {
+		f = math.Exp(-now.Sub(o.last).Seconds() / orderMemory.Seconds())
+	}
+	o.late, o.started, o.last = o.late*f, o.started*f, now
+}
 
 // NewestFirst reports whether the newest request is served first. Oldest first would start each
 // request just as it becomes late while more arrive than can be started.
 func (o *Order) NewestFirst(now time.Time) bool {
-	return !o.lateAt.IsZero() && now.Sub(o.lateAt) < orderMemory
+	if o.late == 0 {
+		return false
+	}
+	f := math.Exp(-now.Sub(o.last).Seconds() / orderMemory.Seconds())
+	return o.late*f >= minLate && o.late >= minLateShare*(o.late+o.started)
 }
--- a/sched/flow/flow.go
+++ b/sched/flow/flow.go
@@ -34,12 +34,9 @@
 	// FreshUntil is when the item misses the objective for its first token. From then on
 	// it is late and waits behind the fresh items of its tier. Zero means never.
 	FreshUntil time.Time
-	// Returning is true for a repeat that came no sooner than its caller was told. It precedes its
-	// organisation's other late items.
+	// Returning is true for a repeat and for an item that was started before. Once late, it precedes
+	// its organisation's other late items.
 	Returning bool
-	// Early is true for a repeat that came sooner. While the newest items are served first, it
-	// follows its organisation's other fresh items.
-	Early bool
 
 	queue         *fairQueue
 	pushedAt      time.Time // zero if the item was not pushed, or has become late since
@@ -105,11 +102,8 @@
 	}
 	it.queue = &q.tiers[it.Request.Tier]
 	place := atBack
-	switch {
-	case front:
+	if front {
 		place = refunded
-	case it.Early && it.queue.newestFirst:
-		place = atFront // served last in that order
 	}
 	it.queue.add(it, place, q.weight(it.Request.Organisation))
 }
@@ -273,6 +267,14 @@
 	return out
 }
 
+// RecordStart records that an item which is about to be dequeued is started. The order of fresh items
+// depends on how many are started before they become late.
+func (q *Queue) RecordStart(it *Item, now time.Time) {
+	if t := it.Request.Tier; it.queue == &q.tiers[t] {
+		q.order[t].RecordStart(now)
+	}
+}
+
 // Dequeue removes an item that Next or Head returned and charges its organisation.
 func (q *Queue) Dequeue(it *Item) {
 	q.unindex(it)
--- a/sched/reserve/admit.go
+++ b/sched/reserve/admit.go
@@ -15,12 +15,12 @@
 // setLatestStart sets FreshUntil to the latest time at which the request can start and meet its goal,
 // which counts from the caller's first attempt.
 func (p *Pool) setLatestStart(w *Waiter) {
-	w.attempt = p.timeLimits.Classify(w.Request.Route, w.StatedTimeout)
+	w.age = p.timeLimits.Age(w.Request.Route, w.StatedTimeout)
 	if w.FreshUntil.IsZero() || w.LatencyGoal <= 0 {
 		return
 	}
 	g := admission.Goal{
-		Arrived: w.Request.Arrived, Age: w.attempt.Age, Limit: w.LatencyGoal,
+		Arrived: w.Request.Arrived, Age: w.age, Limit: w.LatencyGoal,
 		StartDelay: max(w.PrefillTime, p.firstEvent[w.Request.Route]),
 	}
 	w.FreshUntil = earlier(w.FreshUntil, g.LatestStart())
@@ -32,7 +32,7 @@
 		p.firstEvent = map[string]time.Duration{}
 	}
 	if _, known := p.firstEvent[route]; known || len(p.firstEvent) < maxRoutes {
-		p.firstEvent[route] = smooth(p.firstEvent[route], length)
+		p.firstEvent[route] = admission.TrackMedian(p.firstEvent[route], length)
 	}
 }
 
@@ -68,14 +68,15 @@
 	}
 	b := p.queue.Backlog(lanes[own].tier, lanes[own].late, w.Request.Organisation)
 	s.Lane, s.Own, s.Organisations = b.Count, b.Own, b.Organisations
-	if !lanes[own].late && p.queue.NewestFirst(lanes[own].tier, now) && !w.attempt.Early {
+	if !lanes[own].late && p.queue.NewestFirst(lanes[own].tier, now) {
 		s.Own = 0
 	}
 	return s
 }
 
 // admissionRequest returns how long the request can wait, and how long those of its organisation and
-// tier have waited. Late ones do not precede a fresh request, unless nothing is started at all.
+// tier have waited. Late ones do not precede a fresh request, unless nothing is started at all. A
+// request whose attempt has failed counts as ahead: its caller waits for the rest of a response.
 func (p *Pool) admissionRequest(w *Waiter, now time.Time) admission.Request {
 	r := admission.Request{
 		MaxWait:  w.queueItem().LatestStart.Sub(now),
@@ -87,7 +88,7 @@
 			continue
 		}
 		waited := now.Sub(other.queuedAt)
-		if laneOf(other, now) > own {
+		if laneOf(other, now) > own && other.extendedUntil.IsZero() {
 			r.LongestOvertaken = max(r.LongestOvertaken, waited)
 		} else {
 			r.LongestAhead = max(r.LongestAhead, waited)
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -167,6 +167,7 @@
 // precedes its organisation's other requests.
 func (p *Pool) Resubmit(w *Waiter) {
 	w.item = w.queueItem()
+	w.item.Returning = true
 	p.queue.PushFront(&w.item)
 	w.queued = true
 	p.waiters[&w.item] = w
@@ -250,6 +251,7 @@
 		if t == nil {
 			return grants
 		}
+		p.queue.RecordStart(it, now)
 		p.queue.Dequeue(it)
 		p.dequeue(w)
 		t.inflight++
--- a/sched/reserve/waiter.go
+++ b/sched/reserve/waiter.go
@@ -50,7 +50,7 @@
 	standby       bool      // the request is still running at a silent target
 	queued        bool
 	queuedAt      time.Time
-	attempt       admission.Attempt
+	age           time.Duration // time since the caller's first attempt, on arrival
 	refusedFor    admission.Cause
 }
 
@@ -115,7 +115,7 @@
 	}
 	return flow.Item{
 		Request: w.Request, Cost: float64(w.Request.EstimatedTokens()), FreshUntil: w.FreshUntil, LatestStart: latest,
-		Returning: w.attempt.Age > 0 && !w.attempt.Early, Early: w.attempt.Early,
+		Returning: w.age > 0,
 	}
 }
 
