--- a/gateway/dispatch/closed.go
+++ b/gateway/dispatch/closed.go
@@ -22,6 +22,8 @@
 	CountUnreadableLoad(service string)
 	// CountPaceHeldBack counts how often a target was passed over because of its pace.
 	CountPaceHeldBack(service string, n int)
+	// CountEarlyRefusal counts a request that was refused on arrival for lack of room, by cause.
+	CountEarlyRefusal(service, cause string)
 }
 
 // RecordResponse merges what a response says about its target: its load, that it is leaving, or
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -27,6 +27,7 @@
 		"sardinefront_waiting":         g.waitingSamples,
 		"sardinefront_targets":         g.targetSamples,
 		"sardinefront_evacuated_zones": func() []telemetry.GaugeValue { return one(float64(len(g.dir.EvacuatedZones()))) },
+		"sardinefront_expected_wait":   g.expectedWaitSamples,
 	}
 	for name, read := range gauges {
 		if err := g.cfg.Metrics.RegisterGauge(name, read); err != nil {
@@ -46,6 +47,14 @@
 	return out
 }
 
+func (g *Gateway) expectedWaitSamples() []telemetry.GaugeValue {
+	var out []telemetry.GaugeValue
+	for name, s := range g.schedulers.Stats() {
+		out = append(out, telemetry.GaugeValue{Labels: []string{name}, Value: s.ExpectedWait.Seconds()})
+	}
+	return out
+}
+
 func (g *Gateway) targetSamples() []telemetry.GaugeValue {
 	var out []telemetry.GaugeValue
 	for name, s := range g.schedulers.Stats() {
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -429,6 +429,7 @@
 	if service := x.table.Service(x.service); service != nil && service.Engine != nil {
 		w.EventTokens = service.Engine.EventTokens
 	}
+	w.StatedTimeout = x.info.Timeout
 	if split := x.cfg.Rollouts.Split(x.service, x.arrived); split.Version != "" {
 		w.RolloutVersion, w.AvoidRolloutVersion, w.RolledBack = split.Version, rand.Float64() >= split.Share, split.RolledBack
 	}
--- a/gateway/ingress/silence_test.go
+++ b/gateway/ingress/silence_test.go
@@ -41,6 +41,7 @@
 func (nopMetrics) CountRetryAfterRejected(string)   {}
 func (nopMetrics) CountUnreadableLoad(string)       {}
 func (nopMetrics) CountPaceHeldBack(string, int)    {}
+func (nopMetrics) CountEarlyRefusal(string, string) {}
 
 type nopPeers struct{}
 
