Find the pace of started and recovered targets from their responses

A target that had just started or recovered was flooded, or left idle by its cost. It now has a window of requests in flight from this host, which starts at one, grows with each first byte within three times the usual wait of the route at other targets, is halved by slow, refused and failed requests, and ends at the target's slots. Requests that can wait probe a paced target that got nothing from this host for 50 ms times the number of hosts.

It starts with a coldLeftMs, an ejection, and for services without reservations with a back-off. After a back-off of a target with reservations it does not start: TestRequestsReturnOneByOneAfterTheBackOff wants all requests to go on after the first granted reservation, which also says that the target has room.

--- a/core/event/table.go
+++ b/core/event/table.go
@@ -39,7 +39,7 @@
 	TargetClosed          = Event{Number: 312, Name: "target closed", Level: slog.LevelInfo, Meaning: "This host sends a target no new requests, because the target is leaving or has asked for a back-off. The line names the source, the age and the end of the back-off."}
 	TargetReopened        = Event{Number: 313, Name: "target reopened", Level: slog.LevelInfo, Meaning: "A target that was leaving no longer is, and receives requests again."}
 	LoadReportUnreadable  = Event{Number: 315, Name: "load report unreadable", Level: slog.LevelWarn, Meaning: "A target's load report could not be read and is ignored. It is logged once per target; a counter counts all."}
-	TargetPaced           = Event{Number: 316, Name: "target paced", Level: slog.LevelInfo, Meaning: "A target is cold; this host sends it only its share of the requests that the service allows for cold targets.", Sampled: true}
+	TargetPaced           = Event{Number: 316, Name: "target paced", Level: slog.LevelInfo, Meaning: "A target is cold, has just started or has just recovered; this host sends it few requests until it responds in time.", Sampled: true}
 	TargetAtFullPace      = Event{Number: 317, Name: "target at full pace", Level: slog.LevelInfo, Meaning: "A paced target receives requests without that limit.", Sampled: true}
 	RetryAfterRejected    = Event{Number: 314, Name: "retry-after rejected", Level: slog.LevelWarn, Meaning: "A target's Retry-After was unreadable, negative or too long and was ignored.", Sampled: true}
 
--- a/sched/pace/cold.go
+++ b/sched/pace/cold.go
@@ -54,6 +54,9 @@
 	}
 }
 
+// WarmingUp reports whether the target is cold, whether the service bounds the requests to it or not.
+func (c *Cold) WarmingUp(now time.Time) bool { return now.Before(c.until) }
+
 // IsCold reports whether the target is cold and the service bounds the requests to it.
 func (c *Cold) IsCold(b Bound, now time.Time) bool { return b.Enabled() && now.Before(c.until) }
 
--- a/sched/reserve/choose.go
+++ b/sched/reserve/choose.go
@@ -152,6 +152,9 @@
 
 // cost estimates the response time of a request at a target, in seconds, with penalties.
 func (p *Pool) cost(t *target, l Lane, now time.Time) float64 {
+	if !lanes[l].fastOnly && p.pacedIdle(t, now) {
+		return 0
+	}
 	c := 0.0
 	if p.cfg.Reservations {
 		c = p.expectedGap(t, l, now).Seconds() * typicalEventCount
--- a/sched/reserve/closed.go
+++ b/sched/reserve/closed.go
@@ -62,6 +62,7 @@
 	}
 	if t := p.targets[name]; t != nil {
 		t.reopening, t.reopeningBusy = true, false
+		p.paceAfterBackOff(t)
 	}
 	return ClosureChange{Target: name, Closure: drain.BackedOff, Source: drain.FromResponse, At: now, Until: until}, before == drain.Open
 }
--- a/sched/reserve/pace.go
+++ b/sched/reserve/pace.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sardinefront.dev/sched/drain"
+	"sardinefront.dev/sched/health"
 	"sardinefront.dev/sched/pace"
 )
 
@@ -14,6 +15,16 @@
 // is unknown. Unlike that of SetHostCount, it includes hosts that are cut off.
 func (p *Pool) SetKnownHosts(n int) { p.knownHosts = n }
 
+// observeWarmUp records until when the list says that the target warms up, and limits a target that
+// has just started or become cold again.
+func (t *target) observeWarmUp() {
+	before := t.cold.WarmingUp(t.ListedAt)
+	t.cold.Extend(t.WarmUpUntil)
+	if !before && t.cold.WarmingUp(t.ListedAt) {
+		t.window.Start()
+	}
+}
+
 // RecordCold records that a target is cold until the given time.
 func (p *Pool) RecordCold(name string, until time.Time) {
 	if t := p.targets[name]; t != nil {
@@ -23,7 +34,9 @@
 
 // paceAllows reports whether the pace of a target allows a grant now.
 func (p *Pool) paceAllows(t *target, now time.Time) bool {
-	if t.cold.Allows(p.coldBound, p.knownHosts, p.rnd, now) {
+	// Ejected targets get requests only in panic mode, when the cause is probably not at the target.
+	inWindow := t.health.State() == health.Ejected || t.window.Allows(t.inflight)
+	if inWindow && t.cold.Allows(p.coldBound, p.knownHosts, p.rnd, now) {
 		return true
 	}
 	p.heldBack++
@@ -33,6 +46,61 @@
 // startPaced records a grant of a target.
 func (p *Pool) startPaced(t *target, now time.Time) {
 	t.cold.Admit(p.coldBound, p.knownHosts, p.rnd, now)
+	t.window.RecordGrant(now)
+}
+
+// endPaced records the outcome of a request at a target, and the reason if it was ejected for it.
+func (p *Pool) endPaced(t *target, o Outcome, ejectionReason string) {
+	if o != OK && o != Abandoned {
+		t.window.Shrink()
+	}
+	if ejectionReason != "" {
+		t.window.Start()
+	}
+}
+
+// paceAfterBackOff limits a target from the end of a back-off on. A target with reservations says by
+// each of them whether it takes another request, so that one granted reservation opens it.
+func (p *Pool) paceAfterBackOff(t *target) {
+	if !p.cfg.Reservations {
+		t.window.Start()
+	}
+}
+
+// recordPacedFirstByte records the wait for the first byte of a response of a target.
+func (p *Pool) recordPacedFirstByte(t *target, route string, wait time.Duration, now time.Time) {
+	if t.window.Active() {
+		t.window.RecordFirstByte(wait, p.waits.usual(t, route, now), t.Slots)
+	}
+}
+
+// pacedIdle reports whether a target should get a request so that its pace is found.
+func (p *Pool) pacedIdle(t *target, now time.Time) bool {
+	return t.inflight == 0 && t.health.State() == health.Healthy && t.window.Idle(p.hostCount, now)
+}
+
+// minUsualWaits is the number of waits of a route at other targets from which their mean is usual.
+const minUsualWaits = 3
+
+// usual returns the mean wait for a first byte of a route at the other targets, 0 if unknown.
+func (h *waitHistory) usual(t *target, route string, now time.Time) time.Duration {
+	var sum time.Duration
+	n := 0
+	for _, w := range h.waits {
+		if w.answered && w.route == route && w.target.Name != t.Name && now.Sub(w.endedAt) <= waitHistoryTTL {
+			sum += w.length
+			n++
+		}
+	}
+	if n < minUsualWaits {
+		return 0
+	}
+	return sum / time.Duration(n)
+}
+
+// isPaced reports whether a target is cold or has a window.
+func (p *Pool) isPaced(t *target, now time.Time) bool {
+	return t.window.Active() || t.cold.IsCold(p.coldBound, now)
 }
 
 // MaySend reports whether a granted request may go on at a target: it must not be closed, and if it
@@ -52,11 +120,11 @@
 	return t == nil || t.cold.Spend(p.coldBound, now)
 }
 
-// pacedTargets returns the number of targets that are cold.
+// pacedTargets returns the number of targets that are paced.
 func (p *Pool) pacedTargets(now time.Time) int {
 	n := 0
 	for _, t := range p.order {
-		if t.cold.IsCold(p.coldBound, now) {
+		if p.isPaced(t, now) {
 			n++
 		}
 	}
@@ -72,7 +140,7 @@
 // PaceChanges returns the changes since the last call.
 func (p *Pool) PaceChanges(now time.Time) (changes []PaceChange) {
 	for _, t := range p.order {
-		if paced := t.cold.IsCold(p.coldBound, now); paced != t.paced {
+		if paced := p.isPaced(t, now); paced != t.paced {
 			t.paced = paced
 			changes = append(changes, PaceChange{t.Name, paced})
 		}
--- a/sched/reserve/pace_test.go
+++ b/sched/reserve/pace_test.go
@@ -81,3 +81,89 @@
 		t.Errorf("changes %v, want the end of the pace", c)
 	}
 }
+
+// dispatched returns how many of 20 new requests are dispatched to a target.
+func dispatched(t *testing.T, p *reserve.Pool, target string, now time.Time) (n int) {
+	t.Helper()
+	for i := range 20 {
+		submit(t, p, waiter(fmt.Sprint(now, i), request.Urgent, "o", now), now)
+	}
+	for _, g := range grantsOnly(p.Dispatch(now)) {
+		if g.Target == target {
+			n++
+		}
+	}
+	return n
+}
+
+// respond ends requests at a target whose responses began after the given wait.
+func respond(p *reserve.Pool, target string, n int, wait time.Duration, now time.Time) {
+	for range n {
+		p.RecordFirstByte(target, "r", wait, now)
+		p.EndGrant(target, reserve.OK, reserve.Sample{Latency: wait}, now)
+	}
+}
+
+// Load pattern: a started target among busy ones. Guards against a target that gets as many requests at
+// once as those that are warm, and against one that is still limited after responses in time.
+func TestStartedTargetIsNotFlooded(t *testing.T) {
+	p := reserve.New(reserve.Config{})
+	list := engines(2, 4)
+	list[1].WarmUpUntil = start.Add(3 * time.Second)
+	p.SetTargets(list)
+	if n := dispatched(t, p, "e1", start); n != 1 {
+		t.Errorf("%d requests at the started target, want 1", n)
+	}
+	respond(p, "e0", 6, 20*ms, start.Add(20*ms))
+	respond(p, "e1", 1, 20*ms, start.Add(20*ms))
+	for range 2 {
+		respond(p, "e1", 1, 20*ms, start.Add(20*ms))
+	}
+	if p.Stats(start.Add(20*ms)).Paced != 0 {
+		t.Error("the target is still paced after three responses in time")
+	}
+	if n := dispatched(t, p, "e1", start.Add(40*ms)); n != 6 {
+		t.Errorf("%d requests at the target at full pace, want 6", n)
+	}
+}
+
+// Load pattern: a recovered target that is still slow. Guards against a target that is flooded as
+// soon as its trial has ended.
+func TestRecoveredTargetThatIsStillSlow(t *testing.T) {
+	p := reserve.New(reserve.Config{})
+	p.SetTargets(engines(3, 4))
+	for range 6 {
+		p.EndGrant("e0", reserve.BrokenResponse, reserve.Sample{}, start)
+	}
+	respond(p, "e1", 6, 20*ms, start)
+	now := start.Add(6 * time.Second)
+	p.Dispatch(now)
+	respond(p, "e1", 6, 20*ms, now)
+	respond(p, "e0", 3, 400*ms, now)
+	if n := dispatched(t, p, "e0", now); n != 1 {
+		t.Errorf("%d requests at the recovered target, want 1", n)
+	}
+	respond(p, "e0", 3, 20*ms, now)
+	if p.Stats(now).Paced != 0 {
+		t.Error("the target is still paced after responses in time")
+	}
+}
+
+// Guards against a started target that no host tries while others are free: requests that can wait
+// find its pace.
+func TestPacedTargetIsNotLeftIdle(t *testing.T) {
+	p := reserve.New(reserve.Config{})
+	p.SetHostCount(3)
+	p.SetTargets(engines(2, 4))
+	respond(p, "e0", 3, 5*ms, start)
+	list := append(engines(2, 4), reserve.Target{Name: "new", Slots: 4, WarmUpUntil: start.Add(time.Minute)})
+	p.SetTargets(list)
+	submit(t, p, waiter("w", request.Patient, "o", start), start)
+	if g := grantsOnly(p.Dispatch(start)); len(g) != 1 || g[0].Target != "new" {
+		t.Errorf("grants %v, want one at the started target", g)
+	}
+	submit(t, p, waiter("v", request.Patient, "o", start), start)
+	if g := grantsOnly(p.Dispatch(start.Add(ms))); len(g) != 1 || g[0].Target == "new" {
+		t.Errorf("grants %v, want one at another target", g)
+	}
+}
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -107,7 +107,7 @@
 			delete(p.departedInflight, info.Name)
 		}
 		t.Target = info
-		t.cold.Extend(info.WarmUpUntil)
+		t.observeWarmUp()
 		if c, changed := t.observeList(); changed {
 			changes = append(changes, c)
 		}
@@ -319,7 +319,7 @@
 	Ejected  int
 	// Leaving and BackedOff count the targets that get nothing from this host for that reason.
 	Leaving, BackedOff int
-	// Paced counts the targets that are cold.
+	// Paced counts the targets that are cold, or have just started or recovered.
 	Paced int
 }
 
--- a/sched/reserve/target.go
+++ b/sched/reserve/target.go
@@ -105,9 +105,11 @@
 	// reopening is set from the start of a back-off until the target has accepted a request
 	// after it. Meanwhile reopeningBusy is set while one is at the target.
 	reopening, reopeningBusy bool
-	// cold limits the requests while the target is cold.
-	cold pace.Cold
-	// paced is set while the target is cold, as of the last PaceChanges.
+	// cold limits the requests while the target is cold, window those in flight after it has
+	// started or recovered.
+	cold   pace.Cold
+	window pace.Window
+	// paced is set while either limits the target, as of the last PaceChanges.
 	paced bool
 	// peerEjectedUntil is when another host's ejection stops counting.
 	peerEjectedUntil time.Time
@@ -190,6 +192,7 @@
 	}
 	t.inflight = max(0, t.inflight-1)
 	t.reopeningBusy = false
+	t.window.Shrink()
 	if t.drain.Closure(now) != drain.Open {
 		return // says nothing about the free slots of other targets
 	}
@@ -291,6 +294,7 @@
 	}
 	before := t.health.State()
 	reason := p.recordOutcome(t, o, s, now)
+	p.endPaced(t, o, reason)
 	return HealthChange{EjectionReason: reason, Restored: before == health.Trial && t.health.State() == health.Healthy}
 }
 
--- a/sched/reserve/waits.go
+++ b/sched/reserve/waits.go
@@ -100,6 +100,7 @@
 func (p *Pool) RecordFirstByte(name, route string, length time.Duration, now time.Time) {
 	if t := p.targets[name]; t != nil {
 		t.respondedAt = now
+		p.recordPacedFirstByte(t, route, length, now)
 		p.waits.record(wait{t, route, length, true, now})
 	}
 }
