--- a/sched/reserve/choose.go
+++ b/sched/reserve/choose.go
@@ -156,6 +156,9 @@
 
 // cost estimates the response time of a request at a target, in seconds, with penalties.
 func (p *Pool) cost(w *Waiter, t *target, l Lane, now time.Time) float64 {
+	if !lanes[l].fastOnly && p.pacedIdle(t, now) {
+		return 0
+	}
 	c := 0.0
 	if p.cfg.Reservations {
 		c = p.estimate(w, t, l, now).Finish.Seconds()
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -120,8 +120,8 @@
 		}
 		t.Target = info
 		t.drain.SetEvacuated(p.evacuatedZones.Contain(info.Zone))
-		t.cold.Extend(info.WarmUpUntil)
 		t.snapshot.Slots = info.Slots
+		t.observeWarmUp()
 		if c, changed := t.observeList(); changed {
 			changes = append(changes, c)
 		}
@@ -346,7 +346,7 @@
 	Ejected  int
 	// Leaving, BackedOff and Evacuated count the targets that get nothing from this host for that reason.
 	Leaving, BackedOff, Evacuated int
-	// Paced counts the targets that are cold.
+	// Paced counts the targets that are cold, or have just started or recovered.
 	Paced int
 	// ExpectedWait is how long a request behind all waiting ones would probably wait, 0 if unknown.
 	ExpectedWait time.Duration
