List everything anew when the store comes back from an older copy

Revisions go back in the drill and are given out again, so that newer entries were ignored, and targets that had yet to write theirs again were removed. An older configuration in the store no longer ends the fetch of a newer one. Without the header nothing changes.

(era, revision) pairs were ruled out: targets would vanish until they write.

--- a/core/event/table.go
+++ b/core/event/table.go
@@ -66,6 +66,7 @@
 
 	ZoneEvacuated = Event{Number: 609, Name: "zone evacuated", Level: slog.LevelWarn, Meaning: "The operator has evacuated an availability zone: its targets get no requests until the order is deleted."}
 	ZoneReopened  = Event{Number: 610, Name: "zone reopened", Level: slog.LevelInfo, Meaning: "The operator has deleted the evacuation of an availability zone: its targets may get requests again."}
+	StoreRestored = Event{Number: 611, Name: "store restored from an older copy", Level: slog.LevelWarn, Meaning: "The store has come back from an older copy of its content. This host keeps its targets and orders until operator and targets have written theirs again, and lists everything anew."}
 
 	MoveStarted     = Event{Number: 701, Name: "move started", Level: slog.LevelInfo, Meaning: "A version move started, or the deadline of a running move changed."}
 	MoveAdvanced    = Event{Number: 702, Name: "move advanced", Level: slog.LevelInfo, Meaning: "The traffic share of the new version was raised by one step."}
@@ -85,7 +86,7 @@
 		TargetEjected, TargetRestored, TargetDraining, TargetListStale, TargetListChanged, TargetFailure, TargetSilent, TargetResponsive, PromptPartSuspected, PromptPartQuarantined, PromptPartReleased, TargetClosed, TargetReopened, RetryAfterRejected, LoadReportUnreadable,
 		WriterElected, WriterRoleLost, AppendOutcomeUnknown, RequestOutcomeUnknown, RequestTakenOver,
 		MemberSuspected, MemberDead, MemberAlive, PeerRejected, PeerFetchFailed, QuotaReservedForPeers,
-		ConfigApplied, ConfigRejected, StoreUnreachable, StoreReachable, CheckpointRestored, CheckpointFailed, BecameStoreReader, TargetEntryUnreadable, ZoneEvacuated, ZoneReopened,
+		ConfigApplied, ConfigRejected, StoreUnreachable, StoreReachable, CheckpointRestored, CheckpointFailed, BecameStoreReader, TargetEntryUnreadable, ZoneEvacuated, ZoneReopened, StoreRestored,
 		MoveStarted, MoveAdvanced, MoveCompleted, MoveRolledBack, MoveLate, VersionHalted, MoveStepRetried, MoveEvidence,
 	}
 }
--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -66,6 +66,9 @@
 	Get(ctx context.Context, key string) (platform.Entry, error)
 	Snapshot(ctx context.Context, prefix string) ([]platform.Entry, int64, error)
 	Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]platform.Entry, int64, error)
+	// Era returns the highest era that the store has sent, 0 for none. It rises when the store comes
+	// back from an older copy of its content.
+	Era() int64
 }
 
 // Layout contains the keys of the store and the decoders of their values.
@@ -111,6 +114,9 @@
 	// OnRolloutOrder is called for each new rollout order and for the removal of an order. The
 	// order was written at most age ago.
 	OnRolloutOrder func(service string, e platform.Entry, age time.Duration)
+	// OnStoreRestored is called when the store has come back from an older copy, before the rollout
+	// orders of the copy. It must not call the directory.
+	OnStoreRestored func()
 }
 
 // Directory follows the store and the peers. Its methods are safe for concurrent use.
@@ -119,6 +125,10 @@
 	list  *List
 	fleet Fleet
 
+	// applying serialises the changes of the list and the orders with the check of their era. It is
+	// locked before mu.
+	applying sync.Mutex
+
 	mu sync.Mutex
 	// readRevision is the revision of the store up to which this host itself has read.
 	readRevision int64
@@ -149,6 +159,7 @@
 	configVersion int64
 	orders        map[string]orderState // of rollouts and evacuations, by key
 	evacuations   evacuations
+	era           eraState
 }
 
 // source is where this host got a change from.
@@ -231,7 +242,9 @@
 	if expired := d.list.ExpireRemovals(now); len(expired) > 0 {
 		d.listChanged(expired, fromPeer, now) // not sent to peers: each host expires removals itself
 	}
-	if d.readDue(now) {
+	if due, fromPeer := d.relistDue(now); due {
+		d.relist(ctx, fromPeer, now)
+	} else if d.readDue(now) {
 		d.readStore(ctx, now)
 	}
 }
@@ -313,6 +326,11 @@
 	if err != nil {
 		return err
 	}
+	d.applying.Lock()
+	defer d.applying.Unlock()
+	if !d.isCurrentEra(d.cfg.Store.Era()) {
+		return platform.ErrCompacted
+	}
 	d.applyChanges(changes, fromStore, unconfirmed, now)
 	d.mu.Lock()
 	d.readRevision = asOf
@@ -325,20 +343,34 @@
 	d.mu.Lock()
 	first := d.freshAt.IsZero()
 	d.mu.Unlock()
+	era := d.cfg.Store.Era()
 	targets, asOf, err := d.cfg.Store.Snapshot(ctx, l.TargetPrefix)
 	if err != nil {
 		return err
 	}
+	if era == 0 {
+		era = d.cfg.Store.Era()
+	}
 	operator, operatorAsOf, err := d.cfg.Store.Snapshot(ctx, l.OperatorPrefix)
 	if err != nil {
 		return err
 	}
+	if d.cfg.Store.Era() != era {
+		return errStoreRestored
+	}
+	d.applying.Lock()
+	defer d.applying.Unlock()
+	if err := d.beginListing(era, now); err != nil {
+		return err
+	}
+	operator = d.withoutEarlierOrders(operator)
 	d.applyChanges(append(operator, d.missingOrders(operator, operatorAsOf)...), fromStore, false, now)
 	from := fromStore
 	if first {
 		from = fromPeer // the initial list is not sent to peers
 	}
 	d.listChanged(d.list.Replace(targets, asOf, unconfirmed, now), from, now)
+	d.finishListing(min(asOf, operatorAsOf), from, now)
 	d.mu.Lock()
 	d.readRevision = asOf
 	d.mu.Unlock()
--- a/gateway/directory/directory_test.go
+++ b/gateway/directory/directory_test.go
@@ -29,6 +29,8 @@
 	return platform.Entry{}, platform.ErrOutcomeUnknown
 }
 
+func (unresponsiveStore) Era() int64 { return 0 }
+
 func (unresponsiveStore) Snapshot(ctx context.Context, _ string) ([]platform.Entry, int64, error) {
 	time.Sleep(time.Second)
 	return nil, 0, platform.ErrOutcomeUnknown
@@ -134,6 +136,8 @@
 	return platform.Entry{Key: "o/config", Value: []byte(strconv.Itoa(int(s.version.Load()))), Revision: 2}, nil
 }
 
+func (s *countingStore) Era() int64 { return 0 }
+
 func (s *countingStore) Snapshot(ctx context.Context, prefix string) ([]platform.Entry, int64, error) {
 	if !strings.HasPrefix("o/config", prefix) {
 		s.calls.Add(1)
--- a/gateway/directory/exchange.go
+++ b/gateway/directory/exchange.go
@@ -20,6 +20,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	h.ListDigest = d.digest()
+	h.StoreEra = d.era.listed
 	h.ListAgeMs = -1
 	if !d.freshAt.IsZero() {
 		h.ListAgeMs = now.Sub(d.freshAt).Milliseconds()
@@ -65,7 +66,13 @@
 // HandleHeartbeat applies the changes in a peer's heartbeat and compares configuration versions
 // and target lists.
 func (d *Directory) HandleHeartbeat(h *peers.Heartbeat, now time.Time) {
+	d.applying.Lock()
+	defer d.applying.Unlock()
+	sameEra := d.recordPeerEra(h)
 	for _, c := range h.Changes {
+		if !sameEra && c.Key != d.cfg.Layout.ConfigKey { // the version orders configurations
+			continue
+		}
 		d.applyChanges([]platform.Entry{{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted}}, fromPeer, false, now)
 	}
 	d.mu.Lock()
@@ -73,7 +80,7 @@
 	if h.ConfigVersion > d.cfg.ActiveTable.Version() {
 		d.recordWantedConfig(h.ConfigVersion, h.Address)
 	}
-	if h.ListAgeMs < 0 || d.freshAt.IsZero() {
+	if h.ListAgeMs < 0 || d.freshAt.IsZero() || !sameEra {
 		return
 	}
 	peerFreshAt := now.Add(-time.Duration(h.ListAgeMs) * time.Millisecond)
@@ -134,7 +141,7 @@
 	peerFailed := make(chan struct{})
 	var wg conc.WaitGroup
 	if !storeFailed {
-		wg.Go(func() { d.readConfigFromStore(ctx, peerFailed, done) })
+		wg.Go(func() { d.readConfigFromStore(ctx, version, peerFailed, done) })
 	}
 	if d.fetchConfigFromPeer(ctx, from); d.cfg.ActiveTable.Version() < version {
 		d.deprioritizePeer(from)
@@ -146,8 +153,8 @@
 }
 
 // readConfigFromStore reads the configuration from the store once the peer has failed or has
-// taken longer than storeReadDelay. It calls done on success.
-func (d *Directory) readConfigFromStore(ctx context.Context, peerFailed <-chan struct{}, done func()) {
+// taken longer than storeReadDelay. It calls done if the version is then active.
+func (d *Directory) readConfigFromStore(ctx context.Context, version int64, peerFailed <-chan struct{}, done func()) {
 	select {
 	case <-ctx.Done():
 		return
@@ -156,7 +163,9 @@
 	}
 	if e, err := d.cfg.Store.Get(ctx, d.cfg.Layout.ConfigKey); err == nil {
 		d.applyConfig(e.Value)
-		done()
+		if d.cfg.ActiveTable.Version() >= version { // an older copy of the store may have an older one
+			done()
+		}
 	}
 }
 
@@ -224,7 +233,16 @@
 	for _, c := range snapshot.Targets {
 		entries = append(entries, platform.Entry{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted})
 	}
-	d.applyChanges(entries, fromPeer, false, now)
+	d.applying.Lock()
+	defer d.applying.Unlock()
+	if err := d.beginListing(snapshot.StoreEra, now); err != nil {
+		event.PeerFetchFailed.Log(d.cfg.Log, slog.String("peer", address), slog.Any("error", err))
+		return false
+	}
+	d.applyChanges(d.withoutEarlierOrders(entries), fromPeer, false, now)
+	if snapshot.ListAgeMs >= 0 {
+		d.finishListing(0, fromPeer, now)
+	}
 	if snapshot.ListAgeMs >= 0 {
 		d.mu.Lock()
 		if at := now.Add(-time.Duration(snapshot.ListAgeMs) * time.Millisecond); at.After(d.freshAt) {
@@ -238,6 +256,8 @@
 // Snapshot returns this host's state for peers that can't reach the store. It contains the
 // configuration only if that is newer than version.
 func (d *Directory) Snapshot(version int64) *peers.Snapshot {
+	d.applying.Lock()
+	defer d.applying.Unlock()
 	snapshot := &peers.Snapshot{ListAgeMs: -1}
 	for _, e := range d.list.Entries() {
 		snapshot.Targets = append(snapshot.Targets, peers.Change{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
@@ -245,7 +265,8 @@
 	snapshot.Config, _ = d.NewerConfig(version)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	snapshot.Targets = append(snapshot.Targets, d.evacuationEntries()...)
+	snapshot.Targets = append(snapshot.Targets, d.orderEntries()...)
+	snapshot.StoreEra = d.era.current
 	if !d.freshAt.IsZero() {
 		snapshot.ListAgeMs = time.Since(d.freshAt).Milliseconds()
 	}
--- a/gateway/directory/list.go
+++ b/gateway/directory/list.go
@@ -61,6 +61,7 @@
 
 // entry is the state of one key of the store.
 type entry struct {
+	// revision is 0 for an entry that is held over; see HoldOver.
 	revision int64
 	value    []byte
 	target   *Target   // nil if removed or unreadable
@@ -79,6 +80,8 @@
 
 	mu      sync.Mutex
 	entries map[string]*entry
+	// holding is set while entries are held over.
+	holding bool
 	digest  uint64
 	targets atomic.Pointer[[]Target]
 }
@@ -127,7 +130,7 @@
 }
 
 // Replace applies a complete listing as of a revision of the store. Keys missing in it have
-// been removed. The result is as for Apply.
+// been removed, unless they are held over. The result is as for Apply.
 func (l *List) Replace(all []platform.Entry, asOf int64, unconfirmed bool, now time.Time) []platform.Entry {
 	present := make(map[string]bool, len(all))
 	for _, e := range all {
@@ -135,7 +138,7 @@
 	}
 	l.mu.Lock()
 	for key, e := range l.entries {
-		if !present[key] && e.deleted.IsZero() && e.removeAt.IsZero() && e.revision <= asOf {
+		if !present[key] && e.deleted.IsZero() && e.removeAt.IsZero() && e.revision <= asOf && e.revision > 0 {
 			all = append(all, platform.Entry{Key: key, Revision: asOf, Deleted: true})
 		}
 	}
@@ -154,9 +157,12 @@
 		l.entries[c.Key] = e
 	}
 	old := e.target
+	if l.holding && l.withdrawsDraining(e, c, now) {
+		return false
+	}
 	e.revision = c.Revision
 	if c.Deleted {
-		if unconfirmed && old != nil {
+		if (unconfirmed || l.holding) && old != nil {
 			if e.removeAt.IsZero() {
 				e.removeAt = now.Add(relistTimeout)
 			}
@@ -205,6 +211,7 @@
 	out := make([]platform.Entry, 0, len(l.entries))
 	for key, e := range l.entries {
 		switch {
+		case e.revision == 0: // a host that has no such entry must not keep it for good
 		case e.target != nil:
 			out = append(out, platform.Entry{Key: key, Value: e.value, Revision: e.revision})
 		case !e.deleted.IsZero() || e.unreadable:
--- a/gateway/directory/memorystore_test.go
+++ b/gateway/directory/memorystore_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -23,7 +25,31 @@
 	compacted int64 // changes up to this revision are not kept
 	revision  int64
 	down      bool
-	lists     int // calls of Snapshot
+	lists     int   // calls of Snapshot
+	era, seen int64 // the store's, and the newest one in an answer
+	copy      *memoryStore
+}
+
+// keepCopy keeps a copy of the content for restore.
+func (s *memoryStore) keepCopy() {
+	s.update(func() {
+		s.copy = &memoryStore{entries: maps.Clone(s.entries), history: slices.Clone(s.history), revision: s.revision}
+	})
+}
+
+// restore replaces the content by the copy, without the entries of targets, whose leases are gone.
+func (s *memoryStore) restore() {
+	s.update(func() {
+		s.entries, s.history, s.revision = maps.Clone(s.copy.entries), slices.Clone(s.copy.history), s.copy.revision
+		maps.DeleteFunc(s.entries, func(key string, _ platform.Entry) bool { return strings.HasPrefix(key, testLayout.TargetPrefix) })
+		s.era++
+	})
+}
+
+func (s *memoryStore) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen
 }
 
 func newMemoryStore() *memoryStore { return &memoryStore{entries: map[string]platform.Entry{}} }
@@ -69,7 +95,7 @@
 	if s.down {
 		return nil, 0, platform.ErrUnavailable
 	}
-	s.lists++
+	s.lists, s.seen = s.lists+1, s.era
 	for key, e := range s.entries {
 		if strings.HasPrefix(key, prefix) {
 			out = append(out, e)
@@ -81,9 +107,11 @@
 func (s *memoryStore) Changes(_ context.Context, _ string, after int64, _ time.Duration) (out []platform.Entry, asOf int64, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch {
-	case s.down:
+	if s.down {
 		return nil, after, platform.ErrUnavailable
+	}
+	s.seen = s.era
+	switch {
 	case after < s.compacted || after > s.revision:
 		return nil, after, platform.ErrCompacted
 	}
--- a/gateway/directory/orders.go
+++ b/gateway/directory/orders.go
@@ -16,19 +16,21 @@
 
 // orderState is the newest known state of an operator order.
 type orderState struct {
+	// revision is 0 for an order that is held over; see adoptEra.
 	revision int64
 	removed  bool
+	value    []byte
 }
 
 // missingOrders returns the removal of each operator order that a complete listing as of a revision
-// lacks.
+// lacks. Orders that are held over are not removed.
 func (d *Directory) missingOrders(listed []platform.Entry, asOf int64) []platform.Entry {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var out []platform.Entry
 	for key, o := range d.orders {
 		isListed := slices.ContainsFunc(listed, func(e platform.Entry) bool { return e.Key == key })
-		if !isListed && !o.removed && o.revision <= asOf {
+		if !isListed && !o.removed && o.revision <= asOf && (o.revision > 0 || !d.era.holding()) {
 			out = append(out, platform.Entry{Key: key, Revision: asOf, Deleted: true})
 		}
 	}
@@ -40,7 +42,7 @@
 	age := d.maxOrderAge(from, now)
 	known := d.orders[c.Key].revision >= c.Revision
 	if !known {
-		d.orders[c.Key] = orderState{revision: c.Revision, removed: c.Deleted}
+		d.orders[c.Key] = orderState{c.Revision, c.Deleted, c.Value}
 		if from == fromStore {
 			d.recentChanges = append(d.recentChanges, recentChange{c, now})
 		}
@@ -92,16 +94,16 @@
 // applyEvacuation applies the evacuation of a zone, or its removal.
 func (d *Directory) applyEvacuation(c platform.Entry, from source, now time.Time) {
 	d.mu.Lock()
-	old := d.orders[c.Key]
+	old, known := d.orders[c.Key]
 	if old.revision >= c.Revision {
 		d.mu.Unlock()
 		return
 	}
-	d.orders[c.Key] = orderState{revision: c.Revision, removed: c.Deleted}
+	d.orders[c.Key] = orderState{c.Revision, c.Deleted, c.Value}
 	if from == fromStore {
 		d.recentChanges = append(d.recentChanges, recentChange{c, now})
 	}
-	changed := (old.revision > 0 && !old.removed) == c.Deleted
+	changed := (known && !old.removed) == c.Deleted
 	if changed {
 		d.evacuations = d.currentEvacuations()
 	}
@@ -137,13 +139,14 @@
 	return out
 }
 
-// evacuationEntries returns the evacuations and their removals, for a host that can't reach the
-// store. The caller holds the lock.
-func (d *Directory) evacuationEntries() []peers.Change {
+// orderEntries returns the evacuations and their removals, for a host that can't reach the store.
+// If the store has an era, it also returns the rollout orders, for a host that has not listed the era
+// yet. The caller holds the lock.
+func (d *Directory) orderEntries() []peers.Change {
 	var out []peers.Change
 	for key, o := range d.orders {
-		if d.cfg.Layout.isEvacuation(key) {
-			out = append(out, peers.Change{Key: key, Revision: o.revision, Deleted: o.removed})
+		if o.revision > 0 && (d.era.current > 0 || d.cfg.Layout.isEvacuation(key)) {
+			out = append(out, peers.Change{Key: key, Value: o.value, Revision: o.revision, Deleted: o.removed})
 		}
 	}
 	return out
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -63,6 +63,9 @@
 	// LeavingAgesMs are the times since the host has read in a response that a target is
 	// leaving, in milliseconds, by the name of the target.
 	LeavingAgesMs map[string]uint32
+	// StoreEra is the newest era of the store of which the host has listed everything. ListDigest and
+	// Changes are of that era.
+	StoreEra int64
 }
 
 // Rollout is the state of the rollout of a service on one host.
--- a/gateway/peers/snapshot.go
+++ b/gateway/peers/snapshot.go
@@ -23,6 +23,8 @@
 	Targets []Change
 	// ListAgeMs has the meaning of Heartbeat.ListAgeMs.
 	ListAgeMs int64
+	// StoreEra is the era of the store of the revisions.
+	StoreEra int64
 }
 
 const (
--- a/standin/kvstore/kvstore.go
+++ b/standin/kvstore/kvstore.go
@@ -59,6 +59,10 @@
 	faults            Faults
 	callCounts        map[string]int
 	changed           chan struct{}
+	// era is sent with each response unless it is 0.
+	era int64
+	// backup is the copy from which Restore brings the store back.
+	backup backup
 }
 
 // Start listens on a free loopback port and serves in the background until Close.
@@ -158,6 +162,7 @@
 		}
 		s.expireLeases(time.Now())
 		s.mu.Unlock()
+		s.setEra(w)
 		time.Sleep(f.Delay)
 		switch {
 		case f.NoResponse:
@@ -293,7 +298,7 @@
 			events = append(events, i)
 		}
 	}
-	return events, s.revision, after < s.compactedRevision, s.changed
+	return events, s.revision, after < s.compactedRevision || after > s.revision, s.changed
 }
 
 type transaction struct {
