Write the outcomes of rollouts again after a restore of the store

An order that is written again with a lower revision was ignored or started anew, and an outcome that the store had lost was not written again. A checkpoint whose key was lost was never written again, since its revision conflicted each time. Orders now wait for their new revision, final states are written again by hosts that know them, and a lost checkpoint counts as revision 0. While an order waits, a stored outcome that differs is left alone: it may belong to an earlier order.

--- a/gateway/checkpoints.go
+++ b/gateway/checkpoints.go
@@ -27,10 +27,14 @@
 func (g *Gateway) runCheckpoints(ctx context.Context) {
 	revision := g.restoreCheckpoint(ctx)
 	var schedule checkpoint.Schedule
+	restores := g.storeRestores.Load()
 	wait.Every(ctx, checkpointInterval, func(now time.Time) {
 		if !g.isLeader(now) {
 			return
 		}
+		if n := g.storeRestores.Load(); n != restores { // the copy holds an older checkpoint, or none
+			schedule, restores = checkpoint.Schedule{}, n
+		}
 		speeds := speedsByHash(g.schedulers.Speeds())
 		if schedule.Due(g.quota.CheckpointNeeded(now), len(speeds), now) {
 			revision = g.writeCheckpoint(ctx, checkpoint.New(g.quota.Histories(now), speeds, now), revision)
@@ -95,8 +99,9 @@
 		return next
 	}
 	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrOutcomeUnknown) {
-		if e, err := g.readCheckpoint(ctx); err == nil {
-			return e.Revision
+		e, err := g.readCheckpoint(ctx)
+		if err == nil || errors.Is(err, platform.ErrNotFound) {
+			return e.Revision // 0 if the store has lost it
 		}
 	}
 	return revision
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -103,6 +103,8 @@
 	parts       *promptparts.Guard
 	settings    atomic.Pointer[settings.Settings] // current settings, replaced by Reload
 	speeds      speedTable
+	// storeRestores counts the returns of the store from an older copy that this host has noticed.
+	storeRestores atomic.Int64
 	// usageReports is used only by the loop that sends heartbeats.
 	usageReports usageReports
 	targetIndex  targetIndex
@@ -134,7 +136,7 @@
 	g.upstream.SetObserver(g.schedulers.RecordResponse)
 	g.dir = directory.New(directory.Config{
 		Name: s.Host.Name, Store: cfg.Store, Layout: cfg.Layout, ActiveTable: &g.routing, Log: cfg.Log, OnChange: g.onDirectoryChange,
-		OnRolloutOrder: g.handleRolloutOrder,
+		OnRolloutOrder: g.handleRolloutOrder, OnStoreRestored: g.handleStoreRestored,
 	})
 	g.rollouts = rollout.New(s.Host.Name, rollout.Limits{MaxShare: s.Rollout.ExposeShare})
 	g.parts = promptparts.New(g, cfg.Metrics, cfg.Log)
--- a/gateway/rollout/decide.go
+++ b/gateway/rollout/decide.go
@@ -28,6 +28,8 @@
 	Order  Order
 	State  State
 	Reason string
+	// Repeated is set if this host knows that the store has held the state, and may have lost it.
+	Repeated bool
 }
 
 // Decide evaluates the observations of all orders and returns the states that the store should
@@ -57,9 +59,12 @@
 func (st *rolloutState) decide(leader bool, now time.Time) *Decision {
 	switch st.state {
 	case RolledBack:
-		return &Decision{st.order, RolledBack, st.reason}
+		return &Decision{st.order, RolledBack, st.reason, st.rewrite}
 	case Done:
-		return nil
+		if !st.rewrite {
+			return nil
+		}
+		return &Decision{st.order, Done, st.reason, true}
 	}
 	left := st.order.Duration - now.Sub(st.startedAt)
 	// A leader that has observed little leaves the completion to the other hosts, which may have
@@ -72,11 +77,11 @@
 	case left <= unprovenLead && st.unproven(now):
 		// The state of this host does not change before the store has accepted the rollback: a
 		// host that knows more may have completed the rollout.
-		return &Decision{st.order, RolledBack, "the version is unproven: " + st.observed(now)}
+		return &Decision{st.order, RolledBack, "the version is unproven: " + st.observed(now), false}
 	case left <= lead && !st.unproven(now):
-		return &Decision{st.order, Done, "no fault detected: " + st.observed(now)}
+		return &Decision{st.order, Done, "no fault detected: " + st.observed(now), false}
 	case leader:
-		return &Decision{st.order, Running, ""}
+		return &Decision{st.order, Running, "", false}
 	}
 	return nil
 }
--- a/gateway/rollout/rollout.go
+++ b/gateway/rollout/rollout.go
@@ -84,7 +84,9 @@
 	// comparable is true if there were enough requests to compare both versions at the last Decide.
 	comparable bool
 	// stored is true once the state is known to be the final one in the store.
-	stored   bool
+	stored bool
+	// rewrite is set if the store may have lost that state.
+	rewrite  bool
 	samples  *analysis.Samples
 	speeds   speeds
 	evidence SpeedEvidence
@@ -114,11 +116,17 @@
 }
 
 // Start starts an order that was received the elapsed time ago. It does nothing if the tracker has
-// the order or a newer one, or if the order's duration is not positive.
+// the order or a newer one, or if the order's duration is not positive. An order that is written again
+// after StoreRestored goes on.
 func (t *Tracker) Start(o Order, elapsed time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if st := t.rollouts[o.Service]; st != nil && st.order.Revision >= o.Revision || o.Duration <= 0 {
+	st := t.rollouts[o.Service]
+	if st != nil && st.order.Revision >= o.Revision || o.Duration <= 0 {
+		return
+	}
+	if st != nil && st.isRewritten(o) {
+		st.order.Revision = o.Revision
 		return
 	}
 	startedAt := now.Add(-elapsed)
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -51,6 +51,7 @@
 // writtenStatus is the last state that this host wrote for an order.
 type writtenStatus struct {
 	revision  int64 // of the order
+	restores  int64 // of the store before the write
 	state     rollout.State
 	writtenAt time.Time
 	final     bool // the state in the store is final
@@ -68,6 +69,11 @@
 		event.ConfigRejected.Log(g.cfg.Log, slog.Any("error", err))
 		return
 	}
+	if startedAt, ok := g.rollouts.StartedAt(o); ok {
+		g.rollouts.Start(o, 0, time.Now())
+		g.wg.Go(func() { g.rewriteStart(o, startedAt) })
+		return
+	}
 	g.rollouts.Start(o, age, time.Now())
 	event.MoveStarted.Log(g.cfg.Log, slog.String("service", service), slog.String("target", o.Version), slog.Duration("over", o.Duration))
 	g.wg.Go(func() { g.recoverRollout(o) })
@@ -91,6 +97,32 @@
 	}
 }
 
+// rewriteStart stores the start of an order again unless the store has kept it. It repeats failed
+// writes until the rollout has ended.
+func (g *Gateway) rewriteStart(o rollout.Order, startedAt time.Time) {
+	for g.rollouts.IsRunning(o) && !g.stopping.Load() {
+		err := g.recoverStart(o, startedAt)
+		if err == nil {
+			return
+		}
+		event.MoveStepRetried.Log(g.cfg.Log, slog.String("service", o.Service), slog.Any("error", err))
+		time.Sleep(recoverRetryInterval)
+	}
+}
+
+// isOtherOutcome reports whether a stored state is final, of the decision's version and not the decided
+// one.
+func (l *RolloutLayout) isOtherOutcome(value []byte, d rollout.Decision) bool {
+	version, s, err := l.DecodeStatus(value)
+	return err == nil && version == d.Order.Version && s != rollout.Running && s != d.State
+}
+
+// handleStoreRestored voids what this host remembers of the store's revisions.
+func (g *Gateway) handleStoreRestored() {
+	g.rollouts.StoreRestored()
+	g.storeRestores.Add(1)
+}
+
 // recoverOutcome records the final state that the store holds of an order.
 func (g *Gateway) recoverOutcome(o rollout.Order) error {
 	ctx, cancel := context.WithTimeout(context.Background(), recoverTimeout)
@@ -196,8 +228,9 @@
 // settles the rollout once its state is final.
 func (g *Gateway) recordDecision(ctx context.Context, written map[string]*writtenStatus, d rollout.Decision, now time.Time) {
 	w := written[d.Order.Service]
-	if w == nil || w.revision != d.Order.Revision {
-		w = &writtenStatus{revision: d.Order.Revision}
+	restores := g.storeRestores.Load()
+	if w == nil || w.revision != d.Order.Revision || w.restores != restores {
+		w = &writtenStatus{revision: d.Order.Revision, restores: restores}
 		written[d.Order.Service] = w
 	}
 	if w.final || w.state == d.State && now.Sub(w.writtenAt) < statusRewriteInterval {
@@ -212,12 +245,15 @@
 		event.MoveStepRetried.Log(g.cfg.Log, slog.String("service", d.Order.Service), slog.Any("error", err))
 		return
 	}
-	if s == rollout.Running {
-		return
+	if s == rollout.Running || g.storeRestores.Load() != restores {
+		return // the write may be lost
 	}
 	w.final = true
 	g.rollouts.SetOutcome(d.Order.Service, d.Order.Revision, s, d.Reason)
 	g.applyOutcomes()
+	if d.Repeated {
+		return
+	}
 	ended := event.MoveCompleted
 	if s == rollout.RolledBack {
 		ended = event.MoveRolledBack
@@ -246,12 +282,15 @@
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return rollout.Running, err
 	}
-	if err == nil && e.Revision > d.Order.Revision {
+	if err == nil && e.Revision > d.Order.Revision && d.Order.Revision > 0 {
 		version, s, err := l.DecodeStatus(e.Value)
 		if err == nil && version == d.Order.Version && (s != rollout.Running || s == d.State) {
 			return s, nil
 		}
 	}
+	if err == nil && d.Order.Revision == 0 && l.isOtherOutcome(e.Value, d) {
+		return rollout.Running, nil // until the order's new revision tells whether the state is of an earlier order
+	}
 	value, err := l.EncodeStatus(d.Order, d.State)
 	if err != nil {
 		return rollout.Running, err
