Keep requests of routes and organisations in their home regions

homeRegions of a route or organisation were ignored. They are now a filter on targets by the region of the zone, which comes from the settings. A request with homes that waits blocks no others, and is refused as not run where no target fits. A table of zones with an empty region is accepted, since a host must start with it; such a zone is no home. The rendering in review/standin gets the two new fields, since it fails for fields that it does not know.

The template was not rendered by the platform.

--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -68,7 +68,7 @@
 }
 
 // setTargets replaces the list of targets.
-func (s *Scheduler) setTargets(list []directory.Target, zone string) {
+func (s *Scheduler) setTargets(list []directory.Target, zone string, regions map[string]string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -82,7 +82,7 @@
 		}
 		s.targets[key] = t
 		infos = append(infos, reserve.Target{
-			Name: key, Zone: t.Zone, Local: t.Zone == zone, Version: t.Version, Slots: t.Slots, Draining: t.Draining, ListedAt: now, WarmUpUntil: t.WarmUpUntil,
+			Name: key, Zone: t.Zone, Region: regions[t.Zone], Local: t.Zone == zone, Version: t.Version, Slots: t.Slots, Draining: t.Draining, ListedAt: now, WarmUpUntil: t.WarmUpUntil,
 		})
 	}
 	maps.DeleteFunc(s.unreadableLoads, func(key string, _ bool) bool { return s.targets[key].ID == "" })
--- a/gateway/dispatch/schedulers.go
+++ b/gateway/dispatch/schedulers.go
@@ -21,7 +21,9 @@
 	schedulers map[string]*Scheduler
 	byTarget   map[string]*Scheduler // by the key of the target's incarnation
 	evacuated  reserve.Zones
-	version    int64 // of the configuration of the last Update
+	// regions holds the regions of availability zones.
+	regions map[string]string
+	version int64 // of the configuration of the last Update
 }
 
 // NewSchedulers returns an empty set for a host in the zone.
@@ -184,6 +186,13 @@
 	}
 }
 
+// SetRegions sets the regions of availability zones. They count from the next Update on.
+func (s *Schedulers) SetRegions(regions map[string]string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.regions = regions
+}
+
 // Update applies a new configuration and list of targets. The scheduler of a removed service
 // stays. While targets of the service are listed as ready, its waiting requests may run there; else
 // they are refused.
@@ -205,6 +214,6 @@
 		}
 		ready := slices.ContainsFunc(byService[name], func(t directory.Target) bool { return !t.Draining })
 		scheduler.setWithdrawn(table.Service(name) == nil && !ready)
-		scheduler.setTargets(byService[name], s.zone)
+		scheduler.setTargets(byService[name], s.zone, s.regions)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -133,6 +133,7 @@
 	}
 	g.settings.Store(&s)
 	g.schedulers = dispatch.NewSchedulers(s.Host.Zone, cfg.Log, g, cfg.Metrics)
+	g.schedulers.SetRegions(s.Regions())
 	g.upstream.SetObserver(g.schedulers.RecordResponse)
 	g.dir = directory.New(directory.Config{
 		Name: s.Host.Name, Store: cfg.Store, Layout: cfg.Layout, ActiveTable: &g.routing, Log: cfg.Log, OnChange: g.onDirectoryChange,
@@ -376,6 +377,7 @@
 	g.quota.SetTolerance(s.QuotaTolerance())
 	g.rollouts.SetLimits(rollout.Limits{MaxShare: s.Rollout.ExposeShare})
 	g.mesh.AddAddresses(s.PeerSeeds())
+	g.schedulers.SetRegions(s.Regions())
 	g.onDirectoryChange()
 	return needsRestart
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -37,6 +37,8 @@
 	nextID  int
 	// graceSeconds is the grace period of the host; 0 means 8.
 	graceSeconds float64
+	// regions are those of the zones in the settings.
+	regions map[string]string
 	// settings are the settings that the host was started with.
 	settings settings.Settings
 	codec    protocol.Codec
@@ -148,6 +150,7 @@
 	fx.t.Helper()
 	var s settings.Settings
 	s.Host.Name, s.Host.Zone, s.Host.Address = "host-1", "z", "127.0.0.1"
+	s.Zones = fx.regions
 	s.Listen.Callers = fmt.Sprintf("127.0.0.1:%d", freePort(fx.t))
 	s.Listen.Ready = fmt.Sprintf("127.0.0.1:%d", freePort(fx.t))
 	s.Listen.InternalPorts = []uint16{freePort(fx.t)}
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -418,6 +418,10 @@
 // waiter returns the queue entry of the request, with the version that a rollout assigns.
 func (x *exchange) waiter() *reserve.Waiter {
 	w := newWaiter(x.request, x.route)
+	w.Homes.Route = x.route.HomeRegions
+	if x.organisation != nil {
+		w.Homes.Organisation = x.organisation.HomeRegions
+	}
 	if split := x.cfg.Rollouts.Split(x.service, x.arrived); split.Version != "" {
 		w.RolloutVersion, w.AvoidRolloutVersion, w.RolledBack = split.Version, rand.Float64() >= split.Share, split.RolledBack
 	}
--- a/gateway/routing/routing.go
+++ b/gateway/routing/routing.go
@@ -48,6 +48,8 @@
 	MaxAttempts int
 	// Public routes need no API key.
 	Public bool
+	// HomeRegions are the regions whose targets may be used; empty for all.
+	HomeRegions []string
 	// WeightedServices are the services that share the traffic.
 	WeightedServices []WeightedService
 }
@@ -118,6 +120,8 @@
 	CountsTokens bool
 	// DefaultCost is the cost in units of a request without a token count.
 	DefaultCost float64
+	// HomeRegions are the regions whose targets may be used; empty for all.
+	HomeRegions []string
 }
 
 // Limits bounds the requests of callers.
--- a/gateway/settings/settings.go
+++ b/gateway/settings/settings.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"maps"
 	"net/netip"
 	"os"
 	"time"
@@ -23,9 +24,13 @@
 		// Name is unique in the fleet.
 		Name string `yaml:"name"`
 		Zone string `yaml:"zone"`
+		// Region is the region of the host's zone, if Zones lacks it.
+		Region string `yaml:"region"`
 		// Address is the IP address of the host.
 		Address string `yaml:"address"`
 	} `yaml:"host"`
+	// Zones holds the region of each availability zone.
+	Zones  map[string]string `yaml:"zones"`
 	Listen struct {
 		// Callers and Ready are IP:port.
 		Callers string `yaml:"callers"`
@@ -112,6 +117,8 @@
 	c.RequireNonEmpty("host.zone", s.Host.Zone)
 	_, err := netip.ParseAddr(s.Host.Address)
 	c.Require(err == nil, "host.address", "%q is not an IP address", s.Host.Address)
+	_, unnamed := s.Zones[""]
+	c.Require(!unnamed, "zones", "the name of a zone is empty")
 	c.RequireAddrPort("listen.callers", s.Listen.Callers)
 	c.RequireAddrPort("listen.ready", s.Listen.Ready)
 	if s.Listen.Metrics != "" {
@@ -158,6 +165,18 @@
 	return out
 }
 
+// Regions returns the regions of the availability zones that have one.
+func (s *Settings) Regions() map[string]string {
+	out := maps.Clone(s.Zones)
+	if out == nil {
+		out = map[string]string{}
+	}
+	if s.Host.Region != "" && out[s.Host.Zone] == "" {
+		out[s.Host.Zone] = s.Host.Region
+	}
+	return out
+}
+
 // GracePeriod returns the time between the termination signal and the kill.
 func (s *Settings) GracePeriod() time.Duration {
 	return time.Duration(s.Stop.GraceSeconds * float64(time.Second))
--- a/gateway/settings/settings_test.go
+++ b/gateway/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings_test
 
 import (
+	"maps"
 	"strings"
 	"testing"
 	"time"
@@ -47,3 +48,25 @@
 		}
 	}
 }
+
+// Guards against settings of earlier platforms, without regions, that are rejected, and against the
+// region of the host's zone that replaces the one in the table.
+func TestRegions(t *testing.T) {
+	for _, c := range []struct {
+		settings string
+		want     map[string]string
+	}{
+		{good, map[string]string{}},
+		{strings.Replace(good, `zone: "z1"`, `zone: "z1", region: "r1"`, 1), map[string]string{"z1": "r1"}},
+		{strings.Replace(good, `zone: "z1"`, `zone: "z1", region: "r1"`, 1) + `zones: {"z1":"r0","z2":"r2"}`, map[string]string{"z1": "r0", "z2": "r2"}},
+		{good + "zones: null", map[string]string{}},
+	} {
+		s, err := settings.Parse("f", []byte(c.settings))
+		if err != nil || !maps.Equal(s.Regions(), c.want) {
+			t.Errorf("%v, error %v, want %v", s.Regions(), err, c.want)
+		}
+	}
+	if _, err := settings.Parse("f", []byte(good+`zones: {"": "r"}`)); err == nil {
+		t.Error("a zone without a name is accepted")
+	}
+}
--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -78,7 +78,7 @@
 	}
 	at := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 	text := render(map[string]any{
-		"node": name, "zone": zone, "ip": ip, "listen.front": at(p.front), "listen.ready": at(p.ready),
+		"node": name, "zone": zone, "region": "", "zones": map[string]string{}, "ip": ip, "listen.front": at(p.front), "listen.ready": at(p.ready),
 		"internalPorts": []int{p.internal, p.internal}, "seeds": seedAddresses, "platform.address": storeAddress,
 		"platform.readsPerS": 2000, "platform.writesPerS": 400, "limits.memoryMb": 284, "bounds.graceS": 8,
 		"bounds.budgetRatio": 0.2, "bounds.budgetSlack": 54, "bounds.budgetWindowS": 10,
--- a/sched/reserve/choose.go
+++ b/sched/reserve/choose.go
@@ -61,7 +61,7 @@
 	blocked := p.blockedByFloor(l, now)
 	ignoreExcluded := p.allExcluded(w, now)
 	for _, t := range p.order {
-		if !p.available(t, l, now, panicMode) || !w.allowsVersion(t.Version) || !ignoreExcluded && w.excludes(t.Name) {
+		if !p.available(t, l, now, panicMode) || !w.allows(t) || !ignoreExcluded && w.excludes(t.Name) {
 			continue
 		}
 		switch p.class(t) {
@@ -99,7 +99,7 @@
 		return false
 	}
 	for _, t := range p.order {
-		if t.drain.Closure(now) == drain.Open && w.allowsVersion(t.Version) && !w.excludes(t.Name) {
+		if t.drain.Closure(now) == drain.Open && w.allows(t) && !w.excludes(t.Name) {
 			return false
 		}
 	}
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -142,6 +142,9 @@
 // Submit queues a request. It returns a refusal if the caller would probably give up before
 // the request is dispatched, or if the queue of its tier is full.
 func (p *Pool) Submit(w *Waiter, now time.Time) *refusal.Refusal {
+	if ref := p.refuseWithoutHome(w, now); ref != nil {
+		return ref
+	}
 	if ref := p.checkQueueDelay(w, now); ref != nil {
 		return ref
 	}
@@ -208,7 +211,7 @@
 }
 
 // dispatchLane grants targets to the requests of one lane until no target takes the next
-// one. A request with excluded targets that finds no other target keeps its place in the
+// one. A request with excluded targets or homes that finds no other target keeps its place in the
 // queue, but does not block the requests behind it.
 func (p *Pool) dispatchLane(l Lane, grants []Grant, now time.Time) []Grant {
 	var skipped []*Waiter
@@ -228,7 +231,7 @@
 			w.AvoidRolloutVersion = !w.AvoidRolloutVersion
 			t = p.chooseTarget(w, l, now)
 		}
-		if t == nil && len(w.excluded) > 0 {
+		if t == nil && (len(w.excluded) > 0 || !w.Homes.empty()) {
 			p.queue.RemoveItem(it)
 			skipped = append(skipped, w)
 			continue
@@ -255,7 +258,7 @@
 	if w.RolloutVersion == "" {
 		return false
 	}
-	othersLeft := slices.ContainsFunc(p.order, func(t *target) bool { return t.Version != w.RolloutVersion })
+	othersLeft := slices.ContainsFunc(p.order, func(t *target) bool { return t.Version != w.RolloutVersion && w.Homes.Allow(t.Region) })
 	if w.AvoidRolloutVersion {
 		return !othersLeft && !w.RolledBack
 	}
--- a/sched/reserve/target.go
+++ b/sched/reserve/target.go
@@ -42,6 +42,8 @@
 	Name string
 	// Zone is the target's availability zone.
 	Zone string
+	// Region is the region of the zone, empty if it is unknown.
+	Region string
 	// Local is true if the target is in the host's availability zone.
 	Local bool
 	// Version is the version of the target's software.
--- a/sched/reserve/waiter.go
+++ b/sched/reserve/waiter.go
@@ -44,6 +44,9 @@
 	AvoidRolloutVersion bool
 	RolledBack          bool
 
+	// Homes are the regions to which the request is bound.
+	Homes Homes
+
 	item          flow.Item
 	excluded      []string  // names of targets that this request must not try again
 	extendedUntil time.Time // end of the wait after a failed attempt
@@ -120,7 +123,7 @@
 func (p *Pool) checkQueueDelay(w *Waiter, now time.Time) *refusal.Refusal {
 	maxDelay := time.Duration(refuseWaitFraction * float64(w.FirstByteTimeout))
 	for _, other := range p.waiters {
-		if other.standby || other.Request.Tier != w.Request.Tier || other.Request.Organisation != w.Request.Organisation || p.hasFreeExcluded(other) {
+		if other.standby || !other.Homes.equal(&w.Homes) || other.Request.Tier != w.Request.Tier || other.Request.Organisation != w.Request.Organisation || p.hasFreeExcluded(other) {
 			continue
 		}
 		if waited := now.Sub(other.queuedAt); waited > maxDelay {
