--- a/gateway/dispatch/closed_test.go
+++ b/gateway/dispatch/closed_test.go
@@ -32,7 +32,7 @@
 	metrics := &countingMetrics{}
 	s := newScheduler("s", true, slog.New(slog.NewTextHandler(&log, nil)), noPeers{}, metrics)
 	list := []directory.Target{{ID: "a", Slots: 1}, {ID: "b", Slots: 1}}
-	s.setTargets(list, "")
+	s.setTargets(list, "", nil)
 	report := func(target directory.Target) {
 		s.recordResponse(upstream.Observation{
 			Target: target.Key(), Status: 200, SentAt: time.Now(), ReceivedAt: time.Now(), Info: protocol.ResponseInfo{UnreadableLoad: "1,x"},
@@ -46,8 +46,8 @@
 	if metrics.unreadable != 6 || logged() != 2 {
 		t.Errorf("%d counted and %d logged, want 6 and 2", metrics.unreadable, logged())
 	}
-	s.setTargets(list[:1], "")
-	s.setTargets(list, "")
+	s.setTargets(list[:1], "", nil)
+	s.setTargets(list, "", nil)
 	report(list[0])
 	report(list[1])
 	if metrics.unreadable != 8 || logged() != 3 {
--- a/gateway/dispatch/schedulers.go
+++ b/gateway/dispatch/schedulers.go
@@ -22,7 +22,9 @@
 	schedulers map[string]*Scheduler
 	byTarget   map[string]*Scheduler // by the key of the target's incarnation
 	evacuated  reserve.Zones
-	version    int64 // of the configuration of the last Update
+	// regions holds the regions of availability zones.
+	regions map[string]string
+	version int64 // of the configuration of the last Update
 }
 
 // NewSchedulers returns an empty set for a host in the zone.
@@ -185,6 +187,13 @@
 	}
 }
 
+// SetRegions sets the regions of availability zones. They count from the next Update on.
+func (s *Schedulers) SetRegions(regions map[string]string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.regions = regions
+}
+
 // Update applies a new configuration and list of targets. The scheduler of a removed service
 // stays. While targets of the service are listed as ready, its waiting requests may run there; else
 // they are refused.
@@ -209,6 +218,6 @@
 		if service := table.Service(name); service != nil {
 			scheduler.setColdBound(pace.Bound{PerSecond: service.ColdRate, Duration: service.ColdTime})
 		}
-		scheduler.setTargets(byService[name], s.zone)
+		scheduler.setTargets(byService[name], s.zone, s.regions)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -104,6 +104,8 @@
 	parts       *promptparts.Guard
 	settings    atomic.Pointer[settings.Settings] // current settings, replaced by Reload
 	speeds      speedTable
+	// storeRestores counts the returns of the store from an older copy that this host has noticed.
+	storeRestores atomic.Int64
 	// usageReports is used only by the loop that sends heartbeats.
 	usageReports usageReports
 	targetIndex  targetIndex
@@ -133,10 +135,11 @@
 	}
 	g.settings.Store(&s)
 	g.schedulers = dispatch.NewSchedulers(s.Host.Zone, cfg.Log, g, cfg.Metrics)
+	g.schedulers.SetRegions(s.Regions())
 	g.upstream.SetObserver(g.schedulers.RecordResponse)
 	g.dir = directory.New(directory.Config{
 		Name: s.Host.Name, Store: cfg.Store, Layout: cfg.Layout, ActiveTable: &g.routing, Log: cfg.Log, OnChange: g.onDirectoryChange,
-		OnRolloutOrder: g.handleRolloutOrder,
+		OnRolloutOrder: g.handleRolloutOrder, OnStoreRestored: g.handleStoreRestored,
 	})
 	g.rollouts = rollout.New(s.Host.Name, rollout.Limits{MaxShare: s.Rollout.ExposeShare})
 	g.parts = promptparts.New(g, cfg.Metrics, cfg.Log)
@@ -377,6 +380,7 @@
 	g.quota.SetTolerance(s.QuotaTolerance())
 	g.rollouts.SetLimits(rollout.Limits{MaxShare: s.Rollout.ExposeShare})
 	g.mesh.AddAddresses(s.PeerSeeds())
+	g.schedulers.SetRegions(s.Regions())
 	g.onDirectoryChange()
 	return needsRestart
 }
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -430,6 +430,10 @@
 		w.EventTokens = service.Engine.EventTokens
 	}
 	w.StatedTimeout = x.info.Timeout
+	w.Homes.Route = x.route.HomeRegions
+	if x.organisation != nil {
+		w.Homes.Organisation = x.organisation.HomeRegions
+	}
 	if split := x.cfg.Rollouts.Split(x.service, x.arrived); split.Version != "" {
 		w.RolloutVersion, w.AvoidRolloutVersion, w.RolledBack = split.Version, rand.Float64() >= split.Share, split.RolledBack
 	}
--- a/sched/reserve/admit.go
+++ b/sched/reserve/admit.go
@@ -84,7 +84,7 @@
 	}
 	own := laneOf(w, now)
 	for _, other := range p.waiters {
-		if other.standby || other.Request.Tier != w.Request.Tier || other.Request.Organisation != w.Request.Organisation || p.hasFreeExcluded(other) {
+		if other.standby || !other.Homes.equal(&w.Homes) || other.Request.Tier != w.Request.Tier || other.Request.Organisation != w.Request.Organisation || p.hasFreeExcluded(other) {
 			continue
 		}
 		waited := now.Sub(other.queuedAt)
--- a/sched/reserve/waiter.go
+++ b/sched/reserve/waiter.go
@@ -47,6 +47,9 @@
 	AvoidRolloutVersion bool
 	RolledBack          bool
 
+	// Homes are the regions to which the request is bound.
+	Homes Homes
+
 	item          flow.Item
 	excluded      []string  // names of targets that this request must not try again
 	extendedUntil time.Time // end of the wait after a failed attempt
