Play a restore of the store in the soak

A run with StoreRestore takes a copy of the store, takes the store away and brings it back from the copy; the configuration is then written again. The drill is planned apart from the other faults, so that the seeds that have found faults keep their schedules.

Measured: go test -run 'TestSeeds/seeds/(1|611)$' ./proof/soak passes.

--- a/proof/soak/soak.go
+++ b/proof/soak/soak.go
@@ -30,6 +30,8 @@
 	FaultDuration time.Duration
 	// TargetClosures makes servers leave and push back beside the faults.
 	TargetClosures bool
+	// StoreRestore makes the store come back from an older copy beside the faults.
+	StoreRestore bool
 	// MaxParallel is the number of concurrent runs; less than 1 means 1.
 	MaxParallel int
 	// LogDir is the directory for the logs of the hosts if a seed fails. If it is empty, no
@@ -78,6 +80,9 @@
 	for i := range cfg.CallerCount {
 		callers.Go(func() { w.runCaller(ctx, i) })
 	}
+	if cfg.StoreRestore {
+		w.store.SetEra(1)
+	}
 	w.runActions(plan(cfg, seed))
 	w.clearFaults()
 	w.logf("all faults have ended")
@@ -108,8 +113,11 @@
 	actions := planFaults(seed, cfg.HostCount, cfg.FaultDuration)
 	if cfg.TargetClosures {
 		actions = append(actions, planClosures(seed, cfg.FaultDuration)...)
-		slices.SortStableFunc(actions, func(a, b action) int { return int(a.offset - b.offset) })
 	}
+	if cfg.StoreRestore {
+		actions = append(actions, planRestore(seed, cfg.FaultDuration)...)
+	}
+	slices.SortStableFunc(actions, func(a, b action) int { return int(a.offset - b.offset) })
 	return actions
 }
 
--- a/proof/soak/soak_test.go
+++ b/proof/soak/soak_test.go
@@ -19,10 +19,12 @@
 	hosts       int
 	faults      time.Duration
 	closures    bool
+	restore     bool
 	description string
 }{
-	{1, 3, 4 * time.Second, true, "a short run"},
-	{215, 4, 12 * time.Second, false, "the long duration of a request at an unresponsive server made its host refuse others because their deadlines seemed unreachable, and a request that had failed at the only free server blocked those queued behind it"},
+	{1, 3, 4 * time.Second, true, false, "a short run"},
+	{611, 3, 6 * time.Second, false, true, "a run with a restore of the store"},
+	{215, 4, 12 * time.Second, false, false, "the long duration of a request at an unresponsive server made its host refuse others because their deadlines seemed unreachable, and a request that had failed at the only free server blocked those queued behind it"},
 }
 
 func buildProgram(t *testing.T) string {
@@ -44,7 +46,7 @@
 		for _, r := range seedRuns {
 			t.Run(fmt.Sprint(r.seed), func(t *testing.T) {
 				t.Parallel()
-				result := soak.Run(soak.Config{Program: program, HostCount: r.hosts, CallerCount: 10, FaultDuration: r.faults, TargetClosures: r.closures}, r.seed)
+				result := soak.Run(soak.Config{Program: program, HostCount: r.hosts, CallerCount: 10, FaultDuration: r.faults, TargetClosures: r.closures, StoreRestore: r.restore}, r.seed)
 				if result.Err != nil || len(result.Violations) > 0 {
 					t.Errorf("%s: %v, %+v\n%s", r.description, result.Err, result.Violations, strings.Join(result.Log, "\n"))
 				}
