--- a/cmd/internal/ctl/proof.go
+++ b/cmd/internal/ctl/proof.go
@@ -102,7 +102,7 @@
 }
 
 func soakCommand() command {
-	cfg := soak.Config{Program: "bin/sardinefront", HostCount: 4, CallerCount: 12, FaultDuration: 12 * time.Second, TargetClosures: true, MaxParallel: 2}
+	cfg := soak.Config{Program: "bin/sardinefront", HostCount: 4, CallerCount: 12, FaultDuration: 12 * time.Second, TargetClosures: true, StoreRestore: true, MaxParallel: 2}
 	seeds, first := 50, 0
 	sub := flaggy.NewSubcommand("soak")
 	sub.Description = "Runs entry hosts as processes under injected faults, checks the invariants and prints one line for each seed."
