Count returned targets as cold until the list has been read

The targets of an evacuated zone may be cold when it returns, and a host may hear of the return before it reads their entries. Pool.RecordReturned treats them as cold for 1.5 s and gives them a window.

--- a/sched/reserve/pace.go
+++ b/sched/reserve/pace.go
@@ -25,6 +25,18 @@
 	}
 }
 
+// listDelay is how long this host may not know yet that the list says that a target is cold.
+const listDelay = 1500 * time.Millisecond
+
+// RecordReturned records that a target may get requests again after it got none from any host. It may
+// be cold without this host having read that.
+func (p *Pool) RecordReturned(name string, now time.Time) {
+	if t := p.targets[name]; t != nil {
+		t.cold.Extend(now.Add(min(listDelay, p.coldBound.Duration)))
+		t.window.Start()
+	}
+}
+
 // RecordCold records that a target is cold until the given time.
 func (p *Pool) RecordCold(name string, until time.Time) {
 	if t := p.targets[name]; t != nil {
--- a/sched/reserve/pace_test.go
+++ b/sched/reserve/pace_test.go
@@ -167,3 +167,18 @@
 		t.Errorf("grants %v, want one at another target", g)
 	}
 }
+
+// Load pattern: a zone that returns cold at once. Guards against hosts that hear of the return before
+// they read that the targets are cold.
+func TestReturnedTargetsCountAsColdUntilTheListIsRead(t *testing.T) {
+	p := reserve.New(reserve.Config{})
+	p.SetColdBound(coldBound)
+	p.SetTargets(engines(1, 4))
+	p.RecordReturned("e0", start)
+	if p.StartSend("e0", start.Add(time.Second)) {
+		t.Error("a request is sent although the target may be cold")
+	}
+	if n := dispatched(t, p, "e0", start.Add(2*time.Second)); n != 1 {
+		t.Errorf("%d requests at once after the list was read, want 1", n)
+	}
+}
