Prefer targets with an idle connection among near-equal ones

A target that has answered this host within the last second costs a tenth less than one that needs a new connection: less than the host's own preference, so that hosts don't meet at the same targets.

--- a/sched/reserve/choose.go
+++ b/sched/reserve/choose.go
@@ -11,6 +11,10 @@
 const (
 	// crossZonePenalty is added to the cost of targets in other availability zones.
 	crossZonePenalty = 30 * time.Millisecond
+	// newConnectionCost is the additional cost, as a fraction, of targets to which this host
+	// probably has no idle connection. idleConnectionTime is how long targets keep one at least.
+	newConnectionCost  = 0.1
+	idleConnectionTime = time.Second
 	// defaultGap and defaultLatency are assumed for targets without a sample.
 	defaultGap     = 8 * time.Millisecond
 	defaultLatency = 25 * time.Millisecond
@@ -169,5 +173,8 @@
 	if !t.Local {
 		c += crossZonePenalty.Seconds()
 	}
+	if !now.Before(t.connectedUntil) {
+		c *= 1 + newConnectionCost
+	}
 	return c
 }
--- a/sched/reserve/choose_test.go
+++ b/sched/reserve/choose_test.go
@@ -127,3 +127,22 @@
 	}
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*len(p.order)), "ns/target")
 }
+
+// Guards against a new connection for each request where an equal target has an idle one.
+func TestIdleConnectionDecidesBetweenEquals(t *testing.T) {
+	p := New(Config{Reservations: true, Seed: 1})
+	p.SetTargets([]Target{{Name: "t0", Local: true, Slots: 4}, {Name: "t1", Local: true, Slots: 4}})
+	for _, t := range p.order {
+		t.preference = 0.5
+	}
+	p.RecordSpeed("t1", 10*time.Millisecond, chooseStart)
+	p.RecordSpeed("t0", 10*time.Millisecond, chooseStart)
+	p.EndGrant("t1", OK, Sample{}, chooseStart)
+	if got := p.chooseTarget(promptOf(0), 0, chooseStart); got.Name != "t1" {
+		t.Errorf("chose %s", got.Name)
+	}
+	p.RecordSpeed("t0", time.Millisecond, chooseStart)
+	if got := p.chooseTarget(promptOf(0), 0, chooseStart); got.Name != "t0" {
+		t.Errorf("chose %s, want the faster target", got.Name)
+	}
+}
--- a/sched/reserve/target.go
+++ b/sched/reserve/target.go
@@ -122,6 +122,8 @@
 	latency             time.Duration
 	respondedAt         time.Time // time of the newest first byte of a response
 	snapshot            finish.Snapshot
+	// connectedUntil is how long this host probably has an idle connection there.
+	connectedUntil time.Time
 }
 
 // recordGap adds a sample of the gap between events; 0 is ignored.
@@ -178,6 +180,7 @@
 		return
 	}
 	t.endRequest()
+	t.connectedUntil = now.Add(idleConnectionTime)
 	t.reopeningBusy = false
 	if t.drain.Closure(now) != drain.Open {
 		return // says nothing about the free slots of other targets
@@ -299,6 +302,7 @@
 	}
 	switch o {
 	case OK:
+		t.connectedUntil = now.Add(idleConnectionTime)
 		return t.health.Observe(health.Success, now)
 	case BrokenResponse:
 		return t.health.Observe(health.Failure, now)
