Start hosts as processes beside crowds that do not respect the limits

Each crowd holds connections to one listener of a process with 48 MB and 256 descriptors. The test checks that the process lives, that its memory and descriptors stay bounded and that an ordinary request is answered while the crowd is connected.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 	$(KNOWN_RED) $(GO) test $(filter-out ./proof/...,$(PACKAGES))
 	$(KNOWN_RED) $(GO) test ./proof/bench ./proof/invariant ./proof/slopes
 	$(KNOWN_RED) $(GO) test -count=1 ./proof/scenario ./proof/soak
+	$(KNOWN_RED) $(GO) test -count=1 -p 1 ./proof/crowd
 
 # The virtual-time measurements use one goroutine per run and are left out.
 race:
