Bound what callers that do not respect the limits can hold in an entry host

Bodies were allocated by the announced length and read until the caller's own deadline, heads of short fields cost 20 times their bytes, and the ready, metrics and internal listeners had no limits.

Bodies now grow as bytes arrive within limits.body_memory_mb; when it is used up, the unfinished body without progress for longest gives way with 503 overloaded, not run. A body that stalls ends after 10 s, whatever deadline the caller states. Package connlimit bounds connections, lines and bytes of heads and single writes of every listener; a full listener closes the connection without progress. Other listeners have timeouts and 8 KB of head. The Go memory limit leaves room for the pages of the program, which matters below 100 MB.

--- a/cmd/sardinefront/entry.go
+++ b/cmd/sardinefront/entry.go
@@ -27,6 +27,15 @@
 // The rest is for memory that the runtime does not count.
 const memoryLimitRatio = 0.8
 
+// programBytes is left for the pages of the program file, which count as memory of the process.
+const programBytes = 20 << 20
+
+// goMemoryLimit returns the Go memory limit for a configured memory in bytes.
+func goMemoryLimit(memory int64) int64 {
+	limit := int64(memoryLimitRatio * float64(memory))
+	return min(limit, max(limit/2, memory-programBytes))
+}
+
 // runEntry runs package gateway until a signal and returns the exit code.
 func runEntry(file string) int {
 	sink := logs.NewSink(os.Stdout)
@@ -44,7 +53,7 @@
 	}
 	handler.SetLevel(s.LogLevel())
 	if mb := s.Limits.MemoryMB; mb > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(mb) * (1 << 20)))
+		debug.SetMemoryLimit(goMemoryLimit(int64(mb) << 20))
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
--- a/core/event/table.go
+++ b/core/event/table.go
@@ -22,6 +22,7 @@
 	RequestAnswered      = Event{Number: 205, Name: "request answered", Level: slog.LevelInfo, Meaning: "A caller received its complete response.", Sampled: true}
 	ResponseAborted      = Event{Number: 204, Name: "answer broken", Level: slog.LevelWarn, Meaning: "A response that had begun could not be completed for the given reason; the connection to the caller was closed. The line states the time left until the deadline and what the last target has sent."}
 	RequestPanicked      = Event{Number: 208, Name: "request panicked", Level: slog.LevelError, Meaning: "The handler of a request panicked; the request was ended and its slot and quota returned. The line carries the stack."}
+	ClientConnClosed     = Event{Number: 225, Name: "client connection closed", Level: slog.LevelWarn, Meaning: "A connection was closed at a bound of its listener: too many connections (full), or a request head with too many lines or bytes (head).", Sampled: true}
 	TargetErrorForwarded = Event{Number: 207, Name: "target error forwarded", Level: slog.LevelInfo, Meaning: "A target's own error response was forwarded to the caller because the request could not be retried."}
 
 	TargetEjected   = Event{Number: 301, Name: "target ejected", Level: slog.LevelWarn, Meaning: "A target was ejected because of failures, slowness or timeouts."}
@@ -78,7 +79,7 @@
 func All() []Event {
 	return []Event{
 		Started, EmbeddedStore, ShutdownStarted, ShutdownCompleted, ShutdownForced, SettingsRejected, SettingsReloaded, LogLinesDropped, LoopPanicked,
-		RequestRefused, RequestRetried, CallerDisconnected, ResponseAborted, RequestAnswered, RequestSent, TargetErrorForwarded, RequestPanicked,
+		RequestRefused, RequestRetried, CallerDisconnected, ResponseAborted, RequestAnswered, RequestSent, TargetErrorForwarded, RequestPanicked, ClientConnClosed,
 		TargetEjected, TargetRestored, TargetDraining, TargetListStale, TargetListChanged, TargetFailure, TargetSilent, TargetResponsive, PromptPartSuspected, PromptPartQuarantined, PromptPartReleased, TargetClosed, TargetReopened, RetryAfterRejected, LoadReportUnreadable,
 		WriterElected, WriterRoleLost, AppendOutcomeUnknown, RequestOutcomeUnknown, RequestTakenOver,
 		MemberSuspected, MemberDead, MemberAlive, PeerRejected, PeerFetchFailed, QuotaReservedForPeers,
--- a/core/telemetry/telemetry.go
+++ b/core/telemetry/telemetry.go
@@ -50,6 +50,8 @@
 	{"sardinefront_targets_closed", "counter", "{target}", []string{"service", "reason"}, "Targets that this host stopped sending requests to, because they were leaving (leaving) or asked for a back-off (backed-off)."},
 	{"sardinefront_load_reports_unreadable", "counter", "{response}", []string{"service"}, "Load reports of targets that could not be read and were ignored."},
 	{"sardinefront_retry_after_rejected", "counter", "{response}", []string{"service"}, "Retry-After values of targets that were unreadable, negative or too long."},
+	{"sardinefront_client_limits", "counter", "{event}", []string{"cause"}, "Clients that were refused or closed at a bound of the process: request body that gave way (body), too many connections (full), request head with too many lines or bytes (head)."},
+	{"sardinefront_body_bytes", "gauge", "By", nil, "Memory held by request bodies."},
 	{"sardinefront_config_version", "gauge", "", nil, "Version of the active configuration."},
 	{"sardinefront_target_list_age", "gauge", "s", nil, "Time since the target list was last confirmed to be current."},
 	{"sardinefront_peers", "gauge", "{host}", nil, "Other hosts that are alive."},
@@ -200,6 +202,11 @@
 	m.add("sardinefront_load_reports_unreadable", 1, attribute.String("service", service))
 }
 
+// CountClientLimit counts a client that was refused or closed at a bound of the process.
+func (m *Metrics) CountClientLimit(cause string) {
+	m.add("sardinefront_client_limits", 1, attribute.String("cause", cause))
+}
+
 // CountRetryAfterRejected counts a Retry-After value of a target that was ignored.
 func (m *Metrics) CountRetryAfterRejected(service string) {
 	m.add("sardinefront_retry_after_rejected", 1, attribute.String("service", service))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,10 +5,8 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -70,13 +68,6 @@
 const (
 	// dialTimeout bounds a connect to a target; connects take a few milliseconds.
 	dialTimeout = 300 * time.Millisecond
-	// headerTimeout bounds the time to read a request's headers.
-	headerTimeout = 5 * time.Second
-	// idleTimeout closes idle connections of callers. It is longer than any configured idle
-	// timeout.
-	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes bounds the headers of a request.
-	maxHeaderBytes = 64 << 10
 	// maintenanceInterval is how often idle connections are closed and the host count is updated.
 	maintenanceInterval = time.Second
 	// balancerRemovalDelay is how long the load balancer may take to stop sending
@@ -141,6 +132,7 @@
 	g.ingress = ingress.New(ingress.Config{
 		Codec: cfg.Codec, Routing: &g.routing, Quota: g.quota, RetryBudget: g.retryBudget, Schedulers: g.schedulers,
 		Upstream: g.upstream, Rollouts: g.rollouts, Parts: g.parts, Metrics: cfg.Metrics, Log: cfg.Log,
+		BodyMemoryBytes: s.BodyMemoryBytes(),
 	})
 	return g
 }
@@ -160,13 +152,7 @@
 	if err := g.registerGauges(); err != nil {
 		return err
 	}
-	g.callers = &http.Server{
-		Handler: g.ingress, ConnState: g.conns.track, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(g.cfg.Log.Handler(), slog.LevelDebug),
-	}
-	g.ready = &http.Server{Handler: http.HandlerFunc(g.serveReady)}
-	g.metrics = &http.Server{Handler: g.cfg.MetricsHandler}
-	g.internal = &http.Server{Handler: peers.SnapshotHandler(g.dir)}
+	g.newServers()
 	if err := g.listenAll(); err != nil {
 		return err
 	}
@@ -186,36 +172,6 @@
 	g.wg.Go(func() { supervise.Loop(ctx, g.cfg.Log, name, run) })
 }
 
-func (g *Gateway) listenAll() error {
-	s := g.cfg.Settings
-	servers := []struct {
-		server  *http.Server
-		address string
-	}{{g.callers, s.Listen.Callers}, {g.ready, s.Listen.Ready}, {g.internal, s.PeerAddress()}, {g.metrics, s.Listen.Metrics}}
-	for _, l := range servers {
-		if l.address == "" {
-			continue
-		}
-		if err := g.listen(l.server, l.address); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (g *Gateway) listen(server *http.Server, address string) error {
-	l, err := net.Listen("tcp4", address)
-	if err != nil {
-		return fmt.Errorf("listen on %s: %w", address, err)
-	}
-	g.wg.Go(func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			g.cfg.Log.Error("HTTP server stopped unexpectedly", "address", address, "error", err)
-		}
-	})
-	return nil
-}
-
 // serveReady handles the platform's readiness probe.
 func (g *Gateway) serveReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != g.cfg.ReadyPath {
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -24,8 +24,9 @@
 			_, bytes := g.mesh.Traffic()
 			return one(float64(bytes))
 		},
-		"sardinefront_waiting": g.waitingSamples,
-		"sardinefront_targets": g.targetSamples,
+		"sardinefront_body_bytes": func() []telemetry.GaugeValue { return one(float64(g.ingress.BodyBytes())) },
+		"sardinefront_waiting":    g.waitingSamples,
+		"sardinefront_targets":    g.targetSamples,
 	}
 	for name, read := range gauges {
 		if err := g.cfg.Metrics.RegisterGauge(name, read); err != nil {
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -47,6 +46,8 @@
 	RecordEventPause(tier request.Tier, seconds float64)
 	// RecordFirstToken records the time to the first byte of a response, in seconds.
 	RecordFirstToken(tier request.Tier, seconds float64)
+	// CountClientLimit counts a client that was refused or closed at a bound of the process.
+	CountClientLimit(cause string)
 }
 
 // Config holds the dependencies of a Server.
@@ -61,12 +62,16 @@
 	Parts       *promptparts.Guard
 	Metrics     Metrics
 	Log         *slog.Logger
+	// BodyMemoryBytes bounds the request bodies that are held at once. There is always room for a few
+	// bodies of the configured size.
+	BodyMemoryBytes int64
 }
 
 // Server is the HTTP handler for callers. It is safe for concurrent use.
 type Server struct {
 	cfg         Config
 	eventMemory *membudget.Budget
+	bodies      *bodyBudget
 	stop        atomic.Pointer[stopTimes] // nil until a planned stop begins
 	// running ends when a planned stop ends the requests in progress.
 	running     context.Context
@@ -75,7 +80,7 @@
 
 // New returns a Server.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg, eventMemory: membudget.NewForEvents()}
+	s := &Server{cfg: cfg, eventMemory: membudget.NewForEvents(), bodies: newBodyBudget(cfg.BodyMemoryBytes)}
 	s.running, s.endRequests = context.WithCancel(context.Background())
 	return s
 }
@@ -90,12 +95,16 @@
 	writeDeadlineMargin = time.Second
 )
 
+// BodyBytes returns the memory held by request bodies.
+func (s *Server) BodyBytes() int64 { return s.bodies.Used() }
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	s.setConnectionHeader(w.Header())
 	x := &exchange{Server: s, w: w, r: r, arrived: arrived, info: s.cfg.Codec.RequestInfo(r.Header)}
 	x.setWriteDeadline(arrived.Add(defaultTimeout))
+	defer x.bodies.release(&x.bodyUsage)
 	defer x.recoverPanic()
 	if ref := x.admit(); ref != nil {
 		x.refuse(ref)
@@ -123,6 +132,7 @@
 	quotaUnits   float64 // charged to the organisation's quota
 	uri          string
 	body         []byte
+	bodyUsage    bodyUsage
 	// bodyRead is true once the body was read to its end, or reading it has failed.
 	bodyRead bool
 	service  string
@@ -241,15 +251,21 @@
 	}
 	// A caller that stops in the middle of its body does not hold its connection for good.
 	connection := http.NewResponseController(x.w)
-	_ = connection.SetReadDeadline(x.deadline) // an error means a connection without deadlines
-	body, err := readAll(x.r, limit+1)
+	body, err := x.receiveBody(connection, limit)
 	x.bodyRead = int64(len(body)) <= limit
 	if err == nil {
 		// After an error the deadline stays, because net/http then reads the rest of the body.
 		_ = connection.SetReadDeadline(time.Time{})
 	}
 	switch {
+	case errors.Is(err, errBodyGaveWay):
+		x.bodies.release(&x.bodyUsage)
+		x.bodyRead = false // the rest is read and dropped, so that the refusal arrives
+		x.w.Header().Set("Connection", "close")
+		x.cfg.Metrics.CountClientLimit("body")
+		return refusal.New(refusal.Overloaded, "%v", err)
 	case int64(len(body)) > limit:
+		x.bodies.release(&x.bodyUsage)
 		return refusal.New(refusal.BodyTooLarge, "body exceeds the limit of %d bytes", limit)
 	case err != nil:
 		x.w.Header().Set("Connection", "close")
@@ -268,16 +284,6 @@
 	return x.r.Method == http.MethodPost || x.r.Method == http.MethodPut || x.r.Method == http.MethodPatch
 }
 
-// readAll reads at most limit bytes of the body.
-func readAll(r *http.Request, limit int64) ([]byte, error) {
-	if n := r.ContentLength; n >= 0 && n < limit {
-		b := make([]byte, n)
-		_, err := io.ReadFull(r.Body, b)
-		return b, err
-	}
-	return io.ReadAll(io.LimitReader(r.Body, limit))
-}
-
 // setDeadline sets the request's deadline from the caller's and the route's timeout.
 func (x *exchange) setDeadline() {
 	timeout := x.info.Timeout
--- a/gateway/ingress/unread.go
+++ b/gateway/ingress/unread.go
@@ -4,6 +4,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"sardinefront.dev/gateway/connlimit"
 )
 
 const (
@@ -26,6 +28,7 @@
 	if stop := x.stop.Load(); stop != nil && stop.end.Before(end) {
 		end = stop.end
 	}
+	connlimit.SetReceiving(x.r.Context(), true)
 	_ = connection.SetReadDeadline(end)
 	if n, err := io.CopyN(io.Discard, x.r.Body, maxLingerBytes); n == maxLingerBytes || err != io.EOF {
 		panic(http.ErrAbortHandler)
--- a/gateway/settings/settings.go
+++ b/gateway/settings/settings.go
@@ -49,6 +49,9 @@
 		// MemoryMB is the memory limit above which the process is killed, in MB; 0 means
 		// no limit.
 		MemoryMB int `yaml:"memory_mb"`
+		// BodyMemoryMB bounds the request bodies that are held at once, in MB; 0 means a part of
+		// MemoryMB.
+		BodyMemoryMB int `yaml:"body_memory_mb"`
 	} `yaml:"limits"`
 	Stop struct {
 		// GraceSeconds is the time between the termination signal and the kill.
@@ -121,6 +124,7 @@
 	c.RequireAddrPort("store.address", s.Store.Address)
 	c.Require(s.Store.ReadsPerSecond >= 0, "store.reads_per_second", "%v is negative", s.Store.ReadsPerSecond)
 	c.Require(s.Store.WritesPerSecond >= 0, "store.writes_per_second", "%v is negative", s.Store.WritesPerSecond)
+	c.Require(s.Limits.BodyMemoryMB >= 0, "limits.body_memory_mb", "%v is negative", s.Limits.BodyMemoryMB)
 	c.Require(s.Stop.GraceSeconds > 0, "stop.grace_s", "%v is not positive", s.Stop.GraceSeconds)
 	c.Require(s.RetryBudget.WindowSeconds > 0, "retry_budget.window_s", "%v is not positive", s.RetryBudget.WindowSeconds)
 	c.Require(s.RetryBudget.Ratio >= 0, "retry_budget.ratio", "%v is negative", s.RetryBudget.Ratio)
@@ -158,6 +162,24 @@
 	return out
 }
 
+const (
+	// bodyMemoryShare is the part of the memory limit for request bodies, defaultBodyMemoryBytes the
+	// value without a memory limit.
+	bodyMemoryShare        = 8
+	defaultBodyMemoryBytes = 64 << 20
+)
+
+// BodyMemoryBytes returns the bound of the request bodies that are held at once.
+func (s *Settings) BodyMemoryBytes() int64 {
+	switch {
+	case s.Limits.BodyMemoryMB > 0:
+		return int64(s.Limits.BodyMemoryMB) << 20
+	case s.Limits.MemoryMB > 0:
+		return int64(s.Limits.MemoryMB) << 20 / bodyMemoryShare
+	}
+	return defaultBodyMemoryBytes
+}
+
 // GracePeriod returns the time between the termination signal and the kill.
 func (s *Settings) GracePeriod() time.Duration {
 	return time.Duration(s.Stop.GraceSeconds * float64(time.Second))
