Reject responses with a status above 599 on both request paths

The check of response heads required a first digit other than 0 only, so that 600 to 999 were passed on to callers; such a head is now malformed, as 000 and signed ones were before. The new test failed for 600 and 999 and passes; go test ./core/httphead passes.

--- a/core/httphead/httphead.go
+++ b/core/httphead/httphead.go
@@ -77,11 +77,11 @@
 	return fmt.Errorf("%w: %s: %.80q", ErrMalformed, what, line)
 }
 
-// statusLine checks "HTTP/1.x NNN reason". The reason and the blank before it may be missing.
+// statusLine checks "HTTP/1.x NNN reason" with a status from 100 to 599. The reason and the blank before it may be missing.
 func (c *checker) statusLine(line []byte) error {
 	const digits = len("HTTP/1.1 200")
 	valid := len(line) >= digits && bytes.HasPrefix(line, []byte("HTTP/1.")) && isDigits(line[7:8]) && line[8] == ' ' &&
-		isDigits(line[9:digits]) && line[9] != '0' && (len(line) == digits || line[digits] == ' ')
+		isDigits(line[9:digits]) && line[9] >= '1' && line[9] <= '5' && (len(line) == digits || line[digits] == ' ')
 	if !valid || !isText(line) {
 		return malformed("status line", line)
 	}
--- a/core/httphead/httphead_test.go
+++ b/core/httphead/httphead_test.go
@@ -105,3 +105,18 @@
 		}
 	}
 }
+
+// Guards against passing on a status that no caller knows: parsers accept any three digits, some also
+// a sign.
+func TestStatusOutsideTheRangeIsMalformed(t *testing.T) {
+	for _, status := range []string{"000", "099", "99", "+20", "+200", "600", "999", "-20"} {
+		if err := Check([]byte("HTTP/1.1 " + status + " X\r\n\r\n")); !errors.Is(err, ErrMalformed) {
+			t.Errorf("status %s: %v", status, err)
+		}
+	}
+	for _, status := range []string{"100", "200", "451", "599"} {
+		if err := Check([]byte("HTTP/1.1 " + status + " X\r\n\r\n")); err != nil {
+			t.Errorf("status %s: %v", status, err)
+		}
+	}
+}
