--- a/gateway/dispatch/closed.go
+++ b/gateway/dispatch/closed.go
@@ -135,8 +135,9 @@
 func (s *Scheduler) setEvacuatedZones(zones reserve.Zones) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.pool.SetEvacuatedZones(zones) {
-		s.dispatch(time.Now())
+	now := time.Now()
+	if s.pool.SetEvacuatedZones(zones, now) {
+		s.dispatch(now)
 	}
 }
 
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -28,6 +28,7 @@
 		"sardinefront_targets":         g.targetSamples,
 		"sardinefront_evacuated_zones": func() []telemetry.GaugeValue { return one(float64(len(g.dir.EvacuatedZones()))) },
 		"sardinefront_expected_wait":   g.expectedWaitSamples,
+		"sardinefront_body_bytes":      func() []telemetry.GaugeValue { return one(float64(g.ingress.BodyBytes())) },
 	}
 	for name, read := range gauges {
 		if err := g.cfg.Metrics.RegisterGauge(name, read); err != nil {
--- a/sched/reserve/homes_test.go
+++ b/sched/reserve/homes_test.go
@@ -71,7 +71,7 @@
 		list[i].Region = list[i].Zone
 	}
 	p.SetTargets(list)
-	p.SetEvacuatedZones(reserve.Zones{"north": true})
+	p.SetEvacuatedZones(reserve.Zones{"north": true}, start)
 	for _, region := range []string{"west", "north"} {
 		if ref := p.Submit(homed("r", region), start); ref == nil || ref.RunState != refusal.NotRun || ref.RetryAfter <= 0 {
 			t.Errorf("region %s: refusal %+v", region, ref)
--- a/sched/reserve/zones.go
+++ b/sched/reserve/zones.go
@@ -16,14 +16,19 @@
 func (z Zones) Contain(zone string) bool { return zone != "" && z[zone] }
 
 // SetEvacuatedZones sets the zones whose targets get nothing, and reports whether they change.
-// Requests that run there go on.
-func (p *Pool) SetEvacuatedZones(zones Zones) (changed bool) {
+// Requests that run there go on. Targets of a zone that is taken back may be cold.
+func (p *Pool) SetEvacuatedZones(zones Zones, now time.Time) (changed bool) {
 	if maps.Equal(p.evacuatedZones, zones) {
 		return false
 	}
+	before := p.evacuatedZones
 	p.evacuatedZones = maps.Clone(zones)
 	for _, t := range p.order {
-		t.drain.SetEvacuated(zones.Contain(t.Zone))
+		evacuated := zones.Contain(t.Zone)
+		t.drain.SetEvacuated(evacuated)
+		if before.Contain(t.Zone) && !evacuated {
+			p.RecordReturned(t.Name, now)
+		}
 	}
 	return true
 }
--- a/sched/reserve/zones_test.go
+++ b/sched/reserve/zones_test.go
@@ -24,7 +24,7 @@
 func TestOverloadDoesNotReachAnEvacuatedZone(t *testing.T) {
 	p := reserve.New(reserve.Config{Reservations: true})
 	p.SetTargets(zonedEngines())
-	p.SetEvacuatedZones(reserve.Zones{"north": true})
+	p.SetEvacuatedZones(reserve.Zones{"north": true}, start)
 	p.SetTargets(zonedEngines()[2:])
 	p.SetTargets(zonedEngines())
 	for _, id := range []string{"a", "b", "c", "d"} {
@@ -40,7 +40,7 @@
 			t.Errorf("grant at %s", g.Target)
 		}
 	}
-	p.SetEvacuatedZones(nil)
+	p.SetEvacuatedZones(nil, start)
 	if grants = grantsOnly(p.Dispatch(start)); len(grants) != 2 || p.Closure("e0", start) != drain.Open {
 		t.Errorf("grants after the evacuation: %v", grants)
 	}
@@ -52,7 +52,7 @@
 	p := reserve.New(reserve.Config{Reservations: true})
 	p.SetTargets(zonedEngines())
 	submit(t, p, waiter("early", request.Urgent, "o", start), start)
-	p.SetEvacuatedZones(reserve.Zones{"north": true, "south": true})
+	p.SetEvacuatedZones(reserve.Zones{"north": true, "south": true}, start)
 	check := func(ref *refusal.Refusal) {
 		t.Helper()
 		if ref == nil || ref.RunState != refusal.NotRun || ref.RetryAfter <= 0 {
