--- a/core/telemetry/telemetry.go
+++ b/core/telemetry/telemetry.go
@@ -46,8 +46,6 @@
 	{"sardinefront_target_connections", "counter", "{connection}", []string{"result"}, "Attempts to open a connection to a target, by result."},
 	{"sardinefront_prompt_parts", "counter", "{change}", []string{"change"}, "Changes of the state of prompt parts that crash targets: suspected, quarantined or released."},
 	{"sardinefront_waiting", "gauge", "{request}", []string{"tier", "service"}, "Requests waiting for a target."},
-	{"sardinefront_expected_wait", "gauge", "s", []string{"service"}, "Expected wait of a new request behind all waiting ones; 0 if none wait or the rate of starts is unknown."},
-	{"sardinefront_early_refusals", "counter", "{request}", []string{"service", "cause"}, "Requests refused on arrival for lack of room: no slot before the caller gives up (no-start-in-time), or behind one that has waited for long (behind-long-wait)."},
 	{"sardinefront_targets", "gauge", "{target}", []string{"service", "state"}, "Targets by state: all in use (used), and those of them that are ejected (ejected), leaving (leaving) or in a back-off that they asked for (backed-off)."},
 	{"sardinefront_targets_closed", "counter", "{target}", []string{"service", "reason"}, "Targets that this host stopped sending requests to, because they were leaving (leaving) or asked for a back-off (backed-off)."},
 	{"sardinefront_load_reports_unreadable", "counter", "{response}", []string{"service"}, "Load reports of targets that could not be read and were ignored."},
@@ -162,11 +160,6 @@
 	m.add("sardinefront_refusals", 1, attribute.String("tier", t.String()), attribute.String("reason", r.String()))
 }
 
-// CountEarlyRefusal counts a request that was refused on arrival for lack of room, by cause.
-func (m *Metrics) CountEarlyRefusal(service, cause string) {
-	m.add("sardinefront_early_refusals", 1, attribute.String("service", service), attribute.String("cause", cause))
-}
-
 // CountRetry counts a retry of a request.
 func (m *Metrics) CountRetry(r refusal.RetryReason) {
 	m.add("sardinefront_retries", 1, attribute.String("reason", r.String()))
--- a/gateway/dispatch/closed.go
+++ b/gateway/dispatch/closed.go
@@ -19,8 +19,6 @@
 	CountRetryAfterRejected(service string)
 	// CountUnreadableLoad counts a load report that could not be read.
 	CountUnreadableLoad(service string)
-	// CountEarlyRefusal counts a request that was refused on arrival for lack of room, by cause.
-	CountEarlyRefusal(service, cause string)
 }
 
 // RecordResponse merges what a response says about its target: its load, that it is leaving, or
--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -119,9 +119,6 @@
 		s.pool.Resubmit(w)
 	} else if ref := s.pool.Submit(w, now); ref != nil {
 		s.mu.Unlock()
-		if cause := w.EarlyRefusal(); cause != "" {
-			s.metrics.CountEarlyRefusal(s.name, cause)
-		}
 		return directory.Target{}, ref
 	}
 	s.waiters[w] = ch
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -24,9 +24,8 @@
 			_, bytes := g.mesh.Traffic()
 			return one(float64(bytes))
 		},
-		"sardinefront_waiting":       g.waitingSamples,
-		"sardinefront_expected_wait": g.expectedWaitSamples,
-		"sardinefront_targets":       g.targetSamples,
+		"sardinefront_waiting": g.waitingSamples,
+		"sardinefront_targets": g.targetSamples,
 	}
 	for name, read := range gauges {
 		if err := g.cfg.Metrics.RegisterGauge(name, read); err != nil {
@@ -46,14 +45,6 @@
 	return out
 }
 
-func (g *Gateway) expectedWaitSamples() []telemetry.GaugeValue {
-	var out []telemetry.GaugeValue
-	for name, s := range g.schedulers.Stats() {
-		out = append(out, telemetry.GaugeValue{Labels: []string{name}, Value: s.ExpectedWait.Seconds()})
-	}
-	return out
-}
-
 func (g *Gateway) targetSamples() []telemetry.GaugeValue {
 	var out []telemetry.GaugeValue
 	for name, s := range g.schedulers.Stats() {
--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -51,15 +51,6 @@
 	return w
 }
 
-// statedTimeout returns how long a caller says that it still waits for the first event, 0 if it does not
-// say. A caller that continues a stream has had its first event; what counts is the pause.
-func statedTimeout(info protocol.RequestInfo) time.Duration {
-	if info.LastEventID != "" {
-		return 0
-	}
-	return info.Timeout
-}
-
 // callerEventWait returns how long the caller of a stream waits for its next event.
 func callerEventWait(route *routing.Route) time.Duration {
 	return max(minCallerWait, callerWaitGoals*route.LatencyGoal, callerWaitGaps*route.MaxEventGap)
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -418,7 +418,6 @@
 // waiter returns the queue entry of the request, with the version that a rollout assigns.
 func (x *exchange) waiter() *reserve.Waiter {
 	w := newWaiter(x.request, x.route)
-	w.StatedTimeout = statedTimeout(x.info)
 	if split := x.cfg.Rollouts.Split(x.service, x.arrived); split.Version != "" {
 		w.RolloutVersion, w.AvoidRolloutVersion, w.RolledBack = split.Version, rand.Float64() >= split.Share, split.RolledBack
 	}
--- a/gateway/ingress/silence_test.go
+++ b/gateway/ingress/silence_test.go
@@ -40,7 +40,6 @@
 func (nopMetrics) CountTargetClosed(string, string) {}
 func (nopMetrics) CountRetryAfterRejected(string)   {}
 func (nopMetrics) CountUnreadableLoad(string)       {}
-func (nopMetrics) CountEarlyRefusal(string, string) {}
 
 type nopPeers struct{}
 
--- a/sched/flow/fair.go
+++ b/sched/flow/fair.go
@@ -15,21 +15,8 @@
 	// paired is the queue of the tier's late items if this one holds the fresh items, and
 	// the reverse. An organisation that is in both has the same start time in both.
 	paired *fairQueue
-	// newestFirst is true while the newest item of an organisation is its head.
-	newestFirst bool
 }
 
-// place is where an item is added to its organisation's items.
-type place uint8
-
-const (
-	atBack place = iota
-	atFront
-	// refunded is the place of an item that was dequeued but not started: it is served next, and its
-	// organisation gets back what it was charged.
-	refunded
-)
-
 // maxIdleOrganisations bounds the organisations without waiting items whose state a queue
 // keeps; each takes about 150 bytes.
 const maxIdleOrganisations = 1024
@@ -45,7 +32,7 @@
 	heapIndex    int // in the heap that holds it
 }
 
-func (f *fairQueue) add(it *Item, at place, weight float64) {
+func (f *fairQueue) add(it *Item, front bool, weight float64) {
 	o := f.organisations[it.Request.Organisation]
 	if o == nil {
 		o = &organisation{name: it.Request.Organisation, virtualStart: f.virtualTime, heapIndex: -1}
@@ -58,14 +45,11 @@
 	if o.pending == 0 && o.heapIndex >= 0 {
 		heap.Remove(&f.idle, o.heapIndex)
 	}
-	if at == refunded {
+	if front {
 		o.virtualStart = max(0, o.virtualStart-it.Cost/o.weight)
-	} else {
-		o.virtualStart = max(o.virtualStart, f.minStart(o))
-	}
-	if at == atFront || at == refunded && !f.newestFirst {
 		o.prepend(it)
 	} else {
+		o.virtualStart = max(o.virtualStart, f.minStart(o))
 		o.append(it)
 	}
 	it.org = o
@@ -123,10 +107,8 @@
 	if len(f.waiting) == 0 {
 		return nil
 	}
-	if f.newestFirst {
-		return f.waiting[0].newest()
-	}
-	return f.waiting[0].oldest()
+	o := f.waiting[0]
+	return o.items[o.headIndex]
 }
 
 func (f *fairQueue) dequeue(it *Item) {
@@ -166,10 +148,6 @@
 	}
 }
 
-func (o *organisation) oldest() *Item { return o.items[o.headIndex] }
-
-func (o *organisation) newest() *Item { return o.items[len(o.items)-1] }
-
 func (o *organisation) append(it *Item) {
 	it.itemIndex = len(o.items)
 	o.items = append(o.items, it)
@@ -195,16 +173,13 @@
 func (o *organisation) remove(it *Item) {
 	o.items[it.itemIndex] = nil
 	o.pending--
+	for o.headIndex < len(o.items) && o.items[o.headIndex] == nil {
+		o.headIndex++
+	}
 	if o.pending == 0 {
 		o.items, o.headIndex = nil, 0
 		return
 	}
-	for o.items[o.headIndex] == nil {
-		o.headIndex++
-	}
-	for o.newest() == nil {
-		o.items = o.items[:len(o.items)-1]
-	}
 	// Compacts once half of the slice is behind the head.
 	if o.headIndex > 32 && o.headIndex > len(o.items)/2 {
 		o.items = append([]*Item(nil), o.items[o.headIndex:]...)
--- a/sched/flow/flow.go
+++ b/sched/flow/flow.go
@@ -9,7 +9,6 @@
 
 	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/core/request"
-	"sardinefront.dev/sched/admission"
 )
 
 // Config configures a Queue.
@@ -19,8 +18,6 @@
 	// Weights holds the weights of organisations; an absent or non-positive
 	// weight counts as 1.
 	Weights map[string]float64
-	// NewestFirst serves the newest fresh items of an organisation first while items become late.
-	NewestFirst bool
 }
 
 // Item is one waiting request. It belongs to the queue from Push until it is dequeued,
@@ -34,13 +31,9 @@
 	// FreshUntil is when the item misses the objective for its first token. From then on
 	// it is late and waits behind the fresh items of its tier. Zero means never.
 	FreshUntil time.Time
-	// Returning is true for a repeat and for an item that was started before. Once late, it precedes
-	// its organisation's other late items.
-	Returning bool
 
 	queue         *fairQueue
-	pushedAt      time.Time // zero if the item was not pushed, or has become late since
-	due           bool      // late, but served before the fresh items for fairness
+	due           bool // late, but served before the fresh items for fairness
 	org           *organisation
 	itemIndex     int // index in org.items while the item waits
 	deadlineIndex int // index in the deadline heap, -1 if it never expires
@@ -62,8 +55,6 @@
 	items     map[string]*Item
 	deadlines deadlineHeap
 	floors    [request.TierCount]time.Time // when the floor of each tier expires
-	// order selects which fresh item of an organisation is served next.
-	order [request.TierCount]admission.Order
 }
 
 // New returns an empty queue.
@@ -83,7 +74,6 @@
 	if n := q.Len(tier); n >= q.cfg.MaxWaiting[tier] {
 		return refusal.New(refusal.QueueFull, "%d %s requests are waiting", n, tier)
 	}
-	it.pushedAt = now
 	q.add(it, false)
 	return nil
 }
@@ -101,11 +91,7 @@
 		heap.Push(&q.deadlines, it)
 	}
 	it.queue = &q.tiers[it.Request.Tier]
-	place := atBack
-	if front {
-		place = refunded
-	}
-	it.queue.add(it, place, q.weight(it.Request.Organisation))
+	it.queue.add(it, front, q.weight(it.Request.Organisation))
 }
 
 func (q *Queue) weight(organisation string) float64 {
@@ -155,7 +141,7 @@
 			most = o
 		}
 	}
-	it := most.oldest()
+	it := most.items[most.headIndex]
 	q.RemoveItem(it)
 	return it
 }
@@ -169,76 +155,17 @@
 // late to the late queue without a charge: serving them first would make the others late too.
 func (q *Queue) nextFresh(t request.Tier, now time.Time) *Item {
 	f := &q.tiers[t]
-	if f.newestFirst = q.NewestFirst(t, now); f.newestFirst {
-		q.moveOldestLate(t, now)
-	}
 	for it := f.head(); it != nil; it = f.head() {
-		if !it.lateAt(now) {
+		if it.FreshUntil.IsZero() || now.Before(it.FreshUntil) {
 			return it
 		}
-		q.moveLate(it, now)
+		f.remove(it)
+		it.queue = &q.late[t]
+		it.queue.add(it, false, q.weight(it.Request.Organisation))
 	}
 	return nil
 }
 
-// moveOldestLate moves the late items at the old end of each organisation's queue, which are never
-// the head while the newest are served first.
-func (q *Queue) moveOldestLate(t request.Tier, now time.Time) {
-	f := &q.tiers[t]
-	for i := 0; i < len(f.waiting); {
-		if it := f.waiting[i].oldest(); it.lateAt(now) {
-			q.moveLate(it, now) // reorders waiting, at worst so that a later call finds the rest
-			continue
-		}
-		i++
-	}
-}
-
-// lateAt reports whether the item misses its objective if it is started at the given time.
-func (it *Item) lateAt(now time.Time) bool {
-	return !it.FreshUntil.IsZero() && !now.Before(it.FreshUntil)
-}
-
-func (q *Queue) moveLate(it *Item, now time.Time) {
-	t := it.Request.Tier
-	it.queue.remove(it)
-	it.queue = &q.late[t]
-	place := atBack
-	if it.Returning {
-		place = atFront
-	}
-	it.queue.add(it, place, q.weight(it.Request.Organisation))
-	if !it.pushedAt.IsZero() && it.FreshUntil.After(it.pushedAt) {
-		q.order[t].RecordLate(now)
-		it.pushedAt = time.Time{} // counts once
-	}
-}
-
-// Backlog counts waiting items of one lane.
-type Backlog struct {
-	// Count is the number of items, Own the number of one organisation's, and Organisations the
-	// number of organisations with items.
-	Count, Own, Organisations int
-}
-
-// Backlog returns the waiting items of a tier that are fresh or late, as of the last Head.
-func (q *Queue) Backlog(t request.Tier, late bool, organisation string) Backlog {
-	f := &q.tiers[t]
-	if late {
-		f = &q.late[t]
-	}
-	b := Backlog{Count: f.count, Organisations: len(f.waiting)}
-	if o := f.organisations[organisation]; o != nil {
-		b.Own = o.pending
-	}
-	return b
-}
-
-// NewestFirst reports whether the newest fresh items of a tier are served first.
-func (q *Queue) NewestFirst(t request.Tier, now time.Time) bool {
-	return q.cfg.NewestFirst && q.order[t].NewestFirst(now)
-}
-
 // Head returns the next fresh item of a tier, or its next late item, without removing it, or
 // nil. It ignores floors. It is for callers that order fresh and late items across tiers
 // themselves.
@@ -267,14 +194,6 @@
 	return out
 }
 
-// RecordStart records that an item which is about to be dequeued is started. The order of fresh items
-// depends on how many are started before they become late.
-func (q *Queue) RecordStart(it *Item, now time.Time) {
-	if t := it.Request.Tier; it.queue == &q.tiers[t] {
-		q.order[t].RecordStart(now)
-	}
-}
-
 // Dequeue removes an item that Next or Head returned and charges its organisation.
 func (q *Queue) Dequeue(it *Item) {
 	q.unindex(it)
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -12,7 +12,6 @@
 
 	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/core/request"
-	"sardinefront.dev/sched/admission"
 	"sardinefront.dev/sched/drain"
 	"sardinefront.dev/sched/flow"
 )
@@ -69,13 +68,6 @@
 	departedInflight map[string]int
 	// withdrawn is set while the service is not configured and has no ready targets.
 	withdrawn bool
-	// startRate, timeLimits and firstEvent are what admission under shortage goes by: the starts per
-	// second, the usual time limits of callers, and the time from send to first byte by route.
-	startRate  admission.StartRate
-	timeLimits admission.TimeLimits
-	firstEvent map[string]time.Duration
-	// reserved counts the granted reservations since the last Dispatch.
-	reserved int
 	// slowThreshold is the gap between events above which a target is slow, as of the last
 	// Dispatch with waiting requests; 0 if too few targets are measured.
 	slowThreshold time.Duration
@@ -93,7 +85,7 @@
 	return &Pool{
 		cfg:     c,
 		rnd:     rand.New(rand.NewPCG(c.Seed, c.Seed^0x9e3779b97f4a7c15)),
-		queue:   flow.New(flow.Config{MaxWaiting: bounds, NewestFirst: true}),
+		queue:   flow.New(flow.Config{MaxWaiting: bounds}),
 		waiters: map[*flow.Item]*Waiter{},
 		targets: map[string]*target{}, starvingHosts: map[string]floor{}, departed: map[string]*drain.State{}, departedInflight: map[string]int{},
 	}
@@ -147,8 +139,7 @@
 // Submit queues a request. It returns a refusal if the caller would probably give up before
 // the request is dispatched, or if the queue of its tier is full.
 func (p *Pool) Submit(w *Waiter, now time.Time) *refusal.Refusal {
-	p.setLatestStart(w)
-	if ref := p.checkAdmission(w, now); ref != nil {
+	if ref := p.checkQueueDelay(w, now); ref != nil {
 		return ref
 	}
 	w.item = w.queueItem()
@@ -167,7 +158,6 @@
 // precedes its organisation's other requests.
 func (p *Pool) Resubmit(w *Waiter) {
 	w.item = w.queueItem()
-	w.item.Returning = true
 	p.queue.PushFront(&w.item)
 	w.queued = true
 	p.waiters[&w.item] = w
@@ -193,14 +183,6 @@
 // ends with EndGrant or RecordFull.
 func (p *Pool) Dispatch(now time.Time) (grants []Grant, expired []Expired) {
 	p.startTrials(now)
-	defer func() {
-		starts := p.reserved
-		if !p.cfg.Reservations {
-			starts = len(grants)
-		}
-		p.reserved = 0
-		p.startRate.Observe(starts, len(p.waiters) > 0, now)
-	}()
 	if p.withdrawn {
 		return nil, p.refuseWithdrawn()
 	}
@@ -251,7 +233,6 @@
 		if t == nil {
 			return grants
 		}
-		p.queue.RecordStart(it, now)
 		p.queue.Dequeue(it)
 		p.dequeue(w)
 		t.inflight++
@@ -332,13 +313,11 @@
 	Ejected  int
 	// Leaving and BackedOff count the targets that get nothing from this host for that reason.
 	Leaving, BackedOff int
-	// ExpectedWait is how long a request behind all waiting ones would probably wait, 0 if unknown.
-	ExpectedWait time.Duration
 }
 
 // Stats returns the current counts.
 func (p *Pool) Stats(now time.Time) Stats {
-	s := Stats{Targets: len(p.order), Ejected: p.ejectedCount, ExpectedWait: p.expectedWait(now)}
+	s := Stats{Targets: len(p.order), Ejected: p.ejectedCount}
 	for t := range s.Waiting {
 		s.Waiting[t] = p.queue.Len(request.Tier(t))
 	}
--- a/sched/reserve/target.go
+++ b/sched/reserve/target.go
@@ -254,7 +254,6 @@
 
 // RecordReserved records that a target granted a reservation.
 func (p *Pool) RecordReserved(name string) {
-	p.reserved++
 	if t := p.targets[name]; t != nil {
 		t.consecutiveRefusals = 0
 		t.reopening, t.reopeningBusy = false, false
--- a/sched/reserve/waiter.go
+++ b/sched/reserve/waiter.go
@@ -5,7 +5,6 @@
 
 	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/core/request"
-	"sardinefront.dev/sched/admission"
 	"sardinefront.dev/sched/flow"
 	"sardinefront.dev/sched/health"
 )
@@ -14,6 +13,9 @@
 	// maxWaitFraction is the fraction of FirstByteTimeout after which a waiting request
 	// expires; the rest is left for the target to send the first byte.
 	maxWaitFraction = 0.65
+	// refuseWaitFraction is the fraction of FirstByteTimeout above which the wait of a
+	// queued request makes a new one of its organisation and tier be refused at once.
+	refuseWaitFraction = 0.4
 	// minExtendedWait is how long a request may wait at least for another target after a failed
 	// attempt.
 	minExtendedWait = 700 * time.Millisecond
@@ -33,8 +35,6 @@
 	// LatencyGoal is the goal for the first event, 0 for none. PrefillTime is the expected time
 	// to read the prompt at a fast target.
 	LatencyGoal, PrefillTime time.Duration
-	// StatedTimeout is how long the caller says it still waits, 0 if it does not say.
-	StatedTimeout time.Duration
 
 	// RolloutVersion, if not empty, is the version that a rollout moves to. The request
 	// uses only targets of that version, or only targets of other versions if
@@ -50,8 +50,6 @@
 	standby       bool      // the request is still running at a silent target
 	queued        bool
 	queuedAt      time.Time
-	age           time.Duration // time since the caller's first attempt, on arrival
-	refusedFor    admission.Cause
 }
 
 // Exclude keeps the request from being dispatched to a target again.
@@ -113,10 +111,23 @@
 	if w.extendedUntil.After(latest) {
 		latest = w.extendedUntil
 	}
-	return flow.Item{
-		Request: w.Request, Cost: float64(w.Request.EstimatedTokens()), FreshUntil: w.FreshUntil, LatestStart: latest,
-		Returning: w.age > 0,
+	return flow.Item{Request: w.Request, Cost: float64(w.Request.EstimatedTokens()), FreshUntil: w.FreshUntil, LatestStart: latest}
+}
+
+// checkQueueDelay refuses a request at once if another one of its organisation and tier has
+// waited for so long that the caller of this one would probably give up first. A caller that
+// is refused early can still retry in time.
+func (p *Pool) checkQueueDelay(w *Waiter, now time.Time) *refusal.Refusal {
+	maxDelay := time.Duration(refuseWaitFraction * float64(w.FirstByteTimeout))
+	for _, other := range p.waiters {
+		if other.standby || other.Request.Tier != w.Request.Tier || other.Request.Organisation != w.Request.Organisation || p.hasFreeExcluded(other) {
+			continue
+		}
+		if waited := now.Sub(other.queuedAt); waited > maxDelay {
+			return refusal.New(refusal.Overloaded, "another request of the organisation and tier has waited for %s, the first-byte timeout is %s", waited.Round(time.Millisecond), w.FirstByteTimeout)
+		}
 	}
+	return nil
 }
 
 // hasFreeExcluded reports whether a target that the request has excluded has a free slot: the
--- a/sched/reserve/waits.go
+++ b/sched/reserve/waits.go
@@ -101,6 +101,5 @@
 	if t := p.targets[name]; t != nil {
 		t.respondedAt = now
 		p.waits.record(wait{t, route, length, true, now})
-		p.recordStartDelay(route, length)
 	}
 }
