--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -27,7 +27,6 @@
 		"sardinefront_waiting":         g.waitingSamples,
 		"sardinefront_targets":         g.targetSamples,
 		"sardinefront_evacuated_zones": func() []telemetry.GaugeValue { return one(float64(len(g.dir.EvacuatedZones()))) },
-		"sardinefront_expected_wait":   g.expectedWaitSamples,
 		"sardinefront_body_bytes":      func() []telemetry.GaugeValue { return one(float64(g.ingress.BodyBytes())) },
 	}
 	for name, read := range gauges {
@@ -48,14 +47,6 @@
 	return out
 }
 
-func (g *Gateway) expectedWaitSamples() []telemetry.GaugeValue {
-	var out []telemetry.GaugeValue
-	for name, s := range g.schedulers.Stats() {
-		out = append(out, telemetry.GaugeValue{Labels: []string{name}, Value: s.ExpectedWait.Seconds()})
-	}
-	return out
-}
-
 func (g *Gateway) targetSamples() []telemetry.GaugeValue {
 	var out []telemetry.GaugeValue
 	for name, s := range g.schedulers.Stats() {
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -435,7 +435,6 @@
 	if service := x.table.Service(x.service); service != nil && service.Engine != nil {
 		w.EventTokens = service.Engine.EventTokens
 	}
-	w.StatedTimeout = statedTimeout(x.info)
 	w.Homes.Route = x.route.HomeRegions
 	if x.organisation != nil {
 		w.Homes.Organisation = x.organisation.HomeRegions
--- a/sched/reserve/waiter.go
+++ b/sched/reserve/waiter.go
@@ -5,7 +5,6 @@
 
 	"sardinefront.dev/core/refusal"
 	"sardinefront.dev/core/request"
-	"sardinefront.dev/sched/admission"
 	"sardinefront.dev/sched/finish"
 	"sardinefront.dev/sched/flow"
 	"sardinefront.dev/sched/health"
@@ -15,6 +14,9 @@
 	// maxWaitFraction is the fraction of FirstByteTimeout after which a waiting request
 	// expires; the rest is left for the target to send the first byte.
 	maxWaitFraction = 0.65
+	// refuseWaitFraction is the fraction of FirstByteTimeout above which the wait of a
+	// queued request makes a new one of its organisation and tier be refused at once.
+	refuseWaitFraction = 0.4
 	// minExtendedWait is how long a request may wait at least for another target after a failed
 	// attempt.
 	minExtendedWait = 700 * time.Millisecond
@@ -36,8 +38,6 @@
 	LatencyGoal, PrefillTime time.Duration
 	// EventTokens is the number of tokens in one event of a stream, 0 if unknown.
 	EventTokens int
-	// StatedTimeout is how long the caller says it still waits, 0 if it does not say.
-	StatedTimeout time.Duration
 
 	// RolloutVersion, if not empty, is the version that a rollout moves to. The request
 	// uses only targets of that version, or only targets of other versions if
@@ -56,8 +56,6 @@
 	standby       bool      // the request is still running at a silent target
 	queued        bool
 	queuedAt      time.Time
-	age           time.Duration // time since the caller's first attempt, on arrival
-	refusedFor    admission.Cause
 	// expectedFirstEvent is the expected time to the first event at the last granted target.
 	expectedFirstEvent time.Duration
 }
@@ -130,10 +128,23 @@
 	if w.extendedUntil.After(latest) {
 		latest = w.extendedUntil
 	}
-	return flow.Item{
-		Request: w.Request, Cost: float64(w.Request.EstimatedTokens()), FreshUntil: w.FreshUntil, LatestStart: latest,
-		Returning: w.age > 0,
+	return flow.Item{Request: w.Request, Cost: float64(w.Request.EstimatedTokens()), FreshUntil: w.FreshUntil, LatestStart: latest}
+}
+
+// checkQueueDelay refuses a request at once if another one of its organisation and tier has
+// waited for so long that the caller of this one would probably give up first. A caller that
+// is refused early can still retry in time.
+func (p *Pool) checkQueueDelay(w *Waiter, now time.Time) *refusal.Refusal {
+	maxDelay := time.Duration(refuseWaitFraction * float64(w.FirstByteTimeout))
+	for _, other := range p.waiters {
+		if other.standby || !other.Homes.equal(&w.Homes) || other.Request.Tier != w.Request.Tier || other.Request.Organisation != w.Request.Organisation || p.hasFreeExcluded(other) {
+			continue
+		}
+		if waited := now.Sub(other.queuedAt); waited > maxDelay {
+			return refusal.New(refusal.Overloaded, "another request of the organisation and tier has waited for %s, the first-byte timeout is %s", waited.Round(time.Millisecond), w.FirstByteTimeout)
+		}
 	}
+	return nil
 }
 
 // hasFreeExcluded reports whether a target that the request has excluded has a free slot: the
--- a/sched/reserve/waits.go
+++ b/sched/reserve/waits.go
@@ -102,6 +102,5 @@
 		t.respondedAt = now
 		p.recordPacedFirstByte(t, route, length, now)
 		p.waits.record(wait{t, route, length, true, now})
-		p.recordStartDelay(route, length)
 	}
 }
