Take a response without a length for broken if the upload failed on its connection

A target answered a long upload at once with a 200 without a length, sent part of its body and reset the connection. The kernel reports a reset once: where the concurrent write of the request body gets it, the read ends like that of a closed connection. The end of the connection now shows the end of a body only after the request body has been written without an error.

TestResetDuringUploadBreaksAResponseWithoutLength fails before for both framings. connlimit.Conn passes CloseWrite on, which net/http uses so that a client which still sends can read the response.

--- a/gateway/connlimit/connlimit.go
+++ b/gateway/connlimit/connlimit.go
@@ -215,6 +215,14 @@
 	return c.Conn.Write(p)
 }
 
+// CloseWrite shuts down the sending side, so that a client which still sends can read the response.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // SetWriteDeadline implements net.Conn.
 func (c *Conn) SetWriteDeadline(t time.Time) error {
 	c.mu.Lock()
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -104,10 +104,18 @@
 type bodyReader struct {
 	io.Reader
 	complete bool
+	// checkEnd, if set, returns an error if the end of the connection does not show the end of the
+	// body.
+	checkEnd func() error
 }
 
 func (b *bodyReader) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
+	if err == io.EOF && b.checkEnd != nil {
+		if endErr := b.checkEnd(); endErr != nil {
+			return n, endErr
+		}
+	}
 	b.complete = b.complete || err == io.EOF
 	return n, err
 }
@@ -239,6 +247,20 @@
 	}
 }
 
+// checkBodySent waits until the whole body has been written and returns an error if that has failed.
+// The kernel reports a reset once: if the write gets it, the read ends like a closed connection.
+// The bound context ends the wait.
+func (c *Conn) checkBodySent() error {
+	if c.bodyWritten == nil {
+		return nil
+	}
+	<-c.bodyWritten
+	if c.writeErr != nil {
+		return fmt.Errorf("%w: the connection failed while the request was being written: %w", io.ErrUnexpectedEOF, c.writeErr)
+	}
+	return nil
+}
+
 // Receive reads the status line and headers of the response to a request, within timeout if
 // that is positive. Only a response with the request's id is accepted, because a target may send
 // a second copy of an earlier response, which may lack an id. Responses to earlier requests are
@@ -262,7 +284,11 @@
 		if info.ID == id {
 			c.recordResponse(id, resp.StatusCode)
 			body := &bodyReader{Reader: resp.Body}
-			return &Response{Status: resp.StatusCode, Header: resp.Header, Info: info, Length: resp.ContentLength, Body: body, body: body, httpResponse: resp}, nil
+			r := &Response{Status: resp.StatusCode, Header: resp.Header, Info: info, Length: resp.ContentLength, Body: body, body: body, httpResponse: resp}
+			if r.EndsWithConnection() {
+				body.checkEnd = c.checkBodySent
+			}
+			return r, nil
 		}
 		c.unusable = true
 		if info.ID == "" && !c.calledWithoutID {
--- a/gateway/upstream/conn_test.go
+++ b/gateway/upstream/conn_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -222,3 +223,43 @@
 		t.Error("the connection was kept after an unexpected response")
 	}
 }
+
+// resetConn is a connection that is reset while a long request body is being written: the write gets
+// the reset, and the read ends like a connection that the target has closed.
+type resetConn struct {
+	net.Conn
+	response io.Reader
+	headSent bool
+}
+
+func (c *resetConn) Read(p []byte) (int, error) { return c.response.Read(p) }
+
+func (c *resetConn) Write(p []byte) (int, error) {
+	if !c.headSent {
+		c.headSent = true
+		return len(p), nil
+	}
+	return 0, syscall.ECONNRESET
+}
+
+// Guards against a part of a response without a length that is taken for the whole, because the
+// connection was reset while the request body was being written.
+func TestResetDuringUploadBreaksAResponseWithoutLength(t *testing.T) {
+	host, target := net.Pipe()
+	t.Cleanup(func() { host.Close(); target.Close() })
+	for _, framing := range []string{"", "Connection: close\r\n"} {
+		nc := &resetConn{Conn: host, response: strings.NewReader("HTTP/1.1 200 OK\r\nId: r1\r\n" + framing + "\r\npart of the response")}
+		c := newConn(nc, headerCodec{}, &targetPool{})
+		body := make([]byte, 900<<10)
+		if err := c.Send(protocol.Request{Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{"Id": {"r1"}}, Body: body}); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := c.Receive(http.MethodPost, "r1", 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := io.ReadAll(resp.Body); err == nil || resp.bodyComplete() {
+			t.Errorf("%q: %d bytes are taken for the whole response", framing, len(got))
+		}
+	}
+}
