Name the divisors of descriptors and memory as such

callerDescriptorShare = 2 reads as a share of two; the values divide. The largest counted number of descriptors stood as a bare 1<<20, and several functions of the listeners had no doc comment. No value changes.

--- a/cmd/sardinefront/entry.go
+++ b/cmd/sardinefront/entry.go
@@ -27,10 +27,12 @@
 // The rest is for memory that the runtime does not count.
 const memoryLimitRatio = 0.8
 
-// programBytes is left for the pages of the program file, which count as memory of the process.
+// programBytes is left for the pages of the program file, which count as memory of the process but not
+// for the Go memory limit.
 const programBytes = 20 << 20
 
-// goMemoryLimit returns the Go memory limit for a configured memory in bytes.
+// goMemoryLimit returns the Go memory limit for a configured memory in bytes: memoryLimitRatio of it,
+// and where that leaves less than programBytes, less, down to half of that.
 func goMemoryLimit(memory int64) int64 {
 	limit := int64(memoryLimitRatio * float64(memory))
 	return min(limit, max(limit/2, memory-programBytes))
--- a/gateway/connlimit/connlimit.go
+++ b/gateway/connlimit/connlimit.go
@@ -14,14 +14,14 @@
 )
 
 const (
-	// maxHeadLines bounds the lines of a request head. Each field costs some 20 times its bytes
-	// once it is parsed if it is short.
+	// maxHeadLines bounds the lines of a request head. A short field takes many times its bytes once
+	// it is parsed.
 	maxHeadLines = 1000
 	// lineOverheadBytes is charged for each line in addition to its bytes.
 	lineOverheadBytes = 48
 	// ownHeadBytes may be held by each connection; what exceeds it comes from the shared budget.
 	ownHeadBytes = 8 << 10
-	// maxWriteTime bounds one write to a connection.
+	// maxWriteTime bounds one write to a connection, so that a client that does not read is closed.
 	maxWriteTime = 30 * time.Second
 )
 
@@ -119,7 +119,8 @@
 	delete(l.conns, c)
 }
 
-// waitState is the state of a connection without a complete request.
+// waitState is the state of a connection without a complete request: the part of the request that the
+// client has begun, and since when it has made no progress.
 type waitState struct {
 	part  requestPart
 	since time.Time
@@ -149,7 +150,7 @@
 
 	mu            sync.Mutex
 	serving       bool
-	receiving     bool // a body
+	receiving     bool // a request body
 	lastReadAt    time.Time
 	waitingSince  time.Time
 	lines, bytes  int // of the head in progress
@@ -158,6 +159,7 @@
 	writeDeadline time.Time // set by the server; zero if none
 }
 
+// waitState returns the state of the connection. It is not waiting while a complete request is served.
 func (c *Conn) waitState() (s waitState, waiting bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/gateway/listeners.go
+++ b/gateway/listeners.go
@@ -29,18 +29,20 @@
 	shortResponseTime = 10 * time.Second
 	// maxShortHeaderBytes bounds the headers of a request at those listeners.
 	maxShortHeaderBytes = 8 << 10
-	// callerDescriptorShare and otherDescriptorShare are the parts of the descriptors of the process
-	// that connections to the callers' listener and to each other listener may use.
-	callerDescriptorShare = 2
-	otherDescriptorShare  = 16
+	// The descriptors of the process, divided by callerDescriptorDivisor, may be connections to the
+	// callers' listener, and divided by otherDescriptorDivisor, to each other listener.
+	callerDescriptorDivisor = 2
+	otherDescriptorDivisor  = 16
 	// bytesPerCallerConn is the memory limit of the process for each connection of a caller.
 	bytesPerCallerConn = 128 << 10
-	// defaultDescriptors is assumed if the limit of descriptors can't be read.
-	defaultDescriptors = 1024
-	// headMemoryShare is the part of the memory limit for heads in progress, defaultHeadBytes the
-	// value without a memory limit.
-	headMemoryShare  = 16
-	defaultHeadBytes = 16 << 20
+	// defaultDescriptors is assumed if the limit of descriptors can't be read. An unlimited number,
+	// which does not fit into an int, counts as maxCountedDescriptors.
+	defaultDescriptors    = 1024
+	maxCountedDescriptors = 1 << 20
+	// The memory limit, divided by headMemoryDivisor, is for heads in progress. Without a limit
+	// defaultHeadBytes are.
+	headMemoryDivisor = 16
+	defaultHeadBytes  = 16 << 20
 )
 
 // newServers creates the HTTP servers of all listeners.
@@ -52,10 +54,12 @@
 	g.internal = g.newShortServer(peers.SnapshotHandler(g.dir))
 }
 
+// newShortServer creates a server for short requests without a body.
 func (g *Gateway) newShortServer(h http.Handler) *http.Server {
 	return g.newServer(h, shortRequestTime, shortResponseTime, maxShortHeaderBytes)
 }
 
+// newServer creates a server with the given bounds; a timeout of 0 means none.
 func (g *Gateway) newServer(h http.Handler, readTimeout, writeTimeout time.Duration, headerBytes int) *http.Server {
 	return &http.Server{
 		Handler: connlimit.Handler(h), ConnContext: connlimit.ConnContext,
@@ -64,15 +68,16 @@
 	}
 }
 
+// listenAll opens the configured listeners with their limits of connections.
 func (g *Gateway) listenAll() error {
 	s := g.cfg.Settings
 	descriptors, memory := maxDescriptors(), s.Limits.MemoryMB<<20
-	callerConns, headBytes := descriptors/callerDescriptorShare, defaultHeadBytes
+	callerConns, headBytes := descriptors/callerDescriptorDivisor, defaultHeadBytes
 	if memory > 0 {
-		callerConns, headBytes = min(callerConns, memory/bytesPerCallerConn), memory/headMemoryShare
+		callerConns, headBytes = min(callerConns, memory/bytesPerCallerConn), memory/headMemoryDivisor
 	}
 	heads := connlimit.NewHeadBudget(headBytes)
-	otherConns := descriptors / otherDescriptorShare
+	otherConns := descriptors / otherDescriptorDivisor
 	listeners := []struct {
 		server   *http.Server
 		address  string
@@ -92,6 +97,7 @@
 	return nil
 }
 
+// listen serves connections to an address. heads is shared by all listeners.
 func (g *Gateway) listen(server *http.Server, address string, maxConns int, heads *membudget.Budget) error {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
@@ -109,11 +115,11 @@
 	return nil
 }
 
-// maxDescriptors returns the limit of descriptors of the process.
+// maxDescriptors returns the number of descriptors that the process may open.
 func maxDescriptors() int {
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
 		return defaultDescriptors
 	}
-	return int(min(limit.Cur, 1<<20)) // an unlimited number does not fit into an int
+	return int(min(limit.Cur, maxCountedDescriptors))
 }
--- a/gateway/settings/settings.go
+++ b/gateway/settings/settings.go
@@ -182,9 +182,9 @@
 }
 
 const (
-	// bodyMemoryShare is the part of the memory limit for request bodies, defaultBodyMemoryBytes the
-	// value without a memory limit.
-	bodyMemoryShare        = 8
+	// The memory limit, divided by bodyMemoryDivisor, is for request bodies. Without a limit
+	// defaultBodyMemoryBytes are.
+	bodyMemoryDivisor      = 8
 	defaultBodyMemoryBytes = 64 << 20
 )
 
@@ -194,7 +194,7 @@
 	case s.Limits.BodyMemoryMB > 0:
 		return int64(s.Limits.BodyMemoryMB) << 20
 	case s.Limits.MemoryMB > 0:
-		return int64(s.Limits.MemoryMB) << 20 / bodyMemoryShare
+		return int64(s.Limits.MemoryMB) << 20 / bodyMemoryDivisor
 	}
 	return defaultBodyMemoryBytes
 }
