Clarify names and comments of the pace and of the choice of a target

startPaced and endPaced record a grant and an outcome of any target, as recordPacedFirstByte does a first byte, so they are named alike. Spend and StartSend were described by other functions, paceAllows hid that it counts, and cost did not say why it may be 0. Constants quoted how far targets differ.

--- a/cmd/sardinefront/entry.go
+++ b/cmd/sardinefront/entry.go
@@ -31,8 +31,8 @@
 // for the Go memory limit.
 const programBytes = 20 << 20
 
-// goMemoryLimit returns the Go memory limit for a configured memory in bytes: memoryLimitRatio of it,
-// and where that leaves less than programBytes, less, down to half of that.
+// goMemoryLimit returns the Go memory limit for a configured memory in bytes: the memoryLimitRatio of
+// it, or less so that programBytes are left, but at least half of that.
 func goMemoryLimit(memory int64) int64 {
 	limit := int64(memoryLimitRatio * float64(memory))
 	return min(limit, max(limit/2, memory-programBytes))
--- a/gateway/dispatch/closed.go
+++ b/gateway/dispatch/closed.go
@@ -12,7 +12,7 @@
 	"sardinefront.dev/sched/reserve"
 )
 
-// Metrics counts what targets state about themselves in their responses.
+// Metrics counts targets that are closed or held back, and statements of targets that are ignored.
 type Metrics interface {
 	// CountTargetClosed counts a target that gets no requests any more, by reason.
 	CountTargetClosed(service, reason string)
--- a/sched/finish/report.go
+++ b/sched/finish/report.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// reportTTL is the age at which a report has lost all of its weight. Requests take about that
-	// long, and the load and speed of a machine change within it.
+	// reportTTL is the age at which a report has lost all of its weight: load and speed of a machine
+	// change within the duration of a request.
 	reportTTL = 300 * time.Millisecond
 	// workTimeSmoothing is the time constant of the average work time. A report covers a few
 	// milliseconds, while a request meets the mean of the next tenths of a second.
@@ -14,8 +14,8 @@
 	// minWorkTime and maxWorkTime bound the reported work times.
 	minWorkTime = 0.5
 	maxWorkTime = 2
-	// minWorkFactor and maxWorkFactor bound the effect on an estimate. Speeds of targets differ by
-	// over four times, so that this moves a target only between its neighbours in the order.
+	// minWorkFactor and maxWorkFactor bound the effect on an estimate, so that a report moves a
+	// target only between others of similar speed in the order.
 	minWorkFactor = 0.8
 	maxWorkFactor = 1.25
 )
@@ -28,7 +28,7 @@
 
 // Report adds a reported work time: 1 is the usual one, 0 is unknown and ignored.
 func (w *WorkTime) Report(value float64, now time.Time) {
-	if !(value > 0) { // also NaN
+	if !(value > 0) { // true for NaN too
 		return
 	}
 	old := w.at(now)
--- a/sched/pace/cold.go
+++ b/sched/pace/cold.go
@@ -46,8 +46,8 @@
 	admittedAt time.Time
 }
 
-// Extend records that the target is cold until the given time. An earlier end than the known one is
-// ignored: reports arrive in any order.
+// Extend records that the target is cold until the given time. A time before the known end is ignored,
+// because reports arrive in any order.
 func (c *Cold) Extend(until time.Time) {
 	if until.After(c.until) {
 		c.until = until
@@ -91,13 +91,13 @@
 	}
 }
 
-// Admitted reports whether a request may still be sent: the target may have become cold since the
-// grant.
+// Admitted reports whether a granted request may go on: the target is not cold, or there is an
+// admission that has neither been used up nor expired.
 func (c *Cold) Admitted(b Bound, now time.Time) bool {
 	return !c.IsCold(b, now) || now.Sub(c.admittedAt) <= maxSendDelay
 }
 
-// Spend is Admitted for the moment of the send, and uses up the admission.
+// Spend reports the same as Admitted, and uses up the admission. It is called right before a send.
 func (c *Cold) Spend(b Bound, now time.Time) bool {
 	admitted := c.Admitted(b, now)
 	c.admittedAt = time.Time{}
--- a/sched/pace/membership.go
+++ b/sched/pace/membership.go
@@ -6,11 +6,12 @@
 	// settlingTime is the time from the first observation until the number of hosts is known. A
 	// host that has just started hears of the others within it.
 	settlingTime = 2 * time.Second
-	// membershipMemory is how long a larger number of hosts counts. A partition may last as long.
+	// membershipMemory is how long the largest number of hosts counts after it was last reached, so
+	// that hosts behind a partition still count.
 	membershipMemory = time.Minute
 )
 
-// Membership is the number of hosts that may send requests, as of the last minute. It doesn't shrink
+// Membership is the largest recent number of hosts that may send requests. It doesn't shrink
 // when peers fall silent: they may be cut off and go on. The zero value has observed nothing.
 type Membership struct {
 	first   time.Time
--- a/sched/pace/window.go
+++ b/sched/pace/window.go
@@ -4,10 +4,10 @@
 
 const (
 	// slowFactor is the multiple of the usual wait for a first byte from which a response counts as
-	// slow. Prompts differ in length, so single waits vary by more than two.
+	// slow. Single waits differ by more than a factor of two because prompts differ in length.
 	slowFactor = 3
 	// probeInterval, times the number of hosts, is the time without a request from this host after
-	// which a paced target gets one, so that all hosts together send it some 20 per second.
+	// which a paced target should get one. The hosts together send it one per probeInterval.
 	probeInterval = 50 * time.Millisecond
 )
 
@@ -15,7 +15,7 @@
 // recovered. It grows and shrinks with the target's responses to this host. The zero value is no
 // limit.
 type Window struct {
-	size      float64
+	size      float64 // requests in flight, 0 for no limit
 	grantedAt time.Time
 }
 
--- a/sched/reserve/choose.go
+++ b/sched/reserve/choose.go
@@ -12,7 +12,8 @@
 	// crossZonePenalty is added to the cost of targets in other availability zones.
 	crossZonePenalty = 30 * time.Millisecond
 	// newConnectionCost is the additional cost, as a fraction, of targets to which this host
-	// probably has no idle connection. idleConnectionTime is how long targets keep one at least.
+	// probably has no idle connection. idleConnectionTime is the least time for which targets keep an
+	// idle connection open.
 	newConnectionCost  = 0.1
 	idleConnectionTime = time.Second
 	// defaultGap and defaultLatency are assumed for targets without a sample.
@@ -109,8 +110,8 @@
 }
 
 // available reports whether a target probably has a free slot for a request of the lane.
-// In panic mode, ejected targets count as available, but never those that are leaving or in a
-// back-off.
+// In panic mode, ejected targets count as available, but never closed ones. A target that its pace
+// holds back is counted as such.
 func (p *Pool) available(t *target, l Lane, now time.Time, panicMode bool) bool {
 	if t.drain.Closure(now) != drain.Open || t.reopeningBusy || t.fullUntil.After(now) || !t.slotFreed && now.Before(p.pacer(t).allowedAt(l)) {
 		return false
@@ -158,7 +159,8 @@
 	return finish.EstimateStream(&t.snapshot, w.work(), now)
 }
 
-// cost estimates the response time of a request at a target, in seconds, with penalties.
+// cost estimates the response time of a request at a target, in seconds, with penalties. It is 0 for an
+// idle paced target, so that requests of lanes that can wait try it.
 func (p *Pool) cost(w *Waiter, t *target, l Lane, now time.Time) float64 {
 	if !lanes[l].fastOnly && p.pacedIdle(t, now) {
 		return 0
--- a/sched/reserve/homes.go
+++ b/sched/reserve/homes.go
@@ -19,6 +19,7 @@
 	return allowedBy(h.Route, region) && allowedBy(h.Organisation, region)
 }
 
+// allowedBy reports whether one list of home regions allows a region.
 func allowedBy(regions []string, region string) bool {
 	return len(regions) == 0 || region != "" && slices.Contains(regions, region)
 }
@@ -32,7 +33,7 @@
 // allows reports whether the request may use a target, by its version and region.
 func (w *Waiter) allows(t *target) bool { return w.allowsVersion(t.Version) && w.Homes.Allow(t.Region) }
 
-// refuseWithoutHome returns a refusal if no target in a home of the request is open or will be after a
+// refuseWithoutHome returns a refusal if the request has homes and no target there is open or in a
 // back-off.
 func (p *Pool) refuseWithoutHome(w *Waiter, now time.Time) *refusal.Refusal {
 	if w.Homes.empty() {
--- a/sched/reserve/pace.go
+++ b/sched/reserve/pace.go
@@ -44,7 +44,8 @@
 	}
 }
 
-// paceAllows reports whether the pace of a target allows a grant now.
+// paceAllows reports whether the pace of a target allows a grant now, and counts the target as held
+// back if not. For a cold target it may draw the next opportunity.
 func (p *Pool) paceAllows(t *target, now time.Time) bool {
 	// Ejected targets get requests only in panic mode, when the cause is probably not at the target.
 	inWindow := t.health.State() == health.Ejected || t.window.Allows(t.inflight)
@@ -55,14 +56,15 @@
 	return false
 }
 
-// startPaced records a grant of a target.
-func (p *Pool) startPaced(t *target, now time.Time) {
+// recordPacedGrant records a grant of a target for its pace.
+func (p *Pool) recordPacedGrant(t *target, now time.Time) {
 	t.cold.Admit(p.coldBound, p.knownHosts, p.rnd, now)
 	t.window.RecordGrant(now)
 }
 
-// endPaced records the outcome of a request at a target, and the reason if it was ejected for it.
-func (p *Pool) endPaced(t *target, o Outcome, ejectionReason string) {
+// recordPacedOutcome records the outcome of a request at a target for its pace. ejectionReason is not
+// empty if the outcome has ejected the target.
+func (p *Pool) recordPacedOutcome(t *target, o Outcome, ejectionReason string) {
 	if o != OK && o != Abandoned {
 		t.window.Shrink()
 	}
@@ -86,12 +88,13 @@
 	}
 }
 
-// pacedIdle reports whether a target should get a request so that its pace is found.
+// pacedIdle reports whether a paced target has been without a request for so long that it should get one
+// to show how it responds.
 func (p *Pool) pacedIdle(t *target, now time.Time) bool {
 	return t.inflight == 0 && t.health.State() == health.Healthy && t.window.Idle(p.hostCount, now)
 }
 
-// minUsualWaits is the number of waits of a route at other targets from which their mean is usual.
+// minUsualWaits is the least number of waits of a route at other targets of which usual returns the mean.
 const minUsualWaits = 3
 
 // usual returns the mean wait for a first byte of a route at the other targets, 0 if unknown.
@@ -110,13 +113,13 @@
 	return sum / time.Duration(n)
 }
 
-// isPaced reports whether a target is cold or has a window.
+// isPaced reports whether a target is cold or its concurrency window limits it.
 func (p *Pool) isPaced(t *target, now time.Time) bool {
 	return t.window.Active() || t.cold.IsCold(p.coldBound, now)
 }
 
-// MaySend reports whether a granted request may go on at a target: it must not be closed, and if it
-// is cold, a request must have been admitted since.
+// MaySend reports whether a granted request may go on at a target: the target must not be closed, and
+// if it is cold, there must be an admission that has not been used up or expired.
 func (p *Pool) MaySend(name string, now time.Time) bool {
 	t := p.targets[name]
 	return p.Closure(name, now) == drain.Open && (t == nil || t.cold.Admitted(p.coldBound, now))
@@ -143,7 +146,7 @@
 	return n
 }
 
-// PaceChange is the begin or the end of the pace of a target.
+// PaceChange is the start or the end of the pace of a target.
 type PaceChange struct {
 	Target string
 	Paced  bool
@@ -154,13 +157,13 @@
 	for _, t := range p.order {
 		if paced := p.isPaced(t, now); paced != t.paced {
 			t.paced = paced
-			changes = append(changes, PaceChange{t.Name, paced})
+			changes = append(changes, PaceChange{Target: t.Name, Paced: paced})
 		}
 	}
 	return changes
 }
 
-// TakeHeldBack returns how often a target was passed over because of its pace since the last call.
+// TakeHeldBack returns how often a target was held back by its pace since the last call.
 func (p *Pool) TakeHeldBack() int {
 	n := p.heldBack
 	p.heldBack = 0
--- a/sched/reserve/reserve.go
+++ b/sched/reserve/reserve.go
@@ -251,7 +251,7 @@
 		p.dequeue(w)
 		w.expectedFirstEvent = p.estimate(w, t, l, now).FirstEvent
 		t.inflight++
-		p.startPaced(t, now)
+		p.recordPacedGrant(t, now)
 		t.snapshot.Load.RecordSend()
 		t.reopeningBusy = t.reopening
 		if !t.slotFreed {
--- a/sched/reserve/target.go
+++ b/sched/reserve/target.go
@@ -132,8 +132,9 @@
 	localMeasuredAt     time.Time // time of this host's newest measurement; zero if a peer's replaced it
 	latency             time.Duration
 	respondedAt         time.Time // time of the newest first byte of a response
-	snapshot            finish.Snapshot
-	// connectedUntil is how long this host probably has an idle connection there.
+	// snapshot is what the estimates read; estimate sets its gaps.
+	snapshot finish.Snapshot
+	// connectedUntil is until when this host probably has an idle connection to the target.
 	connectedUntil time.Time
 }
 
@@ -296,7 +297,7 @@
 	}
 	before := t.health.State()
 	reason := p.recordOutcome(t, o, s, now)
-	p.endPaced(t, o, reason)
+	p.recordPacedOutcome(t, o, reason)
 	return HealthChange{EjectionReason: reason, Restored: before == health.Trial && t.health.State() == health.Healthy}
 }
 
--- a/sched/reserve/zones.go
+++ b/sched/reserve/zones.go
@@ -16,7 +16,8 @@
 func (z Zones) Contain(zone string) bool { return zone != "" && z[zone] }
 
 // SetEvacuatedZones sets the zones whose targets get nothing, and reports whether they change.
-// Requests that run there go on. Targets of a zone that is taken back may be cold.
+// Requests that run there go on. Targets of a zone that is no longer evacuated may be cold, see
+// RecordReturned.
 func (p *Pool) SetEvacuatedZones(zones Zones, now time.Time) (changed bool) {
 	if maps.Equal(p.evacuatedZones, zones) {
 		return false
