Record operator orders and retry their steps in one place each

applyRolloutOrder and applyEvacuation kept the newest revision with the same lines, and recoverRollout and rewriteStart repeated a step in the same loop. The comment on the order of changes in heartbeats was out of date: the digest covers evacuations now.

--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -109,7 +109,8 @@
 	ActiveTable *routing.ActiveTable
 	Log         *slog.Logger
 	// OnChange is called after each change of the configuration, the target list or the evacuated
-	// zones.
+	// zones. Like OnRolloutOrder, it may be called while changes are applied, so neither may call
+	// HandleHeartbeat or Snapshot.
 	OnChange func()
 	// OnRolloutOrder is called for each new rollout order and for the removal of an order. The
 	// order was written at most age ago.
--- a/gateway/directory/era.go
+++ b/gateway/directory/era.go
@@ -19,7 +19,8 @@
 var errStoreRestored = errors.New("the store was restored from an older copy during the read")
 
 // eraState is what a host knows about the era of the store, which rises when the store comes back
-// from an older copy of its content. Revisions of two eras can't be compared.
+// from an older copy of its content. Revisions of two eras can't be compared. The design is in
+// docs/design/store-recovery.md.
 type eraState struct {
 	// current is the era of the revisions that this host holds, 0 if the store has none.
 	current int64
@@ -32,6 +33,7 @@
 	heldSince time.Time
 }
 
+// holding reports whether targets and orders are held over.
 func (e *eraState) holding() bool { return !e.heldSince.IsZero() }
 
 // confirmDue reports whether the second listing after a restore is due.
@@ -113,7 +115,7 @@
 	earlier := e.current
 	e.current = era
 	if earlier == 0 {
-		return
+		return // a first listing, which replaces nothing
 	}
 	event.StoreRestored.Log(d.cfg.Log, slog.Int64("era", era), slog.Int64("earlier", earlier), slog.Int64("readRevision", d.readRevision))
 	d.readRevision, d.recentChanges, e.heldSince = 0, nil, now
--- a/gateway/directory/exchange.go
+++ b/gateway/directory/exchange.go
@@ -31,8 +31,8 @@
 }
 
 // changesToSend returns the changes of the last repeatTime that fit into a heartbeat. Operator
-// orders come first, whatever their age: unlike the target list, they have no digest that shows a
-// host that it has missed one.
+// orders come first, whatever their age: the digest does not show a host that it has missed a rollout
+// order, and an evacuation must not wait for it.
 func (d *Directory) changesToSend(repeatTime time.Duration, now time.Time) []peers.Change {
 	var out []peers.Change
 	size := 0
--- a/gateway/directory/orders.go
+++ b/gateway/directory/orders.go
@@ -37,18 +37,26 @@
 	return out
 }
 
+// recordOrder records an operator order or its removal, and reports whether it is newer than the known
+// one. The caller holds the lock.
+func (d *Directory) recordOrder(c platform.Entry, from source, now time.Time) (newer bool) {
+	if d.orders[c.Key].revision >= c.Revision {
+		return false
+	}
+	d.orders[c.Key] = orderState{revision: c.Revision, removed: c.Deleted, value: c.Value}
+	if from == fromStore {
+		d.recentChanges = append(d.recentChanges, recentChange{c, now})
+	}
+	return true
+}
+
+// applyRolloutOrder applies a rollout order, or its removal.
 func (d *Directory) applyRolloutOrder(c platform.Entry, from source, now time.Time) {
 	d.mu.Lock()
 	age := d.maxOrderAge(from, now)
-	known := d.orders[c.Key].revision >= c.Revision
-	if !known {
-		d.orders[c.Key] = orderState{c.Revision, c.Deleted, c.Value}
-		if from == fromStore {
-			d.recentChanges = append(d.recentChanges, recentChange{c, now})
-		}
-	}
+	newer := d.recordOrder(c, from, now)
 	d.mu.Unlock()
-	if known || d.cfg.OnRolloutOrder == nil {
+	if !newer || d.cfg.OnRolloutOrder == nil {
 		return
 	}
 	d.cfg.OnRolloutOrder(strings.TrimPrefix(c.Key, d.cfg.Layout.RolloutPrefix), c, age)
@@ -74,6 +82,7 @@
 	digest uint64
 }
 
+// isEvacuation reports whether a key is that of the evacuation of a zone.
 func (l *Layout) isEvacuation(key string) bool {
 	return l.EvacuationPrefix != "" && strings.HasPrefix(key, l.EvacuationPrefix)
 }
@@ -95,15 +104,8 @@
 func (d *Directory) applyEvacuation(c platform.Entry, from source, now time.Time) {
 	d.mu.Lock()
 	old, known := d.orders[c.Key]
-	if old.revision >= c.Revision {
-		d.mu.Unlock()
-		return
-	}
-	d.orders[c.Key] = orderState{c.Revision, c.Deleted, c.Value}
-	if from == fromStore {
-		d.recentChanges = append(d.recentChanges, recentChange{c, now})
-	}
-	changed := (known && !old.removed) == c.Deleted
+	wasEvacuated := known && !old.removed
+	changed := d.recordOrder(c, from, now) && wasEvacuated == c.Deleted
 	if changed {
 		d.evacuations = d.currentEvacuations()
 	}
--- a/gateway/rollout/restored.go
+++ b/gateway/rollout/restored.go
@@ -20,8 +20,8 @@
 	return st.order.Revision == 0 && known == o
 }
 
-// StartedAt returns the start of an order that the tracker has already, and that Start would not start
-// anew but for its revision.
+// StartedAt returns the start of a rollout whose order the tracker had before StoreRestored, if o is
+// that order written again. Start then goes on with it.
 func (t *Tracker) StartedAt(o Order) (at time.Time, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -84,24 +84,24 @@
 // start the rollout anew.
 func (g *Gateway) recoverRollout(o rollout.Order) {
 	receivedAt := time.Now()
-	for g.rollouts.IsRunning(o) && !g.stopping.Load() {
-		err := g.recoverOutcome(o)
-		if err == nil {
-			err = g.recoverStart(o, receivedAt)
-		}
-		if err == nil {
-			return
+	g.retryWhileRunning(o, func() error {
+		if err := g.recoverOutcome(o); err != nil {
+			return err
 		}
-		event.MoveStepRetried.Log(g.cfg.Log, slog.String("service", o.Service), slog.Any("error", err))
-		time.Sleep(recoverRetryInterval)
-	}
+		return g.recoverStart(o, receivedAt)
+	})
 }
 
 // rewriteStart stores the start of an order again unless the store has kept it. It repeats failed
 // writes until the rollout has ended.
 func (g *Gateway) rewriteStart(o rollout.Order, startedAt time.Time) {
+	g.retryWhileRunning(o, func() error { return g.recoverStart(o, startedAt) })
+}
+
+// retryWhileRunning calls step until it succeeds, the rollout has ended or the host stops.
+func (g *Gateway) retryWhileRunning(o rollout.Order, step func() error) {
 	for g.rollouts.IsRunning(o) && !g.stopping.Load() {
-		err := g.recoverStart(o, startedAt)
+		err := step()
 		if err == nil {
 			return
 		}
@@ -110,8 +110,8 @@
 	}
 }
 
-// isOtherOutcome reports whether a stored state is final, of the decision's version and not the decided
-// one.
+// isOtherOutcome reports whether a stored status is of the decision's version and has a final state
+// other than the decided one.
 func (l *RolloutLayout) isOtherOutcome(value []byte, d rollout.Decision) bool {
 	version, s, err := l.DecodeStatus(value)
 	return err == nil && version == d.Order.Version && s != rollout.Running && s != d.State
