--- a/core/httphead/httphead.go
+++ b/core/httphead/httphead.go
@@ -77,7 +77,8 @@
 	return fmt.Errorf("%w: %s: %.80q", ErrMalformed, what, line)
 }
 
-// statusLine checks "HTTP/1.x NNN reason" with a status from 100 to 599. The reason and the blank before it may be missing.
+// statusLine checks "HTTP/1.x NNN reason" with a status from 100 to 599. The reason and the blank
+// before it may be missing.
 func (c *checker) statusLine(line []byte) error {
 	const digits = len("HTTP/1.1 200")
 	valid := len(line) >= digits && bytes.HasPrefix(line, []byte("HTTP/1.")) && isDigits(line[7:8]) && line[8] == ' ' &&
--- a/gateway/quota/peers.go
+++ b/gateway/quota/peers.go
@@ -27,9 +27,9 @@
 	// extrapolated is the number of units that the peer may have used since it became
 	// unresponsive; charged is the part of it that was taken from the bucket.
 	extrapolated, charged float64
-	// ownUsedBefore is what this host had used at the peer's last report, as estimated when the
+	// ownUsedAtReport is what this host had used at the peer's last report, as estimated when the
 	// peer became unresponsive.
-	ownUsedBefore float64
+	ownUsedAtReport float64
 }
 
 // recordRate updates the smoothed rate by the units used since the last report, elapsed before.
@@ -232,8 +232,9 @@
 
 // estimatedPeerUse returns the units of the window that peers may have used without a report.
 // Unresponsive peers count with their extrapolated use, that at their last rate or what this host
-// has used since their last report, whichever is most, up to an equal share of the window. After a start, each expected peer that has not reported
-// counts with an equal share of the units that this host found unused.
+// has used since their last report, whichever is most, up to an equal share of the window. After a
+// start, each expected peer that has not reported counts with an equal share of the units that this
+// host found unused.
 func (m *Meter) estimatedPeerUse(org string, b *bucket, now time.Time) float64 {
 	if b.window == nil {
 		return 0
@@ -243,9 +244,10 @@
 	for _, p := range m.peers {
 		if usage := p.usage[org]; p.unresponsive && usage != nil {
 			continued := usage.rate * now.Sub(p.lastReport).Seconds()
-			// A burst that began shortly before a partition is not in the peer's last report.
-			sameAsOwn := b.ownUsed - usage.ownUsedBefore
-			estimate += min(max(usage.extrapolated, continued, sameAsOwn), share)
+			// A burst that began shortly before a partition is not in the peer's last report, but
+			// this host has probably got a similar part of it.
+			ownSince := b.ownUsed - usage.ownUsedAtReport
+			estimate += min(max(usage.extrapolated, continued, ownSince), share)
 		}
 	}
 	if unreported := m.expected - len(m.peers); unreported > 0 && now.Before(m.expectedUntil) {
@@ -274,7 +276,7 @@
 		}
 		usage := p.usageOf(org)
 		if !p.unresponsive {
-			usage.ownUsedBefore = b.ownUsed - b.ownRate(now)*now.Sub(p.lastReport).Seconds()
+			usage.ownUsedAtReport = b.ownUsed - b.ownRate(now)*now.Sub(p.lastReport).Seconds()
 		}
 		usage.extrapolated += levelShare + rateShare*elapsed.Seconds()
 		charged := levelShare + rateShare*min(elapsed, reportTimeout).Seconds()
