--- a/gateway/configcheck/configcheck.go
+++ b/gateway/configcheck/configcheck.go
@@ -9,11 +9,11 @@
 	"sardinefront.dev/gateway/routing"
 )
 
-// Severity tells whether a configuration with a finding should be sent.
+// Severity is how much a finding matters.
 type Severity string
 
 const (
-	// Error is a finding with which some requests fail or never match as intended.
+	// Error is a finding because of which some requests fail or don't match as intended.
 	Error Severity = "error"
 	// Warning is a finding that has no effect on requests, or may be intended.
 	Warning Severity = "warning"
@@ -65,6 +65,7 @@
 	return c.findings
 }
 
+// checkRoutes checks each route and that names and matches are unique.
 func (c *checker) checkRoutes() {
 	services := map[string]bool{}
 	for _, s := range c.config.Services {
@@ -111,6 +112,7 @@
 	}
 }
 
+// checkRouteServices checks that a route leads to configured services.
 func (c *checker) checkRouteServices(path string, r *routing.Route, services map[string]bool) {
 	if len(r.WeightedServices) == 0 {
 		c.errorf(path, "has no service with a positive weight")
@@ -141,6 +143,7 @@
 	}
 }
 
+// checkServices checks the names of services, and that routes use them.
 func (c *checker) checkServices() {
 	used := map[string]bool{}
 	for _, r := range c.config.Routes {
@@ -169,6 +172,7 @@
 	}
 }
 
+// checkOrganisations checks names, API keys and quotas. Paths use the stored name, tenants.
 func (c *checker) checkOrganisations() {
 	names, keys := map[string]int{}, map[string]int{}
 	for i := range c.config.Organisations {
--- a/gateway/configcheck/diff.go
+++ b/gateway/configcheck/diff.go
@@ -45,7 +45,8 @@
 	return []Finding{{Error, "version", fmt.Sprintf("version %d is ignored: version %d is active", candidate.Version, active.Version)}}
 }
 
-// Diff returns the changes from the active to the candidate configuration, by section and name.
+// Diff returns the changes from the active to the candidate configuration, by section and name. It
+// ignores the version and the order of entries.
 func Diff(active, candidate routing.Config) []Change {
 	var out []Change
 	out = append(out, diffEntries("routes", active.Routes, candidate.Routes, func(r routing.Route) string { return r.Name })...)
@@ -100,7 +101,7 @@
 
 // diffKeys counts the API keys that were added and removed.
 func diffKeys(path string, old, new []string) []Change {
-	count := func(list, other []string) (n int) {
+	countMissing := func(list, other []string) (n int) { // of list in other
 		for _, key := range list {
 			if !slices.Contains(other, key) {
 				n++
@@ -108,11 +109,11 @@
 		}
 		return n
 	}
-	gone, fresh := count(old, new), count(new, old)
-	if gone == 0 && fresh == 0 {
+	nRemoved, nAdded := countMissing(old, new), countMissing(new, old)
+	if nRemoved == 0 && nAdded == 0 {
 		return nil
 	}
-	return []Change{{Kind: changed, Path: path, Old: fmt.Sprintf("%d keys", len(old)), New: fmt.Sprintf("%d keys, %d added, %d removed", len(new), fresh, gone)}}
+	return []Change{{Kind: changed, Path: path, Old: fmt.Sprintf("%d keys", len(old)), New: fmt.Sprintf("%d keys, %d added, %d removed", len(new), nAdded, nRemoved)}}
 }
 
 // encode returns a field's value as JSON; times are in their usual notation.
