Say which sends don't count, and that a closed target may be evacuated

The comments on misdirected sends were riddles, and the error of a target that may not get a request left out that its zone may be evacuated.

--- a/gateway/ingress/attempt.go
+++ b/gateway/ingress/attempt.go
@@ -336,11 +336,11 @@
 }
 
 // maxMisdirectedSends bounds the sends to reused addresses that a request may make beside those that
-// its route allows. A list of targets that is further off than that is repaired by a new one.
+// its route allows. A list of targets that is further out of date has to be read again first.
 const maxMisdirectedSends = 3
 
-// allowedSends returns how often the request may be sent. A send that reached another incarnation than
-// the target's is none to that target and does not count.
+// allowedSends returns how often the request may be sent. Sends that reached another incarnation than
+// the target's don't count, up to maxMisdirectedSends.
 func (x *exchange) allowedSends() int {
 	return x.route.MaxAttempts + min(maxMisdirectedSends, x.misdirectedSends)
 }
@@ -389,7 +389,7 @@
 	return &attempt{status: unsent, outcome: reserve.Abandoned, targetClosed: true, reason: refusal.TargetFull, err: errTargetClosed}
 }
 
-var errTargetClosed = errors.New("the target is leaving, cold or has asked for a back-off")
+var errTargetClosed = errors.New("the target is leaving, cold, evacuated or in a back-off")
 
 // unreachable returns the attempt for a failed connect.
 func (x *exchange) unreachable(ctx context.Context, err error) attempt {
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -156,7 +156,7 @@
 	unsentAttempts int
 	// sends counts how often the request was sent to a target.
 	sends int
-	// misdirectedSends counts those of them that reached another incarnation than the target's.
+	// misdirectedSends counts the sends that reached another incarnation than the target's.
 	misdirectedSends int
 	// grantedSends is the value of sends for which the retry budget granted one more, so that
 	// a retry is charged once.
