--- a/proof/crowd/crowd_test.go
+++ b/proof/crowd/crowd_test.go
@@ -1,5 +1,5 @@
-// Package crowd_test starts entry hosts as processes on loopback and lets crowds of callers that do
-// not respect the limits loose on them. The tests check what does not depend on the speed of the
+// Package crowd_test starts entry hosts as processes on loopback and loads them with many callers that
+// do not respect the limits. The tests check what does not depend on the speed of the
 // machine: the process lives, its memory and descriptors stay bounded, and an ordinary request is
 // answered while the crowd is still connected.
 package crowd_test
@@ -186,8 +186,8 @@
 	wg.Wait()
 }
 
-// play sends the crowd and checks the process while the connections are open.
-func (c crowd) play(t *testing.T) {
+// run sends the crowd and checks the process while the connections are open.
+func (c crowd) run(t *testing.T) {
 	t.Helper()
 	h := startHost(t)
 	idleMB := h.peakMemoryMB()
@@ -268,11 +268,11 @@
 }
 
 const (
-	noRoute   = "/none"
-	unsafe    = fleetuser.PathUnsafe
-	key       = fleetuser.APIKey
-	bodyCrowd = 100
-	headCrowd = 200
+	noRoute    = "/none"
+	unsafePath = fleetuser.PathUnsafe
+	key        = fleetuser.APIKey
+	bodyCrowd  = 100
+	headCrowd  = 200
 	// fullCrowd is larger than the number of descriptors.
 	fullCrowd = 300
 )
@@ -281,20 +281,20 @@
 // callers that do not respect the limits.
 func TestProcessSurvivesCrowds(t *testing.T) {
 	crowds := map[string]crowd{
-		"bodies one byte short":              {callersPort, bodyCrowd, bodyOf(unsafe, key, maxBodyBytes, maxBodyBytes-1, maxBodyBytes)},
-		"bodies one byte short, in pieces":   {callersPort, bodyCrowd, bodyOf(unsafe, key, maxBodyBytes, maxBodyBytes-1, 4<<10)},
-		"bodies of one byte":                 {callersPort, headCrowd, bodyOf(unsafe, key, maxBodyBytes, 1, 1)},
-		"bodies over the limit":              {callersPort, bodyCrowd, bodyOf(unsafe, key, 8*maxBodyBytes, 4*maxBodyBytes, maxBodyBytes)},
-		"chunks without the last":            {callersPort, bodyCrowd, chunks(unsafe, maxBodyBytes-4<<10, 4<<10)},
-		"chunks over the limit":              {callersPort, bodyCrowd, chunks(unsafe, 4*maxBodyBytes, 64<<10)},
+		"bodies one byte short":              {callersPort, bodyCrowd, bodyOf(unsafePath, key, maxBodyBytes, maxBodyBytes-1, maxBodyBytes)},
+		"bodies one byte short, in pieces":   {callersPort, bodyCrowd, bodyOf(unsafePath, key, maxBodyBytes, maxBodyBytes-1, 4<<10)},
+		"bodies of one byte":                 {callersPort, headCrowd, bodyOf(unsafePath, key, maxBodyBytes, 1, 1)},
+		"bodies over the limit":              {callersPort, bodyCrowd, bodyOf(unsafePath, key, 8*maxBodyBytes, 4*maxBodyBytes, maxBodyBytes)},
+		"chunks without the last":            {callersPort, bodyCrowd, chunks(unsafePath, maxBodyBytes-4<<10, 4<<10)},
+		"chunks over the limit":              {callersPort, bodyCrowd, chunks(unsafePath, 4*maxBodyBytes, 64<<10)},
 		"bodies without a route":             {callersPort, bodyCrowd, bodyOf(noRoute, key, maxBodyBytes, maxBodyBytes-1, maxBodyBytes)},
-		"bodies without a key":               {callersPort, bodyCrowd, bodyOf(unsafe, "none", maxBodyBytes, maxBodyBytes-1, maxBodyBytes)},
+		"bodies without a key":               {callersPort, bodyCrowd, bodyOf(unsafePath, "none", maxBodyBytes, maxBodyBytes-1, maxBodyBytes)},
 		"bodies at the ready path":           {callersPort, bodyCrowd, bodyOf(wire.ReadyPath, key, maxBodyBytes, maxBodyBytes-1, maxBodyBytes)},
-		"heads of short fields":              {callersPort, headCrowd, unfinishedHead(unsafe, 12_000)},
-		"heads of short fields, all at once": {callersPort, fullCrowd, unfinishedHead(unsafe, 12_000)},
+		"heads of short fields":              {callersPort, headCrowd, unfinishedHead(unsafePath, 12_000)},
+		"heads of short fields, all at once": {callersPort, fullCrowd, unfinishedHead(unsafePath, 12_000)},
 		"requests sent ahead":                {callersPort, bodyCrowd, sentAhead(noRoute, 2000)},
-		"full of bodies":                     {callersPort, fullCrowd, bodyOf(unsafe, key, 10, 1, 1)},
-		"full of heads":                      {callersPort, fullCrowd, unfinishedHead(unsafe, 1)},
+		"full of bodies":                     {callersPort, fullCrowd, bodyOf(unsafePath, key, 10, 1, 1)},
+		"full of heads":                      {callersPort, fullCrowd, unfinishedHead(unsafePath, 1)},
 		"full of silent connections":         {callersPort, fullCrowd, func(io.Writer) error { return nil }},
 		"ready listener, full of heads":      {readyPort, fullCrowd, unfinishedHead(wire.ReadyPath, 1)},
 		"ready listener, short fields":       {readyPort, headCrowd, unfinishedHead(wire.ReadyPath, 100_000)},
@@ -305,6 +305,6 @@
 		"metrics listener, requests ahead":   {metricsPort, bodyCrowd, sentAhead("/metrics", 2000)},
 	}
 	for name, c := range crowds {
-		t.Run(name, c.play)
+		t.Run(name, c.run)
 	}
 }
--- a/proof/soak/restore.go
+++ b/proof/soak/restore.go
@@ -16,8 +16,8 @@
 	leaseLapse = time.Second
 )
 
-// planRestore returns the drill in which the store comes back from an older copy, once in a run. It
-// is apart from the other faults, whose schedules by seed don't change.
+// planRestore returns the fault in which the store comes back from an older copy, once in a run. It is
+// drawn apart from the other faults, so that a seed keeps their schedule.
 func planRestore(seed uint64, length time.Duration) []action {
 	p := &planner{rnd: rand.New(rand.NewPCG(seed, seed+3))}
 	at := length/2 + time.Duration(p.rnd.Int64N(int64(length/2)))
