--- a/gateway/rollout/decide.go
+++ b/gateway/rollout/decide.go
@@ -59,12 +59,12 @@
 func (st *rolloutState) decide(leader bool, now time.Time) *Decision {
 	switch st.state {
 	case RolledBack:
-		return &Decision{st.order, RolledBack, st.reason, st.rewrite}
+		return &Decision{Order: st.order, State: RolledBack, Reason: st.reason, Repeated: st.rewrite}
 	case Done:
 		if !st.rewrite {
 			return nil
 		}
-		return &Decision{st.order, Done, st.reason, true}
+		return &Decision{Order: st.order, State: Done, Reason: st.reason, Repeated: true}
 	}
 	left := st.order.Duration - now.Sub(st.startedAt)
 	// A leader that has observed little leaves the completion to the other hosts, which may have
@@ -77,11 +77,11 @@
 	case left <= unprovenLead && st.unproven(now):
 		// The state of this host does not change before the store has accepted the rollback: a
 		// host that knows more may have completed the rollout.
-		return &Decision{st.order, RolledBack, "the version is unproven: " + st.observed(now), false}
+		return &Decision{Order: st.order, State: RolledBack, Reason: "the version is unproven: " + st.observed(now)}
 	case left <= lead && !st.unproven(now):
-		return &Decision{st.order, Done, "no fault detected: " + st.observed(now), false}
+		return &Decision{Order: st.order, State: Done, Reason: "no fault detected: " + st.observed(now)}
 	case leader:
-		return &Decision{st.order, Running, "", false}
+		return &Decision{Order: st.order, State: Running}
 	}
 	return nil
 }
