--- a/sched/finish/report.go
+++ b/sched/finish/report.go
@@ -68,7 +68,8 @@
 // RecordEnd records that a request of this host has ended at the target.
 func (l *Load) RecordEnd() { l.sentSince = max(0, l.sentSince-1) }
 
-// PerSlot returns the running and waiting requests per slot; 0 if the report is too old.
+// PerSlot returns the running and waiting requests per slot; 0 without a report or if it is too old.
+// The own sends since the report fade with it.
 func (l *Load) PerSlot(slots int, now time.Time) float64 {
 	return (l.perSlot + float64(l.sentSince)/float64(max(1, slots))) * freshness(l.reportedAt, now)
 }
