--- a/sched/reserve/lanes.go
+++ b/sched/reserve/lanes.go
@@ -117,7 +117,10 @@
 // starved requests or a request of this host has taken the slot.
 func (p *Pool) SelectSlotRecipient(target string, now time.Time) (host string) {
 	t := p.targets[target]
-	if t == nil || !p.cfg.Reservations || !t.slotFreed || t.drain.Closure(now) == drain.Leaving || t.drain.Closure(now) == drain.Evacuated || t.health.State() == health.Ejected {
+	if t == nil || !p.cfg.Reservations || !t.slotFreed || t.health.State() == health.Ejected {
+		return ""
+	}
+	if c := t.drain.Closure(now); c == drain.Leaving || c == drain.Evacuated {
 		return ""
 	}
 	best, equal := 2*LaneCount, 0
--- a/sched/reserve/waiter.go
+++ b/sched/reserve/waiter.go
@@ -131,13 +131,13 @@
 	return flow.Item{Request: w.Request, Cost: float64(w.Request.EstimatedTokens()), FreshUntil: w.FreshUntil, LatestStart: latest}
 }
 
-// checkQueueDelay refuses a request at once if another one of its organisation and tier has
+// checkQueueDelay refuses a request at once if another one of its organisation, tier and homes has
 // waited for so long that the caller of this one would probably give up first. A caller that
 // is refused early can still retry in time.
 func (p *Pool) checkQueueDelay(w *Waiter, now time.Time) *refusal.Refusal {
 	maxDelay := time.Duration(refuseWaitFraction * float64(w.FirstByteTimeout))
 	for _, other := range p.waiters {
-		if other.standby || !other.Homes.equal(&w.Homes) || other.Request.Tier != w.Request.Tier || other.Request.Organisation != w.Request.Organisation || p.hasFreeExcluded(other) {
+		if other.standby || !other.sharesQueue(w) || p.hasFreeExcluded(other) {
 			continue
 		}
 		if waited := now.Sub(other.queuedAt); waited > maxDelay {
@@ -147,6 +147,12 @@
 	return nil
 }
 
+// sharesQueue reports whether two requests have the same organisation, tier and homes, so that the wait
+// of one says how long the other would wait.
+func (w *Waiter) sharesQueue(other *Waiter) bool {
+	return w.Request.Organisation == other.Request.Organisation && w.Request.Tier == other.Request.Tier && w.Homes.equal(&other.Homes)
+}
+
 // hasFreeExcluded reports whether a target that the request has excluded has a free slot: the
 // request then waits where new ones need not.
 func (p *Pool) hasFreeExcluded(w *Waiter) bool {
