--- a/core/event/table.go
+++ b/core/event/table.go
@@ -21,9 +21,9 @@
 	RequestSent          = Event{Number: 206, Name: "request sent", Level: slog.LevelInfo, Meaning: "A request was sent to a target.", Sampled: true}
 	RequestAnswered      = Event{Number: 205, Name: "request answered", Level: slog.LevelInfo, Meaning: "A caller received its complete response.", Sampled: true}
 	ResponseAborted      = Event{Number: 204, Name: "answer broken", Level: slog.LevelWarn, Meaning: "A response that had begun could not be completed for the given reason; the connection to the caller was closed. The line states the time left until the deadline and what the last target has sent."}
+	TargetErrorForwarded = Event{Number: 207, Name: "target error forwarded", Level: slog.LevelInfo, Meaning: "A target's own error response was forwarded to the caller because the request could not be retried."}
 	RequestPanicked      = Event{Number: 208, Name: "request panicked", Level: slog.LevelError, Meaning: "The handler of a request panicked; the request was ended and its slot and quota returned. The line carries the stack."}
 	ClientConnClosed     = Event{Number: 225, Name: "client connection closed", Level: slog.LevelWarn, Meaning: "A connection was closed at a bound of its listener: too many connections (full), or a request head with too many lines or bytes (head).", Sampled: true}
-	TargetErrorForwarded = Event{Number: 207, Name: "target error forwarded", Level: slog.LevelInfo, Meaning: "A target's own error response was forwarded to the caller because the request could not be retried."}
 
 	TargetEjected   = Event{Number: 301, Name: "target ejected", Level: slog.LevelWarn, Meaning: "A target was ejected because of failures, slowness or timeouts."}
 	TargetRestored  = Event{Number: 302, Name: "target restored", Level: slog.LevelInfo, Meaning: "An ejected target passed its probe requests and receives requests again."}
@@ -39,10 +39,10 @@
 	PromptPartReleased    = Event{Number: 311, Name: "prompt part released", Level: slog.LevelInfo, Meaning: "Requests with this part of a prompt are sent again, because a response with it began or the evidence expired."}
 	TargetClosed          = Event{Number: 312, Name: "target closed", Level: slog.LevelInfo, Meaning: "This host sends a target no new requests, because the target is leaving or has asked for a back-off. The line names the source, the age and the end of the back-off."}
 	TargetReopened        = Event{Number: 313, Name: "target reopened", Level: slog.LevelInfo, Meaning: "A target that was leaving no longer is, and receives requests again."}
+	RetryAfterRejected    = Event{Number: 314, Name: "retry-after rejected", Level: slog.LevelWarn, Meaning: "A target's Retry-After was unreadable, negative or too long and was ignored.", Sampled: true}
 	LoadReportUnreadable  = Event{Number: 315, Name: "load report unreadable", Level: slog.LevelWarn, Meaning: "A target's load report could not be read and is ignored. It is logged once per target; a counter counts all."}
 	TargetPaced           = Event{Number: 316, Name: "target paced", Level: slog.LevelInfo, Meaning: "A target is cold, has just started or has just recovered; this host sends it few requests until it responds in time.", Sampled: true}
 	TargetAtFullPace      = Event{Number: 317, Name: "target at full pace", Level: slog.LevelInfo, Meaning: "A paced target receives requests without that limit.", Sampled: true}
-	RetryAfterRejected    = Event{Number: 314, Name: "retry-after rejected", Level: slog.LevelWarn, Meaning: "A target's Retry-After was unreadable, negative or too long and was ignored.", Sampled: true}
 
 	WriterElected         = Event{Number: 401, Name: "journal writer elected", Level: slog.LevelInfo, Meaning: "This host became the writer of a journal partition."}
 	WriterRoleLost        = Event{Number: 402, Name: "journal writer role lost", Level: slog.LevelWarn, Meaning: "This host is no longer the writer of a journal partition: its lease ended or another writer appended to the log."}
