--- a/gateway/routing/routing.go
+++ b/gateway/routing/routing.go
@@ -44,7 +44,8 @@
 	MaxEventGap time.Duration
 	// Priority is the priority of requests; 0 is the highest.
 	Priority int
-	// MaxAttempts is the maximum number of targets that one request is sent to, at least 1.
+	// MaxAttempts is the maximum number of targets that one request is sent to, at least 1. A few
+	// sends that reach another incarnation than the target's don't count.
 	MaxAttempts int
 	// Public routes need no API key.
 	Public bool
