--- a/gateway/directory/era_test.go
+++ b/gateway/directory/era_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"sardinefront.dev/gateway/peers"
@@ -22,6 +23,7 @@
 		time.Sleep(2 * time.Second)
 		h.store.restore()
 		check(t, h)
+		synctest.Wait() // the host may be writing to its log
 		if n := strings.Count(h.log.String(), `"event":611`); n != 1 {
 			t.Errorf("%d restores logged", n)
 		}
@@ -131,6 +133,7 @@
 		time.Sleep(1500 * time.Millisecond)
 		h.store.put(orderKey, "v3")
 		time.Sleep(5 * time.Second)
+		synctest.Wait()
 		var got []string
 		for _, o := range h.orders {
 			got = append(got, string(o.Value))
@@ -141,6 +144,7 @@
 	})
 	withRestore(t, nothing, func(s *memoryStore) { s.put(orderKey, "v2") }, func(t *testing.T, h *testHost) {
 		time.Sleep(5 * time.Second)
+		synctest.Wait()
 		if n := len(h.orders); n != 2 || !h.orders[1].Deleted {
 			t.Errorf("orders %+v, want one and its removal after it was not written again", h.orders)
 		}
