Attribute crashes of cold targets to prompt parts, and count closed connections by their cause

A request that is sent to a cold target uses up this host's admission, after which MaySend is false; crash evidence against its prompt parts was therefore dropped until the target was warm. It now asks whether the target is open. A read of a connection that the listener had closed for another reason was counted as a head that is too large.

--- a/gateway/connlimit/connlimit.go
+++ b/gateway/connlimit/connlimit.go
@@ -175,25 +175,31 @@
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.chargeHead(p[:n]) {
+	if n == 0 {
+		return n, err
+	}
+	switch chargeErr := c.chargeHead(p[:n]); {
+	case errors.Is(chargeErr, ErrHeadTooLarge):
 		c.listener.cfg.OnClose(CauseHead, c.RemoteAddr())
 		_ = c.Close()
-		return 0, ErrHeadTooLarge
+		return 0, chargeErr
+	case chargeErr != nil:
+		return 0, chargeErr
 	}
 	return n, err
 }
 
-// chargeHead counts bytes that were read while no request is served. It reports false if they exceed
-// the bounds.
-func (c *Conn) chargeHead(p []byte) bool {
+// chargeHead counts bytes that were read while no request is served. It returns ErrHeadTooLarge if
+// they exceed the bounds, and net.ErrClosed if the connection was closed meanwhile.
+func (c *Conn) chargeHead(p []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
-		return false
+		return net.ErrClosed
 	}
 	if c.serving {
 		c.lastReadAt = time.Now()
-		return true
+		return nil
 	}
 	c.bytes += len(p)
 	for _, b := range p {
@@ -201,7 +207,10 @@
 			c.lines++
 		}
 	}
-	return c.lines <= maxHeadLines && c.listener.cfg.Heads.Resize(&c.headUsage, c.bytes+c.lines*lineOverheadBytes)
+	if c.lines > maxHeadLines || !c.listener.cfg.Heads.Resize(&c.headUsage, c.bytes+c.lines*lineOverheadBytes) {
+		return ErrHeadTooLarge
+	}
+	return nil
 }
 
 // Write implements net.Conn. A client that reads too slowly does not hold its request any longer
--- a/gateway/dispatch/closed.go
+++ b/gateway/dispatch/closed.go
@@ -120,6 +120,14 @@
 	return !s.pool.Evacuated(target.Zone) && s.pool.MaySend(target.Key(), time.Now())
 }
 
+// IsOpen reports whether a target is neither leaving, evacuated nor in a back-off. Unlike MaySend, it
+// doesn't ask whether a cold target may get one more request.
+func (s *Scheduler) IsOpen(target directory.Target) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.pool.Evacuated(target.Zone) && s.pool.Closure(target.Key(), time.Now()) == drain.Open
+}
+
 // SetEvacuatedZones sets the availability zones whose targets get nothing.
 func (s *Schedulers) SetEvacuatedZones(zones reserve.Zones) {
 	s.mu.Lock()
--- a/gateway/dispatch/closed_test.go
+++ b/gateway/dispatch/closed_test.go
@@ -10,6 +10,7 @@
 	"sardinefront.dev/gateway/directory"
 	"sardinefront.dev/gateway/protocol"
 	"sardinefront.dev/gateway/upstream"
+	"sardinefront.dev/sched/pace"
 )
 
 type noPeers struct{}
@@ -53,3 +54,15 @@
 		t.Errorf("%d counted and %d logged, want 8 and 3: only the target that was listed anew is logged again", metrics.unreadable, logged())
 	}
 }
+
+// Guards against a crash of a cold target that is not attributed to the request that was sent there,
+// because the target may get no further one.
+func TestColdTargetIsOpenAfterItsAdmissionIsUsed(t *testing.T) {
+	s := newScheduler("s", true, slog.New(slog.DiscardHandler), noPeers{}, &countingMetrics{})
+	s.setColdBound(pace.Bound{PerSecond: 8, Duration: time.Minute})
+	cold := directory.Target{ID: "a", Slots: 1, Cold: true, WarmUpUntil: time.Now().Add(time.Minute)}
+	s.setTargets([]directory.Target{cold}, "", nil)
+	if s.MaySend(cold) || !s.IsOpen(cold) {
+		t.Errorf("may send %v, open %v", s.MaySend(cold), s.IsOpen(cold))
+	}
+}
--- a/gateway/ingress/parts.go
+++ b/gateway/ingress/parts.go
@@ -62,7 +62,7 @@
 		return
 	}
 	parts := x.sharedParts()
-	if len(parts) == 0 || !scheduler.MaySend(target) {
+	if len(parts) == 0 || !scheduler.IsOpen(target) {
 		return
 	}
 	crashedAt := time.Now()
