Choose targets of streams by gap and work time instead of the expected finish

The cost is the former one again, times the work time where targets report it.

go test ./sched/... passes.

--- a/sched/reserve/choose.go
+++ b/sched/reserve/choose.go
@@ -11,11 +11,9 @@
 const (
 	// crossZonePenalty is added to the cost of targets in other availability zones.
 	crossZonePenalty = 30 * time.Millisecond
-	// newConnectionCost is the additional cost, as a fraction, of targets to which this host
-	// probably has no idle connection. idleConnectionTime is the least time for which targets keep an
-	// idle connection open.
-	newConnectionCost  = 0.1
-	idleConnectionTime = time.Second
+	// typicalEventCount is the assumed number of events of a response. It converts the gap
+	// between events into a response time.
+	typicalEventCount = 25
 	// defaultGap and defaultLatency are assumed for targets without a sample.
 	defaultGap     = 8 * time.Millisecond
 	defaultLatency = 25 * time.Millisecond
@@ -77,7 +75,7 @@
 				continue
 			}
 		}
-		c := p.cost(w, t, l, now) * (1 + preferenceWeight*t.preference + costJitter*p.rnd.Float64())
+		c := p.cost(t, l, now) * (1 + preferenceWeight*t.preference + costJitter*p.rnd.Float64())
 		if best == nil || c < bestCost {
 			best, bestCost = t, c
 		}
@@ -161,13 +159,13 @@
 
 // cost estimates the response time of a request at a target, in seconds, with penalties. It is 0 for an
 // idle paced target, so that requests of lanes that can wait try it.
-func (p *Pool) cost(w *Waiter, t *target, l Lane, now time.Time) float64 {
+func (p *Pool) cost(t *target, l Lane, now time.Time) float64 {
 	if !lanes[l].fastOnly && p.pacedIdle(t, now) {
 		return 0
 	}
 	c := 0.0
 	if p.cfg.Reservations {
-		c = p.estimate(w, t, l, now).Finish.Seconds()
+		c = p.expectedGap(t, l, now).Seconds() * t.snapshot.Work.Factor(now) * typicalEventCount
 	} else {
 		c = finish.EstimateResponse(&t.snapshot, orDefault(t.latency, defaultLatency), t.utilization(), now).Seconds()
 	}
@@ -178,8 +176,5 @@
 	if !t.Local {
 		c += crossZonePenalty.Seconds()
 	}
-	if !now.Before(t.connectedUntil) {
-		c *= 1 + newConnectionCost
-	}
 	return c
 }
--- a/sched/reserve/target.go
+++ b/sched/reserve/target.go
@@ -134,8 +134,6 @@
 	respondedAt         time.Time // time of the newest first byte of a response
 	// snapshot is what the estimates read; estimate sets its gaps.
 	snapshot finish.Snapshot
-	// connectedUntil is until when this host probably has an idle connection to the target.
-	connectedUntil time.Time
 }
 
 // recordGap adds a sample of the gap between events; 0 is ignored.
@@ -192,7 +190,6 @@
 		return
 	}
 	t.endRequest()
-	t.connectedUntil = now.Add(idleConnectionTime)
 	t.reopeningBusy = false
 	t.window.Shrink()
 	if t.drain.Closure(now) != drain.Open {
@@ -316,7 +313,6 @@
 	}
 	switch o {
 	case OK:
-		t.connectedUntil = now.Add(idleConnectionTime)
 		return t.health.Observe(health.Success, now)
 	case BrokenResponse:
 		return t.health.Observe(health.Failure, now)
