Leave warm-ups out of the digest of the target list

Whether a target is cold was part of the list's digest; hosts learn at different times that targets have warmed up, so digests differed for long, and hosts fetched each other's whole lists. A change of a warm-up is still passed on.

TestWarmUpIsNoDifferenceOfLists fails before. go test -race ./gateway/directory ./platform/wire passes.

--- a/gateway/directory/list.go
+++ b/gateway/directory/list.go
@@ -44,17 +44,23 @@
 func (t *Target) hash() uint64 {
 	return xxhash.Sum64String(strings.Join([]string{
 		t.ID, t.Service, t.Address, t.Zone, t.Version,
-		strconv.Itoa(t.Slots), strconv.FormatBool(t.Draining), strconv.FormatInt(t.StartedUnixMs, 10), strconv.FormatBool(t.Cold),
+		strconv.Itoa(t.Slots), strconv.FormatBool(t.Draining), strconv.FormatInt(t.StartedUnixMs, 10),
 	}, "\x00"))
 }
 
-// minColdExtension is the least extension of the warm-up that counts as a change. Smaller ones are due
-// to delays of the entry.
-const minColdExtension = 500 * time.Millisecond
-
-// coldAgain reports whether the target has become cold again while it was still cold.
-func (t *Target) coldAgain(old *Target) bool {
-	return t.Cold && t.WarmUpUntil.Sub(old.WarmUpUntil) >= minColdExtension
+// minWarmUpChange is the least change of the end of a warm-up that counts. Smaller ones are due to
+// delays of the entry.
+const minWarmUpChange = 500 * time.Millisecond
+
+// warmUpChanged reports whether the target has become cold, stays cold for longer, or has warmed up
+// earlier than it said. That is a change, but not part of the hash: hosts learn at different times
+// that targets have warmed up, and would take the difference for a list that they lack.
+func (t *Target) warmUpChanged(old *Target) bool {
+	extension := t.WarmUpUntil.Sub(old.WarmUpUntil)
+	if t.Cold {
+		return !old.Cold || extension >= minWarmUpChange
+	}
+	return old.Cold && -extension >= minWarmUpChange
 }
 
 // Decode decodes an entry of the store. It returns an error if the entry is not a usable
@@ -191,7 +197,7 @@
 		return old != nil
 	}
 	*e = entry{revision: c.Revision, value: c.Value, target: &t}
-	return old == nil || old.hash() != t.hash() || t.coldAgain(old)
+	return old == nil || old.hash() != t.hash() || t.warmUpChanged(old)
 }
 
 // ExpireRemovals carries out the unconfirmed removals that are due and returns them. It also
--- a/gateway/directory/list_test.go
+++ b/gateway/directory/list_test.go
@@ -80,6 +80,21 @@
 	}
 }
 
+// Load pattern: many targets start at once. Guards against hosts that differ in what they know of
+// warm-ups only and fetch each other's lists because of it.
+func TestWarmUpIsNoDifferenceOfLists(t *testing.T) {
+	newList := func(left time.Duration) *directory.List {
+		l := directory.NewList(func(key string, _ []byte, now time.Time) (directory.Target, error) {
+			return directory.Target{ID: key, WarmUpUntil: now.Add(left), Cold: left > 0}, nil
+		})
+		l.Apply([]platform.Entry{put("a", "", 1)}, false, start)
+		return l
+	}
+	if newList(time.Second).Digest() != newList(0).Digest() {
+		t.Error("the digests of a cold and a warm target differ")
+	}
+}
+
 // Guards against a late change or removal that overrides a newer one.
 func TestOlderChangesAreIgnored(t *testing.T) {
 	l := directory.NewList(decode)
