--- a/gateway/configcheck/configcheck.go
+++ b/gateway/configcheck/configcheck.go
@@ -75,11 +75,7 @@
 	for i := range c.config.Routes {
 		r := &c.config.Routes[i]
 		path := fmt.Sprintf("routes[%d]", i)
-		if first, ok := names[r.Name]; ok {
-			c.errorf(path, "the name %q is that of routes[%d]", r.Name, first)
-		} else {
-			names[r.Name] = i
-		}
+		c.checkName(names, "routes", i, r.Name)
 		match := strings.ToLower(r.Host) + " " + r.Prefix
 		if first, ok := matches[match]; ok {
 			c.errorf(path, "never matches: routes[%d] has the same host and prefix", first)
@@ -92,6 +88,16 @@
 	}
 }
 
+// checkName reports a name that an earlier entry of the section has. names holds the index of the
+// first entry of each name.
+func (c *checker) checkName(names map[string]int, section string, i int, name string) {
+	if first, ok := names[name]; ok {
+		c.errorf(fmt.Sprintf("%s[%d]", section, i), "the name %q is that of %s[%d]", name, section, first)
+		return
+	}
+	names[name] = i
+}
+
 // checkMatch checks the host and prefix of a route.
 func (c *checker) checkMatch(path string, r *routing.Route) {
 	if r.Host == "" {
@@ -178,11 +184,7 @@
 	for i := range c.config.Organisations {
 		o := &c.config.Organisations[i]
 		path := fmt.Sprintf("tenants[%d]", i)
-		if first, ok := names[o.Name]; ok {
-			c.errorf(path, "the name %q is that of tenants[%d]", o.Name, first)
-		} else {
-			names[o.Name] = i
-		}
+		c.checkName(names, "tenants", i, o.Name)
 		if len(o.Keys) == 0 {
 			c.warnf(path, "never matches: %q has no API key", o.Name)
 		}
