--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -10,15 +10,16 @@
 )
 
 const (
-	engineEvents  = 6
 	eventInterval = 50 * time.Millisecond
 	engineRestart = 2 * time.Second // time from a crash to the next start
 )
 
 // engine is a stand-in of a server of streams. A request whose prompt has the part badPart crashes it
-// once it has begun to write the answer. It is back after some seconds.
+// once it has begun to write the answer, after the head and badEvents events. It is back after some
+// seconds.
 type engine struct {
 	id, address, badPart string
+	events, badEvents    int
 	onStart              func(e *engine) // writes the entry
 	logf                 func(format string, args ...any)
 
@@ -93,7 +94,15 @@
 	h.Set("Server-Stamp", e.id+"."+id)
 	h.Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w).Flush
-	for n := 1; n <= engineEvents; n++ {
+	if flush() != nil {
+		return
+	}
+	for n := 1; n <= e.events; n++ {
+		if bad && n > e.badEvents {
+			time.Sleep(20 * time.Millisecond) // what was written is on its way
+			e.crash(s)
+			return
+		}
 		select {
 		case <-time.After(eventInterval):
 		case <-r.Context().Done():
@@ -103,10 +112,5 @@
 		if flush() != nil {
 			return
 		}
-		if bad {
-			time.Sleep(20 * time.Millisecond) // the event is on its way
-			e.crash(s)
-			return
-		}
 	}
 }
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -29,7 +29,8 @@
 // stage is what all cases share.
 type stage struct {
 	root, dir string // of the repository and for temporary files
-	net       string // first three numbers of the loopback addresses
+	net       string // first two numbers of the loopback addresses
+	third     int    // the third number
 	trouble   bool
 	begun     time.Time
 	hosts     []*host
@@ -46,7 +47,13 @@
 }
 
 // ip returns a loopback address of this run.
-func (s *stage) ip(n int) string { return fmt.Sprintf("%s.%d", s.net, n) }
+func (s *stage) ip(n int) string { return fmt.Sprintf("%s.%d.%d", s.net, s.third, n) }
+
+// nextScene ends the hosts and lets what follows use other addresses.
+func (s *stage) nextScene() {
+	s.stopHosts()
+	s.third++
+}
 
 // startHosts starts a host of one zone for each address of the store, and waits until they are ready.
 func (s *stage) startHosts(stores []string) error {
@@ -102,7 +109,7 @@
 	defer os.RemoveAll(dir)
 	pid := os.Getpid()
 	s := &stage{
-		root: root, dir: dir, net: fmt.Sprintf("127.%d.%d", 64+pid/250%128, 1+pid%250), trouble: os.Getenv("TROUBLE") != "0", begun: time.Now(), record: record,
+		root: root, dir: dir, net: fmt.Sprintf("127.%d", 64+pid/240%128), third: 1 + pid%240, trouble: os.Getenv("TROUBLE") != "0", begun: time.Now(), record: record,
 	}
 	defer s.stopHosts()
 	s.logf("case %s, disruption: %t", name, s.trouble)
