Keep the removal of a target that hosts delay after an outage

Some hosts then kept the target for good, so callers could get a lost connection from targets that were long gone.

Cause: a delaying host stored the revision of the removal with the target's old value. - It passed the target on at that revision, so a host that got it ignored the removal of the same revision when it took effect, and used the target until it was listed anew. - A confirmation of the removal (by a peer that knew better, or by a list of the store) was ignored at the delaying host too, for the same reason.

The entry now keeps the revision of its value beside that of its newest change: lists hand the value on at its own revision, and a removal of the same revision counts as news while it is delayed. A list of the store may confirm a delayed removal too.

--- a/gateway/directory/holdover.go
+++ b/gateway/directory/holdover.go
@@ -17,7 +17,7 @@
 			delete(l.entries, key)
 			continue
 		}
-		e.revision, e.removeAt = 0, time.Time{}
+		e.revision, e.valueRevision, e.removeAt = 0, 0, time.Time{}
 	}
 	l.holding = true
 }
--- a/gateway/directory/list.go
+++ b/gateway/directory/list.go
@@ -78,11 +78,14 @@
 
 // entry is the state of one key of the store.
 type entry struct {
-	// revision is 0 for an entry that is held over; see HoldOver.
+	// revision is that of the newest change. It is 0 for an entry that is held over; see HoldOver.
 	revision int64
-	value    []byte
-	target   *Target   // nil if removed or unreadable
-	deleted  time.Time // zero if not removed
+	// valueRevision is the revision at which value was written. It is older than revision if the
+	// removal of the entry is delayed.
+	valueRevision int64
+	value         []byte
+	target        *Target   // nil if removed or unreadable
+	deleted       time.Time // zero if not removed
 	// unreadable is set if the value could not be decoded. It is then not kept, and other
 	// hosts get the entry as a removal.
 	unreadable bool
@@ -90,6 +93,10 @@
 	removeAt time.Time
 }
 
+// removalDelayed reports whether the entry was removed while removals were unconfirmed. Its target
+// stays in use until the removal is confirmed.
+func (e *entry) removalDelayed() bool { return e.target != nil && e.valueRevision < e.revision }
+
 // List is the target list. Its methods are safe for concurrent use.
 type List struct {
 	decode       Decode
@@ -155,7 +162,7 @@
 	}
 	l.mu.Lock()
 	for key, e := range l.entries {
-		if !present[key] && e.deleted.IsZero() && e.removeAt.IsZero() && e.revision <= asOf && e.revision > 0 {
+		if !present[key] && e.deleted.IsZero() && e.revision <= asOf && e.revision > 0 {
 			all = append(all, platform.Entry{Key: key, Revision: asOf, Deleted: true})
 		}
 	}
@@ -166,28 +173,45 @@
 // apply applies one change and reports whether it alters the list. The caller holds the lock.
 func (l *List) apply(c platform.Entry, unconfirmed bool, now time.Time) bool {
 	e := l.entries[c.Key]
-	if e != nil && c.Revision <= e.revision {
+	if e != nil && !l.isNews(e, c) {
 		return false
 	}
 	if e == nil {
 		e = &entry{}
 		l.entries[c.Key] = e
 	}
-	old := e.target
 	if l.holding && l.withdrawsDraining(e, c, now) {
 		return false
 	}
-	e.revision = c.Revision
 	if c.Deleted {
-		if (unconfirmed || l.holding) && old != nil {
-			if e.removeAt.IsZero() {
-				e.removeAt = now.Add(relistTimeout)
-			}
-			return false
-		}
+		return l.remove(e, c, unconfirmed || l.holding, now)
+	}
+	return l.put(e, c, now)
+}
+
+// isNews reports whether a change says more than an entry: it is newer, or it is the removal that was
+// delayed and may be confirmed by now.
+func (l *List) isNews(e *entry, c platform.Entry) bool {
+	return c.Revision > e.revision || c.Revision == e.revision && c.Deleted && e.removalDelayed()
+}
+
+// remove applies a removal and reports whether it alters the list. The caller holds the lock.
+func (l *List) remove(e *entry, c platform.Entry, unconfirmed bool, now time.Time) bool {
+	inUse := e.target != nil
+	if !unconfirmed || !inUse {
 		*e = entry{revision: c.Revision, deleted: now}
-		return old != nil
+		return inUse
+	}
+	e.revision = c.Revision
+	if e.removeAt.IsZero() {
+		e.removeAt = now.Add(relistTimeout)
 	}
+	return false
+}
+
+// put applies an entry and reports whether it alters the list. The caller holds the lock.
+func (l *List) put(e *entry, c platform.Entry, now time.Time) bool {
+	old := e.target
 	t, err := l.decode(c.Key, c.Value, now)
 	if err != nil {
 		if !e.unreadable {
@@ -196,7 +220,7 @@
 		*e = entry{revision: c.Revision, unreadable: true}
 		return old != nil
 	}
-	*e = entry{revision: c.Revision, value: c.Value, target: &t}
+	*e = entry{revision: c.Revision, valueRevision: c.Revision, value: c.Value, target: &t}
 	return old == nil || old.hash() != t.hash() || t.warmUpChanged(old)
 }
 
@@ -230,7 +254,7 @@
 		switch {
 		case e.revision == 0: // a host that has no such entry must not keep it for good
 		case e.target != nil:
-			out = append(out, platform.Entry{Key: key, Value: e.value, Revision: e.revision})
+			out = append(out, platform.Entry{Key: key, Value: e.value, Revision: e.valueRevision})
 		case !e.deleted.IsZero() || e.unreadable:
 			out = append(out, platform.Entry{Key: key, Revision: e.revision, Deleted: true})
 		}
--- a/gateway/directory/list_test.go
+++ b/gateway/directory/list_test.go
@@ -125,6 +125,39 @@
 	}
 }
 
+// Guards against a removal that is lost because a host that has delayed it passes its target on at
+// the revision of the removal.
+func TestDelayedRemovalReachesAHostThatGotTheTarget(t *testing.T) {
+	delaying, other := directory.NewList(decode), directory.NewList(decode)
+	delaying.Apply([]platform.Entry{put("a", "ready 1", 1), put("b", "ready 1", 2)}, false, start)
+	delaying.Apply([]platform.Entry{removed("a", 3)}, true, start)
+	other.Apply(delaying.Entries(), false, start)
+	if ids(other) != "a b" || other.Digest() != delaying.Digest() {
+		t.Errorf("targets %q while the removal is delayed", ids(other))
+	}
+	other.Apply(delaying.ExpireRemovals(start.Add(3*time.Second)), false, start.Add(3*time.Second))
+	if ids(other) != "b" {
+		t.Errorf("targets %q after the removal was confirmed", ids(other))
+	}
+}
+
+// Guards against a host that ignores the confirmation of a removal that it has delayed itself, since
+// both have the same revision.
+func TestPeerConfirmsADelayedRemoval(t *testing.T) {
+	for name, confirm := range map[string]func(l *directory.List){
+		"change":  func(l *directory.List) { l.Apply([]platform.Entry{removed("a", 2)}, false, start) },
+		"listing": func(l *directory.List) { l.Replace(nil, 2, false, start) },
+	} {
+		l := directory.NewList(decode)
+		l.Apply([]platform.Entry{put("a", "ready 1", 1)}, false, start)
+		l.Apply([]platform.Entry{removed("a", 2)}, true, start)
+		confirm(l)
+		if ids(l) != "" {
+			t.Errorf("%s: targets %q", name, ids(l))
+		}
+	}
+}
+
 // Guards against an entry that can't be decoded and removes other targets, or leaves the old target
 // in use.
 func TestUnreadableEntryRemovesOnlyItsTarget(t *testing.T) {
