Judge the store's outages by the responses that any host got

A target may get requests for 2 s after its removal at most.

Cause: a host that had not read the store for 2.5 s, or whose read had failed within 3 s, took the removals of its next reads for entries that had expired in an outage of the store, and delayed them by 2.2 s. But the store was never down: its peers had read it all the time. As the first host by name, it went on to read for all others, which took its list as fresh and read nothing themselves.

Now a host counts an outage only if the store responded to no host of which it knows for 2 s: heartbeats carry the age of the last response to their sender (StoreResponseAgeMs). The 2.2 s of an outage begin when a host learns that the store responds again, not at each failed read. While a host may list targets that are gone, its heartbeats say so (ListUnconfirmed), and others don't take its list as fresh, so the next host in order reads the store. Changes from peers are delayed like those of the store, as the receiver knows better than the sender whether it has seen an outage. The event "removals unconfirmed" names the outage.

--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -53,12 +53,6 @@
 	readRetryDelay = 300 * time.Millisecond
 	// pollInterval is how often the directory checks whether a read or a fetch is due.
 	pollInterval = 50 * time.Millisecond
-	// storeOutageTimeout is the time without a successful read from which removals are
-	// unconfirmed: entries may have expired during an outage of the store.
-	storeOutageTimeout = 2500 * time.Millisecond
-	// outageRecoveryTime is the time after a failed read for which removals are unconfirmed:
-	// entries that expired during an outage are back about 2 s after its end.
-	outageRecoveryTime = 3 * time.Second
 )
 
 // Store is the part of the platform's store that the directory uses.
@@ -161,6 +155,7 @@
 	orders        map[string]orderState // of rollouts and evacuations, by key
 	evacuations   evacuations
 	era           eraState
+	availability  availability
 }
 
 // source is where this host got a change from.
@@ -286,14 +281,13 @@
 	after, readAt, listNext := d.readRevision, d.readAt, d.listNext
 	becameReader := !d.isReader
 	d.isReader = true
-	unconfirmed := d.storeFailing() || now.Sub(d.failedAt) < outageRecoveryTime || !d.freshAt.IsZero() && now.Sub(d.freshAt) > storeOutageTimeout
 	d.mu.Unlock()
 	if becameReader {
 		event.BecameStoreReader.Log(d.cfg.Log, sinceLastRead(readAt, now))
 	}
 	var err error
 	if after > 0 && now.Sub(readAt) < historyRetention && !listNext {
-		err = d.readChanges(ctx, after, unconfirmed, now)
+		err = d.readChanges(ctx, after)
 	} else {
 		err = platform.ErrCompacted
 	}
@@ -302,7 +296,7 @@
 	d.listNext = !listNext && errors.Is(err, context.DeadlineExceeded)
 	d.mu.Unlock()
 	if errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrTooLarge) {
-		err = d.readAll(ctx, unconfirmed, now)
+		err = d.readAll(ctx)
 	}
 	d.finishRead(ctx, err, now)
 }
@@ -322,11 +316,13 @@
 	return slog.Duration("lastRead", now.Sub(readAt))
 }
 
-func (d *Directory) readChanges(ctx context.Context, after int64, unconfirmed bool, now time.Time) error {
+func (d *Directory) readChanges(ctx context.Context, after int64) error {
 	changes, asOf, err := d.cfg.Store.Changes(ctx, "", after, 0)
 	if err != nil {
 		return err
 	}
+	now := time.Now()
+	unconfirmed := d.recordOwnResponse(now)
 	d.applying.Lock()
 	defer d.applying.Unlock()
 	if !d.isCurrentEra(d.cfg.Store.Era()) {
@@ -339,7 +335,7 @@
 	return nil
 }
 
-func (d *Directory) readAll(ctx context.Context, unconfirmed bool, now time.Time) error {
+func (d *Directory) readAll(ctx context.Context) error {
 	l := d.cfg.Layout
 	d.mu.Lock()
 	first := d.freshAt.IsZero()
@@ -359,6 +355,8 @@
 	if d.cfg.Store.Era() != era {
 		return errStoreRestored
 	}
+	now := time.Now()
+	unconfirmed := d.recordOwnResponse(now)
 	d.applying.Lock()
 	defer d.applying.Unlock()
 	if err := d.beginListing(era, now); err != nil {
--- a/gateway/directory/exchange.go
+++ b/gateway/directory/exchange.go
@@ -21,15 +21,22 @@
 	defer d.mu.Unlock()
 	h.ListDigest = d.digest()
 	h.StoreEra = d.era.listed
-	h.ListAgeMs = -1
-	if !d.freshAt.IsZero() {
-		h.ListAgeMs = now.Sub(d.freshAt).Milliseconds()
-	}
+	h.ListAgeMs = ageMs(d.freshAt, now)
+	h.ListUnconfirmed = d.listUnconfirmed(now)
+	h.StoreResponseAgeMs = ageMs(d.availability.ownResponseAt, now)
 	d.recentChanges = slices.DeleteFunc(d.recentChanges, func(p recentChange) bool { return now.Sub(p.at) > maxChangeRepeatTime })
 	repeatTime := changeRepeats * time.Duration(h.IntervalMs) * time.Millisecond
 	h.Changes = d.changesToSend(repeatTime, now)
 }
 
+// ageMs returns the age of an event in milliseconds, -1 if it has not occurred.
+func ageMs(at, now time.Time) int64 {
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at).Milliseconds()
+}
+
 // changesToSend returns the changes of the last repeatTime that fit into a heartbeat. Operator
 // orders come first, whatever their age: the digest does not show a host that it has missed a rollout
 // order, and an evacuation must not wait for it.
@@ -68,12 +75,13 @@
 func (d *Directory) HandleHeartbeat(h *peers.Heartbeat, now time.Time) {
 	d.applying.Lock()
 	defer d.applying.Unlock()
+	unconfirmed := d.recordPeerResponse(h, now)
 	sameEra := d.recordPeerEra(h)
 	for _, c := range h.Changes {
 		if !sameEra && c.Key != d.cfg.Layout.ConfigKey { // the version orders configurations
 			continue
 		}
-		d.applyChanges([]platform.Entry{{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted}}, fromPeer, false, now)
+		d.applyChanges([]platform.Entry{{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted}}, fromPeer, unconfirmed, now)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -83,6 +91,9 @@
 	if h.ListAgeMs < 0 || d.freshAt.IsZero() || !sameEra {
 		return
 	}
+	if h.ListUnconfirmed && !d.listUnconfirmed(now) {
+		return // the peer may list targets that are gone, so another host must read the store
+	}
 	peerFreshAt := now.Add(-time.Duration(h.ListAgeMs) * time.Millisecond)
 	switch {
 	case !peerFreshAt.After(d.freshAt):
@@ -226,6 +237,7 @@
 		return false
 	}
 	now := time.Now()
+	unconfirmed := d.recordSnapshot(snapshot, now)
 	if len(snapshot.Config) > 0 {
 		d.applyConfig(snapshot.Config)
 	}
@@ -239,7 +251,7 @@
 		event.PeerFetchFailed.Log(d.cfg.Log, slog.String("peer", address), slog.Any("error", err))
 		return false
 	}
-	d.applyChanges(d.withoutEarlierOrders(entries), fromPeer, false, now)
+	d.applyChanges(d.withoutEarlierOrders(entries), fromPeer, unconfirmed, now)
 	if snapshot.ListAgeMs >= 0 {
 		d.finishListing(0, fromPeer, now)
 	}
@@ -258,7 +270,7 @@
 func (d *Directory) Snapshot(version int64) *peers.Snapshot {
 	d.applying.Lock()
 	defer d.applying.Unlock()
-	snapshot := &peers.Snapshot{ListAgeMs: -1}
+	snapshot := &peers.Snapshot{}
 	for _, e := range d.list.Entries() {
 		snapshot.Targets = append(snapshot.Targets, peers.Change{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
 	}
@@ -267,8 +279,6 @@
 	defer d.mu.Unlock()
 	snapshot.Targets = append(snapshot.Targets, d.orderEntries()...)
 	snapshot.StoreEra = d.era.current
-	if !d.freshAt.IsZero() {
-		snapshot.ListAgeMs = time.Since(d.freshAt).Milliseconds()
-	}
+	snapshot.ListAgeMs = ageMs(d.freshAt, time.Now())
 	return snapshot
 }
--- a/gateway/directory/list.go
+++ b/gateway/directory/list.go
@@ -224,6 +224,18 @@
 	return old == nil || old.hash() != t.hash() || t.warmUpChanged(old)
 }
 
+// HasDelayedRemovals reports whether the removal of any entry is delayed.
+func (l *List) HasDelayedRemovals() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range l.entries {
+		if e.removalDelayed() {
+			return true
+		}
+	}
+	return false
+}
+
 // ExpireRemovals carries out the unconfirmed removals that are due and returns them. It also
 // drops expired tombstones.
 func (l *List) ExpireRemovals(now time.Time) []platform.Entry {
--- a/gateway/directory/outage_test.go
+++ b/gateway/directory/outage_test.go
@@ -64,7 +64,7 @@
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		h := &peers.Heartbeat{}
 		f.FillHeartbeat(h, time.Now())
-		h.Name, h.Address, h.ListAgeMs, h.ConfigVersion = "busy", "busy", 0, configVersion
+		h.Name, h.Address, h.ListAgeMs, h.StoreResponseAgeMs, h.ConfigVersion = "busy", "busy", 0, 0, configVersion
 		f.HandleHeartbeat(h, time.Now())
 	}
 }
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -66,6 +66,12 @@
 	// StoreEra is the newest era of the store of which the host has listed everything. ListDigest and
 	// Changes are of that era.
 	StoreEra int64
+	// StoreResponseAgeMs is the time since the store has last responded to a read of the host, in
+	// milliseconds; negative if it has not.
+	StoreResponseAgeMs int64
+	// ListUnconfirmed is set while the target list may contain targets whose entries have been
+	// removed, because live ones may have expired in an outage of the store.
+	ListUnconfirmed bool
 }
 
 // Rollout is the state of the rollout of a service on one host.
