Keep live targets after an outage until a read of the store confirms their removal

After an outage of the store in which the entries of live targets expired, hosts stopped using them for some tenths of a second, or until their entries changed: callers could get "unavailable" beside idle targets.

Cause: each host ran a timer of 2.2 s from when it first saw the removal, on its own. It ran out - before the entries were back, when the removal was read during the outage's last read or of a store that failed again soon; - at hosts that did not learn that the targets were back: an entry that is the same as before does not alter the reader's list, so it isn't sent to the others.

A delayed removal is now carried out when a read of the store that began 2.2 s after the outage still lacks the entry, not by a timer. Any host with delayed removals reads the store for that; the others learn from it, and host lists serve the value until then. A second outage starts the wait anew. The event "removal delayed" names the entry.

--- a/core/event/table.go
+++ b/core/event/table.go
@@ -72,6 +72,7 @@
 	StoreRestored = Event{Number: 611, Name: "store restored from an older copy", Level: slog.LevelWarn, Meaning: "The store has come back from an older copy of its content. This host keeps its targets and orders until operator and targets have written theirs again, and lists everything anew."}
 
 	RemovalsUnconfirmed = Event{Number: 612, Name: "removals unconfirmed", Level: slog.LevelWarn, Meaning: "The store responds to a host again, after no host of which this one knows has read it for the stated time. Entries of live targets may have expired, so targets whose entries are removed stay in use until the live ones are listed again."}
+	RemovalDelayed      = Event{Number: 613, Name: "removal delayed", Level: slog.LevelInfo, Meaning: "The entry of a target was removed after an outage of the store. The target stays in use until a later read of the store confirms the removal, or until it is listed again."}
 
 	MoveStarted     = Event{Number: 701, Name: "move started", Level: slog.LevelInfo, Meaning: "A version move started, or the deadline of a running move changed."}
 	MoveAdvanced    = Event{Number: 702, Name: "move advanced", Level: slog.LevelInfo, Meaning: "The traffic share of the new version was raised by one step."}
@@ -91,7 +92,7 @@
 		TargetEjected, TargetRestored, TargetDraining, TargetListStale, TargetListChanged, TargetFailure, TargetSilent, TargetResponsive, PromptPartSuspected, PromptPartQuarantined, PromptPartReleased, TargetClosed, TargetReopened, RetryAfterRejected, LoadReportUnreadable, TargetPaced, TargetAtFullPace,
 		WriterElected, WriterRoleLost, AppendOutcomeUnknown, RequestOutcomeUnknown, RequestTakenOver,
 		MemberSuspected, MemberDead, MemberAlive, PeerRejected, PeerFetchFailed, QuotaReservedForPeers,
-		ConfigApplied, ConfigRejected, StoreUnreachable, StoreReachable, CheckpointRestored, CheckpointFailed, BecameStoreReader, TargetEntryUnreadable, ZoneEvacuated, ZoneReopened, StoreRestored, RemovalsUnconfirmed,
+		ConfigApplied, ConfigRejected, StoreUnreachable, StoreReachable, CheckpointRestored, CheckpointFailed, BecameStoreReader, TargetEntryUnreadable, ZoneEvacuated, ZoneReopened, StoreRestored, RemovalsUnconfirmed, RemovalDelayed,
 		MoveStarted, MoveAdvanced, MoveCompleted, MoveRolledBack, MoveLate, VersionHalted, MoveStepRetried, MoveEvidence,
 	}
 }
--- a/gateway/directory/availability.go
+++ b/gateway/directory/availability.go
@@ -13,6 +13,9 @@
 	// expire after 2.4 s without a write. Between calm hosts a response is at most 1.5 s older than the
 	// next one, also if the first hosts by name fail.
 	minOutage = 2 * time.Second
+	// relistTimeout is the time after an outage in which live targets whose entries have expired are
+	// listed again. They need about 2 s.
+	relistTimeout = 2200 * time.Millisecond
 	// maxResponseAge bounds the age of a response that a peer reports.
 	maxResponseAge = 24 * time.Hour
 )
@@ -96,3 +99,21 @@
 func (d *Directory) listUnconfirmed(now time.Time) bool {
 	return d.availability.removalsUnconfirmed(now) || d.list.HasDelayedRemovals()
 }
+
+// removalsDue reports whether this host must read the store to confirm removals that it has delayed.
+// The caller holds the lock.
+func (d *Directory) removalsDue(now time.Time) bool {
+	return d.list.HasDelayedRemovals() && !d.era.holding() && !d.availability.removalsUnconfirmed(now)
+}
+
+// confirmRemovals carries out the delayed removals of entries that are still missing in a read of the
+// store that began when live targets were listed again. Peers that have not read the removals
+// themselves learn of them from this host. The caller holds d.applying.
+func (d *Directory) confirmRemovals(began, now time.Time) {
+	d.mu.Lock()
+	due := d.removalsDue(began)
+	d.mu.Unlock()
+	if due {
+		d.listChanged(d.list.ConfirmRemovals(now), fromStore, now)
+	}
+}
--- a/gateway/directory/cluster_test.go
+++ b/gateway/directory/cluster_test.go
@@ -103,6 +103,12 @@
 	h.stop = run(t, d)
 }
 
+// restart replaces the process of a host.
+func (h *clusterHost) restart() {
+	h.stop()
+	h.start(h.cluster.t)
+}
+
 func (h *clusterHost) reaches(other *clusterHost) bool {
 	return h != other && !h.isolated.Load() && !other.isolated.Load()
 }
@@ -176,3 +182,25 @@
 		}
 	}
 }
+
+// expectListed checks over the given time that all hosts list targets.
+func (c *cluster) expectListed(d time.Duration, ids ...string) {
+	c.t.Helper()
+	c.expectListedBy(c.hosts, d, ids...)
+}
+
+// expectListedBy checks over the given time that some of the hosts list targets.
+func (c *cluster) expectListedBy(hosts []*clusterHost, d time.Duration, ids ...string) {
+	c.t.Helper()
+	lost := map[string]bool{}
+	for end := time.Now().Add(d); !time.Now().After(end); c.run(10 * time.Millisecond) {
+		for _, h := range hosts {
+			for _, id := range ids {
+				if key := h.name + " " + id; !h.lists(id) && !lost[key] {
+					lost[key] = true
+					c.t.Errorf("host %s does not list %s, %s before the end", h.name, id, time.Until(end))
+				}
+			}
+		}
+	}
+}
--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -180,6 +180,9 @@
 	d.list.OnUnreadable(func(key string, revision int64, err error) {
 		event.TargetEntryUnreadable.Log(cfg.Log, slog.String("key", key), slog.Int64("revision", revision), slog.Any("error", err))
 	})
+	d.list.OnDelayedRemoval(func(key string, revision int64) {
+		event.RemovalDelayed.Log(cfg.Log, slog.String("key", key), slog.Int64("revision", revision))
+	})
 	return d
 }
 
@@ -232,12 +235,10 @@
 	}
 }
 
-// pollStore carries out due removals, and reads the store if a read is due.
+// pollStore reads the store if a read is due.
 func (d *Directory) pollStore(ctx context.Context) {
 	now := time.Now()
-	if expired := d.list.ExpireRemovals(now); len(expired) > 0 {
-		d.listChanged(expired, fromPeer, now) // not sent to peers: each host expires removals itself
-	}
+	d.list.ExpireTombstones(now)
 	if due, fromPeer := d.relistDue(now); due {
 		d.relist(ctx, fromPeer, now)
 	} else if d.readDue(now) {
@@ -253,7 +254,7 @@
 	if now.Before(d.nextReadAt) {
 		return false
 	}
-	if !d.mismatchSince.IsZero() && now.Sub(d.mismatchSince) > mismatchTimeout {
+	if !d.mismatchSince.IsZero() && now.Sub(d.mismatchSince) > mismatchTimeout || d.removalsDue(now) {
 		return true
 	}
 	return now.Sub(d.freshAt) >= maxListAge+time.Duration(min(rank, maxRankDelays))*rankDelay
@@ -287,7 +288,7 @@
 	}
 	var err error
 	if after > 0 && now.Sub(readAt) < historyRetention && !listNext {
-		err = d.readChanges(ctx, after)
+		err = d.readChanges(ctx, after, now)
 	} else {
 		err = platform.ErrCompacted
 	}
@@ -296,7 +297,7 @@
 	d.listNext = !listNext && errors.Is(err, context.DeadlineExceeded)
 	d.mu.Unlock()
 	if errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrTooLarge) {
-		err = d.readAll(ctx)
+		err = d.readAll(ctx, now)
 	}
 	d.finishRead(ctx, err, now)
 }
@@ -316,7 +317,7 @@
 	return slog.Duration("lastRead", now.Sub(readAt))
 }
 
-func (d *Directory) readChanges(ctx context.Context, after int64) error {
+func (d *Directory) readChanges(ctx context.Context, after int64, began time.Time) error {
 	changes, asOf, err := d.cfg.Store.Changes(ctx, "", after, 0)
 	if err != nil {
 		return err
@@ -329,13 +330,14 @@
 		return platform.ErrCompacted
 	}
 	d.applyChanges(changes, fromStore, unconfirmed, now)
+	d.confirmRemovals(began, now)
 	d.mu.Lock()
 	d.readRevision = asOf
 	d.mu.Unlock()
 	return nil
 }
 
-func (d *Directory) readAll(ctx context.Context) error {
+func (d *Directory) readAll(ctx context.Context, began time.Time) error {
 	l := d.cfg.Layout
 	d.mu.Lock()
 	first := d.freshAt.IsZero()
@@ -370,6 +372,7 @@
 	}
 	d.listChanged(d.list.Replace(targets, asOf, unconfirmed, now), from, now)
 	d.finishListing(min(asOf, operatorAsOf), from, now)
+	d.confirmRemovals(began, now)
 	d.mu.Lock()
 	d.readRevision = asOf
 	d.mu.Unlock()
--- a/gateway/directory/holdover.go
+++ b/gateway/directory/holdover.go
@@ -17,8 +17,9 @@
 			delete(l.entries, key)
 			continue
 		}
-		e.revision, e.valueRevision, e.removeAt = 0, 0, time.Time{}
+		e.revision, e.valueRevision = 0, 0
 	}
+	clear(l.delayed)
 	l.holding = true
 }
 
--- a/gateway/directory/list.go
+++ b/gateway/directory/list.go
@@ -67,14 +67,9 @@
 // target.
 type Decode func(key string, value []byte, now time.Time) (Target, error)
 
-const (
-	// tombstoneTTL is how long a removal is remembered, so that an older change that arrives
-	// late does not undo it.
-	tombstoneTTL = 30 * time.Second
-	// relistTimeout is how long a target stays in use if its entry disappeared during an
-	// outage of the store. Live targets are listed again within about 2 s after the outage.
-	relistTimeout = 2200 * time.Millisecond
-)
+// tombstoneTTL is how long a removal is remembered, so that an older change that arrives late does
+// not undo it.
+const tombstoneTTL = 30 * time.Second
 
 // entry is the state of one key of the store.
 type entry struct {
@@ -89,8 +84,6 @@
 	// unreadable is set if the value could not be decoded. It is then not kept, and other
 	// hosts get the entry as a removal.
 	unreadable bool
-	// removeAt is when an unconfirmed removal takes effect; zero for none.
-	removeAt time.Time
 }
 
 // removalDelayed reports whether the entry was removed while removals were unconfirmed. Its target
@@ -99,11 +92,14 @@
 
 // List is the target list. Its methods are safe for concurrent use.
 type List struct {
-	decode       Decode
-	onUnreadable func(key string, revision int64, err error)
+	decode           Decode
+	onUnreadable     func(key string, revision int64, err error)
+	onDelayedRemoval func(key string, revision int64)
 
 	mu      sync.Mutex
 	entries map[string]*entry
+	// delayed are the keys of the entries whose removal is delayed.
+	delayed map[string]struct{}
 	// holding is set while entries are held over.
 	holding bool
 	digest  uint64
@@ -112,7 +108,13 @@
 
 // NewList returns an empty list.
 func NewList(d Decode) *List {
-	l := &List{decode: d, onUnreadable: func(string, int64, error) {}, entries: map[string]*entry{}}
+	l := &List{
+		decode:           d,
+		onUnreadable:     func(string, int64, error) {},
+		onDelayedRemoval: func(string, int64) {},
+		entries:          map[string]*entry{},
+		delayed:          map[string]struct{}{},
+	}
 	l.targets.Store(&[]Target{})
 	return l
 }
@@ -121,6 +123,10 @@
 // further versions that are unreadable too. It must be called before the list is used.
 func (l *List) OnUnreadable(f func(key string, revision int64, err error)) { l.onUnreadable = f }
 
+// OnDelayedRemoval sets a function that is called when the removal of an entry is delayed. It must be
+// called before the list is used.
+func (l *List) OnDelayedRemoval(f func(key string, revision int64)) { l.onDelayedRemoval = f }
+
 // Targets returns the targets in use, sorted by ID. The slice must not be modified.
 func (l *List) Targets() []Target { return *l.targets.Load() }
 
@@ -132,8 +138,8 @@
 }
 
 // Apply applies the changes that are newer than the list, and returns those that alter it.
-// Removals are delayed if unconfirmed is set: entries of live targets may have expired during
-// an outage of the store.
+// Removals are delayed until ConfirmRemovals if unconfirmed is set: entries of live targets may have
+// expired during an outage of the store.
 func (l *List) Apply(changes []platform.Entry, unconfirmed bool, now time.Time) []platform.Entry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -199,13 +205,14 @@
 func (l *List) remove(e *entry, c platform.Entry, unconfirmed bool, now time.Time) bool {
 	inUse := e.target != nil
 	if !unconfirmed || !inUse {
-		*e = entry{revision: c.Revision, deleted: now}
+		l.set(c.Key, e, entry{revision: c.Revision, deleted: now})
 		return inUse
 	}
-	e.revision = c.Revision
-	if e.removeAt.IsZero() {
-		e.removeAt = now.Add(relistTimeout)
+	if !e.removalDelayed() {
+		l.onDelayedRemoval(c.Key, c.Revision)
 	}
+	e.revision = c.Revision
+	l.delayed[c.Key] = struct{}{}
 	return false
 }
 
@@ -217,39 +224,36 @@
 		if !e.unreadable {
 			l.onUnreadable(c.Key, c.Revision, err)
 		}
-		*e = entry{revision: c.Revision, unreadable: true}
+		l.set(c.Key, e, entry{revision: c.Revision, unreadable: true})
 		return old != nil
 	}
-	*e = entry{revision: c.Revision, valueRevision: c.Revision, value: c.Value, target: &t}
+	l.set(c.Key, e, entry{revision: c.Revision, valueRevision: c.Revision, value: c.Value, target: &t})
 	return old == nil || old.hash() != t.hash() || t.warmUpChanged(old)
 }
 
+// set replaces the state of a key, and with it a removal that was delayed. The caller holds the lock.
+func (l *List) set(key string, e *entry, state entry) {
+	*e = state
+	delete(l.delayed, key)
+}
+
 // HasDelayedRemovals reports whether the removal of any entry is delayed.
 func (l *List) HasDelayedRemovals() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, e := range l.entries {
-		if e.removalDelayed() {
-			return true
-		}
-	}
-	return false
+	return len(l.delayed) > 0
 }
 
-// ExpireRemovals carries out the unconfirmed removals that are due and returns them. It also
-// drops expired tombstones.
-func (l *List) ExpireRemovals(now time.Time) []platform.Entry {
+// ConfirmRemovals carries out the delayed removals and returns them.
+func (l *List) ConfirmRemovals(now time.Time) []platform.Entry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var out []platform.Entry
-	for key, e := range l.entries {
-		switch {
-		case !e.removeAt.IsZero() && !now.Before(e.removeAt):
-			*e = entry{revision: e.revision, deleted: now}
-			out = append(out, platform.Entry{Key: key, Revision: e.revision, Deleted: true})
-		case !e.deleted.IsZero() && now.Sub(e.deleted) > tombstoneTTL:
-			delete(l.entries, key)
-		}
+	for key := range l.delayed {
+		e := l.entries[key]
+		removal := platform.Entry{Key: key, Revision: e.revision, Deleted: true}
+		l.remove(e, removal, false, now)
+		out = append(out, removal)
 	}
 	if len(out) > 0 {
 		l.publish()
@@ -257,6 +261,17 @@
 	return out
 }
 
+// ExpireTombstones forgets removals after tombstoneTTL.
+func (l *List) ExpireTombstones(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for key, e := range l.entries {
+		if !e.deleted.IsZero() && now.Sub(e.deleted) > tombstoneTTL {
+			delete(l.entries, key)
+		}
+	}
+}
+
 // Entries returns all entries and tombstones, for a host that can't reach the store.
 func (l *List) Entries() []platform.Entry {
 	l.mu.Lock()
--- a/gateway/directory/list_test.go
+++ b/gateway/directory/list_test.go
@@ -120,8 +120,12 @@
 		t.Fatalf("targets %q right after the outage of the store", ids(l))
 	}
 	l.Apply([]platform.Entry{put("back", "ready 1", 11)}, false, start.Add(time.Second))
-	if expired := l.ExpireRemovals(start.Add(3 * time.Second)); len(expired) != 1 || ids(l) != "back" {
-		t.Errorf("removed %v, targets %q", expired, ids(l))
+	confirmed := l.ConfirmRemovals(start.Add(3 * time.Second))
+	if want := []platform.Entry{removed("gone", 10)}; !reflect.DeepEqual(confirmed, want) || ids(l) != "back" {
+		t.Errorf("removed %v, want %v; targets %q", confirmed, want, ids(l))
+	}
+	if l.HasDelayedRemovals() {
+		t.Error("removals are still delayed")
 	}
 }
 
@@ -135,7 +139,7 @@
 	if ids(other) != "a b" || other.Digest() != delaying.Digest() {
 		t.Errorf("targets %q while the removal is delayed", ids(other))
 	}
-	other.Apply(delaying.ExpireRemovals(start.Add(3*time.Second)), false, start.Add(3*time.Second))
+	other.Apply(delaying.ConfirmRemovals(start.Add(3*time.Second)), false, start.Add(3*time.Second))
 	if ids(other) != "b" {
 		t.Errorf("targets %q after the removal was confirmed", ids(other))
 	}
@@ -152,8 +156,8 @@
 		l.Apply([]platform.Entry{put("a", "ready 1", 1)}, false, start)
 		l.Apply([]platform.Entry{removed("a", 2)}, true, start)
 		confirm(l)
-		if ids(l) != "" {
-			t.Errorf("%s: targets %q", name, ids(l))
+		if ids(l) != "" || l.HasDelayedRemovals() {
+			t.Errorf("%s: targets %q, removals delayed: %t", name, ids(l), l.HasDelayedRemovals())
 		}
 	}
 }
--- a/gateway/directory/removal_test.go
+++ b/gateway/directory/removal_test.go
@@ -55,6 +55,90 @@
 	}
 }
 
+// outage takes the store down for the given time, in which the entries of all targets expire.
+func (c *cluster) outage(d time.Duration) {
+	c.stuck.Store(true)
+	c.run(d - 10*time.Millisecond)
+	for _, id := range []string{"t1", "t2", "t3"} {
+		c.store.remove("t/" + id)
+	}
+	c.run(10 * time.Millisecond)
+	c.stuck.Store(false)
+}
+
+// Guards against live targets that a host stops using after an outage of the store, before they are
+// listed again, and against a target that left in the outage and stays in use.
+func TestLiveTargetsOutliveAnOutage(t *testing.T) {
+	for _, offset := range offsets() {
+		withCluster(t, 3, func(c *cluster) {
+			c.outage(2600*time.Millisecond + offset)
+			c.expectListed(1900*time.Millisecond, "t1", "t2")
+			c.store.put("t/t1", "ready 1")
+			c.store.put("t/t2", "ready 1")
+			c.expectListed(4*time.Second, "t1", "t2")
+			c.expectRemoved("t3", 0, c.hosts...)
+		})
+	}
+}
+
+// Guards against live targets that a host drops because another host has read that they are listed
+// again: an entry that is the same as before is not sent.
+func TestLiveTargetsOutliveAnOutageWhenTheReaderChanges(t *testing.T) {
+	for _, offset := range offsets() {
+		withCluster(t, 3, func(c *cluster) {
+			c.outage(4 * time.Second)
+			c.run(offset)
+			first := c.hosts[0]
+			first.cut.Store(true)
+			c.expectListed(1900*time.Millisecond-offset, "t1", "t2")
+			c.store.put("t/t1", "ready 1")
+			c.store.put("t/t2", "ready 1")
+			c.run(100 * time.Millisecond)
+			first.cut.Store(false)
+			c.expectListed(4*time.Second, "t1", "t2")
+			c.expectRemoved("t3", 0, c.hosts...)
+		})
+	}
+}
+
+// Guards against live targets that are dropped in a second outage, since they had no time to be
+// listed again after the first one.
+func TestLiveTargetsOutliveASecondOutage(t *testing.T) {
+	for _, offset := range offsets() {
+		withCluster(t, 3, func(c *cluster) {
+			c.outage(4 * time.Second)
+			c.expectListed(time.Second+offset, "t1", "t2")
+			c.stuck.Store(true)
+			c.expectListed(4*time.Second, "t1", "t2")
+			c.stuck.Store(false)
+			c.expectListed(1900*time.Millisecond, "t1", "t2")
+			c.store.put("t/t1", "ready 1")
+			c.store.put("t/t2", "ready 1")
+			c.expectListed(4*time.Second, "t1", "t2")
+			c.expectRemoved("t3", 0, c.hosts...)
+		})
+	}
+}
+
+// Guards against live targets that are dropped on the word of a host that has just started, which
+// does not know of the outage.
+func TestLiveTargetsOutliveAnOutageAndARestart(t *testing.T) {
+	for _, offset := range offsets() {
+		withCluster(t, 3, func(c *cluster) {
+			restarted, others := c.hosts[0], c.hosts[1:]
+			c.outage(4 * time.Second)
+			c.run(offset)
+			restarted.restart()
+			c.expectListedBy(others, 1700*time.Millisecond-offset, "t1", "t2")
+			c.store.put("t/t1", "ready 1")
+			c.store.put("t/t2", "ready 1")
+			c.expectListedBy(others, 4*time.Second, "t1", "t2")
+			c.expectListed(0, "t1", "t2")
+			c.expectRemoved("t3", 0, c.hosts...)
+		})
+	}
+}
+
 // Guards against removals that are delayed after an outage that has long ended for other hosts.
 func TestRemovalsAreConfirmedAgainAfterAnOutage(t *testing.T) {
 	for _, offset := range offsets() {
@@ -68,3 +152,20 @@
 		})
 	}
 }
+
+// Guards against a delayed removal that is never carried out at a host that can't reach the store.
+func TestDelayedRemovalIsLearntFromAPeer(t *testing.T) {
+	withCluster(t, 3, func(c *cluster) {
+		c.outage(4 * time.Second)
+		c.run(700 * time.Millisecond) // all hosts have read the removals
+		c.hosts[2].cut.Store(true)
+		c.store.put("t/t1", "ready 1")
+		c.store.put("t/t2", "ready 1")
+		c.run(6 * time.Second)
+		for _, h := range c.hosts {
+			if !h.lists("t1") || !h.lists("t2") || h.lists("t3") {
+				t.Errorf("host %s lists %v", h.name, h.running.Load().Targets())
+			}
+		}
+	})
+}
