--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"slices"
 	"strings"
@@ -19,17 +18,6 @@
 )
 
 const (
-	// maxListAge is the age of the list at which the first host by name reads it again. A
-	// draining target must get no new requests 2 s after it is listed as draining.
-	maxListAge = 600 * time.Millisecond
-	// rankDelay is added to maxListAge for each host that precedes this one by name, so that
-	// one host reads the store and sends the changes to the others. At most maxRankDelays are
-	// added.
-	rankDelay     = 260 * time.Millisecond
-	maxRankDelays = 3
-	// mismatchTimeout is how long a peer's list may differ before this host reads the store
-	// itself. A change takes one or two heartbeats to arrive.
-	mismatchTimeout = 400 * time.Millisecond
 	// storeReadDelay is the time for a peer to send a configuration before it is read from the
 	// store, so that the number of store requests does not grow with the number of hosts.
 	storeReadDelay = 250 * time.Millisecond
@@ -46,11 +34,6 @@
 	// maxChangeBytes bounds the size of the changes in one heartbeat. Hosts that miss a change
 	// notice it by the digest of the list.
 	maxChangeBytes = 1000
-	// historyRetention is the time since this host's last read after which the store may have
-	// discarded some of the changes since that read.
-	historyRetention = 15 * time.Second
-	// readRetryDelay is the delay after a failed read.
-	readRetryDelay = 300 * time.Millisecond
 	// pollInterval is how often the directory checks whether a read or a fetch is due.
 	pollInterval = 50 * time.Millisecond
 )
@@ -235,178 +218,6 @@
 	}
 }
 
-// pollStore reads the store if a read is due.
-func (d *Directory) pollStore(ctx context.Context) {
-	now := time.Now()
-	d.list.ExpireTombstones(now)
-	if due, fromPeer := d.relistDue(now); due {
-		d.relist(ctx, fromPeer, now)
-	} else if d.readDue(now) {
-		d.readStore(ctx, now)
-	}
-}
-
-// readDue reports whether this host must read the store itself.
-func (d *Directory) readDue(now time.Time) bool {
-	rank := d.rank(now)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if now.Before(d.nextReadAt) {
-		return false
-	}
-	if !d.mismatchSince.IsZero() && now.Sub(d.mismatchSince) > mismatchTimeout || d.removalsDue(now) {
-		return true
-	}
-	return now.Sub(d.freshAt) >= maxListAge+time.Duration(min(rank, maxRankDelays))*rankDelay
-}
-
-// rank returns the number of live peers that precede this host by name, among those that send
-// it heartbeats at the full rate.
-func (d *Directory) rank(now time.Time) int {
-	if d.fleet == nil {
-		return 0
-	}
-	n := 0
-	for _, p := range d.fleet.Alive(now) {
-		if p.Name < d.cfg.Name && p.HeartbeatInterval <= peers.HeartbeatInterval {
-			n++
-		}
-	}
-	return n
-}
-
-// readStore reads the changes since this host's last read, or everything if the store no
-// longer has them.
-func (d *Directory) readStore(ctx context.Context, now time.Time) {
-	d.mu.Lock()
-	after, readAt, listNext := d.readRevision, d.readAt, d.listNext
-	becameReader := !d.isReader
-	d.isReader = true
-	d.mu.Unlock()
-	if becameReader {
-		event.BecameStoreReader.Log(d.cfg.Log, sinceLastRead(readAt, now))
-	}
-	var err error
-	if after > 0 && now.Sub(readAt) < historyRetention && !listNext {
-		err = d.readChanges(ctx, after, now)
-	} else {
-		err = platform.ErrCompacted
-	}
-	d.mu.Lock()
-	// The same changes would take as long again.
-	d.listNext = !listNext && errors.Is(err, context.DeadlineExceeded)
-	d.mu.Unlock()
-	if errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrTooLarge) {
-		err = d.readAll(ctx, now)
-	}
-	d.finishRead(ctx, err, now)
-}
-
-// storeFailing reports whether this host's last read has failed and no host has read the store
-// since. The caller holds the lock.
-func (d *Directory) storeFailing() bool { return d.readFailed() && !d.freshAt.After(d.failedAt) }
-
-// readFailed reports whether this host's last read has failed. The caller holds the lock.
-func (d *Directory) readFailed() bool { return d.failedAt.After(d.readAt) }
-
-// sinceLastRead returns the log attribute for the time since the last read, if there was one.
-func sinceLastRead(readAt, now time.Time) slog.Attr {
-	if readAt.IsZero() {
-		return slog.String("lastRead", "never")
-	}
-	return slog.Duration("lastRead", now.Sub(readAt))
-}
-
-func (d *Directory) readChanges(ctx context.Context, after int64, began time.Time) error {
-	changes, asOf, err := d.cfg.Store.Changes(ctx, "", after, 0)
-	if err != nil {
-		return err
-	}
-	now := time.Now()
-	unconfirmed := d.recordOwnResponse(now)
-	d.applying.Lock()
-	defer d.applying.Unlock()
-	if !d.isCurrentEra(d.cfg.Store.Era()) {
-		return platform.ErrCompacted
-	}
-	d.applyChanges(changes, fromStore, unconfirmed, now)
-	d.confirmRemovals(began, now)
-	d.mu.Lock()
-	d.readRevision = asOf
-	d.mu.Unlock()
-	return nil
-}
-
-func (d *Directory) readAll(ctx context.Context, began time.Time) error {
-	l := d.cfg.Layout
-	d.mu.Lock()
-	first := d.freshAt.IsZero()
-	d.mu.Unlock()
-	era := d.cfg.Store.Era()
-	targets, asOf, err := d.cfg.Store.Snapshot(ctx, l.TargetPrefix)
-	if err != nil {
-		return err
-	}
-	if era == 0 {
-		era = d.cfg.Store.Era()
-	}
-	operator, operatorAsOf, err := d.cfg.Store.Snapshot(ctx, l.OperatorPrefix)
-	if err != nil {
-		return err
-	}
-	if d.cfg.Store.Era() != era {
-		return errStoreRestored
-	}
-	now := time.Now()
-	unconfirmed := d.recordOwnResponse(now)
-	d.applying.Lock()
-	defer d.applying.Unlock()
-	if err := d.beginListing(era, now); err != nil {
-		return err
-	}
-	operator = d.withoutEarlierOrders(operator)
-	d.applyChanges(append(operator, d.missingOrders(operator, operatorAsOf)...), fromStore, false, now)
-	from := fromStore
-	if first {
-		from = fromPeer // the initial list is not sent to peers
-	}
-	d.listChanged(d.list.Replace(targets, asOf, unconfirmed, now), from, now)
-	d.finishListing(min(asOf, operatorAsOf), from, now)
-	d.confirmRemovals(began, now)
-	d.mu.Lock()
-	d.readRevision = asOf
-	d.mu.Unlock()
-	return nil
-}
-
-func (d *Directory) finishRead(ctx context.Context, err error, began time.Time) {
-	d.mu.Lock()
-	failedBefore := d.readFailed()
-	if err == nil {
-		d.readAt, d.freshAt, d.mismatchSince = began, began, time.Time{}
-	} else {
-		d.failedAt = time.Now()
-		d.nextReadAt = d.failedAt.Add(readRetryDelay)
-	}
-	neverRead, mismatchPeer := d.freshAt.IsZero(), ""
-	if err != nil && !d.mismatchSince.IsZero() && began.Sub(d.snapshotFetchedAt) >= snapshotFetchInterval {
-		mismatchPeer, d.snapshotFetchedAt = d.mismatchPeer, began
-	}
-	d.mu.Unlock()
-	switch {
-	case err != nil && !failedBefore:
-		event.StoreUnreachable.Log(d.cfg.Log, slog.Any("error", err))
-	case err == nil && failedBefore:
-		event.StoreReachable.Log(d.cfg.Log)
-	}
-	switch {
-	case err != nil && neverRead:
-		d.fetchSnapshotFromAny(ctx)
-	case mismatchPeer != "":
-		d.fetchSnapshot(ctx, mismatchPeer)
-	}
-}
-
 // applyChanges applies changes of the configuration, the target list and operator orders.
 func (d *Directory) applyChanges(changes []platform.Entry, from source, unconfirmed bool, now time.Time) {
 	l := d.cfg.Layout
--- a/gateway/directory/removal_test.go
+++ b/gateway/directory/removal_test.go
@@ -66,6 +66,13 @@
 	c.stuck.Store(false)
 }
 
+// listAgain writes the entries of the targets that have survived an outage. They are as before.
+func (c *cluster) listAgain() {
+	for _, id := range []string{"t1", "t2"} {
+		c.store.put("t/"+id, "ready 1")
+	}
+}
+
 // Guards against live targets that a host stops using after an outage of the store, before they are
 // listed again, and against a target that left in the outage and stays in use.
 func TestLiveTargetsOutliveAnOutage(t *testing.T) {
@@ -73,8 +80,7 @@
 		withCluster(t, 3, func(c *cluster) {
 			c.outage(2600*time.Millisecond + offset)
 			c.expectListed(1900*time.Millisecond, "t1", "t2")
-			c.store.put("t/t1", "ready 1")
-			c.store.put("t/t2", "ready 1")
+			c.listAgain()
 			c.expectListed(4*time.Second, "t1", "t2")
 			c.expectRemoved("t3", 0, c.hosts...)
 		})
@@ -91,8 +97,7 @@
 			first := c.hosts[0]
 			first.cut.Store(true)
 			c.expectListed(1900*time.Millisecond-offset, "t1", "t2")
-			c.store.put("t/t1", "ready 1")
-			c.store.put("t/t2", "ready 1")
+			c.listAgain()
 			c.run(100 * time.Millisecond)
 			first.cut.Store(false)
 			c.expectListed(4*time.Second, "t1", "t2")
@@ -112,8 +117,7 @@
 			c.expectListed(4*time.Second, "t1", "t2")
 			c.stuck.Store(false)
 			c.expectListed(1900*time.Millisecond, "t1", "t2")
-			c.store.put("t/t1", "ready 1")
-			c.store.put("t/t2", "ready 1")
+			c.listAgain()
 			c.expectListed(4*time.Second, "t1", "t2")
 			c.expectRemoved("t3", 0, c.hosts...)
 		})
@@ -130,8 +134,7 @@
 			c.run(offset)
 			restarted.restart()
 			c.expectListedBy(others, 1700*time.Millisecond-offset, "t1", "t2")
-			c.store.put("t/t1", "ready 1")
-			c.store.put("t/t2", "ready 1")
+			c.listAgain()
 			c.expectListedBy(others, 4*time.Second, "t1", "t2")
 			c.expectListed(0, "t1", "t2")
 			c.expectRemoved("t3", 0, c.hosts...)
@@ -159,8 +162,7 @@
 		c.outage(4 * time.Second)
 		c.run(700 * time.Millisecond) // all hosts have read the removals
 		c.hosts[2].cut.Store(true)
-		c.store.put("t/t1", "ready 1")
-		c.store.put("t/t2", "ready 1")
+		c.listAgain()
 		c.run(6 * time.Second)
 		for _, h := range c.hosts {
 			if !h.lists("t1") || !h.lists("t2") || h.lists("t3") {
