--- a/proof/scenario/hostprocess.go
+++ b/proof/scenario/hostprocess.go
@@ -47,28 +47,7 @@
 }
 
 // hosts holds the hosts of a scenario by name.
-type hosts struct {
-	mu  sync.Mutex
-	all map[string]*hostProcess
-}
-
-func (h *hosts) get(name string) *hostProcess {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.all[name]
-}
-
-func (h *hosts) forEach(f func(p *hostProcess)) {
-	h.mu.Lock()
-	all := make([]*hostProcess, 0, len(h.all))
-	for _, p := range h.all {
-		all = append(all, p)
-	}
-	h.mu.Unlock()
-	for _, p := range all {
-		f(p)
-	}
-}
+type hosts struct{ registry[*hostProcess] }
 
 // observe records the configuration numbers and the tier floors of the live hosts.
 func (h *hosts) observe(rec *invariant.Recorder) {
@@ -150,9 +129,7 @@
 		return err
 	}
 	p.settings = s
-	w.hosts.mu.Lock()
-	w.hosts.all[name] = p
-	w.hosts.mu.Unlock()
+	w.hosts.add(name, p)
 	if s.Listen.Peers != "" {
 		w.addEndpoint(platform.Endpoint{Name: name, Role: platform.RoleHost, Address: s.Listen.Peers, Zone: s.Host.Zone})
 	}
--- a/proof/scenario/standins.go
+++ b/proof/scenario/standins.go
@@ -39,28 +39,7 @@
 }
 
 // targets holds the simulated targets of a scenario by name.
-type targets struct {
-	mu  sync.Mutex
-	all map[string]*standin
-}
-
-func (t *targets) get(name string) *standin {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.all[name]
-}
-
-func (t *targets) forEach(f func(s *standin)) {
-	t.mu.Lock()
-	all := make([]*standin, 0, len(t.all))
-	for _, s := range t.all {
-		all = append(all, s)
-	}
-	t.mu.Unlock()
-	for _, s := range all {
-		f(s)
-	}
-}
+type targets struct{ registry[*standin] }
 
 // observe records the runs that have started since the last call. They are recorded with
 // the time at, which must not be later than the start of any of them.
@@ -122,9 +101,7 @@
 	if err := w.startServer(s); err != nil {
 		return err
 	}
-	w.targets.mu.Lock()
-	w.targets.all[endpoint.Name] = s
-	w.targets.mu.Unlock()
+	w.targets.add(endpoint.Name, s)
 	w.addEndpoint(s.endpoint)
 	return nil
 }
--- a/proof/scenario/world.go
+++ b/proof/scenario/world.go
@@ -87,8 +87,6 @@
 		return nil, err
 	}
 	w.operatorStore = httpkv.New(httpkv.Config{Address: w.platform.Addr(), CallerName: "operator"})
-	w.hosts.all = make(map[string]*hostProcess)
-	w.targets.all = make(map[string]*standin)
 	ctx, stop := context.WithCancel(context.Background())
 	w.stopObserver = stop
 	w.observer.Go(func() { w.observe(ctx) })
