Withdraw an assumed outage when a peer has read the store throughout

A host that was cut off from the store and from all peers, or a zone of such hosts, took the time for an outage of the store on its return: it delayed removals by 2.2 s and more, so a target that was removed just then could get requests for longer than 2 s.

Cause: heartbeats told when the store had last responded to their sender, but not that it had done so all the time. After the return, both the host's own read and a peer's heartbeat showed a gap.

Heartbeats now also say for how long the host has read the store without a gap (StoreUptimeMs). A host that assumes an outage forgets it when such an uptime covers it, which takes one heartbeat of a host that reads the store. Delayed removals are then confirmed by the next read. Hosts that were all cut off at once can't withdraw an outage for each other. Event 614 tells of it.

Only what a host has read itself without a gap counts as its uptime. A host that was suspended handles the heartbeats that waited for it as if they were new, and would otherwise refute an outage that its peers have seen.

--- a/core/event/table.go
+++ b/core/event/table.go
@@ -73,6 +73,7 @@
 
 	RemovalsUnconfirmed = Event{Number: 612, Name: "removals unconfirmed", Level: slog.LevelWarn, Meaning: "The store responds to a host again, after no host of which this one knows has read it for the stated time. Entries of live targets may have expired, so targets whose entries are removed stay in use until the live ones are listed again."}
 	RemovalDelayed      = Event{Number: 613, Name: "removal delayed", Level: slog.LevelInfo, Meaning: "The entry of a target was removed after an outage of the store. The target stays in use until a later read of the store confirms the removal, or until it is listed again."}
+	OutageRefuted       = Event{Number: 614, Name: "outage refuted", Level: slog.LevelInfo, Meaning: "A peer has read the store throughout what this host took for an outage: the host was only cut off itself. Removals are no longer delayed."}
 
 	MoveStarted     = Event{Number: 701, Name: "move started", Level: slog.LevelInfo, Meaning: "A version move started, or the deadline of a running move changed."}
 	MoveAdvanced    = Event{Number: 702, Name: "move advanced", Level: slog.LevelInfo, Meaning: "The traffic share of the new version was raised by one step."}
@@ -92,7 +93,7 @@
 		TargetEjected, TargetRestored, TargetDraining, TargetListStale, TargetListChanged, TargetFailure, TargetSilent, TargetResponsive, PromptPartSuspected, PromptPartQuarantined, PromptPartReleased, TargetClosed, TargetReopened, RetryAfterRejected, LoadReportUnreadable, TargetPaced, TargetAtFullPace,
 		WriterElected, WriterRoleLost, AppendOutcomeUnknown, RequestOutcomeUnknown, RequestTakenOver,
 		MemberSuspected, MemberDead, MemberAlive, PeerRejected, PeerFetchFailed, QuotaReservedForPeers,
-		ConfigApplied, ConfigRejected, StoreUnreachable, StoreReachable, CheckpointRestored, CheckpointFailed, BecameStoreReader, TargetEntryUnreadable, ZoneEvacuated, ZoneReopened, StoreRestored, RemovalsUnconfirmed, RemovalDelayed,
+		ConfigApplied, ConfigRejected, StoreUnreachable, StoreReachable, CheckpointRestored, CheckpointFailed, BecameStoreReader, TargetEntryUnreadable, ZoneEvacuated, ZoneReopened, StoreRestored, RemovalsUnconfirmed, RemovalDelayed, OutageRefuted,
 		MoveStarted, MoveAdvanced, MoveCompleted, MoveRolledBack, MoveLate, VersionHalted, MoveStepRetried, MoveEvidence,
 	}
 }
--- a/gateway/directory/cluster_test.go
+++ b/gateway/directory/cluster_test.go
@@ -58,6 +58,9 @@
 	cut      atomic.Bool // from the store
 	isolated atomic.Bool // from the other hosts
 	stop     func()
+	// suspended is set while the host does nothing. Heartbeats wait in inbox then.
+	suspended bool
+	inbox     []*peers.Heartbeat
 }
 
 // cluster is several hosts on one store, which exchange heartbeats.
@@ -103,6 +106,22 @@
 	h.stop = run(t, d)
 }
 
+// suspend stops a host, as if its process got no processor time.
+func (h *clusterHost) suspend() {
+	h.suspended = true
+	h.cut.Store(true)
+}
+
+// resume lets a suspended host go on. It handles the heartbeats that have arrived meanwhile.
+func (h *clusterHost) resume() {
+	h.suspended = false
+	h.cut.Store(false)
+	for _, heartbeat := range h.inbox {
+		h.running.Load().HandleHeartbeat(heartbeat, time.Now())
+	}
+	h.inbox = nil
+}
+
 // restart replaces the process of a host.
 func (h *clusterHost) restart() {
 	h.stop()
@@ -149,6 +168,9 @@
 
 // sendHeartbeat sends a heartbeat of a host to all hosts that it reaches.
 func (c *cluster) sendHeartbeat(from *clusterHost) {
+	if from.suspended {
+		return
+	}
 	sent := &peers.Heartbeat{Name: from.name, Address: from.name, IntervalMs: peers.HeartbeatInterval.Milliseconds()}
 	from.running.Load().FillHeartbeat(sent, time.Now())
 	encoded, err := peers.Encode(sent)
@@ -163,7 +185,11 @@
 		if err != nil {
 			c.t.Fatal(err)
 		}
-		to.running.Load().HandleHeartbeat(received, time.Now())
+		if to.suspended {
+			to.inbox = append(to.inbox, received)
+		} else {
+			to.running.Load().HandleHeartbeat(received, time.Now())
+		}
 	}
 }
 
--- a/gateway/directory/exchange.go
+++ b/gateway/directory/exchange.go
@@ -23,7 +23,7 @@
 	h.StoreEra = d.era.listed
 	h.ListAgeMs = ageMs(d.freshAt, now)
 	h.ListUnconfirmed = d.listUnconfirmed(now)
-	h.StoreResponseAgeMs = ageMs(d.availability.ownResponseAt, now)
+	d.availability.fillUptime(h, now)
 	d.recentChanges = slices.DeleteFunc(d.recentChanges, func(p recentChange) bool { return now.Sub(p.at) > maxChangeRepeatTime })
 	repeatTime := changeRepeats * time.Duration(h.IntervalMs) * time.Millisecond
 	h.Changes = d.changesToSend(repeatTime, now)
@@ -75,7 +75,7 @@
 func (d *Directory) HandleHeartbeat(h *peers.Heartbeat, now time.Time) {
 	d.applying.Lock()
 	defer d.applying.Unlock()
-	unconfirmed := d.recordPeerResponse(h, now)
+	unconfirmed := d.recordPeerUptime(h, now)
 	sameEra := d.recordPeerEra(h)
 	for _, c := range h.Changes {
 		if !sameEra && c.Key != d.cfg.Layout.ConfigKey { // the version orders configurations
--- a/gateway/directory/removal_test.go
+++ b/gateway/directory/removal_test.go
@@ -55,6 +55,29 @@
 	}
 }
 
+// Guards against hosts that take a cut from the store and from all peers for an outage of the store,
+// and send requests to removed targets after their return.
+func TestHostsCutOffFromAllDelayNoRemoval(t *testing.T) {
+	for _, cutOff := range []int{1, 2} {
+		for _, offset := range offsets() {
+			withCluster(t, 3, func(c *cluster) {
+				for _, h := range c.hosts[:cutOff] {
+					h.cut.Store(true)
+					h.isolated.Store(true)
+				}
+				c.run(5500 * time.Millisecond)
+				for _, h := range c.hosts[:cutOff] {
+					h.cut.Store(false)
+					h.isolated.Store(false)
+				}
+				c.run(offset)
+				c.store.remove("t/t1")
+				c.expectRemoved("t1", removalBound, c.hosts...)
+			})
+		}
+	}
+}
+
 // outage takes the store down for the given time, in which the entries of all targets expire.
 func (c *cluster) outage(d time.Duration) {
 	c.stuck.Store(true)
@@ -106,6 +129,42 @@
 	}
 }
 
+// Guards against live targets that a host drops because its peers, which it could not hear in the
+// outage, have read the store before and after it.
+func TestLiveTargetsOutliveAnOutageAtAnIsolatedHost(t *testing.T) {
+	for _, offset := range offsets() {
+		withCluster(t, 3, func(c *cluster) {
+			c.hosts[0].isolated.Store(true)
+			c.run(offset)
+			c.outage(4 * time.Second)
+			c.hosts[0].isolated.Store(false)
+			c.expectListed(1900*time.Millisecond, "t1", "t2")
+			c.listAgain()
+			c.expectListed(4*time.Second, "t1", "t2")
+			c.expectRemoved("t3", 0, c.hosts...)
+		})
+	}
+}
+
+// Guards against live targets that hosts drop on the word of a host which was suspended in the outage
+// and takes old heartbeats for news.
+func TestLiveTargetsOutliveAnOutageBesideASuspendedHost(t *testing.T) {
+	for _, offset := range offsets() {
+		withCluster(t, 3, func(c *cluster) {
+			suspended, others := c.hosts[2], c.hosts[:2] // the first host reads the store
+			suspended.suspend()
+			c.run(offset)
+			c.outage(4 * time.Second)
+			c.run(100 * time.Millisecond)
+			suspended.resume()
+			c.expectListedBy(others, 1800*time.Millisecond, "t1", "t2")
+			c.listAgain()
+			c.expectListedBy(others, 4*time.Second, "t1", "t2")
+			c.expectRemoved("t3", 0, c.hosts...)
+		})
+	}
+}
+
 // Guards against live targets that are dropped in a second outage, since they had no time to be
 // listed again after the first one.
 func TestLiveTargetsOutliveASecondOutage(t *testing.T) {
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -69,6 +69,9 @@
 	// StoreResponseAgeMs is the time since the store has last responded to a read of the host, in
 	// milliseconds; negative if it has not.
 	StoreResponseAgeMs int64
+	// StoreUptimeMs is the time until that response in which the host has read the store without a
+	// gap that may be an outage, in milliseconds.
+	StoreUptimeMs int64
 	// ListUnconfirmed is set while the target list may contain targets whose entries have been
 	// removed, because live ones may have expired in an outage of the store.
 	ListUnconfirmed bool
