Share the end of the tests of outages

Four tests checked in the same four lines that live targets stay listed and the ended one is removed. The assertions are the same.

--- a/gateway/directory/removal_test.go
+++ b/gateway/directory/removal_test.go
@@ -96,16 +96,23 @@
 	}
 }
 
+// expectRelisted checks that the hosts go on listing the targets that have survived an outage, whose
+// entries are written again after the given time, and that all hosts remove the target that has not.
+func (c *cluster) expectRelisted(after time.Duration, hosts ...*clusterHost) {
+	c.t.Helper()
+	c.expectListedBy(hosts, after, "t1", "t2")
+	c.listAgain()
+	c.expectListedBy(hosts, 4*time.Second, "t1", "t2")
+	c.expectRemoved("t3", 0, c.hosts...)
+}
+
 // Guards against live targets that a host stops using after an outage of the store, before they are
 // listed again, and against a target that left in the outage and stays in use.
 func TestLiveTargetsOutliveAnOutage(t *testing.T) {
 	for _, offset := range offsets() {
 		withCluster(t, 3, func(c *cluster) {
 			c.outage(2600*time.Millisecond + offset)
-			c.expectListed(1900*time.Millisecond, "t1", "t2")
-			c.listAgain()
-			c.expectListed(4*time.Second, "t1", "t2")
-			c.expectRemoved("t3", 0, c.hosts...)
+			c.expectRelisted(1900*time.Millisecond, c.hosts...)
 		})
 	}
 }
@@ -138,10 +145,7 @@
 			c.run(offset)
 			c.outage(4 * time.Second)
 			c.hosts[0].isolated.Store(false)
-			c.expectListed(1900*time.Millisecond, "t1", "t2")
-			c.listAgain()
-			c.expectListed(4*time.Second, "t1", "t2")
-			c.expectRemoved("t3", 0, c.hosts...)
+			c.expectRelisted(1900*time.Millisecond, c.hosts...)
 		})
 	}
 }
@@ -157,10 +161,7 @@
 			c.outage(4 * time.Second)
 			c.run(100 * time.Millisecond)
 			suspended.resume()
-			c.expectListedBy(others, 1800*time.Millisecond, "t1", "t2")
-			c.listAgain()
-			c.expectListedBy(others, 4*time.Second, "t1", "t2")
-			c.expectRemoved("t3", 0, c.hosts...)
+			c.expectRelisted(1800*time.Millisecond, others...)
 		})
 	}
 }
@@ -175,10 +176,7 @@
 			c.stuck.Store(true)
 			c.expectListed(4*time.Second, "t1", "t2")
 			c.stuck.Store(false)
-			c.expectListed(1900*time.Millisecond, "t1", "t2")
-			c.listAgain()
-			c.expectListed(4*time.Second, "t1", "t2")
-			c.expectRemoved("t3", 0, c.hosts...)
+			c.expectRelisted(1900*time.Millisecond, c.hosts...)
 		})
 	}
 }
